--- a/agent/agent.c
+++ b/agent/agent.c
@@ -342,7 +342,7 @@
 	cfg_snapshot_forget_doc(snapshot);
 }
 
-static void on_hosts(void *userdata, const struct plat_hosts *hosts)
+static void on_hosts(void *userdata, const struct store_hosts *hosts)
 {
 }
 
--- a/agent/agent_load.c
+++ b/agent/agent_load.c
@@ -1,6 +1,6 @@
 #include "agent/agent_load.h"
 
-#include "platform/plat_http.h"
+#include "store/store_http.h"
 
 #include <string.h>
 
@@ -11,7 +11,7 @@
 
 struct agent_load {
 	struct agent_load_options options;
-	struct plat_http *http;
+	struct store_http *http;
 	char *url;
 	guint timer;
 };
@@ -51,7 +51,7 @@
 
 static gboolean ask(gpointer userdata);
 
-static void on_answer(void *userdata, const struct plat_http_answer *answer)
+static void on_answer(void *userdata, const struct store_http_answer *answer)
 {
 	struct agent_load *load = userdata;
 	double waiting = -1;
@@ -68,7 +68,7 @@
 static gboolean ask(gpointer userdata)
 {
 	struct agent_load *load = userdata;
-	const struct plat_http_request request = {
+	const struct store_http_request request = {
 		.method = "GET",
 		.url = load->url,
 		.done = on_answer,
@@ -76,7 +76,7 @@
 	};
 
 	load->timer = 0;
-	plat_http_send(load->http, &request);
+	store_http_send(load->http, &request);
 	return G_SOURCE_REMOVE;
 }
 
@@ -86,7 +86,7 @@
 
 	load->options = *options;
 	load->url = g_strconcat(options->url, "/metrics", NULL);
-	load->http = plat_http_create(1);
+	load->http = store_http_create(1);
 	ask(load);
 	return load;
 }
@@ -97,7 +97,7 @@
 		return;
 	if (load->timer)
 		g_source_remove(load->timer);
-	plat_http_destroy(load->http);
+	store_http_destroy(load->http);
 	g_free(load->url);
 	g_free(load);
 }
--- a/agent/agent_orders.c
+++ b/agent/agent_orders.c
@@ -14,15 +14,15 @@
 struct agent_orders {
 	struct node *node;
 	struct order *order;
-	struct plat_http *http;
+	struct store_http *http;
 	char *key;
 	char *self; /* the value that names this incarnation */
 };
 
 /* ---- the fencing number ---- */
 
-static const struct plat_pair *own_pair(const struct agent_orders *orders,
-					const struct plat_answer *answer)
+static const struct store_pair *own_pair(const struct agent_orders *orders,
+					 const struct store_answer *answer)
 {
 	if (answer->error || !answer->pairs_count ||
 	    strcmp(answer->pairs[0].value, orders->self) != 0)
@@ -30,10 +30,10 @@
 	return &answer->pairs[0];
 }
 
-static void on_fence_read(void *userdata, const struct plat_answer *answer)
+static void on_fence_read(void *userdata, const struct store_answer *answer)
 {
 	struct agent_orders *orders = userdata;
-	const struct plat_pair *pair = own_pair(orders, answer);
+	const struct store_pair *pair = own_pair(orders, answer);
 
 	order_fenced(orders->order, pair ? pair->mod_revision : 0);
 	if (pair)
@@ -43,10 +43,10 @@
 }
 
 /* Whatever came of the write, what stands in the KV tells. */
-static void on_fence_written(void *userdata, const struct plat_answer *answer)
+static void on_fence_written(void *userdata, const struct store_answer *answer)
 {
 	struct agent_orders *orders = userdata;
-	struct plat_kv *kv = node_kv(orders->node);
+	struct store_kv *kv = node_kv(orders->node);
 
 	kv->ops->range(kv, "fence", orders->key, false, on_fence_read, orders);
 }
@@ -54,14 +54,14 @@
 static void take_fence(void *userdata)
 {
 	struct agent_orders *orders = userdata;
-	struct plat_kv *kv = node_kv(orders->node);
-	const struct plat_put put = { orders->key, orders->self, 0 };
-	const struct plat_txn txn = { .puts = &put, .puts_count = 1 };
+	struct store_kv *kv = node_kv(orders->node);
+	const struct store_put put = { orders->key, orders->self, 0 };
+	const struct store_txn txn = { .puts = &put, .puts_count = 1 };
 
 	kv->ops->txn(kv, "fence", &txn, on_fence_written, orders);
 }
 
-static void on_checked(void *userdata, const struct plat_answer *answer)
+static void on_checked(void *userdata, const struct store_answer *answer)
 {
 	struct agent_orders *orders = userdata;
 	bool ours = own_pair(orders, answer);
@@ -75,7 +75,7 @@
 static void check_fence(void *userdata)
 {
 	struct agent_orders *orders = userdata;
-	struct plat_kv *kv = node_kv(orders->node);
+	struct store_kv *kv = node_kv(orders->node);
 
 	kv->ops->range(kv, "fence_check", orders->key, false, on_checked,
 		       orders);
@@ -84,7 +84,7 @@
 /* ---- the order ---- */
 
 static void on_order_answer(void *userdata,
-			    const struct plat_http_answer *answer)
+			    const struct store_http_answer *answer)
 {
 	struct agent_orders *orders = userdata;
 	enum order_end end = ORDER_FAILED;
@@ -110,7 +110,7 @@
 		g_strdup_printf("{\"order\":\"load_model\",\"model\":\"%s\","
 				"\"fence\":%" G_GINT64_FORMAT "}",
 				model, (gint64)fence);
-	const struct plat_http_request request = {
+	const struct store_http_request request = {
 		.method = "POST",
 		.url = url,
 		.body = body,
@@ -119,7 +119,7 @@
 		.userdata = orders,
 	};
 
-	plat_http_send(orders->http, &request);
+	store_http_send(orders->http, &request);
 }
 
 static const struct order_ops order_ops = { take_fence, check_fence,
@@ -138,7 +138,7 @@
 
 	orders->node = node;
 	orders->order = order_create(&options);
-	orders->http = plat_http_create(1);
+	orders->http = store_http_create(1);
 	orders->key =
 		g_strconcat(FENCE_PREFIX, node_settings(node)->host, NULL);
 	orders->self = g_strdup_printf("%" G_GINT64_MODIFIER "x",
@@ -150,7 +150,7 @@
 {
 	if (!orders)
 		return;
-	plat_http_destroy(orders->http);
+	store_http_destroy(orders->http);
 	order_destroy(orders->order);
 	g_free(orders->key);
 	g_free(orders->self);
--- a/bench/bench_claims.c
+++ b/bench/bench_claims.c
@@ -1,7 +1,7 @@
 /* claims: KV writes a claim and added latency, grouped and one by one. */
 #include "bench/bench.h"
-#include "platform/plat_etcd.h"
 #include "policy/claim.h"
+#include "store/store_etcd.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -13,7 +13,7 @@
 #define KV_DELAY_MS 3 /* the platform answers in milliseconds */
 
 struct run {
-	struct plat_kv *kv;
+	struct store_kv *kv;
 	struct claims *claims;
 	GMainLoop *loop;
 	char **keys;
@@ -28,7 +28,7 @@
 	double *took_us;
 };
 
-static void on_txn(void *userdata, const struct plat_answer *answer)
+static void on_txn(void *userdata, const struct store_answer *answer)
 {
 	struct run *run = userdata;
 
@@ -39,16 +39,16 @@
 			 uint32_t count)
 {
 	struct run *run = userdata;
-	g_autofree struct plat_compare *compares =
-		g_new0(struct plat_compare, count);
-	g_autofree struct plat_put *puts = g_new0(struct plat_put, count);
+	g_autofree struct store_compare *compares =
+		g_new0(struct store_compare, count);
+	g_autofree struct store_put *puts = g_new0(struct store_put, count);
 
 	for (uint32_t i = 0; i < count; i++) {
 		compares[i].key = items[i].key;
 		puts[i].key = items[i].key;
 		puts[i].value = items[i].owner;
 	}
-	const struct plat_txn txn = {
+	const struct store_txn txn = {
 		.compares = compares,
 		.compares_count = count,
 		.puts = puts,
@@ -98,7 +98,7 @@
 	double p99_ms;
 };
 
-static struct point run_at(struct plat_kv *kv, uint32_t rate, bool naive)
+static struct point run_at(struct store_kv *kv, uint32_t rate, bool naive)
 {
 	struct run run = {
 		.kv = kv,
@@ -145,14 +145,14 @@
 	struct bench_fleet *fleet =
 		bench_fleet_create(settings, &fleet_options);
 	struct lp_counters *counters = lp_counters_create();
-	const struct plat_etcd_options kv_options = {
+	const struct store_etcd_options kv_options = {
 		.url = fleet_kv_url(fleet->fleet),
 		.clock = lp_clock_monotonic(),
 		.counters = counters,
 		.calls_per_s = KV_CALLS_PER_S,
 		.burst = KV_CALLS_PER_S,
 	};
-	struct plat_kv *kv = plat_etcd_create(&kv_options);
+	struct store_kv *kv = store_etcd_create(&kv_options);
 	struct point last[2] = { { 0 } };
 
 	fleet_fault(fleet->fleet, "kv", "pass", KV_DELAY_MS, NULL);
@@ -171,7 +171,7 @@
 	       "writes_per_claim_naive=%.3f p50_ms=%.1f p50_ms_naive=%.1f\n",
 	       last[0].writes_per_claim, last[1].writes_per_claim,
 	       last[0].p50_ms, last[1].p50_ms);
-	plat_kv_destroy(kv);
+	store_kv_destroy(kv);
 	lp_counters_destroy(counters);
 	bench_fleet_destroy(fleet);
 	return 0;
--- a/cli/cli.h
+++ b/cli/cli.h
@@ -8,8 +8,8 @@
 #define CLI_H
 
 #include "config/cfg_record.h"
-#include "platform/plat_etcd.h"
-#include "platform/plat_hosts.h"
+#include "store/store_etcd.h"
+#include "store/store_hosts.h"
 
 enum cli_exit {
 	CLI_DONE = 0,
@@ -31,8 +31,8 @@
 struct cli {
 	const struct cli_settings *settings;
 	char **args; /**< after the command's name */
-	struct plat_kv *kv;
-	struct plat_http *http;
+	struct store_kv *kv;
+	struct store_http *http;
 	struct lp_counters *counters;
 };
 
@@ -62,7 +62,7 @@
 /** Values of all keys with a prefix, char *, in no order. */
 int cli_read_all(struct cli *cli, const char *prefix, GPtrArray **out);
 /** LP_OK; LP_ERROR_CONFLICT: a compare failed; PLATFORM_DOWN: not known. */
-int cli_txn(struct cli *cli, const struct plat_txn *txn);
+int cli_txn(struct cli *cli, const struct store_txn *txn);
 /** GET a JSON body; NULL when it fails. json_node_unref(). */
 JsonNode *cli_get(struct cli *cli, const char *url);
 /** POST nothing; did an answer of the 200s come? */
--- a/cli/cli_config.c
+++ b/cli/cli_config.c
@@ -208,17 +208,17 @@
 		segment_with(old.value, record->revision,
 			     audit_record(record, revision_of(&change->before),
 					  cli->settings->reason, change->diff));
-	const struct plat_compare compares[] = {
+	const struct store_compare compares[] = {
 		{ CFG_KEY, change->before.mod_revision },
 		{ audit, old.mod_revision },
 	};
-	const struct plat_put puts[] = {
+	const struct store_put puts[] = {
 		{ CFG_KEY, value, 0 },
 		{ CFG_NUMBER_KEY, number, 0 },
 		{ audit, segment, 0 },
 		{ history, value, 0 },
 	};
-	const struct plat_txn txn = {
+	const struct store_txn txn = {
 		.compares = compares,
 		.compares_count = G_N_ELEMENTS(compares),
 		.puts = puts,
--- a/cli/cli_io.c
+++ b/cli/cli_io.c
@@ -9,7 +9,7 @@
 	GArray *values; /* of struct cli_value */
 };
 
-static void on_answer(void *userdata, const struct plat_answer *answer)
+static void on_answer(void *userdata, const struct store_answer *answer)
 {
 	struct range_wait *wait = userdata;
 
@@ -83,7 +83,7 @@
 	return wait.error;
 }
 
-int cli_txn(struct cli *cli, const struct plat_txn *txn)
+int cli_txn(struct cli *cli, const struct store_txn *txn)
 {
 	struct range_wait wait = { 0 };
 	int error;
@@ -104,7 +104,7 @@
 	uint32_t status;
 };
 
-static void on_http(void *userdata, const struct plat_http_answer *answer)
+static void on_http(void *userdata, const struct store_http_answer *answer)
 {
 	struct http_wait *wait = userdata;
 
@@ -118,14 +118,14 @@
 				 const char *url)
 {
 	struct http_wait wait = { g_main_loop_new(NULL, FALSE), NULL, 0 };
-	const struct plat_http_request request = {
+	const struct store_http_request request = {
 		.method = method,
 		.url = url,
 		.done = on_http,
 		.userdata = &wait,
 	};
 
-	plat_http_send(cli->http, &request);
+	store_http_send(cli->http, &request);
 	g_main_loop_run(wait.loop);
 	g_main_loop_unref(wait.loop);
 	return wait;
--- a/cli/linepier_main.c
+++ b/cli/linepier_main.c
@@ -71,9 +71,9 @@
 		.settings = settings,
 		.args = args,
 		.counters = lp_counters_create(),
-		.http = plat_http_create(4),
+		.http = store_http_create(4),
 	};
-	const struct plat_etcd_options options = {
+	const struct store_etcd_options options = {
 		.url = settings->kv_url,
 		.clock = lp_clock_monotonic(),
 		.counters = cli.counters,
@@ -81,10 +81,10 @@
 	};
 	int status;
 
-	cli.kv = plat_etcd_create(&options);
+	cli.kv = store_etcd_create(&options);
 	status = command->run(&cli);
-	plat_kv_destroy(cli.kv);
-	plat_http_destroy(cli.http);
+	store_kv_destroy(cli.kv);
+	store_http_destroy(cli.http);
 	lp_counters_destroy(cli.counters);
 	return status;
 }
--- /dev/null
+++ b/direct/direct.c
@@ -0,0 +1,165 @@
+#include "direct/direct_private.h"
+
+static void on_request(void *userdata, struct http_call *call)
+{
+	direct_request_begin(userdata, call);
+}
+
+static void on_refused(void *userdata, int error, uint32_t status)
+{
+	struct direct *direct = userdata;
+	struct lp_event_log *log = direct->options.log;
+
+	*lp_counter(direct->options.counters, "linepier_unread_total", NULL) +=
+		1;
+	if (!lp_event_begin(log, "request_unreadable", NULL))
+		return;
+	lp_event_text(log, "error", lp_error_info(error)->name);
+	lp_event_int(log, "status", status);
+	lp_event_end(log);
+}
+
+/* Until a configuration says more: what keeps a stranger from filling us. */
+static const struct http_limits first_limits = {
+	.head_bytes = 16384,
+	.body_bytes = 4194304,
+	.read_us = 10 * LP_US_PER_S,
+	.idle_us = 60 * LP_US_PER_S,
+};
+
+struct direct *direct_create(const struct direct_options *options, int *error)
+{
+	struct direct *direct = g_new0(struct direct, 1);
+	const struct http_server_options server = {
+		.address = options->address,
+		.clock = options->clock,
+		.limits = first_limits,
+		.request = on_request,
+		.refused = on_refused,
+		.userdata = direct,
+	};
+	const struct retries_options retries = {
+		.clock = options->clock,
+		.ratio = options->retry_ratio,
+		.slack = options->retry_slack,
+		.window_us = options->retry_window_us,
+	};
+
+	direct->server = http_server_create(&server, error);
+	if (!direct->server) {
+		g_free(direct);
+		return NULL;
+	}
+	direct->options = *options;
+	direct->domain = g_strdup(options->domain);
+	direct->pool = pool_create(options->clock, options->domain);
+	direct->retries = retries_create(&retries);
+	direct->requests = g_hash_table_new(NULL, NULL);
+	direct->stages = direct_stages_create(direct);
+	direct->answer_times = lp_histogram_create(
+		options->counters, "linepier_answer_milliseconds");
+	direct->first_times = lp_histogram_create(
+		options->counters, "linepier_first_event_milliseconds");
+	return direct;
+}
+
+void direct_destroy(struct direct *direct)
+{
+	g_autoptr(GList) requests = NULL;
+
+	if (!direct)
+		return;
+	requests = g_hash_table_get_keys(direct->requests);
+	for (GList *at = requests; at; at = at->next)
+		direct_request_drop(at->data);
+	http_server_destroy(direct->server);
+	direct_stages_destroy(direct->stages);
+	pool_destroy(direct->pool);
+	retries_destroy(direct->retries);
+	direct_config_unref(direct->config);
+	g_hash_table_unref(direct->requests);
+	lp_histogram_destroy(direct->answer_times);
+	lp_histogram_destroy(direct->first_times);
+	g_free(direct->domain);
+	g_free(direct);
+}
+
+static void log_config(struct direct *direct, int64_t before)
+{
+	struct lp_event_log *log = direct->options.log;
+
+	if (!lp_event_begin(log, "config", NULL))
+		return;
+	lp_event_text(log, "outcome", "in_force");
+	lp_event_int(log, "version", direct->config->version);
+	lp_event_int(log, "version_before", before);
+	lp_event_int(log, "routes", direct->config->routes->len);
+	lp_event_end(log);
+}
+
+bool direct_set_config(struct direct *direct, struct direct_config *config)
+{
+	int64_t before = direct_config_version(direct);
+	struct http_limits limits = {
+		.head_bytes = (size_t)config->limits.head_bytes,
+		.body_bytes = (size_t)config->limits.body_bytes,
+		.read_us = config->limits.read_us,
+		.idle_us = config->limits.idle_us,
+	};
+
+	if (config->version <= before)
+		return false;
+	direct_config_unref(direct->config);
+	direct->config = direct_config_ref(config);
+	http_server_set_limits(direct->server, &limits);
+	direct_stages_configure(direct->stages, config);
+	log_config(direct, before);
+	return true;
+}
+
+int64_t direct_config_version(const struct direct *direct)
+{
+	return direct->config ? direct->config->version : -1;
+}
+
+void direct_set_upstreams(struct direct *direct,
+			  const struct pool_entry *entries, uint32_t count)
+{
+	struct lp_event_log *log = direct->options.log;
+	uint32_t changes = pool_update(direct->pool, entries, count);
+
+	direct->has_upstreams = true;
+	if (!changes)
+		return;
+	if (lp_event_begin(log, "upstreams", NULL)) {
+		lp_event_int(log, "listed", count);
+		lp_event_int(log, "changes", changes);
+		lp_event_end(log);
+	}
+	direct_stages_run(direct->stages);
+}
+
+void direct_set_retries(struct direct *direct, double ratio, double slack)
+{
+	retries_set(direct->retries, ratio, slack);
+}
+
+bool direct_ready(const struct direct *direct)
+{
+	return direct->config && direct->has_upstreams;
+}
+
+void direct_drain(struct direct *direct)
+{
+	http_server_drain(direct->server);
+}
+
+void direct_stop_listening(struct direct *direct)
+{
+	http_server_stop_listening(direct->server);
+}
+
+uint32_t direct_busy(const struct direct *direct)
+{
+	return http_server_busy(direct->server);
+}
--- /dev/null
+++ b/direct/direct.h
@@ -0,0 +1,57 @@
+/**
+ * An entry that calls upstreams directly: no agents stand beside them.
+ *
+ * Callers' requests come over HTTP, are matched to a route, wait for the
+ * pieces of their stages, go to one upstream of the route's service and are
+ * answered with what it answers. All of it lives in one process: nothing
+ * outlives it, and entries share no state.
+ *
+ * The configuration and the list of upstreams are handed in by an adapter,
+ * which also translates the wire (direct_codec.h).
+ */
+#ifndef DIRECT_H
+#define DIRECT_H
+
+#include "base/lp_counter.h"
+#include "base/lp_event.h"
+#include "direct/direct_codec.h"
+#include "direct/direct_config.h"
+
+struct direct;
+
+struct direct_options {
+	const struct lp_clock *clock;
+	const struct direct_codec *codec;
+	struct lp_event_log *log;
+	struct lp_counters *counters;
+	const char *address; /**< "IP:PORT" for callers */
+	const char *domain;  /**< own failure domain */
+	/** Repeats allowed, fleet-wide: ratio x requests + slack a window. */
+	double retry_ratio;
+	double retry_slack; /**< this entry's part */
+	int64_t retry_window_us;
+};
+
+/** NULL and `*error`: LP_ERROR_SYSTEM when the address cannot be had. */
+struct direct *direct_create(const struct direct_options *options, int *error);
+void direct_destroy(struct direct *direct);
+/**
+ * Take a configuration into force, if it is newer than the one there is.
+ * Returns whether it was.
+ */
+bool direct_set_config(struct direct *direct, struct direct_config *config);
+/** Version in force; negative: none yet. */
+int64_t direct_config_version(const struct direct *direct);
+void direct_set_upstreams(struct direct *direct,
+			  const struct pool_entry *entries, uint32_t count);
+void direct_set_retries(struct direct *direct, double ratio, double slack);
+/** Whether requests can be served: configuration and upstreams are known. */
+bool direct_ready(const struct direct *direct);
+/** End in order: answers end their connections from now on. */
+void direct_drain(struct direct *direct);
+/** Take no new connections. */
+void direct_stop_listening(struct direct *direct);
+/** Requests that are being read or served. */
+uint32_t direct_busy(const struct direct *direct);
+
+#endif
--- /dev/null
+++ b/direct/direct_codec.h
@@ -0,0 +1,98 @@
+/**
+ * What an adapter translates for an entry that calls upstreams directly:
+ * header fields and bodies of one deployment's wire from and to typed values.
+ * No decision is made behind these callbacks, and none of them blocks.
+ */
+#ifndef DIRECT_CODEC_H
+#define DIRECT_CODEC_H
+
+#include "http/http_fields.h"
+#include "policy/pool.h"
+
+/** What a caller's request says. Strings are borrowed from its fields. */
+struct direct_ask {
+	const char *id; /**< of this attempt of the caller; never NULL */
+	const char *host;
+	const char *key;     /**< that names the organisation, or NULL */
+	int64_t deadline_us; /**< how long the caller waits; 0: not said */
+	GArray *parts;	     /**< of struct pool_part; owned by the request */
+	int64_t tokens_in;
+	int64_t tokens_out;
+	GArray *pieces; /**< uint32_t a stage: pieces it has; owned likewise */
+	const char *piece_key;	   /**< what first stages are made from */
+	const char *last_event_id; /**< the caller resumes after it, or NULL */
+};
+
+/** A request as it goes to an upstream. */
+struct direct_offer {
+	const struct http_fields *from; /**< the caller's fields */
+	const char *upstream;		/**< id of the one that may run it */
+	const char *organisation;	/**< or NULL */
+	int64_t left_us;		/**< until nobody waits any more */
+	int32_t priority;		/**< 0 goes first */
+	const GPtrArray *inputs;	/**< handles, or NULL */
+	const char *last_event_id;	/**< resume after it, or NULL */
+};
+
+/** What the head of an upstream's answer says. */
+struct direct_reply {
+	bool is_ours;	    /**< it names the request that we sent */
+	bool is_genuine;    /**< it bears the upstream's mark */
+	bool not_run;	    /**< the upstream promises so */
+	bool other_process; /**< another process has the address now */
+	bool input_gone;    /**< results that it needs are gone */
+	bool is_events;	    /**< a stream of events follows */
+	int32_t running;    /**< requests or calls at work there; negative: not
+			       said */
+	int32_t waiting;
+};
+
+/** One piece of a call of stages. */
+struct direct_item {
+	const char *id; /**< of the request */
+	uint32_t stage;
+	uint32_t piece;
+	int64_t left_us;
+	const char *key;	 /**< for a stage without inputs, else NULL */
+	const GPtrArray *inputs; /**< handles */
+};
+
+enum direct_item_result {
+	DIRECT_ITEM_MADE,
+	DIRECT_ITEM_LATE,
+	DIRECT_ITEM_INPUT_GONE,
+	DIRECT_ITEM_NO_ROOM,
+	DIRECT_ITEM_FAILED,
+};
+
+struct direct_made {
+	enum direct_item_result result;
+	char *handle; /**< of a made one; the receiver's */
+};
+
+struct direct_codec {
+	/** False: it carries no id or a field that cannot be read. */
+	bool (*read_ask)(const struct http_fields *fields,
+			 struct direct_ask *ask);
+	void (*write_offer)(const struct direct_offer *offer,
+			    struct http_fields *out);
+	void (*read_reply)(uint32_t status, const struct http_fields *fields,
+			   const char *id, struct direct_reply *reply);
+	/** Fields of an answer of our own. `wait_us`: come back after; 0: none.
+	 */
+	void (*write_refusal)(const char *id, int64_t wait_us,
+			      struct http_fields *out);
+	/** Path and body of a call for pieces. */
+	const char *items_target;
+	char *(*write_items)(const struct direct_item *items, uint32_t count);
+	/** False unless there is one result for each of `count` items. */
+	bool (*read_items)(const char *body, struct direct_made *made,
+			   uint32_t count);
+	/** Path and body of a call that gives results up. */
+	const char *free_target;
+	char *(*write_free)(const GPtrArray *handles);
+	/** Fields of these calls. */
+	void (*write_call)(const char *upstream, struct http_fields *out);
+};
+
+#endif
--- /dev/null
+++ b/direct/direct_config.c
@@ -0,0 +1,154 @@
+#include "direct/direct_config.h"
+
+#include <string.h>
+
+static void free_route(gpointer data)
+{
+	struct direct_route *route = data;
+
+	g_free(route->name);
+	g_free(route->host);
+	g_free(route->prefix);
+	for (uint32_t i = 0; i < route->shares_count; i++)
+		g_free(route->shares[i].service);
+	g_free(route->shares);
+	for (uint32_t i = 0; i < route->stages_count; i++) {
+		g_free(route->stages[i].service);
+		g_free(route->stages[i].after);
+	}
+	g_free(route->stages);
+	g_free(route);
+}
+
+static void free_service(gpointer data)
+{
+	struct direct_service *service = data;
+
+	g_free(service->name);
+	g_free(service);
+}
+
+static void free_organisation(gpointer data)
+{
+	struct direct_organisation *organisation = data;
+
+	g_free(organisation->name);
+	g_free(organisation);
+}
+
+struct direct_config *direct_config_create(void)
+{
+	struct direct_config *config = g_new0(struct direct_config, 1);
+
+	config->refs = 1;
+	config->routes = g_ptr_array_new_with_free_func(free_route);
+	config->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						 free_service);
+	config->organisations =
+		g_ptr_array_new_with_free_func(free_organisation);
+	config->keys =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return config;
+}
+
+static int by_prefix_length(gconstpointer a, gconstpointer b)
+{
+	const struct direct_route *const *one = a;
+	const struct direct_route *const *two = b;
+	size_t one_size = strlen((*one)->prefix);
+	size_t two_size = strlen((*two)->prefix);
+
+	return one_size < two_size ? 1 : one_size > two_size ? -1 : 0;
+}
+
+void direct_config_seal(struct direct_config *config)
+{
+	g_ptr_array_sort(config->routes, by_prefix_length);
+}
+
+struct direct_config *direct_config_ref(struct direct_config *config)
+{
+	config->refs++;
+	return config;
+}
+
+void direct_config_unref(struct direct_config *config)
+{
+	if (!config || --config->refs)
+		return;
+	g_ptr_array_unref(config->routes);
+	g_hash_table_unref(config->services);
+	g_hash_table_unref(config->keys);
+	g_ptr_array_unref(config->organisations);
+	g_free(config);
+}
+
+struct direct_route *direct_config_add_route(struct direct_config *config)
+{
+	struct direct_route *route = g_new0(struct direct_route, 1);
+
+	g_ptr_array_add(config->routes, route);
+	return route;
+}
+
+struct direct_service *direct_config_add_service(struct direct_config *config,
+						 const char *name)
+{
+	struct direct_service *service = g_new0(struct direct_service, 1);
+
+	service->name = g_strdup(name);
+	g_hash_table_replace(config->services, service->name, service);
+	return service;
+}
+
+struct direct_organisation *
+direct_config_add_organisation(struct direct_config *config, const char *name)
+{
+	struct direct_organisation *organisation =
+		g_new0(struct direct_organisation, 1);
+
+	organisation->name = g_strdup(name);
+	organisation->priority = -1;
+	g_ptr_array_add(config->organisations, organisation);
+	return organisation;
+}
+
+const struct direct_route *
+direct_config_route(const struct direct_config *config, const char *host,
+		    const char *path)
+{
+	for (guint i = 0; i < config->routes->len; i++) {
+		const struct direct_route *route =
+			g_ptr_array_index(config->routes, i);
+
+		if (!g_ascii_strcasecmp(route->host, host) &&
+		    g_str_has_prefix(path, route->prefix))
+			return route;
+	}
+	return NULL;
+}
+
+const struct direct_service *
+direct_config_service(const struct direct_config *config, const char *name)
+{
+	return g_hash_table_lookup(config->services, name);
+}
+
+const char *direct_route_service(const struct direct_route *route,
+				 uint64_t hash)
+{
+	uint64_t total = 0;
+	uint64_t point;
+
+	for (uint32_t i = 0; i < route->shares_count; i++)
+		total += route->shares[i].weight;
+	if (!total)
+		return route->shares_count ? route->shares[0].service : NULL;
+	point = hash % total;
+	for (uint32_t i = 0; i < route->shares_count; i++) {
+		if (point < route->shares[i].weight)
+			return route->shares[i].service;
+		point -= route->shares[i].weight;
+	}
+	return NULL;
+}
--- /dev/null
+++ b/direct/direct_private.h
@@ -0,0 +1,67 @@
+/** What the files of direct/ share. */
+#ifndef DIRECT_PRIVATE_H
+#define DIRECT_PRIVATE_H
+
+#include "base/lp_histogram.h"
+#include "direct/direct.h"
+#include "http/http_client.h"
+#include "http/http_server.h"
+#include "policy/graph.h"
+#include "policy/pieces.h"
+#include "policy/retries.h"
+#include "policy/verdict.h"
+
+struct direct_stages;
+struct direct_request;
+
+struct direct {
+	struct direct_options options;
+	char *domain;
+	struct http_server *server;
+	struct direct_config *config; /* NULL: none yet */
+	struct pool *pool;
+	bool has_upstreams;
+	struct retries *retries;
+	struct direct_stages *stages;
+	GHashTable *requests; /* of struct direct_request */
+	struct lp_histogram *answer_times;
+	struct lp_histogram *first_times;
+};
+
+/* ---- direct_request.c: the life of a request ---- */
+
+/** Take a whole request from its caller. */
+void direct_request_begin(struct direct *direct, struct http_call *call);
+/** The entry ends: drop it without an answer. */
+void direct_request_drop(struct direct_request *request);
+/** Its pieces have moved on; called by the stages. */
+void direct_request_advance(struct direct_request *request);
+/** A piece cannot be made in time. */
+void direct_request_pieces_late(struct direct_request *request);
+struct graph *direct_request_graph(struct direct_request *request);
+const char *direct_request_id(const struct direct_request *request);
+const char *direct_request_piece_key(const struct direct_request *request);
+int64_t direct_request_give_up_us(const struct direct_request *request);
+
+/* ---- direct_stages.c: pieces of all requests ---- */
+
+struct direct_stages *direct_stages_create(struct direct *direct);
+void direct_stages_destroy(struct direct_stages *stages);
+/** Figures of services may have changed. */
+void direct_stages_configure(struct direct_stages *stages,
+			     const struct direct_config *config);
+void direct_stages_add(struct direct_stages *stages, const char *service,
+		       const struct piece *piece);
+/** A request has ended; its results are given up. */
+void direct_stages_drop(struct direct_stages *stages,
+			struct direct_request *request);
+/** Give up what a request does not need any more. */
+void direct_stages_free_results(struct direct_stages *stages,
+				struct graph *graph, bool all);
+/** Time until a piece for this service that came now would be made. */
+int64_t direct_stages_estimate_us(struct direct_stages *stages,
+				  const char *service);
+/** Make the calls that can be made now. */
+void direct_stages_run(struct direct_stages *stages);
+
+#endif
--- /dev/null
+++ b/direct/direct_stages.c
@@ -0,0 +1,628 @@
+/** Calls that carry pieces of stages, and the giving up of their results. */
+#include "direct/direct_private.h"
+
+#include <string.h>
+
+/* Results given up are gathered this long, so that one call names many. Short
+ * against the seconds for which an upstream would keep them. */
+#define FREE_GATHER_MS 250
+/* A call may take this many times what is expected of it. */
+#define CALL_SLACK 4
+#define CALL_TIMEOUT_MIN_US (1 * LP_US_PER_S)
+/* Within a region a connection stands in a few ms; a lost packet is sent
+ * again after a second, and by then another upstream is the better choice. */
+#define CONNECT_TIMEOUT_US (400 * LP_US_PER_MS)
+#define FREE_TIMEOUT_MS 2000
+
+struct service {
+	struct direct_stages *stages;
+	struct pieces *pieces;
+	char *name;
+	guint wake;
+};
+
+struct direct_stages {
+	struct direct *direct;
+	GHashTable *services;	/* name -> struct service */
+	GHashTable *frees;	/* maker id -> GPtrArray of handles */
+	GHashTable *calls;	/* of struct stage_call */
+	GHashTable *free_calls; /* of struct free_call */
+	guint free_timer;
+	guint run_source;
+};
+
+struct stage_call {
+	struct direct_stages *stages;
+	struct service *service;
+	struct pieces_call *call;
+	struct http_exchange *exchange;
+	guint timer;
+	GString *body;
+	uint32_t status;
+	struct direct_reply reply;
+};
+
+struct free_call {
+	struct direct_stages *stages;
+	struct http_exchange *exchange;
+	guint timer;
+};
+
+static void schedule_run(struct direct_stages *stages);
+
+/* ---- services ---- */
+
+static void free_service(gpointer data)
+{
+	struct service *service = data;
+
+	if (service->wake)
+		g_source_remove(service->wake);
+	pieces_destroy(service->pieces);
+	g_free(service->name);
+	g_free(service);
+}
+
+static struct service *service_of(struct direct_stages *stages,
+				  const char *name)
+{
+	struct direct *direct = stages->direct;
+	const struct direct_service *figures =
+		direct_config_service(direct->config, name);
+	struct service *service = g_hash_table_lookup(stages->services, name);
+	struct pieces_options options = {
+		.clock = direct->options.clock,
+		.pool = direct->pool,
+		.service = name,
+		.domain = direct->domain,
+		.batch_max = 1,
+	};
+
+	if (service)
+		return service;
+	if (figures && figures->does_pieces) {
+		options.batch_max = MAX(figures->batch_max, 1);
+		options.call_us = figures->call_us;
+		options.piece_us = figures->piece_us;
+	}
+	service = g_new0(struct service, 1);
+	service->stages = stages;
+	service->name = g_strdup(name);
+	service->pieces = pieces_create(&options);
+	g_hash_table_insert(stages->services, service->name, service);
+	return service;
+}
+
+void direct_stages_configure(struct direct_stages *stages,
+			     const struct direct_config *config)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, stages->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct service *service = value;
+		const struct direct_service *figures =
+			direct_config_service(config, service->name);
+
+		if (figures && figures->does_pieces)
+			pieces_set(service->pieces, MAX(figures->batch_max, 1),
+				   figures->call_us, figures->piece_us);
+	}
+}
+
+/* ---- giving results up ---- */
+
+static void end_free_call(struct free_call *call)
+{
+	g_hash_table_remove(call->stages->free_calls, call);
+	if (call->timer)
+		g_source_remove(call->timer);
+	g_free(call);
+}
+
+static void on_free_head(void *userdata, uint32_t status,
+			 const struct http_fields *fields)
+{
+}
+
+static void on_free_body(void *userdata, const char *bytes, size_t size)
+{
+}
+
+/* Lost or not: an upstream drops what nobody names after a few seconds. */
+static void on_free_done(void *userdata, int error, bool sent)
+{
+	struct free_call *call = userdata;
+
+	*lp_counter(call->stages->direct->options.counters,
+		    "linepier_result_frees_total",
+		    error ? "outcome=\"failed\"" : "outcome=\"done\"") += 1;
+	end_free_call(call);
+}
+
+static const struct http_exchange_events free_events = {
+	.head = on_free_head,
+	.body = on_free_body,
+	.done = on_free_done,
+};
+
+static gboolean on_free_timeout(gpointer userdata)
+{
+	struct free_call *call = userdata;
+
+	call->timer = 0;
+	http_exchange_cancel(call->exchange);
+	end_free_call(call);
+	return G_SOURCE_REMOVE;
+}
+
+static void send_free(struct direct_stages *stages, const char *maker,
+		      const GPtrArray *handles)
+{
+	const struct direct_codec *codec = stages->direct->options.codec;
+	struct pool_upstream *upstream = pool_find(stages->direct->pool, maker);
+	g_autofree char *body = NULL;
+	struct http_fields fields;
+	struct free_call *call;
+
+	if (!upstream) /* its results went with it */
+		return;
+	body = codec->write_free(handles);
+	call = g_new0(struct free_call, 1);
+	call->stages = stages;
+	http_fields_init(&fields);
+	codec->write_call(maker, &fields);
+	call->exchange = http_exchange_start(&(struct http_exchange_options){
+		.address = upstream->entry.address,
+		.method = "POST",
+		.target = codec->free_target,
+		.fields = &fields,
+		.body = body,
+		.body_size = strlen(body),
+		.has_body = true,
+		.connect_timeout_us = CONNECT_TIMEOUT_US,
+		.events = &free_events,
+		.userdata = call,
+	});
+	http_fields_clear(&fields);
+	if (!call->exchange) {
+		g_free(call);
+		return;
+	}
+	g_hash_table_add(stages->free_calls, call);
+	call->timer = g_timeout_add(FREE_TIMEOUT_MS, on_free_timeout, call);
+}
+
+static gboolean on_free_gathered(gpointer userdata)
+{
+	struct direct_stages *stages = userdata;
+	g_autoptr(GHashTable) frees = stages->frees;
+	GHashTableIter iter;
+	gpointer maker;
+	gpointer handles;
+
+	stages->free_timer = 0;
+	stages->frees =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				      (GDestroyNotify)g_ptr_array_unref);
+	g_hash_table_iter_init(&iter, frees);
+	while (g_hash_table_iter_next(&iter, &maker, &handles))
+		send_free(stages, maker, handles);
+	return G_SOURCE_REMOVE;
+}
+
+/* Takes over the handle. */
+static void gather_free(struct direct_stages *stages, const char *maker,
+			char *handle)
+{
+	GPtrArray *handles = g_hash_table_lookup(stages->frees, maker);
+
+	if (!handles) {
+		handles = g_ptr_array_new_with_free_func(g_free);
+		g_hash_table_insert(stages->frees, g_strdup(maker), handles);
+	}
+	g_ptr_array_add(handles, handle);
+	if (!stages->free_timer)
+		stages->free_timer =
+			g_timeout_add(FREE_GATHER_MS, on_free_gathered, stages);
+}
+
+void direct_stages_free_results(struct direct_stages *stages,
+				struct graph *graph, bool all)
+{
+	g_autoptr(GArray) results =
+		g_array_new(FALSE, FALSE, sizeof(struct graph_result));
+
+	graph_take_unneeded(graph, all, results);
+	for (guint i = 0; i < results->len; i++) {
+		struct graph_result *result =
+			&g_array_index(results, struct graph_result, i);
+
+		gather_free(stages, result->maker, result->handle);
+		g_free(result->maker);
+	}
+}
+
+/* ---- a call's end ---- */
+
+static void take_made(struct stage_call *call, const struct piece *piece,
+		      struct direct_made *made)
+{
+	struct graph *graph;
+
+	if (!piece->request) {
+		/* Its request ended meanwhile. */
+		if (made->result == DIRECT_ITEM_MADE)
+			gather_free(call->stages,
+				    call->call->upstream->entry.id,
+				    g_steal_pointer(&made->handle));
+		return;
+	}
+	graph = direct_request_graph(piece->request);
+	if (made->result == DIRECT_ITEM_MADE) {
+		graph_made(graph, piece->stage, piece->index, made->handle,
+			   call->call->upstream->entry.id);
+		return;
+	}
+	graph_not_made(graph, piece->stage, piece->index);
+	if (made->result == DIRECT_ITEM_INPUT_GONE)
+		graph_lost_inputs(graph, piece->stage);
+}
+
+static void log_call(const struct stage_call *call, const char *outcome)
+{
+	struct lp_event_log *log = call->stages->direct->options.log;
+	const struct pieces_call *made = call->call;
+	int64_t now_us = lp_now_us(call->stages->direct->options.clock);
+
+	if (!lp_event_begin(log, "stage_call", NULL))
+		return;
+	lp_event_text(log, "service", call->service->name);
+	lp_event_text(log, "upstream", made->upstream->entry.id);
+	lp_event_text(log, "outcome", outcome);
+	lp_event_int(log, "pieces", made->pieces->len);
+	lp_event_int(log, "took_us", now_us - made->started_us);
+	lp_event_int(log, "expected_us", made->expected_us);
+	lp_event_int(log, "others_running", call->reply.running);
+	lp_event_int(log, "others_waiting", call->reply.waiting);
+	lp_event_end(log);
+}
+
+/* Results, or NULL when the call brought none. */
+static struct direct_made *read_results(struct stage_call *call, int error)
+{
+	const struct direct_codec *codec = call->stages->direct->options.codec;
+	uint32_t count = call->call->pieces->len;
+	struct direct_made *made;
+
+	if (error || call->status != 200)
+		return NULL;
+	made = g_new0(struct direct_made, count);
+	if (codec->read_items(call->body->str, made, count))
+		return made;
+	g_free(made);
+	return NULL;
+}
+
+static void take_results(struct stage_call *call, struct direct_made *made)
+{
+	GArray *pieces = call->call->pieces;
+
+	for (guint i = 0; i < pieces->len; i++) {
+		const struct piece *piece =
+			&g_array_index(pieces, struct piece, i);
+
+		if (made)
+			take_made(call, piece, &made[i]);
+		else if (piece->request)
+			graph_not_made(direct_request_graph(piece->request),
+				       piece->stage, piece->index);
+	}
+	/* Requests may end while they are told: their pieces are unset then. */
+	for (guint i = 0; i < pieces->len; i++) {
+		const struct piece *piece =
+			&g_array_index(pieces, struct piece, i);
+
+		if (!piece->request)
+			continue;
+		if (made && made[i].result == DIRECT_ITEM_LATE)
+			direct_request_pieces_late(piece->request);
+		else
+			direct_request_advance(piece->request);
+	}
+}
+
+static enum pool_outcome outcome_of(const struct stage_call *call, int error,
+				    const struct direct_made *made)
+{
+	if (error)
+		return POOL_UNREACHABLE;
+	if (call->reply.other_process)
+		return POOL_WRONG;
+	if (made)
+		return POOL_SERVED;
+	return call->reply.not_run ? POOL_FULL : POOL_ERROR;
+}
+
+static const char *outcome_name(enum pool_outcome outcome)
+{
+	static const char *const names[] = {
+		"served", "full", "error", "unreachable", "wrong", "unknown"
+	};
+
+	return names[outcome];
+}
+
+static void end_call(struct stage_call *call, int error)
+{
+	struct direct_stages *stages = call->stages;
+	struct direct_made *made = read_results(call, error);
+	enum pool_outcome outcome = outcome_of(call, error, made);
+	guint count = call->call->pieces->len;
+
+	if (call->timer)
+		g_source_remove(call->timer);
+	log_call(call, outcome_name(outcome));
+	take_results(call, made);
+	for (guint i = 0; made && i < count; i++)
+		g_free(made[i].handle);
+	g_free(made);
+	g_hash_table_remove(stages->calls, call);
+	pieces_end(call->service->pieces, call->call, outcome,
+		   call->reply.running, call->reply.waiting);
+	g_string_free(call->body, TRUE);
+	g_free(call);
+	schedule_run(stages);
+}
+
+static void on_call_head(void *userdata, uint32_t status,
+			 const struct http_fields *fields)
+{
+	struct stage_call *call = userdata;
+
+	call->status = status;
+	call->stages->direct->options.codec->read_reply(status, fields, NULL,
+							&call->reply);
+}
+
+static void on_call_body(void *userdata, const char *bytes, size_t size)
+{
+	struct stage_call *call = userdata;
+
+	g_string_append_len(call->body, bytes, (gssize)size);
+}
+
+static void on_call_done(void *userdata, int error, bool sent)
+{
+	end_call(userdata, error);
+}
+
+static const struct http_exchange_events call_events = {
+	.head = on_call_head,
+	.body = on_call_body,
+	.done = on_call_done,
+};
+
+static gboolean on_call_timeout(gpointer userdata)
+{
+	struct stage_call *call = userdata;
+
+	call->timer = 0;
+	http_exchange_cancel(call->exchange);
+	end_call(call, LP_ERROR_UPSTREAM_GONE);
+	return G_SOURCE_REMOVE;
+}
+
+/* ---- a call's start ---- */
+
+static void fill_item(struct direct_stages *stages, const struct piece *piece,
+		      struct direct_item *item)
+{
+	struct graph *graph = direct_request_graph(piece->request);
+	GPtrArray *inputs = g_ptr_array_new();
+	int64_t now_us = lp_now_us(stages->direct->options.clock);
+
+	graph_inputs(graph, piece->stage, inputs);
+	item->id = direct_request_id(piece->request);
+	item->stage = piece->stage;
+	item->piece = piece->index;
+	item->left_us = piece->until_us - now_us;
+	item->inputs = inputs;
+	if (!inputs->len)
+		item->key = direct_request_piece_key(piece->request);
+}
+
+static char *write_items(struct direct_stages *stages, const GArray *pieces)
+{
+	struct direct_item *items = g_new0(struct direct_item, pieces->len);
+	char *body;
+
+	for (guint i = 0; i < pieces->len; i++)
+		fill_item(stages, &g_array_index(pieces, struct piece, i),
+			  &items[i]);
+	body = stages->direct->options.codec->write_items(items, pieces->len);
+	for (guint i = 0; i < pieces->len; i++)
+		g_ptr_array_unref((GPtrArray *)items[i].inputs);
+	g_free(items);
+	return body;
+}
+
+static void start_call(struct service *service, struct pieces_call *made)
+{
+	struct direct_stages *stages = service->stages;
+	const struct direct_codec *codec = stages->direct->options.codec;
+	g_autofree char *body = write_items(stages, made->pieces);
+	struct stage_call *call = g_new0(struct stage_call, 1);
+	struct http_fields fields;
+
+	call->stages = stages;
+	call->service = service;
+	call->call = made;
+	call->body = g_string_new(NULL);
+	call->reply.running = -1;
+	call->reply.waiting = -1;
+	http_fields_init(&fields);
+	codec->write_call(made->upstream->entry.id, &fields);
+	g_hash_table_add(stages->calls, call);
+	call->exchange = http_exchange_start(&(struct http_exchange_options){
+		.address = made->upstream->entry.address,
+		.method = "POST",
+		.target = codec->items_target,
+		.fields = &fields,
+		.body = body,
+		.body_size = strlen(body),
+		.has_body = true,
+		.connect_timeout_us = CONNECT_TIMEOUT_US,
+		.events = &call_events,
+		.userdata = call,
+	});
+	http_fields_clear(&fields);
+	if (!call->exchange) {
+		end_call(call, LP_ERROR_UPSTREAM_GONE);
+		return;
+	}
+	call->timer = g_timeout_add((guint)(MAX(CALL_SLACK * made->expected_us,
+						CALL_TIMEOUT_MIN_US) /
+					    LP_US_PER_MS),
+				    on_call_timeout, call);
+}
+
+static gboolean on_wake(gpointer userdata)
+{
+	struct service *service = userdata;
+
+	service->wake = 0;
+	schedule_run(service->stages);
+	return G_SOURCE_REMOVE;
+}
+
+static void set_wake(struct service *service)
+{
+	int64_t wake_us = pieces_wake_us(service->pieces);
+	int64_t now_us = lp_now_us(service->stages->direct->options.clock);
+
+	if (!wake_us || service->wake)
+		return;
+	service->wake =
+		g_timeout_add((guint)(MAX(wake_us - now_us, 0) / LP_US_PER_MS),
+			      on_wake, service);
+}
+
+void direct_stages_run(struct direct_stages *stages)
+{
+	g_autoptr(GList) services = g_hash_table_get_values(stages->services);
+
+	for (GList *at = services; at; at = at->next) {
+		struct service *service = at->data;
+		struct pieces_call *call;
+
+		while ((call = pieces_next(service->pieces)))
+			start_call(service, call);
+		set_wake(service);
+	}
+}
+
+static gboolean on_run(gpointer userdata)
+{
+	struct direct_stages *stages = userdata;
+
+	stages->run_source = 0;
+	direct_stages_run(stages);
+	return G_SOURCE_REMOVE;
+}
+
+/* Once this turn of the loop is over, so that what comes in it goes along. */
+static void schedule_run(struct direct_stages *stages)
+{
+	if (!stages->run_source)
+		stages->run_source = g_idle_add_full(G_PRIORITY_DEFAULT, on_run,
+						     stages, NULL);
+}
+
+/* ---- for requests ---- */
+
+void direct_stages_add(struct direct_stages *stages, const char *service,
+		       const struct piece *piece)
+{
+	pieces_add(service_of(stages, service)->pieces, piece);
+	schedule_run(stages);
+}
+
+void direct_stages_drop(struct direct_stages *stages,
+			struct direct_request *request)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, stages->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		pieces_drop(((struct service *)value)->pieces, request);
+	g_hash_table_iter_init(&iter, stages->calls);
+	while (g_hash_table_iter_next(&iter, &value, NULL)) {
+		GArray *pieces = ((struct stage_call *)value)->call->pieces;
+
+		for (guint i = 0; i < pieces->len; i++) {
+			struct piece *piece =
+				&g_array_index(pieces, struct piece, i);
+
+			if (piece->request == request)
+				piece->request = NULL;
+		}
+	}
+	direct_stages_free_results(stages, direct_request_graph(request), true);
+}
+
+int64_t direct_stages_estimate_us(struct direct_stages *stages,
+				  const char *service)
+{
+	return pieces_estimate_us(service_of(stages, service)->pieces);
+}
+
+struct direct_stages *direct_stages_create(struct direct *direct)
+{
+	struct direct_stages *stages = g_new0(struct direct_stages, 1);
+
+	stages->direct = direct;
+	stages->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						 free_service);
+	stages->frees =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				      (GDestroyNotify)g_ptr_array_unref);
+	stages->calls = g_hash_table_new(NULL, NULL);
+	stages->free_calls = g_hash_table_new(NULL, NULL);
+	return stages;
+}
+
+static void drop_calls(struct direct_stages *stages)
+{
+	g_autoptr(GList) calls = g_hash_table_get_keys(stages->calls);
+	g_autoptr(GList) frees = g_hash_table_get_keys(stages->free_calls);
+
+	for (GList *at = calls; at; at = at->next) {
+		struct stage_call *call = at->data;
+
+		http_exchange_cancel(call->exchange);
+		end_call(call, LP_ERROR_UPSTREAM_GONE);
+	}
+	for (GList *at = frees; at; at = at->next) {
+		struct free_call *call = at->data;
+
+		http_exchange_cancel(call->exchange);
+		end_free_call(call);
+	}
+}
+
+void direct_stages_destroy(struct direct_stages *stages)
+{
+	drop_calls(stages);
+	if (stages->run_source)
+		g_source_remove(stages->run_source);
+	if (stages->free_timer)
+		g_source_remove(stages->free_timer);
+	g_hash_table_unref(stages->services);
+	g_hash_table_unref(stages->frees);
+	g_hash_table_unref(stages->calls);
+	g_hash_table_unref(stages->free_calls);
+	g_free(stages);
+}
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -201,7 +201,7 @@
 	entry_plan_attach(entry, snapshot);
 }
 
-static void on_hosts(void *userdata, const struct plat_hosts *hosts)
+static void on_hosts(void *userdata, const struct store_hosts *hosts)
 {
 	struct entry *entry = userdata;
 
--- a/entry/entry_keys.c
+++ b/entry/entry_keys.c
@@ -309,7 +309,7 @@
 	return g_strconcat(CLAIM_PREFIX, digest, NULL);
 }
 
-static void on_written(void *userdata, const struct plat_answer *answer)
+static void on_written(void *userdata, const struct store_answer *answer)
 {
 	struct entry_owners *owners = userdata;
 	g_autoptr(GPtrArray) keys = owners->batch_keys;
@@ -332,11 +332,11 @@
 
 static void send_claims(struct entry_owners *owners)
 {
-	struct plat_kv *kv = node_kv(owners->entry->node);
+	struct store_kv *kv = node_kv(owners->entry->node);
 	guint count = owners->batch_keys->len;
-	g_autofree struct plat_compare *compares =
-		g_new0(struct plat_compare, count);
-	g_autofree struct plat_put *puts = g_new0(struct plat_put, count);
+	g_autofree struct store_compare *compares =
+		g_new0(struct store_compare, count);
+	g_autofree struct store_put *puts = g_new0(struct store_put, count);
 
 	for (guint i = 0; i < count; i++) {
 		compares[i].key = g_ptr_array_index(owners->batch_keys, i);
@@ -344,7 +344,7 @@
 		puts[i].value = owners->self;
 		puts[i].lease = owners->lease;
 	}
-	const struct plat_txn txn = {
+	const struct store_txn txn = {
 		.compares = compares,
 		.compares_count = count,
 		.puts = puts,
@@ -355,7 +355,7 @@
 	kv->ops->txn(kv, "claim", &txn, on_written, owners);
 }
 
-static void on_lease(void *userdata, const struct plat_answer *answer)
+static void on_lease(void *userdata, const struct store_answer *answer)
 {
 	struct entry_owners *owners = userdata;
 
@@ -385,7 +385,7 @@
 			 uint32_t count)
 {
 	struct entry_owners *owners = userdata;
-	struct plat_kv *kv = node_kv(owners->entry->node);
+	struct store_kv *kv = node_kv(owners->entry->node);
 	int64_t ttl_s = owners->entry->settings->key_keep_ms * 2 /
 			(LP_US_PER_S / LP_US_PER_MS);
 
--- a/entry/entry_peers.c
+++ b/entry/entry_peers.c
@@ -67,7 +67,7 @@
 }
 
 static struct conn *open_conn(struct entry_peers *peers,
-			      const struct plat_host *host)
+			      const struct store_host *host)
 {
 	struct conn *conn = g_new0(struct conn, 1);
 
@@ -105,7 +105,7 @@
 	return route_find(route, conn->host);
 }
 
-static void open_agent(struct entry_peers *peers, const struct plat_host *host)
+static void open_agent(struct entry_peers *peers, const struct store_host *host)
 {
 	struct conn *conn = open_conn(peers, host);
 
@@ -128,16 +128,16 @@
 /* ---- the host list ---- */
 
 /* Indices into a host list of the agents of one service. */
-static GHashTable *group_by_service(const struct plat_hosts *hosts)
+static GHashTable *group_by_service(const struct store_hosts *hosts)
 {
 	GHashTable *groups = g_hash_table_new_full(
 		g_str_hash, g_str_equal, NULL, (GDestroyNotify)g_array_unref);
 
 	for (uint32_t i = 0; i < hosts->count; i++) {
-		const struct plat_host *host = &hosts->hosts[i];
+		const struct store_host *host = &hosts->hosts[i];
 		GArray *group;
 
-		if (host->role != PLAT_ROLE_AGENT)
+		if (host->role != STORE_ROLE_AGENT)
 			continue;
 		group = g_hash_table_lookup(groups, host->service);
 		if (!group) {
@@ -149,7 +149,7 @@
 	return groups;
 }
 
-static void take_host(struct entry_peers *peers, const struct plat_host *host)
+static void take_host(struct entry_peers *peers, const struct store_host *host)
 {
 	struct conn *conn = g_hash_table_lookup(peers->agents, host->id);
 	struct route_upstream *upstream;
@@ -180,7 +180,7 @@
 }
 
 static void choose_of_service(struct entry_peers *peers,
-			      const struct plat_hosts *hosts,
+			      const struct store_hosts *hosts,
 			      const GArray *group, uint32_t most)
 {
 	struct member *members = g_new0(struct member, group->len + 1);
@@ -188,7 +188,7 @@
 	const char *self = peers->entry->settings->host;
 
 	for (guint i = 0; i < group->len; i++) {
-		const struct plat_host *host =
+		const struct store_host *host =
 			&hosts->hosts[g_array_index(group, uint32_t, i)];
 
 		members[i].id = host->id;
@@ -234,7 +234,7 @@
 	g_hash_table_remove(peers->entries, conn->host);
 }
 
-static void take_entry(struct entry_peers *peers, const struct plat_host *host)
+static void take_entry(struct entry_peers *peers, const struct store_host *host)
 {
 	const char *self = peers->entry->settings->host;
 	struct conn *conn = g_hash_table_lookup(peers->entries, host->id);
@@ -267,7 +267,7 @@
 }
 
 static void take_entries(struct entry_peers *peers,
-			 const struct plat_hosts *hosts)
+			 const struct store_hosts *hosts)
 {
 	g_autoptr(GPtrArray) gone = g_ptr_array_new();
 	GHashTableIter iter;
@@ -276,7 +276,7 @@
 	g_ptr_array_set_size(peers->live, 0);
 	set_wanted(peers->entries, false);
 	for (uint32_t i = 0; i < hosts->count; i++)
-		if (hosts->hosts[i].role == PLAT_ROLE_ENTRY)
+		if (hosts->hosts[i].role == STORE_ROLE_ENTRY)
 			take_entry(peers, &hosts->hosts[i]);
 	g_hash_table_iter_init(&iter, peers->entries);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
@@ -287,7 +287,7 @@
 }
 
 void entry_peers_hosts(struct entry_peers *peers,
-		       const struct plat_hosts *hosts)
+		       const struct store_hosts *hosts)
 {
 	g_autoptr(GHashTable) groups = group_by_service(hosts);
 	uint32_t most = most_of_service(peers, g_hash_table_size(groups));
--- a/entry/entry_private.h
+++ b/entry/entry_private.h
@@ -132,7 +132,7 @@
 struct entry_peers *entry_peers_create(struct entry *entry);
 void entry_peers_destroy(struct entry_peers *peers);
 void entry_peers_hosts(struct entry_peers *peers,
-		       const struct plat_hosts *hosts);
+		       const struct store_hosts *hosts);
 void entry_peers_tick(struct entry_peers *peers);
 void entry_peers_announce(struct entry_peers *peers);
 /** Send to an agent by host id. */
--- /dev/null
+++ b/http/http_client.c
@@ -0,0 +1,178 @@
+#include "http/http_client.h"
+
+#include "base/lp_clock.h"
+#include "http/http_parse.h"
+#include "http/http_sock.h"
+
+#include <string.h>
+
+struct http_exchange {
+	struct http_sock *sock;
+	struct http_parse parse;
+	const struct http_exchange_events *events;
+	void *userdata;
+	guint connect_timer;
+	bool feeding;	/* the parser is at work: it may not be freed */
+	bool cancelled; /* free after feeding */
+};
+
+static void free_exchange(struct http_exchange *exchange)
+{
+	http_parse_clear(&exchange->parse);
+	g_free(exchange);
+}
+
+static void close_exchange(struct http_exchange *exchange)
+{
+	if (exchange->connect_timer)
+		g_source_remove(exchange->connect_timer);
+	exchange->connect_timer = 0;
+	http_sock_abort(exchange->sock);
+}
+
+static void finish(struct http_exchange *exchange, int error)
+{
+	bool sent = http_sock_sent_any(exchange->sock);
+
+	close_exchange(exchange);
+	exchange->events->done(exchange->userdata, error, sent);
+	free_exchange(exchange);
+}
+
+static gboolean on_connect_timeout(gpointer userdata)
+{
+	struct http_exchange *exchange = userdata;
+
+	exchange->connect_timer = 0;
+	finish(exchange, LP_ERROR_UPSTREAM_GONE);
+	return G_SOURCE_REMOVE;
+}
+
+static void on_connected(void *userdata)
+{
+	struct http_exchange *exchange = userdata;
+
+	g_source_remove(exchange->connect_timer);
+	exchange->connect_timer = 0;
+}
+
+static void on_head(void *userdata)
+{
+	struct http_exchange *exchange = userdata;
+
+	if (!exchange->cancelled)
+		exchange->events->head(exchange->userdata,
+				       exchange->parse.parser.status_code,
+				       &exchange->parse.fields);
+}
+
+static void on_body(void *userdata, const char *bytes, size_t size)
+{
+	struct http_exchange *exchange = userdata;
+
+	if (!exchange->cancelled)
+		exchange->events->body(exchange->userdata, bytes, size);
+}
+
+/* What comes after a whole answer is not read: the connection ends. */
+static void on_data(void *userdata, const char *bytes, size_t size)
+{
+	struct http_exchange *exchange = userdata;
+	size_t used;
+	int error;
+
+	exchange->feeding = true;
+	error = http_parse_feed(&exchange->parse, bytes, size, &used);
+	exchange->feeding = false;
+	if (exchange->cancelled)
+		free_exchange(exchange);
+	else if (error)
+		finish(exchange, LP_ERROR_PROTOCOL);
+	else if (exchange->parse.is_complete)
+		finish(exchange, LP_OK);
+}
+
+static void on_ended(void *userdata, int error)
+{
+	struct http_exchange *exchange = userdata;
+
+	if (!error) {
+		exchange->feeding = true;
+		http_parse_end(&exchange->parse);
+		exchange->feeding = false;
+	}
+	if (exchange->cancelled)
+		free_exchange(exchange);
+	else if (exchange->parse.is_complete)
+		finish(exchange, LP_OK);
+	else
+		finish(exchange, LP_ERROR_UPSTREAM_GONE);
+}
+
+static const struct http_sock_events sock_events = {
+	.connected = on_connected,
+	.data = on_data,
+	.ended = on_ended,
+};
+
+static void write_request(struct http_exchange *exchange,
+			  const struct http_exchange_options *options)
+{
+	g_autoptr(GString) text = g_string_sized_new(512 + options->body_size);
+
+	g_string_printf(text, "%s %s HTTP/1.1\r\n", options->method,
+			options->target);
+	http_fields_print(options->fields, text);
+	if (options->has_body)
+		g_string_append_printf(text, "Content-Length: %zu\r\n",
+				       options->body_size);
+	g_string_append(text, "Connection: close\r\n\r\n");
+	if (options->body_size)
+		g_string_append_len(text, options->body,
+				    (gssize)options->body_size);
+	http_sock_write(exchange->sock, text->str, text->len);
+}
+
+struct http_exchange *
+http_exchange_start(const struct http_exchange_options *options)
+{
+	struct http_exchange *exchange = g_new0(struct http_exchange, 1);
+
+	exchange->sock =
+		http_sock_connect(options->address, &sock_events, exchange);
+	if (!exchange->sock) {
+		g_free(exchange);
+		return NULL;
+	}
+	exchange->events = options->events;
+	exchange->userdata = options->userdata;
+	http_parse_init(&exchange->parse, HTTP_RESPONSE);
+	exchange->parse.no_body = !strcmp(options->method, "HEAD");
+	exchange->parse.head = on_head;
+	exchange->parse.body = on_body;
+	exchange->parse.userdata = exchange;
+	exchange->connect_timer = g_timeout_add(
+		(guint)(options->connect_timeout_us / LP_US_PER_MS),
+		on_connect_timeout, exchange);
+	write_request(exchange, options);
+	return exchange;
+}
+
+void http_exchange_cancel(struct http_exchange *exchange)
+{
+	close_exchange(exchange);
+	if (exchange->feeding)
+		exchange->cancelled = true;
+	else
+		free_exchange(exchange);
+}
+
+bool http_exchange_sent(const struct http_exchange *exchange)
+{
+	return http_sock_sent_any(exchange->sock);
+}
+
+void http_exchange_pause(struct http_exchange *exchange, bool pause)
+{
+	http_sock_pause(exchange->sock, pause);
+}
--- /dev/null
+++ b/http/http_sock.c
@@ -0,0 +1,303 @@
+#include "http/http_sock.h"
+
+#include "base/lp_clock.h"
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Bytes taken by one read: an answer of a plain service fits in one. */
+#define READ_SIZE 16384
+/* Unacknowledged bytes for this long end a connection: three times a round
+ * trip with one retransmission after the usual second. */
+#define PEER_SILENT_MS 3000
+/* A closed connection may still deliver what was written before it. */
+#define LINGER_MS 2000
+
+struct http_sock {
+	GSocket *socket;
+	GSource *source;
+	gpointer tag;
+	guint linger; /* timer of a closed connection with bytes to deliver */
+	struct http_sock_events events;
+	void *userdata;
+	GByteArray *out;
+	size_t out_start; /* bytes of `out` already sent */
+	uint32_t refs;
+	bool connecting;
+	bool paused;
+	bool closed; /* by us: no more events */
+	bool over;   /* ended() was called */
+	bool sent_any;
+};
+
+struct sock_source {
+	GSource source;
+	struct http_sock *sock;
+};
+
+static void release(struct http_sock *sock)
+{
+	if (--sock->refs)
+		return;
+	if (sock->linger)
+		g_source_remove(sock->linger);
+	if (sock->source) {
+		g_source_destroy(sock->source);
+		g_source_unref(sock->source);
+	}
+	g_object_unref(sock->socket);
+	g_byte_array_unref(sock->out);
+	g_free(sock);
+}
+
+size_t http_sock_unsent(const struct http_sock *sock)
+{
+	return sock->out->len - sock->out_start;
+}
+
+bool http_sock_sent_any(const struct http_sock *sock)
+{
+	return sock->sent_any;
+}
+
+static void update_interest(struct http_sock *sock)
+{
+	GIOCondition condition = 0;
+
+	if (!sock->source || sock->over)
+		return;
+	if (!sock->paused && !sock->connecting && !sock->closed)
+		condition |= G_IO_IN;
+	if (sock->connecting || http_sock_unsent(sock))
+		condition |= G_IO_OUT;
+	g_source_modify_unix_fd(sock->source, sock->tag, condition);
+}
+
+/* Nothing more can be done with the connection. */
+static void end(struct http_sock *sock, int error)
+{
+	if (sock->over)
+		return;
+	sock->over = true;
+	g_source_destroy(sock->source);
+	if (sock->closed) {
+		release(sock); /* the one that http_sock_close() left */
+		return;
+	}
+	sock->events.ended(sock->userdata, error);
+}
+
+static void send_queued(struct http_sock *sock)
+{
+	int fd = g_socket_get_fd(sock->socket);
+
+	while (http_sock_unsent(sock)) {
+		ssize_t size = send(fd, sock->out->data + sock->out_start,
+				    http_sock_unsent(sock),
+				    MSG_NOSIGNAL | MSG_DONTWAIT);
+
+		if (size < 0 && errno == EINTR)
+			continue;
+		if (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+			return;
+		if (size < 0) {
+			/* The reading side tells what became of it. */
+			g_byte_array_set_size(sock->out, 0);
+			sock->out_start = 0;
+			return;
+		}
+		sock->sent_any = true;
+		sock->out_start += (size_t)size;
+	}
+	g_byte_array_set_size(sock->out, 0);
+	sock->out_start = 0;
+}
+
+static void finish_connect(struct http_sock *sock)
+{
+	g_autoptr(GError) gerror = NULL;
+
+	if (!g_socket_check_connect_result(sock->socket, &gerror)) {
+		end(sock, LP_ERROR_UPSTREAM_GONE);
+		return;
+	}
+	sock->connecting = false;
+	send_queued(sock);
+	if (sock->events.connected)
+		sock->events.connected(sock->userdata);
+}
+
+static void read_some(struct http_sock *sock)
+{
+	char buffer[READ_SIZE];
+	ssize_t size = recv(g_socket_get_fd(sock->socket), buffer,
+			    sizeof(buffer), MSG_DONTWAIT);
+
+	if (size > 0)
+		sock->events.data(sock->userdata, buffer, (size_t)size);
+	else if (!size)
+		end(sock, LP_OK);
+	else if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)
+		end(sock, LP_ERROR_UPSTREAM_GONE);
+}
+
+static gboolean dispatch(GSource *source, GSourceFunc callback,
+			 gpointer userdata)
+{
+	struct http_sock *sock = ((struct sock_source *)source)->sock;
+	GIOCondition ready = g_source_query_unix_fd(source, sock->tag);
+
+	sock->refs++;
+	if (sock->connecting) {
+		if (ready)
+			finish_connect(sock);
+	} else {
+		if (ready & G_IO_OUT)
+			send_queued(sock);
+		if (!sock->closed && !sock->over &&
+		    (ready & (G_IO_IN | G_IO_HUP | G_IO_ERR)))
+			read_some(sock);
+	}
+	if (sock->closed && !sock->over && !http_sock_unsent(sock))
+		end(sock, LP_OK);
+	if (!sock->over)
+		update_interest(sock);
+	release(sock);
+	return G_SOURCE_CONTINUE;
+}
+
+static GSourceFuncs source_funcs = { .dispatch = dispatch };
+
+static struct http_sock *
+create(GSocket *socket, const struct http_sock_events *events, void *userdata)
+{
+	struct http_sock *sock = g_new0(struct http_sock, 1);
+
+	sock->socket = socket;
+	sock->events = *events;
+	sock->userdata = userdata;
+	sock->out = g_byte_array_new();
+	sock->refs = 1;
+	g_socket_set_blocking(socket, FALSE);
+	g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
+	g_socket_set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+			    PEER_SILENT_MS, NULL);
+	return sock;
+}
+
+static void watch(struct http_sock *sock)
+{
+	sock->source = g_source_new(&source_funcs, sizeof(struct sock_source));
+	((struct sock_source *)sock->source)->sock = sock;
+	sock->tag = g_source_add_unix_fd(sock->source,
+					 g_socket_get_fd(sock->socket), 0);
+	update_interest(sock);
+	g_source_attach(sock->source, NULL);
+}
+
+struct http_sock *http_sock_accepted(GSocket *socket,
+				     const struct http_sock_events *events,
+				     void *userdata)
+{
+	struct http_sock *sock = create(g_object_ref(socket), events, userdata);
+
+	watch(sock);
+	return sock;
+}
+
+static GSocketAddress *parse_address(const char *text)
+{
+	const char *colon = strrchr(text, ':');
+	g_autofree char *ip = NULL;
+	guint64 port;
+
+	if (!colon ||
+	    !g_ascii_string_to_unsigned(colon + 1, 10, 1, 65535, &port, NULL))
+		return NULL;
+	ip = g_strndup(text, (gsize)(colon - text));
+	return g_inet_socket_address_new_from_string(ip, (guint)port);
+}
+
+struct http_sock *http_sock_connect(const char *address,
+				    const struct http_sock_events *events,
+				    void *userdata)
+{
+	g_autoptr(GSocketAddress) to = parse_address(address);
+	g_autoptr(GError) gerror = NULL;
+	struct http_sock *sock;
+	GSocket *socket;
+
+	if (!to)
+		return NULL;
+	socket = g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+			      G_SOCKET_PROTOCOL_TCP, NULL);
+	if (!socket)
+		return NULL;
+	sock = create(socket, events, userdata);
+	sock->connecting = true;
+	if (!g_socket_connect(socket, to, NULL, &gerror) &&
+	    !g_error_matches(gerror, G_IO_ERROR, G_IO_ERROR_PENDING)) {
+		release(sock);
+		return NULL;
+	}
+	watch(sock);
+	return sock;
+}
+
+void http_sock_write(struct http_sock *sock, const char *bytes, size_t size)
+{
+	if (sock->over || sock->closed)
+		return;
+	g_byte_array_append(sock->out, (const guint8 *)bytes, (guint)size);
+	if (!sock->connecting)
+		send_queued(sock);
+	update_interest(sock);
+}
+
+void http_sock_pause(struct http_sock *sock, bool pause)
+{
+	if (sock->paused == pause)
+		return;
+	sock->paused = pause;
+	update_interest(sock);
+}
+
+static gboolean on_linger(gpointer userdata)
+{
+	struct http_sock *sock = userdata;
+
+	sock->linger = 0;
+	end(sock, LP_ERROR_UPSTREAM_GONE);
+	return G_SOURCE_REMOVE;
+}
+
+void http_sock_close(struct http_sock *sock)
+{
+	sock->closed = true;
+	if (!sock->over && !sock->connecting && http_sock_unsent(sock)) {
+		sock->linger = g_timeout_add(LINGER_MS, on_linger, sock);
+		update_interest(sock);
+		return;
+	}
+	sock->over = true;
+	if (sock->source)
+		g_source_destroy(sock->source);
+	/* Before the last reference goes, so that the peer hears of it now. */
+	g_socket_close(sock->socket, NULL);
+	release(sock);
+}
+
+void http_sock_abort(struct http_sock *sock)
+{
+	struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+
+	setsockopt(g_socket_get_fd(sock->socket), SOL_SOCKET, SO_LINGER, &reset,
+		   sizeof(reset));
+	g_byte_array_set_size(sock->out, 0);
+	sock->out_start = 0;
+	http_sock_close(sock);
+}
--- /dev/null
+++ b/http/http_sock.h
@@ -0,0 +1,54 @@
+/**
+ * One TCP connection on the main loop: bytes in as they come, bytes out
+ * through a queue.
+ *
+ * Reading goes on while an answer is awaited, so that a peer that leaves is
+ * noticed at once. Bytes may be written before the connection stands; none of
+ * them leaves before that.
+ */
+#ifndef HTTP_SOCK_H
+#define HTTP_SOCK_H
+
+#include "base/lp_error.h"
+
+#include <gio/gio.h>
+
+struct http_sock;
+
+/** None of these is called after http_sock_close(). */
+struct http_sock_events {
+	/** Outgoing connections: it stands. May be NULL. */
+	void (*connected)(void *userdata);
+	void (*data)(void *userdata, const char *bytes, size_t size);
+	/**
+	 * The connection is over. LP_OK: the peer ended its side in order;
+	 * LP_ERROR_UPSTREAM_GONE: it was reset, or never came to stand.
+	 */
+	void (*ended)(void *userdata, int error);
+};
+
+/** Take over an accepted socket. */
+struct http_sock *http_sock_accepted(GSocket *socket,
+				     const struct http_sock_events *events,
+				     void *userdata);
+/**
+ * Begin to connect to "IP:PORT". Returns NULL when the address is not one or
+ * no socket can be had.
+ */
+struct http_sock *http_sock_connect(const char *address,
+				    const struct http_sock_events *events,
+				    void *userdata);
+/** Bytes that wait beyond the socket's own buffer are kept here. */
+void http_sock_write(struct http_sock *sock, const char *bytes, size_t size);
+/** Bytes written and not yet taken by the socket. */
+size_t http_sock_unsent(const struct http_sock *sock);
+/** Whether any byte has left: before that, nothing can have been read. */
+bool http_sock_sent_any(const struct http_sock *sock);
+/** Stop or go on reading. */
+void http_sock_pause(struct http_sock *sock, bool pause);
+/** Close in order, once what was written has left (2 s at most). */
+void http_sock_close(struct http_sock *sock);
+/** Close at once with a reset; what was written may be lost. */
+void http_sock_abort(struct http_sock *sock);
+
+#endif
--- a/node/node.c
+++ b/node/node.c
@@ -24,8 +24,8 @@
 	struct lp_counters *counters;
 	struct trace *trace;
 	struct wire_sock *sock;
-	struct plat_kv *kv;
-	struct plat_hosts_client *hosts;
+	struct store_kv *kv;
+	struct store_hosts_client *hosts;
 	struct spread *spread;
 	struct cfg_snapshot *snapshot;
 	struct node_admin *admin;
@@ -65,7 +65,7 @@
 	       from);
 }
 
-static void take_pair(struct node *node, const struct plat_pair *pair)
+static void take_pair(struct node *node, const struct store_pair *pair)
 {
 	struct cfg_record *record;
 	struct cfg_snapshot *snapshot;
@@ -86,7 +86,7 @@
 	cfg_record_destroy(record);
 }
 
-static void on_read(void *userdata, const struct plat_answer *answer)
+static void on_read(void *userdata, const struct store_answer *answer)
 {
 	struct node *node = userdata;
 
@@ -101,7 +101,7 @@
 			     node);
 }
 
-static void on_number(void *userdata, const struct plat_answer *answer)
+static void on_number(void *userdata, const struct store_answer *answer)
 {
 	struct node *node = userdata;
 	uint64_t revision = 0;
@@ -123,7 +123,7 @@
 			     on_number, node);
 }
 
-static void on_changed(void *userdata, const struct plat_pair *pair)
+static void on_changed(void *userdata, const struct store_pair *pair)
 {
 	take_pair(userdata, pair);
 }
@@ -235,7 +235,7 @@
 
 /* ---- hosts ---- */
 
-static void elect(struct node *node, const struct plat_hosts *hosts)
+static void elect(struct node *node, const struct store_hosts *hosts)
 {
 	struct member *members = g_new0(struct member, hosts->count + 1);
 	uint32_t count = 0;
@@ -255,7 +255,7 @@
 	g_free(members);
 }
 
-static void on_hosts(void *userdata, const struct plat_hosts *hosts)
+static void on_hosts(void *userdata, const struct store_hosts *hosts)
 {
 	struct node *node = userdata;
 
@@ -425,13 +425,13 @@
 
 static void open_platform(struct node *node)
 {
-	const struct plat_etcd_options kv = {
+	const struct store_etcd_options kv = {
 		.url = node->settings->kv_url,
 		.clock = node->clock,
 		.counters = node->counters,
 		.calls_per_s = (double)node->settings->kv_calls_per_s,
 	};
-	const struct plat_hosts_options hosts = {
+	const struct store_hosts_options hosts = {
 		.url = node->settings->hosts_url,
 		.poll_us = node->settings->hosts_poll_ms * LP_US_PER_MS,
 		.changed = on_hosts,
@@ -449,9 +449,9 @@
 		.watch_always = node->settings->config_watch_all,
 	};
 
-	node->kv = plat_etcd_create(&kv);
+	node->kv = store_etcd_create(&kv);
 	node->spread = spread_create(&spread);
-	node->hosts = plat_hosts_create(&hosts);
+	node->hosts = store_hosts_create(&hosts);
 }
 
 int node_create(const struct node_options *options, struct node **out,
@@ -491,8 +491,8 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(node->signals); i++)
 		if (node->signals[i])
 			g_source_remove(node->signals[i]);
-	plat_hosts_destroy(node->hosts);
-	plat_kv_destroy(node->kv);
+	store_hosts_destroy(node->hosts);
+	store_kv_destroy(node->kv);
 	spread_destroy(node->spread);
 	node_admin_destroy(node->admin);
 	wire_sock_destroy(node->sock);
@@ -528,7 +528,7 @@
 	return node->trace;
 }
 
-struct plat_kv *node_kv(const struct node *node)
+struct store_kv *node_kv(const struct node *node)
 {
 	return node->kv;
 }
--- a/node/node.h
+++ b/node/node.h
@@ -10,10 +10,10 @@
 #include "base/lp_counter.h"
 #include "base/lp_settings.h"
 #include "config/cfg_record.h"
-#include "platform/plat_etcd.h"
-#include "platform/plat_hosts.h"
 #include "policy/spread.h"
 #include "policy/trace.h"
+#include "store/store_etcd.h"
+#include "store/store_hosts.h"
 #include "wire/wire_sock.h"
 
 #include <json-glib/json-glib.h>
@@ -72,7 +72,7 @@
 	void (*message)(void *userdata, const char *peer, struct wire_msg *msg);
 	/** A configuration came into force. */
 	void (*configured)(void *userdata, struct cfg_snapshot *snapshot);
-	void (*hosts)(void *userdata, const struct plat_hosts *hosts);
+	void (*hosts)(void *userdata, const struct store_hosts *hosts);
 	/** Every NODE_TICK_MS. */
 	void (*tick)(void *userdata);
 	/** Tell peers of a new revision or of leaving. */
@@ -110,7 +110,7 @@
 const struct lp_clock *node_clock(const struct node *node);
 struct lp_counters *node_counters(const struct node *node);
 struct trace *node_trace(const struct node *node);
-struct plat_kv *node_kv(const struct node *node);
+struct store_kv *node_kv(const struct node *node);
 /** Configuration in force, or NULL. Borrowed. */
 struct cfg_snapshot *node_snapshot(const struct node *node);
 uint64_t node_revision(const struct node *node);
--- a/node/node_admin.c
+++ b/node/node_admin.c
@@ -1,6 +1,6 @@
 #include "node/node_admin.h"
 
-#include "platform/plat_serve.h"
+#include "store/store_serve.h"
 
 #include "base/lp_json.h"
 
@@ -20,7 +20,7 @@
 						      (guint)atoi(colon + 1));
 	g_autoptr(GError) gerror = NULL;
 
-	plat_serve_once(server);
+	store_serve_once(server);
 	if (socket && soup_server_listen(server, socket, 0, &gerror))
 		return LP_OK;
 	*why = g_strdup_printf("cannot listen on %s: %s", address,
--- /dev/null
+++ b/policy/graph.c
@@ -0,0 +1,282 @@
+#include "policy/graph.h"
+
+#include <string.h>
+
+struct piece {
+	enum graph_piece_state state;
+	char *handle; /* of a made one that is still kept */
+	char *maker;
+};
+
+struct stage {
+	uint32_t *after;
+	uint32_t after_count;
+	struct piece *pieces;
+	uint32_t pieces_count;
+};
+
+struct graph {
+	struct stage *stages;
+	uint32_t count;
+};
+
+struct graph *graph_create(const struct graph_stage *stages, uint32_t count)
+{
+	struct graph *graph = g_new0(struct graph, 1);
+
+	graph->count = count;
+	graph->stages = g_new0(struct stage, count);
+	for (uint32_t i = 0; i < count; i++) {
+		struct stage *stage = &graph->stages[i];
+
+		stage->after = g_memdup2(stages[i].after,
+					 stages[i].after_count *
+						 sizeof(*stages[i].after));
+		stage->after_count = stages[i].after_count;
+		stage->pieces_count = stages[i].pieces;
+		stage->pieces = g_new0(struct piece, stages[i].pieces);
+	}
+	return graph;
+}
+
+static void forget(struct piece *piece)
+{
+	g_clear_pointer(&piece->handle, g_free);
+	g_clear_pointer(&piece->maker, g_free);
+}
+
+void graph_destroy(struct graph *graph)
+{
+	if (!graph)
+		return;
+	for (uint32_t i = 0; i < graph->count; i++) {
+		struct stage *stage = &graph->stages[i];
+
+		for (uint32_t j = 0; j < stage->pieces_count; j++)
+			forget(&stage->pieces[j]);
+		g_free(stage->pieces);
+		g_free(stage->after);
+	}
+	g_free(graph->stages);
+	g_free(graph);
+}
+
+static bool stage_made(const struct stage *stage)
+{
+	for (uint32_t i = 0; i < stage->pieces_count; i++)
+		if (stage->pieces[i].state != GRAPH_PIECE_MADE)
+			return false;
+	return true;
+}
+
+bool graph_stage_ready(const struct graph *graph, uint32_t number)
+{
+	const struct stage *stage = &graph->stages[number];
+
+	for (uint32_t i = 0; i < stage->after_count; i++) {
+		uint32_t before = stage->after[i];
+
+		if (!stage_made(&graph->stages[before]))
+			return false;
+		if (!graph->stages[before].pieces_count &&
+		    !graph_stage_ready(graph, before))
+			return false;
+	}
+	return true;
+}
+
+uint32_t graph_pieces(const struct graph *graph, uint32_t stage)
+{
+	return graph->stages[stage].pieces_count;
+}
+
+enum graph_piece_state graph_state(const struct graph *graph, uint32_t stage,
+				   uint32_t piece)
+{
+	return graph->stages[stage].pieces[piece].state;
+}
+
+void graph_asked(struct graph *graph, uint32_t stage, uint32_t piece)
+{
+	graph->stages[stage].pieces[piece].state = GRAPH_PIECE_ASKED;
+}
+
+void graph_not_made(struct graph *graph, uint32_t stage, uint32_t piece)
+{
+	graph->stages[stage].pieces[piece].state = GRAPH_PIECE_MISSING;
+}
+
+void graph_made(struct graph *graph, uint32_t stage, uint32_t number,
+		const char *handle, const char *maker)
+{
+	struct piece *piece = &graph->stages[stage].pieces[number];
+
+	forget(piece);
+	piece->state = GRAPH_PIECE_MADE;
+	piece->handle = g_strdup(handle);
+	piece->maker = g_strdup(maker);
+}
+
+bool graph_complete(const struct graph *graph)
+{
+	for (uint32_t i = 0; i < graph->count; i++)
+		if (!stage_made(&graph->stages[i]))
+			return false;
+	return true;
+}
+
+/* Whether stage `taker` (or the request: taker == count) takes in the results
+ * of `maker`, directly or past stages of no pieces. */
+static bool takes_from(const struct graph *graph, uint32_t taker,
+		       uint32_t maker)
+{
+	const struct stage *stage;
+
+	if (taker == graph->count) {
+		/* The request takes in what no other stage does. */
+		for (uint32_t i = maker + 1; i < graph->count; i++)
+			if (graph->stages[i].pieces_count &&
+			    takes_from(graph, i, maker))
+				return false;
+		return true;
+	}
+	stage = &graph->stages[taker];
+	for (uint32_t i = 0; i < stage->after_count; i++) {
+		uint32_t before = stage->after[i];
+
+		if (before == maker)
+			return true;
+		if (!graph->stages[before].pieces_count &&
+		    takes_from(graph, before, maker))
+			return true;
+	}
+	return false;
+}
+
+void graph_inputs(const struct graph *graph, uint32_t taker, GPtrArray *out)
+{
+	uint32_t end = MIN(taker, graph->count);
+
+	for (uint32_t i = 0; i < end; i++) {
+		const struct stage *stage = &graph->stages[i];
+
+		if (!takes_from(graph, taker, i))
+			continue;
+		for (uint32_t j = 0; j < stage->pieces_count; j++)
+			if (stage->pieces[j].handle)
+				g_ptr_array_add(out, stage->pieces[j].handle);
+	}
+}
+
+bool graph_inputs_kept(const struct graph *graph, uint32_t taker)
+{
+	uint32_t end = MIN(taker, graph->count);
+
+	for (uint32_t i = 0; i < end; i++) {
+		const struct stage *stage = &graph->stages[i];
+
+		if (!takes_from(graph, taker, i))
+			continue;
+		for (uint32_t j = 0; j < stage->pieces_count; j++)
+			if (!stage->pieces[j].handle)
+				return false;
+	}
+	return true;
+}
+
+static bool is_needed(const struct graph *graph, uint32_t maker)
+{
+	if (takes_from(graph, graph->count, maker))
+		return true;
+	for (uint32_t i = maker + 1; i < graph->count; i++)
+		if (takes_from(graph, i, maker) &&
+		    !stage_made(&graph->stages[i]))
+			return true;
+	return false;
+}
+
+uint32_t graph_lost_maker(struct graph *graph, const char *maker)
+{
+	uint32_t lost = 0;
+
+	for (uint32_t i = 0; i < graph->count; i++) {
+		struct stage *stage = &graph->stages[i];
+
+		for (uint32_t j = 0; j < stage->pieces_count; j++) {
+			struct piece *piece = &stage->pieces[j];
+
+			if (!piece->maker || strcmp(piece->maker, maker))
+				continue;
+			forget(piece);
+			if (!is_needed(graph, i))
+				continue;
+			piece->state = GRAPH_PIECE_MISSING;
+			lost++;
+		}
+	}
+	return lost;
+}
+
+void graph_lost_inputs(struct graph *graph, uint32_t taker)
+{
+	uint32_t end = MIN(taker, graph->count);
+
+	for (uint32_t i = 0; i < end; i++) {
+		struct stage *stage = &graph->stages[i];
+
+		if (!takes_from(graph, taker, i))
+			continue;
+		for (uint32_t j = 0; j < stage->pieces_count; j++) {
+			if (stage->pieces[j].state != GRAPH_PIECE_MADE)
+				continue;
+			forget(&stage->pieces[j]);
+			stage->pieces[j].state = GRAPH_PIECE_MISSING;
+		}
+	}
+}
+
+const char *graph_main_maker(const struct graph *graph)
+{
+	const char *best = NULL;
+	uint32_t best_count = 0;
+
+	for (uint32_t i = 0; i < graph->count; i++) {
+		const struct stage *stage = &graph->stages[i];
+
+		if (!takes_from(graph, graph->count, i))
+			continue;
+		for (uint32_t j = 0; j < stage->pieces_count; j++) {
+			uint32_t same = 0;
+
+			for (uint32_t k = 0; k < stage->pieces_count; k++)
+				if (!g_strcmp0(stage->pieces[k].maker,
+					       stage->pieces[j].maker))
+					same++;
+			if (same <= best_count || !stage->pieces[j].maker)
+				continue;
+			best = stage->pieces[j].maker;
+			best_count = same;
+		}
+	}
+	return best;
+}
+
+void graph_take_unneeded(struct graph *graph, bool all, GArray *out)
+{
+	for (uint32_t i = 0; i < graph->count; i++) {
+		struct stage *stage = &graph->stages[i];
+
+		if (!all && is_needed(graph, i))
+			continue;
+		for (uint32_t j = 0; j < stage->pieces_count; j++) {
+			struct piece *piece = &stage->pieces[j];
+			struct graph_result result;
+
+			if (!piece->handle)
+				continue;
+			result.handle = g_steal_pointer(&piece->handle);
+			result.maker = g_steal_pointer(&piece->maker);
+			g_array_append_val(out, result);
+		}
+	}
+}
--- /dev/null
+++ b/policy/graph.h
@@ -0,0 +1,71 @@
+/**
+ * The pieces of one request's stages: which may be made now, where the made
+ * ones lie, and which results nobody needs any more.
+ *
+ * A result is named by a handle and dies with its maker. A stage may begin
+ * when all pieces of the stages before it are made; a stage of no pieces is
+ * left out, and whoever comes after it needs what it would have needed.
+ */
+#ifndef GRAPH_H
+#define GRAPH_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+struct graph;
+
+/** A result that is given up; both strings are the receiver's. */
+struct graph_result {
+	char *handle;
+	char *maker;
+};
+
+enum graph_piece_state {
+	GRAPH_PIECE_MISSING,
+	GRAPH_PIECE_ASKED, /**< queued or at work */
+	GRAPH_PIECE_MADE,
+};
+
+struct graph_stage {
+	const uint32_t *after;
+	uint32_t after_count;
+	uint32_t pieces;
+};
+
+/** Copies what it needs. Stages refer to earlier ones only. */
+struct graph *graph_create(const struct graph_stage *stages, uint32_t count);
+void graph_destroy(struct graph *graph);
+
+/** Whether all pieces of a stage's inputs are made. */
+bool graph_stage_ready(const struct graph *graph, uint32_t stage);
+uint32_t graph_pieces(const struct graph *graph, uint32_t stage);
+enum graph_piece_state graph_state(const struct graph *graph, uint32_t stage,
+				   uint32_t piece);
+void graph_asked(struct graph *graph, uint32_t stage, uint32_t piece);
+/** An asked piece was not made: it is missing again. */
+void graph_not_made(struct graph *graph, uint32_t stage, uint32_t piece);
+void graph_made(struct graph *graph, uint32_t stage, uint32_t piece,
+		const char *handle, const char *maker);
+/** Every piece of every stage is made. */
+bool graph_complete(const struct graph *graph);
+/**
+ * Handles that a stage takes in, appended to `out` (borrowed); stage ==
+ * the number of stages: those that the request itself takes in.
+ */
+void graph_inputs(const struct graph *graph, uint32_t stage, GPtrArray *out);
+/** Whether all handles that a stage takes in are still kept. */
+bool graph_inputs_kept(const struct graph *graph, uint32_t stage);
+/** Results of this maker are gone. Returns how many were. */
+uint32_t graph_lost_maker(struct graph *graph, const char *maker);
+/** The inputs of a stage are gone, nobody knows which: all are missing. */
+void graph_lost_inputs(struct graph *graph, uint32_t stage);
+/** The maker of most of what the request takes in, or NULL. */
+const char *graph_main_maker(const struct graph *graph);
+/**
+ * Take out handles that nobody needs any more: results whose takers are all
+ * made; with `all`, every one. Appended to `out`, of struct graph_result.
+ */
+void graph_take_unneeded(struct graph *graph, bool all, GArray *out);
+
+#endif
--- /dev/null
+++ b/policy/pieces.c
@@ -0,0 +1,269 @@
+#include "policy/pieces.h"
+
+#include <string.h>
+
+/* An entry stays with the upstream that it used last, so that entries part
+ * among upstreams; less than a tenth of a call. */
+#define MOVE_US (15 * LP_US_PER_MS)
+/* Results that cross domains are paid for and take longer to fetch. */
+#define OTHER_DOMAIN_US (60 * LP_US_PER_MS)
+/* An upstream believed busy with others' calls is looked at again. */
+#define LOOK_AGAIN_US (25 * LP_US_PER_MS)
+/* Each rank of priority counts like this much more time to wait. */
+#define PRIORITY_US (150 * LP_US_PER_MS)
+/* Late pieces go behind all that can still be on time. */
+#define LATE_US (60 * LP_US_PER_S)
+/* Calls of our own at one upstream: one is at work, none waits behind it. */
+#define CALLS_EACH_MAX 1
+
+struct pieces {
+	struct pieces_options options;
+	char *service;
+	char *domain;
+	GArray *waiting;  /* of struct piece */
+	GPtrArray *calls; /* under way; owned by whoever got them */
+	char *last;	  /* id of the upstream used last */
+};
+
+struct pieces *pieces_create(const struct pieces_options *options)
+{
+	struct pieces *pieces = g_new0(struct pieces, 1);
+
+	pieces->options = *options;
+	pieces->service = g_strdup(options->service);
+	pieces->domain = g_strdup(options->domain);
+	pieces->waiting = g_array_new(FALSE, FALSE, sizeof(struct piece));
+	pieces->calls = g_ptr_array_new();
+	return pieces;
+}
+
+void pieces_destroy(struct pieces *pieces)
+{
+	if (!pieces)
+		return;
+	g_free(pieces->service);
+	g_free(pieces->domain);
+	g_free(pieces->last);
+	g_array_unref(pieces->waiting);
+	g_ptr_array_unref(pieces->calls);
+	g_free(pieces);
+}
+
+void pieces_set(struct pieces *pieces, uint32_t batch_max, int64_t call_us,
+		int64_t piece_us)
+{
+	pieces->options.batch_max = batch_max;
+	pieces->options.call_us = call_us;
+	pieces->options.piece_us = piece_us;
+}
+
+void pieces_add(struct pieces *pieces, const struct piece *piece)
+{
+	g_array_append_vals(pieces->waiting, piece, 1);
+}
+
+void pieces_drop(struct pieces *pieces, const void *request)
+{
+	for (guint i = pieces->waiting->len; i-- > 0;)
+		if (g_array_index(pieces->waiting, struct piece, i).request ==
+		    request)
+			g_array_remove_index(pieces->waiting, i);
+}
+
+uint32_t pieces_waiting(const struct pieces *pieces)
+{
+	return pieces->waiting->len;
+}
+
+static int64_t now(const struct pieces *pieces)
+{
+	return lp_now_us(pieces->options.clock);
+}
+
+static int64_t call_time_us(const struct pieces *pieces, uint32_t count)
+{
+	return pieces->options.call_us + count * pieces->options.piece_us;
+}
+
+/* ---- order ---- */
+
+static int64_t rank_us(const struct piece *piece, int64_t now_us)
+{
+	int64_t rank = piece->due_us + piece->priority * PRIORITY_US;
+
+	return piece->due_us < now_us ? rank + LATE_US : rank;
+}
+
+static int by_rank(gconstpointer a, gconstpointer b, gpointer userdata)
+{
+	const int64_t *now_us = userdata;
+	int64_t one = rank_us(a, *now_us);
+	int64_t two = rank_us(b, *now_us);
+
+	return one < two ? -1 : one > two;
+}
+
+/* ---- where ---- */
+
+static int64_t own_calls_end_us(const struct pieces *pieces,
+				const struct pool_upstream *upstream,
+				uint32_t *count)
+{
+	int64_t end_us = 0;
+
+	*count = 0;
+	for (guint i = 0; i < pieces->calls->len; i++) {
+		const struct pieces_call *call =
+			g_ptr_array_index(pieces->calls, i);
+
+		if (upstream && call->upstream != upstream)
+			continue;
+		(*count)++;
+		end_us = MAX(end_us, call->started_us + call->expected_us);
+	}
+	return end_us;
+}
+
+static int64_t wait_us(const struct pieces *pieces,
+		       const struct pool_upstream *upstream)
+{
+	return MAX(upstream->busy_until_us - now(pieces), 0);
+}
+
+static double cost_us(const struct pieces *pieces,
+		      const struct pool_upstream *upstream, uint32_t count)
+{
+	double cost = (double)wait_us(pieces, upstream) +
+		      (double)call_time_us(pieces, count) * upstream->slowness *
+			      (1.0 + 2.0 * upstream->error_share);
+
+	if (strcmp(upstream->entry.domain, pieces->domain))
+		cost += OTHER_DOMAIN_US;
+	if (!pieces->last || strcmp(upstream->entry.id, pieces->last))
+		cost += MOVE_US;
+	return cost;
+}
+
+static struct pool_upstream *choose(const struct pieces *pieces, uint32_t count,
+				    double *best_cost)
+{
+	const GPtrArray *list =
+		pool_of_service(pieces->options.pool, pieces->service);
+	struct pool_upstream *best = NULL;
+
+	for (guint i = 0; list && i < list->len; i++) {
+		struct pool_upstream *upstream = g_ptr_array_index(list, i);
+		uint32_t calls;
+		double cost;
+
+		own_calls_end_us(pieces, upstream, &calls);
+		if (calls >= CALLS_EACH_MAX ||
+		    !pool_usable(pieces->options.pool, upstream))
+			continue;
+		cost = cost_us(pieces, upstream, count);
+		if (best && cost >= *best_cost)
+			continue;
+		best = upstream;
+		*best_cost = cost;
+	}
+	return best;
+}
+
+/* Whether a further call pays while others of ours are under way. */
+static bool may_open(const struct pieces *pieces, double cost)
+{
+	const struct piece *first =
+		&g_array_index(pieces->waiting, struct piece, 0);
+	int64_t now_us = now(pieces);
+	uint32_t calls;
+	int64_t free_us = own_calls_end_us(pieces, NULL, &calls);
+
+	if (!calls || pieces->waiting->len >= pieces->options.batch_max)
+		return true;
+	/* The call under way ends too late for the most urgent piece. */
+	return first->due_us >= now_us && first->due_us < free_us &&
+	       now_us + (int64_t)cost <
+		       free_us + call_time_us(pieces, pieces->waiting->len);
+}
+
+static struct pieces_call *open_call(struct pieces *pieces,
+				     struct pool_upstream *upstream)
+{
+	struct pieces_call *call = g_new0(struct pieces_call, 1);
+	uint32_t count = MIN(pieces->waiting->len, pieces->options.batch_max);
+
+	call->upstream = pool_hold(upstream);
+	call->pieces = g_array_new(FALSE, FALSE, sizeof(struct piece));
+	g_array_append_vals(call->pieces, pieces->waiting->data, count);
+	g_array_remove_range(pieces->waiting, 0, count);
+	call->started_us = now(pieces);
+	call->expected_us = wait_us(pieces, upstream) +
+			    (int64_t)((double)call_time_us(pieces, count) *
+				      upstream->slowness);
+	upstream->in_flight++;
+	g_ptr_array_add(pieces->calls, call);
+	if (g_strcmp0(pieces->last, upstream->entry.id)) {
+		g_free(pieces->last);
+		pieces->last = g_strdup(upstream->entry.id);
+	}
+	return call;
+}
+
+struct pieces_call *pieces_next(struct pieces *pieces)
+{
+	int64_t now_us = now(pieces);
+	struct pool_upstream *upstream;
+	double cost;
+
+	if (!pieces->waiting->len)
+		return NULL;
+	g_array_sort_with_data(pieces->waiting, by_rank, &now_us);
+	upstream = choose(pieces,
+			  MIN(pieces->waiting->len, pieces->options.batch_max),
+			  &cost);
+	if (!upstream || !may_open(pieces, cost))
+		return NULL;
+	return open_call(pieces, upstream);
+}
+
+int64_t pieces_wake_us(const struct pieces *pieces)
+{
+	return pieces->waiting->len ? now(pieces) + LOOK_AGAIN_US : 0;
+}
+
+void pieces_end(struct pieces *pieces, struct pieces_call *call,
+		enum pool_outcome outcome, int32_t running, int32_t waiting)
+{
+	struct pool_upstream *upstream = call->upstream;
+	int64_t now_us = now(pieces);
+	bool timed = outcome == POOL_SERVED;
+
+	/* Without others' calls before it, the time is the upstream's own. */
+	pool_learn(pieces->options.pool, upstream, outcome,
+		   timed ? now_us - call->started_us : 0,
+		   timed ? call_time_us(pieces, call->pieces->len) : 0);
+	if (running >= 0 && waiting >= 0) {
+		int64_t one_us =
+			call_time_us(pieces, pieces->options.batch_max / 3);
+
+		upstream->busy_until_us =
+			now_us + running * one_us / 2 + waiting * one_us;
+	}
+	upstream->in_flight--;
+	g_ptr_array_remove_fast(pieces->calls, call);
+	g_array_unref(call->pieces);
+	pool_release(upstream);
+	g_free(call);
+}
+
+int64_t pieces_estimate_us(const struct pieces *pieces)
+{
+	uint32_t batch = MAX(pieces->options.batch_max, 1);
+	uint32_t calls;
+	int64_t free_us = own_calls_end_us(pieces, NULL, &calls);
+	int64_t left_us = calls ? MAX(free_us - now(pieces), 0) : 0;
+	uint32_t batches = pieces->waiting->len / batch;
+
+	return left_us + batches * call_time_us(pieces, batch) +
+	       call_time_us(pieces, pieces->waiting->len % batch + 1);
+}
--- /dev/null
+++ b/policy/pool.c
@@ -0,0 +1,443 @@
+#include "policy/pool.h"
+
+#include "base/lp_id.h"
+
+#include <string.h>
+
+/* Prompt tokens that an engine reads in a millisecond. A start value: the
+ * engines' real speed shows in `slowness`. */
+#define TOKENS_PER_MS 60
+/* Time of an engine's answer beside its prompt: the first step. */
+#define FIRST_STEP_US (10 * LP_US_PER_MS)
+/* Requests at work slow an engine's steps: about 0.3% each. */
+#define PER_REQUEST_US (500)
+/* A request that goes elsewhere than where all entries would place its
+ * prefix must gain this much by it: two thirds of a usual prompt's reading. */
+#define NOT_HOME_US (40 * LP_US_PER_MS)
+/* Another domain: a round trip more, and its bytes are paid for. */
+#define OTHER_DOMAIN_US (20 * LP_US_PER_MS)
+/* Bytes fetched across domains are weighed as time: 3 MB as 150 ms. */
+#define FETCH_BYTES_PER_US 20
+/* An upstream that fails is left alone, twice as long each time. */
+#define ASIDE_FIRST_US (250 * LP_US_PER_MS)
+#define ASIDE_DOUBLINGS_MAX 4
+/* One that is full is asked again soon. */
+#define ASIDE_FULL_US (60 * LP_US_PER_MS)
+/* Weight of the newest outcome in a fading mean. */
+#define FADE 0.3
+/* Time after which half of a belief in slowness or errors is forgotten, so
+ * that an upstream that has recovered is tried again. */
+#define FORGET_US (2 * LP_US_PER_S)
+#define SLOWNESS_MAX 20.0
+/* Requests of plain services are weighed in these units of time. */
+#define PLAIN_CALL_US (60 * LP_US_PER_MS)
+
+struct part {
+	int64_t tokens;
+	int64_t used_us;
+};
+
+struct pool {
+	const struct lp_clock *clock;
+	char *domain;
+	GHashTable *upstreams; /* id -> struct pool_upstream */
+	GHashTable *services;  /* name -> GPtrArray of struct pool_upstream */
+};
+
+/* ---- the list ---- */
+
+struct pool_upstream *pool_hold(struct pool_upstream *upstream)
+{
+	upstream->refs++;
+	return upstream;
+}
+
+static void clear_entry(struct pool_entry *entry)
+{
+	g_free(entry->id);
+	g_free(entry->service);
+	g_free(entry->address);
+	g_free(entry->domain);
+}
+
+void pool_release(struct pool_upstream *upstream)
+{
+	if (!upstream || --upstream->refs)
+		return;
+	clear_entry(&upstream->entry);
+	g_hash_table_unref(upstream->parts);
+	g_free(upstream);
+}
+
+static void unlist(gpointer data)
+{
+	struct pool_upstream *upstream = data;
+
+	upstream->listed = false;
+	pool_release(upstream);
+}
+
+struct pool *pool_create(const struct lp_clock *clock, const char *domain)
+{
+	struct pool *pool = g_new0(struct pool, 1);
+
+	pool->clock = clock;
+	pool->domain = g_strdup(domain);
+	pool->upstreams =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, unlist);
+	pool->services =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				      (GDestroyNotify)g_ptr_array_unref);
+	return pool;
+}
+
+void pool_destroy(struct pool *pool)
+{
+	if (!pool)
+		return;
+	g_hash_table_unref(pool->services);
+	g_hash_table_unref(pool->upstreams);
+	g_free(pool->domain);
+	g_free(pool);
+}
+
+static struct pool_upstream *create_upstream(const struct pool_entry *entry)
+{
+	struct pool_upstream *upstream = g_new0(struct pool_upstream, 1);
+
+	upstream->entry.id = g_strdup(entry->id);
+	upstream->entry.service = g_strdup(entry->service);
+	upstream->entry.address = g_strdup(entry->address);
+	upstream->entry.domain = g_strdup(entry->domain);
+	upstream->listed = true;
+	upstream->refs = 1;
+	upstream->slowness = 1.0;
+	upstream->parts = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						g_free, g_free);
+	return upstream;
+}
+
+static GPtrArray *service_list(struct pool *pool, const char *service)
+{
+	GPtrArray *list = g_hash_table_lookup(pool->services, service);
+
+	if (!list) {
+		list = g_ptr_array_new();
+		g_hash_table_insert(pool->services, g_strdup(service), list);
+	}
+	return list;
+}
+
+static bool is_same(const struct pool_upstream *upstream,
+		    const struct pool_entry *entry)
+{
+	return !strcmp(upstream->entry.address, entry->address) &&
+	       !strcmp(upstream->entry.service, entry->service);
+}
+
+/* Returns whether anything changed. */
+static bool take_entry(struct pool *pool, const struct pool_entry *entry)
+{
+	struct pool_upstream *upstream = pool_find(pool, entry->id);
+	bool changed;
+
+	if (upstream && !is_same(upstream, entry)) {
+		g_hash_table_remove(pool->upstreams, entry->id);
+		upstream = NULL;
+	}
+	changed = !upstream || upstream->entry.leaving != entry->leaving;
+	if (!upstream) {
+		upstream = create_upstream(entry);
+		g_hash_table_insert(pool->upstreams, upstream->entry.id,
+				    upstream);
+	}
+	upstream->entry.slots = entry->slots;
+	upstream->entry.leaving = entry->leaving;
+	return changed;
+}
+
+static bool is_in(const char *id, const struct pool_entry *entries,
+		  uint32_t count)
+{
+	for (uint32_t i = 0; i < count; i++)
+		if (!strcmp(entries[i].id, id))
+			return true;
+	return false;
+}
+
+static uint32_t remove_missing(struct pool *pool,
+			       const struct pool_entry *entries, uint32_t count)
+{
+	GHashTableIter iter;
+	gpointer key;
+	uint32_t removed = 0;
+
+	g_hash_table_iter_init(&iter, pool->upstreams);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		if (is_in(key, entries, count))
+			continue;
+		g_hash_table_iter_remove(&iter);
+		removed++;
+	}
+	return removed;
+}
+
+uint32_t pool_update(struct pool *pool, const struct pool_entry *entries,
+		     uint32_t count)
+{
+	uint32_t changes = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_remove_all(pool->services);
+	changes = remove_missing(pool, entries, count);
+	for (uint32_t i = 0; i < count; i++)
+		if (take_entry(pool, &entries[i]))
+			changes++;
+	g_hash_table_iter_init(&iter, pool->upstreams);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct pool_upstream *upstream = value;
+
+		g_ptr_array_add(service_list(pool, upstream->entry.service),
+				upstream);
+	}
+	return changes;
+}
+
+const GPtrArray *pool_of_service(const struct pool *pool, const char *service)
+{
+	return g_hash_table_lookup(pool->services, service);
+}
+
+struct pool_upstream *pool_find(const struct pool *pool, const char *id)
+{
+	return g_hash_table_lookup(pool->upstreams, id);
+}
+
+/* ---- beliefs ---- */
+
+int64_t pool_cold_tokens(const struct pool_upstream *upstream,
+			 const struct pool_part *parts, uint32_t count)
+{
+	int64_t cold = 0;
+
+	for (uint32_t i = 0; i < count; i++)
+		/* A part counts only if all before it are there. */
+		if (cold ||
+		    !g_hash_table_contains(upstream->parts, &parts[i].id))
+			cold += parts[i].tokens;
+	return cold;
+}
+
+static void forget_oldest(struct pool_upstream *upstream)
+{
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+	const int64_t *oldest = NULL;
+	int64_t oldest_us = G_MAXINT64;
+
+	g_hash_table_iter_init(&iter, upstream->parts);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const struct part *part = value;
+
+		if (part->used_us < oldest_us) {
+			oldest = key;
+			oldest_us = part->used_us;
+		}
+	}
+	if (!oldest)
+		return;
+	upstream->parts_tokens -=
+		((struct part *)g_hash_table_lookup(upstream->parts, oldest))
+			->tokens;
+	g_hash_table_remove(upstream->parts, oldest);
+}
+
+void pool_remember(struct pool *pool, struct pool_upstream *upstream,
+		   const struct pool_part *parts, uint32_t count,
+		   int64_t capacity_tokens)
+{
+	for (uint32_t i = 0; i < count; i++) {
+		struct part *part =
+			g_hash_table_lookup(upstream->parts, &parts[i].id);
+
+		if (!part) {
+			part = g_new0(struct part, 1);
+			part->tokens = parts[i].tokens;
+			upstream->parts_tokens += part->tokens;
+			g_hash_table_insert(
+				upstream->parts,
+				g_memdup2(&parts[i].id, sizeof(parts[i].id)),
+				part);
+		}
+		part->used_us = lp_now_us(pool->clock);
+	}
+	while (capacity_tokens && upstream->parts_tokens > capacity_tokens &&
+	       g_hash_table_size(upstream->parts))
+		forget_oldest(upstream);
+}
+
+static void fade_beliefs(struct pool_upstream *upstream, int64_t now_us)
+{
+	int64_t quiet_us = now_us - upstream->seen_us;
+
+	for (; quiet_us > FORGET_US; quiet_us -= FORGET_US) {
+		upstream->slowness = 1.0 + (upstream->slowness - 1.0) / 2;
+		upstream->error_share /= 2;
+		upstream->seen_us += FORGET_US;
+		if (upstream->slowness < 1.05 && upstream->error_share < 0.02) {
+			upstream->seen_us = now_us;
+			return;
+		}
+	}
+}
+
+static void set_aside(struct pool_upstream *upstream, int64_t now_us,
+		      int64_t time_us)
+{
+	if (now_us + time_us > upstream->aside_until_us)
+		upstream->aside_until_us = now_us + time_us;
+}
+
+void pool_learn(struct pool *pool, struct pool_upstream *upstream,
+		enum pool_outcome outcome, int64_t took_us, int64_t expected_us)
+{
+	int64_t now_us = lp_now_us(pool->clock);
+	bool failed = outcome == POOL_UNREACHABLE || outcome == POOL_WRONG;
+	uint32_t doublings = MIN(upstream->failures, ASIDE_DOUBLINGS_MAX);
+
+	if (outcome == POOL_UNKNOWN)
+		return;
+	fade_beliefs(upstream, now_us);
+	upstream->seen_us = now_us;
+	if (failed) {
+		set_aside(upstream, now_us, ASIDE_FIRST_US << doublings);
+		upstream->failures++;
+	} else {
+		upstream->failures = 0;
+	}
+	if (outcome == POOL_FULL)
+		set_aside(upstream, now_us, ASIDE_FULL_US);
+	upstream->error_share +=
+		FADE * ((failed || outcome == POOL_ERROR ? 1.0 : 0.0) -
+			upstream->error_share);
+	if (took_us && expected_us) {
+		double ratio = CLAMP((double)took_us / (double)expected_us, 0.5,
+				     SLOWNESS_MAX);
+
+		upstream->slowness += FADE * (ratio - upstream->slowness);
+	}
+}
+
+bool pool_usable(const struct pool *pool, const struct pool_upstream *upstream)
+{
+	return upstream->listed && !upstream->entry.leaving &&
+	       lp_now_us(pool->clock) >= upstream->aside_until_us;
+}
+
+/* ---- the choice ---- */
+
+static bool was_tried(const struct pool_ask *ask, const char *id)
+{
+	for (uint32_t i = 0; i < ask->tried_count; i++)
+		if (!strcmp(ask->tried[i], id))
+			return true;
+	return false;
+}
+
+/* Where all entries would place this prefix, had they the same beliefs. */
+static uint64_t home_rank(const struct pool_ask *ask,
+			  const struct pool_upstream *upstream)
+{
+	uint32_t deepest_shared = ask->parts_count - 2;
+
+	return lp_hash_pair(ask->parts[deepest_shared].id,
+			    lp_hash_str(upstream->entry.id));
+}
+
+static const struct pool_upstream *find_home(const struct pool *pool,
+					     const struct pool_ask *ask,
+					     const GPtrArray *list)
+{
+	const struct pool_upstream *home = NULL;
+	uint64_t best = 0;
+
+	if (ask->parts_count < 2)
+		return NULL;
+	for (guint i = 0; i < list->len; i++) {
+		const struct pool_upstream *upstream =
+			g_ptr_array_index(list, i);
+		uint64_t rank = home_rank(ask, upstream);
+
+		if (strcmp(upstream->entry.domain, pool->domain) ||
+		    !pool_usable(pool, upstream) || rank <= best)
+			continue;
+		best = rank;
+		home = upstream;
+	}
+	return home;
+}
+
+/* Estimated time to the answer's start, with what else counts as time. */
+static double cost_us(const struct pool *pool, const struct pool_ask *ask,
+		      const struct pool_upstream *upstream,
+		      const struct pool_upstream *home)
+{
+	double cost;
+
+	if (ask->parts_count) {
+		int64_t tokens = upstream->tokens_ahead +
+				 pool_cold_tokens(upstream, ask->parts,
+						  ask->parts_count);
+
+		cost = FIRST_STEP_US + PER_REQUEST_US * upstream->in_flight +
+		       (double)tokens * LP_US_PER_MS / TOKENS_PER_MS;
+		if (home && upstream != home)
+			cost += NOT_HOME_US;
+	} else {
+		uint32_t slots = MAX(upstream->entry.slots, 1);
+
+		cost = PLAIN_CALL_US *
+		       (1.0 + (double)upstream->in_flight / slots);
+	}
+	cost *= upstream->slowness * (1.0 + 4.0 * upstream->error_share);
+	if (strcmp(upstream->entry.domain, pool->domain))
+		cost += OTHER_DOMAIN_US;
+	if (ask->domain && strcmp(upstream->entry.domain, ask->domain))
+		cost += (double)ask->fetch_bytes / FETCH_BYTES_PER_US;
+	return cost;
+}
+
+struct pool_upstream *pool_pick(struct pool *pool, const struct pool_ask *ask)
+{
+	const GPtrArray *list = pool_of_service(pool, ask->service);
+	const struct pool_upstream *home;
+	struct pool_upstream *best = NULL;
+	double best_cost = 0;
+	bool best_usable = false;
+	int64_t now_us = lp_now_us(pool->clock);
+
+	if (!list)
+		return NULL;
+	home = find_home(pool, ask, list);
+	for (guint i = 0; i < list->len; i++) {
+		struct pool_upstream *upstream = g_ptr_array_index(list, i);
+		bool usable = pool_usable(pool, upstream);
+		double cost;
+
+		if (upstream->entry.leaving ||
+		    was_tried(ask, upstream->entry.id))
+			continue;
+		fade_beliefs(upstream, now_us);
+		cost = cost_us(pool, ask, upstream, home);
+		/* One that is set aside is better than none. */
+		if (best && (best_usable > usable ||
+			     (best_usable == usable && cost >= best_cost)))
+			continue;
+		best = upstream;
+		best_cost = cost;
+		best_usable = usable;
+	}
+	return best;
+}
--- /dev/null
+++ b/policy/pool.h
@@ -0,0 +1,104 @@
+/**
+ * Upstreams that an entry calls directly: what is believed of each, and which
+ * one gets a request.
+ *
+ * A belief is this entry's own: calls in flight, prompt tokens not read yet,
+ * parts of prompts sent there, how long answers took, how often they failed.
+ * The list of upstreams comes from outside. An upstream that has left the list
+ * stays valid for as long as someone holds it.
+ */
+#ifndef POOL_H
+#define POOL_H
+
+#include "base/lp_clock.h"
+
+#include <glib.h>
+#include <stdbool.h>
+
+struct pool;
+
+/** What the list says of an upstream. */
+struct pool_entry {
+	char *id; /**< of one start of it */
+	char *service;
+	char *address; /**< "IP:PORT" */
+	char *domain;
+	uint32_t slots;
+	bool leaving;
+};
+
+struct pool_upstream {
+	struct pool_entry entry;
+	bool listed;
+	uint32_t in_flight;	/**< our requests or calls there */
+	int64_t tokens_ahead;	/**< prompt tokens we sent, not read yet */
+	int64_t aside_until_us; /**< gets nothing before, if others can */
+	uint32_t failures;	/**< in a row */
+	double error_share;	/**< of late answers, 0 to 1 */
+	double slowness;	/**< time taken / time expected, fading */
+	int64_t busy_until_us;	/**< with calls of others, by its own word */
+	/* private */
+	uint32_t refs;
+	GHashTable *parts; /* part id -> struct part */
+	int64_t parts_tokens;
+	int64_t seen_us; /* an answer last */
+};
+
+/** One part of a prompt, in the order in which it is read. */
+struct pool_part {
+	uint64_t id;
+	int64_t tokens;
+};
+
+struct pool_ask {
+	const char *service;
+	const struct pool_part *parts; /**< of the prompt, or NULL */
+	uint32_t parts_count;
+	const char *domain; /**< near what the upstream has to fetch, or NULL */
+	int64_t fetch_bytes;	  /**< that it has to fetch from that domain */
+	const char *const *tried; /**< ids that are not to be chosen */
+	uint32_t tried_count;
+};
+
+/** What became of something sent. */
+enum pool_outcome {
+	POOL_SERVED,
+	POOL_FULL,	  /**< refused for load, not run */
+	POOL_ERROR,	  /**< its own error answer */
+	POOL_UNREACHABLE, /**< no connection, cut, or no answer in time */
+	POOL_WRONG,	  /**< another process has the address */
+	POOL_UNKNOWN,	  /**< we ended it; nothing is learnt */
+};
+
+struct pool *pool_create(const struct lp_clock *clock, const char *domain);
+void pool_destroy(struct pool *pool);
+/** Replace the list. Returns how many upstreams came, left or changed. */
+uint32_t pool_update(struct pool *pool, const struct pool_entry *entries,
+		     uint32_t count);
+/** Upstreams of a service in the list: of struct pool_upstream; or NULL. */
+const GPtrArray *pool_of_service(const struct pool *pool, const char *service);
+struct pool_upstream *pool_find(const struct pool *pool, const char *id);
+
+/** The best upstream, or NULL. Not held: see pool_hold(). */
+struct pool_upstream *pool_pick(struct pool *pool, const struct pool_ask *ask);
+/** Prompt tokens that this upstream would have to read for these parts. */
+int64_t pool_cold_tokens(const struct pool_upstream *upstream,
+			 const struct pool_part *parts, uint32_t count);
+/** Remember that these parts are in this upstream's memory. */
+void pool_remember(struct pool *pool, struct pool_upstream *upstream,
+		   const struct pool_part *parts, uint32_t count,
+		   int64_t capacity_tokens);
+/**
+ * Learn from an outcome. `took_us` and `expected_us` compare the time of an
+ * answer with what was expected; 0: not known.
+ */
+void pool_learn(struct pool *pool, struct pool_upstream *upstream,
+		enum pool_outcome outcome, int64_t took_us,
+		int64_t expected_us);
+/** Whether it may be called at this moment. */
+bool pool_usable(const struct pool *pool, const struct pool_upstream *upstream);
+
+struct pool_upstream *pool_hold(struct pool_upstream *upstream);
+void pool_release(struct pool_upstream *upstream);
+
+#endif
--- a/platform/plat_etcd.c
+++ b/store/store_etcd.c
@@ -1,8 +1,8 @@
-#include "platform/plat_etcd.h"
+#include "store/store_etcd.h"
 
 #include "base/lp_json.h"
-#include "platform/plat_http.h"
 #include "policy/bucket.h"
+#include "store/store_http.h"
 
 #include <string.h>
 
@@ -11,17 +11,17 @@
 #define CONNECTIONS 4
 
 struct etcd {
-	struct plat_kv base;
-	struct plat_etcd_options options;
+	struct store_kv base;
+	struct store_etcd_options options;
 	char *url;
-	struct plat_http *http;
+	struct store_http *http;
 	struct bucket budget;
 	GQueue waiting; /* of struct call, past the budget */
 	guint timer;
 	/* the watch */
 	GCancellable *watch_cancel;
 	GDataInputStream *watch_stream;
-	void (*watch_changed)(void *userdata, const struct plat_pair *pair);
+	void (*watch_changed)(void *userdata, const struct store_pair *pair);
 	void (*watch_ended)(void *userdata, int error);
 	void *watch_userdata;
 };
@@ -30,7 +30,7 @@
 	struct etcd *etcd;
 	char *path;
 	char *body;
-	void (*done)(void *userdata, const struct plat_answer *answer);
+	void (*done)(void *userdata, const struct store_answer *answer);
 	void *userdata;
 };
 
@@ -88,7 +88,7 @@
 	return json_node_get_int(node);
 }
 
-static void parse_pair(JsonObject *object, struct plat_pair *pair)
+static void parse_pair(JsonObject *object, struct store_pair *pair)
 {
 	pair->key = decode_b64(
 		json_object_get_string_member_with_default(object, "key", ""));
@@ -100,7 +100,7 @@
 
 static void clear_pair(gpointer data)
 {
-	struct plat_pair *pair = data;
+	struct store_pair *pair = data;
 
 	g_free(pair->key);
 	g_free(pair->value);
@@ -114,7 +114,7 @@
 		return;
 	kvs = json_object_get_array_member(object, "kvs");
 	for (guint i = 0; i < json_array_get_length(kvs); i++) {
-		struct plat_pair pair = { 0 };
+		struct store_pair pair = { 0 };
 
 		parse_pair(json_array_get_object_element(kvs, i), &pair);
 		g_array_append_val(pairs, pair);
@@ -149,12 +149,12 @@
 						    : NULL;
 }
 
-static void on_answer(void *userdata, const struct plat_http_answer *http)
+static void on_answer(void *userdata, const struct store_http_answer *http)
 {
 	struct call *call = userdata;
-	struct plat_answer answer = { .error = http->error };
+	struct store_answer answer = { .error = http->error };
 	g_autoptr(JsonParser) parser = json_parser_new();
-	GArray *pairs = g_array_new(FALSE, TRUE, sizeof(struct plat_pair));
+	GArray *pairs = g_array_new(FALSE, TRUE, sizeof(struct store_pair));
 	JsonObject *root = NULL;
 
 	g_array_set_clear_func(pairs, clear_pair);
@@ -166,7 +166,7 @@
 		answer.succeeded = json_object_get_boolean_member_with_default(
 			root, "succeeded", FALSE);
 		answer.lease = get_int64(root, "ID");
-		answer.pairs = (struct plat_pair *)pairs->data;
+		answer.pairs = (struct store_pair *)pairs->data;
 		answer.pairs_count = pairs->len;
 	} else {
 		answer.error = LP_ERROR_PLATFORM_DOWN;
@@ -184,7 +184,7 @@
 {
 	struct etcd *etcd = call->etcd;
 	g_autofree char *url = g_strconcat(etcd->url, call->path, NULL);
-	const struct plat_http_request request = {
+	const struct store_http_request request = {
 		.method = "POST",
 		.url = url,
 		.body = call->body,
@@ -194,7 +194,7 @@
 		.userdata = call,
 	};
 
-	plat_http_send(etcd->http, &request);
+	store_http_send(etcd->http, &request);
 }
 
 static gboolean on_budget(gpointer userdata);
@@ -237,7 +237,7 @@
 
 static void
 add_call(struct etcd *etcd, const char *purpose, const char *path, char *body,
-	 void (*done)(void *userdata, const struct plat_answer *answer),
+	 void (*done)(void *userdata, const struct store_answer *answer),
 	 void *userdata)
 {
 	struct call *call = g_new0(struct call, 1);
@@ -263,10 +263,10 @@
 	return end;
 }
 
-static void etcd_range(struct plat_kv *kv, const char *purpose, const char *key,
-		       bool prefix,
+static void etcd_range(struct store_kv *kv, const char *purpose,
+		       const char *key, bool prefix,
 		       void (*done)(void *userdata,
-				    const struct plat_answer *answer),
+				    const struct store_answer *answer),
 		       void *userdata)
 {
 	g_autoptr(JsonBuilder) builder = json_builder_new();
@@ -281,7 +281,7 @@
 		 lp_json_print(builder), done, userdata);
 }
 
-static void add_compares(JsonBuilder *builder, const struct plat_txn *txn)
+static void add_compares(JsonBuilder *builder, const struct store_txn *txn)
 {
 	json_builder_set_member_name(builder, "compare");
 	json_builder_begin_array(builder);
@@ -297,7 +297,7 @@
 	json_builder_end_array(builder);
 }
 
-static void add_puts(JsonBuilder *builder, const struct plat_txn *txn)
+static void add_puts(JsonBuilder *builder, const struct store_txn *txn)
 {
 	json_builder_set_member_name(builder, "success");
 	json_builder_begin_array(builder);
@@ -315,7 +315,7 @@
 	json_builder_end_array(builder);
 }
 
-static void add_reads(JsonBuilder *builder, const struct plat_txn *txn)
+static void add_reads(JsonBuilder *builder, const struct store_txn *txn)
 {
 	json_builder_set_member_name(builder, "failure");
 	json_builder_begin_array(builder);
@@ -331,8 +331,8 @@
 }
 
 static void
-etcd_txn(struct plat_kv *kv, const char *purpose, const struct plat_txn *txn,
-	 void (*done)(void *userdata, const struct plat_answer *answer),
+etcd_txn(struct store_kv *kv, const char *purpose, const struct store_txn *txn,
+	 void (*done)(void *userdata, const struct store_answer *answer),
 	 void *userdata)
 {
 	g_autoptr(JsonBuilder) builder = json_builder_new();
@@ -346,10 +346,11 @@
 		 lp_json_print(builder), done, userdata);
 }
 
-static void
-etcd_lease_grant(struct plat_kv *kv, const char *purpose, int64_t ttl_s,
-		 void (*done)(void *userdata, const struct plat_answer *answer),
-		 void *userdata)
+static void etcd_lease_grant(struct store_kv *kv, const char *purpose,
+			     int64_t ttl_s,
+			     void (*done)(void *userdata,
+					  const struct store_answer *answer),
+			     void *userdata)
 {
 	g_autoptr(JsonBuilder) builder = json_builder_new();
 
@@ -388,7 +389,7 @@
 	events = json_object_get_array_member(result, "events");
 	for (guint i = 0; i < json_array_get_length(events); i++) {
 		JsonObject *event = json_array_get_object_element(events, i);
-		struct plat_pair pair = { 0 };
+		struct store_pair pair = { 0 };
 
 		if (!json_object_has_member(event, "kv"))
 			continue;
@@ -443,7 +444,7 @@
 		on_watch_line, etcd);
 }
 
-static void etcd_unwatch(struct plat_kv *kv)
+static void etcd_unwatch(struct store_kv *kv)
 {
 	struct etcd *etcd = (struct etcd *)kv;
 
@@ -452,10 +453,10 @@
 	end_watch(etcd, LP_OK);
 }
 
-static void etcd_watch(struct plat_kv *kv, const char *purpose, const char *key,
-		       void (*changed)(void *userdata,
-				       const struct plat_pair *pair),
-		       void (*ended)(void *userdata, int error), void *userdata)
+static void
+etcd_watch(struct store_kv *kv, const char *purpose, const char *key,
+	   void (*changed)(void *userdata, const struct store_pair *pair),
+	   void (*ended)(void *userdata, int error), void *userdata)
 {
 	struct etcd *etcd = (struct etcd *)kv;
 	g_autoptr(JsonBuilder) builder = json_builder_new();
@@ -481,12 +482,12 @@
 	message = soup_message_new("POST", url);
 	soup_message_set_request_body_from_bytes(message, "application/json",
 						 bytes);
-	soup_session_send_async(plat_http_session(etcd->http), message,
+	soup_session_send_async(store_http_session(etcd->http), message,
 				G_PRIORITY_DEFAULT, etcd->watch_cancel,
 				on_watch_open, etcd);
 }
 
-static void etcd_destroy(struct plat_kv *kv)
+static void etcd_destroy(struct store_kv *kv)
 {
 	struct etcd *etcd = (struct etcd *)kv;
 	struct call *call;
@@ -496,12 +497,12 @@
 		g_source_remove(etcd->timer);
 	while ((call = g_queue_pop_head(&etcd->waiting)))
 		free_call(call);
-	plat_http_destroy(etcd->http);
+	store_http_destroy(etcd->http);
 	g_free(etcd->url);
 	g_free(etcd);
 }
 
-static const struct plat_kv_ops etcd_ops = {
+static const struct store_kv_ops etcd_ops = {
 	.range = etcd_range,
 	.txn = etcd_txn,
 	.lease_grant = etcd_lease_grant,
@@ -510,7 +511,7 @@
 	.destroy = etcd_destroy,
 };
 
-struct plat_kv *plat_etcd_create(const struct plat_etcd_options *options)
+struct store_kv *store_etcd_create(const struct store_etcd_options *options)
 {
 	struct etcd *etcd = g_new0(struct etcd, 1);
 	double rate = options->calls_per_s ? options->calls_per_s
@@ -520,13 +521,13 @@
 	etcd->base.ops = &etcd_ops;
 	etcd->options = *options;
 	etcd->url = g_strdup(options->url);
-	etcd->http = plat_http_create(CONNECTIONS);
+	etcd->http = store_http_create(CONNECTIONS);
 	g_queue_init(&etcd->waiting);
 	bucket_init(&etcd->budget, rate, burst, lp_now_us(options->clock));
 	return &etcd->base;
 }
 
-void plat_kv_destroy(struct plat_kv *kv)
+void store_kv_destroy(struct store_kv *kv)
 {
 	if (kv)
 		kv->ops->destroy(kv);
--- a/platform/plat_etcd.h
+++ b/store/store_etcd.h
@@ -1,17 +1,17 @@
 /**
- * The etcd v3 JSON gateway (range, txn, lease, watch) as a plat_kv.
+ * The etcd v3 JSON gateway (range, txn, lease, watch) as a store_kv.
  *
  * One client a process. Calls draw on a token bucket; past it they wait,
  * so that a whole fleet starting at once stays inside the service's rates.
  */
-#ifndef PLAT_ETCD_H
-#define PLAT_ETCD_H
+#ifndef STORE_ETCD_H
+#define STORE_ETCD_H
 
 #include "base/lp_clock.h"
 #include "base/lp_counter.h"
-#include "platform/plat_kv.h"
+#include "store/store_kv.h"
 
-struct plat_etcd_options {
+struct store_etcd_options {
 	const char *url; /**< "http://IP:PORT" */
 	const struct lp_clock *clock;
 	struct lp_counters *counters; /**< borrowed */
@@ -20,8 +20,8 @@
 	int64_t timeout_us;	      /**< 0: 2 s */
 };
 
-struct plat_kv *plat_etcd_create(const struct plat_etcd_options *options);
+struct store_kv *store_etcd_create(const struct store_etcd_options *options);
 /** Of any backend. */
-void plat_kv_destroy(struct plat_kv *kv);
+void store_kv_destroy(struct store_kv *kv);
 
 #endif
--- a/platform/plat_hosts.c
+++ b/store/store_hosts.c
@@ -1,4 +1,4 @@
-#include "platform/plat_hosts.h"
+#include "store/store_hosts.h"
 
 #include "base/lp_clock.h"
 
@@ -7,9 +7,9 @@
 #define DEFAULT_POLL_US (5 * LP_US_PER_S)
 #define JITTER 0.1
 
-struct plat_hosts_client {
-	struct plat_hosts_options options;
-	struct plat_http *http;
+struct store_hosts_client {
+	struct store_hosts_options options;
+	struct store_http *http;
 	char *url;
 	char *etag;
 	guint timer;
@@ -21,7 +21,7 @@
 		json_object_get_string_member_with_default(object, name, ""));
 }
 
-static void parse_host(JsonObject *object, struct plat_host *host)
+static void parse_host(JsonObject *object, struct store_host *host)
 {
 	const char *role = json_object_get_string_member_with_default(
 		object, "role", "agent");
@@ -29,7 +29,8 @@
 		object, "state", "live");
 
 	host->id = member(object, "id");
-	host->role = strcmp(role, "entry") ? PLAT_ROLE_AGENT : PLAT_ROLE_ENTRY;
+	host->role =
+		strcmp(role, "entry") ? STORE_ROLE_AGENT : STORE_ROLE_ENTRY;
 	host->service = member(object, "service");
 	host->domain = member(object, "domain");
 	host->address = member(object, "address");
@@ -37,7 +38,7 @@
 	host->leaving = !strcmp(state, "leaving");
 }
 
-static void clear_hosts(struct plat_hosts *hosts)
+static void clear_hosts(struct store_hosts *hosts)
 {
 	for (uint32_t i = 0; i < hosts->count; i++) {
 		g_free(hosts->hosts[i].id);
@@ -49,7 +50,7 @@
 	g_free(hosts->hosts);
 }
 
-static bool parse_hosts(const char *body, struct plat_hosts *out)
+static bool parse_hosts(const char *body, struct store_hosts *out)
 {
 	g_autoptr(JsonParser) parser = json_parser_new();
 	JsonNode *root;
@@ -65,7 +66,7 @@
 	if (!list || !JSON_NODE_HOLDS_ARRAY(list))
 		return false;
 	array = json_node_get_array(list);
-	out->hosts = g_new0(struct plat_host, json_array_get_length(array));
+	out->hosts = g_new0(struct store_host, json_array_get_length(array));
 	for (guint i = 0; i < json_array_get_length(array); i++) {
 		JsonNode *element = json_array_get_element(array, i);
 
@@ -78,7 +79,7 @@
 
 static gboolean poll_now(gpointer userdata);
 
-static void schedule(struct plat_hosts_client *client)
+static void schedule(struct store_hosts_client *client)
 {
 	int64_t poll_us = client->options.poll_us ? client->options.poll_us
 						  : DEFAULT_POLL_US;
@@ -89,10 +90,10 @@
 			      poll_now, client);
 }
 
-static void on_list(void *userdata, const struct plat_http_answer *answer)
+static void on_list(void *userdata, const struct store_http_answer *answer)
 {
-	struct plat_hosts_client *client = userdata;
-	struct plat_hosts hosts = { 0 };
+	struct store_hosts_client *client = userdata;
+	struct store_hosts hosts = { 0 };
 
 	schedule(client);
 	if (!answer->error && answer->status == SOUP_STATUS_NOT_MODIFIED)
@@ -110,8 +111,8 @@
 
 static gboolean poll_now(gpointer userdata)
 {
-	struct plat_hosts_client *client = userdata;
-	struct plat_http_request request = {
+	struct store_hosts_client *client = userdata;
+	struct store_http_request request = {
 		.method = "GET",
 		.url = client->url,
 		.etag = client->etag,
@@ -120,29 +121,30 @@
 	};
 
 	client->timer = 0;
-	plat_http_send(client->http, &request);
+	store_http_send(client->http, &request);
 	return G_SOURCE_REMOVE;
 }
 
-struct plat_hosts_client *
-plat_hosts_create(const struct plat_hosts_options *options)
+struct store_hosts_client *
+store_hosts_create(const struct store_hosts_options *options)
 {
-	struct plat_hosts_client *client = g_new0(struct plat_hosts_client, 1);
+	struct store_hosts_client *client =
+		g_new0(struct store_hosts_client, 1);
 
 	client->options = *options;
 	client->url = g_strconcat(options->url, "/v1/hosts", NULL);
-	client->http = plat_http_create(1);
+	client->http = store_http_create(1);
 	poll_now(client);
 	return client;
 }
 
-void plat_hosts_destroy(struct plat_hosts_client *client)
+void store_hosts_destroy(struct store_hosts_client *client)
 {
 	if (!client)
 		return;
 	if (client->timer)
 		g_source_remove(client->timer);
-	plat_http_destroy(client->http);
+	store_http_destroy(client->http);
 	g_free(client->url);
 	g_free(client->etag);
 	g_free(client);
--- a/platform/plat_http.c
+++ b/store/store_http.c
@@ -1,27 +1,27 @@
-#include "platform/plat_http.h"
+#include "store/store_http.h"
 
 #include "base/lp_clock.h"
 
 #define DEFAULT_TIMEOUT_US (2 * LP_US_PER_S)
 
-struct plat_http {
+struct store_http {
 	SoupSession *session;
 	GHashTable *pending; /* of struct exchange */
 };
 
 struct exchange {
-	struct plat_http *http; /* NULL once it is destroyed */
+	struct store_http *http; /* NULL once it is destroyed */
 	SoupMessage *message;
 	GCancellable *cancel;
 	guint timer;
-	void (*done)(void *userdata, const struct plat_http_answer *answer);
+	void (*done)(void *userdata, const struct store_http_answer *answer);
 	void (*dropped)(void *userdata);
 	void *userdata;
 };
 
-struct plat_http *plat_http_create(uint32_t connections)
+struct store_http *store_http_create(uint32_t connections)
 {
-	struct plat_http *http = g_new0(struct plat_http, 1);
+	struct store_http *http = g_new0(struct store_http, 1);
 
 	http->session = soup_session_new_with_options(
 		"max-conns", (int)connections * 4, "max-conns-per-host",
@@ -30,7 +30,7 @@
 	return http;
 }
 
-void plat_http_destroy(struct plat_http *http)
+void store_http_destroy(struct store_http *http)
 {
 	GHashTableIter iter;
 	gpointer key;
@@ -52,7 +52,7 @@
 	g_free(http);
 }
 
-SoupSession *plat_http_session(struct plat_http *http)
+SoupSession *store_http_session(struct store_http *http)
 {
 	return http->session;
 }
@@ -69,7 +69,7 @@
 static void on_answer(GObject *source, GAsyncResult *result, gpointer userdata)
 {
 	struct exchange *exchange = userdata;
-	struct plat_http_answer answer = { 0 };
+	struct store_http_answer answer = { 0 };
 	g_autoptr(GError) gerror = NULL;
 	GBytes *bytes = soup_session_send_and_read_finish(SOUP_SESSION(source),
 							  result, &gerror);
@@ -106,8 +106,8 @@
 	return G_SOURCE_REMOVE;
 }
 
-void plat_http_send(struct plat_http *http,
-		    const struct plat_http_request *request)
+void store_http_send(struct store_http *http,
+		     const struct store_http_request *request)
 {
 	struct exchange *exchange = g_new0(struct exchange, 1);
 	int64_t timeout_us =
--- a/platform/plat_kv.h
+++ b/store/store_kv.h
@@ -1,18 +1,18 @@
 /**
  * The platform's key-value service: compare-and-swap, leases, watches.
  *
- * The interface is a struct of callbacks; plat_etcd.h is the one backend.
+ * The interface is a struct of callbacks; store_etcd.h is the one backend.
  * Results are borrowed during the callback. A transaction that ends in
  * LP_ERROR_PLATFORM_DOWN may have taken effect: the caller reads again.
  */
-#ifndef PLAT_KV_H
-#define PLAT_KV_H
+#ifndef STORE_KV_H
+#define STORE_KV_H
 
 #include "base/lp_error.h"
 
-struct plat_kv;
+struct store_kv;
 
-struct plat_pair {
+struct store_pair {
 	char *key;
 	char *value;
 	int64_t create_revision;
@@ -20,69 +20,69 @@
 };
 
 /** Holds when the key's mod revision is this; 0: the key does not exist. */
-struct plat_compare {
+struct store_compare {
 	const char *key;
 	int64_t mod_revision;
 };
 
-struct plat_put {
+struct store_put {
 	const char *key;
 	const char *value;
 	int64_t lease; /**< 0: none */
 };
 
 /** All puts if all compares hold; else the keys are read. */
-struct plat_txn {
-	const struct plat_compare *compares;
+struct store_txn {
+	const struct store_compare *compares;
 	uint32_t compares_count;
-	const struct plat_put *puts;
+	const struct store_put *puts;
 	uint32_t puts_count;
 	const char *const *reads; /**< keys read when a compare fails */
 	uint32_t reads_count;
 };
 
-struct plat_answer {
+struct store_answer {
 	int error;
 	bool succeeded; /**< of a transaction */
-	const struct plat_pair *pairs;
+	const struct store_pair *pairs;
 	uint32_t pairs_count;
 	int64_t lease;
 };
 
 /** `purpose` names the counter the call is counted under. */
-struct plat_kv_ops {
+struct store_kv_ops {
 	/** Read a key, or all keys with this prefix. */
-	void (*range)(struct plat_kv *kv, const char *purpose, const char *key,
+	void (*range)(struct store_kv *kv, const char *purpose, const char *key,
 		      bool prefix,
 		      void (*done)(void *userdata,
-				   const struct plat_answer *answer),
+				   const struct store_answer *answer),
 		      void *userdata);
-	void (*txn)(struct plat_kv *kv, const char *purpose,
-		    const struct plat_txn *txn,
+	void (*txn)(struct store_kv *kv, const char *purpose,
+		    const struct store_txn *txn,
 		    void (*done)(void *userdata,
-				 const struct plat_answer *answer),
+				 const struct store_answer *answer),
 		    void *userdata);
-	void (*lease_grant)(struct plat_kv *kv, const char *purpose,
+	void (*lease_grant)(struct store_kv *kv, const char *purpose,
 			    int64_t ttl_s,
 			    void (*done)(void *userdata,
-					 const struct plat_answer *answer),
+					 const struct store_answer *answer),
 			    void *userdata);
 	/**
 	 * Watch one key. changed() for each new value, after which ended()
 	 * once with an error when the watch breaks. Only one a key.
 	 */
-	void (*watch)(struct plat_kv *kv, const char *purpose, const char *key,
+	void (*watch)(struct store_kv *kv, const char *purpose, const char *key,
 		      void (*changed)(void *userdata,
-				      const struct plat_pair *pair),
+				      const struct store_pair *pair),
 		      void (*ended)(void *userdata, int error), void *userdata);
 	/** End the watch; ended() is not called. */
-	void (*unwatch)(struct plat_kv *kv);
-	void (*destroy)(struct plat_kv *kv);
+	void (*unwatch)(struct store_kv *kv);
+	void (*destroy)(struct store_kv *kv);
 };
 
 /** The start of every backend's own struct. */
-struct plat_kv {
-	const struct plat_kv_ops *ops;
+struct store_kv {
+	const struct store_kv_ops *ops;
 };
 
 #endif
--- a/platform/plat_serve.c
+++ b/store/store_serve.c
@@ -1,4 +1,4 @@
-#include "platform/plat_serve.h"
+#include "store/store_serve.h"
 
 static void on_started(SoupServer *server, SoupServerMessage *msg,
 		       gpointer userdata)
@@ -8,7 +8,7 @@
 		"close");
 }
 
-void plat_serve_once(SoupServer *server)
+void store_serve_once(SoupServer *server)
 {
 	g_signal_connect(server, "request-started", G_CALLBACK(on_started),
 			 NULL);
--- a/platform/plat_serve.h
+++ b/store/store_serve.h
@@ -6,12 +6,12 @@
  * 20,000 after 50,000 requests). A connection that the server itself ends
  * after the answer is freed. The price is a connection a request.
  */
-#ifndef PLAT_SERVE_H
-#define PLAT_SERVE_H
+#ifndef STORE_SERVE_H
+#define STORE_SERVE_H
 
 #include <libsoup/soup.h>
 
 /** Call once, before the server listens. */
-void plat_serve_once(SoupServer *server);
+void store_serve_once(SoupServer *server);
 
 #endif
--- a/tests/serve_test.cc
+++ b/tests/serve_test.cc
@@ -1,10 +1,10 @@
-/* platform/plat_serve.h: no connection outlives its request. */
+/* store/store_serve.h: no connection outlives its request. */
 #include "cwrap.h"
 
 #include <gtest/gtest.h>
 
 extern "C" {
-#include "platform/plat_serve.h"
+#include "store/store_serve.h"
 #include "tools/fleet.h"
 }
 
@@ -34,7 +34,7 @@
 	SoupServer *server = soup_server_new(nullptr, nullptr);
 	guint before = 0;
 
-	plat_serve_once(server);
+	store_serve_once(server);
 	soup_server_add_handler(server, "/", answer, nullptr, nullptr);
 	ASSERT_TRUE(soup_server_listen_local(
 		server, 0, SOUP_SERVER_LISTEN_IPV4_ONLY, nullptr));
--- a/tools/si_http.c
+++ b/tools/si_http.c
@@ -1,6 +1,6 @@
 #include "tools/si_http.h"
 
-#include "platform/plat_serve.h"
+#include "store/store_serve.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -39,7 +39,7 @@
 						      (guint)atoi(colon + 1));
 	g_autoptr(GError) gerror = NULL;
 
-	plat_serve_once(server);
+	store_serve_once(server);
 	if (socket && soup_server_listen(server, socket, 0, &gerror))
 		return;
 	g_printerr("cannot listen on %s: %s\n", address,
