--- a/policy/pool.c
+++ b/policy/pool.c
@@ -14,10 +14,14 @@
 /* A request that goes elsewhere than where all entries would place its
  * prefix must gain this much by it: two thirds of a usual prompt's reading. */
 #define NOT_HOME_US (40 * LP_US_PER_MS)
+/* Shared tokens read once more cost the platform beside the time: five times
+ * it, by the prices of the sites (a thousand tokens weigh like 3 MB fetched
+ * across domains). */
+#define READ_AGAIN 5
 /* Another domain: a round trip more, and its bytes are paid for. */
 #define OTHER_DOMAIN_US (20 * LP_US_PER_MS)
-/* Bytes fetched across domains are weighed as time: 3 MB as 150 ms. */
-#define FETCH_BYTES_PER_US 20
+/* Bytes fetched across domains are weighed as time: 3 MB as 95 ms. */
+#define FETCH_BYTES_PER_US 31
 /* An upstream that fails is left alone, twice as long each time. */
 #define ASIDE_FIRST_US (250 * LP_US_PER_MS)
 #define ASIDE_DOUBLINGS_MAX 4
@@ -356,8 +360,7 @@
 			    lp_hash_str(upstream->entry.id));
 }
 
-static const struct pool_upstream *find_home(const struct pool *pool,
-					     const struct pool_ask *ask,
+static const struct pool_upstream *find_home(const struct pool_ask *ask,
 					     const GPtrArray *list)
 {
 	const struct pool_upstream *home = NULL;
@@ -370,8 +373,7 @@
 			g_ptr_array_index(list, i);
 		uint64_t rank = home_rank(ask, upstream);
 
-		if (strcmp(upstream->entry.domain, pool->domain) ||
-		    !pool_usable(pool, upstream) || rank <= best)
+		if (upstream->entry.leaving || rank <= best)
 			continue;
 		best = rank;
 		home = upstream;
@@ -379,6 +381,14 @@
 	return home;
 }
 
+/* Shared tokens that would be read once more; the last part is the request's
+ * own and is read in any case. */
+static int64_t shared_cold(const struct pool_ask *ask,
+			   const struct pool_upstream *upstream)
+{
+	return pool_cold_tokens(upstream, ask->parts, ask->parts_count - 1);
+}
+
 /* Estimated time to the answer's start, with what else counts as time. */
 static double cost_us(const struct pool *pool, const struct pool_ask *ask,
 		      const struct pool_upstream *upstream,
@@ -387,14 +397,17 @@
 	double cost;
 
 	if (ask->parts_count) {
-		int64_t tokens = upstream->tokens_ahead +
-				 pool_cold_tokens(upstream, ask->parts,
-						  ask->parts_count);
+		int64_t cold = pool_cold_tokens(upstream, ask->parts,
+						ask->parts_count);
+		int64_t tokens = upstream->tokens_ahead + cold;
 
 		cost = FIRST_STEP_US + PER_REQUEST_US * upstream->in_flight +
 		       (double)tokens * LP_US_PER_MS / TOKENS_PER_MS;
 		if (home && upstream != home)
-			cost += NOT_HOME_US;
+			cost += NOT_HOME_US +
+				(double)shared_cold(ask, upstream) *
+					READ_AGAIN * LP_US_PER_MS /
+					TOKENS_PER_MS;
 	} else {
 		uint32_t slots = MAX(upstream->entry.slots, 1);
 
@@ -420,7 +433,7 @@
 
 	if (!list)
 		return NULL;
-	home = find_home(pool, ask, list);
+	home = find_home(ask, list);
 	for (guint i = 0; i < list->len; i++) {
 		struct pool_upstream *upstream = g_ptr_array_index(list, i);
 		bool usable = pool_usable(pool, upstream);
--- a/policy/pool.h
+++ b/policy/pool.h
@@ -30,13 +30,15 @@
 struct pool_upstream {
 	struct pool_entry entry;
 	bool listed;
-	uint32_t in_flight;	/**< our requests or calls there */
-	int64_t tokens_ahead;	/**< prompt tokens we sent, not read yet */
-	int64_t aside_until_us; /**< gets nothing before, if others can */
-	uint32_t failures;	/**< in a row */
-	double error_share;	/**< of late answers, 0 to 1 */
-	double slowness;	/**< time taken / time expected, fading */
-	int64_t busy_until_us;	/**< with calls of others, by its own word */
+	uint32_t in_flight;	  /**< our requests or calls there */
+	int64_t tokens_ahead;	  /**< prompt tokens we sent, not read yet */
+	int64_t aside_until_us;	  /**< gets nothing before, if others can */
+	uint32_t failures;	  /**< in a row */
+	double error_share;	  /**< of late answers, 0 to 1 */
+	double slowness;	  /**< time taken / time expected, fading */
+	int64_t busy_until_us;	  /**< with calls of others, by its own word */
+	int64_t kept_bytes;	  /**< results that it keeps for us */
+	int64_t no_room_until_us; /**< it had no room for a result lately */
 	/* private */
 	uint32_t refs;
 	GHashTable *parts; /* part id -> struct part */
--- a/store/store_http.c
+++ b/store/store_http.c
@@ -25,7 +25,7 @@
 
 	http->session = soup_session_new_with_options(
 		"max-conns", (int)connections * 4, "max-conns-per-host",
-		(int)connections, NULL);
+		(int)connections, "proxy-resolver", NULL, NULL);
 	http->pending = g_hash_table_new(g_direct_hash, g_direct_equal);
 	return http;
 }
