Room for results: counted, respected, given back at once

Cause of late stages: 35,216 pieces refused for want of room, each tried again at once. Now an entry counts what an upstream keeps for it, cuts a batch to what fits, leaves an upstream without room alone for 100 ms, gives results up within 40 ms, and makes what only the end needs with the last stages. Ruled out: engines (first events within 0.2 s of their sending).

--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -752,6 +752,18 @@
 
 /* ---- stages ---- */
 
+/* Time that a stage takes by itself, about. */
+static int64_t stage_us(struct direct_request *request, uint32_t stage)
+{
+	const struct direct_service *service = direct_config_service(
+		request->config, request->route->stages[stage].service);
+
+	if (!service || !graph_pieces(request->graph, stage))
+		return 0;
+	return service->call_us +
+	       service->piece_us * graph_pieces(request->graph, stage);
+}
+
 /* Time that a request still needs once this stage is made, about. */
 static int64_t after_stage_us(struct direct_request *request, uint32_t stage)
 {
@@ -759,18 +771,12 @@
 	int64_t longest_us = 0;
 
 	for (uint32_t i = stage + 1; i < route->stages_count; i++) {
-		const struct direct_service *service = direct_config_service(
-			request->config, route->stages[i].service);
-		int64_t us;
-
 		for (uint32_t j = 0; j < route->stages[i].after_count; j++) {
-			if (route->stages[i].after[j] != stage ||
-			    !graph_pieces(request->graph, i))
+			int64_t us;
+
+			if (route->stages[i].after[j] != stage)
 				continue;
-			us = service->call_us +
-			     service->piece_us *
-				     graph_pieces(request->graph, i) +
-			     after_stage_us(request, i);
+			us = stage_us(request, i) + after_stage_us(request, i);
 			longest_us = MAX(longest_us, us);
 		}
 	}
@@ -805,6 +811,7 @@
 			  call_us,
 		.until_us = request->give_up_us,
 		.priority = request->priority,
+		.bytes = config->bytes,
 	};
 
 	for (uint32_t i = 0; i < graph_pieces(request->graph, stage); i++) {
@@ -818,13 +825,31 @@
 	}
 }
 
+/* Results take up room until the request goes off. What is needed only at the
+ * end is made together with the last steps of the longest way there. */
+static bool is_early(struct direct_request *request, uint32_t stage)
+{
+	int64_t own_us =
+		stage_us(request, stage) + after_stage_us(request, stage);
+
+	for (uint32_t i = 0; i < request->route->stages_count; i++) {
+		if (!has_missing(request->graph, i))
+			continue;
+		if (stage_us(request, i) + after_stage_us(request, i) >
+		    own_us + stage_us(request, stage))
+			return true;
+	}
+	return false;
+}
+
 /* Ask for what can be made now. A stage whose inputs were given up already
  * has them made again, so look once more from the start. */
 static void ask_ready_stages(struct direct_request *request)
 {
 	for (uint32_t i = 0; i < request->route->stages_count; i++) {
 		if (!has_missing(request->graph, i) ||
-		    !graph_stage_ready(request->graph, i))
+		    !graph_stage_ready(request->graph, i) ||
+		    is_early(request, i))
 			continue;
 		if (!graph_inputs_kept(request->graph, i)) {
 			graph_lost_inputs(request->graph, i);
--- a/direct/direct_stages.c
+++ b/direct/direct_stages.c
@@ -3,9 +3,9 @@
 
 #include <string.h>
 
-/* Results given up are gathered this long, so that one call names many. Short
- * against the seconds for which an upstream would keep them. */
-#define FREE_GATHER_MS 250
+/* Results given up are gathered this long, so that one call names many. Room
+ * for results is scarce: short against a call. */
+#define FREE_GATHER_MS 40
 /* A call may take this many times what is expected of it. */
 #define CALL_SLACK 4
 #define CALL_TIMEOUT_MIN_US (1 * LP_US_PER_S)
@@ -13,6 +13,8 @@
  * again after a second, and by then another upstream is the better choice. */
 #define CONNECT_TIMEOUT_US (400 * LP_US_PER_MS)
 #define FREE_TIMEOUT_MS 2000
+/* An upstream without room is asked again after about half a call. */
+#define NO_ROOM_US (100 * LP_US_PER_MS)
 
 struct service {
 	struct direct_stages *stages;
@@ -63,6 +65,18 @@
 	g_free(service);
 }
 
+static void set_figures(struct pieces_options *options,
+			const struct direct_service *figures)
+{
+	options->batch_max = 1;
+	if (!figures || !figures->does_pieces)
+		return;
+	options->batch_max = MAX(figures->batch_max, 1);
+	options->call_us = figures->call_us;
+	options->piece_us = figures->piece_us;
+	options->room_bytes = figures->room_bytes;
+}
+
 static struct service *service_of(struct direct_stages *stages,
 				  const char *name)
 {
@@ -75,16 +89,11 @@
 		.pool = direct->pool,
 		.service = name,
 		.domain = direct->domain,
-		.batch_max = 1,
 	};
 
 	if (service)
 		return service;
-	if (figures && figures->does_pieces) {
-		options.batch_max = MAX(figures->batch_max, 1);
-		options.call_us = figures->call_us;
-		options.piece_us = figures->piece_us;
-	}
+	set_figures(&options, figures);
 	service = g_new0(struct service, 1);
 	service->stages = stages;
 	service->name = g_strdup(name);
@@ -102,12 +111,11 @@
 	g_hash_table_iter_init(&iter, stages->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct service *service = value;
-		const struct direct_service *figures =
-			direct_config_service(config, service->name);
+		struct pieces_options figures = { 0 };
 
-		if (figures && figures->does_pieces)
-			pieces_set(service->pieces, MAX(figures->batch_max, 1),
-				   figures->call_us, figures->piece_us);
+		set_figures(&figures,
+			    direct_config_service(config, service->name));
+		pieces_set(service->pieces, &figures);
 	}
 }
 
@@ -214,9 +222,13 @@
 
 /* Takes over the handle. */
 static void gather_free(struct direct_stages *stages, const char *maker,
-			char *handle)
+			char *handle, int64_t bytes)
 {
 	GPtrArray *handles = g_hash_table_lookup(stages->frees, maker);
+	struct pool_upstream *upstream = pool_find(stages->direct->pool, maker);
+
+	if (upstream)
+		upstream->kept_bytes -= bytes;
 
 	if (!handles) {
 		handles = g_ptr_array_new_with_free_func(g_free);
@@ -239,7 +251,8 @@
 		struct graph_result *result =
 			&g_array_index(results, struct graph_result, i);
 
-		gather_free(stages, result->maker, result->handle);
+		gather_free(stages, result->maker, result->handle,
+			    result->bytes);
 		g_free(result->maker);
 	}
 }
@@ -249,20 +262,28 @@
 static void take_made(struct stage_call *call, const struct piece *piece,
 		      struct direct_made *made)
 {
+	struct pool_upstream *upstream = call->call->upstream;
 	struct graph *graph;
 
+	if (made->result == DIRECT_ITEM_NO_ROOM)
+		upstream->no_room_until_us =
+			lp_now_us(call->stages->direct->options.clock) +
+			NO_ROOM_US;
 	if (!piece->request) {
 		/* Its request ended meanwhile. */
-		if (made->result == DIRECT_ITEM_MADE)
-			gather_free(call->stages,
-				    call->call->upstream->entry.id,
-				    g_steal_pointer(&made->handle));
+		if (made->result == DIRECT_ITEM_MADE) {
+			upstream->kept_bytes += piece->bytes;
+			gather_free(call->stages, upstream->entry.id,
+				    g_steal_pointer(&made->handle),
+				    piece->bytes);
+		}
 		return;
 	}
 	graph = direct_request_graph(piece->request);
 	if (made->result == DIRECT_ITEM_MADE) {
+		upstream->kept_bytes += piece->bytes;
 		graph_made(graph, piece->stage, piece->index, made->handle,
-			   call->call->upstream->entry.id);
+			   upstream->entry.id, piece->bytes);
 		return;
 	}
 	graph_not_made(graph, piece->stage, piece->index);
--- a/policy/graph.c
+++ b/policy/graph.c
@@ -6,6 +6,7 @@
 	enum graph_piece_state state;
 	char *handle; /* of a made one that is still kept */
 	char *maker;
+	int64_t bytes;
 };
 
 struct stage {
@@ -107,7 +108,7 @@
 }
 
 void graph_made(struct graph *graph, uint32_t stage, uint32_t number,
-		const char *handle, const char *maker)
+		const char *handle, const char *maker, int64_t bytes)
 {
 	struct piece *piece = &graph->stages[stage].pieces[number];
 
@@ -115,6 +116,7 @@
 	piece->state = GRAPH_PIECE_MADE;
 	piece->handle = g_strdup(handle);
 	piece->maker = g_strdup(maker);
+	piece->bytes = bytes;
 }
 
 bool graph_complete(const struct graph *graph)
@@ -276,6 +278,7 @@
 				continue;
 			result.handle = g_steal_pointer(&piece->handle);
 			result.maker = g_steal_pointer(&piece->maker);
+			result.bytes = piece->bytes;
 			g_array_append_val(out, result);
 		}
 	}
--- a/policy/graph.h
+++ b/policy/graph.h
@@ -19,6 +19,7 @@
 struct graph_result {
 	char *handle;
 	char *maker;
+	int64_t bytes;
 };
 
 enum graph_piece_state {
@@ -46,7 +47,7 @@
 /** An asked piece was not made: it is missing again. */
 void graph_not_made(struct graph *graph, uint32_t stage, uint32_t piece);
 void graph_made(struct graph *graph, uint32_t stage, uint32_t piece,
-		const char *handle, const char *maker);
+		const char *handle, const char *maker, int64_t bytes);
 /** Every piece of every stage is made. */
 bool graph_complete(const struct graph *graph);
 /**
--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -49,12 +49,12 @@
 	g_free(pieces);
 }
 
-void pieces_set(struct pieces *pieces, uint32_t batch_max, int64_t call_us,
-		int64_t piece_us)
+void pieces_set(struct pieces *pieces, const struct pieces_options *figures)
 {
-	pieces->options.batch_max = batch_max;
-	pieces->options.call_us = call_us;
-	pieces->options.piece_us = piece_us;
+	pieces->options.batch_max = figures->batch_max;
+	pieces->options.call_us = figures->call_us;
+	pieces->options.piece_us = figures->piece_us;
+	pieces->options.room_bytes = figures->room_bytes;
 }
 
 void pieces_add(struct pieces *pieces, const struct piece *piece)
@@ -144,7 +144,39 @@
 	return cost;
 }
 
-static struct pool_upstream *choose(const struct pieces *pieces, uint32_t count,
+/* Room for results that is believed to be free. */
+static int64_t room_bytes(const struct pieces *pieces,
+			  const struct pool_upstream *upstream)
+{
+	if (!pieces->options.room_bytes)
+		return G_MAXINT64;
+	if (now(pieces) < upstream->no_room_until_us)
+		return 0;
+	return pieces->options.room_bytes - upstream->kept_bytes;
+}
+
+/* How many of the waiting pieces one call to this upstream would carry. */
+static uint32_t count_fitting(const struct pieces *pieces,
+			      const struct pool_upstream *upstream)
+{
+	int64_t room = room_bytes(pieces, upstream);
+	uint32_t count = 0;
+
+	for (guint i = 0;
+	     i < pieces->waiting->len && count < pieces->options.batch_max;
+	     i++) {
+		int64_t bytes =
+			g_array_index(pieces->waiting, struct piece, i).bytes;
+
+		if (bytes > room)
+			continue;
+		room -= bytes;
+		count++;
+	}
+	return count;
+}
+
+static struct pool_upstream *choose(const struct pieces *pieces,
 				    double *best_cost)
 {
 	const GPtrArray *list =
@@ -154,12 +186,16 @@
 	for (guint i = 0; list && i < list->len; i++) {
 		struct pool_upstream *upstream = g_ptr_array_index(list, i);
 		uint32_t calls;
+		uint32_t count;
 		double cost;
 
 		own_calls_end_us(pieces, upstream, &calls);
 		if (calls >= CALLS_EACH_MAX ||
 		    !pool_usable(pieces->options.pool, upstream))
 			continue;
+		count = count_fitting(pieces, upstream);
+		if (!count)
+			continue;
 		cost = cost_us(pieces, upstream, count);
 		if (best && cost >= *best_cost)
 			continue;
@@ -186,16 +222,36 @@
 		       free_us + call_time_us(pieces, pieces->waiting->len);
 }
 
+static void take_fitting(struct pieces *pieces, struct pool_upstream *upstream,
+			 GArray *out)
+{
+	int64_t room = room_bytes(pieces, upstream);
+	guint i = 0;
+
+	while (i < pieces->waiting->len &&
+	       out->len < pieces->options.batch_max) {
+		struct piece piece =
+			g_array_index(pieces->waiting, struct piece, i);
+
+		if (piece.bytes > room) {
+			i++;
+			continue;
+		}
+		room -= piece.bytes;
+		g_array_append_val(out, piece);
+		g_array_remove_index(pieces->waiting, i);
+	}
+}
+
 static struct pieces_call *open_call(struct pieces *pieces,
 				     struct pool_upstream *upstream)
 {
 	struct pieces_call *call = g_new0(struct pieces_call, 1);
-	uint32_t count = MIN(pieces->waiting->len, pieces->options.batch_max);
+	uint32_t count = count_fitting(pieces, upstream);
 
 	call->upstream = pool_hold(upstream);
 	call->pieces = g_array_new(FALSE, FALSE, sizeof(struct piece));
-	g_array_append_vals(call->pieces, pieces->waiting->data, count);
-	g_array_remove_range(pieces->waiting, 0, count);
+	take_fitting(pieces, upstream, call->pieces);
 	call->started_us = now(pieces);
 	call->expected_us = wait_us(pieces, upstream) +
 			    (int64_t)((double)call_time_us(pieces, count) *
@@ -218,9 +274,7 @@
 	if (!pieces->waiting->len)
 		return NULL;
 	g_array_sort_with_data(pieces->waiting, by_rank, &now_us);
-	upstream = choose(pieces,
-			  MIN(pieces->waiting->len, pieces->options.batch_max),
-			  &cost);
+	upstream = choose(pieces, &cost);
 	if (!upstream || !may_open(pieces, cost))
 		return NULL;
 	return open_call(pieces, upstream);
@@ -236,9 +290,8 @@
 {
 	struct pool_upstream *upstream = call->upstream;
 	int64_t now_us = now(pieces);
-	bool timed = outcome == POOL_SERVED;
-
-	/* Without others' calls before it, the time is the upstream's own. */
+	/* With others' calls about, the time is not the upstream's own. */
+	bool timed = outcome == POOL_SERVED && !running && !waiting;
 	pool_learn(pieces->options.pool, upstream, outcome,
 		   timed ? now_us - call->started_us : 0,
 		   timed ? call_time_us(pieces, call->pieces->len) : 0);
--- a/policy/pieces.h
+++ b/policy/pieces.h
@@ -20,7 +20,7 @@
 	int64_t due_us;	  /**< begun by then, its request is on time */
 	int64_t until_us; /**< of no use after it */
 	int32_t priority; /**< 0 goes first */
-	uint32_t tries;
+	int64_t bytes;	  /**< of its result, about */
 };
 
 struct pieces_options {
@@ -29,8 +29,9 @@
 	const char *service; /**< copied */
 	const char *domain;  /**< own; copied */
 	uint32_t batch_max;
-	int64_t call_us;  /**< a call's fixed time */
-	int64_t piece_us; /**< and that of each piece */
+	int64_t call_us;    /**< a call's fixed time */
+	int64_t piece_us;   /**< and that of each piece */
+	int64_t room_bytes; /**< for results, one upstream; 0: no limit */
 };
 
 /** A call to be made. */
@@ -44,8 +45,7 @@
 struct pieces *pieces_create(const struct pieces_options *options);
 void pieces_destroy(struct pieces *pieces);
 /** The service's figures have changed. */
-void pieces_set(struct pieces *pieces, uint32_t batch_max, int64_t call_us,
-		int64_t piece_us);
+void pieces_set(struct pieces *pieces, const struct pieces_options *figures);
 void pieces_add(struct pieces *pieces, const struct piece *piece);
 /** A request has ended: what waits for it is dropped. */
 void pieces_drop(struct pieces *pieces, const void *request);
