--- a/direct/direct.c
+++ b/direct/direct.c
@@ -1,5 +1,9 @@
 #include "direct/direct_private.h"
 
+/* A peer's word on a call counts for no longer than this: the longest call of
+ * a full batch, twice slowed. */
+#define BUSY_MAX_US (1500 * LP_US_PER_MS)
+
 static void on_request(void *userdata, struct http_call *call)
 {
 	direct_request_begin(userdata, call);
@@ -144,6 +148,23 @@
 	retries_set(direct->retries, ratio, slack);
 }
 
+void direct_set_peers(struct direct *direct, struct direct_peers *peers)
+{
+	direct->peers = peers;
+}
+
+void direct_hear_busy(struct direct *direct, uint64_t upstream, int64_t for_us)
+{
+	struct pool_upstream *heard = pool_find_hash(direct->pool, upstream);
+
+	if (!heard)
+		return;
+	heard->busy_until_us = lp_now_us(direct->options.clock) +
+			       CLAMP(for_us, 0, BUSY_MAX_US);
+	if (!for_us)
+		direct_stages_run(direct->stages);
+}
+
 bool direct_ready(const struct direct *direct)
 {
 	return direct->config && direct->has_upstreams;
--- a/direct/direct.h
+++ b/direct/direct.h
@@ -18,6 +18,7 @@
 #include "direct/direct_config.h"
 
 struct direct;
+struct direct_peers;
 
 struct direct_options {
 	const struct lp_clock *clock;
@@ -45,6 +46,10 @@
 void direct_set_upstreams(struct direct *direct,
 			  const struct pool_entry *entries, uint32_t count);
 void direct_set_retries(struct direct *direct, double ratio, double slack);
+/** Tell these peers of calls under way; borrowed; NULL: nobody. */
+void direct_set_peers(struct direct *direct, struct direct_peers *peers);
+/** A peer keeps an upstream at work for so long; 0: no longer. */
+void direct_hear_busy(struct direct *direct, uint64_t upstream, int64_t for_us);
 /** Whether requests can be served: configuration and upstreams are known. */
 bool direct_ready(const struct direct *direct);
 /** End in order: answers end their connections from now on. */
--- /dev/null
+++ b/direct/direct_peers.c
@@ -0,0 +1,332 @@
+#include "direct/direct_peers.h"
+
+#include <string.h>
+
+/* Hellos cost a datagram a peer; a member that is silent for three of them
+ * is taken as gone. */
+#define HELLO_MS 1000
+#define SILENT_US (3500 * LP_US_PER_MS)
+#define DATAGRAM_MAX 2048
+/* Members named in one hello: the newest of them find the rest. */
+#define NAMED_MAX 40
+#define DATAGRAMS_A_TURN 32
+
+#define KIND_HELLO 'H'
+#define KIND_BUSY 'B'
+#define HELLO_TYPE "(xas)" /* version in force, members' IPs */
+#define BUSY_TYPE "(tx)"   /* upstream's hash, us it is still at work */
+
+struct peer {
+	char *ip;
+	GSocketAddress *address;
+	int64_t heard_us; /* 0: only named so far */
+};
+
+struct direct_peers {
+	struct direct_peers_options options;
+	char *ip;
+	char **seeds;
+	GSocket *socket;
+	GSource *source;
+	guint hello_timer;
+	GHashTable *peers; /* ip -> struct peer */
+	int64_t version;
+};
+
+static void free_peer(gpointer data)
+{
+	struct peer *peer = data;
+
+	g_free(peer->ip);
+	g_object_unref(peer->address);
+	g_free(peer);
+}
+
+static struct peer *peer_of(struct direct_peers *peers, const char *ip)
+{
+	struct peer *peer = g_hash_table_lookup(peers->peers, ip);
+	GSocketAddress *address;
+
+	if (peer || !strcmp(ip, peers->ip))
+		return peer;
+	address =
+		g_inet_socket_address_new_from_string(ip, peers->options.port);
+	if (!address)
+		return NULL;
+	peer = g_new0(struct peer, 1);
+	peer->ip = g_strdup(ip);
+	peer->address = address;
+	g_hash_table_insert(peers->peers, peer->ip, peer);
+	return peer;
+}
+
+static bool is_fresh(const struct direct_peers *peers, const struct peer *peer)
+{
+	return peer->heard_us &&
+	       lp_now_us(peers->options.clock) - peer->heard_us < SILENT_US;
+}
+
+/* ---- sending ---- */
+
+static void send_to(struct direct_peers *peers, const struct peer *peer,
+		    char kind, GVariant *body)
+{
+	/* GVariant wants its bytes aligned, so the kind comes last. */
+	_Alignas(8) char datagram[DATAGRAM_MAX];
+	gsize size = g_variant_get_size(body);
+
+	if (size + 1 > sizeof(datagram))
+		return;
+	g_variant_store(body, datagram);
+	datagram[size] = kind;
+	/* A datagram that cannot be sent is one that was lost. */
+	g_socket_send_to(peers->socket, peer->address, datagram, size + 1, NULL,
+			 NULL);
+}
+
+static GVariant *make_hello(struct direct_peers *peers)
+{
+	GVariantBuilder names;
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t count = 0;
+
+	g_variant_builder_init(&names, G_VARIANT_TYPE("as"));
+	g_hash_table_iter_init(&iter, peers->peers);
+	while (count < NAMED_MAX &&
+	       g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct peer *peer = value;
+
+		if (!is_fresh(peers, peer))
+			continue;
+		g_variant_builder_add(&names, "s", peer->ip);
+		count++;
+	}
+	return g_variant_ref_sink(
+		g_variant_new(HELLO_TYPE, (gint64)peers->version, &names));
+}
+
+static void add_seeds(struct direct_peers *peers)
+{
+	for (char **seed = peers->seeds; *seed; seed++) {
+		g_autofree char *ip = g_strndup(*seed, strcspn(*seed, ":"));
+
+		peer_of(peers, ip);
+	}
+}
+
+static void forget_silent(struct direct_peers *peers)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, peers->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct peer *peer = value;
+
+		if (!peer->heard_us || is_fresh(peers, peer))
+			continue;
+		if (lp_event_begin(peers->options.log, "peer_lost", NULL)) {
+			lp_event_text(peers->options.log, "peer", peer->ip);
+			lp_event_end(peers->options.log);
+		}
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
+static void say_hello(struct direct_peers *peers)
+{
+	g_autoptr(GVariant) hello = make_hello(peers);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, peers->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		send_to(peers, value, KIND_HELLO, hello);
+}
+
+static gboolean on_hello_timer(gpointer userdata)
+{
+	struct direct_peers *peers = userdata;
+
+	forget_silent(peers);
+	add_seeds(peers);
+	say_hello(peers);
+	return G_SOURCE_CONTINUE;
+}
+
+void direct_peers_set_version(struct direct_peers *peers, int64_t version)
+{
+	peers->version = version;
+	say_hello(peers);
+}
+
+void direct_peers_tell_busy(struct direct_peers *peers, uint64_t upstream,
+			    int64_t for_us)
+{
+	g_autoptr(GVariant) body = g_variant_ref_sink(
+		g_variant_new(BUSY_TYPE, (guint64)upstream, (gint64)for_us));
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, peers->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (is_fresh(peers, value))
+			send_to(peers, value, KIND_BUSY, body);
+}
+
+uint32_t direct_peers_count(const struct direct_peers *peers)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t count = 0;
+
+	g_hash_table_iter_init(&iter, peers->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (is_fresh(peers, value))
+			count++;
+	return count;
+}
+
+/* ---- hearing ---- */
+
+static void take_hello(struct direct_peers *peers, struct peer *from,
+		       GVariant *body)
+{
+	g_autoptr(GVariantIter) names = NULL;
+	gint64 version;
+	const char *ip;
+	bool was_fresh = is_fresh(peers, from);
+
+	from->heard_us = lp_now_us(peers->options.clock);
+	if (!was_fresh &&
+	    lp_event_begin(peers->options.log, "peer_found", NULL)) {
+		lp_event_text(peers->options.log, "peer", from->ip);
+		lp_event_end(peers->options.log);
+	}
+	g_variant_get(body, HELLO_TYPE, &version, &names);
+	while (g_variant_iter_next(names, "&s", &ip))
+		peer_of(peers, ip);
+	if (version > peers->version)
+		peers->options.config(peers->options.userdata, from->ip,
+				      version);
+}
+
+static void take_busy(struct direct_peers *peers, GVariant *body)
+{
+	guint64 upstream;
+	gint64 for_us;
+
+	g_variant_get(body, BUSY_TYPE, &upstream, &for_us);
+	peers->options.busy(peers->options.userdata, upstream, for_us);
+}
+
+static GVariant *read_body(const char *type, const char *bytes, gsize size)
+{
+	GVariant *body = g_variant_ref_sink(g_variant_new_from_data(
+		G_VARIANT_TYPE(type), bytes, size, FALSE, NULL, NULL));
+
+	if (g_variant_is_normal_form(body))
+		return body;
+	g_variant_unref(body);
+	return NULL;
+}
+
+static void take_datagram(struct direct_peers *peers, GSocketAddress *source,
+			  const char *bytes, gsize size)
+{
+	GInetAddress *from = g_inet_socket_address_get_address(
+		G_INET_SOCKET_ADDRESS(source));
+	g_autofree char *ip = g_inet_address_to_string(from);
+	struct peer *peer = peer_of(peers, ip);
+	char kind = bytes[size - 1];
+	const char *type = kind == KIND_HELLO ? HELLO_TYPE : BUSY_TYPE;
+	GVariant *body = read_body(type, bytes, size - 1);
+
+	if (!peer || !body) {
+		if (body)
+			g_variant_unref(body);
+		return;
+	}
+	if (kind == KIND_HELLO)
+		take_hello(peers, peer, body);
+	else if (kind == KIND_BUSY)
+		take_busy(peers, body);
+	g_variant_unref(body);
+}
+
+static gboolean on_datagram(GSocket *socket, GIOCondition condition,
+			    gpointer userdata)
+{
+	struct direct_peers *peers = userdata;
+	_Alignas(8) char datagram[DATAGRAM_MAX];
+
+	for (uint32_t i = 0; i < DATAGRAMS_A_TURN; i++) {
+		g_autoptr(GSocketAddress) source = NULL;
+		gssize size =
+			g_socket_receive_from(socket, &source, datagram,
+					      sizeof(datagram), NULL, NULL);
+
+		if (size <= 0)
+			break;
+		if (size > 1)
+			take_datagram(peers, source, datagram, (gsize)size);
+	}
+	return G_SOURCE_CONTINUE;
+}
+
+/* ---- start and end ---- */
+
+static GSocket *open_socket(const char *ip, uint16_t port)
+{
+	g_autoptr(GSocketAddress) at =
+		g_inet_socket_address_new_from_string(ip, port);
+	g_autoptr(GSocket) socket =
+		g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM,
+			     G_SOCKET_PROTOCOL_UDP, NULL);
+
+	if (!at || !socket || !g_socket_bind(socket, at, TRUE, NULL))
+		return NULL;
+	g_socket_set_blocking(socket, FALSE);
+	return g_steal_pointer(&socket);
+}
+
+struct direct_peers *
+direct_peers_create(const struct direct_peers_options *options)
+{
+	GSocket *socket = open_socket(options->ip, options->port);
+	struct direct_peers *peers;
+
+	if (!socket)
+		return NULL;
+	peers = g_new0(struct direct_peers, 1);
+	peers->options = *options;
+	peers->ip = g_strdup(options->ip);
+	peers->seeds = g_strdupv((char **)options->seeds);
+	peers->socket = socket;
+	peers->version = -1;
+	peers->peers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
+	peers->source = g_socket_create_source(socket, G_IO_IN, NULL);
+	g_source_set_callback(peers->source, G_SOURCE_FUNC(on_datagram), peers,
+			      NULL);
+	g_source_attach(peers->source, NULL);
+	add_seeds(peers);
+	say_hello(peers);
+	peers->hello_timer = g_timeout_add(HELLO_MS, on_hello_timer, peers);
+	return peers;
+}
+
+void direct_peers_destroy(struct direct_peers *peers)
+{
+	if (!peers)
+		return;
+	g_source_remove(peers->hello_timer);
+	g_source_destroy(peers->source);
+	g_source_unref(peers->source);
+	g_object_unref(peers->socket);
+	g_hash_table_unref(peers->peers);
+	g_strfreev(peers->seeds);
+	g_free(peers->ip);
+	g_free(peers);
+}
--- /dev/null
+++ b/direct/direct_peers.h
@@ -0,0 +1,46 @@
+/**
+ * What entries tell each other, in datagrams: who is there, which
+ * configuration is in force, which upstream is at work for whom.
+ *
+ * Every word is a belief with an age. It may be lost or late and is never
+ * needed: an entry that hears nobody decides by itself.
+ *
+ * Members are found from a few addresses in the settings: each hello names
+ * the members heard lately, and whoever is named gets a hello.
+ */
+#ifndef DIRECT_PEERS_H
+#define DIRECT_PEERS_H
+
+#include "base/lp_clock.h"
+#include "base/lp_event.h"
+
+#include <gio/gio.h>
+
+struct direct_peers;
+
+struct direct_peers_options {
+	const struct lp_clock *clock;
+	struct lp_event_log *log;
+	const char *ip;	    /**< own; copied */
+	uint16_t port;	    /**< the same on all hosts */
+	char *const *seeds; /**< "IP:PORT"; only the IPs are used; copied */
+	/** A peer's upstream is at work until then (us from now; 0: free). */
+	void (*busy)(void *userdata, uint64_t upstream, int64_t for_us);
+	/** A peer has another configuration in force. */
+	void (*config)(void *userdata, const char *ip, int64_t version);
+	void *userdata;
+};
+
+/** NULL when the port cannot be had. */
+struct direct_peers *
+direct_peers_create(const struct direct_peers_options *options);
+void direct_peers_destroy(struct direct_peers *peers);
+/** Our configuration's version; told in hellos, at once when it changes. */
+void direct_peers_set_version(struct direct_peers *peers, int64_t version);
+/** A call of ours keeps an upstream at work for so long; 0: no longer. */
+void direct_peers_tell_busy(struct direct_peers *peers, uint64_t upstream,
+			    int64_t for_us);
+/** Members heard lately, without ourselves. */
+uint32_t direct_peers_count(const struct direct_peers *peers);
+
+#endif
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -4,6 +4,7 @@
 
 #include "base/lp_histogram.h"
 #include "direct/direct.h"
+#include "direct/direct_peers.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "policy/graph.h"
@@ -23,7 +24,8 @@
 	bool has_upstreams;
 	struct retries *retries;
 	struct direct_stages *stages;
-	GHashTable *requests; /* of struct direct_request */
+	struct direct_peers *peers; /* NULL: none are told */
+	GHashTable *requests;	    /* of struct direct_request */
 	struct lp_histogram *answer_times;
 	struct lp_histogram *first_times;
 };
--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -797,6 +797,37 @@
 	return false;
 }
 
+/* Near its inputs, if it has any; else near the engine that will take it. */
+static void set_near(struct direct_request *request, uint32_t stage,
+		     struct piece *piece)
+{
+	const struct direct_stage *stages = request->route->stages;
+	const struct pool *pool = request->direct->pool;
+	const struct pool_upstream *near = NULL;
+
+	for (uint32_t i = 0; i < stages[stage].after_count; i++) {
+		uint32_t before = stages[stage].after[i];
+		const char *maker = graph_maker(request->graph, before);
+
+		if (!maker)
+			continue;
+		near = pool_find(pool, maker);
+		piece->near_bytes += stages[before].bytes *
+				     graph_pieces(request->graph, before);
+	}
+	if (!stages[stage].after_count && !after_stage_us(request, stage)) {
+		near = pool_home(
+			pool, &(struct pool_ask){
+				      .service = request->service,
+				      .parts = (struct pool_part *)
+						       request->ask.parts->data,
+				      .parts_count = request->ask.parts->len,
+			      });
+		piece->near_bytes = stages[stage].bytes;
+	}
+	piece->near = near ? near->entry.domain : NULL;
+}
+
 static void ask_pieces(struct direct_request *request, uint32_t stage)
 {
 	const struct direct_stage *config = &request->route->stages[stage];
@@ -814,6 +845,7 @@
 		.bytes = config->bytes,
 	};
 
+	set_near(request, stage, &piece);
 	for (uint32_t i = 0; i < graph_pieces(request->graph, stage); i++) {
 		if (graph_state(request->graph, stage, i) !=
 		    GRAPH_PIECE_MISSING)
--- a/direct/direct_stages.c
+++ b/direct/direct_stages.c
@@ -390,6 +390,9 @@
 		g_free(made[i].handle);
 	g_free(made);
 	g_hash_table_remove(stages->calls, call);
+	if (stages->direct->peers && outcome == POOL_SERVED)
+		direct_peers_tell_busy(stages->direct->peers,
+				       call->call->upstream->hash, 0);
 	pieces_end(call->service->pieces, call->call, outcome,
 		   call->reply.running, call->reply.waiting);
 	g_string_free(call->body, TRUE);
@@ -503,6 +506,9 @@
 		end_call(call, LP_ERROR_UPSTREAM_GONE);
 		return;
 	}
+	if (stages->direct->peers)
+		direct_peers_tell_busy(stages->direct->peers,
+				       made->upstream->hash, made->expected_us);
 	call->timer = g_timeout_add((guint)(MAX(CALL_SLACK * made->expected_us,
 						CALL_TIMEOUT_MIN_US) /
 					    LP_US_PER_MS),
--- a/policy/graph.c
+++ b/policy/graph.c
@@ -237,6 +237,13 @@
 	}
 }
 
+const char *graph_maker(const struct graph *graph, uint32_t number)
+{
+	const struct stage *stage = &graph->stages[number];
+
+	return stage->pieces_count ? stage->pieces[0].maker : NULL;
+}
+
 const char *graph_main_maker(const struct graph *graph)
 {
 	const char *best = NULL;
--- a/policy/graph.h
+++ b/policy/graph.h
@@ -61,6 +61,8 @@
 uint32_t graph_lost_maker(struct graph *graph, const char *maker);
 /** The inputs of a stage are gone, nobody knows which: all are missing. */
 void graph_lost_inputs(struct graph *graph, uint32_t stage);
+/** The maker of the first piece of a stage, or NULL. */
+const char *graph_maker(const struct graph *graph, uint32_t stage);
 /** The maker of most of what the request takes in, or NULL. */
 const char *graph_main_maker(const struct graph *graph);
 /**
--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -5,9 +5,11 @@
 /* An entry stays with the upstream that it used last, so that entries part
  * among upstreams; less than a tenth of a call. */
 #define MOVE_US (15 * LP_US_PER_MS)
-/* Results that cross domains are paid for and take longer to fetch. */
-#define OTHER_DOMAIN_US (60 * LP_US_PER_MS)
-/* An upstream believed busy with others' calls is looked at again. */
+/* Results that cross domains are paid for: 3 MB weigh as 95 ms. */
+#define FETCH_BYTES_PER_US 31
+/* Where nothing else tells, a call stays in its entry's domain. */
+#define OTHER_DOMAIN_US (20 * LP_US_PER_MS)
+/* Waiting pieces are looked at again after at most this. */
 #define LOOK_AGAIN_US (25 * LP_US_PER_MS)
 /* Each rank of priority counts like this much more time to wait. */
 #define PRIORITY_US (150 * LP_US_PER_MS)
@@ -130,6 +132,24 @@
 	return MAX(upstream->busy_until_us - now(pieces), 0);
 }
 
+/* The price, as time, of bytes that would cross domains. */
+static double crossing_us(const struct pieces *pieces,
+			  const struct pool_upstream *upstream, uint32_t count)
+{
+	int64_t bytes = 0;
+
+	for (uint32_t i = 0; i < count; i++) {
+		const struct piece *piece =
+			&g_array_index(pieces->waiting, struct piece, i);
+
+		if (piece->near && strcmp(piece->near, upstream->entry.domain))
+			bytes += piece->near_bytes;
+	}
+	return (double)bytes / FETCH_BYTES_PER_US +
+	       (strcmp(upstream->entry.domain, pieces->domain) ? OTHER_DOMAIN_US
+							       : 0);
+}
+
 static double cost_us(const struct pieces *pieces,
 		      const struct pool_upstream *upstream, uint32_t count)
 {
@@ -137,8 +157,7 @@
 		      (double)call_time_us(pieces, count) * upstream->slowness *
 			      (1.0 + 2.0 * upstream->error_share);
 
-	if (strcmp(upstream->entry.domain, pieces->domain))
-		cost += OTHER_DOMAIN_US;
+	cost += crossing_us(pieces, upstream, count);
 	if (!pieces->last || strcmp(upstream->entry.id, pieces->last))
 		cost += MOVE_US;
 	return cost;
@@ -194,7 +213,10 @@
 		    !pool_usable(pieces->options.pool, upstream))
 			continue;
 		count = count_fitting(pieces, upstream);
-		if (!count)
+		/* One at work for others is left to them, unless a whole
+		 * batch waits: that gains nothing by waiting on. */
+		if (!count || (wait_us(pieces, upstream) &&
+			       count < pieces->options.batch_max))
 			continue;
 		cost = cost_us(pieces, upstream, count);
 		if (best && cost >= *best_cost)
@@ -205,23 +227,6 @@
 	return best;
 }
 
-/* Whether a further call pays while others of ours are under way. */
-static bool may_open(const struct pieces *pieces, double cost)
-{
-	const struct piece *first =
-		&g_array_index(pieces->waiting, struct piece, 0);
-	int64_t now_us = now(pieces);
-	uint32_t calls;
-	int64_t free_us = own_calls_end_us(pieces, NULL, &calls);
-
-	if (!calls || pieces->waiting->len >= pieces->options.batch_max)
-		return true;
-	/* The call under way ends too late for the most urgent piece. */
-	return first->due_us >= now_us && first->due_us < free_us &&
-	       now_us + (int64_t)cost <
-		       free_us + call_time_us(pieces, pieces->waiting->len);
-}
-
 static void take_fitting(struct pieces *pieces, struct pool_upstream *upstream,
 			 GArray *out)
 {
@@ -275,7 +280,7 @@
 		return NULL;
 	g_array_sort_with_data(pieces->waiting, by_rank, &now_us);
 	upstream = choose(pieces, &cost);
-	if (!upstream || !may_open(pieces, cost))
+	if (!upstream)
 		return NULL;
 	return open_call(pieces, upstream);
 }
--- a/policy/pieces.h
+++ b/policy/pieces.h
@@ -17,10 +17,13 @@
 	void *request; /**< whose it is; opaque */
 	uint32_t stage;
 	uint32_t index;
-	int64_t due_us;	  /**< begun by then, its request is on time */
-	int64_t until_us; /**< of no use after it */
-	int32_t priority; /**< 0 goes first */
-	int64_t bytes;	  /**< of its result, about */
+	int64_t due_us;	    /**< begun by then, its request is on time */
+	int64_t until_us;   /**< of no use after it */
+	int32_t priority;   /**< 0 goes first */
+	int64_t bytes;	    /**< of its result, about */
+	const char *near;   /**< domain of what it takes in, or of who takes
+			       it; NULL: no matter. Valid while it waits. */
+	int64_t near_bytes; /**< that would cross domains elsewhere */
 };
 
 struct pieces_options {
--- a/policy/pool.c
+++ b/policy/pool.c
@@ -113,6 +113,7 @@
 	upstream->entry.service = g_strdup(entry->service);
 	upstream->entry.address = g_strdup(entry->address);
 	upstream->entry.domain = g_strdup(entry->domain);
+	upstream->hash = lp_hash_str(entry->id);
 	upstream->listed = true;
 	upstream->refs = 1;
 	upstream->slowness = 1.0;
@@ -218,6 +219,18 @@
 	return g_hash_table_lookup(pool->upstreams, id);
 }
 
+struct pool_upstream *pool_find_hash(const struct pool *pool, uint64_t hash)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, pool->upstreams);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (((struct pool_upstream *)value)->hash == hash)
+			return value;
+	return NULL;
+}
+
 /* ---- beliefs ---- */
 
 int64_t pool_cold_tokens(const struct pool_upstream *upstream,
@@ -356,8 +369,7 @@
 {
 	uint32_t deepest_shared = ask->parts_count - 2;
 
-	return lp_hash_pair(ask->parts[deepest_shared].id,
-			    lp_hash_str(upstream->entry.id));
+	return lp_hash_pair(ask->parts[deepest_shared].id, upstream->hash);
 }
 
 static const struct pool_upstream *find_home(const struct pool_ask *ask,
@@ -381,6 +393,14 @@
 	return home;
 }
 
+const struct pool_upstream *pool_home(const struct pool *pool,
+				      const struct pool_ask *ask)
+{
+	const GPtrArray *list = pool_of_service(pool, ask->service);
+
+	return list ? find_home(ask, list) : NULL;
+}
+
 /* Shared tokens that would be read once more; the last part is the request's
  * own and is read in any case. */
 static int64_t shared_cold(const struct pool_ask *ask,
--- a/policy/pool.h
+++ b/policy/pool.h
@@ -29,6 +29,7 @@
 
 struct pool_upstream {
 	struct pool_entry entry;
+	uint64_t hash; /**< of its id, short enough to be told to others */
 	bool listed;
 	uint32_t in_flight;	  /**< our requests or calls there */
 	int64_t tokens_ahead;	  /**< prompt tokens we sent, not read yet */
@@ -80,6 +81,10 @@
 /** Upstreams of a service in the list: of struct pool_upstream; or NULL. */
 const GPtrArray *pool_of_service(const struct pool *pool, const char *service);
 struct pool_upstream *pool_find(const struct pool *pool, const char *id);
+struct pool_upstream *pool_find_hash(const struct pool *pool, uint64_t hash);
+/** Where all entries would place a prompt of these parts, or NULL. */
+const struct pool_upstream *pool_home(const struct pool *pool,
+				      const struct pool_ask *ask);
 
 /** The best upstream, or NULL. Not held: see pool_hold(). */
 struct pool_upstream *pool_pick(struct pool *pool, const struct pool_ask *ask);
