--- a/direct/direct.c
+++ b/direct/direct.c
@@ -1,5 +1,7 @@
 #include "direct/direct_private.h"
 
+#include "base/lp_id.h"
+
 /* A peer's word on a call counts for no longer than this: the longest call of
  * a full batch, twice slowed. */
 #define BUSY_MAX_US (1500 * LP_US_PER_MS)
@@ -56,6 +58,7 @@
 	}
 	direct->options = *options;
 	direct->domain = g_strdup(options->domain);
+	direct->self = lp_hash_str(options->address);
 	direct->pool = pool_create(options->clock, options->domain);
 	direct->retries = retries_create(&retries);
 	direct->requests = g_hash_table_new(NULL, NULL);
@@ -161,8 +164,6 @@
 		return;
 	heard->busy_until_us = lp_now_us(direct->options.clock) +
 			       CLAMP(for_us, 0, BUSY_MAX_US);
-	if (!for_us)
-		direct_stages_run(direct->stages);
 }
 
 bool direct_ready(const struct direct *direct)
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -18,6 +18,7 @@
 struct direct {
 	struct direct_options options;
 	char *domain;
+	uint64_t self; /* sets this entry apart from others */
 	struct http_server *server;
 	struct direct_config *config; /* NULL: none yet */
 	struct pool *pool;
--- a/direct/direct_stages.c
+++ b/direct/direct_stages.c
@@ -89,6 +89,7 @@
 		.pool = direct->pool,
 		.service = name,
 		.domain = direct->domain,
+		.self = direct->self,
 	};
 
 	if (service)
--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -1,5 +1,7 @@
 #include "policy/pieces.h"
 
+#include "base/lp_id.h"
+
 #include <string.h>
 
 /* An entry stays with the upstream that it used last, so that entries part
@@ -9,8 +11,15 @@
 #define FETCH_BYTES_PER_US 31
 /* Where nothing else tells, a call stays in its entry's domain. */
 #define OTHER_DOMAIN_US (20 * LP_US_PER_MS)
+/* When another entry takes an upstream that is idle: late enough for the word
+ * that its last user goes on, and entries one after the other. */
+#define TAKE_IDLE_US (10 * LP_US_PER_MS)
+#define TAKE_STEPS 4
+#define TAKE_STEP_US (7 * LP_US_PER_MS)
+/* With a call under way already, later than those that have none. */
+#define TAKE_MORE_US (30 * LP_US_PER_MS)
 /* Waiting pieces are looked at again after at most this. */
-#define LOOK_AGAIN_US (25 * LP_US_PER_MS)
+#define LOOK_AGAIN_US (8 * LP_US_PER_MS)
 /* Each rank of priority counts like this much more time to wait. */
 #define PRIORITY_US (150 * LP_US_PER_MS)
 /* Late pieces go behind all that can still be on time. */
@@ -195,12 +204,38 @@
 	return count;
 }
 
-static struct pool_upstream *choose(const struct pieces *pieces,
-				    double *best_cost)
+/*
+ * Entries keep apart by this: whoever used an upstream last goes on with it
+ * at once; another one takes it when it has been idle for a while, longer if
+ * that one has a call under way elsewhere. Only a whole batch, which gains
+ * nothing by waiting, queues behind one call of others.
+ */
+static bool may_call(const struct pieces *pieces,
+		     const struct pool_upstream *upstream, uint32_t count)
+{
+	int64_t idle_us = now(pieces) - upstream->busy_until_us;
+	int64_t stagger_us;
+
+	if (idle_us < 0)
+		return count >= pieces->options.batch_max &&
+		       -idle_us <= call_time_us(pieces, count);
+	if (!g_strcmp0(pieces->last, upstream->entry.id))
+		return true;
+	stagger_us = TAKE_IDLE_US + (int64_t)(lp_hash_pair(pieces->options.self,
+							   upstream->hash) %
+					      TAKE_STEPS) *
+					    TAKE_STEP_US;
+	if (pieces->calls->len && count < pieces->options.batch_max)
+		stagger_us += TAKE_MORE_US;
+	return idle_us >= stagger_us;
+}
+
+static struct pool_upstream *choose(const struct pieces *pieces)
 {
 	const GPtrArray *list =
 		pool_of_service(pieces->options.pool, pieces->service);
 	struct pool_upstream *best = NULL;
+	double best_cost = 0;
 
 	for (guint i = 0; list && i < list->len; i++) {
 		struct pool_upstream *upstream = g_ptr_array_index(list, i);
@@ -213,16 +248,13 @@
 		    !pool_usable(pieces->options.pool, upstream))
 			continue;
 		count = count_fitting(pieces, upstream);
-		/* One at work for others is left to them, unless a whole
-		 * batch waits: that gains nothing by waiting on. */
-		if (!count || (wait_us(pieces, upstream) &&
-			       count < pieces->options.batch_max))
+		if (!count || !may_call(pieces, upstream, count))
 			continue;
 		cost = cost_us(pieces, upstream, count);
-		if (best && cost >= *best_cost)
+		if (best && cost >= best_cost)
 			continue;
 		best = upstream;
-		*best_cost = cost;
+		best_cost = cost;
 	}
 	return best;
 }
@@ -274,12 +306,11 @@
 {
 	int64_t now_us = now(pieces);
 	struct pool_upstream *upstream;
-	double cost;
 
 	if (!pieces->waiting->len)
 		return NULL;
 	g_array_sort_with_data(pieces->waiting, by_rank, &now_us);
-	upstream = choose(pieces, &cost);
+	upstream = choose(pieces);
 	if (!upstream)
 		return NULL;
 	return open_call(pieces, upstream);
--- a/policy/pieces.h
+++ b/policy/pieces.h
@@ -31,6 +31,7 @@
 	struct pool *pool;
 	const char *service; /**< copied */
 	const char *domain;  /**< own; copied */
+	uint64_t self;	     /**< sets this entry apart from others */
 	uint32_t batch_max;
 	int64_t call_us;    /**< a call's fixed time */
 	int64_t piece_us;   /**< and that of each piece */
