--- a/direct/direct.c
+++ b/direct/direct.c
@@ -156,14 +156,17 @@
 	direct->peers = peers;
 }
 
-void direct_hear_busy(struct direct *direct, uint64_t upstream, int64_t for_us)
+void direct_hear_busy(struct direct *direct, uint64_t peer, uint64_t upstream,
+		      int64_t for_us)
 {
 	struct pool_upstream *heard = pool_find_hash(direct->pool, upstream);
 
 	if (!heard)
 		return;
-	heard->busy_until_us = lp_now_us(direct->options.clock) +
-			       CLAMP(for_us, 0, BUSY_MAX_US);
+	pool_heard_busy(direct->pool, heard, peer,
+			for_us > 0 ? lp_now_us(direct->options.clock) +
+					     MIN(for_us, BUSY_MAX_US)
+				   : 0);
 }
 
 bool direct_ready(const struct direct *direct)
--- a/direct/direct_peers.c
+++ b/direct/direct_peers.c
@@ -1,5 +1,7 @@
 #include "direct/direct_peers.h"
 
+#include "base/lp_id.h"
+
 #include <string.h>
 
 /* Hellos cost a datagram a peer; a member that is silent for three of them
@@ -18,6 +20,7 @@
 
 struct peer {
 	char *ip;
+	uint64_t hash; /* of the ip; names the peer to the pool */
 	GSocketAddress *address;
 	int64_t heard_us; /* 0: only named so far */
 };
@@ -55,6 +58,7 @@
 		return NULL;
 	peer = g_new0(struct peer, 1);
 	peer->ip = g_strdup(ip);
+	peer->hash = lp_hash_str(ip);
 	peer->address = address;
 	g_hash_table_insert(peers->peers, peer->ip, peer);
 	return peer;
@@ -212,13 +216,15 @@
 				      version);
 }
 
-static void take_busy(struct direct_peers *peers, GVariant *body)
+static void take_busy(struct direct_peers *peers, const struct peer *from,
+		      GVariant *body)
 {
 	guint64 upstream;
 	gint64 for_us;
 
 	g_variant_get(body, BUSY_TYPE, &upstream, &for_us);
-	peers->options.busy(peers->options.userdata, upstream, for_us);
+	peers->options.busy(peers->options.userdata, from->hash, upstream,
+			    for_us);
 }
 
 static GVariant *read_body(const char *type, const char *bytes, gsize size)
@@ -251,7 +257,7 @@
 	if (kind == KIND_HELLO)
 		take_hello(peers, peer, body);
 	else if (kind == KIND_BUSY)
-		take_busy(peers, body);
+		take_busy(peers, peer, body);
 	g_variant_unref(body);
 }
 
--- a/direct/direct_peers.h
+++ b/direct/direct_peers.h
@@ -24,8 +24,9 @@
 	const char *ip;	    /**< own; copied */
 	uint16_t port;	    /**< the same on all hosts */
 	char *const *seeds; /**< "IP:PORT"; only the IPs are used; copied */
-	/** A peer's upstream is at work until then (us from now; 0: free). */
-	void (*busy)(void *userdata, uint64_t upstream, int64_t for_us);
+	/** An upstream is at work for a peer (us from now; 0: no longer). */
+	void (*busy)(void *userdata, uint64_t peer, uint64_t upstream,
+		     int64_t for_us);
 	/** A peer has another configuration in force. */
 	void (*config)(void *userdata, const char *ip, int64_t version);
 	void *userdata;
--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -204,21 +204,38 @@
 	return count;
 }
 
+/* The calls under way end too late for the most urgent piece. */
+static bool cannot_wait(const struct pieces *pieces)
+{
+	const struct piece *first =
+		&g_array_index(pieces->waiting, struct piece, 0);
+	int64_t now_us = now(pieces);
+	uint32_t calls;
+
+	return first->due_us >= now_us &&
+	       first->due_us < own_calls_end_us(pieces, NULL, &calls);
+}
+
 /*
- * Entries keep apart by this: whoever used an upstream last goes on with it
- * at once; another one takes it when it has been idle for a while, longer if
- * that one has a call under way elsewhere. Only a whole batch, which gains
- * nothing by waiting, queues behind one call of others.
+ * An entry has one call under way and gathers what comes meanwhile; only a
+ * whole batch, or a piece that would be late, opens a further one.
+ *
+ * Entries keep apart: whoever used an upstream last goes on with it at once,
+ * another one takes it when it has been idle for a while. Behind one call of
+ * others queues who has nothing under way, or a whole batch.
  */
 static bool may_call(const struct pieces *pieces,
 		     const struct pool_upstream *upstream, uint32_t count)
 {
 	int64_t idle_us = now(pieces) - upstream->busy_until_us;
+	bool whole = count >= pieces->options.batch_max;
 	int64_t stagger_us;
 
+	if (pieces->calls->len && !whole &&
+	    (idle_us < 0 || !cannot_wait(pieces)))
+		return false;
 	if (idle_us < 0)
-		return count >= pieces->options.batch_max &&
-		       -idle_us <= call_time_us(pieces, count);
+		return -idle_us <= call_time_us(pieces, count);
 	if (!g_strcmp0(pieces->last, upstream->entry.id))
 		return true;
 	stagger_us = TAKE_IDLE_US + (int64_t)(lp_hash_pair(pieces->options.self,
@@ -321,6 +338,22 @@
 	return pieces->waiting->len ? now(pieces) + LOOK_AGAIN_US : 0;
 }
 
+/* What an upstream says of others' calls at the end of ours. */
+static void learn_load(struct pieces *pieces, struct pool_upstream *upstream,
+		       int32_t running, int32_t waiting)
+{
+	int64_t one_us = call_time_us(pieces, pieces->options.batch_max / 3);
+	int64_t left_us = running * one_us / 2 + waiting * one_us;
+
+	if (running < 0 || waiting < 0)
+		return;
+	if (!left_us)
+		pool_heard_idle(pieces->options.pool, upstream);
+	else if (upstream->busy_until_us < now(pieces) + left_us / 2)
+		pool_heard_busy(pieces->options.pool, upstream, 0,
+				now(pieces) + left_us);
+}
+
 void pieces_end(struct pieces *pieces, struct pieces_call *call,
 		enum pool_outcome outcome, int32_t running, int32_t waiting)
 {
@@ -331,13 +364,7 @@
 	pool_learn(pieces->options.pool, upstream, outcome,
 		   timed ? now_us - call->started_us : 0,
 		   timed ? call_time_us(pieces, call->pieces->len) : 0);
-	if (running >= 0 && waiting >= 0) {
-		int64_t one_us =
-			call_time_us(pieces, pieces->options.batch_max / 3);
-
-		upstream->busy_until_us =
-			now_us + running * one_us / 2 + waiting * one_us;
-	}
+	learn_load(pieces, upstream, running, waiting);
 	upstream->in_flight--;
 	g_ptr_array_remove_fast(pieces->calls, call);
 	g_array_unref(call->pieces);
--- a/policy/pool.c
+++ b/policy/pool.c
@@ -347,6 +347,51 @@
 	}
 }
 
+/* Idle since the last known call ended, or since just now. */
+static void update_busy(struct pool_upstream *upstream, int64_t now_us)
+{
+	int64_t until_us = 0;
+
+	for (uint32_t i = 0; i < POOL_OTHERS_MAX; i++)
+		until_us = MAX(until_us, upstream->others[i].until_us);
+	if (until_us > now_us)
+		upstream->busy_until_us = until_us;
+	else
+		upstream->busy_until_us = MIN(upstream->busy_until_us, now_us);
+}
+
+/* The place of this one, else the one that ends first. */
+static struct pool_busy *busy_of(struct pool_upstream *upstream, uint64_t who)
+{
+	struct pool_busy *place = &upstream->others[0];
+
+	for (uint32_t i = 0; i < POOL_OTHERS_MAX; i++) {
+		if (upstream->others[i].who == who)
+			return &upstream->others[i];
+		if (upstream->others[i].until_us < place->until_us)
+			place = &upstream->others[i];
+	}
+	return place;
+}
+
+void pool_heard_busy(struct pool *pool, struct pool_upstream *upstream,
+		     uint64_t who, int64_t until_us)
+{
+	struct pool_busy *place = busy_of(upstream, who);
+
+	if (!until_us && place->who != who)
+		return;
+	place->who = who;
+	place->until_us = until_us;
+	update_busy(upstream, lp_now_us(pool->clock));
+}
+
+void pool_heard_idle(struct pool *pool, struct pool_upstream *upstream)
+{
+	memset(upstream->others, 0, sizeof(upstream->others));
+	update_busy(upstream, lp_now_us(pool->clock));
+}
+
 bool pool_usable(const struct pool *pool, const struct pool_upstream *upstream)
 {
 	return upstream->listed && !upstream->entry.leaving &&
--- a/policy/pool.h
+++ b/policy/pool.h
@@ -17,6 +17,15 @@
 
 struct pool;
 
+/** Others whose calls at one upstream are known at the same time. */
+#define POOL_OTHERS_MAX 8
+
+/** A call of someone else's at an upstream. */
+struct pool_busy {
+	uint64_t who;
+	int64_t until_us;
+};
+
 /** What the list says of an upstream. */
 struct pool_entry {
 	char *id; /**< of one start of it */
@@ -37,10 +46,11 @@
 	uint32_t failures;	  /**< in a row */
 	double error_share;	  /**< of late answers, 0 to 1 */
 	double slowness;	  /**< time taken / time expected, fading */
-	int64_t busy_until_us;	  /**< with calls of others, by its own word */
+	int64_t busy_until_us;	  /**< with calls of others */
 	int64_t kept_bytes;	  /**< results that it keeps for us */
 	int64_t no_room_until_us; /**< it had no room for a result lately */
 	/* private */
+	struct pool_busy others[POOL_OTHERS_MAX];
 	uint32_t refs;
 	GHashTable *parts; /* part id -> struct part */
 	int64_t parts_tokens;
@@ -102,6 +112,11 @@
 void pool_learn(struct pool *pool, struct pool_upstream *upstream,
 		enum pool_outcome outcome, int64_t took_us,
 		int64_t expected_us);
+/** Someone else keeps it at work until then; 0: no longer. */
+void pool_heard_busy(struct pool *pool, struct pool_upstream *upstream,
+		     uint64_t who, int64_t until_us);
+/** It says itself that nobody else keeps it at work. */
+void pool_heard_idle(struct pool *pool, struct pool_upstream *upstream);
 /** Whether it may be called at this moment. */
 bool pool_usable(const struct pool *pool, const struct pool_upstream *upstream);
 
