--- a/direct/direct_peers.c
+++ b/direct/direct_peers.c
@@ -211,9 +211,7 @@
 	g_variant_get(body, HELLO_TYPE, &version, &names);
 	while (g_variant_iter_next(names, "&s", &ip))
 		peer_of(peers, ip);
-	if (version > peers->version)
-		peers->options.config(peers->options.userdata, from->ip,
-				      version);
+	peers->options.config(peers->options.userdata, from->ip, version);
 }
 
 static void take_busy(struct direct_peers *peers, const struct peer *from,
--- a/direct/direct_peers.h
+++ b/direct/direct_peers.h
@@ -27,7 +27,7 @@
 	/** An upstream is at work for a peer (us from now; 0: no longer). */
 	void (*busy)(void *userdata, uint64_t peer, uint64_t upstream,
 		     int64_t for_us);
-	/** A peer has another configuration in force. */
+	/** A peer's hello: the version that it has in force. */
 	void (*config)(void *userdata, const char *ip, int64_t version);
 	void *userdata;
 };
--- a/direct/direct_stages.c
+++ b/direct/direct_stages.c
@@ -473,6 +473,29 @@
 	return body;
 }
 
+/* Inputs may have been lost since a piece was asked for. Such pieces leave the
+ * call; their requests ask for the inputs again. */
+static void drop_unready(struct pieces_call *made)
+{
+	g_autoptr(GPtrArray) requests = g_ptr_array_new();
+
+	for (guint i = made->pieces->len; i-- > 0;) {
+		const struct piece *piece =
+			&g_array_index(made->pieces, struct piece, i);
+		struct graph *graph = direct_request_graph(piece->request);
+
+		if (graph_stage_ready(graph, piece->stage) &&
+		    graph_inputs_kept(graph, piece->stage))
+			continue;
+		graph_not_made(graph, piece->stage, piece->index);
+		if (!g_ptr_array_find(requests, piece->request, NULL))
+			g_ptr_array_add(requests, piece->request);
+		g_array_remove_index(made->pieces, i);
+	}
+	for (guint i = 0; i < requests->len; i++)
+		direct_request_advance(g_ptr_array_index(requests, i));
+}
+
 static void start_call(struct service *service, struct pieces_call *made)
 {
 	struct direct_stages *stages = service->stages;
@@ -545,8 +568,14 @@
 		struct service *service = at->data;
 		struct pieces_call *call;
 
-		while ((call = pieces_next(service->pieces)))
-			start_call(service, call);
+		while ((call = pieces_next(service->pieces))) {
+			drop_unready(call);
+			if (call->pieces->len)
+				start_call(service, call);
+			else
+				pieces_end(service->pieces, call, POOL_UNKNOWN,
+					   -1, -1);
+		}
 		set_wake(service);
 	}
 }
