Room at stage servers known over all entries

Cause at Kwaebibirem: claim-portal keeps 1.9 MB, 31 results; each entry counted its own only. Peers' words now bring what they keep, calls under way count.

--- a/direct/direct.c
+++ b/direct/direct.c
@@ -157,7 +157,7 @@
 }
 
 void direct_hear_busy(struct direct *direct, uint64_t peer, uint64_t upstream,
-		      int64_t for_us)
+		      int64_t for_us, int64_t kept_bytes)
 {
 	struct pool_upstream *heard = pool_find_hash(direct->pool, upstream);
 
@@ -166,7 +166,8 @@
 	pool_heard_busy(direct->pool, heard, peer,
 			for_us > 0 ? lp_now_us(direct->options.clock) +
 					     MIN(for_us, BUSY_MAX_US)
-				   : 0);
+				   : 0,
+			kept_bytes);
 }
 
 bool direct_ready(const struct direct *direct)
--- a/direct/direct.h
+++ b/direct/direct.h
@@ -50,7 +50,7 @@
 void direct_set_peers(struct direct *direct, struct direct_peers *peers);
 /** A peer keeps an upstream at work for so long; 0: no longer. */
 void direct_hear_busy(struct direct *direct, uint64_t peer, uint64_t upstream,
-		      int64_t for_us);
+		      int64_t for_us, int64_t kept_bytes);
 /** Whether requests can be served: configuration and upstreams are known. */
 bool direct_ready(const struct direct *direct);
 /** End in order: answers end their connections from now on. */
--- a/direct/direct_peers.c
+++ b/direct/direct_peers.c
@@ -16,7 +16,7 @@
 #define KIND_HELLO 'H'
 #define KIND_BUSY 'B'
 #define HELLO_TYPE "(xas)" /* version in force, members' IPs */
-#define BUSY_TYPE "(tx)"   /* upstream's hash, us it is still at work */
+#define BUSY_TYPE "(txx)"  /* upstream's hash, us at work, bytes kept */
 
 struct peer {
 	char *ip;
@@ -166,10 +166,11 @@
 }
 
 void direct_peers_tell_busy(struct direct_peers *peers, uint64_t upstream,
-			    int64_t for_us)
+			    int64_t for_us, int64_t kept_bytes)
 {
 	g_autoptr(GVariant) body = g_variant_ref_sink(
-		g_variant_new(BUSY_TYPE, (guint64)upstream, (gint64)for_us));
+		g_variant_new(BUSY_TYPE, (guint64)upstream, (gint64)for_us,
+			      (gint64)MAX(kept_bytes, 0)));
 	GHashTableIter iter;
 	gpointer value;
 
@@ -219,10 +220,11 @@
 {
 	guint64 upstream;
 	gint64 for_us;
+	gint64 kept_bytes;
 
-	g_variant_get(body, BUSY_TYPE, &upstream, &for_us);
+	g_variant_get(body, BUSY_TYPE, &upstream, &for_us, &kept_bytes);
 	peers->options.busy(peers->options.userdata, from->hash, upstream,
-			    for_us);
+			    for_us, kept_bytes);
 }
 
 static GVariant *read_body(const char *type, const char *bytes, gsize size)
--- a/direct/direct_peers.h
+++ b/direct/direct_peers.h
@@ -24,9 +24,10 @@
 	const char *ip;	    /**< own; copied */
 	uint16_t port;	    /**< the same on all hosts */
 	char *const *seeds; /**< "IP:PORT"; only the IPs are used; copied */
-	/** An upstream is at work for a peer (us from now; 0: no longer). */
+	/** An upstream is at work for a peer (us from now; 0: no longer) and
+	 * keeps so much for it. */
 	void (*busy)(void *userdata, uint64_t peer, uint64_t upstream,
-		     int64_t for_us);
+		     int64_t for_us, int64_t kept_bytes);
 	/** A peer's hello: the version that it has in force. */
 	void (*config)(void *userdata, const char *ip, int64_t version);
 	void *userdata;
@@ -38,9 +39,10 @@
 void direct_peers_destroy(struct direct_peers *peers);
 /** Our configuration's version; told in hellos, at once when it changes. */
 void direct_peers_set_version(struct direct_peers *peers, int64_t version);
-/** A call of ours keeps an upstream at work for so long; 0: no longer. */
+/** A call of ours keeps an upstream at work for so long (0: no longer), and
+ * so many bytes of results are kept there for us. */
 void direct_peers_tell_busy(struct direct_peers *peers, uint64_t upstream,
-			    int64_t for_us);
+			    int64_t for_us, int64_t kept_bytes);
 /** Members heard lately, without ourselves. */
 uint32_t direct_peers_count(const struct direct_peers *peers);
 
--- a/direct/direct_stages.c
+++ b/direct/direct_stages.c
@@ -120,6 +120,14 @@
 	}
 }
 
+static void tell_busy(struct direct_stages *stages,
+		      const struct pool_upstream *upstream, int64_t for_us)
+{
+	if (stages->direct->peers)
+		direct_peers_tell_busy(stages->direct->peers, upstream->hash,
+				       for_us, upstream->kept_bytes);
+}
+
 /* ---- giving results up ---- */
 
 static void end_free_call(struct free_call *call)
@@ -166,6 +174,28 @@
 	return G_SOURCE_REMOVE;
 }
 
+/* How long a call of ours keeps this upstream at work still. */
+static int64_t own_work_us(const struct direct_stages *stages,
+			   const struct pool_upstream *upstream)
+{
+	int64_t now_us = lp_now_us(stages->direct->options.clock);
+	GHashTableIter iter;
+	gpointer value;
+	int64_t left_us = 0;
+
+	g_hash_table_iter_init(&iter, stages->calls);
+	while (g_hash_table_iter_next(&iter, &value, NULL)) {
+		const struct pieces_call *call =
+			((struct stage_call *)value)->call;
+
+		if (call->upstream == upstream)
+			left_us = MAX(left_us, call->started_us +
+						       call->expected_us -
+						       now_us);
+	}
+	return left_us;
+}
+
 static void send_free(struct direct_stages *stages, const char *maker,
 		      const GPtrArray *handles)
 {
@@ -200,6 +230,7 @@
 		return;
 	}
 	g_hash_table_add(stages->free_calls, call);
+	tell_busy(stages, upstream, own_work_us(stages, upstream));
 	call->timer = g_timeout_add(FREE_TIMEOUT_MS, on_free_timeout, call);
 }
 
@@ -272,17 +303,14 @@
 			NO_ROOM_US;
 	if (!piece->request) {
 		/* Its request ended meanwhile. */
-		if (made->result == DIRECT_ITEM_MADE) {
-			upstream->kept_bytes += piece->bytes;
+		if (made->result == DIRECT_ITEM_MADE)
 			gather_free(call->stages, upstream->entry.id,
 				    g_steal_pointer(&made->handle),
 				    piece->bytes);
-		}
 		return;
 	}
 	graph = direct_request_graph(piece->request);
 	if (made->result == DIRECT_ITEM_MADE) {
-		upstream->kept_bytes += piece->bytes;
 		graph_made(graph, piece->stage, piece->index, made->handle,
 			   upstream->entry.id, piece->bytes);
 		return;
@@ -335,6 +363,8 @@
 		const struct piece *piece =
 			&g_array_index(pieces, struct piece, i);
 
+		if (!made || made[i].result != DIRECT_ITEM_MADE)
+			call->call->upstream->kept_bytes -= piece->bytes;
 		if (made)
 			take_made(call, piece, &made[i]);
 		else if (piece->request)
@@ -391,9 +421,7 @@
 		g_free(made[i].handle);
 	g_free(made);
 	g_hash_table_remove(stages->calls, call);
-	if (stages->direct->peers && outcome == POOL_SERVED)
-		direct_peers_tell_busy(stages->direct->peers,
-				       call->call->upstream->hash, 0);
+	tell_busy(stages, call->call->upstream, 0);
 	pieces_end(call->service->pieces, call->call, outcome,
 		   call->reply.running, call->reply.waiting);
 	g_string_free(call->body, TRUE);
@@ -488,6 +516,7 @@
 		    graph_inputs_kept(graph, piece->stage))
 			continue;
 		graph_not_made(graph, piece->stage, piece->index);
+		made->upstream->kept_bytes -= piece->bytes;
 		if (!g_ptr_array_find(requests, piece->request, NULL))
 			g_ptr_array_add(requests, piece->request);
 		g_array_remove_index(made->pieces, i);
@@ -530,9 +559,7 @@
 		end_call(call, LP_ERROR_UPSTREAM_GONE);
 		return;
 	}
-	if (stages->direct->peers)
-		direct_peers_tell_busy(stages->direct->peers,
-				       made->upstream->hash, made->expected_us);
+	tell_busy(stages, made->upstream, made->expected_us);
 	call->timer = g_timeout_add((guint)(MAX(CALL_SLACK * made->expected_us,
 						CALL_TIMEOUT_MIN_US) /
 					    LP_US_PER_MS),
--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -180,7 +180,8 @@
 		return G_MAXINT64;
 	if (now(pieces) < upstream->no_room_until_us)
 		return 0;
-	return pieces->options.room_bytes - upstream->kept_bytes;
+	return pieces->options.room_bytes -
+	       pool_kept_bytes(pieces->options.pool, upstream);
 }
 
 /* How many of the waiting pieces one call to this upstream would carry. */
@@ -292,6 +293,7 @@
 			continue;
 		}
 		room -= piece.bytes;
+		upstream->kept_bytes += piece.bytes;
 		g_array_append_val(out, piece);
 		g_array_remove_index(pieces->waiting, i);
 	}
@@ -351,7 +353,7 @@
 		pool_heard_idle(pieces->options.pool, upstream);
 	else if (upstream->busy_until_us < now(pieces) + left_us / 2)
 		pool_heard_busy(pieces->options.pool, upstream, 0,
-				now(pieces) + left_us);
+				now(pieces) + left_us, 0);
 }
 
 void pieces_end(struct pieces *pieces, struct pieces_call *call,
--- a/policy/pool.c
+++ b/policy/pool.c
@@ -33,6 +33,8 @@
  * that an upstream that has recovered is tried again. */
 #define FORGET_US (2 * LP_US_PER_S)
 #define SLOWNESS_MAX 20.0
+/* Results of others are believed in for as long as upstreams keep them. */
+#define KEPT_US (4 * LP_US_PER_S)
 /* Requests of plain services are weighed in these units of time. */
 #define PLAIN_CALL_US (60 * LP_US_PER_MS)
 
@@ -375,20 +377,35 @@
 }
 
 void pool_heard_busy(struct pool *pool, struct pool_upstream *upstream,
-		     uint64_t who, int64_t until_us)
+		     uint64_t who, int64_t until_us, int64_t kept_bytes)
 {
 	struct pool_busy *place = busy_of(upstream, who);
 
-	if (!until_us && place->who != who)
+	if (!until_us && !kept_bytes && place->who != who)
 		return;
 	place->who = who;
 	place->until_us = until_us;
+	place->kept_bytes = kept_bytes;
+	place->heard_us = lp_now_us(pool->clock);
 	update_busy(upstream, lp_now_us(pool->clock));
 }
 
+int64_t pool_kept_bytes(const struct pool *pool,
+			const struct pool_upstream *upstream)
+{
+	int64_t now_us = lp_now_us(pool->clock);
+	int64_t kept = upstream->kept_bytes;
+
+	for (uint32_t i = 0; i < POOL_OTHERS_MAX; i++)
+		if (now_us - upstream->others[i].heard_us < KEPT_US)
+			kept += upstream->others[i].kept_bytes;
+	return kept;
+}
+
 void pool_heard_idle(struct pool *pool, struct pool_upstream *upstream)
 {
-	memset(upstream->others, 0, sizeof(upstream->others));
+	for (uint32_t i = 0; i < POOL_OTHERS_MAX; i++)
+		upstream->others[i].until_us = 0;
 	update_busy(upstream, lp_now_us(pool->clock));
 }
 
--- a/policy/pool.h
+++ b/policy/pool.h
@@ -24,6 +24,8 @@
 struct pool_busy {
 	uint64_t who;
 	int64_t until_us;
+	int64_t kept_bytes; /**< results that it keeps for them */
+	int64_t heard_us;
 };
 
 /** What the list says of an upstream. */
@@ -40,14 +42,15 @@
 	struct pool_entry entry;
 	uint64_t hash; /**< of its id, short enough to be told to others */
 	bool listed;
-	uint32_t in_flight;	  /**< our requests or calls there */
-	int64_t tokens_ahead;	  /**< prompt tokens we sent, not read yet */
-	int64_t aside_until_us;	  /**< gets nothing before, if others can */
-	uint32_t failures;	  /**< in a row */
-	double error_share;	  /**< of late answers, 0 to 1 */
-	double slowness;	  /**< time taken / time expected, fading */
-	int64_t busy_until_us;	  /**< with calls of others */
-	int64_t kept_bytes;	  /**< results that it keeps for us */
+	uint32_t in_flight;	/**< our requests or calls there */
+	int64_t tokens_ahead;	/**< prompt tokens we sent, not read yet */
+	int64_t aside_until_us; /**< gets nothing before, if others can */
+	uint32_t failures;	/**< in a row */
+	double error_share;	/**< of late answers, 0 to 1 */
+	double slowness;	/**< time taken / time expected, fading */
+	int64_t busy_until_us;	/**< with calls of others */
+	int64_t kept_bytes; /**< results that it keeps for us, or will: those of
+				 calls under way count */
 	int64_t no_room_until_us; /**< it had no room for a result lately */
 	/* private */
 	struct pool_busy others[POOL_OTHERS_MAX];
@@ -112,9 +115,15 @@
 void pool_learn(struct pool *pool, struct pool_upstream *upstream,
 		enum pool_outcome outcome, int64_t took_us,
 		int64_t expected_us);
-/** Someone else keeps it at work until then; 0: no longer. */
+/**
+ * Someone else keeps it at work until then (0: no longer), and so many bytes of
+ * results are kept there for them.
+ */
 void pool_heard_busy(struct pool *pool, struct pool_upstream *upstream,
-		     uint64_t who, int64_t until_us);
+		     uint64_t who, int64_t until_us, int64_t kept_bytes);
+/** Bytes of results that it is believed to keep, for us and for others. */
+int64_t pool_kept_bytes(const struct pool *pool,
+			const struct pool_upstream *upstream);
 /** It says itself that nobody else keeps it at work. */
 void pool_heard_idle(struct pool *pool, struct pool_upstream *upstream);
 /** Whether it may be called at this moment. */
