--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -291,7 +291,7 @@
 	int64_t stagger_us;
 
 	if (pieces->calls->len && !whole &&
-	    (idle_us < 0 || !cannot_wait(pieces)))
+	    (idle_us < TAKE_MORE_US && !cannot_wait(pieces)))
 		return false;
 	if (idle_us < 0)
 		return -idle_us <= call_time_us(pieces, count);
