--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -18,6 +18,9 @@
 #define TAKE_STEP_US (7 * LP_US_PER_MS)
 /* With a call under way already, later than those that have none. */
 #define TAKE_MORE_US (30 * LP_US_PER_MS)
+/* A call that is not whole goes to an upstream at work only when that will be
+ * free this soon: what comes until then goes along. */
+#define QUEUE_AHEAD_US (60 * LP_US_PER_MS)
 /* Waiting pieces are looked at again after at most this. */
 #define LOOK_AGAIN_US (8 * LP_US_PER_MS)
 /* Among those that can be on time, a rank of priority goes before any due
@@ -294,7 +297,8 @@
 	    (idle_us < TAKE_MORE_US && !cannot_wait(pieces)))
 		return false;
 	if (idle_us < 0)
-		return -idle_us <= call_time_us(pieces, count);
+		return -idle_us <=
+		       (whole ? call_time_us(pieces, count) : QUEUE_AHEAD_US);
 	if (!g_strcmp0(pieces->last, upstream->entry.id))
 		return true;
 	stagger_us = TAKE_IDLE_US + (int64_t)(lp_hash_pair(pieces->options.self,
