--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -9,6 +9,8 @@
 #define MOVE_US (15 * LP_US_PER_MS)
 /* Results that cross domains are paid for: 3 MB weigh as 95 ms. */
 #define FETCH_BYTES_PER_US 31
+/* Inputs more so: each piece of a stage fetches all of them. */
+#define INPUT_BYTES_PER_US 10
 /* Where nothing else tells, a call stays in its entry's domain. */
 #define OTHER_DOMAIN_US (20 * LP_US_PER_MS)
 /* When another entry takes an upstream that is idle: late enough for the word
@@ -165,18 +167,22 @@
 static double crossing_us(const struct pieces *pieces,
 			  const struct pool_upstream *upstream, uint32_t count)
 {
-	int64_t bytes = 0;
+	double us = 0;
 
 	for (uint32_t i = 0; i < count; i++) {
 		const struct piece *piece =
 			&g_array_index(pieces->waiting, struct piece, i);
 
-		if (piece->near && strcmp(piece->near, upstream->entry.domain))
-			bytes += piece->near_bytes;
+		if (!piece->near ||
+		    !strcmp(piece->near, upstream->entry.domain))
+			continue;
+		us += (double)piece->near_bytes /
+		      (piece->has_inputs ? INPUT_BYTES_PER_US
+					 : FETCH_BYTES_PER_US);
 	}
-	return (double)bytes / FETCH_BYTES_PER_US +
-	       (strcmp(upstream->entry.domain, pieces->domain) ? OTHER_DOMAIN_US
-							       : 0);
+	return us + (strcmp(upstream->entry.domain, pieces->domain)
+			     ? OTHER_DOMAIN_US
+			     : 0);
 }
 
 static double cost_us(const struct pieces *pieces,
