--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -157,10 +157,14 @@
 	return end_us;
 }
 
+/* Until it is free of others' calls and of our own. */
 static int64_t wait_us(const struct pieces *pieces,
 		       const struct pool_upstream *upstream)
 {
-	return MAX(upstream->busy_until_us - now(pieces), 0);
+	uint32_t calls;
+	int64_t own_end_us = own_calls_end_us(pieces, upstream, &calls);
+
+	return MAX(MAX(upstream->busy_until_us, own_end_us) - now(pieces), 0);
 }
 
 /* The price, as time, of bytes that would cross domains. */
@@ -298,7 +302,11 @@
 	int64_t idle_us = now(pieces) - upstream->busy_until_us;
 	bool whole = count >= pieces->options.batch_max;
 	int64_t stagger_us;
+	uint32_t calls;
 
+	own_calls_end_us(pieces, upstream, &calls);
+	if (calls >= CALLS_EACH_MAX)
+		return false;
 	if (pieces->calls->len && !whole &&
 	    (idle_us < TAKE_MORE_US && !cannot_wait(pieces)))
 		return false;
@@ -316,33 +324,33 @@
 	return idle_us >= stagger_us;
 }
 
+/* The best upstream, if it may be called now; NULL: wait for it. */
 static struct pool_upstream *choose(const struct pieces *pieces)
 {
 	const GPtrArray *list =
 		pool_of_service(pieces->options.pool, pieces->service);
 	struct pool_upstream *best = NULL;
+	uint32_t best_count = 0;
 	double best_cost = 0;
 
 	for (guint i = 0; list && i < list->len; i++) {
 		struct pool_upstream *upstream = g_ptr_array_index(list, i);
-		uint32_t calls;
 		uint32_t count;
 		double cost;
 
-		own_calls_end_us(pieces, upstream, &calls);
-		if (calls >= CALLS_EACH_MAX ||
-		    !pool_usable(pieces->options.pool, upstream))
+		if (!pool_usable(pieces->options.pool, upstream))
 			continue;
 		count = plan(pieces, upstream, NULL);
-		if (!count || !may_call(pieces, upstream, count))
+		if (!count)
 			continue;
 		cost = cost_us(pieces, upstream, count);
 		if (best && cost >= best_cost)
 			continue;
 		best = upstream;
 		best_cost = cost;
+		best_count = count;
 	}
-	return best;
+	return best && may_call(pieces, best, best_count) ? best : NULL;
 }
 
 static bool is_taken_of(const GArray *out, const struct piece *piece)
