Drain refuses late requests; lost inputs are given back; line of results given up

Lost inputs kept their makers' room in the books. Late pieces are put back only where they hold no scarce room.

--- a/direct/direct.c
+++ b/direct/direct.c
@@ -180,9 +180,9 @@
 	http_server_drain(direct->server);
 }
 
-void direct_stop_listening(struct direct *direct)
+void direct_refuse_new(struct direct *direct)
 {
-	http_server_stop_listening(direct->server);
+	direct->refuses_new = true;
 }
 
 uint32_t direct_busy(const struct direct *direct)
--- a/direct/direct.h
+++ b/direct/direct.h
@@ -55,8 +55,8 @@
 bool direct_ready(const struct direct *direct);
 /** End in order: answers end their connections from now on. */
 void direct_drain(struct direct *direct);
-/** Take no new connections. */
-void direct_stop_listening(struct direct *direct);
+/** From now on refuse requests: there is no time left to end them. */
+void direct_refuse_new(struct direct *direct);
 /** Requests that are being read or served. */
 uint32_t direct_busy(const struct direct *direct);
 
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -23,6 +23,7 @@
 	struct direct_config *config; /* NULL: none yet */
 	struct pool *pool;
 	bool has_upstreams;
+	bool refuses_new; /* about to end */
 	struct retries *retries;
 	struct direct_stages *stages;
 	struct direct_peers *peers; /* NULL: none are told */
@@ -61,6 +62,9 @@
 /** Give up what a request does not need any more. */
 void direct_stages_free_results(struct direct_stages *stages,
 				struct graph *graph, bool all);
+/** Inputs of a stage of a request are gone: have them made again. */
+void direct_stages_lost_inputs(struct direct_stages *stages,
+			       struct graph *graph, uint32_t stage);
 /** Time until a piece for this service that came now would be made. */
 int64_t direct_stages_estimate_us(struct direct_stages *stages,
 				  const char *service, int32_t priority);
--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -27,6 +27,9 @@
 #define TOKENS_PER_MS 60
 /* Pieces that have to be made again, for all stages of one request. */
 #define REMAKES_MAX 24
+/* A request's results that fill this part of an upstream's room (a fiftieth)
+ * are not left waiting there. */
+#define ROOM_SHARES 50
 /* Part of an engine's memory that is believed to hold prompts. */
 #define MEMORY_SHARE 0.8
 /* An answer of this size is not buffered any further. */
@@ -337,7 +340,8 @@
 		refuse(request, WAIT_FULL_US, "inputs_gone");
 		return;
 	}
-	graph_lost_inputs(request->graph, request->route->stages_count);
+	direct_stages_lost_inputs(request->direct->stages, request->graph,
+				  request->route->stages_count);
 	request->state = STATE_STAGES;
 	direct_request_advance(request);
 }
@@ -856,6 +860,34 @@
 	piece->near = near ? near->entry.domain : NULL;
 }
 
+/* Whether a stage's inputs take up a good part of their makers' room. */
+static bool holds_room(const struct direct_request *request, uint32_t stage)
+{
+	const struct direct_stage *stages = request->route->stages;
+
+	for (uint32_t i = 0; i < stages[stage].after_count; i++) {
+		uint32_t before = stages[stage].after[i];
+		const struct direct_service *maker = direct_config_service(
+			request->config, stages[before].service);
+		int64_t bytes = stages[before].bytes *
+				graph_pieces(request->graph, before);
+
+		if (maker && maker->room_bytes &&
+		    bytes * ROOM_SHARES >= maker->room_bytes)
+			return true;
+	}
+	return false;
+}
+
+/* Whether some pieces of a stage are made or asked for already. */
+static bool is_begun(const struct graph *graph, uint32_t stage)
+{
+	for (uint32_t i = 0; i < graph_pieces(graph, stage); i++)
+		if (graph_state(graph, stage, i) != GRAPH_PIECE_MISSING)
+			return true;
+	return false;
+}
+
 static void ask_pieces(struct direct_request *request, uint32_t stage)
 {
 	const struct direct_stage *config = &request->route->stages[stage];
@@ -872,6 +904,8 @@
 		.priority = request->priority,
 		.bytes = config->bytes,
 		.has_inputs = config->after_count > 0,
+		.holds_room = holds_room(request, stage),
+		.split = is_begun(request->graph, stage),
 	};
 
 	set_near(request, stage, &piece);
@@ -917,7 +951,8 @@
 		    is_early(request, i))
 			continue;
 		if (!graph_inputs_kept(request->graph, i)) {
-			graph_lost_inputs(request->graph, i);
+			direct_stages_lost_inputs(request->direct->stages,
+						  request->graph, i);
 			i = UINT32_MAX; /* the loop adds one */
 			continue;
 		}
@@ -1089,8 +1124,9 @@
 	uint32_t status;
 
 	request->id = g_strdup(request->ask.id ? request->ask.id : "");
-	if (!direct_ready(direct)) {
-		refuse(request, WAIT_START_US, "not_configured");
+	if (!direct_ready(direct) || direct->refuses_new) {
+		refuse(request, WAIT_START_US,
+		       direct->refuses_new ? "draining" : "not_configured");
 		return;
 	}
 	if (!readable) {
--- a/direct/direct_stages.c
+++ b/direct/direct_stages.c
@@ -41,11 +41,16 @@
 	guint timer;
 	GString *body;
 	uint32_t status;
+	uint32_t no_room; /* pieces not made for want of it */
 	struct direct_reply reply;
 };
 
 struct free_call {
 	struct direct_stages *stages;
+	char *maker;
+	uint32_t handles;
+	uint32_t status;
+	int64_t started_us;
 	struct http_exchange *exchange;
 	guint timer;
 };
@@ -135,12 +140,28 @@
 	g_hash_table_remove(call->stages->free_calls, call);
 	if (call->timer)
 		g_source_remove(call->timer);
+	g_free(call->maker);
 	g_free(call);
 }
 
+static void log_free(const struct free_call *call)
+{
+	struct direct *direct = call->stages->direct;
+
+	if (!lp_event_begin(direct->options.log, "results_given_up", NULL))
+		return;
+	lp_event_text(direct->options.log, "upstream", call->maker);
+	lp_event_int(direct->options.log, "results", call->handles);
+	lp_event_int(direct->options.log, "status", call->status);
+	lp_event_int(direct->options.log, "took_us",
+		     lp_now_us(direct->options.clock) - call->started_us);
+	lp_event_end(direct->options.log);
+}
+
 static void on_free_head(void *userdata, uint32_t status,
 			 const struct http_fields *fields)
 {
+	((struct free_call *)userdata)->status = status;
 }
 
 static void on_free_body(void *userdata, const char *bytes, size_t size)
@@ -155,6 +176,7 @@
 	*lp_counter(call->stages->direct->options.counters,
 		    "linepier_result_frees_total",
 		    error ? "outcome=\"failed\"" : "outcome=\"done\"") += 1;
+	log_free(call);
 	end_free_call(call);
 }
 
@@ -170,6 +192,7 @@
 
 	call->timer = 0;
 	http_exchange_cancel(call->exchange);
+	log_free(call);
 	end_free_call(call);
 	return G_SOURCE_REMOVE;
 }
@@ -210,6 +233,9 @@
 	body = codec->write_free(handles);
 	call = g_new0(struct free_call, 1);
 	call->stages = stages;
+	call->maker = g_strdup(maker);
+	call->handles = handles->len;
+	call->started_us = lp_now_us(stages->direct->options.clock);
 	http_fields_init(&fields);
 	codec->write_call(maker, &fields);
 	call->exchange = http_exchange_start(&(struct http_exchange_options){
@@ -226,6 +252,7 @@
 	});
 	http_fields_clear(&fields);
 	if (!call->exchange) {
+		g_free(call->maker);
 		g_free(call);
 		return;
 	}
@@ -272,13 +299,8 @@
 			g_timeout_add(FREE_GATHER_MS, on_free_gathered, stages);
 }
 
-void direct_stages_free_results(struct direct_stages *stages,
-				struct graph *graph, bool all)
+static void give_up(struct direct_stages *stages, const GArray *results)
 {
-	g_autoptr(GArray) results =
-		g_array_new(FALSE, FALSE, sizeof(struct graph_result));
-
-	graph_take_unneeded(graph, all, results);
 	for (guint i = 0; i < results->len; i++) {
 		struct graph_result *result =
 			&g_array_index(results, struct graph_result, i);
@@ -289,6 +311,26 @@
 	}
 }
 
+void direct_stages_free_results(struct direct_stages *stages,
+				struct graph *graph, bool all)
+{
+	g_autoptr(GArray) results =
+		g_array_new(FALSE, FALSE, sizeof(struct graph_result));
+
+	graph_take_unneeded(graph, all, results);
+	give_up(stages, results);
+}
+
+void direct_stages_lost_inputs(struct direct_stages *stages,
+			       struct graph *graph, uint32_t stage)
+{
+	g_autoptr(GArray) results =
+		g_array_new(FALSE, FALSE, sizeof(struct graph_result));
+
+	graph_lost_inputs(graph, stage, results);
+	give_up(stages, results);
+}
+
 /* ---- a call's end ---- */
 
 static void take_made(struct stage_call *call, const struct piece *piece,
@@ -317,7 +359,7 @@
 	}
 	graph_not_made(graph, piece->stage, piece->index);
 	if (made->result == DIRECT_ITEM_INPUT_GONE)
-		graph_lost_inputs(graph, piece->stage);
+		direct_stages_lost_inputs(call->stages, graph, piece->stage);
 }
 
 static void log_call(const struct stage_call *call, const char *outcome)
@@ -332,6 +374,10 @@
 	lp_event_text(log, "upstream", made->upstream->entry.id);
 	lp_event_text(log, "outcome", outcome);
 	lp_event_int(log, "pieces", made->pieces->len);
+	lp_event_int(log, "no_room", call->no_room);
+	lp_event_int(
+		log, "kept_bytes",
+		pool_kept_bytes(call->stages->direct->pool, made->upstream));
 	lp_event_int(log, "took_us", now_us - made->started_us);
 	lp_event_int(log, "expected_us", made->expected_us);
 	lp_event_int(log, "others_running", call->reply.running);
@@ -415,6 +461,8 @@
 
 	if (call->timer)
 		g_source_remove(call->timer);
+	for (guint i = 0; made && i < count; i++)
+		call->no_room += made[i].result == DIRECT_ITEM_NO_ROOM;
 	log_call(call, outcome_name(outcome));
 	take_results(call, made);
 	for (guint i = 0; made && i < count; i++)
--- a/policy/graph.c
+++ b/policy/graph.c
@@ -202,29 +202,20 @@
 	return false;
 }
 
-uint32_t graph_lost_maker(struct graph *graph, const char *maker)
+/* Hand a kept result over to be given up. */
+static void take_result(struct piece *piece, GArray *out)
 {
-	uint32_t lost = 0;
+	struct graph_result result;
 
-	for (uint32_t i = 0; i < graph->count; i++) {
-		struct stage *stage = &graph->stages[i];
-
-		for (uint32_t j = 0; j < stage->pieces_count; j++) {
-			struct piece *piece = &stage->pieces[j];
-
-			if (!piece->maker || strcmp(piece->maker, maker))
-				continue;
-			forget(piece);
-			if (!is_needed(graph, i))
-				continue;
-			piece->state = GRAPH_PIECE_MISSING;
-			lost++;
-		}
-	}
-	return lost;
+	if (!piece->handle)
+		return;
+	result.handle = g_steal_pointer(&piece->handle);
+	result.maker = g_steal_pointer(&piece->maker);
+	result.bytes = piece->bytes;
+	g_array_append_val(out, result);
 }
 
-void graph_lost_inputs(struct graph *graph, uint32_t taker)
+void graph_lost_inputs(struct graph *graph, uint32_t taker, GArray *out)
 {
 	uint32_t end = MIN(taker, graph->count);
 
@@ -236,7 +227,7 @@
 		for (uint32_t j = 0; j < stage->pieces_count; j++) {
 			if (stage->pieces[j].state != GRAPH_PIECE_MADE)
 				continue;
-			forget(&stage->pieces[j]);
+			take_result(&stage->pieces[j], out);
 			stage->pieces[j].state = GRAPH_PIECE_MISSING;
 		}
 	}
@@ -282,16 +273,7 @@
 
 		if (!all && is_needed(graph, i))
 			continue;
-		for (uint32_t j = 0; j < stage->pieces_count; j++) {
-			struct piece *piece = &stage->pieces[j];
-			struct graph_result result;
-
-			if (!piece->handle)
-				continue;
-			result.handle = g_steal_pointer(&piece->handle);
-			result.maker = g_steal_pointer(&piece->maker);
-			result.bytes = piece->bytes;
-			g_array_append_val(out, result);
-		}
+		for (uint32_t j = 0; j < stage->pieces_count; j++)
+			take_result(&stage->pieces[j], out);
 	}
 }
--- a/policy/graph.h
+++ b/policy/graph.h
@@ -59,10 +59,11 @@
 void graph_inputs(const struct graph *graph, uint32_t stage, GPtrArray *out);
 /** Whether all handles that a stage takes in are still kept. */
 bool graph_inputs_kept(const struct graph *graph, uint32_t stage);
-/** Results of this maker are gone. Returns how many were. */
-uint32_t graph_lost_maker(struct graph *graph, const char *maker);
-/** The inputs of a stage are gone, nobody knows which: all are missing. */
-void graph_lost_inputs(struct graph *graph, uint32_t stage);
+/**
+ * Some inputs of a stage are gone, nobody knows which: all are missing. Those
+ * still kept are appended to `out`, of struct graph_result, to be given up.
+ */
+void graph_lost_inputs(struct graph *graph, uint32_t stage, GArray *out);
 /** The maker of the first piece of a stage, or NULL. */
 const char *graph_maker(const struct graph *graph, uint32_t stage);
 /** The maker of most of what the request takes in, or NULL. */
--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -8,9 +8,9 @@
  * among upstreams; less than a tenth of a call. */
 #define MOVE_US (15 * LP_US_PER_MS)
 /* Results that cross domains are paid for: 3 MB weigh as 95 ms. */
-#define FETCH_BYTES_PER_US 31
+#define FETCH_BYTES_PER_US 62
 /* Inputs more so: each piece of a stage fetches all of them. */
-#define INPUT_BYTES_PER_US 10
+#define INPUT_BYTES_PER_US 31
 /* Where nothing else tells, a call stays in its entry's domain. */
 #define OTHER_DOMAIN_US (20 * LP_US_PER_MS)
 /* When another entry takes an upstream that is idle: late enough for the word
@@ -107,7 +107,7 @@
 /*
  * What has been begun is ended first: its results take up room meanwhile. So
  * the rest of a split group goes before all, and being late puts back only
- * what takes in nothing yet.
+ * what holds no scarce room.
  */
 static int64_t rank_us(const struct piece *piece, int64_t now_us)
 {
@@ -115,7 +115,7 @@
 
 	if (piece->split)
 		return rank - LATE_US;
-	if (piece->has_inputs || piece->due_us >= now_us)
+	if (piece->holds_room || piece->due_us >= now_us)
 		return rank;
 	return rank + LATE_US;
 }
--- a/policy/pieces.h
+++ b/policy/pieces.h
@@ -17,12 +17,13 @@
 	void *request; /**< whose it is; opaque */
 	uint32_t stage;
 	uint32_t index;
-	int64_t due_us;	    /**< begun by then, its request is on time */
-	int64_t until_us;   /**< of no use after it */
-	int32_t priority;   /**< 0 goes first */
-	int64_t bytes;	    /**< of its result, about */
-	bool has_inputs;    /**< results of others wait for it */
-	bool split;	    /**< private: others of its request went ahead */
+	int64_t due_us;	  /**< begun by then, its request is on time */
+	int64_t until_us; /**< of no use after it */
+	int32_t priority; /**< 0 goes first */
+	int64_t bytes;	  /**< of its result, about */
+	bool has_inputs;
+	bool holds_room;    /**< its inputs take up scarce room meanwhile */
+	bool split;	    /**< others of its stage and request went ahead */
 	const char *near;   /**< domain of what it takes in, or of who takes
 			       it; NULL: no matter. Valid while it waits. */
 	int64_t near_bytes; /**< that would cross domains elsewhere */
