Entries have homes among stage servers

Cause: an entry stayed with the server that it used last, and two entries came to stay with the same one. Now all reckon the same spread from members and servers.

--- a/direct/direct_peers.c
+++ b/direct/direct_peers.c
@@ -15,11 +15,12 @@
 
 #define KIND_HELLO 'H'
 #define KIND_BUSY 'B'
-#define HELLO_TYPE "(xas)" /* version in force, members' IPs */
-#define BUSY_TYPE "(txx)"  /* upstream's hash, us at work, bytes kept */
+#define HELLO_TYPE "(xsas)" /* version in force, domain, members' IPs */
+#define BUSY_TYPE "(txx)"   /* upstream's hash, us at work, bytes kept */
 
 struct peer {
 	char *ip;
+	char *domain;  /* NULL: no hello yet */
 	uint64_t hash; /* of the ip; names the peer to the pool */
 	GSocketAddress *address;
 	int64_t heard_us; /* 0: only named so far */
@@ -28,6 +29,7 @@
 struct direct_peers {
 	struct direct_peers_options options;
 	char *ip;
+	char *domain;
 	char **seeds;
 	GSocket *socket;
 	GSource *source;
@@ -41,6 +43,7 @@
 	struct peer *peer = data;
 
 	g_free(peer->ip);
+	g_free(peer->domain);
 	g_object_unref(peer->address);
 	g_free(peer);
 }
@@ -106,8 +109,8 @@
 		g_variant_builder_add(&names, "s", peer->ip);
 		count++;
 	}
-	return g_variant_ref_sink(
-		g_variant_new(HELLO_TYPE, (gint64)peers->version, &names));
+	return g_variant_ref_sink(g_variant_new(
+		HELLO_TYPE, (gint64)peers->version, peers->domain, &names));
 }
 
 static void add_seeds(struct direct_peers *peers)
@@ -180,17 +183,28 @@
 			send_to(peers, value, KIND_BUSY, body);
 }
 
-uint32_t direct_peers_count(const struct direct_peers *peers)
+void direct_peers_list(const struct direct_peers *peers, GArray *out)
 {
+	struct homes_place place = { direct_peers_self(peers), peers->domain };
 	GHashTableIter iter;
 	gpointer value;
-	uint32_t count = 0;
 
+	g_array_append_val(out, place);
 	g_hash_table_iter_init(&iter, peers->peers);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		if (is_fresh(peers, value))
-			count++;
-	return count;
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct peer *peer = value;
+
+		if (!is_fresh(peers, peer))
+			continue;
+		place.hash = peer->hash;
+		place.domain = peer->domain;
+		g_array_append_val(out, place);
+	}
+}
+
+uint64_t direct_peers_self(const struct direct_peers *peers)
+{
+	return lp_hash_str(peers->ip);
 }
 
 /* ---- hearing ---- */
@@ -199,6 +213,7 @@
 		       GVariant *body)
 {
 	g_autoptr(GVariantIter) names = NULL;
+	g_autofree char *domain = NULL;
 	gint64 version;
 	const char *ip;
 	bool was_fresh = is_fresh(peers, from);
@@ -209,7 +224,11 @@
 		lp_event_text(peers->options.log, "peer", from->ip);
 		lp_event_end(peers->options.log);
 	}
-	g_variant_get(body, HELLO_TYPE, &version, &names);
+	g_variant_get(body, HELLO_TYPE, &version, &domain, &names);
+	if (g_strcmp0(domain, from->domain) != 0) {
+		g_free(from->domain);
+		from->domain = g_strdup(domain);
+	}
 	while (g_variant_iter_next(names, "&s", &ip))
 		peer_of(peers, ip);
 	peers->options.config(peers->options.userdata, from->ip, version);
@@ -308,6 +327,7 @@
 	peers = g_new0(struct direct_peers, 1);
 	peers->options = *options;
 	peers->ip = g_strdup(options->ip);
+	peers->domain = g_strdup(options->domain);
 	peers->seeds = g_strdupv((char **)options->seeds);
 	peers->socket = socket;
 	peers->version = -1;
@@ -334,5 +354,6 @@
 	g_hash_table_unref(peers->peers);
 	g_strfreev(peers->seeds);
 	g_free(peers->ip);
+	g_free(peers->domain);
 	g_free(peers);
 }
--- a/direct/direct_peers.h
+++ b/direct/direct_peers.h
@@ -13,6 +13,7 @@
 
 #include "base/lp_clock.h"
 #include "base/lp_event.h"
+#include "policy/homes.h"
 
 #include <gio/gio.h>
 
@@ -22,6 +23,7 @@
 	const struct lp_clock *clock;
 	struct lp_event_log *log;
 	const char *ip;	    /**< own; copied */
+	const char *domain; /**< own failure domain; copied */
 	uint16_t port;	    /**< the same on all hosts */
 	char *const *seeds; /**< "IP:PORT"; only the IPs are used; copied */
 	/** An upstream is at work for a peer (us from now; 0: no longer) and
@@ -43,7 +45,12 @@
  * so many bytes of results are kept there for us. */
 void direct_peers_tell_busy(struct direct_peers *peers, uint64_t upstream,
 			    int64_t for_us, int64_t kept_bytes);
-/** Members heard lately, without ourselves. */
-uint32_t direct_peers_count(const struct direct_peers *peers);
+/**
+ * Members heard lately and ourselves: their places are appended to `out`, of
+ * struct homes_place; domains are borrowed until the next hello.
+ */
+void direct_peers_list(const struct direct_peers *peers, GArray *out);
+/** What names ourselves among them. */
+uint64_t direct_peers_self(const struct direct_peers *peers);
 
 #endif
--- a/direct/direct_stages.c
+++ b/direct/direct_stages.c
@@ -13,6 +13,8 @@
  * again after a second, and by then another upstream is the better choice. */
 #define CONNECT_TIMEOUT_US (400 * LP_US_PER_MS)
 #define FREE_TIMEOUT_MS 2000
+/* Members and upstreams change slowly against this. */
+#define HOMES_MS 500
 /* An upstream without room is asked again after about half a call. */
 #define NO_ROOM_US (100 * LP_US_PER_MS)
 
@@ -30,6 +32,7 @@
 	GHashTable *calls;	/* of struct stage_call */
 	GHashTable *free_calls; /* of struct free_call */
 	guint free_timer;
+	guint homes_timer;
 	guint run_source;
 };
 
@@ -635,6 +638,49 @@
 			      on_wake, service);
 }
 
+/* The upstream of a service that we go to first, among the peers. */
+static void find_home(struct direct_stages *stages, struct service *service)
+{
+	struct direct_peers *peers = stages->direct->peers;
+	const GPtrArray *list =
+		pool_of_service(stages->direct->pool, service->name);
+	g_autoptr(GArray) entries =
+		g_array_new(FALSE, FALSE, sizeof(struct homes_place));
+	g_autoptr(GArray) upstreams =
+		g_array_new(FALSE, FALSE, sizeof(struct homes_place));
+	struct homes_place *places;
+	int32_t home;
+
+	for (guint i = 0; list && i < list->len; i++) {
+		const struct pool_upstream *upstream =
+			g_ptr_array_index(list, i);
+		struct homes_place place = { upstream->hash,
+					     upstream->entry.domain };
+
+		if (!upstream->entry.leaving)
+			g_array_append_val(upstreams, place);
+	}
+	direct_peers_list(peers, entries);
+	places = (struct homes_place *)upstreams->data;
+	home = homes_find((struct homes_place *)entries->data, entries->len,
+			  places, upstreams->len, direct_peers_self(peers));
+	pieces_set_home(service->pieces, home >= 0 ? places[home].hash : 0);
+}
+
+static gboolean on_homes(gpointer userdata)
+{
+	struct direct_stages *stages = userdata;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!stages->direct->peers)
+		return G_SOURCE_CONTINUE;
+	g_hash_table_iter_init(&iter, stages->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		find_home(stages, value);
+	return G_SOURCE_CONTINUE;
+}
+
 void direct_stages_run(struct direct_stages *stages)
 {
 	g_autoptr(GList) services = g_hash_table_get_values(stages->services);
@@ -724,6 +770,7 @@
 				      (GDestroyNotify)g_ptr_array_unref);
 	stages->calls = g_hash_table_new(NULL, NULL);
 	stages->free_calls = g_hash_table_new(NULL, NULL);
+	stages->homes_timer = g_timeout_add(HOMES_MS, on_homes, stages);
 	return stages;
 }
 
@@ -749,6 +796,7 @@
 void direct_stages_destroy(struct direct_stages *stages)
 {
 	drop_calls(stages);
+	g_source_remove(stages->homes_timer);
 	if (stages->run_source)
 		g_source_remove(stages->run_source);
 	if (stages->free_timer)
--- a/policy/homes.c
+++ b/policy/homes.c
@@ -1,6 +1,8 @@
 #include "policy/homes.h"
 
 #include <glib.h>
+#include <stdbool.h>
+#include <stdlib.h>
 #include <string.h>
 
 static int by_hash(const void *a, const void *b)
--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -4,8 +4,8 @@
 
 #include <string.h>
 
-/* An entry stays with the upstream that it used last, so that entries part
- * among upstreams; less than a tenth of a call. */
+/* An entry stays with its home, so that entries part among upstreams; less
+ * than a tenth of a call. */
 #define MOVE_US (15 * LP_US_PER_MS)
 /* Results that cross domains are paid for: 3 MB weigh as 95 ms. */
 #define FETCH_BYTES_PER_US 62
@@ -14,7 +14,7 @@
 /* Where nothing else tells, a call stays in its entry's domain. */
 #define OTHER_DOMAIN_US (20 * LP_US_PER_MS)
 /* When another entry takes an upstream that is idle: late enough for the word
- * that its last user goes on, and entries one after the other. */
+ * that those at home there go on, and entries one after the other. */
 #define TAKE_IDLE_US (10 * LP_US_PER_MS)
 #define TAKE_STEPS 4
 #define TAKE_STEP_US (7 * LP_US_PER_MS)
@@ -39,7 +39,7 @@
 	char *domain;
 	GArray *waiting;  /* of struct piece */
 	GPtrArray *calls; /* under way; owned by whoever got them */
-	char *last;	  /* id of the upstream used last */
+	uint64_t home;	  /* hash of the upstream that we go to first */
 };
 
 struct pieces *pieces_create(const struct pieces_options *options)
@@ -60,7 +60,7 @@
 		return;
 	g_free(pieces->service);
 	g_free(pieces->domain);
-	g_free(pieces->last);
+
 	g_array_unref(pieces->waiting);
 	g_ptr_array_unref(pieces->calls);
 	g_free(pieces);
@@ -79,6 +79,11 @@
 	g_array_append_vals(pieces->waiting, piece, 1);
 }
 
+void pieces_set_home(struct pieces *pieces, uint64_t upstream)
+{
+	pieces->home = upstream;
+}
+
 void pieces_drop(struct pieces *pieces, const void *request)
 {
 	for (guint i = pieces->waiting->len; i-- > 0;)
@@ -197,7 +202,7 @@
 			      (1.0 + 2.0 * upstream->error_share);
 
 	cost += crossing_us(pieces, upstream, count);
-	if (!pieces->last || strcmp(upstream->entry.id, pieces->last))
+	if (upstream->hash != pieces->home)
 		cost += MOVE_US;
 	return cost;
 }
@@ -292,8 +297,8 @@
  * An entry has one call under way and gathers what comes meanwhile; only a
  * whole batch, or a piece that would be late, opens a further one.
  *
- * Entries keep apart: whoever used an upstream last goes on with it at once,
- * another one takes it when it has been idle for a while. Behind one call of
+ * Entries keep apart: whose home an upstream is goes there at once, another
+ * one takes it when it has been idle for a while. Behind one call of
  * others queues who has nothing under way, or a whole batch.
  */
 static bool may_call(const struct pieces *pieces,
@@ -313,7 +318,7 @@
 	if (idle_us < 0)
 		return -idle_us <=
 		       (whole ? call_time_us(pieces, count) : QUEUE_AHEAD_US);
-	if (!g_strcmp0(pieces->last, upstream->entry.id))
+	if (upstream->hash == pieces->home)
 		return true;
 	stagger_us = TAKE_IDLE_US + (int64_t)(lp_hash_pair(pieces->options.self,
 							   upstream->hash) %
@@ -401,10 +406,7 @@
 				      upstream->slowness);
 	upstream->in_flight++;
 	g_ptr_array_add(pieces->calls, call);
-	if (g_strcmp0(pieces->last, upstream->entry.id)) {
-		g_free(pieces->last);
-		pieces->last = g_strdup(upstream->entry.id);
-	}
+
 	return call;
 }
 
--- a/policy/pieces.h
+++ b/policy/pieces.h
@@ -54,6 +54,8 @@
 /** The service's figures have changed. */
 void pieces_set(struct pieces *pieces, const struct pieces_options *figures);
 void pieces_add(struct pieces *pieces, const struct piece *piece);
+/** The upstream that this entry goes to first, by its hash; 0: none. */
+void pieces_set_home(struct pieces *pieces, uint64_t upstream);
 /** A request has ended: what waits for it is dropped. */
 void pieces_drop(struct pieces *pieces, const void *request);
 /** The next call to be made now, or NULL. End it by pieces_end(). */
