--- a/direct/direct_stages.c
+++ b/direct/direct_stages.c
@@ -28,7 +28,7 @@
 struct direct_stages {
 	struct direct *direct;
 	GHashTable *services;	/* name -> struct service */
-	GHashTable *frees;	/* maker id -> GPtrArray of handles */
+	GHashTable *frees;	/* maker id -> struct gathered */
 	GHashTable *calls;	/* of struct stage_call */
 	GHashTable *free_calls; /* of struct free_call */
 	guint free_timer;
@@ -48,10 +48,17 @@
 	struct direct_reply reply;
 };
 
+/* Results of one maker that are given up next. */
+struct gathered {
+	GPtrArray *handles;
+	int64_t bytes;
+};
+
 struct free_call {
 	struct direct_stages *stages;
 	char *maker;
 	uint32_t handles;
+	int64_t bytes;
 	uint32_t status;
 	int64_t started_us;
 	struct http_exchange *exchange;
@@ -136,10 +143,55 @@
 				       for_us, upstream->kept_bytes);
 }
 
+/* How long a call of ours keeps this upstream at work still. */
+static int64_t own_work_us(const struct direct_stages *stages,
+			   const struct pool_upstream *upstream)
+{
+	int64_t now_us = lp_now_us(stages->direct->options.clock);
+	GHashTableIter iter;
+	gpointer value;
+	int64_t left_us = 0;
+
+	g_hash_table_iter_init(&iter, stages->calls);
+	while (g_hash_table_iter_next(&iter, &value, NULL)) {
+		const struct pieces_call *call =
+			((struct stage_call *)value)->call;
+
+		if (call->upstream == upstream)
+			left_us = MAX(left_us, call->started_us +
+						       call->expected_us -
+						       now_us);
+	}
+	return left_us;
+}
+
 /* ---- giving results up ---- */
 
+static void free_gathered(gpointer data)
+{
+	struct gathered *gathered = data;
+
+	g_ptr_array_unref(gathered->handles);
+	g_free(gathered);
+}
+
+static GHashTable *create_frees(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				     free_gathered);
+}
+
+/* The maker has the room again, or will drop the results by itself. */
 static void end_free_call(struct free_call *call)
 {
+	struct pool_upstream *upstream =
+		pool_find(call->stages->direct->pool, call->maker);
+
+	if (upstream) {
+		upstream->kept_bytes -= call->bytes;
+		tell_busy(call->stages, upstream,
+			  own_work_us(call->stages, upstream));
+	}
 	g_hash_table_remove(call->stages->free_calls, call);
 	if (call->timer)
 		g_source_remove(call->timer);
@@ -200,31 +252,10 @@
 	return G_SOURCE_REMOVE;
 }
 
-/* How long a call of ours keeps this upstream at work still. */
-static int64_t own_work_us(const struct direct_stages *stages,
-			   const struct pool_upstream *upstream)
-{
-	int64_t now_us = lp_now_us(stages->direct->options.clock);
-	GHashTableIter iter;
-	gpointer value;
-	int64_t left_us = 0;
-
-	g_hash_table_iter_init(&iter, stages->calls);
-	while (g_hash_table_iter_next(&iter, &value, NULL)) {
-		const struct pieces_call *call =
-			((struct stage_call *)value)->call;
-
-		if (call->upstream == upstream)
-			left_us = MAX(left_us, call->started_us +
-						       call->expected_us -
-						       now_us);
-	}
-	return left_us;
-}
-
 static void send_free(struct direct_stages *stages, const char *maker,
-		      const GPtrArray *handles)
+		      const struct gathered *gathered)
 {
+	const GPtrArray *handles = gathered->handles;
 	const struct direct_codec *codec = stages->direct->options.codec;
 	struct pool_upstream *upstream = pool_find(stages->direct->pool, maker);
 	g_autofree char *body = NULL;
@@ -238,6 +269,7 @@
 	call->stages = stages;
 	call->maker = g_strdup(maker);
 	call->handles = handles->len;
+	call->bytes = gathered->bytes;
 	call->started_us = lp_now_us(stages->direct->options.clock);
 	http_fields_init(&fields);
 	codec->write_call(maker, &fields);
@@ -254,13 +286,11 @@
 		.userdata = call,
 	});
 	http_fields_clear(&fields);
+	g_hash_table_add(stages->free_calls, call);
 	if (!call->exchange) {
-		g_free(call->maker);
-		g_free(call);
+		end_free_call(call);
 		return;
 	}
-	g_hash_table_add(stages->free_calls, call);
-	tell_busy(stages, upstream, own_work_us(stages, upstream));
 	call->timer = g_timeout_add(FREE_TIMEOUT_MS, on_free_timeout, call);
 }
 
@@ -270,15 +300,13 @@
 	g_autoptr(GHashTable) frees = stages->frees;
 	GHashTableIter iter;
 	gpointer maker;
-	gpointer handles;
+	gpointer gathered;
 
 	stages->free_timer = 0;
-	stages->frees =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-				      (GDestroyNotify)g_ptr_array_unref);
+	stages->frees = create_frees();
 	g_hash_table_iter_init(&iter, frees);
-	while (g_hash_table_iter_next(&iter, &maker, &handles))
-		send_free(stages, maker, handles);
+	while (g_hash_table_iter_next(&iter, &maker, &gathered))
+		send_free(stages, maker, gathered);
 	return G_SOURCE_REMOVE;
 }
 
@@ -286,17 +314,15 @@
 static void gather_free(struct direct_stages *stages, const char *maker,
 			char *handle, int64_t bytes)
 {
-	GPtrArray *handles = g_hash_table_lookup(stages->frees, maker);
-	struct pool_upstream *upstream = pool_find(stages->direct->pool, maker);
-
-	if (upstream)
-		upstream->kept_bytes -= bytes;
+	struct gathered *gathered = g_hash_table_lookup(stages->frees, maker);
 
-	if (!handles) {
-		handles = g_ptr_array_new_with_free_func(g_free);
-		g_hash_table_insert(stages->frees, g_strdup(maker), handles);
+	if (!gathered) {
+		gathered = g_new0(struct gathered, 1);
+		gathered->handles = g_ptr_array_new_with_free_func(g_free);
+		g_hash_table_insert(stages->frees, g_strdup(maker), gathered);
 	}
-	g_ptr_array_add(handles, handle);
+	g_ptr_array_add(gathered->handles, handle);
+	gathered->bytes += bytes;
 	if (!stages->free_timer)
 		stages->free_timer =
 			g_timeout_add(FREE_GATHER_MS, on_free_gathered, stages);
@@ -765,9 +791,7 @@
 	stages->direct = direct;
 	stages->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						 free_service);
-	stages->frees =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-				      (GDestroyNotify)g_ptr_array_unref);
+	stages->frees = create_frees();
 	stages->calls = g_hash_table_new(NULL, NULL);
 	stages->free_calls = g_hash_table_new(NULL, NULL);
 	stages->homes_timer = g_timeout_add(HOMES_MS, on_homes, stages);
--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -250,6 +250,17 @@
 	return bytes <= room || bytes > pieces->options.room_bytes;
 }
 
+/* Whether a group goes whole into what is left of a batch, or in part with
+ * enough behind it that the rest does not make a poor call by itself. */
+static bool may_split(const struct pieces *pieces, uint32_t count,
+		      uint32_t group)
+{
+	uint32_t batch_max = pieces->options.batch_max;
+
+	return !count || count + group <= batch_max ||
+	       pieces->waiting->len >= 2 * batch_max;
+}
+
 /*
  * The waiting pieces that one call to this upstream would carry: marks them in
  * `taken` (as many cells as pieces wait) unless it is NULL; returns how many.
@@ -264,7 +275,8 @@
 	while (start < pieces->waiting->len &&
 	       count < pieces->options.batch_max) {
 		guint end = group_end(pieces, start);
-		bool fits = group_fits(pieces, start, end, room);
+		bool fits = group_fits(pieces, start, end, room) &&
+			    may_split(pieces, count, end - start);
 
 		for (guint i = start;
 		     fits && i < end && count < pieces->options.batch_max;
