Admission goes by what pieces took lately

Cause: the estimate at the door left out what is late and what other entries hold, so a burst was let in whole and came late.

--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -68,6 +68,9 @@
 /** Time until a piece for this service that came now would be made. */
 int64_t direct_stages_estimate_us(struct direct_stages *stages,
 				  const char *service, int32_t priority);
+/** The pieces of a stage that were asked for in time took so long. */
+void direct_stages_learn(struct direct_stages *stages, const char *service,
+			 int64_t took_us);
 /** Make the calls that can be made now. */
 void direct_stages_run(struct direct_stages *stages);
 
--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -960,12 +960,23 @@
 	}
 }
 
+static void note_stage_made(struct direct_request *request, uint32_t stage)
+{
+	request->made_us[stage] = now_us(request);
+	if (request->asked_us[stage] <=
+	    request->arrived_us + request->route->target_us)
+		direct_stages_learn(request->direct->stages,
+				    request->route->stages[stage].service,
+				    request->made_us[stage] -
+					    request->asked_us[stage]);
+}
+
 static void note_made(struct direct_request *request)
 {
 	for (uint32_t i = 0; i < request->route->stages_count; i++)
 		if (request->asked_us[i] && !request->made_us[i] &&
 		    graph_stage_made(request->graph, i))
-			request->made_us[i] = now_us(request);
+			note_stage_made(request, i);
 }
 
 void direct_request_advance(struct direct_request *request)
--- a/direct/direct_stages.c
+++ b/direct/direct_stages.c
@@ -13,6 +13,10 @@
  * again after a second, and by then another upstream is the better choice. */
 #define CONNECT_TIMEOUT_US (400 * LP_US_PER_MS)
 #define FREE_TIMEOUT_MS 2000
+/* What pieces took tells of the next ones for about four calls; the newest
+ * counts a quarter. */
+#define LEARNT_US (1 * LP_US_PER_S)
+#define LEARN_PARTS 4
 /* Members and upstreams change slowly against this. */
 #define HOMES_MS 500
 /* An upstream without room is asked again after about half a call. */
@@ -23,6 +27,8 @@
 	struct pieces *pieces;
 	char *name;
 	guint wake;
+	int64_t took_us;   /* fading mean of how long pieces took */
+	int64_t learnt_us; /* when it was heard last */
 };
 
 struct direct_stages {
@@ -780,8 +786,26 @@
 int64_t direct_stages_estimate_us(struct direct_stages *stages,
 				  const char *service, int32_t priority)
 {
-	return pieces_estimate_us(service_of(stages, service)->pieces,
-				  priority);
+	struct service *known = service_of(stages, service);
+	int64_t model_us = pieces_estimate_us(known->pieces, priority);
+	int64_t now_us = lp_now_us(stages->direct->options.clock);
+
+	if (now_us - known->learnt_us > LEARNT_US)
+		return model_us;
+	return MAX(model_us, known->took_us);
+}
+
+void direct_stages_learn(struct direct_stages *stages, const char *name,
+			 int64_t took_us)
+{
+	struct service *service = service_of(stages, name);
+	int64_t now_us = lp_now_us(stages->direct->options.clock);
+
+	if (now_us - service->learnt_us > LEARNT_US)
+		service->took_us = took_us;
+	else
+		service->took_us += (took_us - service->took_us) / LEARN_PARTS;
+	service->learnt_us = now_us;
 }
 
 struct direct_stages *direct_stages_create(struct direct *direct)
