--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -34,7 +34,7 @@
  * tried before; it is let in for as long as an answer within so many targets
  * is expected. Callers of streams leave after four. */
 #define CAME_BEFORE_US (100 * LP_US_PER_MS)
-#define TARGETS_LAST_TRY 3
+#define TARGETS_LAST_TRY 1.5
 /* Part of an engine's memory that is believed to hold prompts. */
 #define MEMORY_SHARE 0.8
 /* An answer of this size is not buffered any further. */
