--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -12,6 +12,13 @@
 #include "policy/retries.h"
 #include "policy/verdict.h"
 
+/**
+ * Within a region a connection stands in a few ms; a lost packet is sent again
+ * after a second, and by then another upstream is the better choice.
+ */
+#define DIRECT_CONNECT_TIMEOUT_US (400 * LP_US_PER_MS)
+
+struct direct_results;
 struct direct_stages;
 struct direct_request;
 
@@ -45,7 +52,15 @@
 struct graph *direct_request_graph(struct direct_request *request);
 const char *direct_request_id(const struct direct_request *request);
 const char *direct_request_piece_key(const struct direct_request *request);
-int64_t direct_request_give_up_us(const struct direct_request *request);
+
+/* ---- direct_results.c: results that nobody needs any more ---- */
+
+struct direct_results *direct_results_create(struct direct *direct);
+/** What is gathered is dropped. */
+void direct_results_destroy(struct direct_results *results);
+/** Have a result of so many bytes dropped by its maker. Takes the handle. */
+void direct_results_give_up(struct direct_results *results, const char *maker,
+			    char *handle, int64_t bytes);
 
 /* ---- direct_stages.c: pieces of all requests ---- */
 
@@ -71,6 +86,13 @@
 /** The pieces of a stage that were asked for in time took so long. */
 void direct_stages_learn(struct direct_stages *stages, const char *service,
 			 int64_t took_us);
+/** Tell peers of a call of ours at an upstream, and what it keeps for us. */
+void direct_stages_tell_busy(struct direct_stages *stages,
+			     const struct pool_upstream *upstream,
+			     int64_t for_us);
+/** How long our call keeps an upstream at work still. */
+int64_t direct_stages_own_work_us(const struct direct_stages *stages,
+				  const struct pool_upstream *upstream);
 /** Make the calls that can be made now. */
 void direct_stages_run(struct direct_stages *stages);
 
--- /dev/null
+++ b/direct/direct_results.c
@@ -0,0 +1,227 @@
+/** Results of stages that nobody needs any more: their makers are told. */
+#include "direct/direct_private.h"
+
+#include <string.h>
+
+/* Results are gathered this long, so that one call names many. Room for
+ * results is scarce: short against a call of a stage. */
+#define GATHER_MS 40
+/* An upstream drops what nobody names by itself after a few seconds. */
+#define FREE_TIMEOUT_MS 2000
+
+/* Results of one maker that are given up next. */
+struct gathered {
+	GPtrArray *handles;
+	int64_t bytes;
+};
+
+struct direct_results {
+	struct direct *direct;
+	GHashTable *gathered; /* maker id -> struct gathered */
+	GHashTable *calls;    /* of struct free_call */
+	guint timer;
+};
+
+struct free_call {
+	struct direct_results *results;
+	char *maker;
+	uint32_t handles;
+	int64_t bytes;
+	uint32_t status;
+	int64_t started_us;
+	struct http_exchange *exchange;
+	guint timer;
+};
+
+static void free_gathered(gpointer data)
+{
+	struct gathered *gathered = data;
+
+	g_ptr_array_unref(gathered->handles);
+	g_free(gathered);
+}
+
+static GHashTable *create_frees(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				     free_gathered);
+}
+
+/* The maker has the room again, or will drop the results by itself. */
+static void end_free_call(struct free_call *call)
+{
+	struct pool_upstream *upstream =
+		pool_find(call->results->direct->pool, call->maker);
+
+	if (upstream) {
+		upstream->kept_bytes -= call->bytes;
+		direct_stages_tell_busy(
+			call->results->direct->stages, upstream,
+			direct_stages_own_work_us(call->results->direct->stages,
+						  upstream));
+	}
+	g_hash_table_remove(call->results->calls, call);
+	if (call->timer)
+		g_source_remove(call->timer);
+	g_free(call->maker);
+	g_free(call);
+}
+
+static void log_free(const struct free_call *call)
+{
+	struct direct *direct = call->results->direct;
+
+	if (!lp_event_begin(direct->options.log, "results_given_up", NULL))
+		return;
+	lp_event_text(direct->options.log, "upstream", call->maker);
+	lp_event_int(direct->options.log, "results", call->handles);
+	lp_event_int(direct->options.log, "status", call->status);
+	lp_event_int(direct->options.log, "took_us",
+		     lp_now_us(direct->options.clock) - call->started_us);
+	lp_event_end(direct->options.log);
+}
+
+static void on_free_head(void *userdata, uint32_t status,
+			 const struct http_fields *fields)
+{
+	((struct free_call *)userdata)->status = status;
+}
+
+static void on_free_body(void *userdata, const char *bytes, size_t size)
+{
+}
+
+/* Lost or not: an upstream drops what nobody names after a few seconds. */
+static void on_free_done(void *userdata, int error, bool sent)
+{
+	struct free_call *call = userdata;
+
+	*lp_counter(call->results->direct->options.counters,
+		    "linepier_result_frees_total",
+		    error ? "outcome=\"failed\"" : "outcome=\"done\"") += 1;
+	log_free(call);
+	end_free_call(call);
+}
+
+static const struct http_exchange_events free_events = {
+	.head = on_free_head,
+	.body = on_free_body,
+	.done = on_free_done,
+};
+
+static gboolean on_free_timeout(gpointer userdata)
+{
+	struct free_call *call = userdata;
+
+	call->timer = 0;
+	http_exchange_cancel(call->exchange);
+	log_free(call);
+	end_free_call(call);
+	return G_SOURCE_REMOVE;
+}
+
+static void send_free(struct direct_results *results, const char *maker,
+		      const struct gathered *gathered)
+{
+	const GPtrArray *handles = gathered->handles;
+	const struct direct_codec *codec = results->direct->options.codec;
+	struct pool_upstream *upstream =
+		pool_find(results->direct->pool, maker);
+	g_autofree char *body = NULL;
+	struct http_fields fields;
+	struct free_call *call;
+
+	if (!upstream) /* its results went with it */
+		return;
+	body = codec->write_free(handles);
+	call = g_new0(struct free_call, 1);
+	call->results = results;
+	call->maker = g_strdup(maker);
+	call->handles = handles->len;
+	call->bytes = gathered->bytes;
+	call->started_us = lp_now_us(results->direct->options.clock);
+	http_fields_init(&fields);
+	codec->write_call(maker, &fields);
+	call->exchange = http_exchange_start(&(struct http_exchange_options){
+		.address = upstream->entry.address,
+		.method = "POST",
+		.target = codec->free_target,
+		.fields = &fields,
+		.body = body,
+		.body_size = strlen(body),
+		.has_body = true,
+		.connect_timeout_us = DIRECT_CONNECT_TIMEOUT_US,
+		.events = &free_events,
+		.userdata = call,
+	});
+	http_fields_clear(&fields);
+	g_hash_table_add(results->calls, call);
+	if (!call->exchange) {
+		end_free_call(call);
+		return;
+	}
+	call->timer = g_timeout_add(FREE_TIMEOUT_MS, on_free_timeout, call);
+}
+
+static gboolean on_free_gathered(gpointer userdata)
+{
+	struct direct_results *results = userdata;
+	g_autoptr(GHashTable) frees = results->gathered;
+	GHashTableIter iter;
+	gpointer maker;
+	gpointer gathered;
+
+	results->timer = 0;
+	results->gathered = create_frees();
+	g_hash_table_iter_init(&iter, frees);
+	while (g_hash_table_iter_next(&iter, &maker, &gathered))
+		send_free(results, maker, gathered);
+	return G_SOURCE_REMOVE;
+}
+
+/* Takes over the handle. */
+void direct_results_give_up(struct direct_results *results, const char *maker,
+			    char *handle, int64_t bytes)
+{
+	struct gathered *gathered =
+		g_hash_table_lookup(results->gathered, maker);
+
+	if (!gathered) {
+		gathered = g_new0(struct gathered, 1);
+		gathered->handles = g_ptr_array_new_with_free_func(g_free);
+		g_hash_table_insert(results->gathered, g_strdup(maker),
+				    gathered);
+	}
+	g_ptr_array_add(gathered->handles, handle);
+	gathered->bytes += bytes;
+	if (!results->timer)
+		results->timer =
+			g_timeout_add(GATHER_MS, on_free_gathered, results);
+}
+
+struct direct_results *direct_results_create(struct direct *direct)
+{
+	struct direct_results *results = g_new0(struct direct_results, 1);
+
+	results->direct = direct;
+	results->gathered = create_frees();
+	results->calls = g_hash_table_new(NULL, NULL);
+	return results;
+}
+
+void direct_results_destroy(struct direct_results *results)
+{
+	g_autoptr(GList) calls = g_hash_table_get_keys(results->calls);
+
+	for (GList *at = calls; at; at = at->next) {
+		struct free_call *call = at->data;
+
+		http_exchange_cancel(call->exchange);
+		end_free_call(call);
+	}
+	if (results->timer)
+		g_source_remove(results->timer);
+	g_hash_table_unref(results->gathered);
+	g_hash_table_unref(results->calls);
+	g_free(results);
+}
--- /dev/null
+++ b/direct/direct_sending.c
@@ -0,0 +1,547 @@
+/** A request on its way to an upstream and back. */
+#include "direct/direct_request.h"
+
+#include <string.h>
+
+/* A further try needs at least this much time. */
+#define TRY_MIN_US (50 * LP_US_PER_MS)
+/* What may be repeated is sent elsewhere when this much of the target has
+ * passed without an answer, within these bounds. */
+#define STALL_TARGETS 2
+#define STALL_MIN_US (300 * LP_US_PER_MS)
+/* A stream that may resume: no event for this many of its longest pauses. */
+#define STALL_GAPS 3
+#define STALL_FIRST_MIN_US (1000 * LP_US_PER_MS)
+#define STALL_EXPECTED 4
+/* Part of an engine's memory that is believed to hold prompts. */
+#define MEMORY_SHARE 0.8
+/* An answer of this size is not buffered any further. */
+#define ANSWER_MAX (8 << 20)
+/* A caller that takes nothing holds no more than this. */
+#define UNSENT_MAX (1 << 20)
+
+/* End the sending under way; nothing is learnt from it but by `outcome`. */
+void direct_sending_leave(struct direct_request *request,
+			  enum pool_outcome outcome)
+{
+	struct pool_upstream *upstream = request->upstream;
+
+	direct_clear_timer(&request->stall_timer);
+	if (request->exchange)
+		http_exchange_cancel(request->exchange);
+	request->exchange = NULL;
+	if (!upstream)
+		return;
+	upstream->in_flight--;
+	if (!request->heard)
+		upstream->tokens_ahead -= request->cold_tokens;
+	pool_learn(request->direct->pool, upstream, outcome, 0, 0);
+	pool_release(upstream);
+	request->upstream = NULL;
+}
+
+/* ---- what follows a sending ---- */
+
+static bool take_retry(void *userdata)
+{
+	struct direct_request *request = userdata;
+	bool taken = retries_take(request->direct->retries, request->service);
+
+	*direct_counter(request->direct, "linepier_retries_total",
+			taken ? "budget=\"taken\"" : "budget=\"spent\"") += 1;
+	return taken;
+}
+
+static void log_step(struct direct_request *request, enum verdict_event event,
+		     enum verdict_step step, const char *why)
+{
+	static const char *const events[] = { "not_sent", "not_run",
+					      "answered", "error",
+					      "broken",	  "input_gone" };
+	static const char *const steps[] = { "pass",   "again",	 "resume",
+					     "remake", "refuse", "fail",
+					     "cut" };
+	struct lp_event_log *log = request->direct->options.log;
+
+	if (step == VERDICT_PASS ||
+	    !lp_event_begin(log, "sending_end", request->id))
+		return;
+	lp_event_text(log, "event", events[event]);
+	lp_event_text(log, "why", why);
+	lp_event_text(log, "outcome", steps[step]);
+	lp_event_text(log, "upstream",
+		      request->tried->len
+			      ? g_ptr_array_index(request->tried,
+						  request->tried->len - 1)
+			      : "");
+	lp_event_int(log, "status", request->status);
+	lp_event_int(log, "after_us",
+		     direct_request_now_us(request) - request->sent_us);
+	lp_event_int(log, "sendings", request->moves);
+	lp_event_end(log);
+}
+
+static void pass_answer(struct direct_request *request)
+{
+	struct http_fields fields;
+
+	direct_request_log_end(request, "answered", request->status, NULL);
+	http_fields_init(&fields);
+	http_fields_copy_end_to_end(&fields, &request->fields);
+	http_call_answer(request->call, request->status, &fields,
+			 request->body->str, request->body->len);
+	http_fields_clear(&fields);
+	direct_request_free(request);
+}
+
+static void remake_inputs(struct direct_request *request)
+{
+	if (!request->graph) {
+		direct_request_refuse(request, DIRECT_WAIT_FULL_US,
+				      "inputs_gone");
+		return;
+	}
+	direct_stages_lost_inputs(request->direct->stages, request->graph,
+				  request->route->stages_count);
+	request->state = DIRECT_STATE_STAGES;
+	direct_request_advance(request);
+}
+
+/* The sending has ended (the upstream is left); decide and act. */
+static void step_on(struct direct_request *request, enum verdict_event event,
+		    const char *why)
+{
+	bool repeatable = request->route->kind == DIRECT_IDEMPOTENT ||
+			  request->route->resumes;
+	struct verdict_state state = {
+		.repeatable = repeatable,
+		.resumes = request->route->resumes,
+		.begun = request->begun,
+		.may_have_run = request->may_have_run,
+		.runs = request->runs + 1,
+		.runs_max = MAX(request->route->attempts_max, 1),
+		.moves = request->moves,
+		.has_time = direct_request_now_us(request) + TRY_MIN_US <
+			    request->give_up_us,
+	};
+	enum verdict_step step =
+		verdict_next(&state, event, take_retry, request);
+
+	if (event == VERDICT_BROKEN || event == VERDICT_ERROR) {
+		request->may_have_run = true;
+		request->runs++;
+	}
+	log_step(request, event, step, why);
+	switch (step) {
+	case VERDICT_PASS:
+		pass_answer(request);
+		break;
+	case VERDICT_AGAIN:
+	case VERDICT_RESUME:
+		direct_sending_start(request);
+		break;
+	case VERDICT_REMAKE:
+		remake_inputs(request);
+		break;
+	case VERDICT_REFUSE:
+		direct_request_refuse(request, DIRECT_WAIT_FULL_US, why);
+		break;
+	case VERDICT_FAIL:
+		direct_request_answer_own(request, 502, 0, why);
+		break;
+	case VERDICT_CUT:
+		direct_request_cut(request, why);
+		break;
+	}
+}
+
+/* ---- hearing from the upstream ---- */
+
+static int64_t stall_us(const struct direct_request *request)
+{
+	const struct direct_route *route = request->route;
+	int64_t left_us = request->give_up_us - direct_request_now_us(request);
+
+	if (route->kind == DIRECT_STREAM && request->heard)
+		return MAX(STALL_GAPS * route->gap_us, STALL_MIN_US);
+	if (route->kind == DIRECT_STREAM)
+		return MAX(STALL_EXPECTED * request->expected_us,
+			   STALL_FIRST_MIN_US);
+	return MIN(MAX(STALL_TARGETS * route->target_us, STALL_MIN_US),
+		   left_us / 2);
+}
+
+static gboolean on_stall(gpointer userdata)
+{
+	struct direct_request *request = userdata;
+
+	request->stall_timer = 0;
+	direct_sending_leave(request, POOL_UNREACHABLE);
+	step_on(request, VERDICT_BROKEN, "silent");
+	return G_SOURCE_REMOVE;
+}
+
+/* Only what may be repeated is taken from an upstream that is silent, and
+ * only while a repeat is still allowed. */
+static void set_stall_timer(struct direct_request *request)
+{
+	const struct direct_route *route = request->route;
+
+	direct_clear_timer(&request->stall_timer);
+	if (route->kind != DIRECT_IDEMPOTENT && !route->resumes)
+		return;
+	if (request->runs + 1 >= route->attempts_max)
+		return;
+	request->stall_timer = g_timeout_add(
+		(guint)(stall_us(request) / LP_US_PER_MS), on_stall, request);
+}
+
+/* The upstream has begun to answer: it has read the prompt and its inputs. */
+static void note_heard(struct direct_request *request)
+{
+	struct direct *direct = request->direct;
+	int64_t took_us = direct_request_now_us(request) - request->sent_us;
+
+	if (request->heard)
+		return;
+	request->heard = true;
+	request->upstream->tokens_ahead -= request->cold_tokens;
+	pool_learn(direct->pool, request->upstream, POOL_SERVED, took_us,
+		   request->expected_us);
+	if (request->route->kind == DIRECT_STREAM)
+		lp_histogram_add(direct->first_times,
+				 direct_request_now_us(request) -
+					 request->arrived_us);
+	if (request->graph && !request->route->resumes)
+		direct_stages_free_results(direct->stages, request->graph,
+					   true);
+}
+
+static void on_head(void *userdata, uint32_t status,
+		    const struct http_fields *fields)
+{
+	struct direct_request *request = userdata;
+
+	request->status = status;
+	request->unframed = !http_fields_get(fields, "Content-Length") &&
+			    !http_fields_get(fields, "Transfer-Encoding");
+	request->direct->options.codec->read_reply(status, fields, request->id,
+						   &request->reply);
+	/* A resumed stream keeps the head of its first upstream. */
+	if (request->begun)
+		return;
+	http_fields_clear(&request->fields);
+	http_fields_init(&request->fields);
+	http_fields_copy_end_to_end(&request->fields, fields);
+}
+
+static bool is_stream(const struct direct_request *request)
+{
+	return request->status / 100 == 2 && request->reply.is_events &&
+	       request->reply.is_ours && request->reply.is_genuine;
+}
+
+static void begin_answer(struct direct_request *request)
+{
+	if (request->begun)
+		return;
+	request->begun = true;
+	http_call_start(request->call, request->status, &request->fields);
+}
+
+static void remember_event_id(struct direct_request *request, const char *event,
+			      size_t size)
+{
+	static const char name[] = "id:";
+	const char *at = g_strstr_len(event, (gssize)size, name);
+	const char *end;
+
+	if (!at || (at != event && at[-1] != '\n'))
+		return;
+	at += sizeof(name) - 1;
+	while (at < event + size && *at == ' ')
+		at++;
+	end = memchr(at, '\n', (size_t)(event + size - at));
+	if (!end)
+		return;
+	g_free(request->last_event_id);
+	request->last_event_id = g_strstrip(g_strndup(at, (gsize)(end - at)));
+}
+
+/* Length of the whole events at the start of the text; ids are noted. */
+static size_t whole_events(struct direct_request *request, const char *text,
+			   size_t size)
+{
+	size_t done = 0;
+
+	while (done < size) {
+		const char *end = g_strstr_len(text + done,
+					       (gssize)(size - done), "\n\n");
+		size_t event_size;
+
+		if (!end)
+			break;
+		event_size = (size_t)(end - text) + 2 - done;
+		remember_event_id(request, text + done, event_size);
+		done += event_size;
+	}
+	return done;
+}
+
+static void pass_events(struct direct_request *request)
+{
+	size_t size =
+		whole_events(request, request->body->str, request->body->len);
+
+	if (!size)
+		return;
+	note_heard(request);
+	begin_answer(request);
+	http_call_write(request->call, request->body->str, size);
+	g_string_erase(request->body, 0, (gssize)size);
+	set_stall_timer(request);
+}
+
+static void on_body(void *userdata, const char *bytes, size_t size)
+{
+	struct direct_request *request = userdata;
+
+	g_string_append_len(request->body, bytes, (gssize)size);
+	if (is_stream(request))
+		pass_events(request);
+	if (request->body->len > ANSWER_MAX ||
+	    http_call_unsent(request->call) > UNSENT_MAX) {
+		if (request->begun)
+			direct_request_cut(request, "too_large");
+		else
+			direct_request_answer_own(request, 502, 0, "too_large");
+	}
+}
+
+static void end_stream(struct direct_request *request)
+{
+	bool torn = request->unframed && request->body->len;
+
+	note_heard(request);
+	direct_sending_leave(request, torn ? POOL_UNREACHABLE : POOL_SERVED);
+	if (torn) {
+		g_string_truncate(request->body, 0);
+		step_on(request, VERDICT_BROKEN, "torn");
+		return;
+	}
+	begin_answer(request);
+	http_call_write(request->call, request->body->str, request->body->len);
+	direct_request_log_end(request, "answered", request->status, NULL);
+	http_call_finish(request->call);
+	direct_request_free(request);
+}
+
+static void end_plain(struct direct_request *request)
+{
+	const struct direct_reply *reply = &request->reply;
+	bool success = request->status / 100 == 2;
+
+	if (reply->other_process) {
+		direct_sending_leave(request, POOL_WRONG);
+		step_on(request, VERDICT_NOT_RUN, "other_process");
+	} else if (reply->not_run) {
+		direct_sending_leave(request, POOL_FULL);
+		step_on(request,
+			reply->input_gone ? VERDICT_INPUT_GONE
+					  : VERDICT_NOT_RUN,
+			"not_run");
+	} else if (!reply->is_ours || (success && !reply->is_genuine)) {
+		direct_sending_leave(request, POOL_UNREACHABLE);
+		step_on(request, VERDICT_BROKEN, "not_ours");
+	} else if (request->begun) {
+		direct_sending_leave(request, POOL_ERROR);
+		step_on(request, VERDICT_BROKEN, "no_stream");
+	} else if (request->status >= 500) {
+		direct_sending_leave(request, POOL_ERROR);
+		step_on(request, VERDICT_ERROR, "error");
+	} else {
+		note_heard(request);
+		direct_sending_leave(request, POOL_SERVED);
+		step_on(request, VERDICT_ANSWERED, "answered");
+	}
+}
+
+static void on_done(void *userdata, int error, bool sent)
+{
+	struct direct_request *request = userdata;
+
+	request->exchange = NULL;
+	if (error) {
+		g_string_truncate(request->body, 0);
+		direct_sending_leave(request, POOL_UNREACHABLE);
+		step_on(request, sent ? VERDICT_BROKEN : VERDICT_NOT_SENT,
+			error == LP_ERROR_PROTOCOL ? "garbled" : "connection");
+	} else if (is_stream(request)) {
+		end_stream(request);
+	} else {
+		end_plain(request);
+	}
+}
+
+static const struct http_exchange_events exchange_events = {
+	.head = on_head,
+	.body = on_body,
+	.done = on_done,
+};
+
+/* ---- sending ---- */
+
+static struct pool_upstream *pick_upstream(struct direct_request *request)
+{
+	const struct pool_part *parts =
+		request->ask.parts
+			? (struct pool_part *)request->ask.parts->data
+			: NULL;
+	const char *maker =
+		request->graph ? graph_main_maker(request->graph) : NULL;
+	struct pool_upstream *maker_upstream =
+		maker ? pool_find(request->direct->pool, maker) : NULL;
+	struct pool_ask ask = {
+		.service = request->service,
+		.parts = parts,
+		.parts_count = parts ? request->ask.parts->len : 0,
+		.tried = (const char *const *)request->tried->pdata,
+		.tried_count = request->tried->len,
+	};
+
+	for (uint32_t i = 0; i < request->route->stages_count; i++)
+		ask.fetch_bytes += request->route->stages[i].bytes;
+	if (maker_upstream)
+		ask.domain = maker_upstream->entry.domain;
+	return pool_pick(request->direct->pool, &ask);
+}
+
+static void write_fields(struct direct_request *request,
+			 struct http_fields *fields)
+{
+	GPtrArray *inputs = NULL;
+	struct direct_offer offer = {
+		.from = http_call_fields(request->call),
+		.upstream = request->upstream->entry.id,
+		.organisation = request->organisation
+					? request->organisation->name
+					: NULL,
+		.left_us = request->give_up_us - direct_request_now_us(request),
+		.priority = request->priority,
+		.last_event_id = request->last_event_id
+					 ? request->last_event_id
+					 : request->ask.last_event_id,
+	};
+
+	if (request->graph) {
+		inputs = g_ptr_array_new();
+		graph_inputs(request->graph, request->route->stages_count,
+			     inputs);
+		offer.inputs = inputs;
+	}
+	request->direct->options.codec->write_offer(&offer, fields);
+	if (inputs)
+		g_ptr_array_unref(inputs);
+}
+
+static void prepare_sending(struct direct_request *request,
+			    struct pool_upstream *upstream)
+{
+	const struct direct_service *service =
+		direct_config_service(request->config, request->service);
+	const GArray *parts = request->ask.parts;
+
+	request->state = DIRECT_STATE_SENT;
+	request->upstream = pool_hold(upstream);
+	request->sent_us = direct_request_now_us(request);
+	request->heard = false;
+	request->status = 0;
+	memset(&request->reply, 0, sizeof(request->reply));
+	g_string_truncate(request->body, 0);
+	request->cold_tokens = 0;
+	request->expected_us = 0;
+	if (parts && parts->len) {
+		const struct pool_part *list = (struct pool_part *)parts->data;
+
+		request->cold_tokens =
+			pool_cold_tokens(upstream, list, parts->len);
+		request->expected_us =
+			DIRECT_ENGINE_FIRST_US / 4 +
+			(upstream->tokens_ahead + request->cold_tokens) *
+				LP_US_PER_MS / POOL_TOKENS_PER_MS;
+		pool_remember(
+			request->direct->pool, upstream, list, parts->len,
+			service ? (int64_t)(MEMORY_SHARE *
+					    (double)service->engine_tokens)
+				: 0);
+	}
+	upstream->in_flight++;
+	upstream->tokens_ahead += request->cold_tokens;
+	request->moves++;
+	g_ptr_array_add(request->tried, g_strdup(upstream->entry.id));
+}
+
+static void log_sending(struct direct_request *request)
+{
+	struct lp_event_log *log = request->direct->options.log;
+
+	if (!lp_event_begin(log, "sending", request->id))
+		return;
+	lp_event_text(log, "service", request->service);
+	lp_event_text(log, "upstream", request->upstream->entry.id);
+	lp_event_text(log, "domain", request->upstream->entry.domain);
+	lp_event_int(log, "cold_tokens", request->cold_tokens);
+	lp_event_int(log, "tokens_ahead", request->upstream->tokens_ahead);
+	lp_event_int(log, "in_flight", request->upstream->in_flight);
+	lp_event_int(log, "waited_us", request->sent_us - request->arrived_us);
+	lp_event_int(log, "config", request->config->version);
+	lp_event_end(log);
+}
+
+static void start_exchange(struct direct_request *request)
+{
+	const char *method = http_call_method(request->call);
+	struct http_fields fields;
+	size_t size;
+	const char *body = http_call_body(request->call, &size);
+
+	http_fields_init(&fields);
+	write_fields(request, &fields);
+	request->exchange = http_exchange_start(&(struct http_exchange_options){
+		.address = request->upstream->entry.address,
+		.method = method,
+		.target = http_call_target(request->call),
+		.fields = &fields,
+		.body = body,
+		.body_size = size,
+		.has_body = size || (strcmp(method, "GET") != 0 &&
+				     strcmp(method, "HEAD") != 0),
+		.connect_timeout_us = DIRECT_CONNECT_TIMEOUT_US,
+		.events = &exchange_events,
+		.userdata = request,
+	});
+	http_fields_clear(&fields);
+}
+
+void direct_sending_start(struct direct_request *request)
+{
+	struct pool_upstream *upstream = pick_upstream(request);
+
+	if (!upstream) {
+		if (request->begun)
+			direct_request_cut(request, "no_upstream");
+		else
+			direct_request_refuse(request, DIRECT_WAIT_FULL_US,
+					      "no_upstream");
+		return;
+	}
+	prepare_sending(request, upstream);
+	log_sending(request);
+	start_exchange(request);
+	if (!request->exchange) {
+		direct_sending_leave(request, POOL_UNREACHABLE);
+		step_on(request, VERDICT_NOT_SENT, "connection");
+		return;
+	}
+	set_stall_timer(request);
+}
--- a/direct/direct_stages.c
+++ b/direct/direct_stages.c
@@ -3,16 +3,9 @@
 
 #include <string.h>
 
-/* Results given up are gathered this long, so that one call names many. Room
- * for results is scarce: short against a call. */
-#define FREE_GATHER_MS 40
 /* A call may take this many times what is expected of it. */
 #define CALL_SLACK 4
 #define CALL_TIMEOUT_MIN_US (1 * LP_US_PER_S)
-/* Within a region a connection stands in a few ms; a lost packet is sent
- * again after a second, and by then another upstream is the better choice. */
-#define CONNECT_TIMEOUT_US (400 * LP_US_PER_MS)
-#define FREE_TIMEOUT_MS 2000
 /* What pieces took tells of the next ones for about four calls; the newest
  * counts a quarter. */
 #define LEARNT_US (1 * LP_US_PER_S)
@@ -33,11 +26,9 @@
 
 struct direct_stages {
 	struct direct *direct;
-	GHashTable *services;	/* name -> struct service */
-	GHashTable *frees;	/* maker id -> struct gathered */
-	GHashTable *calls;	/* of struct stage_call */
-	GHashTable *free_calls; /* of struct free_call */
-	guint free_timer;
+	GHashTable *services; /* name -> struct service */
+	GHashTable *calls;    /* of struct stage_call */
+	struct direct_results *results;
 	guint homes_timer;
 	guint run_source;
 };
@@ -54,23 +45,6 @@
 	struct direct_reply reply;
 };
 
-/* Results of one maker that are given up next. */
-struct gathered {
-	GPtrArray *handles;
-	int64_t bytes;
-};
-
-struct free_call {
-	struct direct_stages *stages;
-	char *maker;
-	uint32_t handles;
-	int64_t bytes;
-	uint32_t status;
-	int64_t started_us;
-	struct http_exchange *exchange;
-	guint timer;
-};
-
 static void schedule_run(struct direct_stages *stages);
 
 /* ---- services ---- */
@@ -141,8 +115,9 @@
 	}
 }
 
-static void tell_busy(struct direct_stages *stages,
-		      const struct pool_upstream *upstream, int64_t for_us)
+void direct_stages_tell_busy(struct direct_stages *stages,
+			     const struct pool_upstream *upstream,
+			     int64_t for_us)
 {
 	if (stages->direct->peers)
 		direct_peers_tell_busy(stages->direct->peers, upstream->hash,
@@ -150,8 +125,8 @@
 }
 
 /* How long a call of ours keeps this upstream at work still. */
-static int64_t own_work_us(const struct direct_stages *stages,
-			   const struct pool_upstream *upstream)
+int64_t direct_stages_own_work_us(const struct direct_stages *stages,
+				  const struct pool_upstream *upstream)
 {
 	int64_t now_us = lp_now_us(stages->direct->options.clock);
 	GHashTableIter iter;
@@ -173,175 +148,14 @@
 
 /* ---- giving results up ---- */
 
-static void free_gathered(gpointer data)
-{
-	struct gathered *gathered = data;
-
-	g_ptr_array_unref(gathered->handles);
-	g_free(gathered);
-}
-
-static GHashTable *create_frees(void)
-{
-	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-				     free_gathered);
-}
-
-/* The maker has the room again, or will drop the results by itself. */
-static void end_free_call(struct free_call *call)
-{
-	struct pool_upstream *upstream =
-		pool_find(call->stages->direct->pool, call->maker);
-
-	if (upstream) {
-		upstream->kept_bytes -= call->bytes;
-		tell_busy(call->stages, upstream,
-			  own_work_us(call->stages, upstream));
-	}
-	g_hash_table_remove(call->stages->free_calls, call);
-	if (call->timer)
-		g_source_remove(call->timer);
-	g_free(call->maker);
-	g_free(call);
-}
-
-static void log_free(const struct free_call *call)
-{
-	struct direct *direct = call->stages->direct;
-
-	if (!lp_event_begin(direct->options.log, "results_given_up", NULL))
-		return;
-	lp_event_text(direct->options.log, "upstream", call->maker);
-	lp_event_int(direct->options.log, "results", call->handles);
-	lp_event_int(direct->options.log, "status", call->status);
-	lp_event_int(direct->options.log, "took_us",
-		     lp_now_us(direct->options.clock) - call->started_us);
-	lp_event_end(direct->options.log);
-}
-
-static void on_free_head(void *userdata, uint32_t status,
-			 const struct http_fields *fields)
-{
-	((struct free_call *)userdata)->status = status;
-}
-
-static void on_free_body(void *userdata, const char *bytes, size_t size)
-{
-}
-
-/* Lost or not: an upstream drops what nobody names after a few seconds. */
-static void on_free_done(void *userdata, int error, bool sent)
-{
-	struct free_call *call = userdata;
-
-	*lp_counter(call->stages->direct->options.counters,
-		    "linepier_result_frees_total",
-		    error ? "outcome=\"failed\"" : "outcome=\"done\"") += 1;
-	log_free(call);
-	end_free_call(call);
-}
-
-static const struct http_exchange_events free_events = {
-	.head = on_free_head,
-	.body = on_free_body,
-	.done = on_free_done,
-};
-
-static gboolean on_free_timeout(gpointer userdata)
-{
-	struct free_call *call = userdata;
-
-	call->timer = 0;
-	http_exchange_cancel(call->exchange);
-	log_free(call);
-	end_free_call(call);
-	return G_SOURCE_REMOVE;
-}
-
-static void send_free(struct direct_stages *stages, const char *maker,
-		      const struct gathered *gathered)
-{
-	const GPtrArray *handles = gathered->handles;
-	const struct direct_codec *codec = stages->direct->options.codec;
-	struct pool_upstream *upstream = pool_find(stages->direct->pool, maker);
-	g_autofree char *body = NULL;
-	struct http_fields fields;
-	struct free_call *call;
-
-	if (!upstream) /* its results went with it */
-		return;
-	body = codec->write_free(handles);
-	call = g_new0(struct free_call, 1);
-	call->stages = stages;
-	call->maker = g_strdup(maker);
-	call->handles = handles->len;
-	call->bytes = gathered->bytes;
-	call->started_us = lp_now_us(stages->direct->options.clock);
-	http_fields_init(&fields);
-	codec->write_call(maker, &fields);
-	call->exchange = http_exchange_start(&(struct http_exchange_options){
-		.address = upstream->entry.address,
-		.method = "POST",
-		.target = codec->free_target,
-		.fields = &fields,
-		.body = body,
-		.body_size = strlen(body),
-		.has_body = true,
-		.connect_timeout_us = CONNECT_TIMEOUT_US,
-		.events = &free_events,
-		.userdata = call,
-	});
-	http_fields_clear(&fields);
-	g_hash_table_add(stages->free_calls, call);
-	if (!call->exchange) {
-		end_free_call(call);
-		return;
-	}
-	call->timer = g_timeout_add(FREE_TIMEOUT_MS, on_free_timeout, call);
-}
-
-static gboolean on_free_gathered(gpointer userdata)
-{
-	struct direct_stages *stages = userdata;
-	g_autoptr(GHashTable) frees = stages->frees;
-	GHashTableIter iter;
-	gpointer maker;
-	gpointer gathered;
-
-	stages->free_timer = 0;
-	stages->frees = create_frees();
-	g_hash_table_iter_init(&iter, frees);
-	while (g_hash_table_iter_next(&iter, &maker, &gathered))
-		send_free(stages, maker, gathered);
-	return G_SOURCE_REMOVE;
-}
-
-/* Takes over the handle. */
-static void gather_free(struct direct_stages *stages, const char *maker,
-			char *handle, int64_t bytes)
-{
-	struct gathered *gathered = g_hash_table_lookup(stages->frees, maker);
-
-	if (!gathered) {
-		gathered = g_new0(struct gathered, 1);
-		gathered->handles = g_ptr_array_new_with_free_func(g_free);
-		g_hash_table_insert(stages->frees, g_strdup(maker), gathered);
-	}
-	g_ptr_array_add(gathered->handles, handle);
-	gathered->bytes += bytes;
-	if (!stages->free_timer)
-		stages->free_timer =
-			g_timeout_add(FREE_GATHER_MS, on_free_gathered, stages);
-}
-
 static void give_up(struct direct_stages *stages, const GArray *results)
 {
 	for (guint i = 0; i < results->len; i++) {
 		struct graph_result *result =
 			&g_array_index(results, struct graph_result, i);
 
-		gather_free(stages, result->maker, result->handle,
-			    result->bytes);
+		direct_results_give_up(stages->results, result->maker,
+				       result->handle, result->bytes);
 		g_free(result->maker);
 	}
 }
@@ -381,9 +195,9 @@
 	if (!piece->request) {
 		/* Its request ended meanwhile. */
 		if (made->result == DIRECT_ITEM_MADE)
-			gather_free(call->stages, upstream->entry.id,
-				    g_steal_pointer(&made->handle),
-				    piece->bytes);
+			direct_results_give_up(
+				call->stages->results, upstream->entry.id,
+				g_steal_pointer(&made->handle), piece->bytes);
 		return;
 	}
 	graph = direct_request_graph(piece->request);
@@ -504,7 +318,7 @@
 		g_free(made[i].handle);
 	g_free(made);
 	g_hash_table_remove(stages->calls, call);
-	tell_busy(stages, call->call->upstream, 0);
+	direct_stages_tell_busy(stages, call->call->upstream, 0);
 	pieces_end(call->service->pieces, call->call, outcome,
 		   call->reply.running, call->reply.waiting);
 	g_string_free(call->body, TRUE);
@@ -633,7 +447,7 @@
 		.body = body,
 		.body_size = strlen(body),
 		.has_body = true,
-		.connect_timeout_us = CONNECT_TIMEOUT_US,
+		.connect_timeout_us = DIRECT_CONNECT_TIMEOUT_US,
 		.events = &call_events,
 		.userdata = call,
 	});
@@ -642,7 +456,7 @@
 		end_call(call, LP_ERROR_UPSTREAM_GONE);
 		return;
 	}
-	tell_busy(stages, made->upstream, made->expected_us);
+	direct_stages_tell_busy(stages, made->upstream, made->expected_us);
 	call->timer = g_timeout_add((guint)(MAX(CALL_SLACK * made->expected_us,
 						CALL_TIMEOUT_MIN_US) /
 					    LP_US_PER_MS),
@@ -815,9 +629,8 @@
 	stages->direct = direct;
 	stages->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						 free_service);
-	stages->frees = create_frees();
+	stages->results = direct_results_create(direct);
 	stages->calls = g_hash_table_new(NULL, NULL);
-	stages->free_calls = g_hash_table_new(NULL, NULL);
 	stages->homes_timer = g_timeout_add(HOMES_MS, on_homes, stages);
 	return stages;
 }
@@ -825,7 +638,6 @@
 static void drop_calls(struct direct_stages *stages)
 {
 	g_autoptr(GList) calls = g_hash_table_get_keys(stages->calls);
-	g_autoptr(GList) frees = g_hash_table_get_keys(stages->free_calls);
 
 	for (GList *at = calls; at; at = at->next) {
 		struct stage_call *call = at->data;
@@ -833,12 +645,6 @@
 		http_exchange_cancel(call->exchange);
 		end_call(call, LP_ERROR_UPSTREAM_GONE);
 	}
-	for (GList *at = frees; at; at = at->next) {
-		struct free_call *call = at->data;
-
-		http_exchange_cancel(call->exchange);
-		end_free_call(call);
-	}
 }
 
 void direct_stages_destroy(struct direct_stages *stages)
@@ -847,11 +653,8 @@
 	g_source_remove(stages->homes_timer);
 	if (stages->run_source)
 		g_source_remove(stages->run_source);
-	if (stages->free_timer)
-		g_source_remove(stages->free_timer);
 	g_hash_table_unref(stages->services);
-	g_hash_table_unref(stages->frees);
+	direct_results_destroy(stages->results);
 	g_hash_table_unref(stages->calls);
-	g_hash_table_unref(stages->free_calls);
 	g_free(stages);
 }
--- a/http/http_server.c
+++ b/http/http_server.c
@@ -32,8 +32,6 @@
 	bool reading;	  /* a part of a request is here */
 	bool owed;	  /* a whole request waits for its answer */
 	bool refused;	  /* what still comes is thrown away */
-	uint32_t feeding; /* depth of feed(): it may not be freed meanwhile */
-	bool doomed;	  /* free after feeding */
 };
 
 struct http_server {
@@ -42,6 +40,7 @@
 	GSource *source;
 	guint sweep;
 	GHashTable *conns;
+	GPtrArray *dropped; /* connections that have ended, to be freed */
 	uint32_t busy;
 	bool draining;
 };
@@ -56,8 +55,9 @@
 
 /* ---- connections ---- */
 
-static void free_conn(struct conn *conn)
+static void free_conn(gpointer data)
 {
+	struct conn *conn = data;
 	http_parse_clear(&conn->parse);
 	g_byte_array_unref(conn->body);
 	g_byte_array_unref(conn->ahead);
@@ -93,10 +93,8 @@
 		http_sock_abort(conn->sock);
 	else
 		http_sock_close(conn->sock);
-	if (conn->feeding)
-		conn->doomed = true;
-	else
-		free_conn(conn);
+	/* Whoever called may still look at it: freed by the next sweep. */
+	g_ptr_array_add(conn->server->dropped, conn);
 }
 
 static bool ends_connection(const struct conn *conn)
@@ -220,14 +218,12 @@
 		set_reading(conn, true);
 		conn->since_us = now_us(conn);
 	}
-	conn->feeding++;
+
 	error = http_parse_feed(&conn->parse, bytes, size, &used);
 	if (!error && used < size)
 		g_byte_array_append(conn->ahead, (const guint8 *)bytes + used,
 				    (guint)(size - used));
 	judge_fed(conn, error);
-	if (!--conn->feeding && conn->doomed)
-		free_conn(conn);
 }
 
 static void on_data(void *userdata, const char *bytes, size_t size)
@@ -315,6 +311,7 @@
 
 	for (GList *at = conns; at; at = at->next)
 		check_silence(at->data);
+	g_ptr_array_set_size(server->dropped, 0);
 	return G_SOURCE_CONTINUE;
 }
 
@@ -355,6 +352,7 @@
 	server->options.address = NULL;
 	server->listener = listener;
 	server->conns = g_hash_table_new(NULL, NULL);
+	server->dropped = g_ptr_array_new_with_free_func(free_conn);
 	server->source = g_socket_create_source(listener, G_IO_IN, NULL);
 	g_source_set_callback(server->source, G_SOURCE_FUNC(on_accept), server,
 			      NULL);
@@ -384,6 +382,7 @@
 	for (GList *at = conns; at; at = at->next)
 		drop_conn(at->data, true);
 	g_hash_table_unref(server->conns);
+	g_ptr_array_unref(server->dropped);
 	g_free(server);
 }
 
--- a/http/http_sock.c
+++ b/http/http_sock.c
@@ -26,7 +26,6 @@
 	void *userdata;
 	GByteArray *out;
 	size_t out_start; /* bytes of `out` already sent */
-	uint32_t refs;
 	bool connecting;
 	bool paused;
 	bool closed; /* by us: no more events */
@@ -39,10 +38,10 @@
 	struct http_sock *sock;
 };
 
-static void release(struct http_sock *sock)
+static void clear_sock(gpointer data)
 {
-	if (--sock->refs)
-		return;
+	struct http_sock *sock = data;
+
 	if (sock->linger)
 		g_source_remove(sock->linger);
 	if (sock->source) {
@@ -51,7 +50,11 @@
 	}
 	g_object_unref(sock->socket);
 	g_byte_array_unref(sock->out);
-	g_free(sock);
+}
+
+static void release(struct http_sock *sock)
+{
+	g_rc_box_release_full(sock, clear_sock);
 }
 
 size_t http_sock_unsent(const struct http_sock *sock)
@@ -151,7 +154,7 @@
 	struct http_sock *sock = ((struct sock_source *)source)->sock;
 	GIOCondition ready = g_source_query_unix_fd(source, sock->tag);
 
-	sock->refs++;
+	g_rc_box_acquire(sock);
 	if (sock->connecting) {
 		if (ready)
 			finish_connect(sock);
@@ -175,13 +178,13 @@
 static struct http_sock *
 create(GSocket *socket, const struct http_sock_events *events, void *userdata)
 {
-	struct http_sock *sock = g_new0(struct http_sock, 1);
+	struct http_sock *sock = g_rc_box_new0(struct http_sock);
 
 	sock->socket = socket;
 	sock->events = *events;
 	sock->userdata = userdata;
 	sock->out = g_byte_array_new();
-	sock->refs = 1;
+
 	g_socket_set_blocking(socket, FALSE);
 	g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
 	g_socket_set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
--- a/policy/homes.c
+++ b/policy/homes.c
@@ -37,19 +37,22 @@
 		   struct homes_place *upstreams, uint32_t upstreams_count,
 		   uint64_t self)
 {
-	g_autofree uint32_t *taken = g_new0(uint32_t, upstreams_count + 1);
+	uint32_t *taken;
+	int32_t found = -1;
 
 	if (!upstreams_count)
-		return -1;
+		return found;
+	taken = g_new0(uint32_t, upstreams_count);
 	qsort(entries, entries_count, sizeof(*entries), by_hash);
 	qsort(upstreams, upstreams_count, sizeof(*upstreams), by_hash);
-	for (uint32_t i = 0; i < entries_count; i++) {
+	for (uint32_t i = 0; i < entries_count && found < 0; i++) {
 		uint32_t home =
 			pick(&entries[i], upstreams, upstreams_count, taken);
 
 		if (entries[i].hash == self)
-			return (int32_t)home;
+			found = (int32_t)home;
 		taken[home]++;
 	}
-	return -1;
+	g_free(taken);
+	return found;
 }
--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -386,7 +386,7 @@
 static void take_planned(struct pieces *pieces, struct pool_upstream *upstream,
 			 GArray *out)
 {
-	g_autofree bool *taken = g_new0(bool, pieces->waiting->len);
+	bool *taken = g_new0(bool, pieces->waiting->len);
 
 	plan(pieces, upstream, taken);
 	for (guint i = 0; i < pieces->waiting->len; i++) {
@@ -401,6 +401,7 @@
 		else if (is_taken_of(out, waiting_at(pieces, i)))
 			waiting_at(pieces, i)->split = true;
 	}
+	g_free(taken);
 }
 
 static struct pieces_call *open_call(struct pieces *pieces,
--- a/policy/pool.c
+++ b/policy/pool.c
@@ -4,9 +4,6 @@
 
 #include <string.h>
 
-/* Prompt tokens that an engine reads in a millisecond. A start value: the
- * engines' real speed shows in `slowness`. */
-#define TOKENS_PER_MS 60
 /* Time of an engine's answer beside its prompt: the first step. */
 #define FIRST_STEP_US (10 * LP_US_PER_MS)
 /* Requests at work slow an engine's steps: about 0.3% each. */
@@ -483,13 +480,14 @@
 						ask->parts_count);
 		int64_t tokens = upstream->tokens_ahead + cold;
 
-		cost = FIRST_STEP_US + PER_REQUEST_US * upstream->in_flight +
-		       (double)tokens * LP_US_PER_MS / TOKENS_PER_MS;
+		cost = FIRST_STEP_US +
+		       (double)PER_REQUEST_US * upstream->in_flight +
+		       (double)tokens * LP_US_PER_MS / POOL_TOKENS_PER_MS;
 		if (home && upstream != home)
 			cost += NOT_HOME_US +
 				(double)shared_cold(ask, upstream) *
 					READ_AGAIN * LP_US_PER_MS /
-					TOKENS_PER_MS;
+					POOL_TOKENS_PER_MS;
 	} else {
 		uint32_t slots = MAX(upstream->entry.slots, 1);
 
@@ -497,9 +495,9 @@
 		       (1.0 + (double)upstream->in_flight / slots);
 	}
 	cost *= upstream->slowness * (1.0 + 4.0 * upstream->error_share);
-	if (strcmp(upstream->entry.domain, pool->domain))
+	if (strcmp(upstream->entry.domain, pool->domain) != 0)
 		cost += OTHER_DOMAIN_US;
-	if (ask->domain && strcmp(upstream->entry.domain, ask->domain))
+	if (ask->domain && strcmp(upstream->entry.domain, ask->domain) != 0)
 		cost += (double)ask->fetch_bytes / FETCH_BYTES_PER_US;
 	return cost;
 }
--- a/policy/pool.h
+++ b/policy/pool.h
@@ -17,6 +17,10 @@
 
 struct pool;
 
+/** Prompt tokens that an engine reads in a millisecond: a start value, what an
+ * engine really does shows in its slowness. */
+#define POOL_TOKENS_PER_MS INT64_C(60)
+
 /** Others whose calls at one upstream are known at the same time. */
 #define POOL_OTHERS_MAX 8
 
