--- a/http/http_parse.c
+++ b/http/http_parse.c
@@ -23,8 +23,17 @@
 	return 0;
 }
 
+/* A character of a token (RFC 9110, 5.6.2). */
+static bool is_token(char c)
+{
+	return g_ascii_isalnum(c) || (c && strchr("!#$%&'*+-.^_`|~", c));
+}
+
 static int on_name(struct http_parser *parser, const char *at, size_t size)
 {
+	for (size_t i = 0; i < size; i++)
+		if (!is_token(at[i]))
+			return -1;
 	flush_field(of(parser));
 	g_string_append_len(of(parser)->name, at, (gssize)size);
 	return 0;
--- a/http/http_parse.h
+++ b/http/http_parse.h
@@ -1,8 +1,9 @@
 /**
  * One HTTP/1.1 message at a time out of a stream of bytes, by http-parser.
  *
- * Stricter than the library in one point: a line of the head must end with
- * CR LF, since a receiver behind us might read a lone LF otherwise.
+ * Stricter than the library in two points, where a receiver behind us might
+ * read otherwise: a line of the head ends with CR LF, and the name of a field
+ * is a token, with no space before its colon.
  */
 #ifndef HTTP_PARSE_H
 #define HTTP_PARSE_H
--- a/policy/verdict.c
+++ b/policy/verdict.c
@@ -47,6 +47,8 @@
 	case VERDICT_INPUT_GONE:
 		return after_not_run(state, event, take, userdata);
 	case VERDICT_ERROR:
+		if (state->begun) /* no place is left for another answer */
+			break;
 		return may_repeat(state, take, userdata) ? VERDICT_AGAIN
 							 : VERDICT_PASS;
 	case VERDICT_BROKEN:
--- a/tests/cwrap.h
+++ b/tests/cwrap.h
@@ -3,6 +3,8 @@
 #define CWRAP_H
 
 #include <gio/gio.h>
+#include <glib-unix.h>
+#include <glib/gstdio.h>
 #include <json-glib/json-glib.h>
 #include <libsoup/soup.h>
 
@@ -10,26 +12,45 @@
 #include "base/lp_clock.h"
 #include "base/lp_counter.h"
 #include "base/lp_error.h"
+#include "base/lp_event.h"
 #include "base/lp_id.h"
 #include "base/lp_settings.h"
 #include "config/cfg.h"
 #include "config/cfg_record.h"
+#include "direct/direct.h"
+#include "direct/direct_peers.h"
 #include "entry/entry_map.h"
+#include "http/http_client.h"
+#include "http/http_parse.h"
+#include "http/http_server.h"
+#include "http/http_sock.h"
+#include "platform/plf_codec.h"
+#include "platform/plf_feed.h"
+#include "platform/plf_kv.h"
+#include "platform/plf_records.h"
+#include "platform/plf_settings.h"
 #include "policy/bucket.h"
 #include "policy/claim.h"
 #include "policy/flow.h"
+#include "policy/graph.h"
+#include "policy/homes.h"
 #include "policy/keys.h"
 #include "policy/limit.h"
 #include "policy/member.h"
 #include "policy/order.h"
+#include "policy/pieces.h"
+#include "policy/pool.h"
 #include "policy/quant.h"
 #include "policy/queue.h"
 #include "policy/quota.h"
+#include "policy/retries.h"
 #include "policy/route.h"
 #include "policy/spread.h"
 #include "policy/throttle.h"
 #include "policy/trace.h"
+#include "policy/verdict.h"
 #include "policy/worker.h"
+#include "tools/pe.h"
 #include "wire/wire_msg.h"
 }
 
--- /dev/null
+++ b/tests/direct_policy_test.cc
@@ -0,0 +1,513 @@
+/* Decisions of an entry that calls upstreams directly: no I/O, own time. */
+#include "cwrap.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+/* ---- verdict ---- */
+
+struct Budget {
+	bool has = true;
+	int asked = 0;
+
+	static bool take(void *userdata)
+	{
+		auto *budget = static_cast<Budget *>(userdata);
+
+		budget->asked++;
+		return budget->has;
+	}
+};
+
+verdict_state fresh(bool repeatable)
+{
+	verdict_state state = {};
+
+	state.repeatable = repeatable;
+	state.runs = 1;
+	state.runs_max = 2;
+	state.moves = 1;
+	state.has_time = true;
+	return state;
+}
+
+/* Over all states: what may run once is sent again only after "not run", and
+ * "not run" is said only if nothing can have run. */
+TEST(Verdict, KeepsItsTwoPromisesInEveryState)
+{
+	for (int bits = 0; bits < 128; bits++)
+		for (int event = VERDICT_NOT_SENT; event <= VERDICT_INPUT_GONE;
+		     event++) {
+			Budget budget;
+			verdict_state state = fresh(bits & 1);
+
+			state.resumes = (bits & 2) && state.repeatable;
+			state.begun = bits & 4;
+			state.may_have_run = bits & 8;
+			state.has_time = bits & 16;
+			state.moves = bits & 32 ? 9 : 1;
+			budget.has = bits & 64;
+			auto step = verdict_next(&state, (verdict_event)event,
+						 Budget::take, &budget);
+			bool repeats =
+				step == VERDICT_AGAIN || step == VERDICT_RESUME;
+			bool ran = event == VERDICT_BROKEN ||
+				   event == VERDICT_ERROR;
+
+			if (ran && repeats) {
+				EXPECT_TRUE(state.repeatable);
+				EXPECT_EQ(budget.asked, 1);
+			}
+			if (step == VERDICT_REFUSE) {
+				EXPECT_FALSE(ran || state.may_have_run);
+				EXPECT_FALSE(state.begun);
+			}
+			if (state.begun && event != VERDICT_ANSWERED) {
+				EXPECT_TRUE(step == VERDICT_RESUME ||
+					    step == VERDICT_CUT ||
+					    step == VERDICT_REMAKE ||
+					    step == VERDICT_PASS);
+			}
+			EXPECT_LE(budget.asked, 1);
+		}
+}
+
+TEST(Verdict, WhatNeverLeftCostsNoBudget)
+{
+	Budget budget;
+	verdict_state state = fresh(false);
+
+	EXPECT_EQ(verdict_next(&state, VERDICT_NOT_SENT, Budget::take, &budget),
+		  VERDICT_AGAIN);
+	EXPECT_EQ(budget.asked, 0);
+}
+
+/* ---- retries ---- */
+
+TEST(Retries, KeepTheBoundInEveryWindow)
+{
+	TestClock clock;
+	retries_options options = { &clock.clock, 0.2, 3, 0 };
+	retries *budget = retries_create(&options);
+	std::vector<int64_t> requests;
+	std::vector<int64_t> taken;
+
+	for (int i = 0; i < 6000; i++) {
+		clock.now_us += 5000;
+		if (i % 3 == 0 && (i / 600) % 2 == 0) {
+			retries_saw_request(budget, "s");
+			requests.push_back(clock.now_us);
+		}
+		if (retries_take(budget, "s"))
+			taken.push_back(clock.now_us);
+	}
+	ASSERT_GT(taken.size(), 50u);
+	for (int64_t end : taken) {
+		int repeats = 0;
+		int seen = 0;
+
+		for (int64_t at : taken)
+			repeats += at > end - 10000000 && at <= end;
+		for (int64_t at : requests)
+			seen += at > end - 10000000 && at <= end;
+		EXPECT_LE(repeats, 0.2 * seen + 3);
+	}
+	retries_destroy(budget);
+}
+
+/* ---- homes ---- */
+
+TEST(Homes, SpreadEntriesEvenlyAndNear)
+{
+	std::vector<homes_place> entries = {
+		{ 11, "a" }, { 12, "a" }, { 13, "b" }, { 14, "c" }, { 15, "c" }
+	};
+	std::vector<homes_place> upstreams = {
+		{ 1, "a" }, { 2, "a" }, { 3, "b" }, { 4, "b" }, { 5, "c" }
+	};
+	std::set<uint64_t> homes;
+	int near = 0;
+
+	for (uint64_t self = 11; self <= 15; self++) {
+		auto them = entries;
+		auto there = upstreams;
+		int32_t home =
+			homes_find(them.data(), 5, there.data(), 5, self);
+
+		ASSERT_GE(home, 0);
+		homes.insert(there[home].hash);
+		for (const auto &entry : entries)
+			near += entry.hash == self &&
+				!strcmp(entry.domain, there[home].domain);
+	}
+	EXPECT_EQ(homes.size(), 5u);
+	EXPECT_EQ(near, 4);
+	EXPECT_EQ(homes_find(entries.data(), 5, upstreams.data(), 0, 11), -1);
+	EXPECT_EQ(homes_find(entries.data(), 5, upstreams.data(), 5, 99), -1);
+}
+
+/* ---- pool ---- */
+
+struct Pool {
+	TestClock clock;
+	pool *it = pool_create(&clock.clock, "a");
+	std::vector<std::vector<std::string>> texts;
+	std::vector<pool_entry> entries;
+
+	~Pool()
+	{
+		pool_destroy(it);
+	}
+	void add(const char *id, const char *domain, const char *service = "s")
+	{
+		pool_entry entry = { g_strdup(id),
+				     g_strdup(service),
+				     g_strdup("1:1"),
+				     g_strdup(domain),
+				     4,
+				     false };
+
+		entries.push_back(entry);
+		pool_update(it, entries.data(), entries.size());
+	}
+	pool_upstream *pick(std::vector<pool_part> parts = {},
+			    std::vector<const char *> tried = {})
+	{
+		pool_ask ask = {};
+
+		ask.service = "s";
+		ask.parts = parts.data();
+		ask.parts_count = parts.size();
+		ask.tried = tried.data();
+		ask.tried_count = tried.size();
+		return pool_pick(it, &ask);
+	}
+};
+
+TEST(Pool, LeavesOutWhoIsLeavingTriedOrFailing)
+{
+	Pool pool;
+
+	pool.add("one", "a");
+	pool.add("two", "a");
+	pool.entries[0].leaving = true;
+	pool_update(pool.it, pool.entries.data(), 2);
+	EXPECT_STREQ(pool.pick()->entry.id, "two");
+	EXPECT_EQ(pool.pick({}, { "two" }), nullptr);
+	pool.entries[0].leaving = false;
+	pool_update(pool.it, pool.entries.data(), 2);
+	pool_learn(pool.it, pool_find(pool.it, "two"), POOL_UNREACHABLE, 0, 0);
+	EXPECT_STREQ(pool.pick()->entry.id, "one");
+	/* One that is set aside is better than none. */
+	EXPECT_STREQ(pool.pick({}, { "one" })->entry.id, "two");
+}
+
+TEST(Pool, ForgetsFailuresWithTime)
+{
+	Pool pool;
+
+	pool.add("one", "a");
+	pool.add("two", "a");
+	pool_learn(pool.it, pool_find(pool.it, "one"), POOL_SERVED, 500000,
+		   50000);
+	EXPECT_STREQ(pool.pick()->entry.id, "two");
+	pool.clock.now_us += 30 * LP_US_PER_S;
+	pool_find(pool.it, "two")->in_flight = 1;
+	EXPECT_STREQ(pool.pick()->entry.id, "one");
+}
+
+TEST(Pool, KeepsAPrefixAtItsHomeUnlessThatIsFarBehind)
+{
+	Pool pool;
+	const std::vector<pool_part> prompt = { { 7, 9000 }, { 8, 500 } };
+	pool_upstream *home;
+
+	for (const char *id : { "e1", "e2", "e3", "e4" })
+		pool.add(id, "a");
+	home = pool.pick(prompt);
+	pool_remember(pool.it, home, prompt.data(), 2, 100000);
+	EXPECT_EQ(pool_cold_tokens(home, prompt.data(), 2), 0);
+	EXPECT_EQ(pool.pick({ { 7, 9000 }, { 9, 400 } }), home);
+	home->tokens_ahead = 200000;
+	EXPECT_NE(pool.pick({ { 7, 9000 }, { 9, 400 } }), home);
+}
+
+TEST(Pool, ForgetsTheOldestPartsBeyondAnEnginesMemory)
+{
+	Pool pool;
+	pool_upstream *engine;
+
+	pool.add("e", "a");
+	engine = pool.pick();
+	for (uint64_t i = 1; i <= 10; i++) {
+		const pool_part part = { i, 100 };
+
+		pool.clock.now_us++;
+		pool_remember(pool.it, engine, &part, 1, 500);
+	}
+	const pool_part oldest = { 5, 100 };
+	const pool_part newest = { 10, 100 };
+
+	EXPECT_EQ(pool_cold_tokens(engine, &oldest, 1), 100);
+	EXPECT_EQ(pool_cold_tokens(engine, &newest, 1), 0);
+}
+
+/* ---- graph ---- */
+
+struct Graph {
+	uint32_t zero = 0;
+	uint32_t one = 1;
+	graph *it;
+
+	/* 0 by itself; 1 -> 2 -> the request takes in 0 and 2. */
+	Graph(uint32_t a, uint32_t b, uint32_t c)
+	{
+		graph_stage stages[] = { { nullptr, 0, a },
+					 { nullptr, 0, b },
+					 { &one, 1, c } };
+
+		it = graph_create(stages, 3);
+	}
+	~Graph()
+	{
+		graph_destroy(it);
+	}
+	void make(uint32_t stage, uint32_t piece, const char *handle)
+	{
+		graph_made(it, stage, piece, handle, "maker", 10);
+	}
+	std::vector<std::string> inputs(uint32_t stage)
+	{
+		g_autoptr(GPtrArray) out = g_ptr_array_new();
+		std::vector<std::string> handles;
+
+		graph_inputs(it, stage, out);
+		for (guint i = 0; i < out->len; i++)
+			handles.emplace_back(
+				(const char *)g_ptr_array_index(out, i));
+		return handles;
+	}
+	std::vector<std::string> unneeded(bool all)
+	{
+		GArray *out = g_array_new(FALSE, FALSE, sizeof(graph_result));
+		std::vector<std::string> handles;
+
+		graph_take_unneeded(it, all, out);
+		for (guint i = 0; i < out->len; i++) {
+			auto *result = &g_array_index(out, graph_result, i);
+
+			handles.emplace_back(result->handle);
+			g_free(result->handle);
+			g_free(result->maker);
+		}
+		g_array_unref(out);
+		return handles;
+	}
+};
+
+TEST(GraphOfStages, GoesOnWhenAllInputsAreMade)
+{
+	Graph graph(1, 2, 1);
+
+	EXPECT_TRUE(graph_stage_ready(graph.it, 0));
+	EXPECT_FALSE(graph_stage_ready(graph.it, 2));
+	graph.make(1, 0, "b0");
+	EXPECT_FALSE(graph_stage_ready(graph.it, 2));
+	graph.make(1, 1, "b1");
+	EXPECT_TRUE(graph_stage_ready(graph.it, 2));
+	EXPECT_EQ(graph.inputs(2), (std::vector<std::string>{ "b0", "b1" }));
+	graph.make(2, 0, "c0");
+	EXPECT_FALSE(graph_complete(graph.it));
+	EXPECT_EQ(graph.unneeded(false),
+		  (std::vector<std::string>{ "b0", "b1" }));
+	graph.make(0, 0, "a0");
+	EXPECT_TRUE(graph_complete(graph.it));
+	EXPECT_EQ(graph.inputs(3), (std::vector<std::string>{ "a0", "c0" }));
+	EXPECT_EQ(graph.unneeded(true),
+		  (std::vector<std::string>{ "a0", "c0" }));
+}
+
+TEST(GraphOfStages, PassesOverAStageOfNoPieces)
+{
+	Graph graph(0, 0, 1);
+
+	EXPECT_TRUE(graph_stage_ready(graph.it, 2));
+	EXPECT_TRUE(graph.inputs(2).empty());
+	graph.make(2, 0, "c0");
+	EXPECT_TRUE(graph_complete(graph.it));
+	EXPECT_EQ(graph.inputs(3), (std::vector<std::string>{ "c0" }));
+}
+
+TEST(GraphOfStages, MakesAgainWhatIsLost)
+{
+	Graph graph(0, 1, 1);
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(graph_result));
+
+	graph.make(1, 0, "b0");
+	graph_lost_inputs(graph.it, 2, out);
+	EXPECT_EQ(out->len, 1u);
+	EXPECT_FALSE(graph_inputs_kept(graph.it, 2));
+	EXPECT_EQ(graph_state(graph.it, 1, 0), GRAPH_PIECE_MISSING);
+	for (guint i = 0; i < out->len; i++) {
+		g_free(g_array_index(out, graph_result, i).handle);
+		g_free(g_array_index(out, graph_result, i).maker);
+	}
+	g_array_unref(out);
+}
+
+/* ---- pieces ---- */
+
+struct Pieces : Pool {
+	pieces *queue;
+	int requests[64];
+
+	explicit Pieces(int64_t room = 0)
+	{
+		pieces_options options = {};
+
+		add("one", "a");
+		add("two", "a");
+		options.clock = &clock.clock;
+		options.pool = it;
+		options.service = "s";
+		options.domain = "a";
+		options.batch_max = 8;
+		options.call_us = 150000;
+		options.piece_us = 10000;
+		options.room_bytes = room;
+		queue = pieces_create(&options);
+		pieces_set_home(queue, pool_find(it, "one")->hash);
+	}
+	~Pieces()
+	{
+		pieces_destroy(queue);
+	}
+	void ask(int request, int count, int64_t due_us, int32_t priority = 0,
+		 int64_t bytes = 0)
+	{
+		piece one = {};
+
+		one.request = &requests[request];
+		one.due_us = clock.now_us + due_us;
+		one.until_us = one.due_us + 5000000;
+		one.priority = priority;
+		one.bytes = bytes;
+		for (int i = 0; i < count; i++) {
+			one.index = i;
+			pieces_add(queue, &one);
+		}
+	}
+	/* Requests of the next call in order, or empty. */
+	std::vector<int> next(pieces_call **call)
+	{
+		std::vector<int> out;
+
+		*call = pieces_next(queue);
+		for (guint i = 0; *call && i < (*call)->pieces->len; i++)
+			out.push_back(
+				(int *)g_array_index((*call)->pieces, piece, i)
+					.request -
+				requests);
+		return out;
+	}
+	void end(pieces_call *call)
+	{
+		pieces_end(queue, call, POOL_SERVED, 0, 0);
+	}
+};
+
+TEST(PiecesQueue, GathersWhileACallIsUnderWay)
+{
+	Pieces rig;
+	pieces_call *call;
+	pieces_call *second;
+
+	pool_heard_busy(rig.it, pool_find(rig.it, "two"), 5,
+			rig.clock.now_us + 900000, 0);
+	rig.ask(1, 1, 900000);
+	ASSERT_EQ(rig.next(&call), (std::vector<int>{ 1 }));
+	EXPECT_STREQ(call->upstream->entry.id, "one");
+	rig.ask(2, 2, 900000);
+	rig.ask(3, 1, 800000);
+	ASSERT_TRUE(rig.next(&second).empty());
+	rig.end(call);
+	ASSERT_EQ(rig.next(&call), (std::vector<int>{ 3, 2, 2 }));
+	rig.end(call);
+}
+
+TEST(PiecesQueue, ServesTheMoreUrgentAndWhatCanBeOnTimeFirst)
+{
+	Pieces rig;
+	pieces_call *call;
+
+	rig.ask(1, 1, -1000);
+	rig.ask(2, 1, 500000, 2);
+	rig.ask(3, 1, 900000, 1);
+	ASSERT_EQ(rig.next(&call), (std::vector<int>{ 3, 2, 1 }));
+	rig.end(call);
+}
+
+/* A part of a group would take up room and wait for the rest. */
+TEST(PiecesQueue, GroupsGoWholeAsFarAsRoomDecides)
+{
+	Pieces rig(1000);
+	pieces_call *call;
+
+	rig.ask(1, 4, 500000, 0, 200);
+	rig.ask(2, 4, 600000, 0, 200);
+	rig.ask(3, 1, 700000, 0, 200);
+	ASSERT_EQ(rig.next(&call), (std::vector<int>{ 1, 1, 1, 1, 3 }));
+	EXPECT_EQ(call->upstream->kept_bytes, 1000);
+	rig.end(call);
+}
+
+TEST(PiecesQueue, WhatOthersKeepCounts)
+{
+	Pieces rig(1000);
+	pieces_call *call;
+
+	pool_heard_busy(rig.it, pool_find(rig.it, "one"), 5, 0, 900);
+	pool_heard_busy(rig.it, pool_find(rig.it, "two"), 5, 0, 900);
+	rig.ask(1, 1, 500000, 0, 200);
+	ASSERT_TRUE(rig.next(&call).empty());
+	rig.clock.now_us += 5 * LP_US_PER_S;
+	ASSERT_EQ(rig.next(&call).size(), 1u);
+	rig.end(call);
+}
+
+TEST(PiecesQueue, AnEndedRequestTakesItsPiecesAlong)
+{
+	Pieces rig;
+	pieces_call *call;
+
+	rig.ask(1, 3, 500000);
+	pieces_drop(rig.queue, &rig.requests[1]);
+	ASSERT_TRUE(rig.next(&call).empty());
+	EXPECT_EQ(pieces_wake_us(rig.queue), 0);
+}
+
+TEST(PiecesQueue, LeavesAnUpstreamToWhoseHomeItIs)
+{
+	Pieces rig;
+	pieces_call *call;
+
+	pool_heard_busy(rig.it, pool_find(rig.it, "one"), 5,
+			rig.clock.now_us + 200000, 0);
+	pool_heard_busy(rig.it, pool_find(rig.it, "two"), 5,
+			rig.clock.now_us + 1000, 0);
+	rig.clock.now_us += 2000;
+	rig.ask(1, 1, 900000);
+	ASSERT_TRUE(rig.next(&call).empty());
+	rig.clock.now_us += 45000;
+	ASSERT_EQ(rig.next(&call).size(), 1u);
+	EXPECT_STREQ(call->upstream->entry.id, "two");
+	rig.end(call);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/platform_test.cc
@@ -0,0 +1,356 @@
+/* platform/: settings, records and wire of the users' platform. */
+#include "cwrap.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace
+{
+
+/* ---- settings ---- */
+
+struct Settings {
+	plf_settings it;
+	int error;
+	std::vector<std::string> errors;
+
+	explicit Settings(const std::string &text)
+	{
+		g_autofree char *path = nullptr;
+		g_autoptr(GPtrArray) list =
+			g_ptr_array_new_with_free_func(g_free);
+		int fd = g_file_open_tmp("settings-XXXXXX", &path, nullptr);
+
+		g_close(fd, nullptr);
+		g_file_set_contents(path, text.data(), (gssize)text.size(),
+				    nullptr);
+		error = plf_settings_read(&it, path, list);
+		for (guint i = 0; i < list->len; i++) {
+			std::string line =
+				(const char *)g_ptr_array_index(list, i);
+
+			errors.push_back(line.substr(strlen(path)));
+		}
+		g_unlink(path);
+	}
+	~Settings()
+	{
+		plf_settings_clear(&it);
+	}
+};
+
+const char good[] = "node_name=front-1\nzone=a\nip=10.0.0.1\n"
+		    "listen.front=10.0.0.1:80\nlisten.ready=10.0.0.1:81\n"
+		    "platform.address=10.0.0.9:90\nport_range=7740,7755\n"
+		    "seeds=10.0.0.1:82,10.0.0.2:82\nbounds.drain_ms=1500\n"
+		    "bounds.retry_ratio=0.25\nsomething.new=1\n\n";
+
+TEST(PlfSettings, AreReadIntoTypedFields)
+{
+	Settings settings(good);
+
+	EXPECT_EQ(settings.error, LP_OK);
+	EXPECT_STREQ(settings.it.host, "front-1");
+	EXPECT_STREQ(settings.it.domain, "a");
+	EXPECT_EQ(settings.it.drain_us, 1500000);
+	EXPECT_DOUBLE_EQ(settings.it.retry_ratio, 0.25);
+	EXPECT_EQ(settings.it.peers_port, 7740);
+	EXPECT_EQ(g_strv_length(settings.it.seeds), 2u);
+}
+
+TEST(PlfSettings, ErrorsNameLineAndField)
+{
+	Settings settings(std::string(good) +
+			  "bounds.grace_s=soon\nnonsense\n");
+
+	EXPECT_EQ(settings.error, LP_ERROR_BAD_CONFIG);
+	EXPECT_EQ(settings.errors,
+		  (std::vector<std::string>{
+			  ":14: expected name=value",
+			  ":13: bounds.grace_s: \"soon\" is not a number of 0 "
+			  "or more" }));
+}
+
+TEST(PlfSettings, ErrorsNameWhatIsMissing)
+{
+	Settings settings("zone=a\n");
+
+	EXPECT_EQ(settings.error, LP_ERROR_BAD_CONFIG);
+	EXPECT_EQ(settings.errors.size(), 5u);
+	EXPECT_EQ(settings.errors[0], ": node_name is missing");
+}
+
+/* ---- records ---- */
+
+TEST(PlfRecords, AConfigurationIsReadIntoTypedValues)
+{
+	g_autofree char *json = pe_sample_config(9);
+	g_autofree char *problem = nullptr;
+	direct_config *config = plf_read_config(json, &problem);
+	const direct_route *route;
+
+	ASSERT_NE(config, nullptr) << problem;
+	EXPECT_EQ(config->version, 9);
+	route = direct_config_route(config, "A.example", "/staged/x");
+	ASSERT_NE(route, nullptr);
+	EXPECT_EQ(route->kind, DIRECT_STREAM);
+	EXPECT_EQ(route->stages_count, 2u);
+	EXPECT_EQ(route->stages[1].after[0], 0u);
+	EXPECT_EQ(route->timeout_us, 3000000);
+	EXPECT_EQ(direct_config_service(config, "first")->batch_max, 8u);
+	EXPECT_EQ(direct_config_route(config, "b.example", "/look/x"), nullptr);
+	EXPECT_NE(g_hash_table_lookup(config->keys, "key-9"), nullptr);
+	direct_config_unref(config);
+}
+
+TEST(PlfRecords, TheLongestPrefixIsTheRoute)
+{
+	const char json[] =
+		"{\"version\":1,\"routes\":[{\"name\":\"short\",\"host\":\"h\","
+		"\"prefix\":\"/a/\",\"kind\":\"idempotent\",\"service\":\"s\"},"
+		"{\"name\":\"long\",\"host\":\"h\",\"prefix\":\"/a/b/\","
+		"\"kind\":\"idempotent\",\"traffic_split\":[{\"service\":\"s\","
+		"\"weight\":9},{\"service\":\"t\",\"weight\":1}]}]}";
+	g_autofree char *problem = nullptr;
+	direct_config *config = plf_read_config(json, &problem);
+	const direct_route *route;
+	int others = 0;
+
+	ASSERT_NE(config, nullptr);
+	EXPECT_STREQ(direct_config_route(config, "h", "/a/c")->name, "short");
+	route = direct_config_route(config, "h", "/a/b/c");
+	EXPECT_STREQ(route->name, "long");
+	EXPECT_EQ(direct_config_route(config, "h", "/a"), nullptr);
+	for (uint64_t i = 0; i < 100; i++)
+		others += !strcmp(direct_route_service(route, i), "t");
+	EXPECT_EQ(others, 10);
+	EXPECT_FALSE(config->needs_keys);
+	direct_config_unref(config);
+}
+
+TEST(PlfRecords, WhatIsWrongIsNamed)
+{
+	const struct {
+		const char *json;
+		const char *problem;
+	} cases[] = {
+		{ "[]", "not a JSON object" },
+		{ "{\"routes\":[]}", "version: missing" },
+		{ "{\"version\":1}", "routes: missing" },
+		{ "{\"version\":1,\"routes\":[{\"name\":\"r\",\"prefix\":"
+		  "\"/a/\",\"kind\":\"odd\",\"service\":\"s\"}]}",
+		  "routes[0]: r" },
+		{ "{\"version\":1,\"routes\":[{\"name\":\"r\",\"prefix\":"
+		  "\"/a/\",\"kind\":\"streaming\",\"service\":\"s\",\"stages\":"
+		  "[{\"service\":\"t\",\"after\":[0]}]}]}",
+		  "routes[0]: r" },
+	};
+
+	for (const auto &row : cases) {
+		g_autofree char *problem = nullptr;
+
+		EXPECT_EQ(plf_read_config(row.json, &problem), nullptr);
+		EXPECT_STREQ(problem, row.problem) << row.json;
+	}
+}
+
+TEST(PlfRecords, AnUpstreamThatIsNotReadyIsLeaving)
+{
+	pool_entry entry;
+
+	ASSERT_EQ(plf_read_upstream("servers/i-1",
+				    "{\"service\":\"s\",\"address\":\"1:2\","
+				    "\"zone\":\"a\",\"slots\":6,"
+				    "\"state\":\"draining\"}",
+				    &entry),
+		  LP_OK);
+	EXPECT_STREQ(entry.id, "i-1");
+	EXPECT_TRUE(entry.leaving);
+	EXPECT_EQ(entry.slots, 6u);
+	plf_clear_upstream(&entry);
+	EXPECT_EQ(plf_read_upstream("servers/i-1", "{}", &entry),
+		  LP_ERROR_PROTOCOL);
+}
+
+/* ---- the wire ---- */
+
+struct Fields {
+	http_fields it;
+
+	Fields(std::vector<std::pair<const char *, const char *>> list = {})
+	{
+		http_fields_init(&it);
+		for (const auto &field : list)
+			http_fields_add(&it, field.first, field.second);
+	}
+	~Fields()
+	{
+		http_fields_clear(&it);
+	}
+	std::string get(const char *name)
+	{
+		const char *value = http_fields_get(&it, name);
+
+		return value ? value : "-";
+	}
+};
+
+TEST(PlfCodec, OnlyTheSystemSaysWhatConcernsUpstreams)
+{
+	Fields from({ { "Host", "h" },
+		      { "X-Attempt-Id", "a" },
+		      { "Authorization", "Bearer secret" },
+		      { "X-Tenant", "evil" },
+		      { "X-Expect-Instance", "i-0" },
+		      { "X-Inputs", "1:2/3" },
+		      { "X-Deadline-Ms", "9000" },
+		      { "Connection", "X-Private" },
+		      { "X-Private", "1" },
+		      { "X-Other", "kept" } });
+	Fields out;
+	direct_offer offer = {};
+
+	offer.from = &from.it;
+	offer.upstream = "i-1";
+	offer.organisation = "acme";
+	offer.left_us = 1234567;
+	offer.priority = 1;
+	plf_codec()->write_offer(&offer, &out.it);
+	EXPECT_EQ(out.get("X-Tenant"), "acme");
+	EXPECT_EQ(out.get("X-Expect-Instance"), "i-1");
+	EXPECT_EQ(out.get("X-Deadline-Ms"), "1234");
+	EXPECT_EQ(out.get("X-Request-Urgency"), "4");
+	EXPECT_EQ(out.get("X-Attempt-Id"), "a");
+	EXPECT_EQ(out.get("X-Other"), "kept");
+	EXPECT_EQ(out.get("Host"), "h");
+	for (const char *gone :
+	     { "Authorization", "X-Inputs", "X-Private", "Connection" })
+		EXPECT_EQ(out.get(gone), "-") << gone;
+}
+
+TEST(PlfCodec, AnAnswerIsJudgedByItsMarks)
+{
+	const struct {
+		uint32_t status;
+		std::vector<std::pair<const char *, const char *>> fields;
+		bool is_ours, is_genuine, not_run, other;
+	} cases[] = {
+		{ 200,
+		  { { "X-Attempt-Id", "a" }, { "X-Server-Seal", "s" } },
+		  true,
+		  true,
+		  false,
+		  false },
+		{ 200,
+		  { { "X-Attempt-Id", "b" } },
+		  false,
+		  false,
+		  false,
+		  false },
+		{ 200, {}, false, false, false, false },
+		{ 503, { { "X-Not-Run", "1" } }, true, false, true, false },
+		{ 503, {}, true, false, false, false },
+		{ 421, {}, true, false, true, true },
+	};
+
+	for (const auto &row : cases) {
+		Fields fields(row.fields);
+		direct_reply reply = {};
+
+		plf_codec()->read_reply(row.status, &fields.it, "a", &reply);
+		EXPECT_EQ(reply.is_ours, row.is_ours) << row.status;
+		EXPECT_EQ(reply.is_genuine, row.is_genuine) << row.status;
+		EXPECT_EQ(reply.not_run, row.not_run) << row.status;
+		EXPECT_EQ(reply.other_process, row.other) << row.status;
+	}
+}
+
+TEST(PlfCodec, ACallersFieldsAreReadOrRefused)
+{
+	const struct {
+		const char *name;
+		const char *value;
+		bool good;
+	} cases[] = {
+		{ "X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410", true },
+		{ "X-Prompt-Prefix", "5c1e07a2", false },
+		{ "X-Prompt-Prefix", "5c1e07a2:many", false },
+		{ "X-Pieces", "1,0,8", true },
+		{ "X-Pieces", "1,x", false },
+		{ "X-Pieces", "70000", false },
+		{ "X-Token-Counts", "1460,80", true },
+		{ "X-Token-Counts", "1460", false },
+	};
+
+	for (const auto &row : cases) {
+		Fields fields({ { "Host", "h" },
+				{ "X-Attempt-Id", "a" },
+				{ row.name, row.value } });
+		direct_ask ask = {};
+
+		ask.parts = g_array_new(FALSE, FALSE, sizeof(pool_part));
+		ask.pieces = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+		EXPECT_EQ(plf_codec()->read_ask(&fields.it, &ask), row.good)
+			<< row.name << " " << row.value;
+		g_array_unref(ask.parts);
+		g_array_unref(ask.pieces);
+	}
+}
+
+TEST(PlfCodec, AnswersOfACallMustMatchItsPieces)
+{
+	direct_made made[2] = {};
+	const char good_answer[] = "{\"items\":[{\"handle\":\"1:2/3\"},"
+				   "{\"reason\":\"gone\"}]}";
+
+	ASSERT_TRUE(plf_codec()->read_items(good_answer, made, 2));
+	EXPECT_EQ(made[0].result, DIRECT_ITEM_MADE);
+	EXPECT_STREQ(made[0].handle, "1:2/3");
+	EXPECT_EQ(made[1].result, DIRECT_ITEM_INPUT_GONE);
+	g_free(made[0].handle);
+	EXPECT_FALSE(plf_codec()->read_items(good_answer, made, 1));
+	EXPECT_FALSE(plf_codec()->read_items("no", made, 2));
+	EXPECT_FALSE(plf_codec()->read_items("{\"items\":7}", made, 2));
+}
+
+/* ---- the log ---- */
+
+TEST(EventLog, WritesLinesAndCountsWhatItCannot)
+{
+	TestClock clock;
+	int pipe[2];
+	lp_event_options options = { "p", &clock.clock, 0, 3 };
+	char text[4096] = {};
+	lp_event_log *log;
+
+	ASSERT_TRUE(g_unix_open_pipe(pipe, 0, nullptr));
+	options.fd = pipe[1];
+	log = lp_event_log_create(&options);
+	for (int i = 0; i < 5; i++)
+		if (lp_event_begin(log, "decided", "r\"1")) {
+			lp_event_int(log, "n", i);
+			lp_event_end(log);
+		}
+	EXPECT_EQ(lp_event_log_lost(log), 2);
+	clock.now_us += 2 * LP_US_PER_S;
+	lp_event_begin(log, "later", nullptr);
+	lp_event_end(log);
+	lp_event_log_destroy(log);
+	ASSERT_GT(read(pipe[0], text, sizeof(text) - 1), 0);
+	EXPECT_STREQ(
+		text,
+		"{\"t_us\":1000000,\"process\":\"p\",\"event\":\"decided\","
+		"\"request\":\"r\\\"1\",\"n\":0}\n"
+		"{\"t_us\":1000000,\"process\":\"p\",\"event\":\"decided\","
+		"\"request\":\"r\\\"1\",\"n\":1}\n"
+		"{\"t_us\":1000000,\"process\":\"p\",\"event\":\"decided\","
+		"\"request\":\"r\\\"1\",\"n\":2}\n"
+		"{\"t_us\":3000000,\"process\":\"p\",\"event\":\"later\","
+		"\"lines_lost\":2}\n");
+	close(pipe[0]);
+	close(pipe[1]);
+}
+
+} // namespace
--- /dev/null
+++ b/tools/pe.c
@@ -0,0 +1,417 @@
+#include "tools/pe_private.h"
+
+#include "base/lp_json.h"
+
+#include <string.h>
+
+#define DEFAULT_WORK_MS 10
+/* Events of one stream, and the time between two. */
+#define EVENTS 6
+#define EVENT_MS 10
+#define CUT_AT 3
+
+void pe_breach(struct pe *pe, const char *format, ...)
+{
+	va_list args;
+
+	va_start(args, format);
+	g_ptr_array_add(pe->breaches, g_strdup_vprintf(format, args));
+	va_end(args);
+}
+
+/* ---- what runs ---- */
+
+static void note_run(struct pe_upstream *upstream, struct pe_conn *conn)
+{
+	struct pe *pe = upstream->pe;
+	const char *id = pe_conn_field(conn, "X-Attempt-Id");
+	gpointer count = g_hash_table_lookup(pe->runs, id);
+
+	g_hash_table_replace(pe->runs, g_strdup(id),
+			     GUINT_TO_POINTER(GPOINTER_TO_UINT(count) + 1));
+}
+
+static char *answer_fields(struct pe_conn *conn, bool foreign)
+{
+	return g_strdup_printf("X-Attempt-Id: %s\r\nX-Server-Seal: mark\r\n",
+			       foreign ? "another"
+				       : pe_conn_field(conn, "X-Attempt-Id"));
+}
+
+static void answer_plain(struct pe_upstream *upstream, struct pe_conn *conn)
+{
+	g_autofree char *fields =
+		answer_fields(conn, upstream->fault == PE_FAULT_FOREIGN);
+	g_autofree char *text = NULL;
+
+	switch (upstream->fault) {
+	case PE_FAULT_ERROR:
+		pe_conn_answer(conn, 500, fields, "failed");
+		return;
+	case PE_FAULT_RESET:
+		pe_conn_end(conn, true);
+		return;
+	case PE_FAULT_SILENT:
+		return;
+	case PE_FAULT_GARBLED:
+		pe_conn_write(conn, "HTTP/9 what is this\r\n\r\n");
+		pe_conn_end(conn, false);
+		return;
+	case PE_FAULT_TRUNCATED:
+		text = g_strdup_printf("HTTP/1.1 200 OK\r\n%s"
+				       "Content-Length: 100\r\n\r\nshort",
+				       fields);
+		break;
+	case PE_FAULT_UNFRAMED:
+		text = g_strdup_printf("HTTP/1.1 200 OK\r\n%s\r\nwhole",
+				       fields);
+		break;
+	case PE_FAULT_EXTRA:
+		text = g_strdup_printf("HTTP/1.1 200 OK\r\n%s"
+				       "Content-Length: 5\r\n\r\nwhole"
+				       "HTTP/1.1 200 OK\r\n%s"
+				       "Content-Length: 5\r\n\r\nextra",
+				       fields, fields);
+		break;
+	default:
+		pe_conn_answer(conn, 200, fields, "whole");
+		return;
+	}
+	pe_conn_write(conn, text);
+	pe_conn_end(conn, false);
+}
+
+/* ---- an engine's stream ---- */
+
+struct stream {
+	struct pe_conn *conn;
+	struct pe_upstream *upstream;
+	uint32_t next;
+};
+
+static gboolean on_event(gpointer userdata)
+{
+	struct stream *stream = userdata;
+	struct pe_conn *conn = stream->conn;
+	g_autofree char *event = g_strdup_printf("id: %u\ndata: token %u\n\n",
+						 stream->next, stream->next);
+	g_autofree char *chunk = NULL;
+
+	if (stream->next > EVENTS) {
+		pe_conn_write(conn, "0\r\n\r\n");
+		conn->timer = 0;
+		pe_conn_end(conn, false);
+		return G_SOURCE_REMOVE;
+	}
+	if (stream->upstream->fault == PE_FAULT_CUT && stream->next == CUT_AT) {
+		pe_conn_write(conn, "8\r\nid: 3\nda\r\n");
+		conn->timer = 0;
+		pe_conn_end(conn, false);
+		return G_SOURCE_REMOVE;
+	}
+	chunk = g_strdup_printf("%zx\r\n%s\r\n", strlen(event), event);
+	pe_conn_write(conn, chunk);
+	stream->next++;
+	return G_SOURCE_CONTINUE;
+}
+
+static void begin_stream(struct pe_upstream *upstream, struct pe_conn *conn)
+{
+	const char *after = pe_conn_field(conn, "Last-Event-Id");
+	g_autofree char *fields = answer_fields(conn, false);
+	g_autofree char *head = g_strdup_printf(
+		"HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n",
+		fields);
+	struct stream *stream = g_new0(struct stream, 1);
+
+	stream->conn = conn;
+	stream->upstream = upstream;
+	stream->next =
+		after ? (uint32_t)g_ascii_strtoull(after, NULL, 10) + 1 : 1;
+	pe_conn_write(conn, head);
+	conn->timer = g_timeout_add_full(G_PRIORITY_DEFAULT, EVENT_MS, on_event,
+					 stream, g_free);
+}
+
+/* All inputs there and of this request. */
+static bool engine_inputs_there(struct pe_upstream *upstream,
+				struct pe_conn *conn)
+{
+	const char *id = pe_conn_field(conn, "X-Attempt-Id");
+	const char *inputs = pe_conn_field(conn, "X-Inputs");
+	g_auto(GStrv) handles = g_strsplit(inputs ? inputs : "", ",", -1);
+
+	for (char **handle = handles; *handle; handle++) {
+		const struct pe_result *result =
+			pe_find_result(upstream->pe, *handle);
+
+		if (!result)
+			return false;
+		if (strcmp(result->request, id) != 0)
+			pe_breach(upstream->pe, "%s takes in a result of %s",
+				  id, result->request);
+	}
+	return true;
+}
+
+/* ---- a request at an upstream ---- */
+
+static gboolean on_work_over(gpointer userdata)
+{
+	struct pe_conn *conn = userdata;
+	struct pe_upstream *upstream = conn->listener->userdata;
+
+	conn->timer = 0;
+	if (upstream->kind == PE_ENGINE && (upstream->fault == PE_FAULT_NONE ||
+					    upstream->fault == PE_FAULT_CUT))
+		begin_stream(upstream, conn);
+	else
+		answer_plain(upstream, conn);
+	return G_SOURCE_REMOVE;
+}
+
+static void run(struct pe_upstream *upstream, struct pe_conn *conn)
+{
+	if (upstream->fault == PE_FAULT_FULL) {
+		pe_conn_answer(conn, 503, "X-Not-Run: 1\r\n", "");
+		return;
+	}
+	if (upstream->kind == PE_ENGINE &&
+	    !engine_inputs_there(upstream, conn)) {
+		pe_conn_answer(conn, 409, "X-Not-Run: 1\r\n", "");
+		return;
+	}
+	note_run(upstream, conn);
+	conn->timer = g_timeout_add(upstream->work_ms, on_work_over, conn);
+}
+
+static void on_request(void *userdata, struct pe_conn *conn)
+{
+	struct pe_upstream *upstream = userdata;
+	const char *expected = pe_conn_field(conn, "X-Expect-Instance");
+	const char *id = upstream->other_id ? upstream->other_id : upstream->id;
+
+	upstream->arrivals++;
+	if (pe_conn_field(conn, "Authorization"))
+		pe_breach(upstream->pe, "a key was passed on");
+	if (g_strcmp0(expected, id) != 0) {
+		pe_conn_answer(conn, 421, "", "");
+		return;
+	}
+	if (upstream->kind == PE_STAGE) {
+		pe_stage_request(upstream, conn);
+		return;
+	}
+	if (!pe_conn_field(conn, "X-Attempt-Id") ||
+	    !pe_conn_field(conn, "X-Deadline-Ms"))
+		pe_breach(upstream->pe, "a request without id or deadline");
+	if (g_strcmp0(pe_conn_field(conn, "X-Tenant"), "acme") != 0)
+		pe_breach(upstream->pe, "a request of another organisation");
+	run(upstream, conn);
+}
+
+static void on_left(void *userdata, struct pe_conn *conn)
+{
+	struct pe_upstream *upstream = userdata;
+
+	if (upstream->kind == PE_STAGE && conn->timer)
+		upstream->at_work--;
+}
+
+/* ---- upstreams ---- */
+
+static void write_entry(struct pe_upstream *upstream, const char *state)
+{
+	g_autofree char *key = g_strdup_printf("servers/%s", upstream->id);
+	g_autofree char *value = g_strdup_printf(
+		"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
+		"\"version\":\"v1\",\"slots\":4,\"state\":\"%s\",\"seq_no\":1}",
+		upstream->service, upstream->listener->address,
+		upstream->domain, state);
+
+	pe_store_put(upstream->pe, key, value);
+}
+
+struct pe_upstream *pe_add(struct pe *pe, enum pe_kind kind,
+			   const char *service, const char *domain)
+{
+	struct pe_upstream *upstream = g_new0(struct pe_upstream, 1);
+
+	upstream->pe = pe;
+	upstream->kind = kind;
+	upstream->id = g_strdup_printf("i-%u", ++pe->serial);
+	upstream->service = g_strdup(service);
+	upstream->domain = g_strdup(domain);
+	upstream->work_ms = DEFAULT_WORK_MS;
+	upstream->listener = pe_listener_create(on_request, on_left, upstream);
+	if (kind == PE_STAGE)
+		upstream->results = g_hash_table_new_full(
+			g_str_hash, g_str_equal, g_free, pe_result_free);
+	g_ptr_array_add(pe->upstreams, upstream);
+	write_entry(upstream, "ready");
+	return upstream;
+}
+
+static void free_upstream(gpointer data)
+{
+	struct pe_upstream *upstream = data;
+
+	pe_listener_destroy(upstream->listener);
+	if (upstream->results)
+		g_hash_table_unref(upstream->results);
+	g_free(upstream->id);
+	g_free(upstream->other_id);
+	g_free(upstream->service);
+	g_free(upstream->domain);
+	g_free(upstream);
+}
+
+void pe_fault(struct pe_upstream *upstream, enum pe_fault fault)
+{
+	upstream->fault = fault;
+}
+
+void pe_set_work_ms(struct pe_upstream *upstream, uint32_t work_ms)
+{
+	upstream->work_ms = work_ms;
+}
+
+void pe_drain(struct pe_upstream *upstream)
+{
+	write_entry(upstream, "draining");
+}
+
+void pe_replace(struct pe_upstream *upstream)
+{
+	upstream->other_id = g_strdup("i-other");
+}
+
+void pe_remove(struct pe_upstream *upstream)
+{
+	g_autofree char *key = g_strdup_printf("servers/%s", upstream->id);
+
+	pe_store_remove(upstream->pe, key);
+	g_ptr_array_remove_fast(upstream->pe->upstreams, upstream);
+}
+
+uint32_t pe_arrivals(const struct pe_upstream *upstream)
+{
+	return upstream->arrivals;
+}
+
+uint32_t pe_connections(const struct pe_upstream *upstream)
+{
+	return upstream->listener->conns->len;
+}
+
+/* ---- the emulator ---- */
+
+struct pe *pe_create(void)
+{
+	struct pe *pe = g_new0(struct pe, 1);
+
+	pe->revision = 1;
+	pe->upstreams = g_ptr_array_new_with_free_func(free_upstream);
+	pe->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	pe->breaches = g_ptr_array_new_with_free_func(g_free);
+	pe_store_create(pe);
+	return pe;
+}
+
+void pe_destroy(struct pe *pe)
+{
+	g_ptr_array_unref(pe->upstreams);
+	pe_listener_destroy(pe->store);
+	g_ptr_array_unref(pe->watches);
+	g_hash_table_unref(pe->items);
+	g_hash_table_unref(pe->runs);
+	g_ptr_array_unref(pe->breaches);
+	g_free(pe);
+}
+
+const char *pe_store_address(const struct pe *pe)
+{
+	return pe->store->address;
+}
+
+uint32_t pe_runs(const struct pe *pe, const char *id)
+{
+	return GPOINTER_TO_UINT(g_hash_table_lookup(pe->runs, id));
+}
+
+uint32_t pe_pieces_made(const struct pe *pe)
+{
+	return pe->made;
+}
+
+uint32_t pe_pieces_kept(const struct pe *pe)
+{
+	uint32_t kept = 0;
+
+	for (guint i = 0; i < pe->upstreams->len; i++) {
+		const struct pe_upstream *upstream =
+			g_ptr_array_index(pe->upstreams, i);
+
+		if (upstream->results)
+			kept += g_hash_table_size(upstream->results);
+	}
+	return kept;
+}
+
+const GPtrArray *pe_breaches(const struct pe *pe)
+{
+	return pe->breaches;
+}
+
+char *pe_sample_config(int64_t version)
+{
+	static const char routes[] =
+		"{\"name\":\"look\",\"host\":\"a.example\",\"prefix\":\"/look/"
+		"\","
+		"\"kind\":\"idempotent\",\"timeout_ms\":2000,"
+		"\"target_latency_ms\":300,\"priority\":2,\"service\":"
+		"\"plain\","
+		"\"max_attempts\":2},"
+		"{\"name\":\"order\",\"host\":\"a.example\",\"prefix\":"
+		"\"/order/\",\"kind\":\"non_idempotent\",\"timeout_ms\":2000,"
+		"\"target_latency_ms\":300,\"priority\":2,\"service\":"
+		"\"plain\","
+		"\"max_attempts\":1},"
+		"{\"name\":\"once\",\"host\":\"a.example\",\"prefix\":\"/once/"
+		"\","
+		"\"kind\":\"streaming\",\"timeout_ms\":3000,"
+		"\"target_latency_ms\":500,\"target_gap_ms\":200,\"priority\":"
+		"1,"
+		"\"service\":\"engine\",\"max_attempts\":1},"
+		"{\"name\":\"again\",\"host\":\"a.example\",\"prefix\":"
+		"\"/again/\",\"kind\":\"streaming\",\"timeout_ms\":3000,"
+		"\"target_latency_ms\":500,\"target_gap_ms\":200,\"priority\":"
+		"0,"
+		"\"service\":\"engine\",\"max_attempts\":2,"
+		"\"resume_streams\":true},"
+		"{\"name\":\"staged\",\"host\":\"a.example\",\"prefix\":"
+		"\"/staged/\",\"kind\":\"streaming\",\"timeout_ms\":3000,"
+		"\"target_latency_ms\":2000,\"target_gap_ms\":200,"
+		"\"priority\":0,\"service\":\"engine\",\"max_attempts\":1,"
+		"\"stages\":[{\"service\":\"first\",\"after\":[],\"bytes\":"
+		"1000},"
+		"{\"service\":\"second\",\"after\":[0],\"bytes\":1000}]}";
+	static const char pieces[] =
+		"\"pieces\":{\"slots\":1,\"queue\":2,\"batch\":8,"
+		"\"call_ms\":10,\"item_ms\":1,\"headroom_mb\":1,\"handle_s\":"
+		"4}";
+
+	return g_strdup_printf(
+		"{\"version\":%" G_GINT64_FORMAT
+		",\"routes\":[%s],\"services\":[{\"name\":\"plain\"},"
+		"{\"name\":\"engine\",\"engine\":{\"slots\":8,"
+		"\"kv_capacity\":100000}},{\"name\":\"first\",%s},"
+		"{\"name\":\"second\",%s}],"
+		"\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":"
+		"65536,"
+		"\"header_timeout_ms\":1000,\"idle_timeout_ms\":5000},"
+		"\"tenants\":[{\"name\":\"acme\",\"api_keys\":[\"key-"
+		"%" G_GINT64_FORMAT "\",\"key-always\"],\"priority\":-1}]}",
+		(gint64)version, routes, pieces, pieces, (gint64)version);
+}
--- /dev/null
+++ b/tools/pe.h
@@ -0,0 +1,86 @@
+/**
+ * An emulator of the users' platform, for tests and demonstrations: its
+ * key-value service, its upstreams (plain services, services that do stages'
+ * pieces, model engines that stream), and the faults of each.
+ *
+ * It lives on the caller's main loop, on loopback. It keeps a book of what its
+ * upstreams ran and writes down whatever should never have reached them.
+ */
+#ifndef PE_H
+#define PE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+struct pe;
+struct pe_upstream;
+
+enum pe_kind {
+	PE_PLAIN,  /**< answers after a while */
+	PE_STAGE,  /**< one call of pieces at a time, keeps results */
+	PE_ENGINE, /**< streams events; takes results in */
+};
+
+/** What an upstream does wrong. */
+enum pe_fault {
+	PE_FAULT_NONE,
+	PE_FAULT_FULL,	    /**< refuses: not run */
+	PE_FAULT_ERROR,	    /**< 500, run */
+	PE_FAULT_RESET,	    /**< runs, then resets without an answer */
+	PE_FAULT_SILENT,    /**< runs and never answers */
+	PE_FAULT_GARBLED,   /**< runs; bytes that are no answer */
+	PE_FAULT_FOREIGN,   /**< runs; the answer names another request */
+	PE_FAULT_TRUNCATED, /**< runs; ends short of its length */
+	PE_FAULT_EXTRA,	    /**< runs; a second answer follows */
+	PE_FAULT_UNFRAMED,  /**< runs; the answer ends with the connection */
+	PE_FAULT_CUT,	    /**< engine: ends within the third event */
+	PE_FAULT_FORGET,    /**< stage: its results are gone at once */
+};
+
+enum pe_store_fault {
+	PE_STORE_FINE,
+	PE_STORE_BUSY,	 /**< answers 503 */
+	PE_STORE_SILENT, /**< answers nothing */
+	/** Watches hear nothing and hang; reads are served. */
+	PE_STORE_DEAF_WATCHES,
+};
+
+struct pe *pe_create(void);
+void pe_destroy(struct pe *pe);
+
+/** "IP:PORT" of the key-value service. */
+const char *pe_store_address(const struct pe *pe);
+void pe_store_fault(struct pe *pe, enum pe_store_fault fault);
+/** Write the operators' configuration. */
+void pe_set_config(struct pe *pe, const char *json);
+/** A configuration of this version with one route of each kind; g_free(). */
+char *pe_sample_config(int64_t version);
+
+/** Start an upstream, with its entry in the key-value service. */
+struct pe_upstream *pe_add(struct pe *pe, enum pe_kind kind,
+			   const char *service, const char *domain);
+void pe_fault(struct pe_upstream *upstream, enum pe_fault fault);
+/** How long a request or call takes. */
+void pe_set_work_ms(struct pe_upstream *upstream, uint32_t work_ms);
+/** Write that it is draining. */
+void pe_drain(struct pe_upstream *upstream);
+/** Its process is replaced by one of another id at the same address; the
+ * key-value service still names the old one. */
+void pe_replace(struct pe_upstream *upstream);
+/** Remove its entry and stop it. Frees it. */
+void pe_remove(struct pe_upstream *upstream);
+
+/** Requests and calls that reached an upstream. */
+uint32_t pe_arrivals(const struct pe_upstream *upstream);
+/** Connections to it that stand. */
+uint32_t pe_connections(const struct pe_upstream *upstream);
+/** How often the request of this id ran, anywhere. */
+uint32_t pe_runs(const struct pe *pe, const char *id);
+/** Pieces made, given up, and kept at this moment, anywhere. */
+uint32_t pe_pieces_made(const struct pe *pe);
+uint32_t pe_pieces_kept(const struct pe *pe);
+/** What should never have reached an upstream: of char *. */
+const GPtrArray *pe_breaches(const struct pe *pe);
+
+#endif
--- /dev/null
+++ b/tools/pe_listener.c
@@ -0,0 +1,161 @@
+#include "tools/pe_private.h"
+
+#include <string.h>
+
+static void free_conn(struct pe_conn *conn)
+{
+	http_parse_clear(&conn->parse);
+	g_string_free(conn->body, TRUE);
+	g_free(conn);
+}
+
+static void drop(struct pe_conn *conn, bool reset)
+{
+	if (!conn->sock)
+		return;
+	if (reset)
+		http_sock_abort(conn->sock);
+	else
+		http_sock_close(conn->sock);
+	conn->sock = NULL;
+	if (conn->timer)
+		g_source_remove(conn->timer);
+	conn->timer = 0;
+	g_ptr_array_remove_fast(conn->listener->conns, conn);
+}
+
+static gboolean on_free(gpointer userdata)
+{
+	free_conn(userdata);
+	return G_SOURCE_REMOVE;
+}
+
+void pe_conn_end(struct pe_conn *conn, bool reset)
+{
+	if (!conn->sock)
+		return;
+	drop(conn, reset);
+	/* Whoever called may still look at it. */
+	g_idle_add(on_free, conn);
+}
+
+static void on_body(void *userdata, const char *bytes, size_t size)
+{
+	struct pe_conn *conn = userdata;
+
+	g_string_append_len(conn->body, bytes, (gssize)size);
+}
+
+static void on_data(void *userdata, const char *bytes, size_t size)
+{
+	struct pe_conn *conn = userdata;
+	size_t used;
+
+	if (conn->parse.is_complete)
+		return;
+	if (http_parse_feed(&conn->parse, bytes, size, &used))
+		pe_conn_end(conn, true);
+	else if (conn->parse.is_complete)
+		conn->listener->request(conn->listener->userdata, conn);
+}
+
+static void on_ended(void *userdata, int error)
+{
+	struct pe_conn *conn = userdata;
+	struct pe_listener *listener = conn->listener;
+
+	if (listener->left)
+		listener->left(listener->userdata, conn);
+	pe_conn_end(conn, true);
+}
+
+static const struct http_sock_events events = {
+	.data = on_data,
+	.ended = on_ended,
+};
+
+static gboolean on_accept(GSocket *socket, GIOCondition condition,
+			  gpointer userdata)
+{
+	struct pe_listener *listener = userdata;
+	g_autoptr(GSocket) accepted = g_socket_accept(socket, NULL, NULL);
+	struct pe_conn *conn;
+
+	if (!accepted)
+		return G_SOURCE_CONTINUE;
+	conn = g_new0(struct pe_conn, 1);
+	conn->listener = listener;
+	conn->body = g_string_new(NULL);
+	http_parse_init(&conn->parse, HTTP_REQUEST);
+	conn->parse.body = on_body;
+	conn->parse.userdata = conn;
+	g_ptr_array_add(listener->conns, conn);
+	conn->sock = http_sock_accepted(accepted, &events, conn);
+	return G_SOURCE_CONTINUE;
+}
+
+struct pe_listener *
+pe_listener_create(void (*request)(void *userdata, struct pe_conn *conn),
+		   void (*left)(void *userdata, struct pe_conn *conn),
+		   void *userdata)
+{
+	struct pe_listener *listener = g_new0(struct pe_listener, 1);
+	g_autoptr(GSocketAddress) any =
+		g_inet_socket_address_new_from_string("127.0.0.1", 0);
+	g_autoptr(GSocketAddress) at = NULL;
+
+	listener->socket =
+		g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+			     G_SOCKET_PROTOCOL_TCP, NULL);
+	g_socket_bind(listener->socket, any, FALSE, NULL);
+	g_socket_listen(listener->socket, NULL);
+	g_socket_set_blocking(listener->socket, FALSE);
+	at = g_socket_get_local_address(listener->socket, NULL);
+	listener->address = g_strdup_printf(
+		"127.0.0.1:%u",
+		g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(at)));
+	listener->conns = g_ptr_array_new();
+	listener->request = request;
+	listener->left = left;
+	listener->userdata = userdata;
+	listener->source =
+		g_socket_create_source(listener->socket, G_IO_IN, NULL);
+	g_source_set_callback(listener->source, G_SOURCE_FUNC(on_accept),
+			      listener, NULL);
+	g_source_attach(listener->source, NULL);
+	return listener;
+}
+
+void pe_listener_destroy(struct pe_listener *listener)
+{
+	g_source_destroy(listener->source);
+	g_source_unref(listener->source);
+	g_object_unref(listener->socket);
+	while (listener->conns->len)
+		pe_conn_end(g_ptr_array_index(listener->conns, 0), true);
+	g_ptr_array_unref(listener->conns);
+	g_free(listener->address);
+	g_free(listener);
+}
+
+const char *pe_conn_field(const struct pe_conn *conn, const char *name)
+{
+	return http_fields_get(&conn->parse.fields, name);
+}
+
+void pe_conn_write(struct pe_conn *conn, const char *text)
+{
+	if (conn->sock)
+		http_sock_write(conn->sock, text, strlen(text));
+}
+
+void pe_conn_answer(struct pe_conn *conn, uint32_t status, const char *extra,
+		    const char *body)
+{
+	g_autofree char *text = g_strdup_printf(
+		"HTTP/1.1 %u X\r\nContent-Length: %zu\r\n%s\r\n%s", status,
+		strlen(body), extra, body);
+
+	pe_conn_write(conn, text);
+	pe_conn_end(conn, false);
+}
--- /dev/null
+++ b/tools/pe_private.h
@@ -0,0 +1,109 @@
+/** What the files of the emulator share. */
+#ifndef PE_PRIVATE_H
+#define PE_PRIVATE_H
+
+#include "http/http_parse.h"
+#include "http/http_sock.h"
+#include "tools/pe.h"
+
+#include <json-glib/json-glib.h>
+
+/** A connection to one of the emulator's addresses; one request on it. */
+struct pe_conn {
+	struct pe_listener *listener;
+	struct http_sock *sock; /**< NULL: it has ended */
+	struct http_parse parse;
+	GString *body;
+	guint timer; /**< of an answer to come */
+	uint32_t refs;
+};
+
+/** One address, with whoever serves it. */
+struct pe_listener {
+	GSocket *socket;
+	GSource *source;
+	char *address;
+	GPtrArray *conns; /**< of struct pe_conn that stand */
+	/** A whole request; answered here or later. */
+	void (*request)(void *userdata, struct pe_conn *conn);
+	/** Its client has left before the answer; may be NULL. */
+	void (*left)(void *userdata, struct pe_conn *conn);
+	void *userdata;
+};
+
+struct pe_upstream {
+	struct pe *pe;
+	struct pe_listener *listener;
+	enum pe_kind kind;
+	enum pe_fault fault;
+	char *id;	/**< as the key-value service names it */
+	char *other_id; /**< of a process that took the address; or NULL */
+	char *service;
+	char *domain;
+	uint32_t work_ms;
+	uint32_t arrivals;
+	uint32_t at_work;    /**< calls of pieces */
+	GHashTable *results; /**< handle -> struct pe_result */
+};
+
+/** A result that is kept. */
+struct pe_result {
+	char *request;
+	uint32_t stage;
+	uint32_t piece;
+};
+
+struct pe {
+	struct pe_listener *store;
+	enum pe_store_fault store_fault;
+	int64_t revision;
+	GHashTable *items;    /**< key -> struct pe_item */
+	GPtrArray *watches;   /**< of struct pe_conn that wait */
+	GPtrArray *upstreams; /**< of struct pe_upstream */
+	GHashTable *runs;     /**< request id -> count */
+	GPtrArray *breaches;
+	uint32_t made;
+	uint32_t serial;
+};
+
+struct pe_item {
+	char *value;
+	int64_t revision;
+};
+
+/* ---- pe_listener.c ---- */
+
+struct pe_listener *
+pe_listener_create(void (*request)(void *userdata, struct pe_conn *conn),
+		   void (*left)(void *userdata, struct pe_conn *conn),
+		   void *userdata);
+/** All connections are reset. */
+void pe_listener_destroy(struct pe_listener *listener);
+const char *pe_conn_field(const struct pe_conn *conn, const char *name);
+/** Write an answer and end the connection. `extra`: header lines or "". */
+void pe_conn_answer(struct pe_conn *conn, uint32_t status, const char *extra,
+		    const char *body);
+void pe_conn_write(struct pe_conn *conn, const char *text);
+/** End the connection, in order or by a reset. */
+void pe_conn_end(struct pe_conn *conn, bool reset);
+
+/* ---- pe_store.c ---- */
+
+void pe_store_create(struct pe *pe);
+void pe_store_put(struct pe *pe, const char *key, const char *value);
+void pe_store_remove(struct pe *pe, const char *key);
+
+/* ---- pe_stage.c ---- */
+
+/** Serve a call of pieces or the giving up of results. */
+void pe_stage_request(struct pe_upstream *upstream, struct pe_conn *conn);
+/** Find a result by its handle, anywhere; or NULL. */
+const struct pe_result *pe_find_result(const struct pe *pe, const char *handle);
+void pe_result_free(gpointer result);
+
+/* ---- pe.c ---- */
+
+void pe_breach(struct pe *pe, const char *format, ...)
+	__attribute__((format(printf, 2, 3)));
+
+#endif
--- /dev/null
+++ b/tools/pe_stage.c
@@ -0,0 +1,182 @@
+/** The emulator's services that do stages' pieces. */
+#include "tools/pe_private.h"
+
+#include "base/lp_json.h"
+
+#include <string.h>
+
+#define RUN_TARGET "/linepier/stage-run"
+#define FREE_TARGET "/linepier/stage-free"
+/* Calls that may wait behind the one at work. */
+#define QUEUE_MAX 2
+
+void pe_result_free(gpointer data)
+{
+	struct pe_result *result = data;
+
+	g_free(result->request);
+	g_free(result);
+}
+
+const struct pe_result *pe_find_result(const struct pe *pe, const char *handle)
+{
+	for (guint i = 0; i < pe->upstreams->len; i++) {
+		const struct pe_upstream *upstream =
+			g_ptr_array_index(pe->upstreams, i);
+		const struct pe_result *result =
+			upstream->results
+				? g_hash_table_lookup(upstream->results, handle)
+				: NULL;
+
+		if (result)
+			return result;
+	}
+	return NULL;
+}
+
+/* Inputs: all there, of the same request and an earlier stage, none twice. */
+static bool inputs_are_there(struct pe *pe, JsonObject *item)
+{
+	const char *id =
+		json_object_get_string_member_with_default(item, "id", "");
+	gint64 stage =
+		json_object_get_int_member_with_default(item, "stage", 0);
+	JsonArray *inputs = json_object_get_array_member(item, "inputs");
+	g_autoptr(GHashTable) seen = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (guint i = 0; i < json_array_get_length(inputs); i++) {
+		const char *handle = json_array_get_string_element(inputs, i);
+		const struct pe_result *result = pe_find_result(pe, handle);
+
+		if (!result)
+			return false;
+		if (strcmp(result->request, id) != 0)
+			pe_breach(pe, "piece of %s takes in a result of %s", id,
+				  result->request);
+		if (result->stage >= stage)
+			pe_breach(pe, "stage %d takes in stage %u", (int)stage,
+				  result->stage);
+		if (!g_hash_table_add(seen, (gpointer)handle))
+			pe_breach(pe, "an input of %s stands twice", id);
+	}
+	return true;
+}
+
+static char *make_result(struct pe_upstream *upstream, JsonObject *item)
+{
+	struct pe_result *result = g_new0(struct pe_result, 1);
+	char *handle = g_strdup_printf("%s/%x", upstream->listener->address,
+				       ++upstream->pe->serial);
+
+	result->request = g_strdup(
+		json_object_get_string_member_with_default(item, "id", ""));
+	result->stage = (uint32_t)json_object_get_int_member_with_default(
+		item, "stage", 0);
+	result->piece = (uint32_t)json_object_get_int_member_with_default(
+		item, "piece", 0);
+	upstream->pe->made++;
+	if (upstream->fault == PE_FAULT_FORGET)
+		pe_result_free(result);
+	else
+		g_hash_table_insert(upstream->results, g_strdup(handle),
+				    result);
+	return handle;
+}
+
+static void add_answer(struct pe_upstream *upstream, JsonObject *item,
+		       JsonBuilder *builder)
+{
+	bool has_inputs = json_object_has_member(item, "inputs");
+	g_autofree char *handle = NULL;
+
+	json_builder_begin_object(builder);
+	if (!has_inputs && !json_object_has_member(item, "key"))
+		pe_breach(upstream->pe, "a piece with neither key nor inputs");
+	if (has_inputs && !inputs_are_there(upstream->pe, item)) {
+		lp_json_text(builder, "reason", "gone");
+	} else {
+		handle = make_result(upstream, item);
+		lp_json_text(builder, "handle", handle);
+	}
+	json_builder_end_object(builder);
+}
+
+static void answer_call(struct pe_upstream *upstream, struct pe_conn *conn)
+{
+	g_autoptr(JsonParser) parser = json_parser_new();
+	g_autoptr(JsonBuilder) builder = json_builder_new();
+	g_autofree char *text = NULL;
+	JsonArray *items;
+
+	if (!json_parser_load_from_data(parser, conn->body->str, -1, NULL)) {
+		pe_breach(upstream->pe, "a call that is no JSON");
+		pe_conn_answer(conn, 400, "", "");
+		return;
+	}
+	items = json_object_get_array_member(
+		json_node_get_object(json_parser_get_root(parser)), "items");
+	json_builder_begin_object(builder);
+	json_builder_set_member_name(builder, "items");
+	json_builder_begin_array(builder);
+	for (guint i = 0; i < json_array_get_length(items); i++)
+		add_answer(upstream, json_array_get_object_element(items, i),
+			   builder);
+	json_builder_end_array(builder);
+	json_builder_end_object(builder);
+	text = lp_json_print(builder);
+	pe_conn_answer(conn, 200, "X-Server-Load: 0,0,1\r\n", text);
+}
+
+static gboolean on_call_over(gpointer userdata)
+{
+	struct pe_conn *conn = userdata;
+	struct pe_upstream *upstream = conn->listener->userdata;
+
+	conn->timer = 0;
+	upstream->at_work--;
+	if (upstream->fault == PE_FAULT_RESET)
+		pe_conn_end(conn, true);
+	else
+		answer_call(upstream, conn);
+	return G_SOURCE_REMOVE;
+}
+
+static void give_up(struct pe_upstream *upstream, struct pe_conn *conn)
+{
+	g_autoptr(JsonParser) parser = json_parser_new();
+	JsonArray *handles;
+
+	if (json_parser_load_from_data(parser, conn->body->str, -1, NULL)) {
+		handles = json_object_get_array_member(
+			json_node_get_object(json_parser_get_root(parser)),
+			"handles");
+		for (guint i = 0; i < json_array_get_length(handles); i++)
+			g_hash_table_remove(
+				upstream->results,
+				json_array_get_string_element(handles, i));
+	}
+	pe_conn_answer(conn, 200, "", "{}");
+}
+
+void pe_stage_request(struct pe_upstream *upstream, struct pe_conn *conn)
+{
+	const char *target = conn->parse.target->str;
+
+	if (!strcmp(target, FREE_TARGET)) {
+		give_up(upstream, conn);
+		return;
+	}
+	if (strcmp(target, RUN_TARGET) != 0) {
+		pe_breach(upstream->pe, "%s at a service of stages", target);
+		pe_conn_answer(conn, 404, "", "");
+		return;
+	}
+	if (upstream->fault == PE_FAULT_FULL || upstream->at_work > QUEUE_MAX) {
+		pe_conn_answer(conn, 503,
+			       "X-Not-Run: 1\r\nX-Server-Load: 1,2,1\r\n", "");
+		return;
+	}
+	upstream->at_work++;
+	conn->timer = g_timeout_add(upstream->work_ms * upstream->at_work,
+				    on_call_over, conn);
+}
--- /dev/null
+++ b/tools/pe_store.c
@@ -0,0 +1,220 @@
+/** The emulator's key-value service: reads, ranges, watches. */
+#include "tools/pe_private.h"
+
+#include "base/lp_json.h"
+
+#include <string.h>
+
+#define PREFIX "/linepier/kv-"
+
+static void free_item(gpointer data)
+{
+	struct pe_item *item = data;
+
+	g_free(item->value);
+	g_free(item);
+}
+
+/* The value of a name in the query, decoded; "" if it is not there. */
+static char *query(const struct pe_conn *conn, const char *name)
+{
+	const char *at = strchr(conn->parse.target->str, '?');
+	g_auto(GStrv) pairs = g_strsplit(at ? at + 1 : "", "&", -1);
+	size_t size = strlen(name);
+
+	for (char **pair = pairs; *pair; pair++)
+		if (!strncmp(*pair, name, size) && (*pair)[size] == '=')
+			return g_uri_unescape_string(*pair + size + 1, NULL);
+	return g_strdup("");
+}
+
+static void add_item(JsonBuilder *builder, const char *key,
+		     const struct pe_item *item)
+{
+	g_autofree char *value = g_base64_encode((const guchar *)item->value,
+						 strlen(item->value));
+
+	lp_json_text(builder, "key", key);
+	lp_json_text(builder, "value", value);
+	lp_json_int(builder, "revision", item->revision);
+	lp_json_int(builder, "made", item->revision);
+	lp_json_int(builder, "lease", 0);
+}
+
+static void answer_json(struct pe_conn *conn, JsonBuilder *builder)
+{
+	g_autofree char *text = lp_json_print(builder);
+
+	pe_conn_answer(conn, 200, "Content-Type: application/json\r\n", text);
+}
+
+static void answer_key(struct pe *pe, struct pe_conn *conn)
+{
+	g_autofree char *key = query(conn, "key");
+	const struct pe_item *item = g_hash_table_lookup(pe->items, key);
+	g_autoptr(JsonBuilder) builder = json_builder_new();
+
+	if (!item) {
+		g_autofree char *body = g_strdup_printf(
+			"{\"current_rev\":%" G_GINT64_FORMAT "}",
+			(gint64)pe->revision);
+
+		pe_conn_answer(conn, 404, "", body);
+		return;
+	}
+	json_builder_begin_object(builder);
+	add_item(builder, key, item);
+	lp_json_int(builder, "current_rev", pe->revision);
+	json_builder_end_object(builder);
+	answer_json(conn, builder);
+}
+
+/* Items under a prefix that changed after a revision; returns how many. */
+static uint32_t add_items(struct pe *pe, JsonBuilder *builder,
+			  const char *prefix, int64_t after)
+{
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+	uint32_t count = 0;
+
+	json_builder_begin_array(builder);
+	g_hash_table_iter_init(&iter, pe->items);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const struct pe_item *item = value;
+
+		if (!g_str_has_prefix(key, prefix) || item->revision <= after)
+			continue;
+		json_builder_begin_object(builder);
+		add_item(builder, key, item);
+		json_builder_end_object(builder);
+		count++;
+	}
+	json_builder_end_array(builder);
+	return count;
+}
+
+static void answer_range(struct pe *pe, struct pe_conn *conn)
+{
+	g_autofree char *prefix = query(conn, "prefix");
+	g_autoptr(JsonBuilder) builder = json_builder_new();
+
+	json_builder_begin_object(builder);
+	json_builder_set_member_name(builder, "items");
+	add_items(pe, builder, prefix, -1);
+	lp_json_bool(builder, "has_more", false);
+	lp_json_int(builder, "current_rev", pe->revision);
+	json_builder_end_object(builder);
+	answer_json(conn, builder);
+}
+
+/* Returns whether there was something to tell. */
+static bool answer_watch(struct pe *pe, struct pe_conn *conn, bool timed_out)
+{
+	g_autofree char *prefix = query(conn, "prefix");
+	g_autofree char *after = query(conn, "after");
+	g_autoptr(JsonBuilder) builder = json_builder_new();
+	uint32_t count;
+
+	json_builder_begin_object(builder);
+	json_builder_set_member_name(builder, "events");
+	count = add_items(pe, builder, prefix,
+			  g_ascii_strtoll(after, NULL, 10));
+	lp_json_int(builder, "current_rev", pe->revision);
+	json_builder_end_object(builder);
+	if (!count && !timed_out)
+		return false;
+	g_ptr_array_remove_fast(pe->watches, conn);
+	answer_json(conn, builder);
+	return true;
+}
+
+static gboolean on_watch_over(gpointer userdata)
+{
+	struct pe_conn *conn = userdata;
+	struct pe *pe = conn->listener->userdata;
+
+	conn->timer = 0;
+	if (pe->store_fault == PE_STORE_FINE)
+		answer_watch(pe, conn, true);
+	return G_SOURCE_REMOVE;
+}
+
+static void begin_watch(struct pe *pe, struct pe_conn *conn)
+{
+	g_autofree char *wait_ms = query(conn, "wait_ms");
+
+	g_ptr_array_add(pe->watches, conn);
+	conn->timer = g_timeout_add((guint)g_ascii_strtoull(wait_ms, NULL, 10),
+				    on_watch_over, conn);
+	if (pe->store_fault == PE_STORE_FINE)
+		answer_watch(pe, conn, false);
+}
+
+static void on_request(void *userdata, struct pe_conn *conn)
+{
+	struct pe *pe = userdata;
+	const char *target = conn->parse.target->str;
+
+	if (pe->store_fault == PE_STORE_SILENT)
+		return;
+	if (pe->store_fault == PE_STORE_BUSY)
+		pe_conn_answer(conn, 503, "", "");
+	else if (g_str_has_prefix(target, PREFIX "key?"))
+		answer_key(pe, conn);
+	else if (g_str_has_prefix(target, PREFIX "range?"))
+		answer_range(pe, conn);
+	else if (g_str_has_prefix(target, PREFIX "watch?"))
+		begin_watch(pe, conn);
+	else
+		pe_conn_answer(conn, 404, "", "");
+}
+
+static void on_left(void *userdata, struct pe_conn *conn)
+{
+	struct pe *pe = userdata;
+
+	g_ptr_array_remove_fast(pe->watches, conn);
+}
+
+void pe_store_create(struct pe *pe)
+{
+	pe->items = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					  free_item);
+	pe->watches = g_ptr_array_new();
+	pe->store = pe_listener_create(on_request, on_left, pe);
+}
+
+static void tell_watches(struct pe *pe)
+{
+	if (pe->store_fault != PE_STORE_FINE)
+		return;
+	for (guint i = pe->watches->len; i-- > 0;)
+		answer_watch(pe, g_ptr_array_index(pe->watches, i), false);
+}
+
+void pe_store_put(struct pe *pe, const char *key, const char *value)
+{
+	struct pe_item *item = g_new0(struct pe_item, 1);
+
+	item->value = g_strdup(value);
+	item->revision = ++pe->revision;
+	g_hash_table_replace(pe->items, g_strdup(key), item);
+	tell_watches(pe);
+}
+
+void pe_store_remove(struct pe *pe, const char *key)
+{
+	pe->revision++;
+	g_hash_table_remove(pe->items, key);
+}
+
+void pe_store_fault(struct pe *pe, enum pe_store_fault fault)
+{
+	pe->store_fault = fault;
+}
+
+void pe_set_config(struct pe *pe, const char *json)
+{
+	pe_store_put(pe, "op/config", json);
+}
