--- a/tests/cwrap.h
+++ b/tests/cwrap.h
@@ -29,6 +29,7 @@
 #include "platform/plf_kv.h"
 #include "platform/plf_records.h"
 #include "platform/plf_settings.h"
+#include "platform/plf_share.h"
 #include "policy/bucket.h"
 #include "policy/claim.h"
 #include "policy/flow.h"
--- a/tests/direct_policy_test.cc
+++ b/tests/direct_policy_test.cc
@@ -157,12 +157,17 @@
 struct Pool {
 	TestClock clock;
 	pool *it = pool_create(&clock.clock, "a");
-	std::vector<std::vector<std::string>> texts;
 	std::vector<pool_entry> entries;
 
 	~Pool()
 	{
 		pool_destroy(it);
+		for (auto &entry : entries) {
+			g_free(entry.id);
+			g_free(entry.service);
+			g_free(entry.address);
+			g_free(entry.domain);
+		}
 	}
 	void add(const char *id, const char *domain, const char *service = "s")
 	{
--- a/tests/direct_test.cc
+++ b/tests/direct_test.cc
@@ -601,6 +601,51 @@
 		[&] { return direct_config_version(rig.entry) == 7; }, 2500));
 }
 
+/* ---- entries among themselves ---- */
+
+/* A store may serve some machines and refuse others, for longer than a
+ * configuration may take: those ask the others. */
+TEST(Direct, AnEntryThatTheStoreRefusesAsksAPeer)
+{
+	Rig served;
+	Rig refused;
+	plf_share_options options = {};
+	plf_share *one;
+	plf_share *two;
+
+	served.add(PE_PLAIN, "plain");
+	served.settle();
+	refused.settle();
+	pe_store_fault(refused.platform, PE_STORE_BUSY);
+	served.set_config(4);
+	ASSERT_TRUE(turn_until([&] {
+		return direct_config_version(served.entry) == 4 &&
+		       !plf_feed_in_touch(refused.feed);
+	}));
+	options.clock = lp_clock_monotonic();
+	options.log = served.log;
+	options.direct = served.entry;
+	options.feed = served.feed;
+	options.address = "127.0.0.1:21512";
+	one = plf_share_create(&options);
+	options.direct = refused.entry;
+	options.feed = refused.feed;
+	options.address = "127.0.0.2:21512";
+	two = plf_share_create(&options);
+	ASSERT_TRUE(one && two);
+	plf_share_heard_version(two, "127.0.0.1", 4);
+	plf_share_heard_version(two, "127.0.0.9", 1);
+	EXPECT_TRUE(turn_until(
+		[&] { return direct_config_version(refused.entry) == 4; },
+		1500));
+	EXPECT_TRUE(turn_until([&] {
+		return Ask(refused.address, "a1", "/look/x").wait().status ==
+		       200;
+	}));
+	plf_share_destroy(one);
+	plf_share_destroy(two);
+}
+
 /* ---- the end ---- */
 
 /* Found on a day of restarts: a request taken seconds after SIGTERM was cut
