Peers tell each other of upstreams that cannot be reached

Cause, from the incident of Kwaebibirem: stage servers that went silent at 12 s were found out by each entry for itself, a second a time, and asked again after 250 ms (7 to 10 calls lost in two seconds). Now a failure is left alone for as long as it took to show, peers are told, and a call of stages ends at three times the expected, 0.7 s at least.

--- a/direct/direct.c
+++ b/direct/direct.c
@@ -170,6 +170,15 @@
 			kept_bytes);
 }
 
+void direct_hear_unreachable(struct direct *direct, uint64_t upstream,
+			     int64_t aside_us)
+{
+	struct pool_upstream *heard = pool_find_hash(direct->pool, upstream);
+
+	if (heard)
+		pool_heard_unreachable(direct->pool, heard, aside_us);
+}
+
 bool direct_ready(const struct direct *direct)
 {
 	return direct->config && direct->has_upstreams;
--- a/direct/direct.h
+++ b/direct/direct.h
@@ -51,6 +51,9 @@
 /** A peer keeps an upstream at work for so long; 0: no longer. */
 void direct_hear_busy(struct direct *direct, uint64_t peer, uint64_t upstream,
 		      int64_t for_us, int64_t kept_bytes);
+/** A peer cannot reach an upstream and sets it aside for so long. */
+void direct_hear_unreachable(struct direct *direct, uint64_t upstream,
+			     int64_t aside_us);
 /** Whether requests can be served: configuration and upstreams are known. */
 bool direct_ready(const struct direct *direct);
 /** End in order: answers end their connections from now on. */
--- a/direct/direct_peers.c
+++ b/direct/direct_peers.c
@@ -16,7 +16,9 @@
 #define KIND_HELLO 'H'
 #define KIND_BUSY 'B'
 #define HELLO_TYPE "(xsas)" /* version in force, domain, members' IPs */
-#define BUSY_TYPE "(txx)"   /* upstream's hash, us at work, bytes kept */
+#define KIND_UNREACHABLE 'U'
+#define UNREACHABLE_TYPE "(tx)" /* upstream's hash, us it is set aside */
+#define BUSY_TYPE "(txx)"	/* upstream's hash, us at work, bytes kept */
 
 struct peer {
 	char *ip;
@@ -168,19 +170,33 @@
 	say_hello(peers);
 }
 
-void direct_peers_tell_busy(struct direct_peers *peers, uint64_t upstream,
-			    int64_t for_us, int64_t kept_bytes)
+/* Takes a floating body. */
+static void tell_all(struct direct_peers *peers, char kind, GVariant *floating)
 {
-	g_autoptr(GVariant) body = g_variant_ref_sink(
-		g_variant_new(BUSY_TYPE, (guint64)upstream, (gint64)for_us,
-			      (gint64)MAX(kept_bytes, 0)));
+	g_autoptr(GVariant) body = g_variant_ref_sink(floating);
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, peers->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		if (is_fresh(peers, value))
-			send_to(peers, value, KIND_BUSY, body);
+			send_to(peers, value, kind, body);
+}
+
+void direct_peers_tell_busy(struct direct_peers *peers, uint64_t upstream,
+			    int64_t for_us, int64_t kept_bytes)
+{
+	tell_all(peers, KIND_BUSY,
+		 g_variant_new(BUSY_TYPE, (guint64)upstream, (gint64)for_us,
+			       (gint64)MAX(kept_bytes, 0)));
+}
+
+void direct_peers_tell_unreachable(struct direct_peers *peers,
+				   uint64_t upstream, int64_t aside_us)
+{
+	tell_all(peers, KIND_UNREACHABLE,
+		 g_variant_new(UNREACHABLE_TYPE, (guint64)upstream,
+			       (gint64)aside_us));
 }
 
 void direct_peers_list(const struct direct_peers *peers, GArray *out)
@@ -246,6 +262,30 @@
 			    for_us, kept_bytes);
 }
 
+static void take_unreachable(struct direct_peers *peers, GVariant *body)
+{
+	guint64 upstream;
+	gint64 aside_us;
+
+	g_variant_get(body, UNREACHABLE_TYPE, &upstream, &aside_us);
+	peers->options.unreachable(peers->options.userdata, upstream, aside_us);
+}
+
+/* The type of a kind's body, or NULL. */
+static const char *type_of(char kind)
+{
+	switch (kind) {
+	case KIND_HELLO:
+		return HELLO_TYPE;
+	case KIND_BUSY:
+		return BUSY_TYPE;
+	case KIND_UNREACHABLE:
+		return UNREACHABLE_TYPE;
+	default:
+		return NULL;
+	}
+}
+
 static GVariant *read_body(const char *type, const char *bytes, gsize size)
 {
 	GVariant *body = g_variant_ref_sink(g_variant_new_from_data(
@@ -265,8 +305,8 @@
 	g_autofree char *ip = g_inet_address_to_string(from);
 	struct peer *peer = peer_of(peers, ip);
 	char kind = bytes[size - 1];
-	const char *type = kind == KIND_HELLO ? HELLO_TYPE : BUSY_TYPE;
-	GVariant *body = read_body(type, bytes, size - 1);
+	const char *type = type_of(kind);
+	GVariant *body = type ? read_body(type, bytes, size - 1) : NULL;
 
 	if (!peer || !body) {
 		if (body)
@@ -277,6 +317,8 @@
 		take_hello(peers, peer, body);
 	else if (kind == KIND_BUSY)
 		take_busy(peers, peer, body);
+	else if (kind == KIND_UNREACHABLE)
+		take_unreachable(peers, body);
 	g_variant_unref(body);
 }
 
--- a/direct/direct_peers.h
+++ b/direct/direct_peers.h
@@ -30,6 +30,9 @@
 	 * keeps so much for it. */
 	void (*busy)(void *userdata, uint64_t peer, uint64_t upstream,
 		     int64_t for_us, int64_t kept_bytes);
+	/** A peer sets an upstream aside that it cannot reach. */
+	void (*unreachable)(void *userdata, uint64_t upstream,
+			    int64_t aside_us);
 	/** A peer's hello: the version that it has in force. */
 	void (*config)(void *userdata, const char *ip, int64_t version);
 	void *userdata;
@@ -45,6 +48,9 @@
  * so many bytes of results are kept there for us. */
 void direct_peers_tell_busy(struct direct_peers *peers, uint64_t upstream,
 			    int64_t for_us, int64_t kept_bytes);
+/** We set an upstream aside for so long: it cannot be reached. */
+void direct_peers_tell_unreachable(struct direct_peers *peers,
+				   uint64_t upstream, int64_t aside_us);
 /**
  * Members heard lately and ourselves: their places are appended to `out`, of
  * struct homes_place; domains are borrowed until the next hello.
--- a/direct/direct_stages.c
+++ b/direct/direct_stages.c
@@ -4,8 +4,11 @@
 #include <string.h>
 
 /* A call may take this many times what is expected of it. */
-#define CALL_SLACK 4
-#define CALL_TIMEOUT_MIN_US (1 * LP_US_PER_S)
+#define CALL_SLACK 3
+#define CALL_TIMEOUT_MIN_US (700 * LP_US_PER_MS)
+/* Peers that hear of an upstream that does not answer leave it alone for as
+ * long as it would take them to find out. */
+#define TELL_ASIDE_US (1 * LP_US_PER_S)
 /* What pieces took tells of the next ones for about four calls; the newest
  * counts a quarter. */
 #define LEARNT_US (1 * LP_US_PER_S)
@@ -318,6 +321,10 @@
 		g_free(made[i].handle);
 	g_free(made);
 	g_hash_table_remove(stages->calls, call);
+	if (outcome == POOL_UNREACHABLE && stages->direct->peers)
+		direct_peers_tell_unreachable(stages->direct->peers,
+					      call->call->upstream->hash,
+					      TELL_ASIDE_US);
 	direct_stages_tell_busy(stages, call->call->upstream, 0);
 	pieces_end(call->service->pieces, call->call, outcome,
 		   call->reply.running, call->reply.waiting);
--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -466,7 +466,9 @@
 	/* With others' calls about, the time is not the upstream's own. */
 	bool timed = outcome == POOL_SERVED && !running && !waiting;
 	pool_learn(pieces->options.pool, upstream, outcome,
-		   timed ? now_us - call->started_us : 0,
+		   timed || outcome == POOL_UNREACHABLE
+			   ? now_us - call->started_us
+			   : 0,
 		   timed ? call_time_us(pieces, call->pieces->len) : 0);
 	learn_load(pieces, upstream, running, waiting);
 	upstream->in_flight--;
--- a/policy/pool.c
+++ b/policy/pool.c
@@ -22,6 +22,9 @@
 /* An upstream that fails is left alone, twice as long each time. */
 #define ASIDE_FIRST_US (250 * LP_US_PER_MS)
 #define ASIDE_DOUBLINGS_MAX 4
+#define ASIDE_MAX_US (4 * LP_US_PER_S)
+/* An answer of this age outweighs the word of others. */
+#define ANSWERED_US (300 * LP_US_PER_MS)
 /* One that is full is asked again soon. */
 #define ASIDE_FULL_US (60 * LP_US_PER_MS)
 /* Weight of the newest outcome in a fading mean. */
@@ -328,7 +331,9 @@
 	fade_beliefs(upstream, now_us);
 	upstream->seen_us = now_us;
 	if (failed) {
-		set_aside(upstream, now_us, ASIDE_FIRST_US << doublings);
+		set_aside(upstream, now_us,
+			  MIN(MAX(ASIDE_FIRST_US, took_us) << doublings,
+			      ASIDE_MAX_US));
 		upstream->failures++;
 	} else {
 		upstream->failures = 0;
@@ -338,7 +343,7 @@
 	upstream->error_share +=
 		FADE * ((failed || outcome == POOL_ERROR ? 1.0 : 0.0) -
 			upstream->error_share);
-	if (took_us && expected_us) {
+	if (!failed && took_us && expected_us) {
 		double ratio = CLAMP((double)took_us / (double)expected_us, 0.5,
 				     SLOWNESS_MAX);
 
@@ -406,6 +411,16 @@
 	update_busy(upstream, lp_now_us(pool->clock));
 }
 
+void pool_heard_unreachable(struct pool *pool, struct pool_upstream *upstream,
+			    int64_t aside_us)
+{
+	int64_t now_us = lp_now_us(pool->clock);
+
+	if (!upstream->failures && now_us - upstream->seen_us < ANSWERED_US)
+		return;
+	set_aside(upstream, now_us, MIN(aside_us, ASIDE_MAX_US));
+}
+
 bool pool_usable(const struct pool *pool, const struct pool_upstream *upstream)
 {
 	return upstream->listed && !upstream->entry.leaving &&
--- a/policy/pool.h
+++ b/policy/pool.h
@@ -114,7 +114,8 @@
 		   int64_t capacity_tokens);
 /**
  * Learn from an outcome. `took_us` and `expected_us` compare the time of an
- * answer with what was expected; 0: not known.
+ * answer with what was expected; 0: not known. Of a failure, `took_us` is how
+ * long it took to show: what costs more to find out is not tried as often.
  */
 void pool_learn(struct pool *pool, struct pool_upstream *upstream,
 		enum pool_outcome outcome, int64_t took_us,
@@ -130,6 +131,9 @@
 			const struct pool_upstream *upstream);
 /** It says itself that nobody else keeps it at work. */
 void pool_heard_idle(struct pool *pool, struct pool_upstream *upstream);
+/** Others found it unreachable; believed unless it answered us lately. */
+void pool_heard_unreachable(struct pool *pool, struct pool_upstream *upstream,
+			    int64_t aside_us);
 /** Whether it may be called at this moment. */
 bool pool_usable(const struct pool *pool, const struct pool_upstream *upstream);
 
