A soak of the real entry on the emulated platform; check-platform

lp-soak starts entries as processes before the emulator, injects faults from outside (upstreams, the key-value service, SIGKILL, SIGSTOP, SIGTERM), and checks from callers and upstreams: whole answers, refusals that are true, at most once, inputs kept apart. Its first run counted an emulated engine's plain answers as broken: the emulator was mended.

--- a/cli/cli.h
+++ b/cli/cli.h
@@ -37,6 +37,7 @@
 };
 
 int cli_check(struct cli *cli);
+int cli_check_platform(struct cli *cli);
 int cli_diff(struct cli *cli);
 int cli_apply(struct cli *cli);
 int cli_show(struct cli *cli);
--- a/tools/pe.c
+++ b/tools/pe.c
@@ -157,14 +157,21 @@
 
 /* ---- a request at an upstream ---- */
 
+/* Faults with which an engine still begins a stream. */
+static bool streams(enum pe_fault fault)
+{
+	return fault == PE_FAULT_NONE || fault == PE_FAULT_CUT ||
+	       fault == PE_FAULT_FORGET || fault == PE_FAULT_EXTRA ||
+	       fault == PE_FAULT_UNFRAMED;
+}
+
 static gboolean on_work_over(gpointer userdata)
 {
 	struct pe_conn *conn = userdata;
 	struct pe_upstream *upstream = conn->listener->userdata;
 
 	conn->timer = 0;
-	if (upstream->kind == PE_ENGINE && (upstream->fault == PE_FAULT_NONE ||
-					    upstream->fault == PE_FAULT_CUT))
+	if (upstream->kind == PE_ENGINE && streams(upstream->fault))
 		begin_stream(upstream, conn);
 	else
 		answer_plain(upstream, conn);
--- /dev/null
+++ b/tools/soak_main.c
@@ -0,0 +1,472 @@
+/*
+ * A soak of the real entry on the emulated platform: entries as processes,
+ * faults from outside them, the promises checked from what callers and
+ * upstreams see.
+ *
+ * Everything random comes from the seed. Prints what it did and what it saw;
+ * exit 0 if no promise was broken.
+ */
+#include "base/lp_clock.h"
+#include "base/lp_settings.h"
+#include "http/http_client.h"
+#include "tools/pe.h"
+
+#include <gio/gio.h>
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#define ENTRIES 2
+#define READY_LIMIT_US (15 * LP_US_PER_S)
+#define ASK_EVERY_MS 20
+#define FAULT_EVERY_MS 700
+#define ASK_TIMEOUT_MS 9000
+/* Ports of one soak: callers, the balancer, peers' TCP, a spare one each. */
+#define PORTS_EACH 4
+#define FIRST_PORT 22000
+#define PORT_SPAN 4000
+#define STREAM_EVENTS 6
+
+struct soak_settings {
+	char *daemon;
+	int64_t seed;
+	int64_t requests;
+	int64_t faults;
+};
+
+#define FIELD(name) offsetof(struct soak_settings, name)
+static const struct lp_setting table[] = {
+	{ "daemon", LP_SETTING_STRING, FIELD(daemon), "build/linepierd", 0, 0,
+	  NULL, "the program under test" },
+	{ "seed", LP_SETTING_INT, FIELD(seed), "1", 0, G_MAXINT32, NULL,
+	  "of everything random" },
+	{ "requests", LP_SETTING_INT, FIELD(requests), "300", 1, 1000000, NULL,
+	  "callers' requests" },
+	{ "faults", LP_SETTING_BOOL, FIELD(faults), "yes", 0, 0, NULL,
+	  "inject faults" },
+};
+
+struct entry {
+	uint32_t number;
+	char *settings;
+	char *callers;
+	char *ready;
+	GPid pid;
+	bool paused;
+	bool leaving; /* got SIGTERM */
+};
+
+struct soak {
+	struct soak_settings settings;
+	struct pe *platform;
+	GPtrArray *upstreams;
+	struct entry entries[ENTRIES];
+	char *folder;
+	GRand *random;
+	GMainLoop *loop;
+	uint32_t asked;
+	uint32_t open;
+	uint32_t answered;
+	uint32_t refused;
+	uint32_t failed;
+	uint32_t faults;
+	uint32_t breaches;
+};
+
+enum kind { KIND_LOOK, KIND_ORDER, KIND_ONCE, KIND_AGAIN, KIND_STAGED, KINDS };
+
+struct ask {
+	struct soak *soak;
+	enum kind kind;
+	char *id;
+	struct http_exchange *exchange;
+	guint timer;
+	uint32_t status;
+	GString *body;
+};
+
+static const char *const targets[KINDS] = { "/look/x", "/order/x", "/once/x",
+					    "/again/x", "/staged/x" };
+
+static void breach(struct soak *soak, const char *id, const char *what)
+{
+	soak->breaches++;
+	printf("broken: %s: %s\n", id, what);
+}
+
+/* ---- entries ---- */
+
+static void write_settings(struct soak *soak, struct entry *entry)
+{
+	int base =
+		FIRST_PORT +
+		(int)(soak->settings.seed * ENTRIES * PORTS_EACH % PORT_SPAN) +
+		(int)entry->number * PORTS_EACH;
+	g_autofree char *text = NULL;
+
+	entry->settings = g_strdup_printf("%s/entry-%u.conf", soak->folder,
+					  entry->number);
+	entry->callers = g_strdup_printf("127.0.0.1:%d", base);
+	entry->ready = g_strdup_printf("127.0.0.1:%d", base + 1);
+	text = g_strdup_printf(
+		"node_name=entry-%u\nzone=a\nip=127.0.0.%u\n"
+		"listen.front=%s\nlisten.ready=%s\n"
+		"listen.control=127.0.0.%u:%d\nport_range=%d,%d\n"
+		"seeds=127.0.0.1:1,127.0.0.2:1\nplatform.address=%s\n"
+		"bounds.grace_s=5\nbounds.retry_slack=40\n",
+		entry->number, entry->number + 1, entry->callers, entry->ready,
+		entry->number + 1, FIRST_PORT - 2, FIRST_PORT - 1,
+		FIRST_PORT - 1, pe_store_address(soak->platform));
+	g_file_set_contents(entry->settings, text, -1, NULL);
+}
+
+static void start_entry(struct soak *soak, struct entry *entry)
+{
+	char *argv[] = { soak->settings.daemon, "platform", NULL };
+	g_auto(GStrv) env = g_environ_setenv(g_get_environ(), "LINEPIER_BOOT",
+					     entry->settings, TRUE);
+	g_autoptr(GError) gerror = NULL;
+
+	entry->leaving = false;
+	entry->paused = false;
+	if (!g_spawn_async(NULL, argv, env,
+			   G_SPAWN_DO_NOT_REAP_CHILD |
+				   G_SPAWN_STDOUT_TO_DEV_NULL,
+			   NULL, NULL, &entry->pid, &gerror)) {
+		fprintf(stderr, "%s: %s\n", argv[0], gerror->message);
+		exit(2);
+	}
+}
+
+static void end_entry(struct entry *entry, int signal_number)
+{
+	if (!entry->pid)
+		return;
+	if (entry->paused)
+		kill(entry->pid, SIGCONT);
+	kill(entry->pid, signal_number);
+	waitpid(entry->pid, NULL, 0);
+	entry->pid = 0;
+}
+
+static bool is_ready(const struct entry *entry)
+{
+	g_autoptr(GSocketClient) client = g_socket_client_new();
+	g_autoptr(GSocketConnection) conn = g_socket_client_connect_to_host(
+		client, entry->ready, 0, NULL, NULL);
+	static const char question[] =
+		"GET /linepier/readiness HTTP/1.1\r\nHost: b\r\n\r\n";
+	char answer[64] = { 0 };
+
+	if (!conn)
+		return false;
+	g_output_stream_write(g_io_stream_get_output_stream(G_IO_STREAM(conn)),
+			      question, sizeof(question) - 1, NULL, NULL);
+	g_socket_condition_timed_wait(g_socket_connection_get_socket(conn),
+				      G_IO_IN, 200000, NULL, NULL);
+	g_socket_set_blocking(g_socket_connection_get_socket(conn), FALSE);
+	g_input_stream_read(g_io_stream_get_input_stream(G_IO_STREAM(conn)),
+			    answer, sizeof(answer) - 1, NULL, NULL);
+	return g_str_has_prefix(answer, "HTTP/1.1 200");
+}
+
+static bool wait_ready(struct soak *soak)
+{
+	int64_t end_us = g_get_monotonic_time() + READY_LIMIT_US;
+
+	for (uint32_t i = 0; i < ENTRIES;) {
+		while (g_main_context_iteration(NULL, FALSE))
+			;
+		if (is_ready(&soak->entries[i]))
+			i++;
+		else if (g_get_monotonic_time() > end_us)
+			return false;
+	}
+	return true;
+}
+
+/* ---- callers ---- */
+
+static bool stream_is_whole(const char *body)
+{
+	g_autoptr(GString) expected = g_string_new(NULL);
+
+	for (int i = 1; i <= STREAM_EVENTS; i++)
+		g_string_append_printf(expected, "id: %d\ndata: token %d\n\n",
+				       i, i);
+	return !strcmp(body, expected->str);
+}
+
+static void judge(struct ask *ask, int error)
+{
+	struct soak *soak = ask->soak;
+	uint32_t runs = pe_runs(soak->platform, ask->id);
+	bool streams = ask->kind >= KIND_ONCE;
+	bool whole = streams ? stream_is_whole(ask->body->str)
+			     : !strcmp(ask->body->str, "whole");
+
+	if (!error && ask->status == 200)
+		soak->answered++;
+	else if (!error && ask->status == 503)
+		soak->refused++;
+	else
+		soak->failed++;
+	if (!error && ask->status == 200 && !whole)
+		breach(soak, ask->id, "a success without the whole answer");
+	if (!error && ask->status == 503 && runs)
+		breach(soak, ask->id, "refused as not run, and it has run");
+	if (runs > 1 && ask->kind != KIND_LOOK && ask->kind != KIND_AGAIN)
+		breach(soak, ask->id, "ran twice");
+}
+
+static void end_ask(struct ask *ask, int error)
+{
+	struct soak *soak = ask->soak;
+
+	judge(ask, error);
+	if (ask->timer)
+		g_source_remove(ask->timer);
+	soak->open--;
+	if (!soak->open && soak->asked == soak->settings.requests)
+		g_main_loop_quit(soak->loop);
+	g_string_free(ask->body, TRUE);
+	g_free(ask->id);
+	g_free(ask);
+}
+
+static void on_head(void *userdata, uint32_t status,
+		    const struct http_fields *fields)
+{
+	((struct ask *)userdata)->status = status;
+}
+
+static void on_body(void *userdata, const char *bytes, size_t size)
+{
+	g_string_append_len(((struct ask *)userdata)->body, bytes,
+			    (gssize)size);
+}
+
+static void on_done(void *userdata, int error, bool sent)
+{
+	end_ask(userdata, error);
+}
+
+static gboolean on_ask_timeout(gpointer userdata)
+{
+	struct ask *ask = userdata;
+
+	ask->timer = 0;
+	http_exchange_cancel(ask->exchange);
+	/* Paused entries answer nobody: that is no breach. */
+	end_ask(ask, LP_ERROR_UPSTREAM_GONE);
+	return G_SOURCE_REMOVE;
+}
+
+static void start_exchange(struct ask *ask, const char *address)
+{
+	static const struct http_exchange_events events = { on_head, on_body,
+							    on_done };
+	struct http_fields fields;
+
+	http_fields_init(&fields);
+	http_fields_add(&fields, "Host", "a.example");
+	http_fields_add(&fields, "X-Attempt-Id", ask->id);
+	http_fields_add(&fields, "Authorization", "Bearer key-always");
+	if (ask->kind == KIND_STAGED) {
+		http_fields_add(&fields, "X-Pieces", "2,3");
+		http_fields_add(&fields, "X-Piece-Key", ask->id);
+	}
+	ask->exchange = http_exchange_start(&(struct http_exchange_options){
+		.address = address,
+		.method = "POST",
+		.target = targets[ask->kind],
+		.fields = &fields,
+		.has_body = true,
+		.connect_timeout_us = LP_US_PER_S,
+		.events = &events,
+		.userdata = ask,
+	});
+	http_fields_clear(&fields);
+}
+
+static gboolean on_ask_timer(gpointer userdata)
+{
+	struct soak *soak = userdata;
+	uint32_t entry = (uint32_t)g_rand_int_range(soak->random, 0, ENTRIES);
+	struct ask *ask = g_new0(struct ask, 1);
+
+	ask->soak = soak;
+	ask->kind = (enum kind)g_rand_int_range(soak->random, 0, KINDS);
+	ask->id = g_strdup_printf("s%u", ++soak->asked);
+	ask->body = g_string_new(NULL);
+	soak->open++;
+	start_exchange(ask, soak->entries[entry].callers);
+	if (ask->exchange)
+		ask->timer = g_timeout_add(ASK_TIMEOUT_MS, on_ask_timeout, ask);
+	else
+		end_ask(ask, LP_ERROR_UPSTREAM_GONE);
+	return soak->asked < soak->settings.requests ? G_SOURCE_CONTINUE
+						     : G_SOURCE_REMOVE;
+}
+
+/* ---- faults ---- */
+
+static void add_upstreams(struct soak *soak)
+{
+	static const struct {
+		enum pe_kind kind;
+		const char *service;
+	} rows[] = {
+		{ PE_PLAIN, "plain" },
+		{ PE_ENGINE, "engine" },
+		{ PE_STAGE, "first" },
+		{ PE_STAGE, "second" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows) * 3; i++)
+		g_ptr_array_add(soak->upstreams,
+				pe_add(soak->platform, rows[i / 3].kind,
+				       rows[i / 3].service, "a"));
+}
+
+static void fault_entry(struct soak *soak, uint32_t what)
+{
+	struct entry *entry =
+		&soak->entries[g_rand_int_range(soak->random, 0, ENTRIES)];
+
+	if (entry->paused) {
+		kill(entry->pid, SIGCONT);
+		entry->paused = false;
+	} else if (what == 0) {
+		kill(entry->pid, SIGSTOP);
+		entry->paused = true;
+	} else if (what == 1) {
+		end_entry(entry, SIGKILL);
+		start_entry(soak, entry);
+	} else if (entry->leaving || waitpid(entry->pid, NULL, WNOHANG) > 0) {
+		end_entry(entry, SIGKILL);
+		start_entry(soak, entry);
+	} else {
+		kill(entry->pid, SIGTERM);
+		entry->leaving = true;
+	}
+}
+
+static gboolean on_fault_timer(gpointer userdata)
+{
+	struct soak *soak = userdata;
+	uint32_t dice = (uint32_t)g_rand_int_range(soak->random, 0, 10);
+	guint which = (guint)g_rand_int_range(soak->random, 0,
+					      (gint32)soak->upstreams->len);
+
+	soak->faults++;
+	if (dice < 3)
+		fault_entry(soak, dice);
+	else if (dice == 3)
+		pe_store_fault(soak->platform,
+			       (enum pe_store_fault)g_rand_int_range(
+				       soak->random, PE_STORE_FINE,
+				       PE_STORE_DEAF_WATCHES + 1));
+	else
+		pe_fault(g_ptr_array_index(soak->upstreams, which),
+			 dice < 6 ? PE_FAULT_NONE
+				  : (enum pe_fault)g_rand_int_range(
+					    soak->random, PE_FAULT_FULL,
+					    PE_FAULT_FORGET + 1));
+	return G_SOURCE_CONTINUE;
+}
+
+/* ---- the run ---- */
+
+static void start(struct soak *soak)
+{
+	g_autofree char *config = pe_sample_config(1);
+
+	soak->random = g_rand_new_with_seed((guint32)soak->settings.seed);
+	soak->folder = g_dir_make_tmp("linepier-soak-XXXXXX", NULL);
+	soak->platform = pe_create();
+	soak->upstreams = g_ptr_array_new();
+	soak->loop = g_main_loop_new(NULL, FALSE);
+	pe_set_config(soak->platform, config);
+	add_upstreams(soak);
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		soak->entries[i].number = i;
+		write_settings(soak, &soak->entries[i]);
+		start_entry(soak, &soak->entries[i]);
+	}
+}
+
+static void stop(struct soak *soak)
+{
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		struct entry *entry = &soak->entries[i];
+
+		end_entry(entry, SIGKILL);
+		g_unlink(entry->settings);
+		g_free(entry->settings);
+		g_free(entry->callers);
+		g_free(entry->ready);
+	}
+	g_rmdir(soak->folder);
+	g_free(soak->folder);
+	g_ptr_array_unref(soak->upstreams);
+	pe_destroy(soak->platform);
+	g_main_loop_unref(soak->loop);
+	g_rand_free(soak->random);
+}
+
+static void report(struct soak *soak)
+{
+	const GPtrArray *breaches = pe_breaches(soak->platform);
+
+	for (guint i = 0; i < breaches->len; i++)
+		breach(soak, "upstream", g_ptr_array_index(breaches, i));
+	printf("seed %" G_GINT64_FORMAT
+	       ": %u requests, %u answered, %u refused, %u failed or cut, "
+	       "%u faults, %u promises broken\n",
+	       (gint64)soak->settings.seed, soak->asked, soak->answered,
+	       soak->refused, soak->failed, soak->faults, soak->breaches);
+}
+
+static int run(struct soak *soak)
+{
+	guint faults = 0;
+	int status;
+
+	setvbuf(stdout, NULL, _IOLBF, 0);
+	start(soak);
+	if (!wait_ready(soak)) {
+		printf("the entries did not become ready\n");
+		stop(soak);
+		return 1;
+	}
+	g_timeout_add(ASK_EVERY_MS, on_ask_timer, soak);
+	if (soak->settings.faults)
+		faults = g_timeout_add(FAULT_EVERY_MS, on_fault_timer, soak);
+	g_main_loop_run(soak->loop);
+	if (faults)
+		g_source_remove(faults);
+	report(soak);
+	status = soak->breaches ? 1 : 0;
+	stop(soak);
+	return status;
+}
+
+int main(int argc, const char **argv)
+{
+	struct soak soak = { 0 };
+	struct lp_settings_rest rest = { 0 };
+	int status = 2;
+
+	signal(SIGPIPE, SIG_IGN);
+	lp_settings_load(table, G_N_ELEMENTS(table), &soak.settings, argc, argv,
+			 "[OPTION...]", &rest);
+	if (rest.errors->len)
+		lp_settings_print_errors(&rest);
+	else
+		status = run(&soak);
+	lp_settings_clear(table, G_N_ELEMENTS(table), &soak.settings, &rest);
+	return status;
+}
