check covers files of the platform; logs to standard output, never waiting

A write to a full pipe would have blocked the entry: now only what can be taken at once is written (test: EventLog.NeverWaitsForItsReader). Lines carry what decided (admission, age of the list); the line of a sending's end had two members of one name.

--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,17 @@
 bench: all
 	@$(BUILD)/lp-bench --build=$(BUILD) --logs=$(BUILD)/logs/bench $(BENCH) $(ARGS)
 
+SEED = 1
+REQUESTS = 300
+
+demo-platform: all
+	@$(BUILD)/lp-soak --daemon=$(BUILD)/linepierd --faults=no --seed=$(SEED) \
+		--requests=100
+
+soak: all
+	@$(BUILD)/lp-soak --daemon=$(BUILD)/linepierd --seed=$(SEED) \
+		--requests=$(REQUESTS)
+
 SOURCES = $(shell git ls-files '*.c' '*.h')
 
 format:
@@ -39,4 +50,4 @@
 clean:
 	@rm -rf $(BUILD) $(SANITIZED)
 
-.PHONY: all setup-done sanitized test demo bench format check-format lint clean
+.PHONY: all setup-done sanitized test demo demo-platform soak bench format check-format lint clean
--- a/base/lp_event.c
+++ b/base/lp_event.c
@@ -1,7 +1,6 @@
 #include "base/lp_event.h"
 
-#include <errno.h>
-#include <unistd.h>
+#include "base/lp_out.h"
 
 /* At a front's usual load a request takes about three lines; thirty requests
  * a second and a storm of repeats stay well within it. */
@@ -57,18 +56,9 @@
 
 void lp_event_log_flush(struct lp_event_log *log)
 {
-	gsize done = 0;
+	gsize done = lp_out_write(log->options.fd, log->buffer->str,
+				  log->buffer->len);
 
-	while (done < log->buffer->len) {
-		ssize_t size = write(log->options.fd, log->buffer->str + done,
-				     log->buffer->len - done);
-
-		if (size < 0 && errno == EINTR)
-			continue;
-		if (size <= 0)
-			break;
-		done += (gsize)size;
-	}
 	g_string_erase(log->buffer, 0, (gssize)done);
 	if (log->buffer->len && !log->timer)
 		log->timer = g_timeout_add(FLUSH_MS, on_flush, log);
--- a/base/lp_log.c
+++ b/base/lp_log.c
@@ -1,9 +1,12 @@
 #include "base/lp_log.h"
 
 #include "base/lp_json.h"
+#include "base/lp_out.h"
 
 #include <json-glib/json-glib.h>
 #include <log4c.h>
+#include <string.h>
+#include <unistd.h>
 
 static log4c_category_t *category;
 static char *process_name;
@@ -34,15 +37,19 @@
 	return LOG4C_PRIORITY_DEBUG;
 }
 
-static int append_stderr(log4c_appender_t *appender,
+/* A line that cannot be taken at once is lost: nothing waits for a reader. */
+static int append_stdout(log4c_appender_t *appender,
 			 const log4c_logging_event_t *event)
 {
-	return fprintf(stderr, "%s\n", event->evt_rendered_msg);
+	g_autofree char *line =
+		g_strconcat(event->evt_rendered_msg, "\n", NULL);
+
+	return (int)lp_out_write(STDOUT_FILENO, line, strlen(line));
 }
 
-static const log4c_appender_type_t stderr_type = {
-	.name = "json_stderr",
-	.append = append_stderr,
+static const log4c_appender_type_t stdout_type = {
+	.name = "json_stdout",
+	.append = append_stdout,
 };
 
 void lp_log_init(const char *process, enum lp_log_level level)
@@ -52,11 +59,11 @@
 
 	process_name = g_strdup(process);
 	log4c_layout_type_set(&json_layout_type);
-	log4c_appender_type_set(&stderr_type);
+	log4c_appender_type_set(&stdout_type);
 	layout = log4c_layout_get("json_line");
 	log4c_layout_set_type(layout, &json_layout_type);
-	appender = log4c_appender_get("json_stderr");
-	log4c_appender_set_type(appender, &stderr_type);
+	appender = log4c_appender_get("json_stdout");
+	log4c_appender_set_type(appender, &stdout_type);
 	log4c_appender_set_layout(appender, layout);
 	category = log4c_category_get("linepier");
 	log4c_category_set_appender(category, appender);
--- a/base/lp_log.h
+++ b/base/lp_log.h
@@ -1,4 +1,4 @@
-/** Logs: JSON lines on standard error, through log4c. */
+/** Logs: JSON lines on standard output, through log4c. */
 #ifndef LP_LOG_H
 #define LP_LOG_H
 
--- a/cli/cli.h
+++ b/cli/cli.h
@@ -37,7 +37,13 @@
 };
 
 int cli_check(struct cli *cli);
+/**
+ * `check` of what the users' platform is given: settings (*.conf) and
+ * configurations (*.json), all of cli->args.
+ */
 int cli_check_platform(struct cli *cli);
+/** Whether a file's name says that it belongs to the users' platform. */
+bool cli_is_platform_file(const char *path);
 int cli_diff(struct cli *cli);
 int cli_apply(struct cli *cli);
 int cli_show(struct cli *cli);
--- a/cli/cli_config.c
+++ b/cli/cli_config.c
@@ -72,8 +72,11 @@
 {
 	g_autofree char *text = NULL;
 	struct cfg_doc *doc;
-	int status = load_files(cli, &text, &doc);
+	int status;
 
+	if (cli->args[0] && cli_is_platform_file(cli->args[0]))
+		return cli_check_platform(cli);
+	status = load_files(cli, &text, &doc);
 	if (status)
 		return status;
 	printf("%s: good: %u organisations, %u services, %u pipelines, %zu "
--- a/cli/cli_platform.c
+++ b/cli/cli_platform.c
@@ -40,14 +40,16 @@
 	return 0;
 }
 
+bool cli_is_platform_file(const char *path)
+{
+	return g_str_has_suffix(path, ".json") ||
+	       g_str_has_suffix(path, ".conf");
+}
+
 int cli_check_platform(struct cli *cli)
 {
 	guint errors = 0;
 
-	if (!cli->args[0]) {
-		g_printerr("check-platform: expected FILE...\n");
-		return CLI_USAGE;
-	}
 	for (char **path = cli->args; *path; path++)
 		errors += g_str_has_suffix(*path, ".json")
 				  ? check_config(*path)
--- a/cli/linepier_main.c
+++ b/cli/linepier_main.c
@@ -35,8 +35,6 @@
 
 static const struct command commands[] = {
 	{ "check", cli_check, "FILE|FOLDER: is it good?" },
-	{ "check-platform", cli_check_platform,
-	  "FILE...: settings or *.json of the users' platform" },
 	{ "diff", cli_diff, "FILE|FOLDER: against what is in force" },
 	{ "apply", cli_apply, "FILE|FOLDER: put it in force, as a whole" },
 	{ "show", cli_show, "what is in force" },
@@ -63,7 +61,7 @@
 {
 	g_printerr("expected a command:\n");
 	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
-		g_printerr("  %-14s %s\n", commands[i].name, commands[i].help);
+		g_printerr("  %-9s %s\n", commands[i].name, commands[i].help);
 }
 
 static int run(const struct command *command,
--- a/direct/direct.c
+++ b/direct/direct.c
@@ -136,6 +136,7 @@
 	uint32_t changes = pool_update(direct->pool, entries, count);
 
 	direct->has_upstreams = true;
+	direct->listed_us = lp_now_us(direct->options.clock);
 	if (!changes)
 		return;
 	if (lp_event_begin(log, "upstreams", NULL)) {
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -30,7 +30,8 @@
 	struct direct_config *config; /* NULL: none yet */
 	struct pool *pool;
 	bool has_upstreams;
-	bool refuses_new; /* about to end */
+	int64_t listed_us; /* when the list was handed in last */
+	bool refuses_new;  /* about to end */
 	struct retries *retries;
 	struct direct_stages *stages;
 	struct direct_peers *peers; /* NULL: none are told */
--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -190,6 +190,21 @@
 	return longest_us + direct_prepare_engine_us(request);
 }
 
+static void log_overload(struct direct_request *request, int64_t estimate,
+			 int64_t within_us)
+{
+	struct lp_event_log *log = request->direct->options.log;
+
+	if (!lp_event_begin(log, "admission", request->id))
+		return;
+	lp_event_text(log, "outcome", "refused");
+	lp_event_int(log, "estimate_us", estimate);
+	lp_event_int(log, "within_us", within_us);
+	lp_event_int(log, "priority", request->priority);
+	lp_event_int(log, "config", request->config->version);
+	lp_event_end(log);
+}
+
 /*
  * Refuse at the door what could not be on time, before any work is done: it
  * may be on time when it comes back.
@@ -198,13 +213,16 @@
 {
 	int64_t within_us =
 		(int64_t)(ADMIT_TARGETS * (double)request->route->target_us);
+	int64_t estimate;
 	int64_t over_us;
 
 	if (!request->graph || !within_us)
 		return true;
-	over_us = estimate_us(request) - within_us;
+	estimate = estimate_us(request);
+	over_us = estimate - within_us;
 	if (over_us <= 0)
 		return true;
+	log_overload(request, estimate, within_us);
 	direct_request_refuse(request,
 			      CLAMP(over_us, DIRECT_WAIT_FULL_US, WAIT_MAX_US),
 			      "overload");
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -66,7 +66,7 @@
 	if (step == VERDICT_PASS ||
 	    !lp_event_begin(log, "sending_end", request->id))
 		return;
-	lp_event_text(log, "event", events[event]);
+	lp_event_text(log, "ended", events[event]);
 	lp_event_text(log, "why", why);
 	lp_event_text(log, "outcome", steps[step]);
 	lp_event_text(log, "upstream",
@@ -495,6 +495,8 @@
 	lp_event_int(log, "in_flight", request->upstream->in_flight);
 	lp_event_int(log, "waited_us", request->sent_us - request->arrived_us);
 	lp_event_int(log, "config", request->config->version);
+	lp_event_int(log, "list_age_us",
+		     request->sent_us - request->direct->listed_us);
 	lp_event_end(log);
 }
 
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -353,4 +353,31 @@
 	close(pipe[1]);
 }
 
+/* A reader that does not read costs lines, never time. */
+TEST(EventLog, NeverWaitsForItsReader)
+{
+	TestClock clock;
+	int pipe[2];
+	lp_event_options options = { "p", &clock.clock, 0, 1000000 };
+	gint64 begun_us = g_get_monotonic_time();
+	lp_event_log *log;
+
+	ASSERT_TRUE(g_unix_open_pipe(pipe, 0, nullptr));
+	options.fd = pipe[1];
+	log = lp_event_log_create(&options);
+	for (int i = 0; i < 20000; i++) {
+		if (lp_event_begin(log, "decided", "request")) {
+			lp_event_int(log, "number", i);
+			lp_event_end(log);
+		}
+		if (i % 100 == 0)
+			lp_event_log_flush(log);
+	}
+	EXPECT_GT(lp_event_log_lost(log), 0);
+	EXPECT_LT(g_get_monotonic_time() - begun_us, 3000000);
+	lp_event_log_destroy(log);
+	close(pipe[0]);
+	close(pipe[1]);
+}
+
 } // namespace
--- a/tools/soak_main.c
+++ b/tools/soak_main.c
@@ -239,7 +239,12 @@
 static void on_head(void *userdata, uint32_t status,
 		    const struct http_fields *fields)
 {
-	((struct ask *)userdata)->status = status;
+	struct ask *ask = userdata;
+	const char *id = http_fields_get(fields, "X-Attempt-Id");
+
+	ask->status = status;
+	if (g_strcmp0(id, ask->id) != 0)
+		breach(ask->soak, ask->id, "an answer of another request");
 }
 
 static void on_body(void *userdata, const char *bytes, size_t size)
