--- a/direct/direct_prepare.c
+++ b/direct/direct_prepare.c
@@ -196,6 +196,7 @@
 	    request->arrived_us + request->route->target_us)
 		direct_stages_learn(request->direct->stages,
 				    request->route->stages[stage].service,
+				    request->priority,
 				    request->made_us[stage] -
 					    request->asked_us[stage]);
 }
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -86,7 +86,7 @@
 				  const char *service, int32_t priority);
 /** The pieces of a stage that were asked for in time took so long. */
 void direct_stages_learn(struct direct_stages *stages, const char *service,
-			 int64_t took_us);
+			 int32_t priority, int64_t took_us);
 /** Tell peers of a call of ours at an upstream, and what it keeps for us. */
 void direct_stages_tell_busy(struct direct_stages *stages,
 			     const struct pool_upstream *upstream,
--- a/direct/direct_stages.c
+++ b/direct/direct_stages.c
@@ -13,18 +13,25 @@
  * counts a quarter. */
 #define LEARNT_US (1 * LP_US_PER_S)
 #define LEARN_PARTS 4
+/* Ranks of priority that are told apart; the last one stands for the rest. */
+#define PRIORITIES 4
 /* Members and upstreams change slowly against this. */
 #define HOMES_MS 500
 /* An upstream without room is asked again after about half a call. */
 #define NO_ROOM_US (100 * LP_US_PER_MS)
 
+/* How long the pieces of one priority took lately. */
+struct learnt {
+	int64_t took_us; /* fading mean */
+	int64_t at_us;	 /* when it was heard last */
+};
+
 struct service {
 	struct direct_stages *stages;
 	struct pieces *pieces;
 	char *name;
 	guint wake;
-	int64_t took_us;   /* fading mean of how long pieces took */
-	int64_t learnt_us; /* when it was heard last */
+	struct learnt learnt[PRIORITIES];
 };
 
 struct direct_stages {
@@ -604,29 +611,35 @@
 	direct_stages_free_results(stages, direct_request_graph(request), true);
 }
 
+static struct learnt *learnt_of(struct service *service, int32_t priority)
+{
+	return &service->learnt[CLAMP(priority, 0, PRIORITIES - 1)];
+}
+
 int64_t direct_stages_estimate_us(struct direct_stages *stages,
 				  const char *service, int32_t priority)
 {
 	struct service *known = service_of(stages, service);
 	int64_t model_us = pieces_estimate_us(known->pieces, priority);
+	const struct learnt *learnt = learnt_of(known, priority);
 	int64_t now_us = lp_now_us(stages->direct->options.clock);
 
-	if (now_us - known->learnt_us > LEARNT_US)
+	if (now_us - learnt->at_us > LEARNT_US)
 		return model_us;
-	return MAX(model_us, known->took_us);
+	return MAX(model_us, learnt->took_us);
 }
 
 void direct_stages_learn(struct direct_stages *stages, const char *name,
-			 int64_t took_us)
+			 int32_t priority, int64_t took_us)
 {
-	struct service *service = service_of(stages, name);
+	struct learnt *learnt = learnt_of(service_of(stages, name), priority);
 	int64_t now_us = lp_now_us(stages->direct->options.clock);
 
-	if (now_us - service->learnt_us > LEARNT_US)
-		service->took_us = took_us;
+	if (now_us - learnt->at_us > LEARNT_US)
+		learnt->took_us = took_us;
 	else
-		service->took_us += (took_us - service->took_us) / LEARN_PARTS;
-	service->learnt_us = now_us;
+		learnt->took_us += (took_us - learnt->took_us) / LEARN_PARTS;
+	learnt->at_us = now_us;
 }
 
 struct direct_stages *direct_stages_create(struct direct *direct)
--- a/tools/pe.c
+++ b/tools/pe.c
@@ -161,6 +161,7 @@
 static bool streams(enum pe_fault fault)
 {
 	return fault == PE_FAULT_NONE || fault == PE_FAULT_CUT ||
+	       fault == PE_FAULT_FULL || /* that decides at arrival only */
 	       fault == PE_FAULT_FORGET || fault == PE_FAULT_EXTRA ||
 	       fault == PE_FAULT_UNFRAMED;
 }
--- a/tools/soak_main.c
+++ b/tools/soak_main.c
@@ -100,10 +100,9 @@
 
 static void write_settings(struct soak *soak, struct entry *entry)
 {
-	int base =
-		FIRST_PORT +
-		(int)(soak->settings.seed * ENTRIES * PORTS_EACH % PORT_SPAN) +
-		(int)entry->number * PORTS_EACH;
+	int first = FIRST_PORT + (int)(soak->settings.seed * ENTRIES *
+				       PORTS_EACH % PORT_SPAN);
+	int base = first + (int)entry->number * PORTS_EACH;
 	g_autofree char *text = NULL;
 
 	entry->settings = g_strdup_printf("%s/entry-%u.conf", soak->folder,
@@ -117,8 +116,8 @@
 		"seeds=127.0.0.1:1,127.0.0.2:1\nplatform.address=%s\n"
 		"bounds.grace_s=5\nbounds.retry_slack=40\n",
 		entry->number, entry->number + 1, entry->callers, entry->ready,
-		entry->number + 1, FIRST_PORT - 2, FIRST_PORT - 1,
-		FIRST_PORT - 1, pe_store_address(soak->platform));
+		entry->number + 1, first + 2, first + 3, first + 3,
+		pe_store_address(soak->platform));
 	g_file_set_contents(entry->settings, text, -1, NULL);
 }
 
@@ -213,8 +212,10 @@
 		soak->refused++;
 	else
 		soak->failed++;
-	if (!error && ask->status == 200 && !whole)
+	if (!error && ask->status == 200 && !whole) {
 		breach(soak, ask->id, "a success without the whole answer");
+		printf("it was %s: %s\n", targets[ask->kind], ask->body->str);
+	}
 	if (!error && ask->status == 503 && runs)
 		breach(soak, ask->id, "refused as not run, and it has run");
 	if (runs > 1 && ask->kind != KIND_LOOK && ask->kind != KIND_AGAIN)
@@ -304,7 +305,8 @@
 
 	ask->soak = soak;
 	ask->kind = (enum kind)g_rand_int_range(soak->random, 0, KINDS);
-	ask->id = g_strdup_printf("s%u", ++soak->asked);
+	ask->id = g_strdup_printf("s%" G_GINT64_FORMAT "-%u",
+				  (gint64)soak->settings.seed, ++soak->asked);
 	ask->body = g_string_new(NULL);
 	soak->open++;
 	start_exchange(ask, soak->entries[entry].callers);
