--- a/direct/direct_config.h
+++ b/direct/direct_config.h
@@ -47,25 +47,18 @@
 	struct direct_stage *stages;
 	uint32_t stages_count;
 	bool is_public; /**< needs no key */
-	bool has_affinity;
-	bool resumes; /**< a stream may go on at another upstream */
+	bool resumes;	/**< a stream may go on at another upstream */
 };
 
 struct direct_service {
 	char *name;
-	uint32_t connections_max; /**< of one upstream, from all entries */
 	/* of a service that does stages' pieces */
 	bool does_pieces;
-	uint32_t calls_max; /**< at work at once, one upstream */
-	uint32_t queue_max; /**< calls that may wait, one upstream */
 	uint32_t batch_max; /**< pieces of one call */
 	int64_t call_us;    /**< a call's fixed time, about */
 	int64_t piece_us;   /**< and that of each piece */
 	int64_t room_bytes; /**< for results, one upstream */
-	int64_t kept_us;    /**< how long a result is kept */
 	/* of a service of model engines */
-	bool is_engine;
-	uint32_t engine_slots;
 	int64_t engine_tokens; /**< memory for prompts, in tokens */
 };
 
--- a/direct/direct_peers.c
+++ b/direct/direct_peers.c
@@ -218,6 +218,19 @@
 	}
 }
 
+uint32_t direct_peers_count(const struct direct_peers *peers)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t count = 1;
+
+	g_hash_table_iter_init(&iter, peers->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (is_fresh(peers, value))
+			count++;
+	return count;
+}
+
 uint64_t direct_peers_self(const struct direct_peers *peers)
 {
 	return lp_hash_str(peers->ip);
--- a/direct/direct_peers.h
+++ b/direct/direct_peers.h
@@ -56,6 +56,8 @@
  * struct homes_place; domains are borrowed until the next hello.
  */
 void direct_peers_list(const struct direct_peers *peers, GArray *out);
+/** Members heard lately, ourselves among them. */
+uint32_t direct_peers_count(const struct direct_peers *peers);
 /** What names ourselves among them. */
 uint64_t direct_peers_self(const struct direct_peers *peers);
 
