--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -6,6 +6,7 @@
 #include "direct/direct.h"
 #include "direct/direct_peers.h"
 #include "http/http_client.h"
+#include "http/http_fetch.h"
 #include "http/http_server.h"
 #include "policy/graph.h"
 #include "policy/pieces.h"
--- a/direct/direct_results.c
+++ b/direct/direct_results.c
@@ -1,13 +1,11 @@
 /** Results of stages that nobody needs any more: their makers are told. */
 #include "direct/direct_private.h"
 
-#include <string.h>
-
 /* Results are gathered this long, so that one call names many. Room for
  * results is scarce: short against a call of a stage. */
 #define GATHER_MS 40
 /* An upstream drops what nobody names by itself after a few seconds. */
-#define FREE_TIMEOUT_MS 2000
+#define FREE_TIMEOUT_US (2 * LP_US_PER_S)
 
 /* Results of one maker that are given up next. */
 struct gathered {
@@ -27,10 +25,8 @@
 	char *maker;
 	uint32_t handles;
 	int64_t bytes;
-	uint32_t status;
 	int64_t started_us;
-	struct http_exchange *exchange;
-	guint timer;
+	struct http_fetch *fetch;
 };
 
 static void free_gathered(gpointer data)
@@ -61,13 +57,11 @@
 						  upstream));
 	}
 	g_hash_table_remove(call->results->calls, call);
-	if (call->timer)
-		g_source_remove(call->timer);
 	g_free(call->maker);
 	g_free(call);
 }
 
-static void log_free(const struct free_call *call)
+static void log_free(const struct free_call *call, uint32_t status)
 {
 	struct direct *direct = call->results->direct;
 
@@ -75,51 +69,25 @@
 		return;
 	lp_event_text(direct->options.log, "upstream", call->maker);
 	lp_event_int(direct->options.log, "results", call->handles);
-	lp_event_int(direct->options.log, "status", call->status);
+	lp_event_int(direct->options.log, "status", status);
 	lp_event_int(direct->options.log, "took_us",
 		     lp_now_us(direct->options.clock) - call->started_us);
 	lp_event_end(direct->options.log);
 }
 
-static void on_free_head(void *userdata, uint32_t status,
-			 const struct http_fields *fields)
-{
-	((struct free_call *)userdata)->status = status;
-}
-
-static void on_free_body(void *userdata, const char *bytes, size_t size)
-{
-}
-
 /* Lost or not: an upstream drops what nobody names after a few seconds. */
-static void on_free_done(void *userdata, int error, bool sent)
+static void on_free_done(void *userdata, const struct http_fetch_answer *answer)
 {
 	struct free_call *call = userdata;
 
 	*lp_counter(call->results->direct->options.counters,
 		    "linepier_result_frees_total",
-		    error ? "outcome=\"failed\"" : "outcome=\"done\"") += 1;
-	log_free(call);
+		    answer->error ? "outcome=\"failed\""
+				  : "outcome=\"done\"") += 1;
+	log_free(call, answer->status);
 	end_free_call(call);
 }
 
-static const struct http_exchange_events free_events = {
-	.head = on_free_head,
-	.body = on_free_body,
-	.done = on_free_done,
-};
-
-static gboolean on_free_timeout(gpointer userdata)
-{
-	struct free_call *call = userdata;
-
-	call->timer = 0;
-	http_exchange_cancel(call->exchange);
-	log_free(call);
-	end_free_call(call);
-	return G_SOURCE_REMOVE;
-}
-
 static void send_free(struct direct_results *results, const char *maker,
 		      const struct gathered *gathered)
 {
@@ -142,25 +110,21 @@
 	call->started_us = lp_now_us(results->direct->options.clock);
 	http_fields_init(&fields);
 	codec->write_call(maker, &fields);
-	call->exchange = http_exchange_start(&(struct http_exchange_options){
+	call->fetch = http_fetch_start(&(struct http_fetch_options){
 		.address = upstream->entry.address,
 		.method = "POST",
 		.target = codec->free_target,
 		.fields = &fields,
 		.body = body,
-		.body_size = strlen(body),
-		.has_body = true,
 		.connect_timeout_us = DIRECT_CONNECT_TIMEOUT_US,
-		.events = &free_events,
+		.timeout_us = FREE_TIMEOUT_US,
+		.done = on_free_done,
 		.userdata = call,
 	});
 	http_fields_clear(&fields);
 	g_hash_table_add(results->calls, call);
-	if (!call->exchange) {
+	if (!call->fetch)
 		end_free_call(call);
-		return;
-	}
-	call->timer = g_timeout_add(FREE_TIMEOUT_MS, on_free_timeout, call);
 }
 
 static gboolean on_free_gathered(gpointer userdata)
@@ -216,7 +180,7 @@
 	for (GList *at = calls; at; at = at->next) {
 		struct free_call *call = at->data;
 
-		http_exchange_cancel(call->exchange);
+		http_fetch_cancel(call->fetch);
 		end_free_call(call);
 	}
 	if (results->timer)
--- a/direct/direct_stages.c
+++ b/direct/direct_stages.c
@@ -47,10 +47,7 @@
 	struct direct_stages *stages;
 	struct service *service;
 	struct pieces_call *call;
-	struct http_exchange *exchange;
-	guint timer;
-	GString *body;
-	uint32_t status;
+	struct http_fetch *fetch;
 	uint32_t no_room; /* pieces not made for want of it */
 	struct direct_reply reply;
 };
@@ -245,16 +242,17 @@
 }
 
 /* Results, or NULL when the call brought none. */
-static struct direct_made *read_results(struct stage_call *call, int error)
+static struct direct_made *read_results(struct stage_call *call,
+					const struct http_fetch_answer *answer)
 {
 	const struct direct_codec *codec = call->stages->direct->options.codec;
 	uint32_t count = call->call->pieces->len;
 	struct direct_made *made;
 
-	if (error || call->status != 200)
+	if (answer->error || answer->status != 200)
 		return NULL;
 	made = g_new0(struct direct_made, count);
-	if (codec->read_items(call->body->str, made, count))
+	if (codec->read_items(answer->body, made, count))
 		return made;
 	g_free(made);
 	return NULL;
@@ -311,15 +309,14 @@
 	return names[outcome];
 }
 
-static void end_call(struct stage_call *call, int error)
+static void end_call(struct stage_call *call,
+		     const struct http_fetch_answer *answer)
 {
 	struct direct_stages *stages = call->stages;
-	struct direct_made *made = read_results(call, error);
-	enum pool_outcome outcome = outcome_of(call, error, made);
+	struct direct_made *made = read_results(call, answer);
+	enum pool_outcome outcome = outcome_of(call, answer->error, made);
 	guint count = call->call->pieces->len;
 
-	if (call->timer)
-		g_source_remove(call->timer);
 	for (guint i = 0; made && i < count; i++)
 		call->no_room += made[i].result == DIRECT_ITEM_NO_ROOM;
 	log_call(call, outcome_name(outcome));
@@ -335,7 +332,6 @@
 	direct_stages_tell_busy(stages, call->call->upstream, 0);
 	pieces_end(call->service->pieces, call->call, outcome,
 		   call->reply.running, call->reply.waiting);
-	g_string_free(call->body, TRUE);
 	g_free(call);
 	schedule_run(stages);
 }
@@ -345,39 +341,21 @@
 {
 	struct stage_call *call = userdata;
 
-	call->status = status;
 	call->stages->direct->options.codec->read_reply(status, fields, NULL,
 							&call->reply);
 }
 
-static void on_call_body(void *userdata, const char *bytes, size_t size)
+static void on_call_done(void *userdata, const struct http_fetch_answer *answer)
 {
-	struct stage_call *call = userdata;
-
-	g_string_append_len(call->body, bytes, (gssize)size);
-}
-
-static void on_call_done(void *userdata, int error, bool sent)
-{
-	end_call(userdata, error);
+	end_call(userdata, answer);
 }
 
-static const struct http_exchange_events call_events = {
-	.head = on_call_head,
-	.body = on_call_body,
-	.done = on_call_done,
+/* What stands for the answer of a call that could not be made or is dropped. */
+static const struct http_fetch_answer no_answer = {
+	.error = LP_ERROR_UPSTREAM_GONE,
+	.body = "",
 };
 
-static gboolean on_call_timeout(gpointer userdata)
-{
-	struct stage_call *call = userdata;
-
-	call->timer = 0;
-	http_exchange_cancel(call->exchange);
-	end_call(call, LP_ERROR_UPSTREAM_GONE);
-	return G_SOURCE_REMOVE;
-}
-
 /* ---- a call's start ---- */
 
 static void fill_item(struct direct_stages *stages, const struct piece *piece,
@@ -447,34 +425,30 @@
 	call->stages = stages;
 	call->service = service;
 	call->call = made;
-	call->body = g_string_new(NULL);
 	call->reply.running = -1;
 	call->reply.waiting = -1;
 	http_fields_init(&fields);
 	codec->write_call(made->upstream->entry.id, &fields);
 	g_hash_table_add(stages->calls, call);
-	call->exchange = http_exchange_start(&(struct http_exchange_options){
+	call->fetch = http_fetch_start(&(struct http_fetch_options){
 		.address = made->upstream->entry.address,
 		.method = "POST",
 		.target = codec->items_target,
 		.fields = &fields,
 		.body = body,
-		.body_size = strlen(body),
-		.has_body = true,
 		.connect_timeout_us = DIRECT_CONNECT_TIMEOUT_US,
-		.events = &call_events,
+		.timeout_us = MAX(CALL_SLACK * made->expected_us,
+				  CALL_TIMEOUT_MIN_US),
+		.head = on_call_head,
+		.done = on_call_done,
 		.userdata = call,
 	});
 	http_fields_clear(&fields);
-	if (!call->exchange) {
-		end_call(call, LP_ERROR_UPSTREAM_GONE);
+	if (!call->fetch) {
+		end_call(call, &no_answer);
 		return;
 	}
 	direct_stages_tell_busy(stages, made->upstream, made->expected_us);
-	call->timer = g_timeout_add((guint)(MAX(CALL_SLACK * made->expected_us,
-						CALL_TIMEOUT_MIN_US) /
-					    LP_US_PER_MS),
-				    on_call_timeout, call);
 }
 
 static gboolean on_wake(gpointer userdata)
@@ -662,8 +636,8 @@
 	for (GList *at = calls; at; at = at->next) {
 		struct stage_call *call = at->data;
 
-		http_exchange_cancel(call->exchange);
-		end_call(call, LP_ERROR_UPSTREAM_GONE);
+		http_fetch_cancel(call->fetch);
+		end_call(call, &no_answer);
 	}
 }
 
--- /dev/null
+++ b/http/http_fetch.c
@@ -0,0 +1,111 @@
+#include "http/http_fetch.h"
+
+#include "base/lp_clock.h"
+#include "http/http_client.h"
+
+#include <string.h>
+
+struct http_fetch {
+	struct http_exchange *exchange;
+	guint timer;
+	uint32_t status;
+	GString *body;
+	void (*head)(void *userdata, uint32_t status,
+		     const struct http_fields *fields);
+	void (*done)(void *userdata, const struct http_fetch_answer *answer);
+	void *userdata;
+};
+
+static void free_fetch(struct http_fetch *fetch)
+{
+	if (fetch->timer)
+		g_source_remove(fetch->timer);
+	g_string_free(fetch->body, TRUE);
+	g_free(fetch);
+}
+
+static void finish(struct http_fetch *fetch, int error)
+{
+	const struct http_fetch_answer answer = {
+		.error = error,
+		.status = fetch->status,
+		.body = fetch->body->str,
+		.size = fetch->body->len,
+	};
+
+	fetch->done(fetch->userdata, &answer);
+	free_fetch(fetch);
+}
+
+static void on_head(void *userdata, uint32_t status,
+		    const struct http_fields *fields)
+{
+	struct http_fetch *fetch = userdata;
+
+	fetch->status = status;
+	if (fetch->head)
+		fetch->head(fetch->userdata, status, fields);
+}
+
+static void on_body(void *userdata, const char *bytes, size_t size)
+{
+	struct http_fetch *fetch = userdata;
+
+	g_string_append_len(fetch->body, bytes, (gssize)size);
+}
+
+static void on_done(void *userdata, int error, bool sent)
+{
+	finish(userdata, error);
+}
+
+static const struct http_exchange_events events = {
+	.head = on_head,
+	.body = on_body,
+	.done = on_done,
+};
+
+static gboolean on_timeout(gpointer userdata)
+{
+	struct http_fetch *fetch = userdata;
+
+	fetch->timer = 0;
+	http_exchange_cancel(fetch->exchange);
+	finish(fetch, LP_ERROR_UPSTREAM_GONE);
+	return G_SOURCE_REMOVE;
+}
+
+struct http_fetch *http_fetch_start(const struct http_fetch_options *options)
+{
+	struct http_fetch *fetch = g_new0(struct http_fetch, 1);
+
+	fetch->body = g_string_new(NULL);
+	fetch->head = options->head;
+	fetch->done = options->done;
+	fetch->userdata = options->userdata;
+	fetch->exchange = http_exchange_start(&(struct http_exchange_options){
+		.address = options->address,
+		.method = options->method,
+		.target = options->target,
+		.fields = options->fields,
+		.body = options->body,
+		.body_size = options->body ? strlen(options->body) : 0,
+		.has_body = options->body != NULL,
+		.connect_timeout_us = options->connect_timeout_us,
+		.events = &events,
+		.userdata = fetch,
+	});
+	if (!fetch->exchange) {
+		free_fetch(fetch);
+		return NULL;
+	}
+	fetch->timer = g_timeout_add(
+		(guint)(options->timeout_us / LP_US_PER_MS), on_timeout, fetch);
+	return fetch;
+}
+
+void http_fetch_cancel(struct http_fetch *fetch)
+{
+	http_exchange_cancel(fetch->exchange);
+	free_fetch(fetch);
+}
