Pieces do not keep the name of an upstream that has gone

Cause, found by reading: a waiting piece pointed at the domain's name inside an upstream that may leave the list and be freed. Test first failed under the sanitizer (heap-use-after-free in crossing_us), then passed: Direct.AnUpstreamMayLeaveWhilePiecesWaitNearIt. Domains' names are interned now.

--- a/direct/direct_prepare.c
+++ b/direct/direct_prepare.c
@@ -86,7 +86,8 @@
 			      });
 		piece->near_bytes = stages[stage].bytes;
 	}
-	piece->near = near ? near->entry.domain : NULL;
+	/* The upstream may be gone before the piece is. Domains are few. */
+	piece->near = near ? g_intern_string(near->entry.domain) : NULL;
 }
 
 /* Whether a stage's inputs take up a good part of their makers' room. */
--- a/policy/pieces.h
+++ b/policy/pieces.h
@@ -25,7 +25,7 @@
 	bool holds_room;    /**< its inputs take up scarce room meanwhile */
 	bool split;	    /**< others of its stage and request went ahead */
 	const char *near;   /**< domain of what it takes in, or of who takes
-			       it; NULL: no matter. Valid while it waits. */
+			       it; NULL: no matter. Interned. */
 	int64_t near_bytes; /**< that would cross domains elsewhere */
 };
 
--- a/tests/direct_test.cc
+++ b/tests/direct_test.cc
@@ -501,6 +501,33 @@
 	}
 }
 
+/* Found by reading: a waiting piece kept the domain's name of an upstream that
+ * had left the list and was freed (the sanitized build stops here without the
+ * mend). */
+TEST(Direct, AnUpstreamMayLeaveWhilePiecesWaitNearIt)
+{
+	Rig rig;
+	pe_upstream *maker = rig.add(PE_STAGE, "first");
+	pe_upstream *slow = rig.add(PE_STAGE, "second");
+
+	rig.add(PE_ENGINE, "engine");
+	pe_set_work_ms(slow, 900);
+	rig.settle();
+	Ask one(rig.address, "a1", "/staged/x",
+		{ { "X-Pieces", "1,1" }, { "X-Piece-Key", "k" } });
+
+	ASSERT_TRUE(turn_until([&] { return pe_arrivals(slow) == 1; }));
+	Ask two(rig.address, "a2", "/staged/x",
+		{ { "X-Pieces", "1,1" }, { "X-Piece-Key", "k" } });
+
+	ASSERT_TRUE(
+		turn_until([&] { return pe_pieces_made(rig.platform) >= 2; }));
+	turn_until([] { return false; }, 50);
+	pe_remove(maker);
+	one.wait();
+	two.wait();
+}
+
 /* No piece is made without its inputs, and none with another's: the emulator
  * writes down each breach, and Rig fails the test. */
 TEST(Direct, ManyRequestsShareCallsAndKeepTheirPiecesApart)
--- a/tools/soak_main.c
+++ b/tools/soak_main.c
@@ -352,7 +352,7 @@
 	} else if (what == 1) {
 		end_entry(entry, SIGKILL);
 		start_entry(soak, entry);
-	} else if (entry->leaving || waitpid(entry->pid, NULL, WNOHANG) > 0) {
+	} else if (entry->leaving) {
 		end_entry(entry, SIGKILL);
 		start_entry(soak, entry);
 	} else {
@@ -361,6 +361,19 @@
 	}
 }
 
+/* An entry that ended without being told to is a fault of its own. */
+static void look_for_ended(struct soak *soak)
+{
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		struct entry *entry = &soak->entries[i];
+
+		if (entry->leaving || waitpid(entry->pid, NULL, WNOHANG) <= 0)
+			continue;
+		breach(soak, entry->settings, "an entry ended by itself");
+		start_entry(soak, entry);
+	}
+}
+
 static gboolean on_fault_timer(gpointer userdata)
 {
 	struct soak *soak = userdata;
@@ -369,6 +382,7 @@
 					      (gint32)soak->upstreams->len);
 
 	soak->faults++;
+	look_for_ended(soak);
 	if (dice < 3)
 		fault_entry(soak, dice);
 	else if (dice == 3)
