Tests that fail without their mend: a deaf watch, pieces whose inputs were lost

The emulated watch now ends with the newest revision and no event, as the real one did, and the emulator knows that later stages have inputs.

--- a/tests/direct_test.cc
+++ b/tests/direct_test.cc
@@ -482,6 +482,26 @@
 	EXPECT_EQ(staged.wait().body, whole_stream);
 }
 
+/* Found on a day at Kwaebibirem: inputs were lost with the first call of a
+ * stage while its other pieces waited; those went off without inputs. */
+TEST(Direct, PiecesDoNotGoWithoutInputsThatWereLost)
+{
+	Rig rig;
+	pe_upstream *forgets = rig.add(PE_STAGE, "first");
+
+	rig.add(PE_STAGE, "second");
+	rig.add(PE_ENGINE, "engine");
+	pe_fault(forgets, PE_FAULT_FORGET);
+	rig.settle();
+	Ask staged(rig.address, "a1", "/staged/x",
+		   { { "X-Pieces", "1,20" }, { "X-Piece-Key", "k" } });
+
+	ASSERT_TRUE(
+		turn_until([&] { return pe_pieces_made(rig.platform) >= 2; }));
+	pe_fault(forgets, PE_FAULT_NONE);
+	EXPECT_EQ(staged.wait().body, whole_stream);
+}
+
 TEST(Direct, PiecesOutliveAStageServerThatResets)
 {
 	Rig rig;
@@ -622,7 +642,7 @@
 	pe_store_fault(rig.platform, PE_STORE_DEAF_WATCHES);
 	rig.set_config(7);
 	rig.add(PE_PLAIN, "plain"); /* the revision goes on */
-	turn_until([] { return false; }, 300);
+	turn_until([] { return false; }, 800);
 	pe_store_fault(rig.platform, PE_STORE_FINE);
 	EXPECT_TRUE(turn_until(
 		[&] { return direct_config_version(rig.entry) == 7; }, 2500));
--- a/tools/pe.h
+++ b/tools/pe.h
@@ -42,7 +42,7 @@
 	PE_STORE_FINE,
 	PE_STORE_BUSY,	 /**< answers 503 */
 	PE_STORE_SILENT, /**< answers nothing */
-	/** Watches hear nothing and hang; reads are served. */
+	/** Watches hear nothing of what is changed; reads are served. */
 	PE_STORE_DEAF_WATCHES,
 };
 
--- a/tools/pe_stage.c
+++ b/tools/pe_stage.c
@@ -92,6 +92,10 @@
 	json_builder_begin_object(builder);
 	if (!has_inputs && !json_object_has_member(item, "key"))
 		pe_breach(upstream->pe, "a piece with neither key nor inputs");
+	/* In the sample configuration each stage but the first has some. */
+	if (!has_inputs &&
+	    json_object_get_int_member_with_default(item, "stage", 0) > 0)
+		pe_breach(upstream->pe, "a later stage without its inputs");
 	if (has_inputs && !inputs_are_there(upstream->pe, item)) {
 		lp_json_text(builder, "reason", "gone");
 	} else {
--- a/tools/pe_store.c
+++ b/tools/pe_store.c
@@ -129,6 +129,17 @@
 	return true;
 }
 
+/* Nothing is told, and the revision has gone on all the same. */
+static void answer_deaf(struct pe *pe, struct pe_conn *conn)
+{
+	g_autofree char *body = g_strdup_printf(
+		"{\"events\":[],\"current_rev\":%" G_GINT64_FORMAT "}",
+		(gint64)pe->revision);
+
+	g_ptr_array_remove_fast(pe->watches, conn);
+	pe_conn_answer(conn, 200, "", body);
+}
+
 static gboolean on_watch_over(gpointer userdata)
 {
 	struct pe_conn *conn = userdata;
@@ -137,6 +148,8 @@
 	conn->timer = 0;
 	if (pe->store_fault == PE_STORE_FINE)
 		answer_watch(pe, conn, true);
+	else if (pe->store_fault == PE_STORE_DEAF_WATCHES)
+		answer_deaf(pe, conn);
 	return G_SOURCE_REMOVE;
 }
 
--- a/tools/soak_main.c
+++ b/tools/soak_main.c
@@ -361,6 +361,18 @@
 	}
 }
 
+/* Answers of other requests are drawn more often: few upstreams can give any,
+ * and a swap must not stay unseen. */
+static enum pe_fault draw_fault(struct soak *soak, uint32_t dice)
+{
+	if (dice < 6)
+		return PE_FAULT_NONE;
+	if (dice == 9)
+		return PE_FAULT_FOREIGN;
+	return (enum pe_fault)g_rand_int_range(soak->random, PE_FAULT_FULL,
+					       PE_FAULT_FORGET + 1);
+}
+
 /* An entry that ended without being told to is a fault of its own. */
 static void look_for_ended(struct soak *soak)
 {
@@ -392,10 +404,7 @@
 				       PE_STORE_DEAF_WATCHES + 1));
 	else
 		pe_fault(g_ptr_array_index(soak->upstreams, which),
-			 dice < 6 ? PE_FAULT_NONE
-				  : (enum pe_fault)g_rand_int_range(
-					    soak->random, PE_FAULT_FULL,
-					    PE_FAULT_FORGET + 1));
+			 draw_fault(soak, dice));
 	return G_SOURCE_CONTINUE;
 }
 
