--- a/base/lp_json.c
+++ b/base/lp_json.c
@@ -24,3 +24,14 @@
 
 	return json_to_string(root, FALSE);
 }
+
+JsonObject *lp_json_read(JsonParser *parser, const char *text)
+{
+	JsonNode *root;
+
+	if (!text || !json_parser_load_from_data(parser, text, -1, NULL))
+		return NULL;
+	root = json_parser_get_root(parser);
+	return root && JSON_NODE_HOLDS_OBJECT(root) ? json_node_get_object(root)
+						    : NULL;
+}
--- a/base/lp_json.h
+++ b/base/lp_json.h
@@ -9,6 +9,8 @@
 void lp_json_text(JsonBuilder *builder, const char *name, const char *value);
 void lp_json_int(JsonBuilder *builder, const char *name, int64_t value);
 void lp_json_bool(JsonBuilder *builder, const char *name, bool value);
+/** The object that a text holds, owned by the parser; NULL: it holds none. */
+JsonObject *lp_json_read(JsonParser *parser, const char *text);
 /** What was built, on one line; g_free(). */
 char *lp_json_print(JsonBuilder *builder);
 
--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -41,10 +41,8 @@
 	http_fields_clear(&request->fields);
 	g_string_free(request->body, TRUE);
 	g_ptr_array_unref(request->tried);
-	if (request->ask.parts)
-		g_array_unref(request->ask.parts);
-	if (request->ask.pieces)
-		g_array_unref(request->ask.pieces);
+	g_array_unref(request->ask.parts);
+	g_array_unref(request->ask.pieces);
 	direct_config_unref(request->config);
 	g_free(request->last_event_id);
 	g_free(request->id);
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -83,14 +83,9 @@
 
 static void pass_answer(struct direct_request *request)
 {
-	struct http_fields fields;
-
 	direct_request_log_end(request, "answered", request->status, NULL);
-	http_fields_init(&fields);
-	http_fields_copy_end_to_end(&fields, &request->fields);
-	http_call_answer(request->call, request->status, &fields,
+	http_call_answer(request->call, request->status, &request->fields,
 			 request->body->str, request->body->len);
-	http_fields_clear(&fields);
 	direct_request_free(request);
 }
 
@@ -393,18 +388,14 @@
 
 static struct pool_upstream *pick_upstream(struct direct_request *request)
 {
-	const struct pool_part *parts =
-		request->ask.parts
-			? (struct pool_part *)request->ask.parts->data
-			: NULL;
 	const char *maker =
 		request->graph ? graph_main_maker(request->graph) : NULL;
 	struct pool_upstream *maker_upstream =
 		maker ? pool_find(request->direct->pool, maker) : NULL;
 	struct pool_ask ask = {
 		.service = request->service,
-		.parts = parts,
-		.parts_count = parts ? request->ask.parts->len : 0,
+		.parts = (struct pool_part *)request->ask.parts->data,
+		.parts_count = request->ask.parts->len,
 		.tried = (const char *const *)request->tried->pdata,
 		.tried_count = request->tried->len,
 	};
@@ -460,7 +451,7 @@
 	g_string_truncate(request->body, 0);
 	request->cold_tokens = 0;
 	request->expected_us = 0;
-	if (parts && parts->len) {
+	if (parts->len) {
 		const struct pool_part *list = (struct pool_part *)parts->data;
 
 		request->cold_tokens =
--- a/http/http_client.c
+++ b/http/http_client.c
@@ -171,8 +171,3 @@
 {
 	return http_sock_sent_any(exchange->sock);
 }
-
-void http_exchange_pause(struct http_exchange *exchange, bool pause)
-{
-	http_sock_pause(exchange->sock, pause);
-}
--- a/http/http_client.h
+++ b/http/http_client.h
@@ -47,7 +47,5 @@
 void http_exchange_cancel(struct http_exchange *exchange);
 /** Whether a byte of the request has left. */
 bool http_exchange_sent(const struct http_exchange *exchange);
-/** Stop or go on reading the answer. */
-void http_exchange_pause(struct http_exchange *exchange, bool pause);
 
 #endif
--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -92,11 +92,6 @@
 			g_array_remove_index(pieces->waiting, i);
 }
 
-uint32_t pieces_waiting(const struct pieces *pieces)
-{
-	return pieces->waiting->len;
-}
-
 static int64_t now(const struct pieces *pieces)
 {
 	return lp_now_us(pieces->options.clock);
@@ -408,18 +403,17 @@
 				     struct pool_upstream *upstream)
 {
 	struct pieces_call *call = g_new0(struct pieces_call, 1);
-	uint32_t count = plan(pieces, upstream, NULL);
 
 	call->upstream = pool_hold(upstream);
 	call->pieces = g_array_new(FALSE, FALSE, sizeof(struct piece));
 	take_planned(pieces, upstream, call->pieces);
 	call->started_us = now(pieces);
-	call->expected_us = wait_us(pieces, upstream) +
-			    (int64_t)((double)call_time_us(pieces, count) *
-				      upstream->slowness);
+	call->expected_us =
+		wait_us(pieces, upstream) +
+		(int64_t)((double)call_time_us(pieces, call->pieces->len) *
+			  upstream->slowness);
 	upstream->in_flight++;
 	g_ptr_array_add(pieces->calls, call);
-
 	return call;
 }
 
@@ -465,6 +459,7 @@
 	int64_t now_us = now(pieces);
 	/* With others' calls about, the time is not the upstream's own. */
 	bool timed = outcome == POOL_SERVED && !running && !waiting;
+
 	pool_learn(pieces->options.pool, upstream, outcome,
 		   timed || outcome == POOL_UNREACHABLE
 			   ? now_us - call->started_us
--- a/store/store_etcd.c
+++ b/store/store_etcd.c
@@ -138,17 +138,6 @@
 	}
 }
 
-static JsonObject *root_object(JsonParser *parser, const char *text)
-{
-	JsonNode *root;
-
-	if (!text || !json_parser_load_from_data(parser, text, -1, NULL))
-		return NULL;
-	root = json_parser_get_root(parser);
-	return root && JSON_NODE_HOLDS_OBJECT(root) ? json_node_get_object(root)
-						    : NULL;
-}
-
 static void on_answer(void *userdata, const struct store_http_answer *http)
 {
 	struct call *call = userdata;
@@ -159,7 +148,7 @@
 
 	g_array_set_clear_func(pairs, clear_pair);
 	if (!http->error && http->status == SOUP_STATUS_OK)
-		root = root_object(parser, http->body);
+		root = lp_json_read(parser, http->body);
 	if (root) {
 		add_kvs(root, pairs);
 		add_responses(root, pairs);
@@ -377,7 +366,7 @@
 static void deliver_events(struct etcd *etcd, const char *line)
 {
 	g_autoptr(JsonParser) parser = json_parser_new();
-	JsonObject *root = root_object(parser, line);
+	JsonObject *root = lp_json_read(parser, line);
 	JsonObject *result;
 	JsonArray *events;
 
