--- a/direct/direct.c
+++ b/direct/direct.c
@@ -1,10 +1,5 @@
 #include "direct/direct_private.h"
-
-#include "base/lp_id.h"
-
-/* A peer's word on a call counts for no longer than this: the longest call of
- * a full batch, twice slowed. */
-#define BUSY_MAX_US (1500 * LP_US_PER_MS)
+#include "direct/direct_relay.h"
 
 static void on_request(void *userdata, struct http_call *call)
 {
@@ -58,10 +53,11 @@
 	}
 	direct->options = *options;
 	direct->domain = g_strdup(options->domain);
-	direct->self = lp_hash_str(options->address);
 	direct->pool = pool_create(options->clock, options->domain);
 	direct->retries = retries_create(&retries);
 	direct->requests = g_hash_table_new(NULL, NULL);
+	direct->calls = direct_calls_create(direct);
+	direct->results = direct_results_create(direct);
 	direct->stages = direct_stages_create(direct);
 	direct->answer_times = lp_histogram_create(
 		options->counters, "linepier_answer_milliseconds");
@@ -80,6 +76,9 @@
 	for (GList *at = requests; at; at = at->next)
 		direct_request_drop(at->data);
 	http_server_destroy(direct->server);
+	direct_relay_destroy(direct->relay);
+	direct_calls_destroy(direct->calls);
+	direct_results_destroy(direct->results);
 	direct_stages_destroy(direct->stages);
 	pool_destroy(direct->pool);
 	retries_destroy(direct->retries);
@@ -104,6 +103,14 @@
 	lp_event_end(log);
 }
 
+/* We dispatch for others while we know services and upstreams. */
+static void open_to_peers(struct direct *direct)
+{
+	if (direct->peers)
+		direct_peers_open(direct->peers,
+				  direct_ready(direct) && !direct->drains);
+}
+
 bool direct_set_config(struct direct *direct, struct direct_config *config)
 {
 	int64_t before = direct_config_version(direct);
@@ -119,6 +126,8 @@
 	direct_config_unref(direct->config);
 	direct->config = direct_config_ref(config);
 	http_server_set_limits(direct->server, &limits);
+	direct_calls_configure(direct->calls, config);
+	open_to_peers(direct);
 	direct_stages_configure(direct->stages, config);
 	log_config(direct, before);
 	return true;
@@ -137,6 +146,7 @@
 
 	direct->has_upstreams = true;
 	direct->listed_us = lp_now_us(direct->options.clock);
+	open_to_peers(direct);
 	if (!changes)
 		return;
 	if (lp_event_begin(log, "upstreams", NULL)) {
@@ -144,7 +154,7 @@
 		lp_event_int(log, "changes", changes);
 		lp_event_end(log);
 	}
-	direct_stages_run(direct->stages);
+	direct_calls_run(direct->calls);
 }
 
 void direct_set_retries(struct direct *direct, double ratio, double slack)
@@ -155,20 +165,8 @@
 void direct_set_peers(struct direct *direct, struct direct_peers *peers)
 {
 	direct->peers = peers;
-}
-
-void direct_hear_busy(struct direct *direct, uint64_t peer, uint64_t upstream,
-		      int64_t for_us, int64_t kept_bytes)
-{
-	struct pool_upstream *heard = pool_find_hash(direct->pool, upstream);
-
-	if (!heard)
-		return;
-	pool_heard_busy(direct->pool, heard, peer,
-			for_us > 0 ? lp_now_us(direct->options.clock) +
-					     MIN(for_us, BUSY_MAX_US)
-				   : 0,
-			kept_bytes);
+	direct_stages_set_peers(direct->stages, peers);
+	open_to_peers(direct);
 }
 
 void direct_hear_unreachable(struct direct *direct, uint64_t upstream,
@@ -188,6 +186,8 @@
 void direct_drain(struct direct *direct)
 {
 	http_server_drain(direct->server);
+	direct->drains = true;
+	open_to_peers(direct);
 }
 
 void direct_refuse_new(struct direct *direct)
--- a/direct/direct.h
+++ b/direct/direct.h
@@ -46,11 +46,9 @@
 void direct_set_upstreams(struct direct *direct,
 			  const struct pool_entry *entries, uint32_t count);
 void direct_set_retries(struct direct *direct, double ratio, double slack);
-/** Tell these peers of calls under way; borrowed; NULL: nobody. */
+/** Share the dispatching of stages with these; NULL: nobody. Once, before any
+ * request. Borrowed: they are destroyed after the entry. */
 void direct_set_peers(struct direct *direct, struct direct_peers *peers);
-/** A peer keeps an upstream at work for so long; 0: no longer. */
-void direct_hear_busy(struct direct *direct, uint64_t peer, uint64_t upstream,
-		      int64_t for_us, int64_t kept_bytes);
 /** A peer cannot reach an upstream and sets it aside for so long. */
 void direct_hear_unreachable(struct direct *direct, uint64_t upstream,
 			     int64_t aside_us);
--- /dev/null
+++ b/direct/direct_calls.c
@@ -0,0 +1,523 @@
+/** The dispatcher's side of stages: queues of pieces, calls that carry them. */
+#include "direct/direct_calls.h"
+
+#include "direct/direct_private.h"
+
+#include <string.h>
+
+/* A call may take this many times what is expected of it. */
+#define CALL_SLACK 3
+#define CALL_TIMEOUT_MIN_US (700 * LP_US_PER_MS)
+/* Peers that hear of an upstream that does not answer leave it alone for as
+ * long as it would take them to find out. */
+#define TELL_ASIDE_US (1 * LP_US_PER_S)
+/* An upstream without room is asked again after about half a call. */
+#define NO_ROOM_US (100 * LP_US_PER_MS)
+
+struct service {
+	struct direct_calls *calls;
+	struct pieces *pieces;
+	char *name;
+	guint wake;
+};
+
+struct direct_job {
+	struct direct_calls *calls;
+	struct service *service;
+	struct direct_work work;
+	uint32_t open; /* pieces not told of yet */
+	bool telling;  /* its owner is being told of results */
+	bool dropped;  /* nobody waits for it any more */
+	direct_made_fn made;
+	void *userdata;
+};
+
+struct direct_calls {
+	struct direct *direct;
+	GHashTable *services;  /* name -> struct service */
+	GHashTable *under_way; /* of struct stage_call */
+	guint run_source;
+};
+
+struct stage_call {
+	struct direct_calls *calls;
+	struct service *service;
+	struct pieces_call *call;
+	struct http_fetch *fetch;
+	uint32_t no_room; /* pieces not made for want of it */
+	struct direct_reply reply;
+};
+
+static void schedule_run(struct direct_calls *calls);
+
+/* ---- work ---- */
+
+void direct_work_clear(struct direct_work *work)
+{
+	g_free(work->id);
+	g_free(work->service);
+	g_free(work->key);
+	if (work->inputs)
+		g_ptr_array_unref(work->inputs);
+	if (work->indices)
+		g_array_unref(work->indices);
+	memset(work, 0, sizeof(*work));
+}
+
+/* ---- services ---- */
+
+static void free_service(gpointer data)
+{
+	struct service *service = data;
+
+	if (service->wake)
+		g_source_remove(service->wake);
+	pieces_destroy(service->pieces);
+	g_free(service->name);
+	g_free(service);
+}
+
+static void set_figures(struct pieces_options *options,
+			const struct direct_service *figures)
+{
+	options->batch_max = 1;
+	if (!figures || !figures->does_pieces)
+		return;
+	options->batch_max = MAX(figures->batch_max, 1);
+	options->call_us = figures->call_us;
+	options->piece_us = figures->piece_us;
+	options->room_bytes = figures->room_bytes;
+}
+
+static struct service *service_of(struct direct_calls *calls, const char *name)
+{
+	struct direct *direct = calls->direct;
+	const struct direct_service *figures =
+		direct_config_service(direct->config, name);
+	struct service *service = g_hash_table_lookup(calls->services, name);
+	struct pieces_options options = {
+		.clock = direct->options.clock,
+		.pool = direct->pool,
+		.service = name,
+	};
+
+	if (service)
+		return service;
+	set_figures(&options, figures);
+	service = g_new0(struct service, 1);
+	service->calls = calls;
+	service->name = g_strdup(name);
+	service->pieces = pieces_create(&options);
+	g_hash_table_insert(calls->services, service->name, service);
+	return service;
+}
+
+void direct_calls_configure(struct direct_calls *calls,
+			    const struct direct_config *config)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, calls->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct service *service = value;
+		struct pieces_options figures = { 0 };
+
+		set_figures(&figures,
+			    direct_config_service(config, service->name));
+		pieces_set(service->pieces, &figures);
+	}
+}
+
+void direct_calls_set_parts(struct direct_calls *calls, const char *service,
+			    uint32_t parts, uint64_t own)
+{
+	pieces_set_parts(service_of(calls, service)->pieces, parts, own);
+}
+
+/* ---- jobs ---- */
+
+static void free_job(struct direct_job *job)
+{
+	direct_work_clear(&job->work);
+	g_free(job);
+}
+
+struct direct_job *direct_calls_add(struct direct_calls *calls,
+				    struct direct_work *work,
+				    direct_made_fn made, void *userdata)
+{
+	struct direct_job *job = g_new0(struct direct_job, 1);
+	struct piece piece = work->piece;
+
+	job->calls = calls;
+	job->service = service_of(calls, work->service);
+	job->work = *work;
+	memset(work, 0, sizeof(*work));
+	job->open = job->work.indices->len;
+	job->made = made;
+	job->userdata = userdata;
+	piece.request = job;
+	for (guint i = 0; i < job->work.indices->len; i++) {
+		piece.index = g_array_index(job->work.indices, uint32_t, i);
+		pieces_add(job->service->pieces, &piece);
+	}
+	schedule_run(calls);
+	return job;
+}
+
+void direct_calls_drop(struct direct_job *job)
+{
+	job->dropped = true;
+	job->open -= pieces_drop(job->service->pieces, job);
+	if (!job->open && !job->telling)
+		free_job(job);
+}
+
+static void give_up(struct direct_job *job, struct direct_result *results,
+		    uint32_t count)
+{
+	struct direct *direct = job->calls->direct;
+
+	for (uint32_t i = 0; i < count; i++) {
+		if (results[i].result != DIRECT_ITEM_MADE)
+			continue;
+		direct_results_give_up(direct->results, results[i].maker,
+				       g_steal_pointer(&results[i].handle),
+				       job->work.piece.bytes);
+	}
+}
+
+static void tell_job(struct direct_job *job, struct direct_result *results,
+		     uint32_t count)
+{
+	job->open -= count;
+	job->telling = true;
+	if (job->dropped)
+		give_up(job, results, count);
+	else
+		job->made(job->userdata, results, count, job->open);
+	job->telling = false;
+	for (uint32_t i = 0; i < count; i++)
+		g_free(results[i].handle);
+	if (!job->open)
+		free_job(job);
+}
+
+/* ---- a call's end ---- */
+
+static void log_call(const struct stage_call *call, const char *outcome)
+{
+	struct lp_event_log *log = call->calls->direct->options.log;
+	const struct pieces_call *made = call->call;
+	int64_t now_us = lp_now_us(call->calls->direct->options.clock);
+
+	if (!lp_event_begin(log, "stage_call", NULL))
+		return;
+	lp_event_text(log, "service", call->service->name);
+	lp_event_text(log, "upstream", made->upstream->entry.id);
+	lp_event_text(log, "outcome", outcome);
+	lp_event_int(log, "pieces", made->pieces->len);
+	lp_event_int(log, "no_room", call->no_room);
+	lp_event_int(
+		log, "kept_bytes",
+		pool_kept_bytes(call->calls->direct->pool, made->upstream));
+	lp_event_int(log, "took_us", now_us - made->started_us);
+	lp_event_int(log, "expected_us", made->expected_us);
+	lp_event_int(log, "others_running", call->reply.running);
+	lp_event_int(log, "others_waiting", call->reply.waiting);
+	lp_event_end(log);
+}
+
+/* Results, or NULL when the call brought none. */
+static struct direct_made *read_results(struct stage_call *call,
+					const struct http_fetch_answer *answer)
+{
+	const struct direct_codec *codec = call->calls->direct->options.codec;
+	uint32_t count = call->call->pieces->len;
+	struct direct_made *made;
+
+	if (answer->error || answer->status != 200)
+		return NULL;
+	made = g_new0(struct direct_made, count);
+	if (codec->read_items(answer->body, made, count))
+		return made;
+	g_free(made);
+	return NULL;
+}
+
+/* What came of one piece; its handle is moved. */
+static struct direct_result result_of(const struct stage_call *call, guint at,
+				      struct direct_made *made)
+{
+	struct pool_upstream *upstream = call->call->upstream;
+	struct direct *direct = call->calls->direct;
+	const struct piece *piece =
+		&g_array_index(call->call->pieces, struct piece, at);
+	struct direct_result result = {
+		.index = piece->index,
+		.result = made ? made[at].result : DIRECT_ITEM_FAILED,
+		.maker = upstream->hash,
+	};
+
+	if (result.result == DIRECT_ITEM_MADE)
+		result.handle = g_steal_pointer(&made[at].handle);
+	else
+		pool_unkeep(direct->pool, upstream, piece->bytes);
+	if (result.result == DIRECT_ITEM_NO_ROOM)
+		upstream->no_room_until_us =
+			lp_now_us(direct->options.clock) + NO_ROOM_US;
+	return result;
+}
+
+/* Tell the jobs of a call, each of all its pieces at once. */
+static void take_results(struct stage_call *call, struct direct_made *made)
+{
+	GArray *pieces = call->call->pieces;
+	g_autoptr(GArray) results =
+		g_array_new(FALSE, FALSE, sizeof(struct direct_result));
+
+	for (guint i = 0; i < pieces->len; i++) {
+		struct direct_job *job =
+			g_array_index(pieces, struct piece, i).request;
+
+		g_array_set_size(results, 0);
+		for (guint j = i; job && j < pieces->len; j++) {
+			struct piece *piece =
+				&g_array_index(pieces, struct piece, j);
+			struct direct_result result;
+
+			if (piece->request != job)
+				continue;
+			result = result_of(call, j, made);
+			g_array_append_val(results, result);
+			piece->request = NULL;
+		}
+		if (job)
+			tell_job(job, (struct direct_result *)results->data,
+				 results->len);
+	}
+}
+
+static enum pool_outcome outcome_of(const struct stage_call *call, int error,
+				    const struct direct_made *made)
+{
+	if (error)
+		return POOL_UNREACHABLE;
+	if (call->reply.other_process)
+		return POOL_WRONG;
+	if (made)
+		return POOL_SERVED;
+	return call->reply.not_run ? POOL_FULL : POOL_ERROR;
+}
+
+static const char *outcome_name(enum pool_outcome outcome)
+{
+	static const char *const names[] = {
+		"served", "full", "error", "unreachable", "wrong", "unknown"
+	};
+
+	return names[outcome];
+}
+
+static void end_call(struct stage_call *call,
+		     const struct http_fetch_answer *answer)
+{
+	struct direct_calls *calls = call->calls;
+	struct direct_made *made = read_results(call, answer);
+	enum pool_outcome outcome = outcome_of(call, answer->error, made);
+	guint count = call->call->pieces->len;
+
+	for (guint i = 0; made && i < count; i++)
+		call->no_room += made[i].result == DIRECT_ITEM_NO_ROOM;
+	log_call(call, outcome_name(outcome));
+	take_results(call, made);
+	for (guint i = 0; made && i < count; i++)
+		g_free(made[i].handle);
+	g_free(made);
+	g_hash_table_remove(calls->under_way, call);
+	if (outcome == POOL_UNREACHABLE && calls->direct->peers)
+		direct_peers_tell_unreachable(calls->direct->peers,
+					      call->call->upstream->hash,
+					      TELL_ASIDE_US);
+	pieces_end(call->service->pieces, call->call, outcome,
+		   call->reply.running, call->reply.waiting);
+	g_free(call);
+	schedule_run(calls);
+}
+
+static void on_call_head(void *userdata, uint32_t status,
+			 const struct http_fields *fields)
+{
+	struct stage_call *call = userdata;
+
+	call->calls->direct->options.codec->read_reply(status, fields, NULL,
+						       &call->reply);
+}
+
+static void on_call_done(void *userdata, const struct http_fetch_answer *answer)
+{
+	end_call(userdata, answer);
+}
+
+/* What stands for the answer of a call that could not be made or is dropped. */
+static const struct http_fetch_answer no_answer = {
+	.error = LP_ERROR_UPSTREAM_GONE,
+	.body = "",
+};
+
+/* ---- a call's start ---- */
+
+static void fill_item(const struct direct_calls *calls,
+		      const struct piece *piece, struct direct_item *item)
+{
+	const struct direct_work *work =
+		&((struct direct_job *)piece->request)->work;
+
+	item->id = work->id;
+	item->stage = piece->stage;
+	item->piece = piece->index;
+	item->left_us =
+		piece->until_us - lp_now_us(calls->direct->options.clock);
+	item->inputs = work->inputs;
+	if (!work->inputs->len)
+		item->key = work->key;
+}
+
+static char *write_items(struct direct_calls *calls, const GArray *pieces)
+{
+	struct direct_item *items = g_new0(struct direct_item, pieces->len);
+	char *body;
+
+	for (guint i = 0; i < pieces->len; i++)
+		fill_item(calls, &g_array_index(pieces, struct piece, i),
+			  &items[i]);
+	body = calls->direct->options.codec->write_items(items, pieces->len);
+	g_free(items);
+	return body;
+}
+
+static void start_call(struct service *service, struct pieces_call *made)
+{
+	struct direct_calls *calls = service->calls;
+	const struct direct_codec *codec = calls->direct->options.codec;
+	g_autofree char *body = write_items(calls, made->pieces);
+	struct stage_call *call = g_new0(struct stage_call, 1);
+	struct http_fields fields;
+
+	call->calls = calls;
+	call->service = service;
+	call->call = made;
+	call->reply.running = -1;
+	call->reply.waiting = -1;
+	http_fields_init(&fields);
+	codec->write_call(made->upstream->entry.id, &fields);
+	g_hash_table_add(calls->under_way, call);
+	call->fetch = http_fetch_start(&(struct http_fetch_options){
+		.address = made->upstream->entry.address,
+		.method = "POST",
+		.target = codec->items_target,
+		.fields = &fields,
+		.body = body,
+		.connect_timeout_us = DIRECT_CONNECT_TIMEOUT_US,
+		.timeout_us = MAX(CALL_SLACK * made->expected_us,
+				  CALL_TIMEOUT_MIN_US),
+		.head = on_call_head,
+		.done = on_call_done,
+		.userdata = call,
+	});
+	http_fields_clear(&fields);
+	if (!call->fetch)
+		end_call(call, &no_answer);
+}
+
+static gboolean on_wake(gpointer userdata)
+{
+	struct service *service = userdata;
+
+	service->wake = 0;
+	schedule_run(service->calls);
+	return G_SOURCE_REMOVE;
+}
+
+static void set_wake(struct service *service)
+{
+	int64_t wake_us = pieces_wake_us(service->pieces);
+	int64_t now_us = lp_now_us(service->calls->direct->options.clock);
+
+	if (!wake_us || service->wake)
+		return;
+	service->wake =
+		g_timeout_add((guint)(MAX(wake_us - now_us, 0) / LP_US_PER_MS),
+			      on_wake, service);
+}
+
+void direct_calls_run(struct direct_calls *calls)
+{
+	g_autoptr(GList) services = g_hash_table_get_values(calls->services);
+
+	for (GList *at = services; at; at = at->next) {
+		struct service *service = at->data;
+		struct pieces_call *call;
+
+		while ((call = pieces_next(service->pieces)))
+			start_call(service, call);
+		set_wake(service);
+	}
+}
+
+static gboolean on_run(gpointer userdata)
+{
+	struct direct_calls *calls = userdata;
+
+	calls->run_source = 0;
+	direct_calls_run(calls);
+	return G_SOURCE_REMOVE;
+}
+
+/* Once this turn of the loop is over, so that what comes in it goes along. */
+static void schedule_run(struct direct_calls *calls)
+{
+	if (!calls->run_source)
+		calls->run_source = g_idle_add_full(G_PRIORITY_DEFAULT, on_run,
+						    calls, NULL);
+}
+
+int64_t direct_calls_estimate_us(struct direct_calls *calls,
+				 const char *service, int32_t priority)
+{
+	return pieces_estimate_us(service_of(calls, service)->pieces, priority);
+}
+
+struct direct_calls *direct_calls_create(struct direct *direct)
+{
+	struct direct_calls *calls = g_new0(struct direct_calls, 1);
+
+	calls->direct = direct;
+	calls->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						free_service);
+	calls->under_way = g_hash_table_new(NULL, NULL);
+	return calls;
+}
+
+static void end_under_way(struct direct_calls *calls)
+{
+	g_autoptr(GList) list = g_hash_table_get_keys(calls->under_way);
+
+	for (GList *at = list; at; at = at->next) {
+		struct stage_call *call = at->data;
+
+		http_fetch_cancel(call->fetch);
+		end_call(call, &no_answer);
+	}
+}
+
+void direct_calls_destroy(struct direct_calls *calls)
+{
+	end_under_way(calls);
+	if (calls->run_source)
+		g_source_remove(calls->run_source);
+	g_hash_table_unref(calls->services);
+	g_hash_table_unref(calls->under_way);
+	g_free(calls);
+}
--- a/direct/direct_peers.c
+++ b/direct/direct_peers.c
@@ -8,36 +8,61 @@
  * is taken as gone. */
 #define HELLO_MS 1000
 #define SILENT_US (3500 * LP_US_PER_MS)
-#define DATAGRAM_MAX 2048
+/* Work with many inputs or results; larger ones are not sent. */
+#define DATAGRAM_MAX 8192
 /* Members named in one hello: the newest of them find the rest. */
 #define NAMED_MAX 40
 #define DATAGRAMS_A_TURN 32
+/* A member that did not do its work gets none for this long, and not before
+ * it is heard again. */
+#define SUSPECT_US (2 * LP_US_PER_S)
+
+/* Signs of life are asked for this often at the most. */
+#define SIGN_EACH_US (50 * LP_US_PER_MS)
 
 #define KIND_HELLO 'H'
-#define KIND_BUSY 'B'
-#define HELLO_TYPE "(xsas)" /* version in force, domain, members' IPs */
+#define KIND_SIGN 'S' /* asks for a hello */
 #define KIND_UNREACHABLE 'U'
+/* version in force, members' IPs, capacity, what sets this start apart */
+#define HELLO_TYPE "(xasut)"
+#define SIGN_TYPE "(t)"
 #define UNREACHABLE_TYPE "(tx)" /* upstream's hash, us it is set aside */
-#define BUSY_TYPE "(txx)"	/* upstream's hash, us at work, bytes kept */
 
 struct peer {
 	char *ip;
-	char *domain;  /* NULL: no hello yet */
-	uint64_t hash; /* of the ip; names the peer to the pool */
+	uint64_t hash; /* of the ip */
 	GSocketAddress *address;
-	int64_t heard_us; /* 0: only named so far */
+	int64_t heard_us;  /* its last hello; 0: only named so far */
+	int64_t word_us;   /* any datagram of it */
+	int64_t signed_us; /* when a sign of life was asked for last */
+	int64_t suspect_until_us;
+	uint32_t capacity; /* in thousandths of a core */
+	uint64_t start;	   /* sets its starts apart */
+};
+
+/* Who takes datagrams of a kind. */
+struct listener {
+	char kind;
+	const char *type;
+	direct_peers_word word;
+	void *userdata;
 };
 
 struct direct_peers {
 	struct direct_peers_options options;
 	char *ip;
-	char *domain;
 	char **seeds;
 	GSocket *socket;
 	GSource *source;
 	guint hello_timer;
-	GHashTable *peers; /* ip -> struct peer */
+	GHashTable *peers;   /* ip -> struct peer */
+	GHashTable *by_hash; /* hash -> struct peer */
+	GArray *listeners;   /* of struct listener */
+	void (*restarted)(void *userdata, uint64_t peer);
+	void *restarted_userdata;
 	int64_t version;
+	bool open; /* takes work of others */
+	uint64_t start;
 };
 
 static void free_peer(gpointer data)
@@ -45,7 +70,6 @@
 	struct peer *peer = data;
 
 	g_free(peer->ip);
-	g_free(peer->domain);
 	g_object_unref(peer->address);
 	g_free(peer);
 }
@@ -66,6 +90,7 @@
 	peer->hash = lp_hash_str(ip);
 	peer->address = address;
 	g_hash_table_insert(peers->peers, peer->ip, peer);
+	g_hash_table_insert(peers->by_hash, &peer->hash, peer);
 	return peer;
 }
 
@@ -77,7 +102,8 @@
 
 /* ---- sending ---- */
 
-static void send_to(struct direct_peers *peers, const struct peer *peer,
+/* False: it is too large. */
+static bool send_to(struct direct_peers *peers, const struct peer *peer,
 		    char kind, GVariant *body)
 {
 	/* GVariant wants its bytes aligned, so the kind comes last. */
@@ -85,12 +111,19 @@
 	gsize size = g_variant_get_size(body);
 
 	if (size + 1 > sizeof(datagram))
-		return;
+		return false;
 	g_variant_store(body, datagram);
 	datagram[size] = kind;
 	/* A datagram that cannot be sent is one that was lost. */
 	g_socket_send_to(peers->socket, peer->address, datagram, size + 1, NULL,
 			 NULL);
+	return true;
+}
+
+/* What others may count on. */
+static uint32_t own_capacity(const struct direct_peers *peers)
+{
+	return peers->open ? peers->options.capacity : 0;
 }
 
 static GVariant *make_hello(struct direct_peers *peers)
@@ -111,8 +144,9 @@
 		g_variant_builder_add(&names, "s", peer->ip);
 		count++;
 	}
-	return g_variant_ref_sink(g_variant_new(
-		HELLO_TYPE, (gint64)peers->version, peers->domain, &names));
+	return g_variant_ref_sink(
+		g_variant_new(HELLO_TYPE, (gint64)peers->version, &names,
+			      own_capacity(peers), (guint64)peers->start));
 }
 
 static void add_seeds(struct direct_peers *peers)
@@ -139,6 +173,7 @@
 			lp_event_text(peers->options.log, "peer", peer->ip);
 			lp_event_end(peers->options.log);
 		}
+		g_hash_table_remove(peers->by_hash, &peer->hash);
 		g_hash_table_iter_remove(&iter);
 	}
 }
@@ -170,6 +205,14 @@
 	say_hello(peers);
 }
 
+void direct_peers_open(struct direct_peers *peers, bool open)
+{
+	if (peers->open == open)
+		return;
+	peers->open = open;
+	say_hello(peers);
+}
+
 /* Takes a floating body. */
 static void tell_all(struct direct_peers *peers, char kind, GVariant *floating)
 {
@@ -183,14 +226,6 @@
 			send_to(peers, value, kind, body);
 }
 
-void direct_peers_tell_busy(struct direct_peers *peers, uint64_t upstream,
-			    int64_t for_us, int64_t kept_bytes)
-{
-	tell_all(peers, KIND_BUSY,
-		 g_variant_new(BUSY_TYPE, (guint64)upstream, (gint64)for_us,
-			       (gint64)MAX(kept_bytes, 0)));
-}
-
 void direct_peers_tell_unreachable(struct direct_peers *peers,
 				   uint64_t upstream, int64_t aside_us)
 {
@@ -199,25 +234,109 @@
 			       (gint64)aside_us));
 }
 
-void direct_peers_list(const struct direct_peers *peers, GArray *out)
+static bool may_work(const struct direct_peers *peers, const struct peer *peer)
 {
-	struct homes_place place = { direct_peers_self(peers), peers->domain };
+	return is_fresh(peers, peer) &&
+	       lp_now_us(peers->options.clock) >= peer->suspect_until_us &&
+	       peer->word_us >= peer->suspect_until_us - SUSPECT_US;
+}
+
+void direct_peers_members(const struct direct_peers *peers, GArray *out)
+{
+	struct dispatchers_member member = { direct_peers_self(peers),
+					     own_capacity(peers) };
 	GHashTableIter iter;
 	gpointer value;
 
-	g_array_append_val(out, place);
+	g_array_append_val(out, member);
 	g_hash_table_iter_init(&iter, peers->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct peer *peer = value;
 
-		if (!is_fresh(peers, peer))
+		if (!may_work(peers, peer))
 			continue;
-		place.hash = peer->hash;
-		place.domain = peer->domain;
-		g_array_append_val(out, place);
+		member.hash = peer->hash;
+		member.capacity = peer->capacity;
+		g_array_append_val(out, member);
 	}
 }
 
+bool direct_peers_send(struct direct_peers *peers, uint64_t peer, char kind,
+		       GVariant *body)
+{
+	const struct peer *to = g_hash_table_lookup(peers->by_hash, &peer);
+
+	return to && send_to(peers, to, kind, body);
+}
+
+int64_t direct_peers_heard_us(const struct direct_peers *peers, uint64_t peer)
+{
+	const struct peer *from = g_hash_table_lookup(peers->by_hash, &peer);
+
+	return from ? from->word_us : 0;
+}
+
+const char *direct_peers_ip(const struct direct_peers *peers, uint64_t peer)
+{
+	const struct peer *from = g_hash_table_lookup(peers->by_hash, &peer);
+
+	if (from)
+		return from->ip;
+	return peer == direct_peers_self(peers) ? peers->ip : "";
+}
+
+void direct_peers_ask_sign(struct direct_peers *peers, uint64_t peer)
+{
+	struct peer *to = g_hash_table_lookup(peers->by_hash, &peer);
+	int64_t now_us = lp_now_us(peers->options.clock);
+	g_autoptr(GVariant) body = NULL;
+
+	if (!to || now_us - to->signed_us < SIGN_EACH_US)
+		return;
+	to->signed_us = now_us;
+	body = g_variant_ref_sink(
+		g_variant_new(SIGN_TYPE, (guint64)peers->start));
+	send_to(peers, to, KIND_SIGN, body);
+}
+
+void direct_peers_suspect(struct direct_peers *peers, uint64_t peer)
+{
+	struct peer *silent = g_hash_table_lookup(peers->by_hash, &peer);
+	int64_t now_us = lp_now_us(peers->options.clock);
+
+	if (!silent || silent->suspect_until_us > now_us)
+		return;
+	silent->suspect_until_us = now_us + SUSPECT_US;
+	if (!lp_event_begin(peers->options.log, "peer_suspect", NULL))
+		return;
+	lp_event_text(peers->options.log, "peer", silent->ip);
+	lp_event_int(peers->options.log, "silent_us", now_us - silent->word_us);
+	lp_event_end(peers->options.log);
+}
+
+void direct_peers_listen(struct direct_peers *peers, char kind,
+			 const char *type, direct_peers_word word,
+			 void *userdata)
+{
+	struct listener listener = { kind, type, word, userdata };
+
+	g_array_append_val(peers->listeners, listener);
+}
+
+void direct_peers_listen_none(struct direct_peers *peers)
+{
+	g_array_set_size(peers->listeners, 0);
+	peers->restarted = NULL;
+}
+
+void direct_peers_on_restart(struct direct_peers *peers,
+			     void (*restarted)(void *userdata, uint64_t peer),
+			     void *userdata)
+{
+	peers->restarted = restarted;
+	peers->restarted_userdata = userdata;
+}
+
 uint32_t direct_peers_count(const struct direct_peers *peers)
 {
 	GHashTableIter iter;
@@ -238,41 +357,51 @@
 
 /* ---- hearing ---- */
 
+static void note_found(struct direct_peers *peers, const struct peer *from)
+{
+	if (!lp_event_begin(peers->options.log, "peer_found", NULL))
+		return;
+	lp_event_text(peers->options.log, "peer", from->ip);
+	lp_event_int(peers->options.log, "capacity", from->capacity);
+	lp_event_end(peers->options.log);
+}
+
+/* A start that we did not know. */
+static void note_start(struct direct_peers *peers, struct peer *from,
+		       uint64_t start)
+{
+	bool again = from->start && from->start != start;
+
+	from->start = start;
+	if (again && peers->restarted)
+		peers->restarted(peers->restarted_userdata, from->hash);
+}
+
 static void take_hello(struct direct_peers *peers, struct peer *from,
 		       GVariant *body)
 {
 	g_autoptr(GVariantIter) names = NULL;
-	g_autofree char *domain = NULL;
 	gint64 version;
+	guint64 start;
 	const char *ip;
 	bool was_fresh = is_fresh(peers, from);
 
 	from->heard_us = lp_now_us(peers->options.clock);
-	if (!was_fresh &&
-	    lp_event_begin(peers->options.log, "peer_found", NULL)) {
-		lp_event_text(peers->options.log, "peer", from->ip);
-		lp_event_end(peers->options.log);
-	}
-	g_variant_get(body, HELLO_TYPE, &version, &domain, &names);
-	if (g_strcmp0(domain, from->domain) != 0) {
-		g_free(from->domain);
-		from->domain = g_strdup(domain);
-	}
+	g_variant_get(body, HELLO_TYPE, &version, &names, &from->capacity,
+		      &start);
+	if (!was_fresh)
+		note_found(peers, from);
 	while (g_variant_iter_next(names, "&s", &ip))
 		peer_of(peers, ip);
+	note_start(peers, from, start);
 	peers->options.config(peers->options.userdata, from->ip, version);
 }
 
-static void take_busy(struct direct_peers *peers, const struct peer *from,
-		      GVariant *body)
+static void take_sign(struct direct_peers *peers, const struct peer *from)
 {
-	guint64 upstream;
-	gint64 for_us;
-	gint64 kept_bytes;
+	g_autoptr(GVariant) hello = make_hello(peers);
 
-	g_variant_get(body, BUSY_TYPE, &upstream, &for_us, &kept_bytes);
-	peers->options.busy(peers->options.userdata, from->hash, upstream,
-			    for_us, kept_bytes);
+	send_to(peers, from, KIND_HELLO, hello);
 }
 
 static void take_unreachable(struct direct_peers *peers, GVariant *body)
@@ -284,18 +413,33 @@
 	peers->options.unreachable(peers->options.userdata, upstream, aside_us);
 }
 
+static const struct listener *listener_of(const struct direct_peers *peers,
+					  char kind)
+{
+	for (guint i = 0; i < peers->listeners->len; i++) {
+		const struct listener *listener =
+			&g_array_index(peers->listeners, struct listener, i);
+
+		if (listener->kind == kind)
+			return listener;
+	}
+	return NULL;
+}
+
 /* The type of a kind's body, or NULL. */
-static const char *type_of(char kind)
+static const char *type_of(const struct direct_peers *peers, char kind)
 {
+	const struct listener *listener = listener_of(peers, kind);
+
 	switch (kind) {
 	case KIND_HELLO:
 		return HELLO_TYPE;
-	case KIND_BUSY:
-		return BUSY_TYPE;
+	case KIND_SIGN:
+		return SIGN_TYPE;
 	case KIND_UNREACHABLE:
 		return UNREACHABLE_TYPE;
 	default:
-		return NULL;
+		return listener ? listener->type : NULL;
 	}
 }
 
@@ -310,6 +454,15 @@
 	return NULL;
 }
 
+static void pass_word(struct direct_peers *peers, const struct peer *from,
+		      char kind, GVariant *body)
+{
+	const struct listener *listener = listener_of(peers, kind);
+
+	if (listener)
+		listener->word(listener->userdata, from->hash, body);
+}
+
 static void take_datagram(struct direct_peers *peers, GSocketAddress *source,
 			  const char *bytes, gsize size)
 {
@@ -318,7 +471,7 @@
 	g_autofree char *ip = g_inet_address_to_string(from);
 	struct peer *peer = peer_of(peers, ip);
 	char kind = bytes[size - 1];
-	const char *type = type_of(kind);
+	const char *type = type_of(peers, kind);
 	GVariant *body = type ? read_body(type, bytes, size - 1) : NULL;
 
 	if (!peer || !body) {
@@ -326,12 +479,15 @@
 			g_variant_unref(body);
 		return;
 	}
+	peer->word_us = lp_now_us(peers->options.clock);
 	if (kind == KIND_HELLO)
 		take_hello(peers, peer, body);
-	else if (kind == KIND_BUSY)
-		take_busy(peers, peer, body);
+	else if (kind == KIND_SIGN)
+		take_sign(peers, peer);
 	else if (kind == KIND_UNREACHABLE)
 		take_unreachable(peers, body);
+	else
+		pass_word(peers, peer, kind, body);
 	g_variant_unref(body);
 }
 
@@ -382,12 +538,14 @@
 	peers = g_new0(struct direct_peers, 1);
 	peers->options = *options;
 	peers->ip = g_strdup(options->ip);
-	peers->domain = g_strdup(options->domain);
 	peers->seeds = g_strdupv((char **)options->seeds);
 	peers->socket = socket;
 	peers->version = -1;
 	peers->peers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
+	peers->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
+	peers->listeners = g_array_new(FALSE, FALSE, sizeof(struct listener));
+	peers->start = lp_random_u64();
 	peers->source = g_socket_create_source(socket, G_IO_IN, NULL);
 	g_source_set_callback(peers->source, G_SOURCE_FUNC(on_datagram), peers,
 			      NULL);
@@ -406,9 +564,10 @@
 	g_source_destroy(peers->source);
 	g_source_unref(peers->source);
 	g_object_unref(peers->socket);
+	g_hash_table_unref(peers->by_hash);
 	g_hash_table_unref(peers->peers);
+	g_array_unref(peers->listeners);
 	g_strfreev(peers->seeds);
 	g_free(peers->ip);
-	g_free(peers->domain);
 	g_free(peers);
 }
--- a/direct/direct_peers.h
+++ b/direct/direct_peers.h
@@ -1,6 +1,7 @@
 /**
- * What entries tell each other, in datagrams: who is there, which
- * configuration is in force, which upstream is at work for whom.
+ * What entries tell each other, in datagrams: who is there and how strong,
+ * which configuration is in force, which upstream cannot be reached; and, by
+ * listeners, work for each other (direct_relay.h).
  *
  * Every word is a belief with an age. It may be lost or late and is never
  * needed: an entry that hears nobody decides by itself.
@@ -13,7 +14,7 @@
 
 #include "base/lp_clock.h"
 #include "base/lp_event.h"
-#include "policy/homes.h"
+#include "policy/dispatchers.h"
 
 #include <gio/gio.h>
 
@@ -23,13 +24,9 @@
 	const struct lp_clock *clock;
 	struct lp_event_log *log;
 	const char *ip;	    /**< own; copied */
-	const char *domain; /**< own failure domain; copied */
+	uint32_t capacity;  /**< own, in thousandths of a core */
 	uint16_t port;	    /**< the same on all hosts */
 	char *const *seeds; /**< "IP:PORT"; only the IPs are used; copied */
-	/** An upstream is at work for a peer (us from now; 0: no longer) and
-	 * keeps so much for it. */
-	void (*busy)(void *userdata, uint64_t peer, uint64_t upstream,
-		     int64_t for_us, int64_t kept_bytes);
 	/** A peer sets an upstream aside that it cannot reach. */
 	void (*unreachable)(void *userdata, uint64_t upstream,
 			    int64_t aside_us);
@@ -44,18 +41,42 @@
 void direct_peers_destroy(struct direct_peers *peers);
 /** Our configuration's version; told in hellos, at once when it changes. */
 void direct_peers_set_version(struct direct_peers *peers, int64_t version);
-/** A call of ours keeps an upstream at work for so long (0: no longer), and
- * so many bytes of results are kept there for us. */
-void direct_peers_tell_busy(struct direct_peers *peers, uint64_t upstream,
-			    int64_t for_us, int64_t kept_bytes);
+/** Whether we take work of others; false at first, and when we end. Told at
+ * once. */
+void direct_peers_open(struct direct_peers *peers, bool open);
 /** We set an upstream aside for so long: it cannot be reached. */
 void direct_peers_tell_unreachable(struct direct_peers *peers,
 				   uint64_t upstream, int64_t aside_us);
-/**
- * Members heard lately and ourselves: their places are appended to `out`, of
- * struct homes_place; domains are borrowed until the next hello.
- */
-void direct_peers_list(const struct direct_peers *peers, GArray *out);
+/** Members that may be given work and ourselves, of struct
+ * dispatchers_member: appended to `out`. */
+void direct_peers_members(const struct direct_peers *peers, GArray *out);
+/** A member did not do its work and is silent: it gets none for a while. */
+void direct_peers_suspect(struct direct_peers *peers, uint64_t peer);
+/** When any datagram of this member came last; 0: never. */
+int64_t direct_peers_heard_us(const struct direct_peers *peers, uint64_t peer);
+/** Ask a member for a sign of life. */
+void direct_peers_ask_sign(struct direct_peers *peers, uint64_t peer);
+/** The address of a member or ourselves, for log lines; "": not known. */
+const char *direct_peers_ip(const struct direct_peers *peers, uint64_t peer);
+
+/** A datagram of a kind that a listener takes; `body` is borrowed. */
+typedef void (*direct_peers_word)(void *userdata, uint64_t peer,
+				  GVariant *body);
+
+/** Send a body to a member; it may be lost. False: too large, or no such
+ * member. */
+bool direct_peers_send(struct direct_peers *peers, uint64_t peer, char kind,
+		       GVariant *body);
+/** Take datagrams of a kind, of this type (a literal). */
+void direct_peers_listen(struct direct_peers *peers, char kind,
+			 const char *type, direct_peers_word word,
+			 void *userdata);
+/** Be told when a member has started anew. */
+void direct_peers_on_restart(struct direct_peers *peers,
+			     void (*restarted)(void *userdata, uint64_t peer),
+			     void *userdata);
+/** Listeners go, all of them. */
+void direct_peers_listen_none(struct direct_peers *peers);
 /** Members heard lately, ourselves among them. */
 uint32_t direct_peers_count(const struct direct_peers *peers);
 /** What names ourselves among them. */
--- a/direct/direct_prepare.c
+++ b/direct/direct_prepare.c
@@ -118,40 +118,64 @@
 	return false;
 }
 
+static GPtrArray *copy_inputs(const struct graph *graph, uint32_t stage)
+{
+	GPtrArray *inputs = g_ptr_array_new();
+
+	graph_inputs(graph, stage, inputs);
+	for (guint i = 0; i < inputs->len; i++)
+		inputs->pdata[i] = g_strdup(inputs->pdata[i]);
+	g_ptr_array_set_free_func(inputs, g_free);
+	return inputs;
+}
+
+/* The missing pieces of a stage, which count as asked for from now on. */
+static GArray *take_missing(struct graph *graph, uint32_t stage)
+{
+	GArray *indices = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+
+	for (uint32_t i = 0; i < graph_pieces(graph, stage); i++) {
+		if (graph_state(graph, stage, i) != GRAPH_PIECE_MISSING)
+			continue;
+		graph_asked(graph, stage, i);
+		g_array_append_val(indices, i);
+	}
+	return indices;
+}
+
 static void ask_pieces(struct direct_request *request, uint32_t stage)
 {
 	const struct direct_stage *config = &request->route->stages[stage];
 	const struct direct_service *service =
 		direct_config_service(request->config, config->service);
 	int64_t call_us = service ? service->call_us : 0;
-	struct piece piece = {
-		.request = request,
-		.stage = stage,
-		.due_us = request->arrived_us + request->route->target_us -
-			  direct_prepare_engine_us(request) -
-			  after_stage_us(request, stage) - call_us,
-		.until_us = request->give_up_us,
-		.priority = request->priority,
-		.bytes = config->bytes,
-		.has_inputs = config->after_count > 0,
-		.holds_room = holds_room(request, stage),
-		.split = is_begun(request->graph, stage),
+	struct direct_work work = {
+		.id = g_strdup(request->id),
+		.service = g_strdup(config->service),
+		.key = g_strdup(request->ask.piece_key),
+		.inputs = copy_inputs(request->graph, stage),
+		.piece = {
+			.stage = stage,
+			.due_us = request->arrived_us +
+				  request->route->target_us -
+				  direct_prepare_engine_us(request) -
+				  after_stage_us(request, stage) - call_us,
+			.until_us = request->give_up_us,
+			.priority = request->priority,
+			.bytes = config->bytes,
+			.has_inputs = config->after_count > 0,
+			.holds_room = holds_room(request, stage),
+			.split = is_begun(request->graph, stage),
+		},
 	};
 
-	set_near(request, stage, &piece);
+	set_near(request, stage, &work.piece);
 	if (request->asked_us[stage])
 		request->remakes++;
 	else
 		request->asked_us[stage] = direct_request_now_us(request);
-	for (uint32_t i = 0; i < graph_pieces(request->graph, stage); i++) {
-		if (graph_state(request->graph, stage, i) !=
-		    GRAPH_PIECE_MISSING)
-			continue;
-		graph_asked(request->graph, stage, i);
-		piece.index = i;
-		direct_stages_add(request->direct->stages, config->service,
-				  &piece);
-	}
+	work.indices = take_missing(request->graph, stage);
+	direct_stages_ask(request->direct->stages, request, &work);
 }
 
 /* Results take up room until the request goes off. What is needed only at the
@@ -182,7 +206,7 @@
 			continue;
 		if (!graph_inputs_kept(request->graph, i)) {
 			direct_stages_lost_inputs(request->direct->stages,
-						  request->graph, i);
+						  request, request->graph, i);
 			i = UINT32_MAX; /* the loop adds one */
 			continue;
 		}
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -4,6 +4,7 @@
 
 #include "base/lp_histogram.h"
 #include "direct/direct.h"
+#include "direct/direct_calls.h"
 #include "direct/direct_peers.h"
 #include "http/http_client.h"
 #include "http/http_fetch.h"
@@ -19,6 +20,7 @@
  */
 #define DIRECT_CONNECT_TIMEOUT_US (400 * LP_US_PER_MS)
 
+struct direct_relay;
 struct direct_results;
 struct direct_stages;
 struct direct_request;
@@ -26,16 +28,19 @@
 struct direct {
 	struct direct_options options;
 	char *domain;
-	uint64_t self; /* sets this entry apart from others */
 	struct http_server *server;
 	struct direct_config *config; /* NULL: none yet */
 	struct pool *pool;
 	bool has_upstreams;
 	int64_t listed_us; /* when the list was handed in last */
+	bool drains;	   /* told to end */
 	bool refuses_new;  /* about to end */
 	struct retries *retries;
 	struct direct_stages *stages;
-	struct direct_peers *peers; /* NULL: none are told */
+	struct direct_calls *calls;
+	struct direct_results *results;
+	struct direct_peers *peers; /* NULL: no other entries are known */
+	struct direct_relay *relay; /* NULL: likewise */
 	GHashTable *requests;	    /* of struct direct_request */
 	struct lp_histogram *answer_times;
 	struct lp_histogram *first_times;
@@ -52,27 +57,37 @@
 /** A piece cannot be made in time. */
 void direct_request_pieces_late(struct direct_request *request);
 struct graph *direct_request_graph(struct direct_request *request);
-const char *direct_request_id(const struct direct_request *request);
-const char *direct_request_piece_key(const struct direct_request *request);
 
 /* ---- direct_results.c: results that nobody needs any more ---- */
 
 struct direct_results *direct_results_create(struct direct *direct);
 /** What is gathered is dropped. */
 void direct_results_destroy(struct direct_results *results);
-/** Have a result of so many bytes dropped by its maker. Takes the handle. */
-void direct_results_give_up(struct direct_results *results, const char *maker,
+/** Have a result of so many bytes dropped by its maker, by way of whoever
+ * dispatches there. Takes the handle. */
+void direct_results_give_up(struct direct_results *results, uint64_t maker,
 			    char *handle, int64_t bytes);
+/** A peer gives results up that we dispatched. Copies the handles. */
+void direct_results_take(struct direct_results *results, uint64_t maker,
+			 GPtrArray *handles, int64_t bytes);
 
-/* ---- direct_stages.c: pieces of all requests ---- */
+/* ---- direct_stages.c: pieces of our requests ---- */
 
 struct direct_stages *direct_stages_create(struct direct *direct);
 void direct_stages_destroy(struct direct_stages *stages);
-/** Figures of services may have changed. */
+/** Other entries dispatch for us and we for them. */
+void direct_stages_set_peers(struct direct_stages *stages,
+			     struct direct_peers *peers);
+/** Services may have come. */
 void direct_stages_configure(struct direct_stages *stages,
 			     const struct direct_config *config);
-void direct_stages_add(struct direct_stages *stages, const char *service,
-		       const struct piece *piece);
+/** Who dispatches at this upstream; 0: we do. */
+uint64_t direct_stages_dispatcher(struct direct_stages *stages,
+				  const struct pool_upstream *upstream);
+/** Have pieces made. Takes over the fields of `work`. */
+void direct_stages_ask(struct direct_stages *stages,
+		       struct direct_request *request,
+		       struct direct_work *work);
 /** A request has ended; its results are given up. */
 void direct_stages_drop(struct direct_stages *stages,
 			struct direct_request *request);
@@ -81,6 +96,7 @@
 				struct graph *graph, bool all);
 /** Inputs of a stage of a request are gone: have them made again. */
 void direct_stages_lost_inputs(struct direct_stages *stages,
+			       struct direct_request *request,
 			       struct graph *graph, uint32_t stage);
 /** Time until a piece for this service that came now would be made. */
 int64_t direct_stages_estimate_us(struct direct_stages *stages,
@@ -88,14 +104,5 @@
 /** The pieces of a stage that were asked for in time took so long. */
 void direct_stages_learn(struct direct_stages *stages, const char *service,
 			 int32_t priority, int64_t took_us);
-/** Tell peers of a call of ours at an upstream, and what it keeps for us. */
-void direct_stages_tell_busy(struct direct_stages *stages,
-			     const struct pool_upstream *upstream,
-			     int64_t for_us);
-/** How long our call keeps an upstream at work still. */
-int64_t direct_stages_own_work_us(const struct direct_stages *stages,
-				  const struct pool_upstream *upstream);
-/** Make the calls that can be made now. */
-void direct_stages_run(struct direct_stages *stages);
 
 #endif
--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -16,16 +16,6 @@
 	return request->graph;
 }
 
-const char *direct_request_id(const struct direct_request *request)
-{
-	return request->id;
-}
-
-const char *direct_request_piece_key(const struct direct_request *request)
-{
-	return request->ask.piece_key;
-}
-
 /* ---- the end ---- */
 
 void direct_request_free(struct direct_request *request)
--- a/direct/direct_results.c
+++ b/direct/direct_results.c
@@ -1,9 +1,12 @@
 /** Results of stages that nobody needs any more: their makers are told. */
 #include "direct/direct_private.h"
+#include "direct/direct_relay.h"
 
-/* Results are gathered this long, so that one call names many. Room for
- * results is scarce: short against a call of a stage. */
-#define GATHER_MS 40
+/* Results are gathered this long, so that one call names many; once here and
+ * once at the dispatcher. Room is scarce: short against a call of a stage. */
+#define GATHER_MS 20
+/* Results named to a dispatcher in one datagram. */
+#define HANDLES_MAX 64
 /* An upstream drops what nobody names by itself after a few seconds. */
 #define FREE_TIMEOUT_US (2 * LP_US_PER_S)
 
@@ -15,14 +18,15 @@
 
 struct direct_results {
 	struct direct *direct;
-	GHashTable *gathered; /* maker id -> struct gathered */
+	GHashTable *gathered; /* maker's hash -> struct gathered: our own */
+	GHashTable *taken;    /* likewise: of peers, to be called here */
 	GHashTable *calls;    /* of struct free_call */
 	guint timer;
 };
 
 struct free_call {
 	struct direct_results *results;
-	char *maker;
+	uint64_t maker;
 	uint32_t handles;
 	int64_t bytes;
 	int64_t started_us;
@@ -39,35 +43,32 @@
 
 static GHashTable *create_frees(void)
 {
-	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+	return g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 				     free_gathered);
 }
 
 /* The maker has the room again, or will drop the results by itself. */
 static void end_free_call(struct free_call *call)
 {
-	struct pool_upstream *upstream =
-		pool_find(call->results->direct->pool, call->maker);
-
-	if (upstream) {
-		upstream->kept_bytes -= call->bytes;
-		direct_stages_tell_busy(
-			call->results->direct->stages, upstream,
-			direct_stages_own_work_us(call->results->direct->stages,
-						  upstream));
-	}
+	struct pool *pool = call->results->direct->pool;
+	struct pool_upstream *upstream = pool_find_hash(pool, call->maker);
+
+	if (upstream)
+		pool_unkeep(pool, upstream, call->bytes);
 	g_hash_table_remove(call->results->calls, call);
-	g_free(call->maker);
 	g_free(call);
 }
 
 static void log_free(const struct free_call *call, uint32_t status)
 {
 	struct direct *direct = call->results->direct;
+	const struct pool_upstream *maker =
+		pool_find_hash(direct->pool, call->maker);
 
 	if (!lp_event_begin(direct->options.log, "results_given_up", NULL))
 		return;
-	lp_event_text(direct->options.log, "upstream", call->maker);
+	lp_event_text(direct->options.log, "upstream",
+		      maker ? maker->entry.id : "");
 	lp_event_int(direct->options.log, "results", call->handles);
 	lp_event_int(direct->options.log, "status", status);
 	lp_event_int(direct->options.log, "took_us",
@@ -88,28 +89,25 @@
 	end_free_call(call);
 }
 
-static void send_free(struct direct_results *results, const char *maker,
+static void send_free(struct direct_results *results,
+		      struct pool_upstream *upstream,
 		      const struct gathered *gathered)
 {
 	const GPtrArray *handles = gathered->handles;
 	const struct direct_codec *codec = results->direct->options.codec;
-	struct pool_upstream *upstream =
-		pool_find(results->direct->pool, maker);
 	g_autofree char *body = NULL;
 	struct http_fields fields;
 	struct free_call *call;
 
-	if (!upstream) /* its results went with it */
-		return;
 	body = codec->write_free(handles);
 	call = g_new0(struct free_call, 1);
 	call->results = results;
-	call->maker = g_strdup(maker);
+	call->maker = upstream->hash;
 	call->handles = handles->len;
 	call->bytes = gathered->bytes;
 	call->started_us = lp_now_us(results->direct->options.clock);
 	http_fields_init(&fields);
-	codec->write_call(maker, &fields);
+	codec->write_call(upstream->entry.id, &fields);
 	call->fetch = http_fetch_start(&(struct http_fetch_options){
 		.address = upstream->entry.address,
 		.method = "POST",
@@ -127,40 +125,103 @@
 		end_free_call(call);
 }
 
-static gboolean on_free_gathered(gpointer userdata)
+/* The dispatcher counts the room, and calls for all entries at once. */
+static void send_to_dispatcher(struct direct_results *results,
+			       uint64_t dispatcher,
+			       const struct pool_upstream *upstream,
+			       const struct gathered *gathered)
+{
+	uint32_t count = gathered->handles->len;
+
+	for (uint32_t i = 0; i < count; i += HANDLES_MAX) {
+		uint32_t part = MIN(count - i, HANDLES_MAX);
+		g_autoptr(GPtrArray) handles = g_ptr_array_new();
+
+		for (uint32_t j = i; j < i + part; j++)
+			g_ptr_array_add(handles, g_ptr_array_index(
+							 gathered->handles, j));
+		direct_relay_give_up(results->direct->relay, dispatcher,
+				     upstream->hash, handles,
+				     gathered->bytes * part / count);
+	}
+}
+
+static void send_all(struct direct_results *results, GHashTable *all,
+		     bool are_ours)
 {
-	struct direct_results *results = userdata;
-	g_autoptr(GHashTable) frees = results->gathered;
 	GHashTableIter iter;
 	gpointer maker;
 	gpointer gathered;
 
+	g_hash_table_iter_init(&iter, all);
+	while (g_hash_table_iter_next(&iter, &maker, &gathered)) {
+		struct direct *direct = results->direct;
+		struct pool_upstream *upstream =
+			pool_find_hash(direct->pool, *(uint64_t *)maker);
+		uint64_t dispatcher;
+
+		if (!upstream) /* its results went with it */
+			continue;
+		dispatcher = are_ours ? direct_stages_dispatcher(direct->stages,
+								 upstream)
+				      : 0;
+		if (dispatcher)
+			send_to_dispatcher(results, dispatcher, upstream,
+					   gathered);
+		else
+			send_free(results, upstream, gathered);
+	}
+}
+
+static gboolean on_free_gathered(gpointer userdata)
+{
+	struct direct_results *results = userdata;
+	g_autoptr(GHashTable) gathered = results->gathered;
+	g_autoptr(GHashTable) taken = results->taken;
+
 	results->timer = 0;
 	results->gathered = create_frees();
-	g_hash_table_iter_init(&iter, frees);
-	while (g_hash_table_iter_next(&iter, &maker, &gathered))
-		send_free(results, maker, gathered);
+	results->taken = create_frees();
+	send_all(results, gathered, true);
+	send_all(results, taken, false);
 	return G_SOURCE_REMOVE;
 }
 
-/* Takes over the handle. */
-void direct_results_give_up(struct direct_results *results, const char *maker,
+static struct gathered *gathered_of(struct direct_results *results,
+				    GHashTable *all, uint64_t maker)
+{
+	struct gathered *gathered = g_hash_table_lookup(all, &maker);
+
+	if (!results->timer)
+		results->timer =
+			g_timeout_add(GATHER_MS, on_free_gathered, results);
+	if (gathered)
+		return gathered;
+	gathered = g_new0(struct gathered, 1);
+	gathered->handles = g_ptr_array_new_with_free_func(g_free);
+	g_hash_table_insert(all, g_memdup2(&maker, sizeof(maker)), gathered);
+	return gathered;
+}
+
+void direct_results_give_up(struct direct_results *results, uint64_t maker,
 			    char *handle, int64_t bytes)
 {
 	struct gathered *gathered =
-		g_hash_table_lookup(results->gathered, maker);
+		gathered_of(results, results->gathered, maker);
 
-	if (!gathered) {
-		gathered = g_new0(struct gathered, 1);
-		gathered->handles = g_ptr_array_new_with_free_func(g_free);
-		g_hash_table_insert(results->gathered, g_strdup(maker),
-				    gathered);
-	}
 	g_ptr_array_add(gathered->handles, handle);
 	gathered->bytes += bytes;
-	if (!results->timer)
-		results->timer =
-			g_timeout_add(GATHER_MS, on_free_gathered, results);
+}
+
+void direct_results_take(struct direct_results *results, uint64_t maker,
+			 GPtrArray *handles, int64_t bytes)
+{
+	struct gathered *gathered = gathered_of(results, results->taken, maker);
+
+	for (guint i = 0; i < handles->len; i++)
+		g_ptr_array_add(gathered->handles,
+				g_strdup(g_ptr_array_index(handles, i)));
+	gathered->bytes += bytes;
 }
 
 struct direct_results *direct_results_create(struct direct *direct)
@@ -169,6 +230,7 @@
 
 	results->direct = direct;
 	results->gathered = create_frees();
+	results->taken = create_frees();
 	results->calls = g_hash_table_new(NULL, NULL);
 	return results;
 }
@@ -186,6 +248,7 @@
 	if (results->timer)
 		g_source_remove(results->timer);
 	g_hash_table_unref(results->gathered);
+	g_hash_table_unref(results->taken);
 	g_hash_table_unref(results->calls);
 	g_free(results);
 }
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -96,8 +96,8 @@
 				      "inputs_gone");
 		return;
 	}
-	direct_stages_lost_inputs(request->direct->stages, request->graph,
-				  request->route->stages_count);
+	direct_stages_lost_inputs(request->direct->stages, request,
+				  request->graph, request->route->stages_count);
 	request->state = DIRECT_STATE_STAGES;
 	direct_request_advance(request);
 }
--- /dev/null
+++ b/policy/dispatchers.h
@@ -0,0 +1,37 @@
+/**
+ * Which entry dispatches the pieces of a service for all entries.
+ *
+ * An upstream of stages does one call at a time, and a call costs much more
+ * than a piece. So calls have to be full, and thirty entries that call by
+ * themselves cannot fill them: one entry gathers the pieces of all, and it
+ * alone calls these upstreams. Each entry works out for itself who that is,
+ * from the members it knows; all come to the same where they know the same.
+ * Where they do not, two entries dispatch for a while, and calls are less full.
+ */
+#ifndef DISPATCHERS_H
+#define DISPATCHERS_H
+
+#include <stdint.h>
+
+struct dispatchers_member {
+	uint64_t hash;	   /**< names it */
+	uint32_t capacity; /**< in thousandths of a core; 0: takes no work */
+};
+
+/** What one entry dispatches: a service, or a part of a large one. */
+struct dispatchers_task {
+	uint64_t hash;	     /**< names it */
+	uint64_t dispatcher; /**< found: a member's hash; 0: nobody can */
+};
+
+/** Parts into which a service of so many upstreams is split: 1, 2, 4, ... */
+uint32_t dispatchers_parts(uint32_t upstreams);
+/**
+ * Find the dispatcher of each task. Strong members go first, and none gets a
+ * second task before each strong one has a first. Sorts the tasks by hash.
+ */
+void dispatchers_find(const struct dispatchers_member *members,
+		      uint32_t members_count, struct dispatchers_task *tasks,
+		      uint32_t tasks_count);
+
+#endif
--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -1,45 +1,31 @@
 #include "policy/pieces.h"
 
-#include "base/lp_id.h"
-
 #include <string.h>
 
-/* An entry stays with its home, so that entries part among upstreams; less
- * than a tenth of a call. */
-#define MOVE_US (15 * LP_US_PER_MS)
-/* Results that cross domains are paid for: 3 MB weigh as 95 ms. */
+/* Results that cross domains are paid for: 3 MB weigh as 95 ms of waiting. */
 #define FETCH_BYTES_PER_US 62
 /* Inputs more so: each piece of a stage fetches all of them. */
 #define INPUT_BYTES_PER_US 31
-/* Where nothing else tells, a call stays in its entry's domain. */
-#define OTHER_DOMAIN_US (20 * LP_US_PER_MS)
-/* When another entry takes an upstream that is idle: late enough for the word
- * that those at home there go on, and entries one after the other. */
-#define TAKE_IDLE_US (10 * LP_US_PER_MS)
-#define TAKE_STEPS 4
-#define TAKE_STEP_US (7 * LP_US_PER_MS)
-/* With a call under way already, later than those that have none. */
-#define TAKE_MORE_US (30 * LP_US_PER_MS)
-/* A call that is not whole goes to an upstream at work only when that will be
- * free this soon: what comes until then goes along. */
-#define QUEUE_AHEAD_US (60 * LP_US_PER_MS)
+/* ... but nothing waits longer than about a call for a nearer upstream. */
+#define FAR_WAIT_MAX_US (250 * LP_US_PER_MS)
 /* Waiting pieces are looked at again after at most this. */
-#define LOOK_AGAIN_US (8 * LP_US_PER_MS)
+#define LOOK_AGAIN_US (10 * LP_US_PER_MS)
 /* Among those that can be on time, a rank of priority goes before any due
  * time: what is less urgent must not be served more often. */
 #define PRIORITY_US (20 * LP_US_PER_S)
 /* Late pieces go behind all that can still be on time. */
 #define LATE_US (1000 * LP_US_PER_S)
-/* Calls of our own at one upstream: one is at work, none waits behind it. */
-#define CALLS_EACH_MAX 1
+/* An idle upstream is left idle for one at work that would end in less than
+ * this part of its time. */
+#define SLOW_PART 1.5
 
 struct pieces {
 	struct pieces_options options;
 	char *service;
-	char *domain;
 	GArray *waiting;  /* of struct piece */
 	GPtrArray *calls; /* under way; owned by whoever got them */
-	uint64_t home;	  /* hash of the upstream that we go to first */
+	uint32_t parts;	  /* of the service */
+	uint64_t own;	  /* bits of the parts that are this queue's */
 };
 
 struct pieces *pieces_create(const struct pieces_options *options)
@@ -48,9 +34,9 @@
 
 	pieces->options = *options;
 	pieces->service = g_strdup(options->service);
-	pieces->domain = g_strdup(options->domain);
 	pieces->waiting = g_array_new(FALSE, FALSE, sizeof(struct piece));
 	pieces->calls = g_ptr_array_new();
+	pieces_set_parts(pieces, 1, 1);
 	return pieces;
 }
 
@@ -59,8 +45,6 @@
 	if (!pieces)
 		return;
 	g_free(pieces->service);
-	g_free(pieces->domain);
-
 	g_array_unref(pieces->waiting);
 	g_ptr_array_unref(pieces->calls);
 	g_free(pieces);
@@ -74,27 +58,39 @@
 	pieces->options.room_bytes = figures->room_bytes;
 }
 
-void pieces_add(struct pieces *pieces, const struct piece *piece)
+void pieces_set_parts(struct pieces *pieces, uint32_t parts, uint64_t own)
 {
-	g_array_append_vals(pieces->waiting, piece, 1);
+	pieces->parts = parts;
+	pieces->own = own;
 }
 
-void pieces_set_home(struct pieces *pieces, uint64_t upstream)
+static int64_t now(const struct pieces *pieces)
 {
-	pieces->home = upstream;
+	return lp_now_us(pieces->options.clock);
 }
 
-void pieces_drop(struct pieces *pieces, const void *request)
+static struct piece *waiting_at(const struct pieces *pieces, guint i)
 {
-	for (guint i = pieces->waiting->len; i-- > 0;)
-		if (g_array_index(pieces->waiting, struct piece, i).request ==
-		    request)
-			g_array_remove_index(pieces->waiting, i);
+	return &g_array_index(pieces->waiting, struct piece, i);
 }
 
-static int64_t now(const struct pieces *pieces)
+void pieces_add(struct pieces *pieces, const struct piece *piece)
 {
-	return lp_now_us(pieces->options.clock);
+	g_array_append_vals(pieces->waiting, piece, 1);
+	waiting_at(pieces, pieces->waiting->len - 1)->added_us = now(pieces);
+}
+
+uint32_t pieces_drop(struct pieces *pieces, const void *request)
+{
+	uint32_t dropped = 0;
+
+	for (guint i = pieces->waiting->len; i-- > 0;) {
+		if (waiting_at(pieces, i)->request != request)
+			continue;
+		g_array_remove_index(pieces->waiting, i);
+		dropped++;
+	}
+	return dropped;
 }
 
 static int64_t call_time_us(const struct pieces *pieces, uint32_t count)
@@ -136,70 +132,48 @@
 	return first->stage < second->stage ? -1 : first->stage > second->stage;
 }
 
-/* ---- where ---- */
+/* ---- upstreams ---- */
 
-static int64_t own_calls_end_us(const struct pieces *pieces,
-				const struct pool_upstream *upstream,
-				uint32_t *count)
+static bool is_own(const struct pieces *pieces,
+		   const struct pool_upstream *upstream)
 {
-	int64_t end_us = 0;
-
-	*count = 0;
-	for (guint i = 0; i < pieces->calls->len; i++) {
-		const struct pieces_call *call =
-			g_ptr_array_index(pieces->calls, i);
-
-		if (upstream && call->upstream != upstream)
-			continue;
-		(*count)++;
-		end_us = MAX(end_us, call->started_us + call->expected_us);
-	}
-	return end_us;
+	return pieces->own >> (upstream->hash % pieces->parts) & 1;
 }
 
-/* Until it is free of others' calls and of our own. */
-static int64_t wait_us(const struct pieces *pieces,
-		       const struct pool_upstream *upstream)
+static bool is_usable(const struct pieces *pieces,
+		      const struct pool_upstream *upstream)
 {
-	uint32_t calls;
-	int64_t own_end_us = own_calls_end_us(pieces, upstream, &calls);
-
-	return MAX(MAX(upstream->busy_until_us, own_end_us) - now(pieces), 0);
+	return is_own(pieces, upstream) &&
+	       pool_usable(pieces->options.pool, upstream);
 }
 
-/* The price, as time, of bytes that would cross domains. */
-static double crossing_us(const struct pieces *pieces,
-			  const struct pool_upstream *upstream, uint32_t count)
+/* Until it is free of others' calls and of our own; 0: it is idle. */
+static int64_t wait_us(const struct pieces *pieces,
+		       const struct pool_upstream *upstream)
 {
-	double us = 0;
+	int64_t now_us = now(pieces);
+	int64_t left_us = MAX(upstream->busy_until_us - now_us, 0);
 
-	for (uint32_t i = 0; i < count; i++) {
-		const struct piece *piece =
-			&g_array_index(pieces->waiting, struct piece, i);
+	for (guint i = 0; i < pieces->calls->len; i++) {
+		const struct pieces_call *call =
+			g_ptr_array_index(pieces->calls, i);
 
-		if (!piece->near ||
-		    !strcmp(piece->near, upstream->entry.domain))
-			continue;
-		us += (double)piece->near_bytes /
-		      (piece->has_inputs ? INPUT_BYTES_PER_US
-					 : FETCH_BYTES_PER_US);
+		/* One that takes longer than expected may end any time. */
+		if (call->upstream == upstream)
+			left_us = MAX(left_us,
+				      MAX(call->started_us + call->expected_us -
+						  now_us,
+					  1));
 	}
-	return us + (strcmp(upstream->entry.domain, pieces->domain)
-			     ? OTHER_DOMAIN_US
-			     : 0);
+	return left_us;
 }
 
-static double cost_us(const struct pieces *pieces,
-		      const struct pool_upstream *upstream, uint32_t count)
+static double time_there_us(const struct pieces *pieces,
+			    const struct pool_upstream *upstream,
+			    uint32_t count)
 {
-	double cost = (double)wait_us(pieces, upstream) +
-		      (double)call_time_us(pieces, count) * upstream->slowness *
-			      (1.0 + 2.0 * upstream->error_share);
-
-	cost += crossing_us(pieces, upstream, count);
-	if (upstream->hash != pieces->home)
-		cost += MOVE_US;
-	return cost;
+	return (double)call_time_us(pieces, count) * upstream->slowness *
+	       (1.0 + 2.0 * upstream->error_share);
 }
 
 /* Room for results that is believed to be free. */
@@ -214,11 +188,17 @@
 	       pool_kept_bytes(pieces->options.pool, upstream);
 }
 
-static struct piece *waiting_at(const struct pieces *pieces, guint i)
+static const GPtrArray *upstreams_of(const struct pieces *pieces)
 {
-	return &g_array_index(pieces->waiting, struct piece, i);
+	static const GPtrArray none;
+	const GPtrArray *list =
+		pool_of_service(pieces->options.pool, pieces->service);
+
+	return list ? list : &none;
 }
 
+/* ---- groups ---- */
+
 /* End of the group at this place: pieces of one stage of one request, which
  * the order has put together. */
 static guint group_end(const struct pieces *pieces, guint start)
@@ -256,6 +236,41 @@
 	       pieces->waiting->len >= 2 * batch_max;
 }
 
+static bool any_usable_in(const struct pieces *pieces, const char *domain)
+{
+	const GPtrArray *list = upstreams_of(pieces);
+
+	for (guint i = 0; i < list->len; i++) {
+		const struct pool_upstream *upstream =
+			g_ptr_array_index(list, i);
+
+		if (!strcmp(upstream->entry.domain, domain) &&
+		    is_usable(pieces, upstream))
+			return true;
+	}
+	return false;
+}
+
+/* Whether a group goes there now, or waits for an upstream nearer to what it
+ * takes in: as long as the bytes that would cross are worth, and as it can
+ * wait without being late. */
+static bool may_go(const struct pieces *pieces, guint start, guint end,
+		   const struct pool_upstream *upstream)
+{
+	const struct piece *first = waiting_at(pieces, start);
+	int64_t now_us = now(pieces);
+	int64_t worth_us;
+
+	if (!first->near || !strcmp(first->near, upstream->entry.domain))
+		return true;
+	worth_us =
+		first->near_bytes * (end - start) /
+		(first->has_inputs ? INPUT_BYTES_PER_US : FETCH_BYTES_PER_US);
+	return now_us >= first->due_us ||
+	       now_us - first->added_us >= MIN(worth_us, FAR_WAIT_MAX_US) ||
+	       !any_usable_in(pieces, first->near);
+}
+
 /*
  * The waiting pieces that one call to this upstream would carry: marks them in
  * `taken` (as many cells as pieces wait) unless it is NULL; returns how many.
@@ -271,7 +286,8 @@
 	       count < pieces->options.batch_max) {
 		guint end = group_end(pieces, start);
 		bool fits = group_fits(pieces, start, end, room) &&
-			    may_split(pieces, count, end - start);
+			    may_split(pieces, count, end - start) &&
+			    may_go(pieces, start, end, upstream);
 
 		for (guint i = start;
 		     fits && i < end && count < pieces->options.batch_max;
@@ -288,81 +304,74 @@
 	return count;
 }
 
-/* The calls under way end too late for the most urgent piece. */
-static bool cannot_wait(const struct pieces *pieces)
+/* ---- where ---- */
+
+/* While others keep up, a slow upstream that is idle is not worth its time if
+ * one at work would end the same call much sooner. */
+static bool is_too_slow(const struct pieces *pieces,
+			const struct pool_upstream *slow, uint32_t count)
 {
-	const struct piece *first =
-		&g_array_index(pieces->waiting, struct piece, 0);
-	int64_t now_us = now(pieces);
-	uint32_t calls;
+	const GPtrArray *list = upstreams_of(pieces);
+	double own_us = time_there_us(pieces, slow, count);
+	uint32_t usable = 0;
+	bool sooner = false;
 
-	return first->due_us >= now_us &&
-	       first->due_us < own_calls_end_us(pieces, NULL, &calls);
-}
+	for (guint i = 0; i < list->len; i++) {
+		const struct pool_upstream *upstream =
+			g_ptr_array_index(list, i);
 
-/*
- * An entry has one call under way and gathers what comes meanwhile; only a
- * whole batch, or a piece that would be late, opens a further one.
- *
- * Entries keep apart: whose home an upstream is goes there at once, another
- * one takes it when it has been idle for a while. Behind one call of
- * others queues who has nothing under way, or a whole batch.
- */
-static bool may_call(const struct pieces *pieces,
-		     const struct pool_upstream *upstream, uint32_t count)
-{
-	int64_t idle_us = now(pieces) - upstream->busy_until_us;
-	bool whole = count >= pieces->options.batch_max;
-	int64_t stagger_us;
-	uint32_t calls;
-
-	own_calls_end_us(pieces, upstream, &calls);
-	if (calls >= CALLS_EACH_MAX)
-		return false;
-	if (pieces->calls->len && !whole &&
-	    (idle_us < TAKE_MORE_US && !cannot_wait(pieces)))
-		return false;
-	if (idle_us < 0)
-		return -idle_us <=
-		       (whole ? call_time_us(pieces, count) : QUEUE_AHEAD_US);
-	if (upstream->hash == pieces->home)
-		return true;
-	stagger_us = TAKE_IDLE_US + (int64_t)(lp_hash_pair(pieces->options.self,
-							   upstream->hash) %
-					      TAKE_STEPS) *
-					    TAKE_STEP_US;
-	if (pieces->calls->len && count < pieces->options.batch_max)
-		stagger_us += TAKE_MORE_US;
-	return idle_us >= stagger_us;
+		if (!is_usable(pieces, upstream))
+			continue;
+		usable++;
+		if (SLOW_PART * ((double)wait_us(pieces, upstream) +
+				 time_there_us(pieces, upstream, count)) <
+		    own_us)
+			sooner = true;
+	}
+	return sooner &&
+	       pieces->waiting->len < usable * pieces->options.batch_max;
 }
 
-/* The best upstream, if it may be called now; NULL: wait for it. */
+/* The idle upstream that ends its call first, or NULL: wait. */
 static struct pool_upstream *choose(const struct pieces *pieces)
 {
-	const GPtrArray *list =
-		pool_of_service(pieces->options.pool, pieces->service);
+	const GPtrArray *list = upstreams_of(pieces);
 	struct pool_upstream *best = NULL;
 	uint32_t best_count = 0;
-	double best_cost = 0;
+	double best_us = 0;
 
-	for (guint i = 0; list && i < list->len; i++) {
+	for (guint i = 0; i < list->len; i++) {
 		struct pool_upstream *upstream = g_ptr_array_index(list, i);
 		uint32_t count;
-		double cost;
+		double us;
 
-		if (!pool_usable(pieces->options.pool, upstream))
+		if (!is_usable(pieces, upstream) || wait_us(pieces, upstream))
 			continue;
 		count = plan(pieces, upstream, NULL);
 		if (!count)
 			continue;
-		cost = cost_us(pieces, upstream, count);
-		if (best && cost >= best_cost)
+		us = time_there_us(pieces, upstream, count) / count;
+		if (best && us >= best_us)
 			continue;
 		best = upstream;
-		best_cost = cost;
+		best_us = us;
 		best_count = count;
 	}
-	return best && may_call(pieces, best, best_count) ? best : NULL;
+	return best && !is_too_slow(pieces, best, best_count) ? best : NULL;
+}
+
+static bool any_idle(const struct pieces *pieces)
+{
+	const GPtrArray *list = upstreams_of(pieces);
+
+	for (guint i = 0; i < list->len; i++) {
+		const struct pool_upstream *upstream =
+			g_ptr_array_index(list, i);
+
+		if (is_usable(pieces, upstream) && !wait_us(pieces, upstream))
+			return true;
+	}
+	return false;
 }
 
 static bool is_taken_of(const GArray *out, const struct piece *piece)
@@ -387,7 +396,8 @@
 	for (guint i = 0; i < pieces->waiting->len; i++) {
 		if (!taken[i])
 			continue;
-		upstream->kept_bytes += waiting_at(pieces, i)->bytes;
+		pool_keep(pieces->options.pool, upstream,
+			  waiting_at(pieces, i)->bytes);
 		g_array_append_val(out, *waiting_at(pieces, i));
 	}
 	for (guint i = pieces->waiting->len; i-- > 0;) {
@@ -409,7 +419,6 @@
 	take_planned(pieces, upstream, call->pieces);
 	call->started_us = now(pieces);
 	call->expected_us =
-		wait_us(pieces, upstream) +
 		(int64_t)((double)call_time_us(pieces, call->pieces->len) *
 			  upstream->slowness);
 	upstream->in_flight++;
@@ -422,7 +431,7 @@
 	int64_t now_us = now(pieces);
 	struct pool_upstream *upstream;
 
-	if (!pieces->waiting->len)
+	if (!pieces->waiting->len || !any_idle(pieces))
 		return NULL;
 	g_array_sort_with_data(pieces->waiting, by_rank, &now_us);
 	upstream = choose(pieces);
@@ -441,15 +450,11 @@
 		       int32_t running, int32_t waiting)
 {
 	int64_t one_us = call_time_us(pieces, pieces->options.batch_max / 3);
-	int64_t left_us = running * one_us / 2 + waiting * one_us;
 
 	if (running < 0 || waiting < 0)
 		return;
-	if (!left_us)
-		pool_heard_idle(pieces->options.pool, upstream);
-	else if (upstream->busy_until_us < now(pieces) + left_us / 2)
-		pool_heard_busy(pieces->options.pool, upstream, 0,
-				now(pieces) + left_us, 0);
+	pool_heard_busy(pieces->options.pool, upstream,
+			now(pieces) + running * one_us / 2 + waiting * one_us);
 }
 
 void pieces_end(struct pieces *pieces, struct pieces_call *call,
@@ -473,14 +478,15 @@
 	g_free(call);
 }
 
+/* ---- estimates ---- */
+
 static uint32_t count_before(const struct pieces *pieces, int32_t priority)
 {
 	uint32_t count = 0;
 	int64_t now_us = now(pieces);
 
 	for (guint i = 0; i < pieces->waiting->len; i++) {
-		const struct piece *piece =
-			&g_array_index(pieces->waiting, struct piece, i);
+		const struct piece *piece = waiting_at(pieces, i);
 
 		if (piece->priority <= priority && piece->due_us >= now_us)
 			count++;
@@ -488,15 +494,40 @@
 	return count;
 }
 
+/* How fast upstreams are, all together, and when the first is free. */
+struct outlook {
+	double upstreams; /* as many at the usual speed */
+	int64_t free_us;
+};
+
+static struct outlook look(const struct pieces *pieces)
+{
+	const GPtrArray *list = upstreams_of(pieces);
+	struct outlook outlook = { .free_us = G_MAXINT64 };
+
+	for (guint i = 0; i < list->len; i++) {
+		const struct pool_upstream *upstream =
+			g_ptr_array_index(list, i);
+
+		if (!is_usable(pieces, upstream))
+			continue;
+		outlook.upstreams += 1.0 / MAX(upstream->slowness, 0.1);
+		outlook.free_us =
+			MIN(outlook.free_us, wait_us(pieces, upstream));
+	}
+	if (outlook.upstreams > 0)
+		return outlook;
+	return (struct outlook){ 1.0, call_time_us(pieces, 1) };
+}
+
 int64_t pieces_estimate_us(const struct pieces *pieces, int32_t priority)
 {
 	uint32_t before = count_before(pieces, priority);
 	uint32_t batch = MAX(pieces->options.batch_max, 1);
-	uint32_t calls;
-	int64_t free_us = own_calls_end_us(pieces, NULL, &calls);
-	int64_t left_us = calls ? MAX(free_us - now(pieces), 0) : 0;
-	uint32_t batches = before / batch;
+	struct outlook outlook = look(pieces);
+	double queue_us = (double)before * (double)call_time_us(pieces, batch) /
+			  (batch * outlook.upstreams);
 
-	return left_us + batches * call_time_us(pieces, batch) +
-	       call_time_us(pieces, before % batch + 1);
+	return outlook.free_us + (int64_t)queue_us +
+	       call_time_us(pieces, MIN(before + 1, batch));
 }
--- a/policy/pieces.h
+++ b/policy/pieces.h
@@ -2,9 +2,10 @@
  * Pieces that wait for one service, and the calls that carry them.
  *
  * An upstream does one call at a time, and a call costs much more than a
- * piece. So an entry has one call under way and gathers pieces while it runs;
- * it opens a further one when a whole batch waits or the most urgent piece
- * cannot wait. Pieces of different requests share a call.
+ * piece. This queue is the only one that calls its upstreams (dispatchers.h
+ * says whose it is): whatever waits when one of them is idle goes to it, most
+ * urgent first, so calls fill by themselves as upstreams get busy. Pieces of
+ * different requests share a call.
  */
 #ifndef PIECES_H
 #define PIECES_H
@@ -14,7 +15,7 @@
 struct pieces;
 
 struct piece {
-	void *request; /**< whose it is; opaque */
+	void *request; /**< whose it is, one stage of it; opaque */
 	uint32_t stage;
 	uint32_t index;
 	int64_t due_us;	  /**< begun by then, its request is on time */
@@ -27,14 +28,13 @@
 	const char *near;   /**< domain of what it takes in, or of who takes
 			       it; NULL: no matter. Interned. */
 	int64_t near_bytes; /**< that would cross domains elsewhere */
+	int64_t added_us;   /**< when it began to wait; set by pieces_add() */
 };
 
 struct pieces_options {
 	const struct lp_clock *clock;
 	struct pool *pool;
 	const char *service; /**< copied */
-	const char *domain;  /**< own; copied */
-	uint64_t self;	     /**< sets this entry apart from others */
 	uint32_t batch_max;
 	int64_t call_us;    /**< a call's fixed time */
 	int64_t piece_us;   /**< and that of each piece */
@@ -54,10 +54,10 @@
 /** The service's figures have changed. */
 void pieces_set(struct pieces *pieces, const struct pieces_options *figures);
 void pieces_add(struct pieces *pieces, const struct piece *piece);
-/** The upstream that this entry goes to first, by its hash; 0: none. */
-void pieces_set_home(struct pieces *pieces, uint64_t upstream);
-/** A request has ended: what waits for it is dropped. */
-void pieces_drop(struct pieces *pieces, const void *request);
+/** Call upstreams of this part of so many parts of the service only. */
+void pieces_set_parts(struct pieces *pieces, uint32_t parts, uint64_t own);
+/** What waits for this one is dropped; returns how many pieces. */
+uint32_t pieces_drop(struct pieces *pieces, const void *request);
 /** The next call to be made now, or NULL. End it by pieces_end(). */
 struct pieces_call *pieces_next(struct pieces *pieces);
 /** When pieces_next() may have a call although nothing happens; 0: never. */
--- a/policy/pool.c
+++ b/policy/pool.c
@@ -33,8 +33,9 @@
  * that an upstream that has recovered is tried again. */
 #define FORGET_US (2 * LP_US_PER_S)
 #define SLOWNESS_MAX 20.0
-/* Results of others are believed in for as long as upstreams keep them. */
-#define KEPT_US (4 * LP_US_PER_S)
+/* Upstreams keep what nobody gives up for four seconds (handle_s of the sites);
+ * the newest span is not over yet, so five of them are counted. */
+#define KEPT_SPAN_US (1 * LP_US_PER_S)
 /* Requests of plain services are weighed in these units of time. */
 #define PLAIN_CALL_US (60 * LP_US_PER_MS)
 
@@ -351,64 +352,63 @@
 	}
 }
 
-/* Idle since the last known call ended, or since just now. */
-static void update_busy(struct pool_upstream *upstream, int64_t now_us)
+void pool_heard_busy(struct pool *pool, struct pool_upstream *upstream,
+		     int64_t until_us)
 {
-	int64_t until_us = 0;
-
-	for (uint32_t i = 0; i < POOL_OTHERS_MAX; i++)
-		until_us = MAX(until_us, upstream->others[i].until_us);
-	if (until_us > now_us)
-		upstream->busy_until_us = until_us;
-	else
-		upstream->busy_until_us = MIN(upstream->busy_until_us, now_us);
+	upstream->busy_until_us = until_us;
 }
 
-/* The place of this one, else the one that ends first. */
-static struct pool_busy *busy_of(struct pool_upstream *upstream, uint64_t who)
+static int64_t span_now(const struct pool *pool)
 {
-	struct pool_busy *place = &upstream->others[0];
+	return lp_now_us(pool->clock) / KEPT_SPAN_US;
+}
 
-	for (uint32_t i = 0; i < POOL_OTHERS_MAX; i++) {
-		if (upstream->others[i].who == who)
-			return &upstream->others[i];
-		if (upstream->others[i].until_us < place->until_us)
-			place = &upstream->others[i];
-	}
-	return place;
+static bool is_kept(const struct pool_kept *kept, int64_t now)
+{
+	return kept->span > now - POOL_KEPT_SPANS;
 }
 
-void pool_heard_busy(struct pool *pool, struct pool_upstream *upstream,
-		     uint64_t who, int64_t until_us, int64_t kept_bytes)
+void pool_keep(struct pool *pool, struct pool_upstream *upstream, int64_t bytes)
 {
-	struct pool_busy *place = busy_of(upstream, who);
+	int64_t now = span_now(pool);
+	struct pool_kept *kept = &upstream->kept[now % POOL_KEPT_SPANS];
 
-	if (!until_us && !kept_bytes && place->who != who)
-		return;
-	place->who = who;
-	place->until_us = until_us;
-	place->kept_bytes = kept_bytes;
-	place->heard_us = lp_now_us(pool->clock);
-	update_busy(upstream, lp_now_us(pool->clock));
+	if (kept->span != now)
+		*kept = (struct pool_kept){ .span = now };
+	kept->bytes += bytes;
 }
 
-int64_t pool_kept_bytes(const struct pool *pool,
-			const struct pool_upstream *upstream)
+/* The oldest results are taken to be the ones given up. */
+void pool_unkeep(struct pool *pool, struct pool_upstream *upstream,
+		 int64_t bytes)
 {
-	int64_t now_us = lp_now_us(pool->clock);
-	int64_t kept = upstream->kept_bytes;
+	int64_t now = span_now(pool);
+
+	for (int64_t span = now - POOL_KEPT_SPANS + 1; span <= now; span++) {
+		struct pool_kept *kept;
+		int64_t part;
 
-	for (uint32_t i = 0; i < POOL_OTHERS_MAX; i++)
-		if (now_us - upstream->others[i].heard_us < KEPT_US)
-			kept += upstream->others[i].kept_bytes;
-	return kept;
+		if (span < 0)
+			continue;
+		kept = &upstream->kept[span % POOL_KEPT_SPANS];
+		if (kept->span != span)
+			continue;
+		part = MIN(kept->bytes, bytes);
+		kept->bytes -= part;
+		bytes -= part;
+	}
 }
 
-void pool_heard_idle(struct pool *pool, struct pool_upstream *upstream)
+int64_t pool_kept_bytes(const struct pool *pool,
+			const struct pool_upstream *upstream)
 {
-	for (uint32_t i = 0; i < POOL_OTHERS_MAX; i++)
-		upstream->others[i].until_us = 0;
-	update_busy(upstream, lp_now_us(pool->clock));
+	int64_t now = span_now(pool);
+	int64_t bytes = 0;
+
+	for (uint32_t i = 0; i < POOL_KEPT_SPANS; i++)
+		if (is_kept(&upstream->kept[i], now))
+			bytes += upstream->kept[i].bytes;
+	return bytes;
 }
 
 void pool_heard_unreachable(struct pool *pool, struct pool_upstream *upstream,
--- a/policy/pool.h
+++ b/policy/pool.h
@@ -21,15 +21,13 @@
  * engine really does shows in its slowness. */
 #define POOL_TOKENS_PER_MS INT64_C(60)
 
-/** Others whose calls at one upstream are known at the same time. */
-#define POOL_OTHERS_MAX 8
+/** Spans of time whose results are counted apart. */
+#define POOL_KEPT_SPANS 5
 
-/** A call of someone else's at an upstream. */
-struct pool_busy {
-	uint64_t who;
-	int64_t until_us;
-	int64_t kept_bytes; /**< results that it keeps for them */
-	int64_t heard_us;
+/** Results that an upstream began to make in one span of time. */
+struct pool_kept {
+	int64_t span;
+	int64_t bytes;
 };
 
 /** What the list says of an upstream. */
@@ -46,18 +44,16 @@
 	struct pool_entry entry;
 	uint64_t hash; /**< of its id, short enough to be told to others */
 	bool listed;
-	uint32_t in_flight;	/**< our requests or calls there */
-	int64_t tokens_ahead;	/**< prompt tokens we sent, not read yet */
-	int64_t aside_until_us; /**< gets nothing before, if others can */
-	uint32_t failures;	/**< in a row */
-	double error_share;	/**< of late answers, 0 to 1 */
-	double slowness;	/**< time taken / time expected, fading */
-	int64_t busy_until_us;	/**< with calls of others */
-	int64_t kept_bytes; /**< results that it keeps for us, or will: those of
-				 calls under way count */
+	uint32_t in_flight;	  /**< our requests or calls there */
+	int64_t tokens_ahead;	  /**< prompt tokens we sent, not read yet */
+	int64_t aside_until_us;	  /**< gets nothing before, if others can */
+	uint32_t failures;	  /**< in a row */
+	double error_share;	  /**< of late answers, 0 to 1 */
+	double slowness;	  /**< time taken / time expected, fading */
+	int64_t busy_until_us;	  /**< with calls of others */
 	int64_t no_room_until_us; /**< it had no room for a result lately */
 	/* private */
-	struct pool_busy others[POOL_OTHERS_MAX];
+	struct pool_kept kept[POOL_KEPT_SPANS];
 	uint32_t refs;
 	GHashTable *parts; /* part id -> struct part */
 	int64_t parts_tokens;
@@ -120,17 +116,21 @@
 void pool_learn(struct pool *pool, struct pool_upstream *upstream,
 		enum pool_outcome outcome, int64_t took_us,
 		int64_t expected_us);
+/** Calls of others keep it at work until then; in the past: none does. */
+void pool_heard_busy(struct pool *pool, struct pool_upstream *upstream,
+		     int64_t until_us);
+/** Room for so many bytes of results is taken up from now on. */
+void pool_keep(struct pool *pool, struct pool_upstream *upstream,
+	       int64_t bytes);
+/** Results were not made or are given up: that room is free again. */
+void pool_unkeep(struct pool *pool, struct pool_upstream *upstream,
+		 int64_t bytes);
 /**
- * Someone else keeps it at work until then (0: no longer), and so many bytes of
- * results are kept there for them.
+ * Bytes of results that it is believed to keep. What nobody gives up counts
+ * until upstreams drop it by themselves.
  */
-void pool_heard_busy(struct pool *pool, struct pool_upstream *upstream,
-		     uint64_t who, int64_t until_us, int64_t kept_bytes);
-/** Bytes of results that it is believed to keep, for us and for others. */
 int64_t pool_kept_bytes(const struct pool *pool,
 			const struct pool_upstream *upstream);
-/** It says itself that nobody else keeps it at work. */
-void pool_heard_idle(struct pool *pool, struct pool_upstream *upstream);
 /** Others found it unreachable; believed unless it answered us lately. */
 void pool_heard_unreachable(struct pool *pool, struct pool_upstream *upstream,
 			    int64_t aside_us);
--- /dev/null
+++ b/tests/direct_rig.h
@@ -0,0 +1,296 @@
+/**
+ * The whole path in one process, over loopback: the emulated platform, an
+ * entry that calls upstreams directly, callers. The emulator writes down what
+ * should never have reached it; a rig fails its test by it.
+ */
+#ifndef DIRECT_RIG_H
+#define DIRECT_RIG_H
+
+#include "cwrap.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+inline bool turn_until(const std::function<bool()> &done,
+		       int64_t limit_ms = 10000)
+{
+	const gint64 end_us = g_get_monotonic_time() + limit_ms * 1000;
+	const guint ticks = g_timeout_add(
+		5, [](gpointer) -> gboolean { return G_SOURCE_CONTINUE; },
+		nullptr);
+
+	while (!done() && g_get_monotonic_time() < end_us)
+		g_main_context_iteration(nullptr, TRUE);
+	g_source_remove(ticks);
+	return done();
+}
+
+using Fields = std::map<std::string, std::string>;
+
+/* One request of a caller. */
+struct Ask {
+	http_exchange *exchange;
+	uint32_t status = 0;
+	std::string body;
+	std::string retry_after;
+	std::string seal;
+	bool done = false;
+	int error = LP_OK;
+	int64_t begun_us = g_get_monotonic_time();
+	int64_t took_us = 0;
+
+	Ask(const std::string &address, const char *id, const char *target,
+	    const Fields &more = {}, const char *body = "")
+	{
+		static const http_exchange_events events = { on_head, on_body,
+							     on_done };
+		http_exchange_options options = {};
+		http_fields fields;
+
+		http_fields_init(&fields);
+		http_fields_add(&fields, "Host", "a.example");
+		if (!more.count("X-Attempt-Id"))
+			http_fields_add(&fields, "X-Attempt-Id", id);
+		if (!more.count("Authorization"))
+			http_fields_add(&fields, "Authorization",
+					"Bearer key-always");
+		for (const auto &field : more)
+			http_fields_add(&fields, field.first.c_str(),
+					field.second.c_str());
+		options.address = address.c_str();
+		options.method = "POST";
+		options.target = target;
+		options.fields = &fields;
+		options.body = body;
+		options.body_size = strlen(body);
+		options.has_body = true;
+		options.connect_timeout_us = 1000000;
+		options.events = &events;
+		options.userdata = this;
+		exchange = http_exchange_start(&options);
+		http_fields_clear(&fields);
+	}
+	~Ask()
+	{
+		if (exchange && !done)
+			http_exchange_cancel(exchange);
+	}
+	static void on_head(void *self, uint32_t status,
+			    const http_fields *fields)
+	{
+		auto *ask = static_cast<Ask *>(self);
+		const char *after = http_fields_get(fields, "Retry-After");
+		const char *seal = http_fields_get(fields, "X-Server-Seal");
+
+		ask->status = status;
+		ask->retry_after = after ? after : "";
+		ask->seal = seal ? seal : "";
+	}
+	static void on_body(void *self, const char *bytes, size_t size)
+	{
+		static_cast<Ask *>(self)->body.append(bytes, size);
+	}
+	static void on_done(void *self, int error, bool)
+	{
+		auto *ask = static_cast<Ask *>(self);
+
+		ask->done = true;
+		ask->error = error;
+		ask->took_us = g_get_monotonic_time() - ask->begun_us;
+	}
+	Ask &wait()
+	{
+		EXPECT_TRUE(turn_until([this] { return done; }));
+		return *this;
+	}
+	void leave()
+	{
+		http_exchange_cancel(exchange);
+		done = true;
+	}
+};
+
+/* The platform, and one entry on it. */
+/* Where entries of a test hear each other. Tests run side by side: each holds
+ * the TCP port of this number for as long as it runs. */
+inline uint16_t peers_port()
+{
+	static uint16_t port = 0;
+
+	for (uint16_t at = 21300; !port && at < 21400; at++) {
+		GSocketAddress *address =
+			g_inet_socket_address_new_from_string("127.0.0.1", at);
+		GSocket *lock =
+			g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+				     G_SOCKET_PROTOCOL_TCP, nullptr);
+
+		if (g_socket_bind(lock, address, FALSE, nullptr) &&
+		    g_socket_listen(lock, nullptr))
+			port = at; /* the lock stays open */
+		else
+			g_object_unref(lock);
+		g_object_unref(address);
+	}
+	return port;
+}
+
+struct Rig {
+	pe *platform;
+	bool owns_platform;
+	lp_event_log *log;
+	lp_counters *counters = lp_counters_create();
+	direct *entry = nullptr;
+	direct_peers *peers = nullptr;
+	store_kv *kv = nullptr;
+	plf_feed *feed = nullptr;
+	std::string address;
+
+	explicit Rig(bool with_config = true)
+	    : platform(pe_create()), owns_platform(true)
+	{
+		start(with_config);
+	}
+	/* One more entry on the platform of another one. */
+	explicit Rig(Rig *other)
+	    : platform(other->platform), owns_platform(false)
+	{
+		start(false);
+	}
+	void start(bool with_config)
+	{
+		lp_event_options log_options = {};
+
+		log_options.process = "test";
+		log_options.clock = lp_clock_monotonic();
+		log_options.fd = -1;
+		log = lp_event_log_create(&log_options);
+		listen();
+		if (with_config)
+			set_config(1);
+		start_feed();
+	}
+	~Rig()
+	{
+		if (entry)
+			end();
+		if (owns_platform)
+			check_platform();
+	}
+	/* Its process ends at once, without a word to anyone. */
+	void end()
+	{
+		kv->ops->destroy(kv);
+		plf_feed_destroy(feed);
+		direct_destroy(entry);
+		direct_peers_destroy(peers);
+		lp_counters_destroy(counters);
+		lp_event_log_destroy(log);
+		entry = nullptr;
+	}
+	void check_platform()
+	{
+		const GPtrArray *breaches = pe_breaches(platform);
+
+		for (guint i = 0; i < breaches->len; i++)
+			ADD_FAILURE()
+				<< (const char *)g_ptr_array_index(breaches, i);
+		pe_destroy(platform);
+	}
+	void listen()
+	{
+		direct_options options = {};
+		int error;
+
+		options.clock = lp_clock_monotonic();
+		options.codec = plf_codec();
+		options.log = log;
+		options.counters = counters;
+		options.domain = "a";
+		options.retry_ratio = 0.2;
+		options.retry_slack = 20;
+		for (int port = 21400; !entry && port < 21500; port++) {
+			address = "127.0.0.1:" + std::to_string(port);
+			options.address = address.c_str();
+			entry = direct_create(&options, &error);
+		}
+	}
+	void start_feed()
+	{
+		plf_kv_options kv_options = {};
+		plf_feed_options options = {};
+
+		kv_options.address = pe_store_address(platform);
+		kv_options.counters = counters;
+		kv_options.timeout_us = 300000;
+		kv_options.wait_us = 500000;
+		kv = plf_kv_create(&kv_options);
+		options.clock = lp_clock_monotonic();
+		options.log = log;
+		options.kv = kv;
+		options.direct = entry;
+		options.drain_us = 800000;
+		options.config_taken = [](void *, int64_t) {};
+		feed = plf_feed_create(&options);
+	}
+	/* Share stages with the entries of these IPs. */
+	void join(const char *ip, uint32_t capacity,
+		  std::vector<std::string> others)
+	{
+		direct_peers_options options = {};
+		std::vector<char *> seeds;
+
+		for (auto &other : others)
+			seeds.push_back(other.data());
+		seeds.push_back(nullptr);
+		options.clock = lp_clock_monotonic();
+		options.log = log;
+		options.ip = ip;
+		options.capacity = capacity;
+		options.port = peers_port();
+		options.seeds = seeds.data();
+		options.unreachable = [](void *, uint64_t, int64_t) {};
+		options.config = [](void *, const char *, int64_t) {};
+		peers = direct_peers_create(&options);
+		ASSERT_NE(peers, nullptr);
+		direct_set_peers(entry, peers);
+	}
+	void set_config(int64_t version)
+	{
+		char *json = pe_sample_config(version);
+
+		pe_set_config(platform, json);
+		g_free(json);
+	}
+	pe_upstream *add(pe_kind kind, const char *service)
+	{
+		return pe_add(platform, kind, service, "a");
+	}
+	/* The entry knows the configuration and all upstreams. */
+	void settle(int64_t version = 1)
+	{
+		bool ready = turn_until([&] {
+			return direct_ready(entry) &&
+			       direct_config_version(entry) >= version;
+		});
+		int64_t polls = *calls();
+
+		EXPECT_TRUE(ready);
+		turn_until([&] { return *calls() >= polls + 2; }, 3000);
+	}
+	int64_t *calls()
+	{
+		return lp_counter(counters, "linepier_kv_calls_total",
+				  "purpose=\"range\"");
+	}
+};
+
+inline const char whole_stream[] =
+	"id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\n"
+	"id: 3\ndata: token 3\n\nid: 4\ndata: token 4\n\n"
+	"id: 5\ndata: token 5\n\nid: 6\ndata: token 6\n\n";
+
+#endif
--- /dev/null
+++ b/tests/relay_test.cc
@@ -0,0 +1,367 @@
+/*
+ * Entries that dispatch stages for each other, against the emulated platform.
+ * Each test is a fault between entries and what must outlive it.
+ */
+#include "direct_rig.h"
+
+#include <memory>
+
+namespace
+{
+
+const char first_ip[] = "127.0.0.1";
+const char second_ip[] = "127.0.0.2";
+const char fake_ip[] = "127.0.0.9";
+
+/* A platform with one upstream of each stage, and two entries; the first one
+ * dispatches. */
+struct Two {
+	Rig first;
+	std::unique_ptr<Rig> second = std::make_unique<Rig>(&first);
+	pe_upstream *stage = first.add(PE_STAGE, "first");
+	std::vector<std::unique_ptr<Ask>> asks;
+
+	Two()
+	{
+		first.add(PE_STAGE, "second");
+		first.add(PE_ENGINE, "engine");
+		first.join(first_ip, 4000, { second_ip });
+		second->join(second_ip, 100, { first_ip });
+		first.settle();
+		second->settle();
+		EXPECT_TRUE(turn_until([&] {
+			return direct_peers_count(first.peers) == 2 &&
+			       direct_peers_count(second->peers) == 2;
+		}));
+		turn_until([] { return false; }, 300);
+	}
+	Ask &ask(Rig &entry, const std::string &id)
+	{
+		asks.push_back(std::make_unique<Ask>(
+			entry.address, id.c_str(), "/staged/x",
+			Fields{ { "X-Pieces", "1,1" },
+				{ "X-Piece-Key", "k" + id } }));
+		return *asks.back();
+	}
+};
+
+/* What comes while a call is under way goes along in the next, whoever has
+ * it. */
+TEST(Relay, OneEntryGathersThePiecesOfAll)
+{
+	Two two;
+
+	pe_set_work_ms(two.stage, 300);
+	two.ask(two.first, "a0");
+	ASSERT_TRUE(turn_until([&] { return pe_calls(two.stage) == 1; }));
+	for (int i = 1; i < 4; i++) {
+		two.ask(two.first, "a" + std::to_string(i));
+		two.ask(*two.second, "b" + std::to_string(i));
+	}
+	for (auto &ask : two.asks)
+		EXPECT_EQ(ask->wait().body, whole_stream);
+	EXPECT_EQ(pe_calls(two.stage), 2u);
+	EXPECT_EQ(pe_pieces_made(two.first.platform), 14u);
+	EXPECT_TRUE(turn_until(
+		[&] { return pe_pieces_kept(two.first.platform) == 0; }));
+}
+
+/* Killed with pieces of others under way. */
+TEST(Relay, WorkOutlivesItsDispatcher)
+{
+	Two two;
+
+	pe_set_work_ms(two.stage, 400);
+	Ask &ask = two.ask(*two.second, "b1");
+	ASSERT_TRUE(turn_until([&] { return pe_calls(two.stage) == 1; }));
+	two.first.end();
+	EXPECT_EQ(ask.wait().body, whole_stream);
+	EXPECT_LT(ask.took_us, 3 * LP_US_PER_S);
+}
+
+/* A start anew is noticed by the hello, before any silence. */
+TEST(Relay, WorkOutlivesARestartOfItsDispatcher)
+{
+	Two two;
+
+	pe_set_work_ms(two.stage, 1500);
+	Ask &ask = two.ask(*two.second, "b1");
+	ASSERT_TRUE(turn_until([&] { return pe_calls(two.stage) == 1; }));
+	two.first.end();
+	pe_set_work_ms(two.stage, 20);
+	Rig again(two.second.get());
+
+	again.join(first_ip, 4000, { second_ip });
+	again.settle();
+	EXPECT_EQ(ask.wait().body, whole_stream);
+	again.end();
+}
+
+TEST(Relay, ADispatcherThatEndsGetsNoMoreWork)
+{
+	Two two;
+
+	pe_set_work_ms(two.stage, 400);
+	Ask &before = two.ask(*two.second, "b1");
+	ASSERT_TRUE(turn_until([&] { return pe_calls(two.stage) == 1; }));
+	direct_drain(two.first.entry);
+	turn_until([] { return false; }, 250);
+	pe_set_work_ms(two.stage, 20);
+	Ask &after = two.ask(*two.second, "b2");
+	/* What it has taken it ends. */
+	EXPECT_EQ(before.wait().body, whole_stream);
+	two.first.end();
+	EXPECT_EQ(after.wait().body, whole_stream);
+	EXPECT_LT(after.took_us, 450000);
+}
+
+TEST(Relay, ACallerThatLeavesTakesItsWorkAlong)
+{
+	Two two;
+
+	pe_set_work_ms(two.stage, 300);
+	two.ask(two.first, "a0");
+	ASSERT_TRUE(turn_until([&] { return pe_calls(two.stage) == 1; }));
+	Ask &leaving = two.ask(*two.second, "b1");
+	turn_until([] { return false; }, 100);
+	leaving.leave();
+	EXPECT_EQ(two.asks[0]->wait().body, whole_stream);
+	turn_until([] { return false; }, 400);
+	EXPECT_EQ(pe_calls(two.stage), 1u);
+	EXPECT_TRUE(turn_until(
+		[&] { return pe_pieces_kept(two.first.platform) == 0; }));
+}
+
+/* ---- a member of our own making ---- */
+
+/* Speaks the entries' datagrams by hand: the kind is the last byte. */
+struct Fake {
+	GSocket *socket;
+	GSocketAddress *to;
+	std::map<char, int> seen;
+	GVariant *last = nullptr; /* result */
+
+	Fake()
+	{
+		GSocketAddress *at = g_inet_socket_address_new_from_string(
+			fake_ip, peers_port());
+
+		to = g_inet_socket_address_new_from_string(first_ip,
+							   peers_port());
+		socket = g_socket_new(G_SOCKET_FAMILY_IPV4,
+				      G_SOCKET_TYPE_DATAGRAM,
+				      G_SOCKET_PROTOCOL_UDP, nullptr);
+		EXPECT_TRUE(g_socket_bind(socket, at, TRUE, nullptr));
+		g_socket_set_blocking(socket, FALSE);
+		g_object_unref(at);
+	}
+	~Fake()
+	{
+		if (last)
+			g_variant_unref(last);
+		g_object_unref(socket);
+		g_object_unref(to);
+	}
+	void send(char kind, GVariant *floating)
+	{
+		GVariant *body = g_variant_ref_sink(floating);
+		std::string bytes((const char *)g_variant_get_data(body),
+				  g_variant_get_size(body));
+
+		bytes.push_back(kind);
+		g_socket_send_to(socket, to, bytes.data(), bytes.size(),
+				 nullptr, nullptr);
+		g_variant_unref(body);
+	}
+	void hello(uint32_t capacity)
+	{
+		send('H', g_variant_new("(xasut)", (gint64)0, nullptr, capacity,
+					(guint64)77));
+	}
+	void ask(uint64_t number, const char *id)
+	{
+		const guint32 index = 0;
+		const char *none[] = { nullptr };
+
+		send('A', g_variant_new("(tsssu@au@asxxixusx)", (guint64)number,
+					"first", id, "k", 0u,
+					g_variant_new_fixed_array(
+						G_VARIANT_TYPE_UINT32, &index,
+						1, sizeof(index)),
+					g_variant_new_strv(none, 0),
+					(gint64)500000, (gint64)5000000, 0,
+					(gint64)100, 0u, "", (gint64)0));
+	}
+	/* Take what has come, unanswered. */
+	void hear()
+	{
+		alignas(8) char bytes[8192];
+
+		while (true) {
+			gssize size = g_socket_receive(
+				socket, bytes, sizeof(bytes), nullptr, nullptr);
+
+			if (size <= 0)
+				return;
+			seen[bytes[size - 1]]++;
+			if (bytes[size - 1] == 'R')
+				keep(bytes, size - 1);
+		}
+	}
+	void keep(const char *bytes, gsize size)
+	{
+		GBytes *copy = g_bytes_new(bytes, size);
+
+		if (last)
+			g_variant_unref(last);
+		last = g_variant_ref_sink(g_variant_new_from_bytes(
+			G_VARIANT_TYPE("(tta(uuts)ax)"), copy, FALSE));
+		g_bytes_unref(copy);
+	}
+	void hear_for(int64_t ms)
+	{
+		turn_until(
+			[this] {
+				hear();
+				return false;
+			},
+			ms);
+	}
+};
+
+/* An entry with one upstream of each stage. */
+struct One {
+	Rig rig;
+	pe_upstream *stage = rig.add(PE_STAGE, "first");
+	Fake fake;
+
+	One()
+	{
+		rig.add(PE_STAGE, "second");
+		rig.add(PE_ENGINE, "engine");
+		rig.join(first_ip, 100, { fake_ip });
+		rig.settle();
+	}
+};
+
+/* Strong by its word, but it answers nothing: asked again, then left. */
+TEST(Relay, AnAskThatNobodyTakesIsServedElsewhere)
+{
+	One one;
+
+	one.fake.hello(9000);
+	turn_until([] { return false; }, 300);
+	Ask ask(one.rig.address, "a1", "/staged/x",
+		{ { "X-Pieces", "1,1" }, { "X-Piece-Key", "k" } });
+
+	one.fake.hear_for(400);
+	EXPECT_GE(one.fake.seen['A'], 2);
+	EXPECT_EQ(ask.wait().body, whole_stream);
+	EXPECT_LT(ask.took_us, 2 * LP_US_PER_S);
+}
+
+/* It takes work and falls silent: asked for a sign of life, then left. */
+TEST(Relay, AnAskWhoseTakerFallsSilentIsServedElsewhere)
+{
+	One one;
+	const gint64 waits[4] = {};
+
+	one.fake.hello(9000);
+	turn_until([] { return false; }, 300);
+	Ask ask(one.rig.address, "a1", "/staged/x",
+		{ { "X-Pieces", "1,1" }, { "X-Piece-Key", "k" } });
+
+	ASSERT_TRUE(turn_until([&] {
+		one.fake.hear();
+		return one.fake.seen['A'] > 0;
+	}));
+	/* Any word of it counts as a sign of life. */
+	one.fake.send('C', g_variant_new("(t)", (guint64)1));
+	one.fake.send('K', g_variant_new("(t@ax)", (guint64)1,
+					 g_variant_new_fixed_array(
+						 G_VARIANT_TYPE_INT64, waits, 4,
+						 sizeof(gint64))));
+	EXPECT_EQ(ask.wait().body, whole_stream);
+	EXPECT_LT(ask.took_us, 2 * LP_US_PER_S);
+}
+
+/* Datagrams are lost: results come again until they are confirmed, and an ask
+ * that comes twice is served once. */
+TEST(Relay, ResultsComeUntilTheyAreConfirmedAndAsksAreServedOnce)
+{
+	One one;
+	guint64 serial;
+	int before;
+
+	one.fake.hello(50);
+	turn_until([] { return false; }, 300);
+	pe_set_work_ms(one.stage, 100);
+	one.fake.ask(5, "f1");
+	one.fake.ask(5, "f1");
+	one.fake.hear_for(450);
+	EXPECT_EQ(one.fake.seen['K'], 2);
+	EXPECT_GE(one.fake.seen['R'], 3);
+	EXPECT_EQ(pe_pieces_made(one.rig.platform), 1u);
+	ASSERT_NE(one.fake.last, nullptr);
+	g_variant_get_child(one.fake.last, 1, "t", &serial);
+	one.fake.send('C', g_variant_new("(t)", serial));
+	turn_until([] { return false; }, 100);
+	one.fake.hear();
+	before = one.fake.seen['R'];
+	one.fake.hear_for(300);
+	EXPECT_EQ(one.fake.seen['R'], before);
+}
+
+/* Its receiver has ended: results are not sent for ever. */
+TEST(Relay, ResultsAreNotSentForEver)
+{
+	One one;
+	int before;
+
+	one.fake.hello(50);
+	turn_until([] { return false; }, 300);
+	one.fake.ask(5, "f1");
+	one.fake.hear_for(900);
+	before = one.fake.seen['R'];
+	EXPECT_GE(before, 3);
+	one.fake.hear_for(300);
+	EXPECT_EQ(one.fake.seen['R'], before);
+}
+
+/* Found on a day of restarts: asked by who knew its earlier life, it ended by
+ * a fault of its own. */
+TEST(Relay, AnEntryWithoutAConfigurationTakesNoWork)
+{
+	Rig rig(false);
+	Fake fake;
+
+	rig.join(first_ip, 4000, { fake_ip });
+	fake.hello(50);
+	fake.ask(5, "f1");
+	fake.hear_for(300);
+	EXPECT_GT(fake.seen['H'], 0);
+	EXPECT_EQ(fake.seen['K'], 0);
+}
+
+/* What cannot be read is not served, and ends nothing. */
+TEST(Relay, DatagramsOfOthersAreLeftOut)
+{
+	One one;
+
+	one.fake.hello(50);
+	one.fake.send('A', g_variant_new("(s)", "not an ask"));
+	one.fake.send('R', g_variant_new("(x)", (gint64)1));
+	one.fake.send('Z', g_variant_new("(s)", "?"));
+	one.fake.send('G',
+		      g_variant_new("(txas)", (guint64)3, (gint64)-5, nullptr));
+	one.fake.send('D', g_variant_new("(t)", (guint64)9));
+	turn_until([] { return false; }, 200);
+	EXPECT_EQ(Ask(one.rig.address, "a1", "/staged/x",
+		      { { "X-Pieces", "1,1" }, { "X-Piece-Key", "k" } })
+			  .wait()
+			  .body,
+		  whole_stream);
+	EXPECT_EQ(pe_pieces_made(one.rig.platform), 2u);
+}
+
+} // namespace
--- a/tools/pe.c
+++ b/tools/pe.c
@@ -303,6 +303,11 @@
 	g_ptr_array_remove_fast(upstream->pe->upstreams, upstream);
 }
 
+uint32_t pe_calls(const struct pe_upstream *upstream)
+{
+	return upstream->calls;
+}
+
 uint32_t pe_arrivals(const struct pe_upstream *upstream)
 {
 	return upstream->arrivals;
--- a/tools/pe.h
+++ b/tools/pe.h
@@ -73,6 +73,8 @@
 
 /** Requests and calls that reached an upstream. */
 uint32_t pe_arrivals(const struct pe_upstream *upstream);
+/** Calls of pieces that were begun there. */
+uint32_t pe_calls(const struct pe_upstream *upstream);
 /** Connections to it that stand. */
 uint32_t pe_connections(const struct pe_upstream *upstream);
 /** How often the request of this id ran, anywhere. */
--- a/tools/pe_private.h
+++ b/tools/pe_private.h
@@ -42,6 +42,7 @@
 	char *domain;
 	uint32_t work_ms;
 	uint32_t arrivals;
+	uint32_t calls;	     /* of pieces */
 	uint32_t at_work;    /**< calls of pieces */
 	GHashTable *results; /**< handle -> struct pe_result */
 };
--- a/tools/pe_stage.c
+++ b/tools/pe_stage.c
@@ -180,6 +180,7 @@
 			       "X-Not-Run: 1\r\nX-Server-Load: 1,2,1\r\n", "");
 		return;
 	}
+	upstream->calls++;
 	upstream->at_work++;
 	conn->timer = g_timeout_add(upstream->work_ms * upstream->at_work,
 				    on_call_over, conn);
