Members that start together meet after some round trips

Ruled out: the list and the configuration (read within 300 ms).

A new member, or one that has started anew, gets a hello at once, and so does one that a hello names. One that is named but never heard is forgotten. Test: Relay.MembersAreMetAtOnce, which failed with the greeting taken out.

--- a/direct/direct_peers.c
+++ b/direct/direct_peers.c
@@ -32,6 +32,7 @@
 	char *ip;
 	uint64_t hash; /* of the ip */
 	GSocketAddress *address;
+	int64_t named_us;  /* when we learnt of it */
 	int64_t heard_us;  /* its last hello; 0: only named so far */
 	int64_t word_us;   /* any datagram of it */
 	int64_t signed_us; /* when a sign of life was asked for last */
@@ -88,6 +89,7 @@
 	peer = g_new0(struct peer, 1);
 	peer->ip = g_strdup(ip);
 	peer->hash = lp_hash_str(ip);
+	peer->named_us = lp_now_us(peers->options.clock);
 	peer->address = address;
 	g_hash_table_insert(peers->peers, peer->ip, peer);
 	g_hash_table_insert(peers->by_hash, &peer->hash, peer);
@@ -167,9 +169,12 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct peer *peer = value;
 
-		if (!peer->heard_us || is_fresh(peers, peer))
+		if (lp_now_us(peers->options.clock) -
+			    MAX(peer->heard_us, peer->named_us) <
+		    SILENT_US)
 			continue;
-		if (lp_event_begin(peers->options.log, "peer_lost", NULL)) {
+		if (peer->heard_us &&
+		    lp_event_begin(peers->options.log, "peer_lost", NULL)) {
 			lp_event_text(peers->options.log, "peer", peer->ip);
 			lp_event_end(peers->options.log);
 		}
@@ -377,6 +382,27 @@
 		peers->restarted(peers->restarted_userdata, from->hash);
 }
 
+/* Members that start together know each other after some round trips, not
+ * after some rounds of hellos: each dispatches by itself until then. */
+static void greet(struct direct_peers *peers, const struct peer *peer)
+{
+	g_autoptr(GVariant) hello = make_hello(peers);
+
+	send_to(peers, peer, KIND_HELLO, hello);
+}
+
+/* A member that another one named. */
+static void meet(struct direct_peers *peers, const char *ip)
+{
+	const struct peer *peer;
+
+	if (g_hash_table_contains(peers->peers, ip))
+		return;
+	peer = peer_of(peers, ip);
+	if (peer)
+		greet(peers, peer);
+}
+
 static void take_hello(struct direct_peers *peers, struct peer *from,
 		       GVariant *body)
 {
@@ -385,23 +411,25 @@
 	guint64 start;
 	const char *ip;
 	bool was_fresh = is_fresh(peers, from);
+	bool is_new;
 
 	from->heard_us = lp_now_us(peers->options.clock);
 	g_variant_get(body, HELLO_TYPE, &version, &names, &from->capacity,
 		      &start);
+	is_new = !was_fresh || from->start != start;
 	if (!was_fresh)
 		note_found(peers, from);
 	while (g_variant_iter_next(names, "&s", &ip))
-		peer_of(peers, ip);
+		meet(peers, ip);
 	note_start(peers, from, start);
+	if (is_new)
+		greet(peers, from);
 	peers->options.config(peers->options.userdata, from->ip, version);
 }
 
 static void take_sign(struct direct_peers *peers, const struct peer *from)
 {
-	g_autoptr(GVariant) hello = make_hello(peers);
-
-	send_to(peers, from, KIND_HELLO, hello);
+	greet(peers, from);
 }
 
 static void take_unreachable(struct direct_peers *peers, GVariant *body)
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -141,10 +141,10 @@
 	std::map<char, int> seen;
 	GVariant *last = nullptr; /* result */
 
-	Fake()
+	explicit Fake(const char *ip = fake_ip)
 	{
-		GSocketAddress *at = g_inet_socket_address_new_from_string(
-			fake_ip, peers_port());
+		GSocketAddress *at =
+			g_inet_socket_address_new_from_string(ip, peers_port());
 
 		to = g_inet_socket_address_new_from_string(first_ip,
 							   peers_port());
@@ -173,10 +173,14 @@
 				 nullptr, nullptr);
 		g_variant_unref(body);
 	}
-	void hello(uint32_t capacity)
+	void hello(uint32_t capacity, const char *name = nullptr,
+		   uint64_t start = 77)
 	{
-		send('H', g_variant_new("(xasut)", (gint64)0, nullptr, capacity,
-					(guint64)77));
+		const char *names[] = { name, nullptr };
+
+		send('H', g_variant_new("(x@asut)", (gint64)0,
+					g_variant_new_strv(names, name ? 1 : 0),
+					capacity, (guint64)start));
 	}
 	void ask(uint64_t number, const char *id)
 	{
@@ -343,6 +347,36 @@
 	EXPECT_EQ(fake.seen['K'], 0);
 }
 
+/* Found on days that end with all entries killed: each one dispatched by
+ * itself until rounds of hellos had named the others. */
+TEST(Relay, MembersAreMetAtOnce)
+{
+	Rig rig;
+	Fake fake;
+	Fake named("127.0.0.8");
+
+	rig.join(first_ip, 100, { fake_ip });
+	/* The next round of hellos is a second away then. */
+	ASSERT_TRUE(turn_until([&] {
+		fake.hear();
+		return fake.seen['H'] >= 1;
+	}));
+	turn_until([] { return false; }, 50);
+	fake.hear();
+	fake.seen.clear();
+	fake.hello(50, "127.0.0.8");
+	fake.hear_for(150);
+	named.hear();
+	EXPECT_EQ(fake.seen['H'], 1);
+	EXPECT_EQ(named.seen['H'], 1);
+	/* It has started anew. */
+	fake.seen.clear();
+	fake.hello(50, nullptr, 78);
+	fake.hear_for(150);
+	EXPECT_EQ(fake.seen['H'], 1);
+	EXPECT_EQ(direct_peers_count(rig.peers), 2u);
+}
+
 /* What cannot be read is not served, and ends nothing. */
 TEST(Relay, DatagramsOfOthersAreLeftOut)
 {
