Results are given up when the engine has them; a young member gets less work

Results of streams that may resume were kept to the stream's end for a resume, which is rare. They are given up at the first event now, and a stream that resumes has them made again. Cause of the second: where entries are killed in turn, each took its work back as soon as it stood again, and its successor's count of room was lost. A member counts for a quarter of itself in its first eight seconds.

The emulated engine now writes down a request of stages that comes without inputs.

Tried and left: to believe that an upstream is full once it said "no room".

--- a/direct/direct_calls.c
+++ b/direct/direct_calls.c
@@ -11,8 +11,6 @@
 /* Peers that hear of an upstream that does not answer leave it alone for as
  * long as it would take them to find out. */
 #define TELL_ASIDE_US (1 * LP_US_PER_S)
-/* An upstream without room is asked again after about half a call. */
-#define NO_ROOM_US (100 * LP_US_PER_MS)
 
 struct service {
 	struct direct_calls *calls;
@@ -265,8 +263,7 @@
 	else
 		pool_unkeep(direct->pool, upstream, piece->bytes);
 	if (result.result == DIRECT_ITEM_NO_ROOM)
-		upstream->no_room_until_us =
-			lp_now_us(direct->options.clock) + NO_ROOM_US;
+		pieces_no_room(call->service->pieces, upstream);
 	return result;
 }
 
--- a/direct/direct_peers.c
+++ b/direct/direct_peers.c
@@ -20,6 +20,12 @@
 /* Signs of life are asked for this often at the most. */
 #define SIGN_EACH_US (50 * LP_US_PER_MS)
 
+/* A young member counts as this part of itself: one that was killed shall not
+ * take its work back at once, and then be killed again. Where all are young
+ * they are equal. Shorter than the time from a fleet's start to its traffic. */
+#define YOUNG_PART 4
+#define SETTLE_US (8 * LP_US_PER_S)
+
 #define KIND_HELLO 'H'
 #define KIND_SIGN 'S' /* asks for a hello */
 #define KIND_UNREACHABLE 'U'
@@ -64,6 +70,7 @@
 	int64_t version;
 	bool open; /* takes work of others */
 	uint64_t start;
+	int64_t started_us;
 };
 
 static void free_peer(gpointer data)
@@ -125,7 +132,11 @@
 /* What others may count on. */
 static uint32_t own_capacity(const struct direct_peers *peers)
 {
-	return peers->open ? peers->options.capacity : 0;
+	uint32_t capacity = peers->open ? peers->options.capacity : 0;
+	int64_t age_us = lp_now_us(peers->options.clock) - peers->started_us;
+
+	return age_us < peers->options.settle_us ? capacity / YOUNG_PART
+						 : capacity;
 }
 
 static GVariant *make_hello(struct direct_peers *peers)
@@ -574,6 +585,9 @@
 	peers->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
 	peers->listeners = g_array_new(FALSE, FALSE, sizeof(struct listener));
 	peers->start = lp_random_u64();
+	peers->started_us = lp_now_us(options->clock);
+	if (!peers->options.settle_us)
+		peers->options.settle_us = SETTLE_US;
 	peers->source = g_socket_create_source(socket, G_IO_IN, NULL);
 	g_source_set_callback(peers->source, G_SOURCE_FUNC(on_datagram), peers,
 			      NULL);
--- a/direct/direct_peers.h
+++ b/direct/direct_peers.h
@@ -25,6 +25,7 @@
 	struct lp_event_log *log;
 	const char *ip;	    /**< own; copied */
 	uint32_t capacity;  /**< own, in thousandths of a core */
+	int64_t settle_us;  /**< young for so long; 0: 8 s */
 	uint16_t port;	    /**< the same on all hosts */
 	char *const *seeds; /**< "IP:PORT"; only the IPs are used; copied */
 	/** A peer sets an upstream aside that it cannot reach. */
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -207,7 +207,9 @@
 		lp_histogram_add(direct->first_times,
 				 direct_request_now_us(request) -
 					 request->arrived_us);
-	if (request->graph && !request->route->resumes)
+	/* A stream that resumes has them made again: that is rare, and their
+	 * makers' room is scarce. */
+	if (request->graph)
 		direct_stages_free_results(direct->stages, request->graph,
 					   true);
 }
@@ -518,8 +520,14 @@
 
 void direct_sending_start(struct direct_request *request)
 {
-	struct pool_upstream *upstream = pick_upstream(request);
+	struct pool_upstream *upstream;
 
+	if (request->graph &&
+	    !graph_inputs_kept(request->graph, request->route->stages_count)) {
+		remake_inputs(request);
+		return;
+	}
+	upstream = pick_upstream(request);
 	if (!upstream) {
 		if (request->begun)
 			direct_request_cut(request, "no_upstream");
--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -19,6 +19,9 @@
  * this part of its time. */
 #define SLOW_PART 1.5
 
+/* An upstream without room is asked again after about half a call. */
+#define NO_ROOM_US (100 * LP_US_PER_MS)
+
 struct pieces {
 	struct pieces_options options;
 	char *service;
@@ -478,6 +481,11 @@
 	g_free(call);
 }
 
+void pieces_no_room(struct pieces *pieces, struct pool_upstream *upstream)
+{
+	upstream->no_room_until_us = now(pieces) + NO_ROOM_US;
+}
+
 /* ---- estimates ---- */
 
 static uint32_t count_before(const struct pieces *pieces, int32_t priority)
--- a/policy/pieces.h
+++ b/policy/pieces.h
@@ -68,6 +68,8 @@
  */
 void pieces_end(struct pieces *pieces, struct pieces_call *call,
 		enum pool_outcome outcome, int32_t running, int32_t waiting);
+/** An upstream had no room for a result. */
+void pieces_no_room(struct pieces *pieces, struct pool_upstream *upstream);
 /** Time until a piece of this priority that came now would be made. */
 int64_t pieces_estimate_us(const struct pieces *pieces, int32_t priority);
 
--- a/tests/direct_rig.h
+++ b/tests/direct_rig.h
@@ -238,7 +238,7 @@
 	}
 	/* Share stages with the entries of these IPs. */
 	void join(const char *ip, uint32_t capacity,
-		  std::vector<std::string> others)
+		  std::vector<std::string> others, int64_t settle_us = 0)
 	{
 		direct_peers_options options = {};
 		std::vector<char *> seeds;
@@ -250,6 +250,7 @@
 		options.log = log;
 		options.ip = ip;
 		options.capacity = capacity;
+		options.settle_us = settle_us;
 		options.port = peers_port();
 		options.seeds = seeds.data();
 		options.unreachable = [](void *, uint64_t, int64_t) {};
--- a/tests/direct_test.cc
+++ b/tests/direct_test.cc
@@ -272,6 +272,56 @@
 	EXPECT_EQ(staged.wait().body, whole_stream);
 }
 
+/* Found on days of bursts: results were kept for a resume until the stream's
+ * end, and their makers had no room. */
+TEST(Direct, ResultsAreGivenUpWhenTheEngineHasThem)
+{
+	Rig rig;
+
+	rig.add(PE_STAGE, "first");
+	rig.add(PE_STAGE, "second");
+	rig.add(PE_ENGINE, "engine");
+	rig.settle();
+	Ask staged(rig.address, "a1", "/restaged/x",
+		   { { "X-Pieces", "1,1" }, { "X-Piece-Key", "k" } });
+
+	ASSERT_TRUE(turn_until([&] { return !staged.body.empty(); }));
+	EXPECT_TRUE(turn_until([&] {
+		return pe_pieces_kept(rig.platform) == 0 || staged.done;
+	}));
+	EXPECT_FALSE(staged.done);
+	EXPECT_EQ(staged.wait().body, whole_stream);
+}
+
+/* ... so a stream that resumes has them made again. */
+TEST(Direct, AStreamThatResumesHasItsResultsMadeAgain)
+{
+	Rig rig;
+	pe_upstream *bad = rig.add(PE_ENGINE, "engine");
+
+	rig.add(PE_ENGINE, "engine");
+	rig.add(PE_STAGE, "first");
+	rig.add(PE_STAGE, "second");
+	pe_fault(bad, PE_FAULT_CUT);
+	rig.settle();
+	std::vector<std::unique_ptr<Ask>> asks;
+
+	/* Several at once go to both engines. */
+	for (int i = 0; i < 4; i++) {
+		std::string id = "a" + std::to_string(i);
+
+		asks.push_back(std::make_unique<Ask>(
+			rig.address, id.c_str(), "/restaged/x",
+			Fields{ { "X-Pieces", "1,1" },
+				{ "X-Piece-Key", "k" } }));
+	}
+	for (auto &ask : asks) {
+		EXPECT_EQ(ask->wait().body, whole_stream);
+		EXPECT_EQ(ask->error, LP_OK);
+	}
+	EXPECT_GT(pe_pieces_made(rig.platform), 8u);
+}
+
 /* Found on a day at Kwaebibirem: inputs were lost with the first call of a
  * stage while its other pieces waited; those went off without inputs. */
 TEST(Direct, PiecesDoNotGoWithoutInputsThatWereLost)
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -140,6 +140,7 @@
 	GSocketAddress *to;
 	std::map<char, int> seen;
 	GVariant *last = nullptr; /* result */
+	uint32_t capacity = 0;	  /* of the last hello */
 
 	explicit Fake(const char *ip = fake_ip)
 	{
@@ -210,8 +211,19 @@
 			seen[bytes[size - 1]]++;
 			if (bytes[size - 1] == 'R')
 				keep(bytes, size - 1);
+			if (bytes[size - 1] == 'H')
+				read_hello(bytes, size - 1);
 		}
 	}
+	void read_hello(const char *bytes, gsize size)
+	{
+		GVariant *hello = g_variant_ref_sink(g_variant_new_from_data(
+			G_VARIANT_TYPE("(xasut)"), bytes, size, FALSE, nullptr,
+			nullptr));
+
+		g_variant_get_child(hello, 2, "u", &capacity);
+		g_variant_unref(hello);
+	}
 	void keep(const char *bytes, gsize size)
 	{
 		GBytes *copy = g_bytes_new(bytes, size);
@@ -377,6 +389,24 @@
 	EXPECT_EQ(direct_peers_count(rig.peers), 2u);
 }
 
+/* Found on a day of entries killed in turn: each took its work back as soon as
+ * it stood again. */
+TEST(Relay, AYoungMemberIsGivenLessWork)
+{
+	Rig rig;
+	Fake fake;
+
+	rig.join(first_ip, 4000, { fake_ip }, 1200000);
+	rig.settle();
+	fake.hello(50);
+	fake.hear_for(100);
+	EXPECT_EQ(fake.capacity, 1000u);
+	ASSERT_TRUE(turn_until([&] {
+		fake.hear();
+		return fake.capacity == 4000;
+	}));
+}
+
 /* What cannot be read is not served, and ends nothing. */
 TEST(Relay, DatagramsOfOthersAreLeftOut)
 {
--- a/tools/pe.c
+++ b/tools/pe.c
@@ -142,6 +142,8 @@
 	const char *inputs = pe_conn_field(conn, "X-Inputs");
 	g_auto(GStrv) handles = g_strsplit(inputs ? inputs : "", ",", -1);
 
+	if (!inputs && strstr(conn->parse.target->str, "staged/"))
+		pe_breach(upstream->pe, "%s came without its inputs", id);
 	for (char **handle = handles; *handle; handle++) {
 		const struct pe_result *result =
 			pe_find_result(upstream->pe, *handle);
@@ -409,6 +411,14 @@
 		"\"priority\":0,\"service\":\"engine\",\"max_attempts\":1,"
 		"\"stages\":[{\"service\":\"first\",\"after\":[],\"bytes\":"
 		"1000},"
+		"{\"service\":\"second\",\"after\":[0],\"bytes\":1000}]},"
+		"{\"name\":\"restaged\",\"host\":\"a.example\",\"prefix\":"
+		"\"/restaged/\",\"kind\":\"streaming\",\"timeout_ms\":3000,"
+		"\"target_latency_ms\":2000,\"target_gap_ms\":200,"
+		"\"priority\":0,\"service\":\"engine\",\"max_attempts\":2,"
+		"\"resume_streams\":true,"
+		"\"stages\":[{\"service\":\"first\",\"after\":[],\"bytes\":"
+		"1000},"
 		"{\"service\":\"second\",\"after\":[0],\"bytes\":1000}]}";
 	static const char pieces[] =
 		"\"pieces\":{\"slots\":1,\"queue\":2,\"batch\":8,"
