Refused callers come back spread over 1.5 s more

Cause: those whom a burst brought together were told the same time, came back together, and were refused again: "refused again" was the largest price of Kwaebibirem.

--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -7,6 +7,7 @@
 
 /* The longest that a caller is told to stay away: bursts last some seconds. */
 #define WAIT_MAX_US (1500 * LP_US_PER_MS)
+#define WAIT_SPREAD_US (1500 * LP_US_PER_MS)
 /* Let in what is expected within so many targets. 0.85 was tried: refusals cost
  * more than late answers did (journal of 2026-12-02). */
 #define ADMIT_TARGETS 1.0
@@ -193,6 +194,16 @@
 	lp_event_end(log);
 }
 
+/* Those that a burst brought together come back apart. */
+static int64_t come_back_us(const struct direct_request *request,
+			    int64_t over_us)
+{
+	int64_t spread_us =
+		(int64_t)(lp_hash_str(request->id) % WAIT_SPREAD_US);
+
+	return CLAMP(over_us, DIRECT_WAIT_FULL_US, WAIT_MAX_US) + spread_us;
+}
+
 /*
  * Refuse at the door what could not be on time, before any work is done: it
  * may be on time when it comes back.
@@ -212,8 +223,7 @@
 		return true;
 	log_overload(request, estimate, within_us);
 	direct_request_refuse(request,
-			      CLAMP(over_us, DIRECT_WAIT_FULL_US, WAIT_MAX_US),
-			      "overload");
+			      come_back_us(request, over_us), "overload");
 	return false;
 }
 
