One entry places the prompts of all entries at a service's engines

Cause: first events of the grown sites came 0.4 to 1.7 s after the stages were made (p90; 0.06 at the middle) although engines were a tenth busy. An entry knew only its own prompts at an engine: thirty of them met there by chance, prompts of 44,000 tokens before short ones. Ruled out: cold prefixes (their share is 9%), too many requests at one engine (the log shows one of ours at the most).

Change: each service of engines has a placer, found like a dispatcher. Being late now counts in the choice: a prefix is read again elsewhere rather than that. request_end has first_us, sending has expected_us and placer.

--- a/direct/direct.c
+++ b/direct/direct.c
@@ -1,3 +1,4 @@
+#include "direct/direct_places.h"
 #include "direct/direct_private.h"
 #include "direct/direct_relay.h"
 
@@ -76,6 +77,7 @@
 	for (GList *at = requests; at; at = at->next)
 		direct_request_drop(at->data);
 	http_server_destroy(direct->server);
+	direct_places_destroy(direct->places);
 	direct_relay_destroy(direct->relay);
 	direct_calls_destroy(direct->calls);
 	direct_results_destroy(direct->results);
@@ -165,6 +167,8 @@
 void direct_set_peers(struct direct *direct, struct direct_peers *peers)
 {
 	direct->peers = peers;
+	if (peers)
+		direct->places = direct_places_create(direct, peers);
 	direct_stages_set_peers(direct->stages, peers);
 	open_to_peers(direct);
 }
--- /dev/null
+++ b/direct/direct_places.h
@@ -0,0 +1,51 @@
+/**
+ * Where prompts go: asked of the one entry that places them for all.
+ *
+ * An engine's queue is made by all entries; one alone sees its own requests
+ * only, and each would read the same prompts in again somewhere else. The
+ * placer of a service knows what all sent where, which prompts that left in
+ * each engine's memory, and what is still unread. It is asked in one datagram
+ * and answers in one; an entry that hears nothing soon decides by itself.
+ */
+#ifndef DIRECT_PLACES_H
+#define DIRECT_PLACES_H
+
+#include "direct/direct_peers.h"
+#include "policy/pool.h"
+
+struct direct;
+struct direct_places;
+
+/** Where a request was placed; all zero: by ourselves. */
+struct direct_place {
+	uint64_t peer;	 /**< the placer */
+	uint64_t number; /**< of this placing */
+	int64_t cold_tokens;
+	int64_t tokens_ahead; /**< at the engine before it */
+};
+
+/** The answer; `upstream` NULL: decide by yourself. */
+typedef void (*direct_placed_fn)(void *userdata, struct pool_upstream *upstream,
+				 const struct direct_place *place);
+
+struct direct_places *direct_places_create(struct direct *direct,
+					   struct direct_peers *peers);
+void direct_places_destroy(struct direct_places *places);
+/**
+ * Ask `placer`. Returns the question's number, or 0: it cannot be asked.
+ * `placed` is called once, later, unless the question is dropped.
+ */
+uint64_t direct_places_ask(struct direct_places *places, uint64_t placer,
+			   const struct pool_ask *ask, direct_placed_fn placed,
+			   void *userdata);
+void direct_places_drop(struct direct_places *places, uint64_t number);
+/** The engine has begun to answer, after `took_us` of `expected_us`. */
+void direct_places_heard(struct direct_places *places,
+			 const struct direct_place *place, int64_t took_us,
+			 int64_t expected_us);
+/** It is over there. */
+void direct_places_ended(struct direct_places *places,
+			 const struct direct_place *place,
+			 enum pool_outcome outcome);
+
+#endif
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -20,6 +20,10 @@
  */
 #define DIRECT_CONNECT_TIMEOUT_US (400 * LP_US_PER_MS)
 
+/** Part of an engine's memory that is believed to hold prompts. */
+#define DIRECT_MEMORY_SHARE 0.8
+
+struct direct_places;
 struct direct_relay;
 struct direct_results;
 struct direct_stages;
@@ -39,13 +43,26 @@
 	struct direct_stages *stages;
 	struct direct_calls *calls;
 	struct direct_results *results;
-	struct direct_peers *peers; /* NULL: no other entries are known */
-	struct direct_relay *relay; /* NULL: likewise */
-	GHashTable *requests;	    /* of struct direct_request */
+	struct direct_peers *peers;   /* NULL: no other entries are known */
+	struct direct_relay *relay;   /* NULL: likewise */
+	struct direct_places *places; /* NULL: likewise */
+	GHashTable *requests;	      /* of struct direct_request */
 	struct lp_histogram *answer_times;
 	struct lp_histogram *first_times;
 };
 
+/** Tokens of prompts that an engine of this service keeps; 0: not known. */
+static inline int64_t direct_prompt_tokens(const struct direct *direct,
+					   const char *service)
+{
+	const struct direct_service *figures =
+		direct_config_service(direct->config, service);
+
+	return figures ? (int64_t)(DIRECT_MEMORY_SHARE *
+				   (double)figures->engine_tokens)
+		       : 0;
+}
+
 /* ---- direct_request.c: the life of a request ---- */
 
 /** Take a whole request from its caller. */
@@ -84,6 +101,9 @@
 /** Who dispatches at this upstream; 0: we do. */
 uint64_t direct_stages_dispatcher(struct direct_stages *stages,
 				  const struct pool_upstream *upstream);
+/** Who places prompts at this service; 0: we do. */
+uint64_t direct_stages_placer(struct direct_stages *stages,
+			      const char *service);
 /** Have pieces made. Takes over the fields of `work`. */
 void direct_stages_ask(struct direct_stages *stages,
 		       struct direct_request *request,
--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -90,6 +90,9 @@
 		lp_event_text(log, "route", request->route->name);
 	lp_event_int(log, "took_us",
 		     direct_request_now_us(request) - request->arrived_us);
+	lp_event_int(log, "first_us",
+		     request->first_us ? request->first_us - request->arrived_us
+				       : -1);
 	lp_event_int(log, "left_us",
 		     request->give_up_us - direct_request_now_us(request));
 	lp_event_int(log, "sendings", request->moves);
@@ -222,8 +225,8 @@
 	if (over_us <= 0)
 		return true;
 	log_overload(request, estimate, within_us);
-	direct_request_refuse(request,
-			      come_back_us(request, over_us), "overload");
+	direct_request_refuse(request, come_back_us(request, over_us),
+			      "overload");
 	return false;
 }
 
--- a/direct/direct_request.h
+++ b/direct/direct_request.h
@@ -6,6 +6,7 @@
 #ifndef DIRECT_REQUEST_H
 #define DIRECT_REQUEST_H
 
+#include "direct/direct_places.h"
 #include "direct/direct_private.h"
 
 /** Callers come back after this: a restart takes about a second. */
@@ -17,6 +18,7 @@
 
 enum direct_state {
 	DIRECT_STATE_STAGES, /* pieces are being made */
+	DIRECT_STATE_PLACED, /* a peer is asked where it goes */
 	DIRECT_STATE_SENT,   /* an upstream has it */
 };
 
@@ -41,12 +43,16 @@
 	int64_t *asked_us; /* a stage: when its pieces were asked for first */
 	int64_t *made_us;  /* and when the last of them was made */
 	/* the sending under way */
+	uint64_t question; /* to its placer; 0: none */
+	struct direct_place place;
 	struct http_exchange *exchange;
 	struct pool_upstream *upstream;
 	int64_t sent_us;
 	int64_t expected_us;
 	int64_t cold_tokens;
-	bool heard; /* an event, or the head of another answer */
+	bool heard;	  /* an event, or the head of another answer */
+	int64_t first_us; /* when that came first, of all sendings; 0: not yet
+			   */
 	uint32_t status;
 	struct http_fields fields;
 	struct direct_reply reply;
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -13,8 +13,6 @@
 #define STALL_GAPS 3
 #define STALL_FIRST_MIN_US (1000 * LP_US_PER_MS)
 #define STALL_EXPECTED 4
-/* Part of an engine's memory that is believed to hold prompts. */
-#define MEMORY_SHARE 0.8
 /* An answer of this size is not buffered any further. */
 #define ANSWER_MAX (8 << 20)
 /* A caller that takes nothing holds no more than this. */
@@ -27,6 +25,9 @@
 	struct pool_upstream *upstream = request->upstream;
 
 	direct_clear_timer(&request->stall_timer);
+	if (request->question)
+		direct_places_drop(request->direct->places, request->question);
+	request->question = 0;
 	if (request->exchange)
 		http_exchange_cancel(request->exchange);
 	request->exchange = NULL;
@@ -36,6 +37,9 @@
 	if (!request->heard)
 		upstream->tokens_ahead -= request->cold_tokens;
 	pool_learn(request->direct->pool, upstream, outcome, 0, 0);
+	if (request->place.peer)
+		direct_places_ended(request->direct->places, &request->place,
+				    outcome);
 	pool_release(upstream);
 	request->upstream = NULL;
 }
@@ -200,9 +204,14 @@
 	if (request->heard)
 		return;
 	request->heard = true;
+	if (!request->first_us)
+		request->first_us = direct_request_now_us(request);
 	request->upstream->tokens_ahead -= request->cold_tokens;
 	pool_learn(direct->pool, request->upstream, POOL_SERVED, took_us,
 		   request->expected_us);
+	if (request->place.peer)
+		direct_places_heard(direct->places, &request->place, took_us,
+				    request->expected_us);
 	if (request->route->kind == DIRECT_STREAM)
 		lp_histogram_add(direct->first_times,
 				 direct_request_now_us(request) -
@@ -388,25 +397,30 @@
 
 /* ---- sending ---- */
 
-static struct pool_upstream *pick_upstream(struct direct_request *request)
+static void write_pool_ask(const struct direct_request *request,
+			   struct pool_ask *ask)
 {
 	const char *maker =
 		request->graph ? graph_main_maker(request->graph) : NULL;
 	struct pool_upstream *maker_upstream =
 		maker ? pool_find(request->direct->pool, maker) : NULL;
-	struct pool_ask ask = {
+
+	*ask = (struct pool_ask){
 		.service = request->service,
 		.parts = (struct pool_part *)request->ask.parts->data,
 		.parts_count = request->ask.parts->len,
 		.tried = (const char *const *)request->tried->pdata,
 		.tried_count = request->tried->len,
+		.target_us = request->arrived_us + request->route->target_us -
+			     direct_request_now_us(request),
 	};
-
 	for (uint32_t i = 0; i < request->route->stages_count; i++)
-		ask.fetch_bytes += request->route->stages[i].bytes;
+		ask->fetch_bytes += request->route->stages[i].bytes;
 	if (maker_upstream)
-		ask.domain = maker_upstream->entry.domain;
-	return pool_pick(request->direct->pool, &ask);
+		ask->domain = maker_upstream->entry.domain;
+	/* Late in any case. */
+	if (ask->target_us < 0)
+		ask->target_us = 0;
 }
 
 static void write_fields(struct direct_request *request,
@@ -437,11 +451,28 @@
 		g_ptr_array_unref(inputs);
 }
 
+/* By ourselves, or as its placer counts. */
+static void count_tokens(struct direct_request *request)
+{
+	const struct pool_upstream *upstream = request->upstream;
+	const GArray *parts = request->ask.parts;
+	const struct direct_place *place = &request->place;
+	int64_t ahead =
+		place->peer ? place->tokens_ahead : upstream->tokens_ahead;
+
+	request->cold_tokens =
+		place->peer ? place->cold_tokens
+			    : pool_cold_tokens(upstream,
+					       (struct pool_part *)parts->data,
+					       parts->len);
+	request->expected_us = DIRECT_ENGINE_FIRST_US / 4 +
+			       (ahead + request->cold_tokens) * LP_US_PER_MS /
+				       POOL_TOKENS_PER_MS;
+}
+
 static void prepare_sending(struct direct_request *request,
 			    struct pool_upstream *upstream)
 {
-	const struct direct_service *service =
-		direct_config_service(request->config, request->service);
 	const GArray *parts = request->ask.parts;
 
 	request->state = DIRECT_STATE_SENT;
@@ -454,20 +485,14 @@
 	request->cold_tokens = 0;
 	request->expected_us = 0;
 	if (parts->len) {
-		const struct pool_part *list = (struct pool_part *)parts->data;
-
-		request->cold_tokens =
-			pool_cold_tokens(upstream, list, parts->len);
-		request->expected_us =
-			DIRECT_ENGINE_FIRST_US / 4 +
-			(upstream->tokens_ahead + request->cold_tokens) *
-				LP_US_PER_MS / POOL_TOKENS_PER_MS;
-		pool_remember(
-			request->direct->pool, upstream, list, parts->len,
-			service ? (int64_t)(MEMORY_SHARE *
-					    (double)service->engine_tokens)
-				: 0);
+		count_tokens(request);
+		pool_remember(request->direct->pool, upstream,
+			      (struct pool_part *)parts->data, parts->len,
+			      direct_prompt_tokens(request->direct,
+						   request->service));
 	}
+	*direct_counter(request->direct, "linepier_prompt_tokens_total",
+			"cached=\"no\"") += request->cold_tokens;
 	upstream->in_flight++;
 	upstream->tokens_ahead += request->cold_tokens;
 	request->moves++;
@@ -485,6 +510,12 @@
 	lp_event_text(log, "domain", request->upstream->entry.domain);
 	lp_event_int(log, "cold_tokens", request->cold_tokens);
 	lp_event_int(log, "tokens_ahead", request->upstream->tokens_ahead);
+	lp_event_int(log, "expected_us", request->expected_us);
+	lp_event_text(log, "placer",
+		      request->place.peer
+			      ? direct_peers_ip(request->direct->peers,
+						request->place.peer)
+			      : "");
 	lp_event_int(log, "in_flight", request->upstream->in_flight);
 	lp_event_int(log, "waited_us", request->sent_us - request->arrived_us);
 	lp_event_int(log, "config", request->config->version);
@@ -518,16 +549,10 @@
 	http_fields_clear(&fields);
 }
 
-void direct_sending_start(struct direct_request *request)
+/* To this upstream; NULL: there is none. */
+static void send_to(struct direct_request *request,
+		    struct pool_upstream *upstream)
 {
-	struct pool_upstream *upstream;
-
-	if (request->graph &&
-	    !graph_inputs_kept(request->graph, request->route->stages_count)) {
-		remake_inputs(request);
-		return;
-	}
-	upstream = pick_upstream(request);
 	if (!upstream) {
 		if (request->begun)
 			direct_request_cut(request, "no_upstream");
@@ -546,3 +571,58 @@
 	}
 	set_stall_timer(request);
 }
+
+static void place_by_ourselves(struct direct_request *request)
+{
+	struct pool_ask ask;
+
+	request->place = (struct direct_place){ 0 };
+	write_pool_ask(request, &ask);
+	send_to(request, pool_pick(request->direct->pool, &ask));
+}
+
+static void on_placed(void *userdata, struct pool_upstream *upstream,
+		      const struct direct_place *place)
+{
+	struct direct_request *request = userdata;
+
+	request->question = 0;
+	if (!upstream) {
+		place_by_ourselves(request);
+		return;
+	}
+	request->place = *place;
+	send_to(request, upstream);
+}
+
+/* Returns whether a peer was asked where the prompt goes. */
+static bool ask_placer(struct direct_request *request)
+{
+	struct direct *direct = request->direct;
+	uint64_t placer;
+	struct pool_ask ask;
+
+	if (!direct->places || !request->ask.parts->len)
+		return false;
+	placer = direct_stages_placer(direct->stages, request->service);
+	if (!placer)
+		return false;
+	write_pool_ask(request, &ask);
+	request->question = direct_places_ask(direct->places, placer, &ask,
+					      on_placed, request);
+	if (!request->question)
+		return false;
+	request->state = DIRECT_STATE_PLACED;
+	return true;
+}
+
+void direct_sending_start(struct direct_request *request)
+{
+	if (request->graph &&
+	    !graph_inputs_kept(request->graph, request->route->stages_count)) {
+		remake_inputs(request);
+		return;
+	}
+	if (!ask_placer(request))
+		place_by_ourselves(request);
+}
--- a/direct/direct_stages.c
+++ b/direct/direct_stages.c
@@ -25,6 +25,7 @@
 
 struct service {
 	char *name;
+	bool is_engines; /* prompts are placed there, no pieces dispatched */
 	uint32_t parts;
 	uint64_t dispatchers[PARTS_MAX];
 	struct learnt learnt[DIRECT_RANKS];
@@ -157,7 +158,9 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct service *service = value;
 
-		service->parts = parts_of(stages, service->name);
+		service->parts = service->is_engines
+					 ? 1
+					 : parts_of(stages, service->name);
 		for (uint32_t i = 0; i < service->parts; i++) {
 			struct dispatchers_task task = {
 				.hash = task_hash(service, i),
@@ -208,7 +211,8 @@
 				       found ? found : self_of(stages),
 				       members->len);
 		}
-		set_own_parts(stages, service);
+		if (!service->is_engines)
+			set_own_parts(stages, service);
 	}
 }
 
@@ -230,8 +234,9 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct direct_service *service = value;
 
-		if (service->does_pieces)
-			service_of(stages, service->name);
+		if (service->does_pieces || service->engine_tokens)
+			service_of(stages, service->name)->is_engines =
+				!service->does_pieces;
 	}
 	find_dispatchers(stages);
 }
@@ -247,6 +252,17 @@
 	return dispatcher == self_of(stages) ? 0 : dispatcher;
 }
 
+uint64_t direct_stages_placer(struct direct_stages *stages, const char *name)
+{
+	const struct service *service =
+		g_hash_table_lookup(stages->services, name);
+
+	if (!service || !service->is_engines ||
+	    service->dispatchers[0] == self_of(stages))
+		return 0;
+	return service->dispatchers[0];
+}
+
 /* ---- asks ---- */
 
 static void free_ask(gpointer data)
--- a/policy/pool.c
+++ b/policy/pool.c
@@ -15,6 +15,9 @@
  * it, by the prices of the sites (a thousand tokens weigh like 3 MB fetched
  * across domains). */
 #define READ_AGAIN 5
+/* Being late costs as much as reading some 25,000 tokens again: six sevenths of
+ * a request's worth, by the sites' sheets. */
+#define LATE_US (2000 * LP_US_PER_MS)
 /* Another domain: a round trip more, and its bytes are paid for. */
 #define OTHER_DOMAIN_US (20 * LP_US_PER_MS)
 /* Bytes fetched across domains are weighed as time: 3 MB as 95 ms. */
@@ -498,6 +501,9 @@
 		cost = FIRST_STEP_US +
 		       (double)PER_REQUEST_US * upstream->in_flight +
 		       (double)tokens * LP_US_PER_MS / POOL_TOKENS_PER_MS;
+		if (ask->target_us &&
+		    cost * upstream->slowness > (double)ask->target_us)
+			cost += LATE_US;
 		if (home && upstream != home)
 			cost += NOT_HOME_US +
 				(double)shared_cold(ask, upstream) *
--- a/policy/pool.h
+++ b/policy/pool.h
@@ -71,7 +71,9 @@
 	const struct pool_part *parts; /**< of the prompt, or NULL */
 	uint32_t parts_count;
 	const char *domain; /**< near what the upstream has to fetch, or NULL */
-	int64_t fetch_bytes;	  /**< that it has to fetch from that domain */
+	int64_t fetch_bytes; /**< that it has to fetch from that domain */
+	int64_t target_us;   /**< the first event is on time within this; 0: no
+				matter */
 	const char *const *tried; /**< ids that are not to be chosen */
 	uint32_t tried_count;
 };
--- a/tests/direct_policy_test.cc
+++ b/tests/direct_policy_test.cc
@@ -274,6 +274,30 @@
 	EXPECT_NE(pool.pick({ { 7, 9000 }, { 9, 400 } }), home);
 }
 
+/* Reading a prefix again costs less than an answer that is late. */
+TEST(Pool, LeavesAPrefixsHomeRatherThanBeLate)
+{
+	Pool pool;
+	std::vector<pool_part> prompt = { { 7, 13000 }, { 8, 1000 } };
+	pool_ask ask = {};
+
+	for (const char *id : { "one", "two", "three" })
+		pool.add(id, "a");
+	ask.service = "s";
+	ask.parts = prompt.data();
+	ask.parts_count = prompt.size();
+	ask.target_us = 500000;
+	pool_upstream *home = pool_pick(pool.it, &ask);
+
+	pool_remember(pool.it, home, prompt.data(), 2, 100000);
+	home->tokens_ahead = 20000; /* 330 ms */
+	EXPECT_EQ(pool_pick(pool.it, &ask), home);
+	home->tokens_ahead = 40000; /* 670 ms */
+	EXPECT_NE(pool_pick(pool.it, &ask), home);
+	ask.target_us = 0; /* it is late in any case */
+	EXPECT_EQ(pool_pick(pool.it, &ask), home);
+}
+
 TEST(Pool, ForgetsTheOldestPartsBeyondAnEnginesMemory)
 {
 	Pool pool;
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -132,6 +132,62 @@
 		[&] { return pe_pieces_kept(two.first.platform) == 0; }));
 }
 
+/* ---- prompts ---- */
+
+const Fields prompt = { { "X-Model", "m" },
+			{ "X-Token-Counts", "3000,80" },
+			{ "X-Prompt-Prefix", "aa:2000,bb:1000" } };
+
+/* Alone, each entry takes the engine that is best with nothing on it. */
+TEST(Relay, PromptsOfAllEntriesShareTheEngines)
+{
+	Two two;
+	pe_upstream *other = two.first.add(PE_ENGINE, "engine");
+	uint32_t before;
+
+	two.first.settle();
+	two.second->settle();
+	before = pe_arrivals(other);
+	for (int i = 0; i < 2; i++) {
+		Rig &entry = i ? *two.second : two.first;
+		Fields fields = { { "X-Model", "m" },
+				  { "X-Token-Counts", "9000,80" },
+				  { "X-Prompt-Prefix",
+				    i ? "cc:9000" : "dd:9000" } };
+
+		two.asks.push_back(std::make_unique<Ask>(
+			entry.address, i ? "b1" : "a1", "/again/x", fields));
+		turn_until([] { return false; }, 5);
+	}
+	for (auto &ask : two.asks)
+		EXPECT_EQ(ask->wait().body, whole_stream);
+	EXPECT_EQ(pe_arrivals(other) - before, 1u);
+}
+
+/* A prefix that one entry sent is known to all. */
+TEST(Relay, AllEntriesKnowWherePrefixesLie)
+{
+	Two two;
+	int64_t sent = 0;
+
+	for (int i = 0; i < 3; i++)
+		two.first.add(PE_ENGINE, "engine");
+	two.first.settle();
+	two.second->settle();
+	EXPECT_EQ(Ask(two.first.address, "a1", "/again/x", prompt).wait().body,
+		  whole_stream);
+	Fields likewise = prompt;
+
+	likewise["X-Prompt-Prefix"] = "aa:2000,cc:1000";
+	EXPECT_EQ(Ask(two.second->address, "b1", "/again/x", likewise)
+			  .wait()
+			  .body,
+		  whole_stream);
+	sent = *lp_counter(two.second->counters, "linepier_prompt_tokens_total",
+			   "cached=\"no\"");
+	EXPECT_EQ(sent, 1000); /* its own part */
+}
+
 /* ---- a member of our own making ---- */
 
 /* Speaks the entries' datagrams by hand: the kind is the last byte. */
@@ -139,8 +195,9 @@
 	GSocket *socket;
 	GSocketAddress *to;
 	std::map<char, int> seen;
-	GVariant *last = nullptr; /* result */
-	uint32_t capacity = 0;	  /* of the last hello */
+	GVariant *last = nullptr;  /* result */
+	GVariant *place = nullptr; /* question */
+	uint32_t capacity = 0;	   /* of the last hello */
 
 	explicit Fake(const char *ip = fake_ip)
 	{
@@ -160,6 +217,8 @@
 	{
 		if (last)
 			g_variant_unref(last);
+		if (place)
+			g_variant_unref(place);
 		g_object_unref(socket);
 		g_object_unref(to);
 	}
@@ -213,8 +272,20 @@
 				keep(bytes, size - 1);
 			if (bytes[size - 1] == 'H')
 				read_hello(bytes, size - 1);
+			if (bytes[size - 1] == 'P')
+				keep_place(bytes, size - 1);
 		}
 	}
+	void keep_place(const char *bytes, gsize size)
+	{
+		GBytes *copy = g_bytes_new(bytes, size);
+
+		if (place)
+			g_variant_unref(place);
+		place = g_variant_ref_sink(g_variant_new_from_bytes(
+			G_VARIANT_TYPE("(tsa(tx)atsxx)"), copy, FALSE));
+		g_bytes_unref(copy);
+	}
 	void read_hello(const char *bytes, gsize size)
 	{
 		GVariant *hello = g_variant_ref_sink(g_variant_new_from_data(
@@ -407,6 +478,59 @@
 	}));
 }
 
+/* Strong by its word, but it places nothing. */
+TEST(Relay, APlacerThatSaysNothingIsDoneWithout)
+{
+	One one;
+
+	one.fake.hello(9000);
+	turn_until([] { return false; }, 300);
+	Ask ask(one.rig.address, "a1", "/again/x", prompt);
+
+	EXPECT_EQ(ask.wait().body, whole_stream);
+	EXPECT_LT(ask.took_us, 400000);
+	one.fake.hear();
+	EXPECT_EQ(one.fake.seen['P'], 1);
+}
+
+/* What was placed too late is not counted for good. */
+TEST(Relay, APlaceThatComesTooLateIsGivenBack)
+{
+	One one;
+
+	one.fake.hello(9000);
+	turn_until([] { return false; }, 300);
+	Ask ask(one.rig.address, "a1", "/again/x", prompt);
+
+	EXPECT_EQ(ask.wait().body, whole_stream);
+	one.fake.send('Q', g_variant_new("(ttxx)", (guint64)1, (guint64)2,
+					 (gint64)0, (gint64)0));
+	one.fake.hear_for(150);
+	EXPECT_EQ(one.fake.seen['E'], 1);
+}
+
+/* It places at an engine that we do not know: we place by ourselves. */
+TEST(Relay, APlaceThatWeDoNotKnowIsNotTaken)
+{
+	One one;
+	guint64 number = 0;
+
+	one.fake.hello(9000);
+	turn_until([] { return false; }, 300);
+	Ask ask(one.rig.address, "a1", "/again/x", prompt);
+
+	ASSERT_TRUE(turn_until([&] {
+		one.fake.hear();
+		return one.fake.seen['P'] > 0;
+	}));
+	g_variant_get_child(one.fake.place, 0, "t", &number);
+	one.fake.send('Q', g_variant_new("(ttxx)", number, (guint64)2,
+					 (gint64)0, (gint64)0));
+	EXPECT_EQ(ask.wait().body, whole_stream);
+	one.fake.hear();
+	EXPECT_EQ(one.fake.seen['E'], 1);
+}
+
 /* What cannot be read is not served, and ends nothing. */
 TEST(Relay, DatagramsOfOthersAreLeftOut)
 {
