Who has read the list of upstreams tells its peers a hash of it

Ruled out: a watch (every heartbeat of every upstream wakes it).

Looks of entries part by a third of their pause; the first tells the others, and whoever has the same list puts its own look off by that list's age. An entry that keeps upstreams which are missing takes no word. Tests: Relay.OneEntryReads..., Relay.AChangedListIsReadByAllAtOnce.

--- a/direct/direct_peers.c
+++ b/direct/direct_peers.c
@@ -29,6 +29,8 @@
 #define KIND_HELLO 'H'
 #define KIND_SIGN 'S' /* asks for a hello */
 #define KIND_UNREACHABLE 'U'
+#define KIND_LIST 'L'
+#define LIST_TYPE "(tx)" /* hash, us since it was asked for */
 /* version in force, members' IPs, capacity, what sets this start apart */
 #define HELLO_TYPE "(xasut)"
 #define SIGN_TYPE "(t)"
@@ -250,6 +252,13 @@
 			       (gint64)aside_us));
 }
 
+void direct_peers_tell_list(struct direct_peers *peers, uint64_t hash,
+			    int64_t age_us)
+{
+	tell_all(peers, KIND_LIST,
+		 g_variant_new(LIST_TYPE, (guint64)hash, (gint64)age_us));
+}
+
 static bool may_work(const struct direct_peers *peers, const struct peer *peer)
 {
 	return is_fresh(peers, peer) &&
@@ -452,6 +461,15 @@
 	peers->options.unreachable(peers->options.userdata, upstream, aside_us);
 }
 
+static void take_list(struct direct_peers *peers, GVariant *body)
+{
+	guint64 hash;
+	gint64 age_us;
+
+	g_variant_get(body, LIST_TYPE, &hash, &age_us);
+	peers->options.list(peers->options.userdata, hash, age_us);
+}
+
 static const struct listener *listener_of(const struct direct_peers *peers,
 					  char kind)
 {
@@ -477,6 +495,8 @@
 		return SIGN_TYPE;
 	case KIND_UNREACHABLE:
 		return UNREACHABLE_TYPE;
+	case KIND_LIST:
+		return LIST_TYPE;
 	default:
 		return listener ? listener->type : NULL;
 	}
@@ -525,6 +545,8 @@
 		take_sign(peers, peer);
 	else if (kind == KIND_UNREACHABLE)
 		take_unreachable(peers, body);
+	else if (kind == KIND_LIST)
+		take_list(peers, body);
 	else
 		pass_word(peers, peer, kind, body);
 	g_variant_unref(body);
--- a/direct/direct_peers.h
+++ b/direct/direct_peers.h
@@ -31,6 +31,8 @@
 	/** A peer sets an upstream aside that it cannot reach. */
 	void (*unreachable)(void *userdata, uint64_t upstream,
 			    int64_t aside_us);
+	/** A peer has read the list of upstreams so long ago: its hash. */
+	void (*list)(void *userdata, uint64_t hash, int64_t age_us);
 	/** A peer's hello: the version that it has in force. */
 	void (*config)(void *userdata, const char *ip, int64_t version);
 	void *userdata;
@@ -48,6 +50,9 @@
 /** We set an upstream aside for so long: it cannot be reached. */
 void direct_peers_tell_unreachable(struct direct_peers *peers,
 				   uint64_t upstream, int64_t aside_us);
+/** We have read the list of upstreams so long ago: its hash. */
+void direct_peers_tell_list(struct direct_peers *peers, uint64_t hash,
+			    int64_t age_us);
 /** Members that may be given work and ourselves, of struct
  * dispatchers_member: appended to `out`. */
 void direct_peers_members(const struct direct_peers *peers, GArray *out);
--- a/tests/direct_rig.h
+++ b/tests/direct_rig.h
@@ -234,6 +234,15 @@
 		options.direct = entry;
 		options.drain_us = 800000;
 		options.config_taken = [](void *, int64_t) {};
+		options.list_read = [](void *self, uint64_t hash,
+				       int64_t age_us) {
+			auto *rig = static_cast<Rig *>(self);
+
+			if (rig->peers)
+				direct_peers_tell_list(rig->peers, hash,
+						       age_us);
+		};
+		options.userdata = this;
 		feed = plf_feed_create(&options);
 	}
 	/* Share stages with the entries of these IPs. */
@@ -254,6 +263,11 @@
 		options.port = peers_port();
 		options.seeds = seeds.data();
 		options.unreachable = [](void *, uint64_t, int64_t) {};
+		options.list = [](void *self, uint64_t hash, int64_t age_us) {
+			plf_feed_hear_list(static_cast<Rig *>(self)->feed, hash,
+					   age_us);
+		};
+		options.userdata = this;
 		options.config = [](void *, const char *, int64_t) {};
 		peers = direct_peers_create(&options);
 		ASSERT_NE(peers, nullptr);
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -132,6 +132,43 @@
 		[&] { return pe_pieces_kept(two.first.platform) == 0; }));
 }
 
+/* ---- the list of upstreams ---- */
+
+/* Calls are paid for: two entries read no more often than one, ... */
+TEST(Relay, OneEntryReadsAListThatDoesNotChangeForAll)
+{
+	Two two;
+	int64_t before = *two.first.calls() + *two.second->calls();
+	int64_t alone = 2000 / 360; /* looks in two seconds */
+
+	turn_until([] { return false; }, 2000);
+	EXPECT_LE(*two.first.calls() + *two.second->calls() - before,
+		  alone + 2);
+	EXPECT_GE(*two.first.calls() + *two.second->calls() - before, 3);
+}
+
+/* ... but both read one that has changed. */
+TEST(Relay, AChangedListIsReadByAllAtOnce)
+{
+	Two two;
+	pe_upstream *leaving = two.first.add(PE_PLAIN, "plain");
+	uint32_t before;
+
+	two.first.add(PE_PLAIN, "plain");
+	turn_until([] { return false; }, 700);
+	pe_drain(leaving);
+	turn_until([] { return false; }, 700); /* of 800 that it may take */
+	before = pe_arrivals(leaving);
+	for (int i = 0; i < 4; i++) {
+		EXPECT_EQ(Ask(two.first.address, "a", "/look/x").wait().status,
+			  200u);
+		EXPECT_EQ(
+			Ask(two.second->address, "b", "/look/x").wait().status,
+			200u);
+	}
+	EXPECT_EQ(pe_arrivals(leaving), before);
+}
+
 /* ---- prompts ---- */
 
 const Fields prompt = { { "X-Model", "m" },
