A changed list of upstreams is read once and handed on

Whoever hears of a list that differs now asks the peer that told for it, and takes it if it has the hash that was told; if not, or if the peer does not answer, it reads the list itself.

--- a/direct/direct_peers.c
+++ b/direct/direct_peers.c
@@ -461,13 +461,14 @@
 	peers->options.unreachable(peers->options.userdata, upstream, aside_us);
 }
 
-static void take_list(struct direct_peers *peers, GVariant *body)
+static void take_list(struct direct_peers *peers, const struct peer *from,
+		      GVariant *body)
 {
 	guint64 hash;
 	gint64 age_us;
 
 	g_variant_get(body, LIST_TYPE, &hash, &age_us);
-	peers->options.list(peers->options.userdata, hash, age_us);
+	peers->options.list(peers->options.userdata, from->ip, hash, age_us);
 }
 
 static const struct listener *listener_of(const struct direct_peers *peers,
@@ -546,7 +547,7 @@
 	else if (kind == KIND_UNREACHABLE)
 		take_unreachable(peers, body);
 	else if (kind == KIND_LIST)
-		take_list(peers, body);
+		take_list(peers, peer, body);
 	else
 		pass_word(peers, peer, kind, body);
 	g_variant_unref(body);
--- a/direct/direct_peers.h
+++ b/direct/direct_peers.h
@@ -32,7 +32,8 @@
 	void (*unreachable)(void *userdata, uint64_t upstream,
 			    int64_t aside_us);
 	/** A peer has read the list of upstreams so long ago: its hash. */
-	void (*list)(void *userdata, uint64_t hash, int64_t age_us);
+	void (*list)(void *userdata, const char *ip, uint64_t hash,
+		     int64_t age_us);
 	/** A peer's hello: the version that it has in force. */
 	void (*config)(void *userdata, const char *ip, int64_t version);
 	void *userdata;
--- a/tests/direct_rig.h
+++ b/tests/direct_rig.h
@@ -121,7 +121,7 @@
 {
 	static uint16_t port = 0;
 
-	for (uint16_t at = 21300; !port && at < 21400; at++) {
+	for (uint16_t at = 21300; !port && at < 21340; at++) {
 		GSocketAddress *address =
 			g_inet_socket_address_new_from_string("127.0.0.1", at);
 		GSocket *lock =
@@ -145,6 +145,7 @@
 	lp_counters *counters = lp_counters_create();
 	direct *entry = nullptr;
 	direct_peers *peers = nullptr;
+	plf_share *share = nullptr;
 	store_kv *kv = nullptr;
 	plf_feed *feed = nullptr;
 	std::string address;
@@ -184,6 +185,7 @@
 	void end()
 	{
 		kv->ops->destroy(kv);
+		plf_share_destroy(share);
 		plf_feed_destroy(feed);
 		direct_destroy(entry);
 		direct_peers_destroy(peers);
@@ -245,6 +247,21 @@
 		options.userdata = this;
 		feed = plf_feed_create(&options);
 	}
+	/* Serve lists and configurations to peers and fetch theirs. */
+	void share_with(const char *ip)
+	{
+		plf_share_options options = {};
+		std::string at = std::string(ip) + ":" +
+				 std::to_string(peers_port() + 60);
+
+		options.clock = lp_clock_monotonic();
+		options.log = log;
+		options.direct = entry;
+		options.feed = feed;
+		options.address = at.c_str();
+		share = plf_share_create(&options);
+		ASSERT_NE(share, nullptr);
+	}
 	/* Share stages with the entries of these IPs. */
 	void join(const char *ip, uint32_t capacity,
 		  std::vector<std::string> others, int64_t settle_us = 0)
@@ -263,12 +280,14 @@
 		options.port = peers_port();
 		options.seeds = seeds.data();
 		options.unreachable = [](void *, uint64_t, int64_t) {};
-		options.list = [](void *self, uint64_t hash, int64_t age_us) {
-			plf_feed_hear_list(static_cast<Rig *>(self)->feed, hash,
-					   age_us);
+		options.list = [](void *self, const char *from, uint64_t hash,
+				  int64_t age_us) {
+			plf_share_heard_list(static_cast<Rig *>(self)->share,
+					     from, hash, age_us);
 		};
 		options.userdata = this;
 		options.config = [](void *, const char *, int64_t) {};
+		share_with(ip);
 		peers = direct_peers_create(&options);
 		ASSERT_NE(peers, nullptr);
 		direct_set_peers(entry, peers);
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -13,6 +13,132 @@
 const char second_ip[] = "127.0.0.2";
 const char fake_ip[] = "127.0.0.9";
 
+/* Speaks the entries' datagrams by hand: the kind is the last byte. */
+struct Fake {
+	GSocket *socket;
+	GSocketAddress *to;
+	std::map<char, int> seen;
+	GVariant *last = nullptr;  /* result */
+	GVariant *place = nullptr; /* question */
+	uint32_t capacity = 0;	   /* of the last hello */
+
+	explicit Fake(const char *ip = fake_ip)
+	{
+		GSocketAddress *at =
+			g_inet_socket_address_new_from_string(ip, peers_port());
+
+		to = g_inet_socket_address_new_from_string(first_ip,
+							   peers_port());
+		socket = g_socket_new(G_SOCKET_FAMILY_IPV4,
+				      G_SOCKET_TYPE_DATAGRAM,
+				      G_SOCKET_PROTOCOL_UDP, nullptr);
+		EXPECT_TRUE(g_socket_bind(socket, at, TRUE, nullptr));
+		g_socket_set_blocking(socket, FALSE);
+		g_object_unref(at);
+	}
+	~Fake()
+	{
+		if (last)
+			g_variant_unref(last);
+		if (place)
+			g_variant_unref(place);
+		g_object_unref(socket);
+		g_object_unref(to);
+	}
+	void send(char kind, GVariant *floating)
+	{
+		GVariant *body = g_variant_ref_sink(floating);
+		std::string bytes((const char *)g_variant_get_data(body),
+				  g_variant_get_size(body));
+
+		bytes.push_back(kind);
+		g_socket_send_to(socket, to, bytes.data(), bytes.size(),
+				 nullptr, nullptr);
+		g_variant_unref(body);
+	}
+	void hello(uint32_t capacity, const char *name = nullptr,
+		   uint64_t start = 77)
+	{
+		const char *names[] = { name, nullptr };
+
+		send('H', g_variant_new("(x@asut)", (gint64)0,
+					g_variant_new_strv(names, name ? 1 : 0),
+					capacity, (guint64)start));
+	}
+	void ask(uint64_t number, const char *id)
+	{
+		const guint32 index = 0;
+		const char *none[] = { nullptr };
+
+		send('A', g_variant_new("(tsssu@au@asxxixusx)", (guint64)number,
+					"first", id, "k", 0u,
+					g_variant_new_fixed_array(
+						G_VARIANT_TYPE_UINT32, &index,
+						1, sizeof(index)),
+					g_variant_new_strv(none, 0),
+					(gint64)500000, (gint64)5000000, 0,
+					(gint64)100, 0u, "", (gint64)0));
+	}
+	/* Take what has come, unanswered. */
+	void hear()
+	{
+		alignas(8) char bytes[8192];
+
+		while (true) {
+			gssize size = g_socket_receive(
+				socket, bytes, sizeof(bytes), nullptr, nullptr);
+
+			if (size <= 0)
+				return;
+			seen[bytes[size - 1]]++;
+			if (bytes[size - 1] == 'R')
+				keep(bytes, size - 1);
+			if (bytes[size - 1] == 'H')
+				read_hello(bytes, size - 1);
+			if (bytes[size - 1] == 'P')
+				keep_place(bytes, size - 1);
+		}
+	}
+	void keep_place(const char *bytes, gsize size)
+	{
+		GBytes *copy = g_bytes_new(bytes, size);
+
+		if (place)
+			g_variant_unref(place);
+		place = g_variant_ref_sink(g_variant_new_from_bytes(
+			G_VARIANT_TYPE("(tsa(tx)atsxx)"), copy, FALSE));
+		g_bytes_unref(copy);
+	}
+	void read_hello(const char *bytes, gsize size)
+	{
+		GVariant *hello = g_variant_ref_sink(g_variant_new_from_data(
+			G_VARIANT_TYPE("(xasut)"), bytes, size, FALSE, nullptr,
+			nullptr));
+
+		g_variant_get_child(hello, 2, "u", &capacity);
+		g_variant_unref(hello);
+	}
+	void keep(const char *bytes, gsize size)
+	{
+		GBytes *copy = g_bytes_new(bytes, size);
+
+		if (last)
+			g_variant_unref(last);
+		last = g_variant_ref_sink(g_variant_new_from_bytes(
+			G_VARIANT_TYPE("(tta(uuts)ax)"), copy, FALSE));
+		g_bytes_unref(copy);
+	}
+	void hear_for(int64_t ms)
+	{
+		turn_until(
+			[this] {
+				hear();
+				return false;
+			},
+			ms);
+	}
+};
+
 /* A platform with one upstream of each stage, and two entries; the first one
  * dispatches. */
 struct Two {
@@ -147,17 +273,20 @@
 	EXPECT_GE(*two.first.calls() + *two.second->calls() - before, 3);
 }
 
-/* ... but both read one that has changed. */
-TEST(Relay, AChangedListIsReadByAllAtOnce)
+/* ... and one that has changed is handed on in time. */
+TEST(Relay, AChangedListIsReadOnceAndHandedOn)
 {
 	Two two;
 	pe_upstream *leaving = two.first.add(PE_PLAIN, "plain");
+	int64_t reads;
 	uint32_t before;
 
 	two.first.add(PE_PLAIN, "plain");
 	turn_until([] { return false; }, 700);
+	reads = *two.first.calls() + *two.second->calls();
 	pe_drain(leaving);
 	turn_until([] { return false; }, 700); /* of 800 that it may take */
+	EXPECT_LE(*two.first.calls() + *two.second->calls() - reads, 4);
 	before = pe_arrivals(leaving);
 	for (int i = 0; i < 4; i++) {
 		EXPECT_EQ(Ask(two.first.address, "a", "/look/x").wait().status,
@@ -169,6 +298,29 @@
 	EXPECT_EQ(pe_arrivals(leaving), before);
 }
 
+/* Whoever told of a list may end before it is asked for it. */
+TEST(Relay, AListThatAPeerDoesNotHandOnIsRead)
+{
+	Rig rig;
+	Fake fake;
+	pe_upstream *leaving = rig.add(PE_PLAIN, "plain");
+	uint32_t before;
+
+	rig.add(PE_PLAIN, "plain");
+	rig.join(first_ip, 100, { fake_ip });
+	rig.settle();
+	pe_drain(leaving);
+	for (int i = 0; i < 3; i++) {
+		fake.send('L',
+			  g_variant_new("(tx)", (guint64)(99 + i), (gint64)0));
+		turn_until([] { return false; }, 250);
+	}
+	before = pe_arrivals(leaving);
+	for (int i = 0; i < 4; i++)
+		EXPECT_EQ(Ask(rig.address, "a", "/look/x").wait().status, 200u);
+	EXPECT_EQ(pe_arrivals(leaving), before);
+}
+
 /* ---- prompts ---- */
 
 const Fields prompt = { { "X-Model", "m" },
@@ -225,133 +377,7 @@
 	EXPECT_EQ(sent, 1000); /* its own part */
 }
 
-/* ---- a member of our own making ---- */
-
-/* Speaks the entries' datagrams by hand: the kind is the last byte. */
-struct Fake {
-	GSocket *socket;
-	GSocketAddress *to;
-	std::map<char, int> seen;
-	GVariant *last = nullptr;  /* result */
-	GVariant *place = nullptr; /* question */
-	uint32_t capacity = 0;	   /* of the last hello */
-
-	explicit Fake(const char *ip = fake_ip)
-	{
-		GSocketAddress *at =
-			g_inet_socket_address_new_from_string(ip, peers_port());
-
-		to = g_inet_socket_address_new_from_string(first_ip,
-							   peers_port());
-		socket = g_socket_new(G_SOCKET_FAMILY_IPV4,
-				      G_SOCKET_TYPE_DATAGRAM,
-				      G_SOCKET_PROTOCOL_UDP, nullptr);
-		EXPECT_TRUE(g_socket_bind(socket, at, TRUE, nullptr));
-		g_socket_set_blocking(socket, FALSE);
-		g_object_unref(at);
-	}
-	~Fake()
-	{
-		if (last)
-			g_variant_unref(last);
-		if (place)
-			g_variant_unref(place);
-		g_object_unref(socket);
-		g_object_unref(to);
-	}
-	void send(char kind, GVariant *floating)
-	{
-		GVariant *body = g_variant_ref_sink(floating);
-		std::string bytes((const char *)g_variant_get_data(body),
-				  g_variant_get_size(body));
-
-		bytes.push_back(kind);
-		g_socket_send_to(socket, to, bytes.data(), bytes.size(),
-				 nullptr, nullptr);
-		g_variant_unref(body);
-	}
-	void hello(uint32_t capacity, const char *name = nullptr,
-		   uint64_t start = 77)
-	{
-		const char *names[] = { name, nullptr };
-
-		send('H', g_variant_new("(x@asut)", (gint64)0,
-					g_variant_new_strv(names, name ? 1 : 0),
-					capacity, (guint64)start));
-	}
-	void ask(uint64_t number, const char *id)
-	{
-		const guint32 index = 0;
-		const char *none[] = { nullptr };
-
-		send('A', g_variant_new("(tsssu@au@asxxixusx)", (guint64)number,
-					"first", id, "k", 0u,
-					g_variant_new_fixed_array(
-						G_VARIANT_TYPE_UINT32, &index,
-						1, sizeof(index)),
-					g_variant_new_strv(none, 0),
-					(gint64)500000, (gint64)5000000, 0,
-					(gint64)100, 0u, "", (gint64)0));
-	}
-	/* Take what has come, unanswered. */
-	void hear()
-	{
-		alignas(8) char bytes[8192];
-
-		while (true) {
-			gssize size = g_socket_receive(
-				socket, bytes, sizeof(bytes), nullptr, nullptr);
-
-			if (size <= 0)
-				return;
-			seen[bytes[size - 1]]++;
-			if (bytes[size - 1] == 'R')
-				keep(bytes, size - 1);
-			if (bytes[size - 1] == 'H')
-				read_hello(bytes, size - 1);
-			if (bytes[size - 1] == 'P')
-				keep_place(bytes, size - 1);
-		}
-	}
-	void keep_place(const char *bytes, gsize size)
-	{
-		GBytes *copy = g_bytes_new(bytes, size);
-
-		if (place)
-			g_variant_unref(place);
-		place = g_variant_ref_sink(g_variant_new_from_bytes(
-			G_VARIANT_TYPE("(tsa(tx)atsxx)"), copy, FALSE));
-		g_bytes_unref(copy);
-	}
-	void read_hello(const char *bytes, gsize size)
-	{
-		GVariant *hello = g_variant_ref_sink(g_variant_new_from_data(
-			G_VARIANT_TYPE("(xasut)"), bytes, size, FALSE, nullptr,
-			nullptr));
-
-		g_variant_get_child(hello, 2, "u", &capacity);
-		g_variant_unref(hello);
-	}
-	void keep(const char *bytes, gsize size)
-	{
-		GBytes *copy = g_bytes_new(bytes, size);
-
-		if (last)
-			g_variant_unref(last);
-		last = g_variant_ref_sink(g_variant_new_from_bytes(
-			G_VARIANT_TYPE("(tta(uuts)ax)"), copy, FALSE));
-		g_bytes_unref(copy);
-	}
-	void hear_for(int64_t ms)
-	{
-		turn_until(
-			[this] {
-				hear();
-				return false;
-			},
-			ms);
-	}
-};
+/* ---- against a member of our own making ---- */
 
 /* An entry with one upstream of each stage. */
 struct One {
