--- /dev/null
+++ b/direct/direct_events.c
@@ -0,0 +1,50 @@
+#include "direct/direct_events.h"
+
+#include <glib.h>
+#include <string.h>
+
+static const char id_name[] = "id:";
+
+/* One line, without its end. Only a line that begins with the name is an id:
+ * data may hold that text, too. */
+static void note_line(const char *line, size_t size, char **last_id)
+{
+	size_t skip = sizeof(id_name) - 1;
+
+	if (size < skip || strncmp(line, id_name, skip) != 0)
+		return;
+	g_free(*last_id);
+	*last_id = g_strstrip(g_strndup(line + skip, size - skip));
+}
+
+static void note_ids(const char *event, size_t size, char **last_id)
+{
+	size_t start = 0;
+
+	while (start < size) {
+		const char *end = memchr(event + start, '\n', size - start);
+		size_t length =
+			end ? (size_t)(end - event) - start : size - start;
+
+		note_line(event + start, length, last_id);
+		start += length + 1;
+	}
+}
+
+size_t direct_events_whole(const char *text, size_t size, char **last_id)
+{
+	size_t done = 0;
+
+	while (done < size) {
+		const char *end = g_strstr_len(text + done,
+					       (gssize)(size - done), "\n\n");
+		size_t event_size;
+
+		if (!end)
+			break;
+		event_size = (size_t)(end - text) + 2 - done;
+		note_ids(text + done, event_size, last_id);
+		done += event_size;
+	}
+	return done;
+}
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -1,4 +1,5 @@
 /** A request on its way to an upstream and back. */
+#include "direct/direct_events.h"
 #include "direct/direct_request.h"
 
 #include <string.h>
@@ -255,49 +256,11 @@
 	http_call_start(request->call, request->status, &request->fields);
 }
 
-static void remember_event_id(struct direct_request *request, const char *event,
-			      size_t size)
-{
-	static const char name[] = "id:";
-	const char *at = g_strstr_len(event, (gssize)size, name);
-	const char *end;
-
-	if (!at || (at != event && at[-1] != '\n'))
-		return;
-	at += sizeof(name) - 1;
-	while (at < event + size && *at == ' ')
-		at++;
-	end = memchr(at, '\n', (size_t)(event + size - at));
-	if (!end)
-		return;
-	g_free(request->last_event_id);
-	request->last_event_id = g_strstrip(g_strndup(at, (gsize)(end - at)));
-}
-
-/* Length of the whole events at the start of the text; ids are noted. */
-static size_t whole_events(struct direct_request *request, const char *text,
-			   size_t size)
-{
-	size_t done = 0;
-
-	while (done < size) {
-		const char *end = g_strstr_len(text + done,
-					       (gssize)(size - done), "\n\n");
-		size_t event_size;
-
-		if (!end)
-			break;
-		event_size = (size_t)(end - text) + 2 - done;
-		remember_event_id(request, text + done, event_size);
-		done += event_size;
-	}
-	return done;
-}
-
 static void pass_events(struct direct_request *request)
 {
 	size_t size =
-		whole_events(request, request->body->str, request->body->len);
+		direct_events_whole(request->body->str, request->body->len,
+				    &request->last_event_id);
 
 	if (!size)
 		return;
--- a/policy/dispatchers.c
+++ b/policy/dispatchers.c
@@ -66,16 +66,12 @@
 	return best;
 }
 
-void dispatchers_find(const struct dispatchers_member *members,
+static void find_each(const struct dispatchers_member *members,
 		      uint32_t members_count, struct dispatchers_task *tasks,
-		      uint32_t tasks_count)
+		      uint32_t tasks_count, uint32_t *held)
 {
-	g_autofree uint32_t *held = g_new0(uint32_t, members_count);
 	uint32_t most = strongest(members, members_count);
 
-	if (!tasks_count)
-		return;
-	qsort(tasks, tasks_count, sizeof(*tasks), by_hash);
 	for (uint32_t i = 0; i < tasks_count; i++) {
 		uint32_t at =
 			pick(members, members_count, held, most, tasks[i].hash);
@@ -85,3 +81,17 @@
 			held[at]++;
 	}
 }
+
+void dispatchers_find(const struct dispatchers_member *members,
+		      uint32_t members_count, struct dispatchers_task *tasks,
+		      uint32_t tasks_count)
+{
+	uint32_t *held;
+
+	if (!tasks_count)
+		return;
+	held = g_new0(uint32_t, members_count + 1);
+	qsort(tasks, tasks_count, sizeof(*tasks), by_hash);
+	find_each(members, members_count, tasks, tasks_count, held);
+	g_free(held);
+}
--- a/tests/direct_policy_test.cc
+++ b/tests/direct_policy_test.cc
@@ -183,6 +183,41 @@
 	EXPECT_EQ(dispatchers_parts(180), 8u);
 }
 
+/* ---- events ---- */
+
+std::string last_id_of(const std::string &text, size_t *whole = nullptr)
+{
+	char *id = nullptr;
+	size_t size = direct_events_whole(text.data(), text.size(), &id);
+	std::string out = id ? id : "none";
+
+	if (whole)
+		*whole = size;
+	g_free(id);
+	return out;
+}
+
+/* Found by reading: an id was looked for anywhere in an event, so a stream
+ * would have resumed after whatever its data said. */
+TEST(Events, OnlyALineOfItsOwnIsAnId)
+{
+	EXPECT_EQ(last_id_of("data: id: 9\nid: 2\n\n"), "2");
+	EXPECT_EQ(last_id_of("id:7\ndata: x\nid x\n\n"), "7");
+	EXPECT_EQ(last_id_of("data: id: 9\n\n"), "none");
+	EXPECT_EQ(last_id_of("id: 1\n\nid: 2\r\ndata: y\n\n"), "2");
+}
+
+TEST(Events, WhatIsNotWholeDoesNotCount)
+{
+	size_t whole = 0;
+
+	EXPECT_EQ(last_id_of("id: 1\ndata: a\n\nid: 2\ndata: b\n", &whole),
+		  "1");
+	EXPECT_EQ(whole, 15u);
+	EXPECT_EQ(last_id_of("id: 3", &whole), "none");
+	EXPECT_EQ(whole, 0u);
+}
+
 /* ---- pool ---- */
 
 struct Pool {
