Members of a fleet that starts at once meet before they ask for pieces

Hellos to seeds that start later are lost and come again after a second; each entry that is configured changes who dispatches what.

--- a/direct/direct.c
+++ b/direct/direct.c
@@ -109,8 +109,7 @@
 static void open_to_peers(struct direct *direct)
 {
 	if (direct->peers)
-		direct_peers_open(direct->peers,
-				  direct_ready(direct) && !direct->drains);
+		direct_peers_open(direct->peers, direct_ready(direct));
 }
 
 bool direct_set_config(struct direct *direct, struct direct_config *config)
@@ -190,8 +189,8 @@
 void direct_drain(struct direct *direct)
 {
 	http_server_drain(direct->server);
-	direct->drains = true;
-	open_to_peers(direct);
+	if (direct->peers)
+		direct_peers_end_work(direct->peers);
 }
 
 void direct_refuse_new(struct direct *direct)
--- a/direct/direct_peers.c
+++ b/direct/direct_peers.c
@@ -7,6 +7,10 @@
 /* Hellos cost a datagram a peer; a member that is silent for three of them
  * is taken as gone. */
 #define HELLO_MS 1000
+/* At first, members that have not been heard get one more often: they may have
+ * started a little later. */
+#define FIRST_HELLO_MS 100
+#define FIRST_HELLOS 10
 #define SILENT_US (3500 * LP_US_PER_MS)
 /* Work with many inputs or results; larger ones are not sent. */
 #define DATAGRAM_MAX 8192
@@ -25,6 +29,8 @@
  * they are equal. Shorter than the time from a fleet's start to its traffic. */
 #define YOUNG_PART 4
 #define SETTLE_US (8 * LP_US_PER_S)
+/* One that has no configuration after this is not counted on. */
+#define STARTING_US (3 * LP_US_PER_S)
 
 #define KIND_HELLO 'H'
 #define KIND_SIGN 'S' /* asks for a hello */
@@ -64,6 +70,8 @@
 	GSocket *socket;
 	GSource *source;
 	guint hello_timer;
+	guint first_timer; /* 0: the first hellos are over */
+	uint32_t first_hellos;
 	GHashTable *peers;   /* ip -> struct peer */
 	GHashTable *by_hash; /* hash -> struct peer */
 	GArray *listeners;   /* of struct listener */
@@ -71,6 +79,7 @@
 	void *restarted_userdata;
 	int64_t version;
 	bool open; /* takes work of others */
+	bool ends;
 	uint64_t start;
 	int64_t started_us;
 };
@@ -131,12 +140,16 @@
 	return true;
 }
 
-/* What others may count on. */
+/* What others may count on. One that starts shall be configured in a moment,
+ * and counts already: the work of a fleet that starts at once would be shared
+ * out anew with each that is. */
 static uint32_t own_capacity(const struct direct_peers *peers)
 {
-	uint32_t capacity = peers->open ? peers->options.capacity : 0;
+	uint32_t capacity = peers->options.capacity;
 	int64_t age_us = lp_now_us(peers->options.clock) - peers->started_us;
 
+	if (peers->ends || (!peers->open && age_us > STARTING_US))
+		return 0;
 	return age_us < peers->options.settle_us ? capacity / YOUNG_PART
 						 : capacity;
 }
@@ -207,6 +220,23 @@
 		send_to(peers, value, KIND_HELLO, hello);
 }
 
+static gboolean on_first_timer(gpointer userdata)
+{
+	struct direct_peers *peers = userdata;
+	g_autoptr(GVariant) hello = make_hello(peers);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, peers->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (!((struct peer *)value)->heard_us)
+			send_to(peers, value, KIND_HELLO, hello);
+	if (++peers->first_hellos < FIRST_HELLOS)
+		return G_SOURCE_CONTINUE;
+	peers->first_timer = 0;
+	return G_SOURCE_REMOVE;
+}
+
 static gboolean on_hello_timer(gpointer userdata)
 {
 	struct direct_peers *peers = userdata;
@@ -231,6 +261,12 @@
 	say_hello(peers);
 }
 
+void direct_peers_end_work(struct direct_peers *peers)
+{
+	peers->ends = true;
+	say_hello(peers);
+}
+
 /* Takes a floating body. */
 static void tell_all(struct direct_peers *peers, char kind, GVariant *floating)
 {
@@ -618,6 +654,8 @@
 	add_seeds(peers);
 	say_hello(peers);
 	peers->hello_timer = g_timeout_add(HELLO_MS, on_hello_timer, peers);
+	peers->first_timer =
+		g_timeout_add(FIRST_HELLO_MS, on_first_timer, peers);
 	return peers;
 }
 
@@ -626,6 +664,8 @@
 	if (!peers)
 		return;
 	g_source_remove(peers->hello_timer);
+	if (peers->first_timer)
+		g_source_remove(peers->first_timer);
 	g_source_destroy(peers->source);
 	g_source_unref(peers->source);
 	g_object_unref(peers->socket);
--- a/direct/direct_peers.h
+++ b/direct/direct_peers.h
@@ -45,9 +45,10 @@
 void direct_peers_destroy(struct direct_peers *peers);
 /** Our configuration's version; told in hellos, at once when it changes. */
 void direct_peers_set_version(struct direct_peers *peers, int64_t version);
-/** Whether we take work of others; false at first, and when we end. Told at
- * once. */
+/** Whether we can take work of others; not yet, at first. Told at once. */
 void direct_peers_open(struct direct_peers *peers, bool open);
+/** We end and take no more work. Told at once. */
+void direct_peers_end_work(struct direct_peers *peers);
 /** We set an upstream aside for so long: it cannot be reached. */
 void direct_peers_tell_unreachable(struct direct_peers *peers,
 				   uint64_t upstream, int64_t aside_us);
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -37,7 +37,6 @@
 	struct pool *pool;
 	bool has_upstreams;
 	int64_t listed_us; /* when the list was handed in last */
-	bool drains;	   /* told to end */
 	bool refuses_new;  /* about to end */
 	struct retries *retries;
 	struct direct_stages *stages;
--- a/direct/direct_relay.c
+++ b/direct/direct_relay.c
@@ -132,10 +132,13 @@
 	direct_peers_send(relay->peers, asked->peer, KIND_ASK, asked->body);
 }
 
+/* Silent, or it hears us and does not take the work. */
 static bool is_gone(struct direct_relay *relay, const struct asked *asked)
 {
 	int64_t heard_us = direct_peers_heard_us(relay->peers, asked->peer);
 
+	if (!asked->taken)
+		heard_us = 0;
 	return now(relay) - MAX(heard_us, asked->first_us) > GONE_US;
 }
 
--- a/direct/direct_stages.c
+++ b/direct/direct_stages.c
@@ -14,6 +14,10 @@
 #define WAITS_US (500 * LP_US_PER_MS)
 /* Members and upstreams change slowly against this. */
 #define LOOK_MS 200
+/* An entry that has just started meets the others before it asks for pieces:
+ * those of a fleet that starts at once do so within half a second, and each
+ * would dispatch by itself until then. */
+#define MEET_US (700 * LP_US_PER_MS)
 /* Parts of a service that can be told apart. */
 #define PARTS_MAX 64
 
@@ -40,7 +44,7 @@
 	struct direct_request *request;
 	uint32_t stage;
 	struct service *service;
-	struct direct_job *job;	 /* served here; NULL: at a peer */
+	struct direct_job *job;	 /* served here; NULL: at a peer, or waits */
 	struct direct_work work; /* at a peer: kept to be asked elsewhere */
 };
 
@@ -50,6 +54,7 @@
 	GHashTable *asks;     /* number -> struct ask */
 	uint64_t next_number;
 	guint look_timer;
+	guint meet_timer; /* pieces wait for it; 0: members are met */
 };
 
 static int64_t now(const struct direct_stages *stages)
@@ -381,6 +386,18 @@
 				    on_job_made, ask);
 }
 
+static gboolean on_met(gpointer userdata)
+{
+	struct direct_stages *stages = userdata;
+	g_autoptr(GList) waiting = g_hash_table_get_values(stages->asks);
+
+	stages->meet_timer = 0;
+	find_dispatchers(stages);
+	for (GList *at = waiting; at; at = at->next)
+		place(stages, at->data);
+	return G_SOURCE_REMOVE;
+}
+
 static void on_relay_lost(void *userdata, uint64_t number)
 {
 	struct direct_stages *stages = userdata;
@@ -415,14 +432,15 @@
 	ask->work = *work;
 	memset(work, 0, sizeof(*work));
 	g_hash_table_insert(stages->asks, &ask->number, ask);
-	place(stages, ask);
+	if (!stages->meet_timer)
+		place(stages, ask);
 }
 
 static void drop_ask(struct direct_stages *stages, struct ask *ask)
 {
 	if (ask->job)
 		direct_calls_drop(ask->job);
-	else
+	else if (stages->direct->relay)
 		direct_relay_forget(stages->direct->relay, ask->number, true);
 	g_hash_table_remove(stages->asks, &ask->number);
 }
@@ -553,6 +571,8 @@
 		return;
 	stages->direct->relay =
 		direct_relay_create(stages->direct, peers, &events);
+	stages->meet_timer =
+		g_timeout_add(MEET_US / LP_US_PER_MS, on_met, stages);
 	find_dispatchers(stages);
 }
 
@@ -574,6 +594,8 @@
 void direct_stages_destroy(struct direct_stages *stages)
 {
 	g_source_remove(stages->look_timer);
+	if (stages->meet_timer)
+		g_source_remove(stages->meet_timer);
 	g_hash_table_unref(stages->asks);
 	g_hash_table_unref(stages->services);
 	g_free(stages);
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -523,6 +523,50 @@
 	EXPECT_EQ(direct_peers_count(rig.peers), 2u);
 }
 
+/* Found in an incident of Brennan grown: after all were killed, seventeen
+ * entries called the same upstreams by themselves for more than a second. */
+TEST(Relay, PiecesWaitUntilMembersAreMet)
+{
+	Rig rig;
+	Fake fake;
+
+	rig.add(PE_STAGE, "first");
+	rig.add(PE_STAGE, "second");
+	rig.add(PE_ENGINE, "engine");
+	rig.settle();
+	rig.join(first_ip, 100, { fake_ip });
+	Ask ask(rig.address, "a1", "/staged/x",
+		{ { "X-Pieces", "1,1" }, { "X-Piece-Key", "k" } });
+
+	turn_until([] { return false; }, 300);
+	fake.hello(9000);
+	ASSERT_TRUE(turn_until([&] {
+		fake.hear();
+		return fake.seen['A'] > 0 || pe_pieces_made(rig.platform) > 0;
+	}));
+	EXPECT_EQ(pe_pieces_made(rig.platform), 0u);
+	EXPECT_EQ(ask.wait().body, whole_stream);
+}
+
+/* It hears and answers, but takes no work. */
+TEST(Relay, AnAskThatALivelyPeerDoesNotTakeIsServedElsewhere)
+{
+	One one;
+
+	one.fake.hello(9000);
+	turn_until([] { return false; }, 300);
+	Ask ask(one.rig.address, "a1", "/staged/x",
+		{ { "X-Pieces", "1,1" }, { "X-Piece-Key", "k" } });
+
+	EXPECT_TRUE(turn_until(
+		[&] {
+			one.fake.hello(9000);
+			return ask.done;
+		},
+		2500));
+	EXPECT_EQ(ask.body, whole_stream);
+}
+
 /* Found on a day of entries killed in turn: each took its work back as soon as
  * it stood again. */
 TEST(Relay, AYoungMemberIsGivenLessWork)
