Prompts of a large service are placed by several entries

A service of more than 128 engines is in shares, each with a placer; a prompt's share goes by its last shared part. Where a share has nothing left all engines count. Upstreams are found by the hash of their id in a table, no more by a walk.

Nothing changes for services of today's size.

--- a/direct/direct_places.c
+++ b/direct/direct_places.c
@@ -303,6 +303,7 @@
 	ask.tried = (const char *const *)tried->pdata;
 	ask.tried_count = tried->len;
 	ask.domain = *domain ? domain : NULL;
+	direct_stages_share(places->direct->stages, &ask);
 	held = hold(places, lp_hash_pair(peer, number), &ask);
 	reply = g_variant_ref_sink(g_variant_new(
 		PLACED_TYPE, number, held ? held->upstream->hash : (guint64)0,
--- a/direct/direct_prepare.c
+++ b/direct/direct_prepare.c
@@ -64,6 +64,11 @@
 	const struct direct_stage *stages = request->route->stages;
 	const struct pool *pool = request->direct->pool;
 	const struct pool_upstream *near = NULL;
+	struct pool_ask ask = {
+		.service = request->service,
+		.parts = (struct pool_part *)request->ask.parts->data,
+		.parts_count = request->ask.parts->len,
+	};
 
 	for (uint32_t i = 0; i < stages[stage].after_count; i++) {
 		uint32_t before = stages[stage].after[i];
@@ -77,13 +82,8 @@
 			(int64_t)graph_pieces(request->graph, before);
 	}
 	if (!stages[stage].after_count && !after_stage_us(request, stage)) {
-		near = pool_home(
-			pool, &(struct pool_ask){
-				      .service = request->service,
-				      .parts = (struct pool_part *)
-						       request->ask.parts->data,
-				      .parts_count = request->ask.parts->len,
-			      });
+		direct_stages_share(request->direct->stages, &ask);
+		near = pool_home(pool, &ask);
 		piece->near_bytes = stages[stage].bytes;
 	}
 	/* The upstream may be gone before the piece is. Domains are few. */
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -377,6 +377,7 @@
 		.target_us = request->arrived_us + request->route->target_us -
 			     direct_request_now_us(request),
 	};
+	direct_stages_share(request->direct->stages, ask);
 	for (uint32_t i = 0; i < request->route->stages_count; i++)
 		ask->fetch_bytes += request->route->stages[i].bytes;
 	if (maker_upstream)
@@ -537,11 +538,18 @@
 
 static void place_by_ourselves(struct direct_request *request)
 {
+	struct pool *pool = request->direct->pool;
+	struct pool_upstream *upstream;
 	struct pool_ask ask;
 
 	request->place = (struct direct_place){ 0 };
 	write_pool_ask(request, &ask);
-	send_to(request, pool_pick(request->direct->pool, &ask));
+	upstream = pool_pick(pool, &ask);
+	if (!upstream) { /* none of its share is left */
+		ask.share_count = 0;
+		upstream = pool_pick(pool, &ask);
+	}
+	send_to(request, upstream);
 }
 
 static void on_placed(void *userdata, struct pool_upstream *upstream,
@@ -567,10 +575,10 @@
 
 	if (!direct->places || !request->ask.parts->len)
 		return false;
-	placer = direct_stages_placer(direct->stages, request->service);
+	write_pool_ask(request, &ask);
+	placer = direct_stages_placer(direct->stages, &ask);
 	if (!placer)
 		return false;
-	write_pool_ask(request, &ask);
 	request->question = direct_places_ask(direct->places, placer, &ask,
 					      on_placed, request);
 	if (!request->question)
--- a/direct/direct_stages.c
+++ b/direct/direct_stages.c
@@ -18,6 +18,9 @@
  * those of a fleet that starts at once do so within half a second, and each
  * would dispatch by itself until then. */
 #define MEET_US (700 * LP_US_PER_MS)
+/* To place prompts at so many engines is as much work as to keep one upstream
+ * of stages full. */
+#define ENGINES_PER_UPSTREAM 4
 /* Parts of a service that can be told apart. */
 #define PARTS_MAX 64
 
@@ -140,11 +143,16 @@
 			       service->parts, own ? own : UINT64_MAX);
 }
 
-static uint32_t parts_of(const struct direct_stages *stages, const char *name)
+static uint32_t parts_of(const struct direct_stages *stages,
+			 const struct service *service)
 {
-	const GPtrArray *list = pool_of_service(stages->direct->pool, name);
+	const GPtrArray *list =
+		pool_of_service(stages->direct->pool, service->name);
+	uint32_t upstreams = list ? list->len : 1;
 
-	return MIN(dispatchers_parts(list ? list->len : 1), PARTS_MAX);
+	if (service->is_engines)
+		upstreams /= ENGINES_PER_UPSTREAM;
+	return MIN(dispatchers_parts(upstreams), PARTS_MAX);
 }
 
 static uint64_t task_hash(const struct service *service, uint32_t part)
@@ -163,9 +171,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct service *service = value;
 
-		service->parts = service->is_engines
-					 ? 1
-					 : parts_of(stages, service->name);
+		service->parts = parts_of(stages, service);
 		for (uint32_t i = 0; i < service->parts; i++) {
 			struct dispatchers_task task = {
 				.hash = task_hash(service, i),
@@ -257,15 +263,30 @@
 	return dispatcher == self_of(stages) ? 0 : dispatcher;
 }
 
-uint64_t direct_stages_placer(struct direct_stages *stages, const char *name)
+void direct_stages_share(struct direct_stages *stages, struct pool_ask *ask)
 {
 	const struct service *service =
-		g_hash_table_lookup(stages->services, name);
+		g_hash_table_lookup(stages->services, ask->service);
+	uint32_t last = ask->parts_count - 1;
+
+	if (!service || !service->is_engines || !ask->parts_count)
+		return;
+	/* By the last part that others share. */
+	ask->share_count = service->parts;
+	ask->share =
+		(uint32_t)(ask->parts[last ? last - 1 : 0].id % service->parts);
+}
+
+uint64_t direct_stages_placer(struct direct_stages *stages,
+			      const struct pool_ask *ask)
+{
+	const struct service *service =
+		g_hash_table_lookup(stages->services, ask->service);
 
 	if (!service || !service->is_engines ||
-	    service->dispatchers[0] == self_of(stages))
+	    service->dispatchers[ask->share] == self_of(stages))
 		return 0;
-	return service->dispatchers[0];
+	return service->dispatchers[ask->share];
 }
 
 /* ---- asks ---- */
--- a/policy/pool.c
+++ b/policy/pool.c
@@ -51,6 +51,7 @@
 	const struct lp_clock *clock;
 	char *domain;
 	GHashTable *upstreams; /* id -> struct pool_upstream */
+	GHashTable *by_hash;   /* hash of the id -> the same */
 	GHashTable *services;  /* name -> GPtrArray of struct pool_upstream */
 };
 
@@ -95,6 +96,7 @@
 	pool->domain = g_strdup(domain);
 	pool->upstreams =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, unlist);
+	pool->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
 	pool->services =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 				      (GDestroyNotify)g_ptr_array_unref);
@@ -106,6 +108,7 @@
 	if (!pool)
 		return;
 	g_hash_table_unref(pool->services);
+	g_hash_table_unref(pool->by_hash);
 	g_hash_table_unref(pool->upstreams);
 	g_free(pool->domain);
 	g_free(pool);
@@ -201,6 +204,7 @@
 	gpointer value;
 
 	g_hash_table_remove_all(pool->services);
+	g_hash_table_remove_all(pool->by_hash);
 	changes = remove_missing(pool, entries, count);
 	for (uint32_t i = 0; i < count; i++)
 		if (take_entry(pool, &entries[i]))
@@ -211,6 +215,7 @@
 
 		g_ptr_array_add(service_list(pool, upstream->entry.service),
 				upstream);
+		g_hash_table_insert(pool->by_hash, &upstream->hash, upstream);
 	}
 	return changes;
 }
@@ -227,14 +232,7 @@
 
 struct pool_upstream *pool_find_hash(const struct pool *pool, uint64_t hash)
 {
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, pool->upstreams);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		if (((struct pool_upstream *)value)->hash == hash)
-			return value;
-	return NULL;
+	return g_hash_table_lookup(pool->by_hash, &hash);
 }
 
 /* ---- beliefs ---- */
@@ -440,6 +438,13 @@
 	return false;
 }
 
+static bool is_in_share(const struct pool_ask *ask,
+			const struct pool_upstream *upstream)
+{
+	return ask->share_count < 2 ||
+	       upstream->hash % ask->share_count == ask->share;
+}
+
 /* Where all entries would place this prefix, had they the same beliefs. */
 static uint64_t home_rank(const struct pool_ask *ask,
 			  const struct pool_upstream *upstream)
@@ -462,7 +467,8 @@
 			g_ptr_array_index(list, i);
 		uint64_t rank = home_rank(ask, upstream);
 
-		if (upstream->entry.leaving || rank <= best)
+		if (upstream->entry.leaving || rank <= best ||
+		    !is_in_share(ask, upstream))
 			continue;
 		best = rank;
 		home = upstream;
@@ -540,7 +546,7 @@
 		bool usable = pool_usable(pool, upstream);
 		double cost;
 
-		if (upstream->entry.leaving ||
+		if (upstream->entry.leaving || !is_in_share(ask, upstream) ||
 		    was_tried(ask, upstream->entry.id))
 			continue;
 		fade_beliefs(upstream, now_us);
--- a/policy/pool.h
+++ b/policy/pool.h
@@ -71,9 +71,12 @@
 	const struct pool_part *parts; /**< of the prompt, or NULL */
 	uint32_t parts_count;
 	const char *domain; /**< near what the upstream has to fetch, or NULL */
-	int64_t fetch_bytes; /**< that it has to fetch from that domain */
-	int64_t target_us;   /**< the first event is on time within this; 0: no
-				matter */
+	int64_t fetch_bytes;  /**< that it has to fetch from that domain */
+	int64_t target_us;    /**< the first event is on time within this; 0: no
+				 matter */
+	uint32_t share_count; /**< of so many shares of the service's upstreams
+			       */
+	uint32_t share;	      /**< only this one counts; 0 or 1 share: all */
 	const char *const *tried; /**< ids that are not to be chosen */
 	uint32_t tried_count;
 };
--- a/tests/direct_policy_test.cc
+++ b/tests/direct_policy_test.cc
@@ -333,6 +333,35 @@
 	EXPECT_EQ(pool_pick(pool.it, &ask), home);
 }
 
+/* A large service has several placers, each with a share of the engines. */
+TEST(Pool, KeepsToItsShareOfTheUpstreams)
+{
+	Pool pool;
+	pool_ask ask = {};
+	int found = 0;
+
+	for (const char *id : { "one", "two", "three", "four", "five" })
+		pool.add(id, "a");
+	ask.service = "s";
+	ask.share_count = 2;
+	for (ask.share = 0; ask.share < 2; ask.share++) {
+		pool_upstream *best;
+
+		ask.tried_count = 0;
+		std::vector<const char *> tried;
+
+		while ((best = pool_pick(pool.it, &ask))) {
+			EXPECT_EQ(best->hash % 2, ask.share);
+			EXPECT_EQ(pool_find_hash(pool.it, best->hash), best);
+			tried.push_back(best->entry.id);
+			ask.tried = tried.data();
+			ask.tried_count = tried.size();
+			found++;
+		}
+	}
+	EXPECT_EQ(found, 5);
+}
+
 TEST(Pool, ForgetsTheOldestPartsBeyondAnEnginesMemory)
 {
 	Pool pool;
