--- a/tests/serve_test.cc
+++ b/tests/serve_test.cc
@@ -3,7 +3,11 @@
 
 #include <gtest/gtest.h>
 
+#include <string>
+#include <vector>
+
 extern "C" {
+#include "node/node_admin.h"
 #include "store/store_serve.h"
 #include "tools/fleet.h"
 }
@@ -57,3 +61,43 @@
 	soup_server_disconnect(server);
 	g_object_unref(server);
 }
+
+/* Found by scenario.burst beside busy processes: more than ten connections came
+ * before an entry had its turn, and their requests were reset, unanswered. */
+TEST(Serve, ConnectionsWaitUntilTheyAreTaken)
+{
+	SoupServer *server = soup_server_new(nullptr, nullptr);
+	g_autofree char *why = nullptr;
+	std::string at;
+	std::vector<GSocket *> clients;
+	int port = 21350;
+	int stand = 0;
+
+	for (; port < 21400; port++) {
+		at = "127.0.0.1:" + std::to_string(port);
+		if (node_listen(server, at.c_str(), &why) == LP_OK)
+			break;
+		g_clear_pointer(&why, g_free);
+	}
+	ASSERT_LT(port, 21400);
+	GSocketAddress *address =
+		g_inet_socket_address_new_from_string("127.0.0.1", port);
+
+	for (int i = 0; i < 100; i++) {
+		GSocket *client =
+			g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+				     G_SOCKET_PROTOCOL_TCP, nullptr);
+
+		g_socket_set_blocking(client, FALSE);
+		g_socket_connect(client, address, nullptr, nullptr);
+		clients.push_back(client);
+	}
+	/* Nobody has taken any yet. */
+	for (GSocket *client : clients) {
+		stand += g_socket_condition_check(client, G_IO_OUT) == G_IO_OUT;
+		g_object_unref(client);
+	}
+	EXPECT_EQ(stand, 100);
+	g_object_unref(address);
+	g_object_unref(server);
+}
