Read again: one look at a queue for all ranks, listeners go once, no spare graph

A confirmation and each result told the waits of four ranks, and looked at all upstreams and calls four times for it: once now (pieces_estimate_each_us). Places and relay each took all listeners from the peers, the other's too; the entry does it once, before both. direct_request_graph() and the graph beside a request in two functions were what the request has.

No change of behaviour meant.

--- a/direct/direct.c
+++ b/direct/direct.c
@@ -77,6 +77,8 @@
 	for (GList *at = requests; at; at = at->next)
 		direct_request_drop(at->data);
 	http_server_destroy(direct->server);
+	if (direct->peers)
+		direct_peers_listen_none(direct->peers);
 	direct_places_destroy(direct->places);
 	direct_relay_destroy(direct->relay);
 	direct_calls_destroy(direct->calls);
--- a/direct/direct_calls.c
+++ b/direct/direct_calls.c
@@ -486,6 +486,13 @@
 	return pieces_estimate_us(service_of(calls, service)->pieces, priority);
 }
 
+void direct_calls_estimate_each_us(struct direct_calls *calls,
+				   const char *service, int64_t *out,
+				   int32_t count)
+{
+	pieces_estimate_each_us(service_of(calls, service)->pieces, out, count);
+}
+
 struct direct_calls *direct_calls_create(struct direct *direct)
 {
 	struct direct_calls *calls = g_new0(struct direct_calls, 1);
--- a/direct/direct_calls.h
+++ b/direct/direct_calls.h
@@ -62,6 +62,10 @@
 /** Time until a piece for this service that came now would be made. */
 int64_t direct_calls_estimate_us(struct direct_calls *calls,
 				 const char *service, int32_t priority);
+/** The same for each of the priorities 0 to count - 1. */
+void direct_calls_estimate_each_us(struct direct_calls *calls,
+				   const char *service, int64_t *out,
+				   int32_t count);
 /** Make the calls that can be made now. */
 void direct_calls_run(struct direct_calls *calls);
 
--- a/direct/direct_places.c
+++ b/direct/direct_places.c
@@ -386,7 +386,6 @@
 {
 	if (!places)
 		return;
-	direct_peers_listen_none(places->peers);
 	g_source_remove(places->look_timer);
 	g_hash_table_unref(places->questions);
 	g_hash_table_unref(places->held);
--- a/direct/direct_prepare.c
+++ b/direct/direct_prepare.c
@@ -206,7 +206,7 @@
 			continue;
 		if (!graph_inputs_kept(request->graph, i)) {
 			direct_stages_lost_inputs(request->direct->stages,
-						  request, request->graph, i);
+						  request, i);
 			i = UINT32_MAX; /* the loop adds one */
 			continue;
 		}
@@ -250,8 +250,7 @@
 				      "stages_fail");
 		return;
 	}
-	direct_stages_free_results(request->direct->stages, request->graph,
-				   false);
+	direct_stages_free_results(request->direct->stages, request, false);
 }
 
 void direct_request_pieces_late(struct direct_request *request)
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -72,7 +72,6 @@
 void direct_request_advance(struct direct_request *request);
 /** A piece cannot be made in time. */
 void direct_request_pieces_late(struct direct_request *request);
-struct graph *direct_request_graph(struct direct_request *request);
 
 /* ---- direct_results.c: results that nobody needs any more ---- */
 
@@ -114,11 +113,10 @@
 			struct direct_request *request);
 /** Give up what a request does not need any more. */
 void direct_stages_free_results(struct direct_stages *stages,
-				struct graph *graph, bool all);
+				struct direct_request *request, bool all);
 /** Inputs of a stage of a request are gone: have them made again. */
 void direct_stages_lost_inputs(struct direct_stages *stages,
-			       struct direct_request *request,
-			       struct graph *graph, uint32_t stage);
+			       struct direct_request *request, uint32_t stage);
 /** Time until a piece for this service that came now would be made. */
 int64_t direct_stages_estimate_us(struct direct_stages *stages,
 				  const char *service, int32_t priority);
--- a/direct/direct_relay.c
+++ b/direct/direct_relay.c
@@ -438,9 +438,8 @@
 {
 	int64_t waits_us[DIRECT_RANKS];
 
-	for (int32_t rank = 0; rank < DIRECT_RANKS; rank++)
-		waits_us[rank] = direct_calls_estimate_us(relay->direct->calls,
-							  service, rank);
+	direct_calls_estimate_each_us(relay->direct->calls, service, waits_us,
+				      DIRECT_RANKS);
 	return g_variant_new_fixed_array(G_VARIANT_TYPE_INT64, waits_us,
 					 DIRECT_RANKS, sizeof(int64_t));
 }
@@ -675,7 +674,6 @@
 {
 	if (!relay)
 		return;
-	direct_peers_listen_none(relay->peers);
 	drop_served(relay);
 	if (relay->tick)
 		g_source_remove(relay->tick);
--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -12,11 +12,6 @@
  * more than late answers did (journal of 2026-12-02). */
 #define ADMIT_TARGETS 1.0
 
-struct graph *direct_request_graph(struct direct_request *request)
-{
-	return request->graph;
-}
-
 /* ---- the end ---- */
 
 void direct_request_free(struct direct_request *request)
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -102,7 +102,7 @@
 		return;
 	}
 	direct_stages_lost_inputs(request->direct->stages, request,
-				  request->graph, request->route->stages_count);
+				  request->route->stages_count);
 	request->state = DIRECT_STATE_STAGES;
 	direct_request_advance(request);
 }
@@ -220,8 +220,7 @@
 	/* A stream that resumes has them made again: that is rare, and their
 	 * makers' room is scarce. */
 	if (request->graph)
-		direct_stages_free_results(direct->stages, request->graph,
-					   true);
+		direct_stages_free_results(direct->stages, request, true);
 }
 
 static void on_head(void *userdata, uint32_t status,
--- a/direct/direct_stages.c
+++ b/direct/direct_stages.c
@@ -302,7 +302,7 @@
 static void take_result(struct ask *ask, struct direct_result *result)
 {
 	struct direct *direct = ask->stages->direct;
-	struct graph *graph = direct_request_graph(ask->request);
+	struct graph *graph = ask->request->graph;
 	struct pool_upstream *maker =
 		pool_find_hash(direct->pool, result->maker);
 
@@ -340,7 +340,6 @@
 {
 	struct direct_stages *stages = ask->stages;
 	struct direct_request *request = ask->request;
-	struct graph *graph = direct_request_graph(request);
 	uint32_t stage = ask->stage;
 	bool late = any_is(results, count, DIRECT_ITEM_LATE);
 
@@ -351,7 +350,7 @@
 	if (!left)
 		g_hash_table_remove(stages->asks, &ask->number);
 	if (any_is(results, count, DIRECT_ITEM_INPUT_GONE))
-		direct_stages_lost_inputs(stages, request, graph, stage);
+		direct_stages_lost_inputs(stages, request, stage);
 	if (late)
 		direct_request_pieces_late(request);
 	else
@@ -498,12 +497,12 @@
 }
 
 void direct_stages_free_results(struct direct_stages *stages,
-				struct graph *graph, bool all)
+				struct direct_request *request, bool all)
 {
 	g_autoptr(GArray) results =
 		g_array_new(FALSE, FALSE, sizeof(struct graph_result));
 
-	graph_take_unneeded(graph, all, results);
+	graph_take_unneeded(request->graph, all, results);
 	give_up(stages, results);
 }
 
@@ -516,17 +515,16 @@
 }
 
 void direct_stages_lost_inputs(struct direct_stages *stages,
-			       struct direct_request *request,
-			       struct graph *graph, uint32_t stage)
+			       struct direct_request *request, uint32_t stage)
 {
 	g_autoptr(GArray) results =
 		g_array_new(FALSE, FALSE, sizeof(struct graph_result));
 
 	if (stage < request->route->stages_count) {
 		drop_asks(stages, request, &stage);
-		forget_asked(graph, stage);
+		forget_asked(request->graph, stage);
 	}
-	graph_lost_inputs(graph, stage, results);
+	graph_lost_inputs(request->graph, stage, results);
 	give_up(stages, results);
 }
 
@@ -534,7 +532,7 @@
 			struct direct_request *request)
 {
 	drop_asks(stages, request, NULL);
-	direct_stages_free_results(stages, direct_request_graph(request), true);
+	direct_stages_free_results(stages, request, true);
 }
 
 /* ---- estimates ---- */
--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -528,14 +528,30 @@
 	return (struct outlook){ 1.0, call_time_us(pieces, 1) };
 }
 
-int64_t pieces_estimate_us(const struct pieces *pieces, int32_t priority)
+static int64_t estimate_us(const struct pieces *pieces,
+			   const struct outlook *outlook, int32_t priority)
 {
 	uint32_t before = count_before(pieces, priority);
 	uint32_t batch = MAX(pieces->options.batch_max, 1);
-	struct outlook outlook = look(pieces);
 	double queue_us = (double)before * (double)call_time_us(pieces, batch) /
-			  (batch * outlook.upstreams);
+			  (batch * outlook->upstreams);
 
-	return outlook.free_us + (int64_t)queue_us +
+	return outlook->free_us + (int64_t)queue_us +
 	       call_time_us(pieces, MIN(before + 1, batch));
 }
+
+int64_t pieces_estimate_us(const struct pieces *pieces, int32_t priority)
+{
+	struct outlook outlook = look(pieces);
+
+	return estimate_us(pieces, &outlook, priority);
+}
+
+void pieces_estimate_each_us(const struct pieces *pieces, int64_t *out,
+			     int32_t count)
+{
+	struct outlook outlook = look(pieces);
+
+	for (int32_t priority = 0; priority < count; priority++)
+		out[priority] = estimate_us(pieces, &outlook, priority);
+}
--- a/policy/pieces.h
+++ b/policy/pieces.h
@@ -72,5 +72,8 @@
 void pieces_no_room(struct pieces *pieces, struct pool_upstream *upstream);
 /** Time until a piece of this priority that came now would be made. */
 int64_t pieces_estimate_us(const struct pieces *pieces, int32_t priority);
+/** The same for each of the priorities 0 to count - 1. */
+void pieces_estimate_each_us(const struct pieces *pieces, int64_t *out,
+			     int32_t count);
 
 #endif
