Pieces of callers that have waited already are due sooner

Hypothesis: after a burst or a restart, callers that come back are served as if they had just begun, before requests that could still be on time. Change: policy/patience tells from the time that is left how long a caller has waited, where the usual times of its route show it; the due time of pieces counts from the first try. What was late when it came waits for an upstream in the domain of its inputs all the same: it is no later for it.

--- a/direct/direct.c
+++ b/direct/direct.c
@@ -2,6 +2,8 @@
 #include "direct/direct_private.h"
 #include "direct/direct_relay.h"
 
+#include <string.h>
+
 static void on_request(void *userdata, struct http_call *call)
 {
 	direct_request_begin(userdata, call);
@@ -57,6 +59,8 @@
 	direct->pool = pool_create(options->clock, options->domain);
 	direct->retries = retries_create(&retries);
 	direct->requests = g_hash_table_new(NULL, NULL);
+	direct->patiences =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	direct->calls = direct_calls_create(direct);
 	direct->results = direct_results_create(direct);
 	direct->stages = direct_stages_create(direct);
@@ -88,12 +92,27 @@
 	retries_destroy(direct->retries);
 	direct_config_unref(direct->config);
 	g_hash_table_unref(direct->requests);
+	g_hash_table_unref(direct->patiences);
 	lp_histogram_destroy(direct->answer_times);
 	lp_histogram_destroy(direct->first_times);
 	g_free(direct->domain);
 	g_free(direct);
 }
 
+static gboolean is_dropped(gpointer name, gpointer patience, gpointer userdata)
+{
+	const struct direct_config *config = userdata;
+
+	for (guint i = 0; i < config->routes->len; i++) {
+		const struct direct_route *route =
+			g_ptr_array_index(config->routes, i);
+
+		if (!strcmp(route->name, name))
+			return FALSE;
+	}
+	return TRUE;
+}
+
 static void log_config(struct direct *direct, int64_t before)
 {
 	struct lp_event_log *log = direct->options.log;
@@ -132,6 +151,7 @@
 	direct_calls_configure(direct->calls, config);
 	open_to_peers(direct);
 	direct_stages_configure(direct->stages, config);
+	g_hash_table_foreach_remove(direct->patiences, is_dropped, config);
 	log_config(direct, before);
 	return true;
 }
--- a/direct/direct_prepare.c
+++ b/direct/direct_prepare.c
@@ -156,7 +156,7 @@
 		.inputs = copy_inputs(request->graph, stage),
 		.piece = {
 			.stage = stage,
-			.due_us = request->arrived_us +
+			.due_us = request->arrived_us - request->waited_us +
 				  request->route->target_us -
 				  direct_prepare_engine_us(request) -
 				  after_stage_us(request, stage) - call_us,
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -46,6 +46,7 @@
 	struct direct_relay *relay;   /* NULL: likewise */
 	struct direct_places *places; /* NULL: likewise */
 	GHashTable *requests;	      /* of struct direct_request */
+	GHashTable *patiences;	      /* route's name -> struct patience */
 	struct lp_histogram *answer_times;
 	struct lp_histogram *first_times;
 };
--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -3,6 +3,7 @@
 
 #include "base/lp_id.h"
 #include "policy/admission.h"
+#include "policy/patience.h"
 
 #include <string.h>
 
@@ -82,6 +83,7 @@
 	lp_event_int(log, "first_us",
 		     request->first_us ? request->first_us - request->arrived_us
 				       : -1);
+	lp_event_int(log, "waited_us", request->waited_us);
 	lp_event_int(log, "left_us",
 		     request->give_up_us - direct_request_now_us(request));
 	lp_event_int(log, "sendings", request->moves);
@@ -239,6 +241,19 @@
 	return request->service ? 0 : 404;
 }
 
+static struct patience *patience_of(const struct direct_request *request)
+{
+	GHashTable *patiences = request->direct->patiences;
+	const char *route = request->route->name;
+	struct patience *patience = g_hash_table_lookup(patiences, route);
+
+	if (!patience) {
+		patience = g_new0(struct patience, 1);
+		g_hash_table_insert(patiences, g_strdup(route), patience);
+	}
+	return patience;
+}
+
 static void set_give_up(struct direct_request *request)
 {
 	int64_t wait_us = request->route->timeout_us;
@@ -301,6 +316,8 @@
 	}
 	http_call_on_gone(call, on_caller_gone, request);
 	set_give_up(request);
+	request->waited_us = patience_waited_us(patience_of(request),
+						request->ask.deadline_us);
 	retries_saw_request(direct->retries, request->service);
 	if (request->route->stages_count)
 		direct_prepare_create(request);
--- a/direct/direct_request.h
+++ b/direct/direct_request.h
@@ -36,6 +36,7 @@
 	const struct direct_organisation *organisation;
 	struct direct_ask ask;
 	int64_t arrived_us;
+	int64_t waited_us; /* in earlier tries, about */
 	int64_t give_up_us;
 	int32_t priority;
 	guint give_up_timer;
--- /dev/null
+++ b/policy/patience.c
@@ -0,0 +1,51 @@
+#include "policy/patience.h"
+
+#include "base/lp_clock.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdlib.h>
+
+/* Times that lie closer are one: a request takes some of it to be read. */
+#define STEP_US (20 * LP_US_PER_MS)
+/* A time is usual if so many of those remembered are the same: a sixteenth. */
+#define USUAL_MIN 4
+
+static bool is_usual(const struct patience *patience, int32_t steps)
+{
+	uint32_t same = 0;
+
+	for (uint32_t i = 0; i < PATIENCE_KEPT; i++)
+		if (abs(patience->given[i] - steps) <= 1)
+			same++;
+	return same >= USUAL_MIN;
+}
+
+/* The next longer time that is usual, or 0. */
+static int32_t usual_above(const struct patience *patience, int32_t steps)
+{
+	int32_t best = 0;
+
+	for (uint32_t i = 0; i < PATIENCE_KEPT; i++) {
+		int32_t given = patience->given[i];
+
+		if (given > steps && (!best || given < best) &&
+		    is_usual(patience, given))
+			best = given;
+	}
+	return best;
+}
+
+int64_t patience_waited_us(struct patience *patience, int64_t left_us)
+{
+	int32_t steps = (int32_t)MIN(left_us / STEP_US, G_MAXINT32 / 2);
+	int32_t usual;
+
+	if (steps <= 0)
+		return 0;
+	patience->given[patience->next++ % PATIENCE_KEPT] = steps;
+	if (is_usual(patience, steps))
+		return 0;
+	usual = usual_above(patience, steps);
+	return usual ? (usual - steps) * STEP_US : 0;
+}
--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -284,6 +284,12 @@
 	return false;
 }
 
+/* Waiting any longer would make it late. What came too late does not mind. */
+static bool is_due(const struct piece *piece, int64_t now_us)
+{
+	return now_us >= piece->due_us && piece->due_us > piece->added_us;
+}
+
 /* Whether a group goes there now, or waits for an upstream nearer to what it
  * takes in: as long as the bytes that would cross are worth, and as it can
  * wait without being late. */
@@ -299,7 +305,7 @@
 	worth_us =
 		first->near_bytes * (end - start) /
 		(first->has_inputs ? INPUT_BYTES_PER_US : FETCH_BYTES_PER_US);
-	return now_us >= first->due_us ||
+	return is_due(first, now_us) ||
 	       now_us - first->added_us >= MIN(worth_us, FAR_WAIT_MAX_US) ||
 	       !any_usable_in(pieces, first->near);
 }
--- a/tests/cwrap.h
+++ b/tests/cwrap.h
@@ -41,6 +41,7 @@
 #include "policy/limit.h"
 #include "policy/member.h"
 #include "policy/order.h"
+#include "policy/patience.h"
 #include "policy/pieces.h"
 #include "policy/pool.h"
 #include "policy/quant.h"
