--- a/tests/near_test.cc
+++ b/tests/near_test.cc
@@ -19,7 +19,7 @@
 struct Near : Pool {
 	pieces *queue;
 	std::vector<pieces_call *> calls;
-	int requests[400];
+	int requests[512];
 	int64_t far_bytes = 0;
 	int64_t all_bytes = 0;
 	uint32_t late = 0;
@@ -99,6 +99,7 @@
 
 		for (; clock.now_us < end_us; clock.now_us += 5 * ms) {
 			while (next_us <= clock.now_us) {
+				ASSERT_LT(request, (int)G_N_ELEMENTS(requests));
 				ask(request++);
 				next_us += every_us;
 			}
