Read again: one look while members are met, one bound on others' results, a request's door in two steps

While members were met, the list of waiting asks was built anew every 10 ms and thrown away; the timer was set anew each time. room_learn() and room_told() held the same bound twice. A comment said that a full queue empties sooner than an entry starts, which holds no more. No change of behaviour, no assertion changed.

--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -297,31 +297,19 @@
 	       request->give_up_us - request->arrived_us <= SHORT_US;
 }
 
-void direct_request_begin(struct direct *direct, struct http_call *call)
+/* It can be read, and its entry is configured. */
+static void enter(struct direct_request *request)
 {
-	struct direct_request *request = create_request(direct, call);
-	bool readable = direct->options.codec->read_ask(http_call_fields(call),
-							&request->ask);
-	uint32_t status;
+	struct direct *direct = request->direct;
+	uint32_t status = match(request);
 
-	request->id = g_strdup(request->ask.id ? request->ask.id : "");
-	if (!direct_ready(direct)) {
-		direct_request_refuse(request, DIRECT_WAIT_START_US,
-				      "not_configured");
-		return;
-	}
-	if (!readable) {
-		direct_request_answer_own(request, 400, 0, "unreadable");
-		return;
-	}
-	status = match(request);
 	if (status) {
 		direct_request_answer_own(request, status, 0,
 					  status == 401 ? "unknown_key"
 							: "no_route");
 		return;
 	}
-	http_call_on_gone(call, on_caller_gone, request);
+	http_call_on_gone(request->call, on_caller_gone, request);
 	set_give_up(request);
 	if (direct->end_us && !ends_in_time(request)) {
 		direct_request_refuse(request, DIRECT_WAIT_ELSEWHERE_US,
@@ -336,3 +324,19 @@
 	if (admit(request))
 		direct_request_advance(request);
 }
+
+void direct_request_begin(struct direct *direct, struct http_call *call)
+{
+	struct direct_request *request = create_request(direct, call);
+	bool readable = direct->options.codec->read_ask(http_call_fields(call),
+							&request->ask);
+
+	request->id = g_strdup(request->ask.id ? request->ask.id : "");
+	if (!direct_ready(direct))
+		direct_request_refuse(request, DIRECT_WAIT_START_US,
+				      "not_configured");
+	else if (!readable)
+		direct_request_answer_own(request, 400, 0, "unreadable");
+	else
+		enter(request);
+}
--- a/direct/direct_request.h
+++ b/direct/direct_request.h
@@ -15,7 +15,7 @@
 #define DIRECT_WAIT_ELSEWHERE_US (20 * LP_US_PER_MS)
 /** One that has just started is configured within about 100 ms. */
 #define DIRECT_WAIT_START_US (100 * LP_US_PER_MS)
-/** ... a queue that is full empties sooner. */
+/** A queue that is full empties within about a call. */
 #define DIRECT_WAIT_FULL_US (250 * LP_US_PER_MS)
 /** A first event at an engine without load, about; slowness is learnt. */
 #define DIRECT_ENGINE_FIRST_US (120 * LP_US_PER_MS)
--- a/direct/direct_stages.c
+++ b/direct/direct_stages.c
@@ -395,27 +395,15 @@
 				    on_job_made, ask);
 }
 
-static gboolean on_met(gpointer userdata);
-
-/* Returns whether members are still being met. */
-static bool wait_for_members(struct direct_stages *stages)
-{
-	int64_t left_us = direct_peers_meeting_left_us(stages->direct->peers);
-
-	stages->meet_timer = 0;
-	if (left_us)
-		stages->meet_timer =
-			g_timeout_add(MEET_LOOK_MS, on_met, stages);
-	return left_us;
-}
-
-static gboolean on_met(gpointer userdata)
+static gboolean on_met_look(gpointer userdata)
 {
 	struct direct_stages *stages = userdata;
-	g_autoptr(GList) waiting = g_hash_table_get_values(stages->asks);
+	g_autoptr(GList) waiting = NULL;
 
-	if (wait_for_members(stages))
-		return G_SOURCE_REMOVE;
+	if (direct_peers_meeting_left_us(stages->direct->peers))
+		return G_SOURCE_CONTINUE;
+	stages->meet_timer = 0;
+	waiting = g_hash_table_get_values(stages->asks);
 	find_dispatchers(stages);
 	for (GList *at = waiting; at; at = at->next)
 		place(stages, at->data);
@@ -587,7 +575,7 @@
 		return;
 	stages->direct->relay =
 		direct_relay_create(stages->direct, peers, &events);
-	wait_for_members(stages);
+	stages->meet_timer = g_timeout_add(MEET_LOOK_MS, on_met_look, stages);
 	find_dispatchers(stages);
 }
 
--- a/policy/room.c
+++ b/policy/room.c
@@ -126,6 +126,12 @@
 	room->other_until_us = now(room) + room->options.linger_us;
 }
 
+/* There is not more than that. */
+static void bound_other(struct room *room, int64_t most_bytes)
+{
+	room->other_bytes = MIN(room->other_bytes, MAX(most_bytes, 0));
+}
+
 void room_learn(struct room *room, int64_t all_bytes, int64_t own_bytes,
 		int64_t made_bytes, bool was_short)
 {
@@ -136,8 +142,8 @@
 	drop_expired(room);
 	if (was_short)
 		set_other(room, other_bytes);
-	else if (room->other_bytes > other_bytes)
-		room->other_bytes = MAX(other_bytes, 0);
+	else
+		bound_other(room, other_bytes);
 }
 
 void room_told(struct room *room, int64_t all_bytes, int64_t own_bytes,
@@ -147,10 +153,10 @@
 	int64_t least_other = all_bytes - own_bytes - most_bytes;
 
 	drop_expired(room);
-	if (room->other_bytes > most_other)
-		room->other_bytes = MAX(most_other, 0);
-	else if (room->other_bytes < least_other)
+	if (room->other_bytes < least_other)
 		set_other(room, least_other);
+	else
+		bound_other(room, most_other);
 }
 
 int64_t room_own_bytes(struct room *room)
--- a/tests/direct_policy_test.cc
+++ b/tests/direct_policy_test.cc
@@ -637,11 +637,23 @@
 	}
 	void end(pieces_call *call)
 	{
-		for (guint i = 0; i < call->pieces->len; i++)
-			pieces_made(queue, call,
-				    &g_array_index(call->pieces, piece, i),
-				    std::to_string(++results).c_str());
-		pieces_end(queue, call, POOL_SERVED, 0, 0);
+		end_made(queue, call, &results);
+	}
+	/* A piece whose input lies in another domain; the upstream there is at
+	 * work for 400 ms. Its bytes weigh as 50 ms. */
+	void ask_far(int64_t due_us)
+	{
+		piece far = {};
+
+		add("near", "b");
+		pool_heard_busy(it, pool_find(it, "near"),
+				clock.now_us + 400000);
+		far.request = &requests[1];
+		far.due_us = clock.now_us + due_us;
+		far.until_us = far.due_us + 5000000;
+		far.near = "b";
+		far.near_bytes = 3100000;
+		pieces_add(queue, &far);
 	}
 	/* All upstreams that are asked say that nothing else is there. */
 	void tell_rooms(int64_t bytes)
@@ -777,17 +789,8 @@
 {
 	Pieces rig;
 	pieces_call *call;
-	piece far = {};
-
-	rig.add("near", "b");
-	pool_heard_busy(rig.it, pool_find(rig.it, "near"),
-			rig.clock.now_us + 400000);
-	far.request = &rig.requests[1];
-	far.due_us = rig.clock.now_us + 900000;
-	far.until_us = far.due_us + 5000000;
-	far.near = "b";
-	far.near_bytes = 3100000; /* weighs as 50 ms */
-	pieces_add(rig.queue, &far);
+
+	rig.ask_far(900000);
 	ASSERT_TRUE(rig.next(&call).empty());
 	EXPECT_GT(pieces_wake_us(rig.queue), 0);
 	rig.clock.now_us += 49000;
@@ -802,17 +805,8 @@
 {
 	Pieces rig;
 	pieces_call *call;
-	piece far = {};
-
-	rig.add("near", "b");
-	pool_heard_busy(rig.it, pool_find(rig.it, "near"),
-			rig.clock.now_us + 400000);
-	far.request = &rig.requests[1];
-	far.due_us = rig.clock.now_us - 500000;
-	far.until_us = far.due_us + 5000000;
-	far.near = "b";
-	far.near_bytes = 3100000; /* weighs as 50 ms */
-	pieces_add(rig.queue, &far);
+
+	rig.ask_far(-500000);
 	ASSERT_TRUE(rig.next(&call).empty());
 	rig.clock.now_us += 51000;
 	ASSERT_EQ(rig.next(&call).size(), 1u);
@@ -823,17 +817,8 @@
 {
 	Pieces rig;
 	pieces_call *call;
-	piece far = {};
-
-	rig.add("near", "b");
-	pool_heard_busy(rig.it, pool_find(rig.it, "near"),
-			rig.clock.now_us + 400000);
-	far.request = &rig.requests[1];
-	far.due_us = rig.clock.now_us + 10000;
-	far.until_us = far.due_us + 5000000;
-	far.near = "b";
-	far.near_bytes = 3100000;
-	pieces_add(rig.queue, &far);
+
+	rig.ask_far(10000);
 	ASSERT_TRUE(rig.next(&call).empty());
 	rig.clock.now_us += 10000;
 	ASSERT_EQ(rig.next(&call).size(), 1u);
--- a/tests/near_test.cc
+++ b/tests/near_test.cc
@@ -4,8 +4,6 @@
 
 #include <gtest/gtest.h>
 
-#include <map>
-#include <string>
 #include <vector>
 
 namespace
@@ -14,8 +12,7 @@
 const int64_t ms = 1000;
 const char *const domains[] = { "a", "b", "c" };
 
-/* One upstream in each of three domains, at work for six sevenths of the time
- * if calls are as full as the arrivals allow. */
+/* One upstream in each of three domains. */
 struct Near : Pool {
 	pieces *queue;
 	std::vector<pieces_call *> calls;
@@ -24,6 +21,7 @@
 	int64_t all_bytes = 0;
 	uint32_t late = 0;
 	uint32_t served = 0;
+	int results = 0;
 
 	Near()
 	{
@@ -82,12 +80,7 @@
 				i++;
 				continue;
 			}
-			for (guint j = 0; j < calls[i]->pieces->len; j++)
-				pieces_made(queue, calls[i],
-					    &g_array_index(calls[i]->pieces,
-							   piece, j),
-					    "");
-			pieces_end(queue, calls[i], POOL_SERVED, 0, 0);
+			end_made(queue, calls[i], &results);
 			calls.erase(calls.begin() + (ptrdiff_t)i);
 		}
 	}
--- a/tests/pool_rig.h
+++ b/tests/pool_rig.h
@@ -4,6 +4,7 @@
 
 #include "cwrap.h"
 
+#include <string>
 #include <vector>
 
 struct Pool {
@@ -47,4 +48,13 @@
 	}
 };
 
+/* A call ends with all of its pieces made; `results` numbers their handles. */
+inline void end_made(pieces *queue, pieces_call *call, int *results)
+{
+	for (guint i = 0; i < call->pieces->len; i++)
+		pieces_made(queue, call, &g_array_index(call->pieces, piece, i),
+			    std::to_string(++*results).c_str());
+	pieces_end(queue, call, POOL_SERVED, 0, 0);
+}
+
 #endif
