--- a/store/store_http.c
+++ b/store/store_http.c
@@ -3,6 +3,8 @@
 #include "base/lp_clock.h"
 
 #define DEFAULT_TIMEOUT_US (2 * LP_US_PER_S)
+/* Read at once: of an answer of a megabyte, some dozen reads on a fast link. */
+#define READ_BYTES 65536
 
 struct store_http {
 	SoupSession *session;
@@ -12,6 +14,8 @@
 struct exchange {
 	struct store_http *http; /* NULL once it is destroyed */
 	SoupMessage *message;
+	GInputStream *stream; /* NULL: the answer's head has not come */
+	GString *body;	      /* what was received of it */
 	GCancellable *cancel;
 	guint timer;
 	void (*done)(void *userdata, const struct store_http_answer *answer);
@@ -61,34 +65,27 @@
 {
 	if (exchange->timer)
 		g_source_remove(exchange->timer);
+	if (exchange->stream)
+		g_object_unref(exchange->stream);
+	g_string_free(exchange->body, TRUE);
 	g_object_unref(exchange->message);
 	g_object_unref(exchange->cancel);
 	g_free(exchange);
 }
 
-static void on_answer(GObject *source, GAsyncResult *result, gpointer userdata)
+static void finish(struct exchange *exchange, int error)
 {
-	struct exchange *exchange = userdata;
-	struct store_http_answer answer = { 0 };
-	g_autoptr(GError) gerror = NULL;
-	GBytes *bytes = soup_session_send_and_read_finish(SOUP_SESSION(source),
-							  result, &gerror);
-	g_autofree char *text = NULL;
-
-	if (bytes) {
-		gsize size;
-		const char *data = g_bytes_get_data(bytes, &size);
+	struct store_http_answer answer = {
+		.error = error,
+		.size = exchange->body->len,
+	};
 
-		text = g_strndup(data ? data : "", size);
+	if (!error) {
 		answer.status = soup_message_get_status(exchange->message);
 		answer.etag = soup_message_headers_get_one(
 			soup_message_get_response_headers(exchange->message),
 			"ETag");
-		answer.body = text;
-		answer.size = size;
-		g_bytes_unref(bytes);
-	} else {
-		answer.error = LP_ERROR_PLATFORM_DOWN;
+		answer.body = exchange->body->str;
 	}
 	if (exchange->http) {
 		g_hash_table_remove(exchange->http->pending, exchange);
@@ -97,6 +94,48 @@
 	free_exchange(exchange);
 }
 
+static void read_on(struct exchange *exchange);
+
+static void on_bytes(GObject *source, GAsyncResult *result, gpointer userdata)
+{
+	struct exchange *exchange = userdata;
+	g_autoptr(GBytes) bytes = g_input_stream_read_bytes_finish(
+		G_INPUT_STREAM(source), result, NULL);
+	gsize size;
+	const char *data;
+
+	if (!bytes) {
+		finish(exchange, LP_ERROR_PLATFORM_DOWN);
+		return;
+	}
+	data = g_bytes_get_data(bytes, &size);
+	if (!size) {
+		finish(exchange, LP_OK);
+		return;
+	}
+	g_string_append_len(exchange->body, data, (gssize)size);
+	read_on(exchange);
+}
+
+static void read_on(struct exchange *exchange)
+{
+	g_input_stream_read_bytes_async(exchange->stream, READ_BYTES,
+					G_PRIORITY_DEFAULT, exchange->cancel,
+					on_bytes, exchange);
+}
+
+static void on_head(GObject *source, GAsyncResult *result, gpointer userdata)
+{
+	struct exchange *exchange = userdata;
+
+	exchange->stream =
+		soup_session_send_finish(SOUP_SESSION(source), result, NULL);
+	if (exchange->stream)
+		read_on(exchange);
+	else
+		finish(exchange, LP_ERROR_PLATFORM_DOWN);
+}
+
 static gboolean on_timeout(gpointer userdata)
 {
 	struct exchange *exchange = userdata;
@@ -117,6 +156,7 @@
 	exchange->done = request->done;
 	exchange->dropped = request->dropped;
 	exchange->userdata = request->userdata;
+	exchange->body = g_string_new(NULL);
 	exchange->cancel = g_cancellable_new();
 	exchange->message = soup_message_new(request->method, request->url);
 	/*
@@ -139,7 +179,7 @@
 	exchange->timer = g_timeout_add((guint)(timeout_us / LP_US_PER_MS),
 					on_timeout, exchange);
 	g_hash_table_add(http->pending, exchange);
-	soup_session_send_and_read_async(http->session, exchange->message,
-					 G_PRIORITY_DEFAULT, exchange->cancel,
-					 on_answer, exchange);
+	soup_session_send_async(http->session, exchange->message,
+				G_PRIORITY_DEFAULT, exchange->cancel, on_head,
+				exchange);
 }
--- a/store/store_http.h
+++ b/store/store_http.h
@@ -15,7 +15,7 @@
 	uint32_t status;
 	const char *etag; /**< or NULL */
 	const char *body; /**< NUL-terminated; NULL on error */
-	size_t size;
+	size_t size;	  /**< bytes received, also of an answer cut short */
 };
 
 struct store_http_request {
--- a/tests/direct_rig.h
+++ b/tests/direct_rig.h
@@ -225,6 +225,8 @@
 		plf_kv_options kv_options = {};
 		plf_feed_options options = {};
 
+		kv_options.clock = lp_clock_monotonic();
+		kv_options.log = log;
 		kv_options.address = pe_store_address(platform);
 		kv_options.counters = counters;
 		kv_options.timeout_us = 300000;
