Tests that fail: a configuration that takes longer over a link than a call may last

The incident, on the emulator: its key-value service gains a link of a given rate that its answers share, and that can fall silent.

--- a/tests/cwrap.h
+++ b/tests/cwrap.h
@@ -22,6 +22,7 @@
 #include "direct/direct_peers.h"
 #include "entry/entry_map.h"
 #include "http/http_client.h"
+#include "http/http_fetch.h"
 #include "http/http_parse.h"
 #include "http/http_server.h"
 #include "http/http_sock.h"
--- /dev/null
+++ b/tests/slow_link_test.cc
@@ -0,0 +1,140 @@
+/*
+ * A configuration that takes longer over an entry's link than a call may last.
+ *
+ * Seen: a change was confirmed and a third of the entries never had it in
+ * force. How it came about: the configuration had grown to a megabyte, which
+ * takes more than a second at 10 Mbit/s. Cause: a call was given up when its
+ * time was over, though bytes were coming, and the next one began from the
+ * start with the same time; the fetch from another entry likewise, over the
+ * same link. What proved it: the stuck entries received at the rate of their
+ * link without end, and their calls ended after one second with up to 99% of
+ * the value.
+ */
+#include "direct_rig.h"
+
+namespace
+{
+
+/* The rig's calls may last 300 ms, a watch's 500 ms and a second's slack. */
+const uint32_t slow_bytes_per_s = 40000;
+/* With these routes more a configuration is 66 KB, and 88 KB as the service
+ * sends it: 2.2 s over the slow link. */
+const int many_routes = 500;
+
+std::string grown_config(int64_t version)
+{
+	char *sample = pe_sample_config(version);
+	std::string json = sample;
+	std::string more;
+	const std::string start = "\"routes\":[";
+
+	for (int i = 0; i < many_routes; i++)
+		more += "{\"name\":\"r" + std::to_string(i) +
+			"\",\"host\":\"a.example\",\"prefix\":\"/more" +
+			std::to_string(i) +
+			"/\",\"kind\":\"idempotent\",\"timeout_ms\":2000,"
+			"\"service\":\"plain\",\"max_attempts\":2},";
+	json.insert(json.find(start) + start.size(), more);
+	g_free(sample);
+	return json;
+}
+
+bool comes_into_force(Rig &rig, int64_t version, int64_t limit_ms)
+{
+	return turn_until(
+		[&] { return direct_config_version(rig.entry) == version; },
+		limit_ms);
+}
+
+TEST(SlowLink, AConfigurationLargerThanACallsTimeComes)
+{
+	Rig rig;
+
+	rig.add(PE_PLAIN, "plain");
+	rig.settle();
+	pe_store_set_rate(rig.platform, slow_bytes_per_s);
+	pe_set_config(rig.platform, grown_config(2).c_str());
+	EXPECT_TRUE(comes_into_force(rig, 2, 5000));
+}
+
+/* As above, when the watch had failed and begins with a read. */
+TEST(SlowLink, AConfigurationLargerThanACallsTimeIsRead)
+{
+	Rig rig;
+
+	rig.add(PE_PLAIN, "plain");
+	rig.settle();
+	pe_store_fault(rig.platform, PE_STORE_BUSY);
+	ASSERT_TRUE(turn_until([&] { return !plf_feed_in_touch(rig.feed); }));
+	pe_store_set_rate(rig.platform, slow_bytes_per_s);
+	pe_set_config(rig.platform, grown_config(2).c_str());
+	pe_store_fault(rig.platform, PE_STORE_FINE);
+	EXPECT_TRUE(comes_into_force(rig, 2, 5000));
+}
+
+/* The other side of the bound: what no longer comes is not waited for. */
+TEST(SlowLink, AnAnswerThatFallsSilentIsGivenUp)
+{
+	Rig rig;
+
+	rig.add(PE_PLAIN, "plain");
+	rig.settle();
+	pe_store_set_rate(rig.platform, slow_bytes_per_s);
+	pe_set_config(rig.platform, grown_config(2).c_str());
+	turn_until([] { return false; }, 500);
+	pe_store_stall(rig.platform);
+	pe_store_set_rate(rig.platform, 0);
+	EXPECT_TRUE(comes_into_force(rig, 2, 1500));
+}
+
+/* ---- between entries ---- */
+
+struct Fetch {
+	http_fetch *fetch;
+	bool done = false;
+	int error = LP_OK;
+	size_t size = 0;
+
+	explicit Fetch(const char *address)
+	{
+		http_fetch_options options = {};
+		http_fields fields;
+
+		http_fields_init(&fields);
+		http_fields_add(&fields, "Host", address);
+		options.address = address;
+		options.method = "GET";
+		options.target = "/linepier/kv-key?key=op/config";
+		options.fields = &fields;
+		options.connect_timeout_us = 300000;
+		options.timeout_us = 300000;
+		options.done = on_done;
+		options.userdata = this;
+		fetch = http_fetch_start(&options);
+		http_fields_clear(&fields);
+	}
+	static void on_done(void *self, const http_fetch_answer *answer)
+	{
+		auto *it = static_cast<Fetch *>(self);
+
+		it->done = true;
+		it->error = answer->error;
+		it->size = answer->size;
+	}
+};
+
+TEST(SlowLink, AFetchLastsAsLongAsBytesCome)
+{
+	pe *platform = pe_create();
+
+	pe_set_config(platform, grown_config(2).c_str());
+	pe_store_set_rate(platform, slow_bytes_per_s);
+	Fetch fetch(pe_store_address(platform));
+
+	ASSERT_TRUE(turn_until([&] { return fetch.done; }, 5000));
+	EXPECT_EQ(fetch.error, LP_OK);
+	EXPECT_GT(fetch.size, grown_config(2).size());
+	pe_destroy(platform);
+}
+
+} // namespace
--- a/tools/pe.c
+++ b/tools/pe.c
@@ -337,6 +337,7 @@
 void pe_destroy(struct pe *pe)
 {
 	g_ptr_array_unref(pe->upstreams);
+	pe_link_destroy(pe->link);
 	pe_listener_destroy(pe->store);
 	g_ptr_array_unref(pe->watches);
 	g_hash_table_unref(pe->items);
--- a/tools/pe_listener.c
+++ b/tools/pe_listener.c
@@ -149,12 +149,17 @@
 		http_sock_write(conn->sock, text, strlen(text));
 }
 
-void pe_conn_answer(struct pe_conn *conn, uint32_t status, const char *extra,
-		    const char *body)
+char *pe_answer_text(uint32_t status, const char *extra, const char *body)
 {
-	g_autofree char *text = g_strdup_printf(
+	return g_strdup_printf(
 		"HTTP/1.1 %u X\r\nContent-Length: %zu\r\n%s\r\n%s", status,
 		strlen(body), extra, body);
+}
+
+void pe_conn_answer(struct pe_conn *conn, uint32_t status, const char *extra,
+		    const char *body)
+{
+	g_autofree char *text = pe_answer_text(status, extra, body);
 
 	pe_conn_write(conn, text);
 	pe_conn_end(conn, false);
--- a/tools/pe_private.h
+++ b/tools/pe_private.h
@@ -56,6 +56,7 @@
 
 struct pe {
 	struct pe_listener *store;
+	struct pe_link *link; /**< what the store's answers go over */
 	enum pe_store_fault store_fault;
 	int64_t revision;
 	GHashTable *items;    /**< key -> struct pe_item */
@@ -88,6 +89,23 @@
 /** End the connection, in order or by a reset. */
 void pe_conn_end(struct pe_conn *conn, bool reset);
 
+/** An answer as it is written; g_free(). */
+char *pe_answer_text(uint32_t status, const char *extra, const char *body);
+
+/* ---- pe_link.c: answers at the rate of a link that they share ---- */
+
+struct pe_link *pe_link_create(void);
+void pe_link_destroy(struct pe_link *link);
+/** 0: as fast as they are taken, as in the beginning. */
+void pe_link_set_rate(struct pe_link *link, uint32_t bytes_per_s);
+/** Write an answer and end the connection. */
+void pe_link_answer(struct pe_link *link, struct pe_conn *conn, uint32_t status,
+		    const char *extra, const char *body);
+/** The connection has ended. */
+void pe_link_forget(struct pe_link *link, const struct pe_conn *conn);
+/** Nothing more comes of what is under way; its connections stay open. */
+void pe_link_stall(struct pe_link *link);
+
 /* ---- pe_store.c ---- */
 
 void pe_store_create(struct pe *pe);
--- a/tools/pe_store.c
+++ b/tools/pe_store.c
@@ -41,11 +41,19 @@
 	lp_json_int(builder, "lease", 0);
 }
 
-static void answer_json(struct pe_conn *conn, JsonBuilder *builder)
+static void answer(struct pe *pe, struct pe_conn *conn, uint32_t status,
+		   const char *body)
+{
+	pe_link_answer(pe->link, conn, status, "", body);
+}
+
+static void answer_json(struct pe *pe, struct pe_conn *conn,
+			JsonBuilder *builder)
 {
 	g_autofree char *text = lp_json_print(builder);
 
-	pe_conn_answer(conn, 200, "Content-Type: application/json\r\n", text);
+	pe_link_answer(pe->link, conn, 200,
+		       "Content-Type: application/json\r\n", text);
 }
 
 static void answer_key(struct pe *pe, struct pe_conn *conn)
@@ -59,14 +67,14 @@
 			"{\"current_rev\":%" G_GINT64_FORMAT "}",
 			(gint64)pe->revision);
 
-		pe_conn_answer(conn, 404, "", body);
+		answer(pe, conn, 404, body);
 		return;
 	}
 	json_builder_begin_object(builder);
 	add_item(builder, key, item);
 	lp_json_int(builder, "current_rev", pe->revision);
 	json_builder_end_object(builder);
-	answer_json(conn, builder);
+	answer_json(pe, conn, builder);
 }
 
 /* Items under a prefix that changed after a revision; returns how many. */
@@ -105,7 +113,7 @@
 	lp_json_bool(builder, "has_more", false);
 	lp_json_int(builder, "current_rev", pe->revision);
 	json_builder_end_object(builder);
-	answer_json(conn, builder);
+	answer_json(pe, conn, builder);
 }
 
 /* Returns whether there was something to tell. */
@@ -125,7 +133,7 @@
 	if (!count && !timed_out)
 		return false;
 	g_ptr_array_remove_fast(pe->watches, conn);
-	answer_json(conn, builder);
+	answer_json(pe, conn, builder);
 	return true;
 }
 
@@ -137,7 +145,7 @@
 		(gint64)pe->revision);
 
 	g_ptr_array_remove_fast(pe->watches, conn);
-	pe_conn_answer(conn, 200, "", body);
+	answer(pe, conn, 200, body);
 }
 
 static gboolean on_watch_over(gpointer userdata)
@@ -172,7 +180,7 @@
 	if (pe->store_fault == PE_STORE_SILENT)
 		return;
 	if (pe->store_fault == PE_STORE_BUSY)
-		pe_conn_answer(conn, 503, "", "");
+		answer(pe, conn, 503, "");
 	else if (g_str_has_prefix(target, PREFIX "key?"))
 		answer_key(pe, conn);
 	else if (g_str_has_prefix(target, PREFIX "range?"))
@@ -180,7 +188,7 @@
 	else if (g_str_has_prefix(target, PREFIX "watch?"))
 		begin_watch(pe, conn);
 	else
-		pe_conn_answer(conn, 404, "", "");
+		answer(pe, conn, 404, "");
 }
 
 static void on_left(void *userdata, struct pe_conn *conn)
@@ -188,10 +196,12 @@
 	struct pe *pe = userdata;
 
 	g_ptr_array_remove_fast(pe->watches, conn);
+	pe_link_forget(pe->link, conn);
 }
 
 void pe_store_create(struct pe *pe)
 {
+	pe->link = pe_link_create();
 	pe->items = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					  free_item);
 	pe->watches = g_ptr_array_new();
@@ -227,6 +237,16 @@
 	pe->store_fault = fault;
 }
 
+void pe_store_set_rate(struct pe *pe, uint32_t bytes_per_s)
+{
+	pe_link_set_rate(pe->link, bytes_per_s);
+}
+
+void pe_store_stall(struct pe *pe)
+{
+	pe_link_stall(pe->link);
+}
+
 void pe_set_config(struct pe *pe, const char *json)
 {
 	pe_store_put(pe, "op/config", json);
