A call lasts as long as the bytes of its answer come; a watch that is being answered is left alone

Cause: the time of a call to the key-value service, and of a fetch from another entry, covered the whole transfer. 827,737 bytes of configuration are 1.10 MB in the service's answer and take 1.1 to 1.5 s at 10 Mbit/s; a read had 1 s, a call of the watch 1 s beyond its wait. Each try began from the start, with the same time, on a link that a fetch from a peer took half of: it never ended. Its class: a limit on the whole of something whose size is not ours, with a retry that keeps nothing.

Now a call has its time until the answer begins, and the same between two pieces; 10 s end it in any case (base/lp_transfer, no network).

Ruled out: a busy processor, an unreadable configuration, too little memory. The emulator's watches no longer answer a second time over a slow link (the tests still failed on the code before).

--- a/http/http_fetch.c
+++ b/http/http_fetch.c
@@ -1,12 +1,14 @@
 #include "http/http_fetch.h"
 
 #include "base/lp_clock.h"
+#include "base/lp_transfer.h"
 #include "http/http_client.h"
 
 #include <string.h>
 
 struct http_fetch {
 	struct http_exchange *exchange;
+	struct lp_transfer transfer; /* without stall_us: the timer stays */
 	guint timer;
 	uint32_t status;
 	GString *body;
@@ -37,12 +39,40 @@
 	free_fetch(fetch);
 }
 
+static gboolean on_timeout(gpointer userdata)
+{
+	struct http_fetch *fetch = userdata;
+
+	fetch->timer = 0;
+	http_exchange_cancel(fetch->exchange);
+	finish(fetch, LP_ERROR_UPSTREAM_GONE);
+	return G_SOURCE_REMOVE;
+}
+
+static void set_timer(struct http_fetch *fetch, int64_t wait_us)
+{
+	if (fetch->timer)
+		g_source_remove(fetch->timer);
+	fetch->timer = g_timeout_add((guint)(wait_us / LP_US_PER_MS),
+				     on_timeout, fetch);
+}
+
+static void await_more(struct http_fetch *fetch)
+{
+	int64_t now_us = lp_now_us(lp_clock_monotonic());
+
+	if (fetch->transfer.stall_us)
+		set_timer(fetch, lp_transfer_wait_us(&fetch->transfer, now_us));
+}
+
 static void on_head(void *userdata, uint32_t status,
 		    const struct http_fields *fields)
 {
 	struct http_fetch *fetch = userdata;
 
 	fetch->status = status;
+	fetch->transfer.begun_us = lp_now_us(lp_clock_monotonic());
+	await_more(fetch);
 	if (fetch->head)
 		fetch->head(fetch->userdata, status, fields);
 }
@@ -52,6 +82,7 @@
 	struct http_fetch *fetch = userdata;
 
 	g_string_append_len(fetch->body, bytes, (gssize)size);
+	await_more(fetch);
 }
 
 static void on_done(void *userdata, int error, bool sent)
@@ -65,16 +96,6 @@
 	.done = on_done,
 };
 
-static gboolean on_timeout(gpointer userdata)
-{
-	struct http_fetch *fetch = userdata;
-
-	fetch->timer = 0;
-	http_exchange_cancel(fetch->exchange);
-	finish(fetch, LP_ERROR_UPSTREAM_GONE);
-	return G_SOURCE_REMOVE;
-}
-
 struct http_fetch *http_fetch_start(const struct http_fetch_options *options)
 {
 	struct http_fetch *fetch = g_new0(struct http_fetch, 1);
@@ -99,8 +120,8 @@
 		free_fetch(fetch);
 		return NULL;
 	}
-	fetch->timer = g_timeout_add(
-		(guint)(options->timeout_us / LP_US_PER_MS), on_timeout, fetch);
+	fetch->transfer.stall_us = options->stall_us;
+	set_timer(fetch, options->timeout_us);
 	return fetch;
 }
 
--- a/http/http_fetch.h
+++ b/http/http_fetch.h
@@ -1,6 +1,6 @@
 /**
- * One exchange whose answer is wanted whole, within a time: http_client.h with
- * a buffer and a timer.
+ * One exchange whose answer is wanted whole, within a time or as long as its
+ * bytes come: http_client.h with a buffer and a timer.
  */
 #ifndef HTTP_FETCH_H
 #define HTTP_FETCH_H
@@ -26,7 +26,11 @@
 	const struct http_fields *fields;
 	const char *body; /**< NUL-terminated, or NULL: none is sent */
 	int64_t connect_timeout_us;
-	int64_t timeout_us; /**< of the whole exchange */
+	int64_t timeout_us; /**< of the whole exchange, or if stall_us is set:
+				 until the answer begins */
+	/** Between two pieces of an answer whose size is not bounded; 0: the
+	 * answer is short, and the time is that of the whole. */
+	int64_t stall_us;
 	/** The head of the answer; may be NULL. */
 	void (*head)(void *userdata, uint32_t status,
 		     const struct http_fields *fields);
--- a/store/store_etcd.c
+++ b/store/store_etcd.c
@@ -442,6 +442,14 @@
 	end_watch(etcd, LP_OK);
 }
 
+/* Its answer is one stream without an end. */
+static bool etcd_watch_waits(const struct store_kv *kv)
+{
+	const struct etcd *etcd = (const struct etcd *)kv;
+
+	return etcd->watch_cancel != NULL;
+}
+
 static void
 etcd_watch(struct store_kv *kv, const char *purpose, const char *key,
 	   void (*changed)(void *userdata, const struct store_pair *pair),
@@ -497,6 +505,7 @@
 	.lease_grant = etcd_lease_grant,
 	.watch = etcd_watch,
 	.unwatch = etcd_unwatch,
+	.watch_waits = etcd_watch_waits,
 	.destroy = etcd_destroy,
 };
 
--- a/store/store_http.c
+++ b/store/store_http.c
@@ -1,6 +1,7 @@
 #include "store/store_http.h"
 
 #include "base/lp_clock.h"
+#include "base/lp_transfer.h"
 
 #define DEFAULT_TIMEOUT_US (2 * LP_US_PER_S)
 /* Read at once: of an answer of a megabyte, some dozen reads on a fast link. */
@@ -8,16 +9,18 @@
 
 struct store_http {
 	SoupSession *session;
-	GHashTable *pending; /* of struct exchange */
+	GHashTable *pending; /* of struct store_http_exchange */
 };
 
-struct exchange {
+struct store_http_exchange {
 	struct store_http *http; /* NULL once it is destroyed */
 	SoupMessage *message;
 	GInputStream *stream; /* NULL: the answer's head has not come */
 	GString *body;	      /* what was received of it */
 	GCancellable *cancel;
+	struct lp_transfer transfer; /* of the body */
 	guint timer;
+	void (*begun)(void *userdata);
 	void (*done)(void *userdata, const struct store_http_answer *answer);
 	void (*dropped)(void *userdata);
 	void *userdata;
@@ -34,6 +37,21 @@
 	return http;
 }
 
+/* Freed when the cancelled call comes back. */
+static void drop(struct store_http_exchange *exchange)
+{
+	exchange->http = NULL;
+	if (exchange->dropped)
+		exchange->dropped(exchange->userdata);
+	g_cancellable_cancel(exchange->cancel);
+}
+
+void store_http_cancel(struct store_http_exchange *exchange)
+{
+	g_hash_table_remove(exchange->http->pending, exchange);
+	drop(exchange);
+}
+
 void store_http_destroy(struct store_http *http)
 {
 	GHashTableIter iter;
@@ -42,14 +60,8 @@
 	if (!http)
 		return;
 	g_hash_table_iter_init(&iter, http->pending);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		struct exchange *exchange = key;
-
-		exchange->http = NULL;
-		if (exchange->dropped)
-			exchange->dropped(exchange->userdata);
-		g_cancellable_cancel(exchange->cancel);
-	}
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		drop(key);
 	g_hash_table_unref(http->pending);
 	soup_session_abort(http->session);
 	g_object_unref(http->session);
@@ -61,7 +73,7 @@
 	return http->session;
 }
 
-static void free_exchange(struct exchange *exchange)
+static void free_exchange(struct store_http_exchange *exchange)
 {
 	if (exchange->timer)
 		g_source_remove(exchange->timer);
@@ -73,7 +85,7 @@
 	g_free(exchange);
 }
 
-static void finish(struct exchange *exchange, int error)
+static void finish(struct store_http_exchange *exchange, int error)
 {
 	struct store_http_answer answer = {
 		.error = error,
@@ -94,11 +106,28 @@
 	free_exchange(exchange);
 }
 
-static void read_on(struct exchange *exchange);
+static gboolean on_timeout(gpointer userdata)
+{
+	struct store_http_exchange *exchange = userdata;
+
+	exchange->timer = 0;
+	g_cancellable_cancel(exchange->cancel);
+	return G_SOURCE_REMOVE;
+}
+
+static void set_timer(struct store_http_exchange *exchange, int64_t wait_us)
+{
+	if (exchange->timer)
+		g_source_remove(exchange->timer);
+	exchange->timer = g_timeout_add((guint)(wait_us / LP_US_PER_MS),
+					on_timeout, exchange);
+}
+
+static void read_on(struct store_http_exchange *exchange);
 
 static void on_bytes(GObject *source, GAsyncResult *result, gpointer userdata)
 {
-	struct exchange *exchange = userdata;
+	struct store_http_exchange *exchange = userdata;
 	g_autoptr(GBytes) bytes = g_input_stream_read_bytes_finish(
 		G_INPUT_STREAM(source), result, NULL);
 	gsize size;
@@ -117,8 +146,11 @@
 	read_on(exchange);
 }
 
-static void read_on(struct exchange *exchange)
+static void read_on(struct store_http_exchange *exchange)
 {
+	int64_t now_us = lp_now_us(lp_clock_monotonic());
+
+	set_timer(exchange, lp_transfer_wait_us(&exchange->transfer, now_us));
 	g_input_stream_read_bytes_async(exchange->stream, READ_BYTES,
 					G_PRIORITY_DEFAULT, exchange->cancel,
 					on_bytes, exchange);
@@ -126,33 +158,31 @@
 
 static void on_head(GObject *source, GAsyncResult *result, gpointer userdata)
 {
-	struct exchange *exchange = userdata;
+	struct store_http_exchange *exchange = userdata;
 
 	exchange->stream =
 		soup_session_send_finish(SOUP_SESSION(source), result, NULL);
-	if (exchange->stream)
-		read_on(exchange);
-	else
+	if (!exchange->stream) {
 		finish(exchange, LP_ERROR_PLATFORM_DOWN);
+		return;
+	}
+	exchange->transfer.begun_us = lp_now_us(lp_clock_monotonic());
+	if (exchange->http && exchange->begun)
+		exchange->begun(exchange->userdata);
+	read_on(exchange);
 }
 
-static gboolean on_timeout(gpointer userdata)
-{
-	struct exchange *exchange = userdata;
-
-	exchange->timer = 0;
-	g_cancellable_cancel(exchange->cancel);
-	return G_SOURCE_REMOVE;
-}
-
-void store_http_send(struct store_http *http,
-		     const struct store_http_request *request)
+struct store_http_exchange *
+store_http_send(struct store_http *http,
+		const struct store_http_request *request)
 {
-	struct exchange *exchange = g_new0(struct exchange, 1);
+	struct store_http_exchange *exchange =
+		g_new0(struct store_http_exchange, 1);
 	int64_t timeout_us =
 		request->timeout_us ? request->timeout_us : DEFAULT_TIMEOUT_US;
 
 	exchange->http = http;
+	exchange->begun = request->begun;
 	exchange->done = request->done;
 	exchange->dropped = request->dropped;
 	exchange->userdata = request->userdata;
@@ -176,10 +206,12 @@
 		soup_message_headers_replace(
 			soup_message_get_request_headers(exchange->message),
 			"If-None-Match", request->etag);
-	exchange->timer = g_timeout_add((guint)(timeout_us / LP_US_PER_MS),
-					on_timeout, exchange);
+	exchange->transfer.stall_us =
+		request->stall_us ? request->stall_us : timeout_us;
+	set_timer(exchange, timeout_us);
 	g_hash_table_add(http->pending, exchange);
 	soup_session_send_async(http->session, exchange->message,
 				G_PRIORITY_DEFAULT, exchange->cancel, on_head,
 				exchange);
+	return exchange;
 }
--- a/store/store_http.h
+++ b/store/store_http.h
@@ -8,6 +8,8 @@
 #include <libsoup/soup.h>
 
 struct store_http;
+/** One on its way; ends with done() or dropped(). */
+struct store_http_exchange;
 
 /** What came of an exchange. Borrowed during the callback. */
 struct store_http_answer {
@@ -23,9 +25,13 @@
 	const char *url;
 	const char *body;   /**< JSON, or NULL */
 	const char *etag;   /**< sent as If-None-Match, or NULL */
-	int64_t timeout_us; /**< 0: 2 s */
+	int64_t timeout_us; /**< until the answer begins; 0: 2 s */
+	int64_t stall_us;   /**< between two pieces of it; 0: timeout_us */
+	/** The answer begins to come; or NULL. */
+	void (*begun)(void *userdata);
 	void (*done)(void *userdata, const struct store_http_answer *answer);
-	/** Called in place of done() when the client is destroyed; or NULL. */
+	/** Called in place of done() when it is cancelled or the client is
+	 * destroyed; or NULL. */
 	void (*dropped)(void *userdata);
 	void *userdata;
 };
@@ -37,8 +43,10 @@
 /**
  * Start an exchange. done() is called once, never from inside this call.
  */
-void store_http_send(struct store_http *http,
-		     const struct store_http_request *request);
+struct store_http_exchange *
+store_http_send(struct store_http *http,
+		const struct store_http_request *request);
+void store_http_cancel(struct store_http_exchange *exchange);
 SoupSession *store_http_session(struct store_http *http);
 
 #endif
--- a/store/store_kv.h
+++ b/store/store_kv.h
@@ -77,6 +77,9 @@
 		      void (*ended)(void *userdata, int error), void *userdata);
 	/** End the watch; ended() is not called. */
 	void (*unwatch)(struct store_kv *kv);
+	/** Whether a watch waits, and nothing of an answer is coming: it may
+	 * have been lost in silence. */
+	bool (*watch_waits)(const struct store_kv *kv);
 	void (*destroy)(struct store_kv *kv);
 };
 
--- a/tests/cwrap.h
+++ b/tests/cwrap.h
@@ -15,6 +15,7 @@
 #include "base/lp_event.h"
 #include "base/lp_id.h"
 #include "base/lp_settings.h"
+#include "base/lp_transfer.h"
 #include "config/cfg.h"
 #include "config/cfg_record.h"
 #include "direct/direct.h"
--- a/tests/slow_link_test.cc
+++ b/tests/slow_link_test.cc
@@ -87,6 +87,26 @@
 	EXPECT_TRUE(comes_into_force(rig, 2, 1500));
 }
 
+/* ---- how long a transfer may go on ---- */
+
+TEST(SlowLink, BytesThatComeAreAwaitedSilenceIsNot)
+{
+	const lp_transfer transfer = { 300, 1000 };
+
+	EXPECT_EQ(lp_transfer_wait_us(&transfer, 1000), 300);
+	EXPECT_EQ(lp_transfer_wait_us(&transfer, 5000000), 300);
+}
+
+/* A trickle must leave the link to another try at last. */
+TEST(SlowLink, NoTransferGoesOnForEver)
+{
+	const lp_transfer transfer = { 300, 1000 };
+
+	EXPECT_EQ(lp_transfer_wait_us(&transfer, 10000900), 100);
+	EXPECT_EQ(lp_transfer_wait_us(&transfer, 10001000), 0);
+	EXPECT_EQ(lp_transfer_wait_us(&transfer, 20000000), 0);
+}
+
 /* ---- between entries ---- */
 
 struct Fetch {
@@ -108,6 +128,7 @@
 		options.fields = &fields;
 		options.connect_timeout_us = 300000;
 		options.timeout_us = 300000;
+		options.stall_us = 300000;
 		options.done = on_done;
 		options.userdata = this;
 		fetch = http_fetch_start(&options);
--- a/tools/pe_link.c
+++ b/tools/pe_link.c
@@ -93,6 +93,9 @@
 		pe_conn_answer(conn, status, extra, body);
 		return;
 	}
+	if (conn->timer)
+		g_source_remove(conn->timer); /* it is answered now */
+	conn->timer = 0;
 	sending = g_new0(struct sending, 1);
 	sending->conn = conn;
 	sending->text = pe_answer_text(status, extra, body);
