--- a/tests/base_test.cc
+++ b/tests/base_test.cc
@@ -111,3 +111,22 @@
 		     "--color: got 'green', expected one of red|blue");
 	lp_settings_clear(table, G_N_ELEMENTS(table), &settings, &rest);
 }
+
+TEST(Zip, GivesBackTheTextOfWholeBytesOnly)
+{
+	const std::string text(100000, 'x');
+	GBytes *zipped = lp_zip(text.c_str());
+	gsize size;
+	auto *bytes =
+		static_cast<const char *>(g_bytes_get_data(zipped, &size));
+	char *back = lp_unzip(bytes, size, text.size());
+
+	ASSERT_NE(back, nullptr);
+	EXPECT_EQ(text, back);
+	EXPECT_EQ(lp_unzip(bytes, size - 1, text.size()), nullptr);
+	EXPECT_EQ(lp_unzip(bytes, size, text.size() - 1), nullptr);
+	EXPECT_EQ(lp_unzip("plain", 5, text.size()), nullptr);
+	EXPECT_EQ(lp_unzip("", 0, text.size()), nullptr);
+	g_free(back);
+	g_bytes_unref(zipped);
+}
--- a/tests/slow_link_test.cc
+++ b/tests/slow_link_test.cc
@@ -115,7 +115,7 @@
 	int error = LP_OK;
 	size_t size = 0;
 
-	explicit Fetch(const char *address)
+	Fetch(const char *address, const char *target)
 	{
 		http_fetch_options options = {};
 		http_fields fields;
@@ -124,7 +124,7 @@
 		http_fields_add(&fields, "Host", address);
 		options.address = address;
 		options.method = "GET";
-		options.target = "/linepier/kv-key?key=op/config";
+		options.target = target;
 		options.fields = &fields;
 		options.connect_timeout_us = 300000;
 		options.timeout_us = 300000;
@@ -150,7 +150,8 @@
 
 	pe_set_config(platform, grown_config(2).c_str());
 	pe_store_set_rate(platform, slow_bytes_per_s);
-	Fetch fetch(pe_store_address(platform));
+	Fetch fetch(pe_store_address(platform),
+		    "/linepier/kv-key?key=op/config");
 
 	ASSERT_TRUE(turn_until([&] { return fetch.done; }, 5000));
 	EXPECT_EQ(fetch.error, LP_OK);
@@ -158,4 +159,23 @@
 	pe_destroy(platform);
 }
 
+/* A peer's copy goes over the same link as the service's, and many ask one
+ * peer: routes repeat their words, so it is sent zipped. */
+TEST(SlowLink, APeersCopyIsATenthOfTheConfiguration)
+{
+	const std::string peer =
+		"127.0.0.1:" + std::to_string(peers_port() + 60);
+	Rig rig;
+
+	rig.add(PE_PLAIN, "plain");
+	pe_set_config(rig.platform, grown_config(2).c_str());
+	rig.settle(2);
+	rig.share_with("127.0.0.1");
+	Fetch fetch(peer.c_str(), "/config");
+
+	ASSERT_TRUE(turn_until([&] { return fetch.done; }, 5000));
+	EXPECT_EQ(fetch.error, LP_OK);
+	EXPECT_LT(fetch.size, grown_config(2).size() / 10);
+}
+
 } // namespace
