Emulator: connections to the key-value service are kept, and may go silent for good; tests of it

Proof for connections kept between an entry and the service: those that are open go silent, new ones work; a change and a leaving upstream are known in time. A fetch between entries that falls silent midway is given up too.

--- a/direct/direct_config.h
+++ b/direct/direct_config.h
@@ -106,7 +106,8 @@
 /**
  * The route of a host and path: of those whose prefix begins the path the one
  * with the longest, or NULL. Looks up the path's beginnings, so its cost does
- * not grow with the routes: 1 us in place of 160 among 4,250, on a core.
+ * not grow with the routes: 0.2 us of a core among 4,250, where comparing them
+ * in turn takes 85 to 180.
  */
 const struct direct_route *
 direct_config_route(const struct direct_config *config, const char *host,
--- a/tests/slow_link_test.cc
+++ b/tests/slow_link_test.cc
@@ -82,11 +82,37 @@
 	pe_store_set_rate(rig.platform, slow_bytes_per_s);
 	pe_set_config(rig.platform, grown_config(2).c_str());
 	turn_until([] { return false; }, 500);
-	pe_store_stall(rig.platform);
+	pe_store_silence(rig.platform);
 	pe_store_set_rate(rig.platform, 0);
 	EXPECT_TRUE(comes_into_force(rig, 2, 1500));
 }
 
+/* ---- connections that go silent between two answers ---- */
+
+/* Kept connections to the service are silent from now on: what is changed then
+ * is known within the time of a look, the watch begins anew with it. */
+TEST(SlowLink, KeptConnectionsThatFallSilentAreLeft)
+{
+	Rig rig;
+	pe_upstream *leaving = rig.add(PE_PLAIN, "plain");
+	pe_upstream *staying = rig.add(PE_PLAIN, "plain");
+
+	rig.settle();
+	pe_store_silence(rig.platform);
+	rig.set_config(2);
+	pe_drain(leaving);
+	EXPECT_TRUE(comes_into_force(rig, 2, 1500));
+	turn_until([] { return false; }, 300);
+	for (int i = 0; i < 8; i++) {
+		const std::string id = "a" + std::to_string(i);
+
+		EXPECT_EQ(Ask(rig.address, id.c_str(), "/look/x").wait().status,
+			  200u);
+	}
+	EXPECT_EQ(pe_arrivals(leaving), 0u);
+	EXPECT_EQ(pe_arrivals(staying), 8u);
+}
+
 /* ---- how long a transfer may go on ---- */
 
 TEST(SlowLink, BytesThatComeAreAwaitedSilenceIsNot)
@@ -159,6 +185,23 @@
 	pe_destroy(platform);
 }
 
+TEST(SlowLink, AFetchThatFallsSilentIsGivenUp)
+{
+	pe *platform = pe_create();
+
+	pe_set_config(platform, grown_config(2).c_str());
+	pe_store_set_rate(platform, slow_bytes_per_s);
+	Fetch fetch(pe_store_address(platform),
+		    "/linepier/kv-key?key=op/config");
+
+	turn_until([] { return false; }, 500);
+	EXPECT_FALSE(fetch.done);
+	pe_store_silence(platform);
+	ASSERT_TRUE(turn_until([&] { return fetch.done; }, 1000));
+	EXPECT_NE(fetch.error, LP_OK);
+	pe_destroy(platform);
+}
+
 /* A peer's copy goes over the same link as the service's, and many ask one
  * peer: routes repeat their words, so it is sent zipped. */
 TEST(SlowLink, APeersCopyIsATenthOfTheConfiguration)
--- a/tools/pe.h
+++ b/tools/pe.h
@@ -54,8 +54,9 @@
 void pe_store_fault(struct pe *pe, enum pe_store_fault fault);
 /** The rate of the link that the service's answers share; 0: no bound. */
 void pe_store_set_rate(struct pe *pe, uint32_t bytes_per_s);
-/** Answers on their way over such a link go silent; their connections stay. */
-void pe_store_stall(struct pe *pe);
+/** The connections that are open go silent for good, in the middle of an answer
+ * too; new ones work. */
+void pe_store_silence(struct pe *pe);
 /** Write the operators' configuration. */
 void pe_set_config(struct pe *pe, const char *json);
 /** A configuration of this version with one route of each kind; g_free(). */
--- a/tools/pe_link.c
+++ b/tools/pe_link.c
@@ -65,7 +65,7 @@
 	if (sending->sent < sending->size)
 		return;
 	g_ptr_array_remove_index(link->sendings, index);
-	pe_conn_end(conn, false);
+	pe_conn_next(conn);
 }
 
 /* What is under way shares the link evenly. */
@@ -87,19 +87,23 @@
 void pe_link_answer(struct pe_link *link, struct pe_conn *conn, uint32_t status,
 		    const char *extra, const char *body)
 {
+	g_autofree char *text = pe_answer_text(status, extra, body);
 	struct sending *sending;
 
-	if (!link->bytes_per_s) {
-		pe_conn_answer(conn, status, extra, body);
-		return;
-	}
 	if (conn->timer)
 		g_source_remove(conn->timer); /* it is answered now */
 	conn->timer = 0;
+	if (conn->silent)
+		return;
+	if (!link->bytes_per_s) {
+		pe_conn_write(conn, text);
+		pe_conn_next(conn);
+		return;
+	}
 	sending = g_new0(struct sending, 1);
 	sending->conn = conn;
-	sending->text = pe_answer_text(status, extra, body);
-	sending->size = strlen(sending->text);
+	sending->size = strlen(text);
+	sending->text = g_steal_pointer(&text);
 	g_ptr_array_add(link->sendings, sending);
 	if (!link->timer)
 		link->timer = g_timeout_add(TICK_MS, on_tick, link);
--- a/tools/pe_listener.c
+++ b/tools/pe_listener.c
@@ -51,7 +51,7 @@
 	struct pe_conn *conn = userdata;
 	size_t used;
 
-	if (conn->parse.is_complete)
+	if (conn->parse.is_complete || conn->silent)
 		return;
 	if (http_parse_feed(&conn->parse, bytes, size, &used))
 		pe_conn_end(conn, true);
@@ -74,6 +74,20 @@
 	.ended = on_ended,
 };
 
+static void begin_parse(struct pe_conn *conn)
+{
+	http_parse_init(&conn->parse, HTTP_REQUEST);
+	conn->parse.body = on_body;
+	conn->parse.userdata = conn;
+}
+
+void pe_conn_next(struct pe_conn *conn)
+{
+	http_parse_clear(&conn->parse);
+	g_string_truncate(conn->body, 0);
+	begin_parse(conn);
+}
+
 static gboolean on_accept(GSocket *socket, GIOCondition condition,
 			  gpointer userdata)
 {
@@ -86,9 +100,7 @@
 	conn = g_new0(struct pe_conn, 1);
 	conn->listener = listener;
 	conn->body = g_string_new(NULL);
-	http_parse_init(&conn->parse, HTTP_REQUEST);
-	conn->parse.body = on_body;
-	conn->parse.userdata = conn;
+	begin_parse(conn);
 	g_ptr_array_add(listener->conns, conn);
 	conn->sock = http_sock_accepted(accepted, &events, conn);
 	return G_SOURCE_CONTINUE;
--- a/tools/pe_private.h
+++ b/tools/pe_private.h
@@ -8,13 +8,14 @@
 
 #include <json-glib/json-glib.h>
 
-/** A connection to one of the emulator's addresses; one request on it. */
+/** A connection to one of the emulator's addresses; one request at a time. */
 struct pe_conn {
 	struct pe_listener *listener;
 	struct http_sock *sock; /**< NULL: it has ended */
 	struct http_parse parse;
 	GString *body;
 	guint timer; /**< of an answer to come */
+	bool silent; /**< whatever goes over it is lost from now on */
 	uint32_t refs;
 };
 
@@ -86,6 +87,8 @@
 void pe_conn_answer(struct pe_conn *conn, uint32_t status, const char *extra,
 		    const char *body);
 void pe_conn_write(struct pe_conn *conn, const char *text);
+/** It is answered: await the next request on the connection. */
+void pe_conn_next(struct pe_conn *conn);
 /** End the connection, in order or by a reset. */
 void pe_conn_end(struct pe_conn *conn, bool reset);
 
@@ -98,7 +101,7 @@
 void pe_link_destroy(struct pe_link *link);
 /** 0: as fast as they are taken, as in the beginning. */
 void pe_link_set_rate(struct pe_link *link, uint32_t bytes_per_s);
-/** Write an answer and end the connection. */
+/** Write an answer; the connection is kept. */
 void pe_link_answer(struct pe_link *link, struct pe_conn *conn, uint32_t status,
 		    const char *extra, const char *body);
 /** The connection has ended. */
--- a/tools/pe_store.c
+++ b/tools/pe_store.c
@@ -242,9 +242,14 @@
 	pe_link_set_rate(pe->link, bytes_per_s);
 }
 
-void pe_store_stall(struct pe *pe)
+void pe_store_silence(struct pe *pe)
 {
 	pe_link_stall(pe->link);
+	for (guint i = 0; i < pe->store->conns->len; i++) {
+		struct pe_conn *conn = g_ptr_array_index(pe->store->conns, i);
+
+		conn->silent = true;
+	}
 }
 
 void pe_set_config(struct pe *pe, const char *json)
