Soak: the configuration grows, the link to the key-value service is slow, connections go silent

After the faults a last version must be in force at each entry within 12 s, over whatever link was drawn.

--- a/tests/slow_link_test.cc
+++ b/tests/slow_link_test.cc
@@ -19,23 +19,14 @@
 const uint32_t slow_bytes_per_s = 40000;
 /* With these routes more a configuration is 66 KB, and 88 KB as the service
  * sends it: 2.2 s over the slow link. */
-const int many_routes = 500;
+const uint32_t many_routes = 500;
 
 std::string grown_config(int64_t version)
 {
-	char *sample = pe_sample_config(version);
-	std::string json = sample;
-	std::string more;
-	const std::string start = "\"routes\":[";
-
-	for (int i = 0; i < many_routes; i++)
-		more += "{\"name\":\"r" + std::to_string(i) +
-			"\",\"host\":\"a.example\",\"prefix\":\"/more" +
-			std::to_string(i) +
-			"/\",\"kind\":\"idempotent\",\"timeout_ms\":2000,"
-			"\"service\":\"plain\",\"max_attempts\":2},";
-	json.insert(json.find(start) + start.size(), more);
-	g_free(sample);
+	char *text = pe_grown_config(version, many_routes);
+	std::string json = text;
+
+	g_free(text);
 	return json;
 }
 
--- a/tools/pe.c
+++ b/tools/pe.c
@@ -380,8 +380,29 @@
 	return pe->breaches;
 }
 
+/* Routes that nobody asks for, each ends with a comma; g_free(). */
+static char *more_routes(uint32_t count)
+{
+	GString *text = g_string_new(NULL);
+
+	for (uint32_t i = 0; i < count; i++)
+		g_string_append_printf(
+			text,
+			"{\"name\":\"r%u\",\"host\":\"a.example\",\"prefix\":"
+			"\"/more%u/\",\"kind\":\"idempotent\",\"timeout_ms\":"
+			"2000,\"service\":\"plain\",\"max_attempts\":2},",
+			i, i);
+	return g_string_free(text, FALSE);
+}
+
 char *pe_sample_config(int64_t version)
 {
+	return pe_grown_config(version, 0);
+}
+
+char *pe_grown_config(int64_t version, uint32_t routes_more)
+{
+	g_autofree char *more = more_routes(routes_more);
 	static const char routes[] =
 		"{\"name\":\"look\",\"host\":\"a.example\",\"prefix\":\"/look/"
 		"\","
@@ -428,7 +449,7 @@
 
 	return g_strdup_printf(
 		"{\"version\":%" G_GINT64_FORMAT
-		",\"routes\":[%s],\"services\":[{\"name\":\"plain\"},"
+		",\"routes\":[%s%s],\"services\":[{\"name\":\"plain\"},"
 		"{\"name\":\"engine\",\"engine\":{\"slots\":8,"
 		"\"kv_capacity\":100000}},{\"name\":\"first\",%s},"
 		"{\"name\":\"second\",%s}],"
@@ -437,5 +458,5 @@
 		"\"header_timeout_ms\":1000,\"idle_timeout_ms\":5000},"
 		"\"tenants\":[{\"name\":\"acme\",\"api_keys\":[\"key-"
 		"%" G_GINT64_FORMAT "\",\"key-always\"],\"priority\":-1}]}",
-		(gint64)version, routes, pieces, pieces, (gint64)version);
+		(gint64)version, more, routes, pieces, pieces, (gint64)version);
 }
--- a/tools/pe.h
+++ b/tools/pe.h
@@ -61,6 +61,8 @@
 void pe_set_config(struct pe *pe, const char *json);
 /** A configuration of this version with one route of each kind; g_free(). */
 char *pe_sample_config(int64_t version);
+/** The same with some routes more, 130 bytes each. */
+char *pe_grown_config(int64_t version, uint32_t routes_more);
 
 /** Start an upstream, with its entry in the key-value service. */
 struct pe_upstream *pe_add(struct pe *pe, enum pe_kind kind,
--- a/tools/soak_main.c
+++ b/tools/soak_main.c
@@ -10,6 +10,7 @@
 #include "base/lp_settings.h"
 #include "http/http_client.h"
 #include "tools/pe.h"
+#include "tools/soak_config.h"
 
 #include <gio/gio.h>
 #include <glib/gstdio.h>
@@ -61,8 +62,10 @@
 struct soak {
 	struct soak_settings settings;
 	struct pe *platform;
+	struct soak_config *config;
 	GPtrArray *upstreams;
 	struct entry entries[ENTRIES];
+	const char *addresses[ENTRIES + 1]; /* of entries, for callers */
 	char *folder;
 	GRand *random;
 	GMainLoop *loop;
@@ -395,6 +398,7 @@
 
 	soak->faults++;
 	look_for_ended(soak);
+	soak_config_disturb(soak->config);
 	if (dice < 3)
 		fault_entry(soak, dice);
 	else if (dice == 3)
@@ -410,20 +414,36 @@
 
 /* ---- the run ---- */
 
-static void start(struct soak *soak)
+static void on_config_breach(void *userdata, const char *entry,
+			     const char *what)
 {
-	g_autofree char *config = pe_sample_config(1);
+	breach(userdata, entry, what);
+}
+
+static void start_config(struct soak *soak)
+{
+	soak->config = soak_config_create(&(struct soak_config_options){
+		.platform = soak->platform,
+		.seed = (uint32_t)soak->settings.seed,
+		.entries = soak->addresses,
+		.breach = on_config_breach,
+		.userdata = soak,
+	});
+}
 
+static void start(struct soak *soak)
+{
 	soak->random = g_rand_new_with_seed((guint32)soak->settings.seed);
 	soak->folder = g_dir_make_tmp("linepier-soak-XXXXXX", NULL);
 	soak->platform = pe_create();
 	soak->upstreams = g_ptr_array_new();
 	soak->loop = g_main_loop_new(NULL, FALSE);
-	pe_set_config(soak->platform, config);
+	start_config(soak);
 	add_upstreams(soak);
 	for (uint32_t i = 0; i < ENTRIES; i++) {
 		soak->entries[i].number = i;
 		write_settings(soak, &soak->entries[i]);
+		soak->addresses[i] = soak->entries[i].callers;
 		start_entry(soak, &soak->entries[i]);
 	}
 }
@@ -442,11 +462,32 @@
 	g_rmdir(soak->folder);
 	g_free(soak->folder);
 	g_ptr_array_unref(soak->upstreams);
+	soak_config_destroy(soak->config);
 	pe_destroy(soak->platform);
 	g_main_loop_unref(soak->loop);
 	g_rand_free(soak->random);
 }
 
+/* All faults but those of the link are over; entries that leave are replaced.
+ */
+static void end_faults(struct soak *soak)
+{
+	pe_store_fault(soak->platform, PE_STORE_FINE);
+	for (guint i = 0; i < soak->upstreams->len; i++)
+		pe_fault(g_ptr_array_index(soak->upstreams, i), PE_FAULT_NONE);
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		struct entry *entry = &soak->entries[i];
+
+		if (entry->paused)
+			kill(entry->pid, SIGCONT);
+		entry->paused = false;
+		if (!entry->leaving)
+			continue;
+		end_entry(entry, SIGKILL);
+		start_entry(soak, entry);
+	}
+}
+
 static void report(struct soak *soak)
 {
 	const GPtrArray *breaches = pe_breaches(soak->platform);
@@ -478,6 +519,8 @@
 	g_main_loop_run(soak->loop);
 	if (faults)
 		g_source_remove(faults);
+	end_faults(soak);
+	soak_config_settle(soak->config);
 	report(soak);
 	status = soak->breaches ? 1 : 0;
 	stop(soak);
