An entry without a configuration asks nobody about results of its earlier life

Results for an earlier life made the entry count a service that no configuration had named yet; its next look at dispatchers read the figures of a service in a configuration that was not there. Traced by the kernel's line of the fault and by reading who counts services; the test sends such results by hand and ended its process before the mend. Ruled out: the request path, which holds its own configuration.

--- a/direct/direct_stages.c
+++ b/direct/direct_stages.c
@@ -244,11 +244,14 @@
 uint64_t direct_stages_dispatcher(struct direct_stages *stages,
 				  const struct pool_upstream *upstream)
 {
+	/* Before a configuration names it, nobody dispatches a service. */
 	const struct service *service =
-		service_of(stages, upstream->entry.service);
-	uint64_t dispatcher =
-		service->dispatchers[upstream->hash % service->parts];
+		g_hash_table_lookup(stages->services, upstream->entry.service);
+	uint64_t dispatcher;
 
+	if (!service)
+		return 0;
+	dispatcher = service->dispatchers[upstream->hash % service->parts];
 	return dispatcher == self_of(stages) ? 0 : dispatcher;
 }
 
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -493,6 +493,37 @@
 	EXPECT_EQ(fake.seen['K'], 0);
 }
 
+/* Found by the soak: results that its earlier life had asked for made it count
+ * a service in a configuration that it did not have yet; it ended by that. It
+ * takes the list of upstreams first, the configuration over a slow link later.
+ */
+TEST(Relay, AnEntryWithoutAConfigurationGivesUpResults)
+{
+	Rig rig(false);
+	Fake fake;
+	pe_upstream *maker = rig.add(PE_STAGE, "first");
+	const int64_t waits_us[3] = { 0, 0, 0 };
+	GVariantBuilder results;
+
+	rig.join(first_ip, 4000, { fake_ip });
+	ASSERT_TRUE(turn_until([&] { return plf_feed_in_touch(rig.feed); }));
+	fake.hello(50);
+	g_variant_builder_init(&results, G_VARIANT_TYPE("a(uuts)"));
+	g_variant_builder_add(&results, "(uuts)", 0u, 0u,
+			      (guint64)lp_hash_str(pe_name(maker)),
+			      "10.0.0.1:1/1");
+	fake.send('R', g_variant_new("(tta(uuts)@ax)", (guint64)5, (guint64)6,
+				     &results,
+				     g_variant_new_fixed_array(
+					     G_VARIANT_TYPE_INT64, waits_us, 3,
+					     sizeof(int64_t))));
+	/* Its looks at who dispatches come every quarter of a second. */
+	fake.hear_for(800);
+	EXPECT_EQ(fake.seen['C'], 1);
+	rig.set_config(1);
+	rig.settle();
+}
+
 /* Found on days that end with all entries killed: each one dispatched by
  * itself until rounds of hellos had named the others. */
 TEST(Relay, MembersAreMetAtOnce)
--- a/tools/pe.c
+++ b/tools/pe.c
@@ -310,6 +310,11 @@
 	return upstream->calls;
 }
 
+const char *pe_name(const struct pe_upstream *upstream)
+{
+	return upstream->id;
+}
+
 uint32_t pe_arrivals(const struct pe_upstream *upstream)
 {
 	return upstream->arrivals;
--- a/tools/pe.h
+++ b/tools/pe.h
@@ -78,6 +78,8 @@
 /** Remove its entry and stop it. Frees it. */
 void pe_remove(struct pe_upstream *upstream);
 
+/** Its id, as the key-value service names it. */
+const char *pe_name(const struct pe_upstream *upstream);
 /** Requests and calls that reached an upstream. */
 uint32_t pe_arrivals(const struct pe_upstream *upstream);
 /** Calls of pieces that were begun there. */
