In a fleet the calls of the configuration's watch wait longer

Cause: 77% of an entry's calls to the key-value service were the watch's (27 entries, 53 of 69); each entry renewed its call as often as one that hears nobody must, so that a forgotten or silent one is noticed in time. Entries tell each other of a version, and their calls begin at times of their own: policy/watch_pace lets the wait grow from the ninth member on, up to three times.

--- /dev/null
+++ b/policy/watch_pace.c
@@ -0,0 +1,19 @@
+#include "policy/watch_pace.h"
+
+#include <glib.h>
+
+/* Each wait grows by this for each member from the ninth on: eight calls of the
+ * fleet begin in the time of one alone. With half a member's worth, five
+ * entries took a change that their store had forgotten to tell 0.9 and 1.4 s
+ * later. */
+#define PER_MEMBER 0.125
+/* A call that went silent just before its entry lost all others too ends before
+ * the time for a change and the slack of a disturbance are over together. */
+#define MOST 3.0
+
+int64_t watch_pace_wait_us(int64_t alone_us, uint32_t members)
+{
+	double times = CLAMP(PER_MEMBER * members, 1.0, MOST);
+
+	return (int64_t)(times * (double)alone_us);
+}
--- a/tests/cwrap.h
+++ b/tests/cwrap.h
@@ -57,6 +57,7 @@
 #include "policy/throttle.h"
 #include "policy/trace.h"
 #include "policy/verdict.h"
+#include "policy/watch_pace.h"
 #include "policy/worker.h"
 #include "tools/pe.h"
 #include "wire/wire_msg.h"
--- a/tests/direct_policy_test.cc
+++ b/tests/direct_policy_test.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -864,4 +865,38 @@
 	rig.end(call);
 }
 
+/* ---- the watch's pace ---- */
+
+/* All calls that wait are forgotten at once: when the first new one begins,
+ * mean over many phases; whoever begins it tells the others. */
+int64_t noticed_after_us(int64_t alone_us, uint32_t members)
+{
+	const int64_t wait_us = watch_pace_wait_us(alone_us, members);
+	const int rounds = 2000;
+	std::mt19937 random(1);
+	std::uniform_int_distribution<int64_t> left(0, wait_us);
+	int64_t sum_us = 0;
+
+	for (int round = 0; round < rounds; round++) {
+		int64_t first_us = wait_us;
+
+		for (uint32_t i = 0; i < members; i++)
+			first_us = std::min(first_us, left(random));
+		sum_us += first_us;
+	}
+	return sum_us / rounds;
+}
+
+TEST(WatchPace, AFleetCallsLessOftenAndNoticesNoLater)
+{
+	const int64_t alone_us = 1500000;
+	const int64_t alone_noticed_us = noticed_after_us(alone_us, 1);
+
+	EXPECT_EQ(watch_pace_wait_us(alone_us, 1), alone_us);
+	for (uint32_t members : { 2u, 3u, 5u, 27u, 300u })
+		EXPECT_LT(noticed_after_us(alone_us, members), alone_noticed_us)
+			<< members;
+	EXPECT_EQ(watch_pace_wait_us(alone_us, 27), 3 * alone_us);
+}
+
 } // namespace
