--- a/tests/direct_rig.h
+++ b/tests/direct_rig.h
@@ -149,12 +149,19 @@
 	store_kv *kv = nullptr;
 	plf_feed *feed = nullptr;
 	std::string address;
+	int64_t drain_us = 800000;
 
 	explicit Rig(bool with_config = true)
 	    : platform(pe_create()), owns_platform(true)
 	{
 		start(with_config);
 	}
+	/* Upstreams that leave may stay unknown for so long. */
+	explicit Rig(int64_t drain_us)
+	    : platform(pe_create()), owns_platform(true), drain_us(drain_us)
+	{
+		start(true);
+	}
 	/* One more entry on the platform of another one. */
 	explicit Rig(Rig *other)
 	    : platform(other->platform), owns_platform(false)
@@ -236,7 +243,7 @@
 		options.log = log;
 		options.kv = kv;
 		options.direct = entry;
-		options.drain_us = 800000;
+		options.drain_us = drain_us;
 		options.config_taken = [](void *, int64_t) {};
 		options.list_read = [](void *self, uint64_t hash,
 				       int64_t age_us) {
--- a/tests/direct_test.cc
+++ b/tests/direct_test.cc
@@ -533,6 +533,32 @@
 	plf_share_destroy(two);
 }
 
+/* Found on a day of cuts: an upstream that left while the service was away was
+ * kept until the next look at the list, up to a second longer than it may still
+ * come back, and got a request 2.6 s after it had said that it leaves. */
+TEST(Direct, WhatDoesNotComeBackAfterAnOutageIsGoneInTime)
+{
+	Rig rig(int64_t{ 2200000 });
+	pe_upstream *leaving = rig.add(PE_PLAIN, "plain");
+	const std::string id = pe_name(leaving);
+	const auto is_kept = [&] {
+		g_autofree char *list = plf_feed_list_text(rig.feed);
+
+		return strstr(list, id.c_str()) != nullptr;
+	};
+
+	rig.add(PE_PLAIN, "plain");
+	ASSERT_TRUE(turn_until(is_kept));
+	pe_store_fault(rig.platform, PE_STORE_BUSY);
+	ASSERT_TRUE(turn_until([&] { return !plf_feed_in_touch(rig.feed); }));
+	pe_remove(leaving);
+	pe_store_fault(rig.platform, PE_STORE_FINE);
+	ASSERT_TRUE(turn_until([&] { return plf_feed_in_touch(rig.feed); }));
+	turn_until([] { return false; }, 2000);
+	EXPECT_TRUE(is_kept());
+	EXPECT_TRUE(turn_until([&] { return !is_kept(); }, 300));
+}
+
 /* ---- the end ---- */
 
 /* Found on a day of restarts: a request taken seconds after SIGTERM was cut
