--- a/tests/direct_test.cc
+++ b/tests/direct_test.cc
@@ -533,6 +533,54 @@
 	plf_share_destroy(two);
 }
 
+/* Found on a day of cuts: of two entries that the store refuses, one heard the
+ * other last before each question for the list, and got none for ten seconds
+ * though three others had it. */
+TEST(Direct, AnEntryThatTheStoreRefusesFindsAPeerWithAList)
+{
+	const std::string port = std::to_string(peers_port() + 61);
+	Rig served;
+	Rig refused;
+	Rig also_refused;
+	plf_share *shares[3];
+	Rig *const rigs[] = { &served, &refused, &also_refused };
+
+	for (Rig *rig : rigs)
+		rig->settle();
+	served.add(PE_PLAIN, "plain");
+	pe_store_fault(refused.platform, PE_STORE_BUSY);
+	pe_store_fault(also_refused.platform, PE_STORE_BUSY);
+	ASSERT_TRUE(turn_until([&] {
+		return !plf_feed_in_touch(refused.feed) &&
+		       !plf_feed_in_touch(also_refused.feed);
+	}));
+	for (int i = 0; i < 3; i++) {
+		const std::string at =
+			"127.0.0." + std::to_string(i + 1) + ":" + port;
+		plf_share_options options = {};
+
+		options.clock = lp_clock_monotonic();
+		options.log = rigs[i]->log;
+		options.direct = rigs[i]->entry;
+		options.feed = rigs[i]->feed;
+		options.address = at.c_str();
+		shares[i] = plf_share_create(&options);
+		ASSERT_NE(shares[i], nullptr);
+	}
+	EXPECT_TRUE(turn_until(
+		[&] {
+			g_autofree char *list =
+				plf_feed_list_text(refused.feed);
+
+			plf_share_heard_version(shares[1], "127.0.0.1", 1);
+			plf_share_heard_version(shares[1], "127.0.0.3", 1);
+			return *list != '\0';
+		},
+		3000));
+	for (plf_share *share : shares)
+		plf_share_destroy(share);
+}
+
 /* Found on a day of cuts: an upstream that left while the service was away was
  * kept until the next look at the list, up to a second longer than it may still
  * come back, and got a request 2.6 s after it had said that it leaves. */
