--- a/tools/soak_config.c
+++ b/tools/soak_config.c
@@ -3,14 +3,17 @@
 #include "base/lp_clock.h"
 #include "http/http_fetch.h"
 
+#include <stdio.h>
+
 #define ROUTES_LEAST 50
 #define ROUTES_MOST 150
 #define ROUTES_IN_ALL 300
 /* 300 routes are 39 KB, 52 as the service sends them: for two entries at once 5
- * s at the least rate, and as much again. */
+ * s at the least rate. The version before may have just begun its way: as much
+ * again; and looks at the list of upstreams take a part of the link. */
 #define RATE_LEAST 20000
 #define RATE_MOST 100000
-#define IN_FORCE_US (12 * LP_US_PER_S)
+#define IN_FORCE_US (24 * LP_US_PER_S)
 #define PROBE_EVERY_MS 100
 #define PROBE_TIMEOUT_US (2 * LP_US_PER_S)
 
@@ -139,7 +142,8 @@
 
 void soak_config_settle(struct soak_config *config)
 {
-	int64_t end_us = g_get_monotonic_time() + IN_FORCE_US;
+	int64_t start_us = g_get_monotonic_time();
+	int64_t end_us = start_us + IN_FORCE_US;
 	const char *const *entry = config->options.entries;
 
 	write_version(config);
@@ -149,6 +153,8 @@
 		else
 			pause_probes();
 	}
+	printf("last version: waited %" G_GINT64_FORMAT " ms\n",
+	       (gint64)(g_get_monotonic_time() - start_us) / LP_US_PER_MS);
 	for (; *entry; entry++)
 		config->options.breach(config->options.userdata, *entry,
 				       "the newest configuration is not in "
