--- a/direct/direct.c
+++ b/direct/direct.c
@@ -23,6 +23,26 @@
 	lp_event_end(log);
 }
 
+static void on_restarted(void *userdata, const struct pool_upstream *before,
+			 const struct pool_upstream *after)
+{
+	struct direct *direct = userdata;
+	struct lp_event_log *log = direct->options.log;
+
+	*lp_counter(direct->options.counters,
+		    "linepier_upstream_restarts_total", NULL) += 1;
+	if (!lp_event_begin(log, "upstream_restarted", NULL))
+		return;
+	lp_event_text(log, "upstream", after->entry.id);
+	lp_event_text(log, "service", after->entry.service);
+	lp_event_int(log, "born_ms", after->entry.born_ms);
+	lp_event_int(log, "born_before_ms", before->entry.born_ms);
+	lp_event_int(log, "in_flight", before->in_flight);
+	lp_event_int(log, "list_age_us",
+		     lp_now_us(direct->options.clock) - direct->listed_us);
+	lp_event_end(log);
+}
+
 /* Until a configuration says more: what keeps a stranger from filling us. */
 static const struct http_limits first_limits = {
 	.head_bytes = 16384,
@@ -57,6 +77,7 @@
 	direct->options = *options;
 	direct->domain = g_strdup(options->domain);
 	direct->pool = pool_create(options->clock, options->domain);
+	pool_hear_restarts(direct->pool, on_restarted, direct);
 	direct->retries = retries_create(&retries);
 	direct->requests = g_hash_table_new(NULL, NULL);
 	direct->patiences =
@@ -180,6 +201,11 @@
 	direct_calls_run(direct->calls);
 }
 
+bool direct_in_doubt(const struct direct *direct)
+{
+	return pool_in_doubt(direct->pool);
+}
+
 void direct_set_retries(struct direct *direct, double ratio, double slack)
 {
 	retries_set(direct->retries, ratio, slack);
@@ -197,7 +223,7 @@
 void direct_hear_unreachable(struct direct *direct, uint64_t upstream,
 			     int64_t aside_us)
 {
-	struct pool_upstream *heard = pool_find_hash(direct->pool, upstream);
+	struct pool_upstream *heard = pool_find_life(direct->pool, upstream);
 
 	if (heard)
 		pool_heard_unreachable(direct->pool, heard, aside_us);
--- a/direct/direct.h
+++ b/direct/direct.h
@@ -45,6 +45,9 @@
 int64_t direct_config_version(const struct direct *direct);
 void direct_set_upstreams(struct direct *direct,
 			  const struct pool_entry *entries, uint32_t count);
+/** Some upstream may have set its clock back: the list is to be handed in
+ * again when it is known to be the same still. */
+bool direct_in_doubt(const struct direct *direct);
 void direct_set_retries(struct direct *direct, double ratio, double slack);
 /** Share the dispatching of stages with these; NULL: nobody. Once, before any
  * request. Borrowed: they are destroyed after the entry. */
--- a/direct/direct_calls.c
+++ b/direct/direct_calls.c
@@ -47,6 +47,7 @@
 	struct http_fetch *fetch;
 	uint32_t no_room; /* pieces not made for want of it */
 	struct direct_reply reply;
+	int64_t born_ms; /* of the upstream that answered; 0: not said */
 };
 
 static void schedule_run(struct direct_calls *calls);
@@ -242,15 +243,17 @@
 	if (answer->error || answer->status != 200)
 		return NULL;
 	made = g_new0(struct direct_made, count);
-	if (codec->read_items(answer->body, made, count))
+	if (codec->read_items(answer->body, answer->size, made, count,
+			      &call->born_ms))
 		return made;
 	g_free(made);
 	return NULL;
 }
 
-/* What came of one piece; its handle is moved. */
+/* What came of one piece; its handle is moved. `maker`: 0 if whoever made it
+ * has ended, and its results with it. */
 static struct direct_result result_of(const struct stage_call *call, guint at,
-				      struct direct_made *made)
+				      struct direct_made *made, uint64_t maker)
 {
 	struct pieces *pieces = call->service->pieces;
 	const struct piece *piece =
@@ -258,9 +261,11 @@
 	struct direct_result result = {
 		.index = piece->index,
 		.result = made ? made[at].result : DIRECT_ITEM_FAILED,
-		.maker = call->call->upstream->hash,
+		.maker = maker,
 	};
 
+	if (!maker && result.result == DIRECT_ITEM_MADE)
+		result.result = DIRECT_ITEM_FAILED;
 	if (result.result == DIRECT_ITEM_MADE) {
 		result.handle = g_steal_pointer(&made[at].handle);
 		pieces_made(pieces, call->call, piece, result.handle);
@@ -272,7 +277,8 @@
 }
 
 /* Tell the jobs of a call, each of all its pieces at once. */
-static void take_results(struct stage_call *call, struct direct_made *made)
+static void take_results(struct stage_call *call, struct direct_made *made,
+			 uint64_t maker)
 {
 	GArray *pieces = call->call->pieces;
 	g_autoptr(GArray) results =
@@ -290,7 +296,7 @@
 
 			if (piece->request != job)
 				continue;
-			result = result_of(call, j, made);
+			result = result_of(call, j, made, maker);
 			g_array_append_val(results, result);
 			piece->request = NULL;
 		}
@@ -300,6 +306,16 @@
 	}
 }
 
+/* The life of whoever answered; 0: it has ended. */
+static uint64_t maker_of(const struct stage_call *call)
+{
+	struct pool_upstream *maker =
+		pool_answered(call->calls->direct->pool, call->call->upstream,
+			      call->born_ms, call->call->started_us);
+
+	return maker ? maker->life : 0;
+}
+
 static enum pool_outcome outcome_of(const struct stage_call *call, int error,
 				    const struct direct_made *made)
 {
@@ -327,19 +343,20 @@
 	struct direct_calls *calls = call->calls;
 	struct direct_made *made = read_results(call, answer);
 	enum pool_outcome outcome = outcome_of(call, answer->error, made);
+	uint64_t maker = made ? maker_of(call) : 0;
 	guint count = call->call->pieces->len;
 
 	for (guint i = 0; made && i < count; i++)
 		call->no_room += made[i].result == DIRECT_ITEM_NO_ROOM;
-	log_call(call, outcome_name(outcome));
-	take_results(call, made);
+	log_call(call, made && !maker ? "restarted" : outcome_name(outcome));
+	take_results(call, made, maker);
 	for (guint i = 0; made && i < count; i++)
 		g_free(made[i].handle);
 	g_free(made);
 	g_hash_table_remove(calls->under_way, call);
 	if (outcome == POOL_UNREACHABLE && calls->direct->peers)
 		direct_peers_tell_unreachable(calls->direct->peers,
-					      call->call->upstream->hash,
+					      call->call->upstream->life,
 					      TELL_ASIDE_US);
 	pieces_end(call->service->pieces, call->call, outcome,
 		   call->reply.running, call->reply.waiting);
@@ -438,6 +455,7 @@
 	struct service *service;
 	struct pool_upstream *upstream; /* held */
 	int64_t own_bytes;
+	int64_t asked_us;
 	struct http_fetch *fetch;
 };
 
@@ -466,21 +484,33 @@
 	g_free(question);
 }
 
+/* What the life that was asked says of itself; not what another one has. */
+static bool read_room(const struct room_question *question,
+		      const struct http_fetch_answer *answer,
+		      struct direct_room *room)
+{
+	struct direct *direct = question->service->calls->direct;
+
+	return !answer->error && answer->status == 200 &&
+	       direct->options.codec->read_room(answer->body, answer->size,
+						room) &&
+	       pool_answered(direct->pool, question->upstream, room->born_ms,
+			     question->asked_us) == question->upstream;
+}
+
 /* Not told: calls go there all the same, and tell. */
 static void on_room_told(void *userdata, const struct http_fetch_answer *answer)
 {
 	struct room_question *question = userdata;
 	struct direct_calls *calls = question->service->calls;
-	const struct direct_codec *codec = calls->direct->options.codec;
-	int64_t least_bytes = 0;
-	int64_t most_bytes = 0;
-	bool told = !answer->error && answer->status == 200 &&
-		    codec->read_room(answer->body, &least_bytes, &most_bytes);
+	struct direct_room room = { 0 };
+	bool told = read_room(question, answer, &room);
 
 	if (told)
 		pieces_room_told(question->service->pieces, question->upstream,
-				 question->own_bytes, least_bytes, most_bytes);
-	log_room(question, told, least_bytes);
+				 question->own_bytes, room.least_bytes,
+				 room.most_bytes);
+	log_room(question, told, room.least_bytes);
 	end_question(question);
 	schedule_run(calls);
 }
@@ -495,6 +525,7 @@
 	question->service = service;
 	question->upstream = pool_hold(upstream);
 	question->own_bytes = room_own_bytes(upstream->room);
+	question->asked_us = lp_now_us(calls->direct->options.clock);
 	http_fields_init(&fields);
 	codec->write_call(upstream->entry.id, &fields);
 	g_hash_table_add(calls->questions, question);
--- a/direct/direct_calls.h
+++ b/direct/direct_calls.h
@@ -32,7 +32,7 @@
 	uint32_t index;
 	enum direct_item_result result;
 	char *handle;	/**< of a made one */
-	uint64_t maker; /**< hash of the upstream's id */
+	uint64_t maker; /**< life of the upstream */
 };
 
 /**
--- a/direct/direct_codec.h
+++ b/direct/direct_codec.h
@@ -70,6 +70,13 @@
 	char *handle; /**< of a made one; the receiver's */
 };
 
+/** What an upstream says of its room for results. */
+struct direct_room {
+	int64_t least_bytes; /**< it has at least so much */
+	int64_t most_bytes;  /**< and at most so much */
+	int64_t born_ms;     /**< when it was started; 0: it does not say */
+};
+
 struct direct_codec {
 	/** False: it carries no id or a field that cannot be read. */
 	bool (*read_ask)(const struct http_fields *fields,
@@ -85,17 +92,20 @@
 	/** Path and body of a call for pieces. */
 	const char *items_target;
 	char *(*write_items)(const struct direct_item *items, uint32_t count);
-	/** False unless there is one result for each of `count` items. */
-	bool (*read_items)(const char *body, struct direct_made *made,
-			   uint32_t count);
+	/** False unless there is one result for each of `count` items, and
+	 * nothing is made then. `*born_ms`: when the upstream says that it was
+	 * started; 0: it does not say. */
+	bool (*read_items)(const char *body, size_t size,
+			   struct direct_made *made, uint32_t count,
+			   int64_t *born_ms);
 	/** Path and body of a call that gives results up. */
 	const char *free_target;
 	char *(*write_free)(const GPtrArray *handles);
 	/** Path of a question about an upstream's room for results, and its
-	 * answer: it has at least and at most so much. False: not said. */
+	 * answer. False: not said. */
 	const char *room_target;
-	bool (*read_room)(const char *body, int64_t *least_bytes,
-			  int64_t *most_bytes);
+	bool (*read_room)(const char *body, size_t size,
+			  struct direct_room *room);
 	/** Fields of these calls. */
 	void (*write_call)(const char *upstream, struct http_fields *out);
 };
--- a/direct/direct_places.c
+++ b/direct/direct_places.c
@@ -195,7 +195,7 @@
 		direct_places_ended(places, &place, POOL_UNKNOWN);
 		return;
 	}
-	upstream = pool_find_hash(places->direct->pool, engine);
+	upstream = pool_find_life(places->direct->pool, engine);
 	if (upstream && upstream->entry.leaving)
 		upstream = NULL;
 	if (!upstream) {
@@ -239,17 +239,32 @@
 	return parts;
 }
 
+static struct pool_upstream *find_by_hash(const GPtrArray *upstreams,
+					  uint64_t hash)
+{
+	for (guint i = 0; upstreams && i < upstreams->len; i++) {
+		struct pool_upstream *upstream =
+			g_ptr_array_index(upstreams, i);
+
+		if (upstream->hash == hash)
+			return upstream;
+	}
+	return NULL;
+}
+
 /* Ids of what was tried; those that we do not know cannot be chosen anyway. */
-static GPtrArray *read_tried(const struct direct_places *places, GVariant *list)
+static GPtrArray *read_tried(const struct direct_places *places,
+			     const char *service, GVariant *list)
 {
+	const GPtrArray *upstreams =
+		pool_of_service(places->direct->pool, service);
 	GPtrArray *tried = g_ptr_array_new();
 	GVariantIter iter;
 	guint64 hash;
 
 	g_variant_iter_init(&iter, list);
 	while (g_variant_iter_next(&iter, "t", &hash)) {
-		struct pool_upstream *upstream =
-			pool_find_hash(places->direct->pool, hash);
+		struct pool_upstream *upstream = find_by_hash(upstreams, hash);
 
 		if (upstream)
 			g_ptr_array_add(tried, upstream->entry.id);
@@ -298,7 +313,7 @@
 	g_variant_get(body, "(t&s@a(tx)@at&sxx)", &number, &ask.service, &list,
 		      &tried_list, &domain, &ask.fetch_bytes, &ask.target_us);
 	parts = read_parts(list, &ask.parts_count);
-	tried = read_tried(places, tried_list);
+	tried = read_tried(places, ask.service, tried_list);
 	ask.parts = parts;
 	ask.tried = (const char *const *)tried->pdata;
 	ask.tried_count = tried->len;
@@ -306,7 +321,7 @@
 	direct_stages_share(places->direct->stages, &ask);
 	held = hold(places, lp_hash_pair(peer, number), &ask);
 	reply = g_variant_ref_sink(g_variant_new(
-		PLACED_TYPE, number, held ? held->upstream->hash : (guint64)0,
+		PLACED_TYPE, number, held ? held->upstream->life : (guint64)0,
 		held ? held->cold_tokens : (gint64)0,
 		held ? held->upstream->tokens_ahead - held->cold_tokens
 		     : (gint64)0));
--- a/direct/direct_prepare.c
+++ b/direct/direct_prepare.c
@@ -72,11 +72,11 @@
 
 	for (uint32_t i = 0; i < stages[stage].after_count; i++) {
 		uint32_t before = stages[stage].after[i];
-		const char *maker = graph_maker(request->graph, before);
+		uint64_t maker = graph_maker(request->graph, before);
 
 		if (!maker)
 			continue;
-		near = pool_find(pool, maker);
+		near = pool_find_life(pool, maker);
 		piece->near_bytes +=
 			stages[before].bytes *
 			(int64_t)graph_pieces(request->graph, before);
--- a/direct/direct_results.c
+++ b/direct/direct_results.c
@@ -18,7 +18,7 @@
 
 struct direct_results {
 	struct direct *direct;
-	GHashTable *gathered; /* maker's hash -> struct gathered: our own */
+	GHashTable *gathered; /* maker's life -> struct gathered: our own */
 	GHashTable *taken;    /* likewise: of peers, to be called here */
 	GHashTable *calls;    /* of struct free_call */
 	guint timer;
@@ -51,7 +51,7 @@
 static void end_free_call(struct free_call *call)
 {
 	struct pool *pool = call->results->direct->pool;
-	struct pool_upstream *upstream = pool_find_hash(pool, call->maker);
+	struct pool_upstream *upstream = pool_find_life(pool, call->maker);
 
 	for (guint i = 0; upstream && i < call->handles->len; i++)
 		room_given_up(upstream->room,
@@ -66,7 +66,7 @@
 {
 	struct direct *direct = call->results->direct;
 	const struct pool_upstream *maker =
-		pool_find_hash(direct->pool, call->maker);
+		pool_find_life(direct->pool, call->maker);
 
 	if (!lp_event_begin(direct->options.log, "results_given_up", NULL))
 		return;
@@ -104,7 +104,7 @@
 	body = codec->write_free(gathered->handles);
 	call = g_new0(struct free_call, 1);
 	call->results = results;
-	call->maker = upstream->hash;
+	call->maker = upstream->life;
 	call->handles = g_ptr_array_ref(gathered->handles);
 	call->each_bytes = gathered->bytes / gathered->handles->len;
 	call->started_us = lp_now_us(results->direct->options.clock);
@@ -143,7 +143,7 @@
 			g_ptr_array_add(handles, g_ptr_array_index(
 							 gathered->handles, j));
 		direct_relay_give_up(results->direct->relay, dispatcher,
-				     upstream->hash, handles,
+				     upstream->life, handles,
 				     gathered->bytes * part / count);
 	}
 }
@@ -159,7 +159,7 @@
 	while (g_hash_table_iter_next(&iter, &maker, &gathered)) {
 		struct direct *direct = results->direct;
 		struct pool_upstream *upstream =
-			pool_find_hash(direct->pool, *(uint64_t *)maker);
+			pool_find_life(direct->pool, *(uint64_t *)maker);
 		uint64_t dispatcher;
 
 		if (!upstream) /* its results went with it */
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -362,10 +362,9 @@
 static void write_pool_ask(const struct direct_request *request,
 			   struct pool_ask *ask)
 {
-	const char *maker =
-		request->graph ? graph_main_maker(request->graph) : NULL;
+	uint64_t maker = request->graph ? graph_main_maker(request->graph) : 0;
 	struct pool_upstream *maker_upstream =
-		maker ? pool_find(request->direct->pool, maker) : NULL;
+		pool_find_life(request->direct->pool, maker);
 
 	*ask = (struct pool_ask){
 		.service = request->service,
--- a/direct/direct_stages.c
+++ b/direct/direct_stages.c
@@ -293,14 +293,12 @@
 
 static void take_result(struct ask *ask, struct direct_result *result)
 {
-	struct direct *direct = ask->stages->direct;
 	struct graph *graph = ask->request->graph;
-	struct pool_upstream *maker =
-		pool_find_hash(direct->pool, result->maker);
 
-	if (result->result == DIRECT_ITEM_MADE && maker)
+	/* Our list may not name its maker yet; the dispatcher's does. */
+	if (result->result == DIRECT_ITEM_MADE)
 		graph_made(graph, ask->stage, result->index, result->handle,
-			   maker->entry.id,
+			   result->maker,
 			   ask->request->route->stages[ask->stage].bytes);
 	else
 		graph_not_made(graph, ask->stage, result->index);
@@ -484,10 +482,8 @@
 		struct graph_result *result =
 			&g_array_index(results, struct graph_result, i);
 
-		direct_results_give_up(direct->results,
-				       lp_hash_str(result->maker),
+		direct_results_give_up(direct->results, result->maker,
 				       result->handle, result->bytes);
-		g_free(result->maker);
 	}
 }
 
--- a/policy/graph.c
+++ b/policy/graph.c
@@ -4,8 +4,8 @@
 
 struct piece {
 	enum graph_piece_state state;
-	char *handle; /* of a made one that is still kept */
-	char *maker;
+	char *handle;	/* of a made one that is still kept */
+	uint64_t maker; /* 0: nobody */
 	int64_t bytes;
 };
 
@@ -43,7 +43,7 @@
 static void forget(struct piece *piece)
 {
 	g_clear_pointer(&piece->handle, g_free);
-	g_clear_pointer(&piece->maker, g_free);
+	piece->maker = 0;
 }
 
 void graph_destroy(struct graph *graph)
@@ -113,14 +113,14 @@
 }
 
 void graph_made(struct graph *graph, uint32_t stage, uint32_t number,
-		const char *handle, const char *maker, int64_t bytes)
+		const char *handle, uint64_t maker, int64_t bytes)
 {
 	struct piece *piece = &graph->stages[stage].pieces[number];
 
 	forget(piece);
 	piece->state = GRAPH_PIECE_MADE;
 	piece->handle = g_strdup(handle);
-	piece->maker = g_strdup(maker);
+	piece->maker = maker;
 	piece->bytes = bytes;
 }
 
@@ -210,7 +210,8 @@
 	if (!piece->handle)
 		return;
 	result.handle = g_steal_pointer(&piece->handle);
-	result.maker = g_steal_pointer(&piece->maker);
+	result.maker = piece->maker;
+	piece->maker = 0;
 	result.bytes = piece->bytes;
 	g_array_append_val(out, result);
 }
@@ -233,16 +234,16 @@
 	}
 }
 
-const char *graph_maker(const struct graph *graph, uint32_t number)
+uint64_t graph_maker(const struct graph *graph, uint32_t number)
 {
 	const struct stage *stage = &graph->stages[number];
 
-	return stage->pieces_count ? stage->pieces[0].maker : NULL;
+	return stage->pieces_count ? stage->pieces[0].maker : 0;
 }
 
-const char *graph_main_maker(const struct graph *graph)
+uint64_t graph_main_maker(const struct graph *graph)
 {
-	const char *best = NULL;
+	uint64_t best = 0;
 	uint32_t best_count = 0;
 
 	for (uint32_t i = 0; i < graph->count; i++) {
@@ -254,8 +255,8 @@
 			uint32_t same = 0;
 
 			for (uint32_t k = 0; k < stage->pieces_count; k++)
-				if (!g_strcmp0(stage->pieces[k].maker,
-					       stage->pieces[j].maker))
+				if (stage->pieces[k].maker ==
+				    stage->pieces[j].maker)
 					same++;
 			if (same <= best_count || !stage->pieces[j].maker)
 				continue;
--- a/policy/graph.h
+++ b/policy/graph.h
@@ -15,10 +15,10 @@
 
 struct graph;
 
-/** A result that is given up; both strings are the receiver's. */
+/** A result that is given up. */
 struct graph_result {
-	char *handle;
-	char *maker;
+	char *handle;	/**< the receiver's */
+	uint64_t maker; /**< the life of an upstream */
 	int64_t bytes;
 };
 
@@ -49,7 +49,7 @@
 /** An asked piece was not made: it is missing again. */
 void graph_not_made(struct graph *graph, uint32_t stage, uint32_t piece);
 void graph_made(struct graph *graph, uint32_t stage, uint32_t piece,
-		const char *handle, const char *maker, int64_t bytes);
+		const char *handle, uint64_t maker, int64_t bytes);
 /** Every piece of every stage is made. */
 bool graph_complete(const struct graph *graph);
 /**
@@ -64,10 +64,10 @@
  * still kept are appended to `out`, of struct graph_result, to be given up.
  */
 void graph_lost_inputs(struct graph *graph, uint32_t stage, GArray *out);
-/** The maker of the first piece of a stage, or NULL. */
-const char *graph_maker(const struct graph *graph, uint32_t stage);
-/** The maker of most of what the request takes in, or NULL. */
-const char *graph_main_maker(const struct graph *graph);
+/** The maker of the first piece of a stage, or 0. */
+uint64_t graph_maker(const struct graph *graph, uint32_t stage);
+/** The maker of most of what the request takes in, or 0. */
+uint64_t graph_main_maker(const struct graph *graph);
 /**
  * Take out handles that nobody needs any more: results whose takers are all
  * made; with `all`, every one. Appended to `out`, of struct graph_result.
--- /dev/null
+++ b/policy/lives.c
@@ -0,0 +1,105 @@
+#include "policy/lives.h"
+
+#include <glib.h>
+
+struct life {
+	int64_t born_ms;
+	int64_t since_us;  /* known */
+	int64_t listed_us; /* named by a list last */
+	int64_t older_ms;  /* an older start that the list names, or 0 */
+	int64_t older_since_us;
+};
+
+struct lives {
+	const struct lp_clock *clock;
+	GHashTable *by_id; /* id -> struct life */
+};
+
+struct lives *lives_create(const struct lp_clock *clock)
+{
+	struct lives *lives = g_new0(struct lives, 1);
+
+	lives->clock = clock;
+	lives->by_id =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return lives;
+}
+
+void lives_destroy(struct lives *lives)
+{
+	if (!lives)
+		return;
+	g_hash_table_unref(lives->by_id);
+	g_free(lives);
+}
+
+static struct life *add_life(struct lives *lives, const char *id)
+{
+	struct life *life = g_new0(struct life, 1);
+
+	g_hash_table_insert(lives->by_id, g_strdup(id), life);
+	return life;
+}
+
+static void begin_life(struct life *life, int64_t born_ms, int64_t now_us)
+{
+	life->born_ms = born_ms;
+	life->since_us = now_us;
+	life->older_ms = 0;
+}
+
+/* Whether lists have named this older start for long enough. */
+static bool is_set_back(struct life *life, int64_t born_ms, int64_t now_us)
+{
+	if (life->older_ms != born_ms) {
+		life->older_ms = born_ms;
+		life->older_since_us = now_us;
+	}
+	return now_us - life->older_since_us >= LIVES_SET_BACK_US;
+}
+
+enum lives_word lives_listed(struct lives *lives, const char *id,
+			     int64_t born_ms)
+{
+	struct life *life = g_hash_table_lookup(lives->by_id, id);
+	int64_t now_us = lp_now_us(lives->clock);
+	bool known = life != NULL;
+
+	if (!known)
+		life = add_life(lives, id);
+	life->listed_us = now_us;
+	if (known && born_ms < life->born_ms && born_ms &&
+	    !is_set_back(life, born_ms, now_us))
+		return LIVES_OLD;
+	if (known && (!born_ms || born_ms == life->born_ms)) {
+		life->older_ms = 0;
+		return LIVES_SAME;
+	}
+	begin_life(life, born_ms, now_us);
+	return LIVES_NEW;
+}
+
+enum lives_word lives_answered(struct lives *lives, const char *id,
+			       int64_t born_ms, int64_t asked_us)
+{
+	struct life *life = g_hash_table_lookup(lives->by_id, id);
+
+	if (!life || !life->born_ms || !born_ms || born_ms == life->born_ms)
+		return LIVES_SAME;
+	if (born_ms < life->born_ms && asked_us <= life->since_us)
+		return LIVES_OLD;
+	begin_life(life, born_ms, lp_now_us(lives->clock));
+	return LIVES_NEW;
+}
+
+void lives_forget(struct lives *lives)
+{
+	int64_t now_us = lp_now_us(lives->clock);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, lives->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (now_us - ((struct life *)value)->listed_us > LIVES_KEEP_US)
+			g_hash_table_iter_remove(&iter);
+}
--- a/policy/pool.c
+++ b/policy/pool.c
@@ -1,6 +1,7 @@
 #include "policy/pool.h"
 
 #include "base/lp_id.h"
+#include "policy/lives.h"
 
 #include <string.h>
 
@@ -51,8 +52,12 @@
 	const struct lp_clock *clock;
 	char *domain;
 	GHashTable *upstreams; /* id -> struct pool_upstream */
-	GHashTable *by_hash;   /* hash of the id -> the same */
-	GHashTable *services;  /* name -> GPtrArray of struct pool_upstream */
+	GHashTable *by_life;   /* life -> the same */
+	struct lives *lives;
+	bool in_doubt;
+	pool_restarted_fn restarted;
+	void *restarted_userdata;
+	GHashTable *services; /* name -> GPtrArray of struct pool_upstream */
 };
 
 /* ---- the list ---- */
@@ -95,9 +100,10 @@
 
 	pool->clock = clock;
 	pool->domain = g_strdup(domain);
+	pool->lives = lives_create(clock);
 	pool->upstreams =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, unlist);
-	pool->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
+	pool->by_life = g_hash_table_new(g_int64_hash, g_int64_equal);
 	pool->services =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 				      (GDestroyNotify)g_ptr_array_unref);
@@ -109,8 +115,9 @@
 	if (!pool)
 		return;
 	g_hash_table_unref(pool->services);
-	g_hash_table_unref(pool->by_hash);
+	g_hash_table_unref(pool->by_life);
 	g_hash_table_unref(pool->upstreams);
+	lives_destroy(pool->lives);
 	g_free(pool->domain);
 	g_free(pool);
 }
@@ -128,7 +135,13 @@
 	upstream->entry.service = g_strdup(entry->service);
 	upstream->entry.address = g_strdup(entry->address);
 	upstream->entry.domain = g_strdup(entry->domain);
+	upstream->entry.slots = entry->slots;
+	upstream->entry.leaving = entry->leaving;
+	upstream->entry.born_ms = entry->born_ms;
 	upstream->hash = lp_hash_str(entry->id);
+	upstream->life = entry->born_ms ? lp_hash_pair(upstream->hash,
+						       (uint64_t)entry->born_ms)
+					: upstream->hash;
 	upstream->listed = true;
 	upstream->refs = 1;
 	upstream->slowness = 1.0;
@@ -156,46 +169,78 @@
 	       !strcmp(upstream->entry.service, entry->service);
 }
 
+void pool_hear_restarts(struct pool *pool, pool_restarted_fn restarted,
+			void *userdata)
+{
+	pool->restarted = restarted;
+	pool->restarted_userdata = userdata;
+}
+
+static struct pool_upstream *begin_life(struct pool *pool,
+					const struct pool_entry *entry)
+{
+	struct pool_upstream *upstream = create_upstream(pool, entry);
+
+	g_hash_table_insert(pool->upstreams, upstream->entry.id, upstream);
+	return upstream;
+}
+
+/* All that was believed of the life before ends with it; who holds it ends
+ * what is under way there. */
+static struct pool_upstream *follow_life(struct pool *pool,
+					 struct pool_upstream *listed,
+					 const struct pool_entry *entry)
+{
+	struct pool_upstream *before = pool_hold(listed);
+	struct pool_upstream *after;
+
+	g_hash_table_remove(pool->upstreams, before->entry.id);
+	after = begin_life(pool, entry);
+	if (pool->restarted)
+		pool->restarted(pool->restarted_userdata, before, after);
+	pool_release(before);
+	return after;
+}
+
 /* Returns whether anything changed. */
 static bool take_entry(struct pool *pool, const struct pool_entry *entry)
 {
 	struct pool_upstream *upstream = pool_find(pool, entry->id);
+	enum lives_word word =
+		lives_listed(pool->lives, entry->id, entry->born_ms);
 	bool changed;
 
-	if (upstream && !is_same(upstream, entry)) {
-		g_hash_table_remove(pool->upstreams, entry->id);
-		upstream = NULL;
+	if (word == LIVES_OLD) {
+		pool->in_doubt = true;
+		return false;
 	}
-	changed = !upstream || upstream->entry.leaving != entry->leaving;
 	if (!upstream) {
-		upstream = create_upstream(pool, entry);
-		g_hash_table_insert(pool->upstreams, upstream->entry.id,
-				    upstream);
+		begin_life(pool, entry);
+		return true;
+	}
+	if (word == LIVES_NEW || !is_same(upstream, entry)) {
+		follow_life(pool, upstream, entry);
+		return true;
 	}
+	changed = upstream->entry.leaving != entry->leaving;
 	upstream->entry.slots = entry->slots;
 	upstream->entry.leaving = entry->leaving;
 	return changed;
 }
 
-static bool is_in(const char *id, const struct pool_entry *entries,
-		  uint32_t count)
-{
-	for (uint32_t i = 0; i < count; i++)
-		if (!strcmp(entries[i].id, id))
-			return true;
-	return false;
-}
-
 static uint32_t remove_missing(struct pool *pool,
 			       const struct pool_entry *entries, uint32_t count)
 {
+	g_autoptr(GHashTable) named = g_hash_table_new(g_str_hash, g_str_equal);
 	GHashTableIter iter;
 	gpointer key;
 	uint32_t removed = 0;
 
+	for (uint32_t i = 0; i < count; i++)
+		g_hash_table_add(named, entries[i].id);
 	g_hash_table_iter_init(&iter, pool->upstreams);
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		if (is_in(key, entries, count))
+		if (g_hash_table_contains(named, key))
 			continue;
 		g_hash_table_iter_remove(&iter);
 		removed++;
@@ -203,30 +248,78 @@
 	return removed;
 }
 
-uint32_t pool_update(struct pool *pool, const struct pool_entry *entries,
-		     uint32_t count)
+/* Lists by service, and lives: of what is listed now. */
+static void index_upstreams(struct pool *pool)
 {
-	uint32_t changes = 0;
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_remove_all(pool->services);
-	g_hash_table_remove_all(pool->by_hash);
-	changes = remove_missing(pool, entries, count);
-	for (uint32_t i = 0; i < count; i++)
-		if (take_entry(pool, &entries[i]))
-			changes++;
+	g_hash_table_remove_all(pool->by_life);
 	g_hash_table_iter_init(&iter, pool->upstreams);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct pool_upstream *upstream = value;
 
 		g_ptr_array_add(service_list(pool, upstream->entry.service),
 				upstream);
-		g_hash_table_insert(pool->by_hash, &upstream->hash, upstream);
+		g_hash_table_insert(pool->by_life, &upstream->life, upstream);
 	}
+}
+
+uint32_t pool_update(struct pool *pool, const struct pool_entry *entries,
+		     uint32_t count)
+{
+	uint32_t changes;
+
+	/* They borrow from upstreams that may leave now. */
+	g_hash_table_remove_all(pool->services);
+	g_hash_table_remove_all(pool->by_life);
+	pool->in_doubt = false;
+	changes = remove_missing(pool, entries, count);
+	for (uint32_t i = 0; i < count; i++)
+		if (take_entry(pool, &entries[i]))
+			changes++;
+	lives_forget(pool->lives);
+	index_upstreams(pool);
 	return changes;
 }
 
+bool pool_in_doubt(const struct pool *pool)
+{
+	return pool->in_doubt;
+}
+
+/* The list has not heard yet: the same entry, but for its start. */
+static struct pool_upstream *
+renew(struct pool *pool, struct pool_upstream *listed, int64_t born_ms)
+{
+	struct pool_entry entry = listed->entry;
+	struct pool_upstream *after;
+
+	entry.born_ms = born_ms;
+	after = follow_life(pool, listed, &entry);
+	index_upstreams(pool);
+	return after;
+}
+
+struct pool_upstream *pool_answered(struct pool *pool,
+				    struct pool_upstream *upstream,
+				    int64_t born_ms, int64_t asked_us)
+{
+	struct pool_upstream *listed = pool_find(pool, upstream->entry.id);
+	enum lives_word word = lives_answered(pool->lives, upstream->entry.id,
+					      born_ms, asked_us);
+
+	if (word == LIVES_OLD)
+		return NULL;
+	if (!listed) /* it leaves, and has what it made for a while */
+		return upstream;
+	if (word == LIVES_NEW)
+		return renew(pool, listed, born_ms);
+	/* Who does not say may be the one that was asked, and has ended. */
+	return listed == upstream || born_ms ? listed : NULL;
+}
+
 const GPtrArray *pool_of_service(const struct pool *pool, const char *service)
 {
 	return g_hash_table_lookup(pool->services, service);
@@ -237,9 +330,9 @@
 	return g_hash_table_lookup(pool->upstreams, id);
 }
 
-struct pool_upstream *pool_find_hash(const struct pool *pool, uint64_t hash)
+struct pool_upstream *pool_find_life(const struct pool *pool, uint64_t life)
 {
-	return g_hash_table_lookup(pool->by_hash, &hash);
+	return g_hash_table_lookup(pool->by_life, &life);
 }
 
 /* ---- beliefs ---- */
--- a/policy/pool.h
+++ b/policy/pool.h
@@ -24,17 +24,21 @@
 
 /** What the list says of an upstream. */
 struct pool_entry {
-	char *id; /**< of one start of it */
+	char *id; /**< kept when it starts again */
 	char *service;
 	char *address; /**< "IP:PORT" */
 	char *domain;
 	uint32_t slots;
 	bool leaving;
+	int64_t born_ms; /**< wall clock at its start; 0: not said */
 };
 
+/** One life of an upstream: lives.h. */
 struct pool_upstream {
 	struct pool_entry entry;
-	uint64_t hash; /**< of its id, short enough to be told to others */
+	uint64_t hash; /**< of its id: its place among upstreams, which a new
+			  life keeps */
+	uint64_t life; /**< of its id and start: names it to others */
 	bool listed;
 	uint32_t in_flight;	/**< our requests or calls there */
 	int64_t tokens_ahead;	/**< prompt tokens we sent, not read yet */
@@ -84,15 +88,35 @@
 	POOL_UNKNOWN,	  /**< we ended it; nothing is learnt */
 };
 
+/** An upstream has started again; both lives are borrowed. */
+typedef void (*pool_restarted_fn)(void *userdata,
+				  const struct pool_upstream *before,
+				  const struct pool_upstream *after);
+
 struct pool *pool_create(const struct lp_clock *clock, const char *domain);
 void pool_destroy(struct pool *pool);
-/** Replace the list. Returns how many upstreams came, left or changed. */
+/** Hear of lives that end; nothing of the pool may be changed meanwhile. */
+void pool_hear_restarts(struct pool *pool, pool_restarted_fn restarted,
+			void *userdata);
+/** Replace the list. Returns how many upstreams came, left, started again or
+ * changed. */
 uint32_t pool_update(struct pool *pool, const struct pool_entry *entries,
 		     uint32_t count);
 /** Upstreams of a service in the list: of struct pool_upstream; or NULL. */
 const GPtrArray *pool_of_service(const struct pool *pool, const char *service);
 struct pool_upstream *pool_find(const struct pool *pool, const char *id);
-struct pool_upstream *pool_find_hash(const struct pool *pool, uint64_t hash);
+struct pool_upstream *pool_find_life(const struct pool *pool, uint64_t life);
+/**
+ * What we asked of this upstream at `asked_us` was answered by the one that
+ * started then (0: it did not say). Returns that life, or NULL: it has ended,
+ * and what it made with it. A life that is newer than the list takes its place.
+ */
+struct pool_upstream *pool_answered(struct pool *pool,
+				    struct pool_upstream *upstream,
+				    int64_t born_ms, int64_t asked_us);
+/** The list names a life that seems to have ended: the same list may have to
+ * be taken again. */
+bool pool_in_doubt(const struct pool *pool);
 /** Where all entries would place a prompt of these parts, or NULL. */
 const struct pool_upstream *pool_home(const struct pool *pool,
 				      const struct pool_ask *ask);
--- a/store/store_etcd.c
+++ b/store/store_etcd.c
@@ -94,6 +94,7 @@
 		json_object_get_string_member_with_default(object, "key", ""));
 	pair->value = decode_b64(json_object_get_string_member_with_default(
 		object, "value", ""));
+	pair->value_size = strlen(pair->value);
 	pair->create_revision = get_int64(object, "create_revision");
 	pair->mod_revision = get_int64(object, "mod_revision");
 }
--- a/store/store_kv.h
+++ b/store/store_kv.h
@@ -14,7 +14,8 @@
 
 struct store_pair {
 	char *key;
-	char *value;
+	char *value; /**< followed by a zero byte */
+	size_t value_size;
 	int64_t create_revision;
 	int64_t mod_revision;
 };
--- a/tests/direct_policy_test.cc
+++ b/tests/direct_policy_test.cc
@@ -448,7 +448,7 @@
 
 		while ((best = pool_pick(pool.it, &ask))) {
 			EXPECT_EQ(best->hash % 2, ask.share);
-			EXPECT_EQ(pool_find_hash(pool.it, best->hash), best);
+			EXPECT_EQ(pool_find_life(pool.it, best->life), best);
 			tried.push_back(best->entry.id);
 			ask.tried = tried.data();
 			ask.tried_count = tried.size();
@@ -500,7 +500,7 @@
 	}
 	void make(uint32_t stage, uint32_t piece, const char *handle)
 	{
-		graph_made(it, stage, piece, handle, "maker", 10);
+		graph_made(it, stage, piece, handle, 7, 10);
 	}
 	std::vector<std::string> inputs(uint32_t stage)
 	{
@@ -524,7 +524,6 @@
 
 			handles.emplace_back(result->handle);
 			g_free(result->handle);
-			g_free(result->maker);
 		}
 		g_array_unref(out);
 		return handles;
@@ -575,8 +574,8 @@
 	EXPECT_FALSE(graph_inputs_kept(graph.it, 2));
 	EXPECT_EQ(graph_state(graph.it, 1, 0), GRAPH_PIECE_MISSING);
 	for (guint i = 0; i < out->len; i++) {
+		EXPECT_EQ(g_array_index(out, graph_result, i).maker, 7u);
 		g_free(g_array_index(out, graph_result, i).handle);
-		g_free(g_array_index(out, graph_result, i).maker);
 	}
 	g_array_unref(out);
 }
--- a/tests/direct_rig.h
+++ b/tests/direct_rig.h
@@ -242,6 +242,7 @@
 		options.clock = lp_clock_monotonic();
 		options.log = log;
 		options.kv = kv;
+		options.counters = counters;
 		options.direct = entry;
 		options.drain_us = drain_us;
 		options.config_taken = [](void *, int64_t) {};
--- /dev/null
+++ b/tests/lives_test.cc
@@ -0,0 +1,243 @@
+/* Upstreams that start again under their id: which life is believed in, and
+ * what of the one before it ends. */
+#include "pool_rig.h"
+
+#include <gtest/gtest.h>
+
+namespace
+{
+
+const int64_t s = LP_US_PER_S;
+
+struct Lives {
+	TestClock clock;
+	lives *it = lives_create(&clock.clock);
+
+	~Lives()
+	{
+		lives_destroy(it);
+	}
+	lives_word listed(int64_t born_ms, const char *id = "i")
+	{
+		return lives_listed(it, id, born_ms);
+	}
+	lives_word answered(int64_t born_ms, int64_t asked_us = 0)
+	{
+		return lives_answered(it, "i", born_ms, asked_us);
+	}
+};
+
+TEST(Lives, ANewerOneTakesThePlace)
+{
+	Lives lives;
+
+	EXPECT_EQ(lives.listed(1000), LIVES_NEW);
+	EXPECT_EQ(lives.listed(1000), LIVES_SAME);
+	EXPECT_EQ(lives.listed(1001), LIVES_NEW);
+	EXPECT_EQ(lives.answered(1001), LIVES_SAME);
+	EXPECT_EQ(lives.answered(1002), LIVES_NEW);
+	EXPECT_EQ(lives.answered(1002), LIVES_SAME);
+	EXPECT_EQ(lives.listed(1000, "other"), LIVES_NEW);
+}
+
+/* Peers' lists, answers and writes that are done late name it still. */
+TEST(Lives, AnOlderOneNeverDoes)
+{
+	Lives lives;
+
+	lives.listed(1000);
+	lives.answered(1001);
+	EXPECT_EQ(lives.answered(1000), LIVES_OLD);
+	EXPECT_EQ(lives.listed(1000), LIVES_OLD);
+	lives.clock.now_us += LIVES_SET_BACK_US - 1;
+	EXPECT_EQ(lives.listed(1000), LIVES_OLD);
+	EXPECT_EQ(lives.listed(1001), LIVES_SAME); /* it has written again */
+	lives.clock.now_us += s;
+	EXPECT_EQ(lives.listed(1000), LIVES_OLD);
+	lives.clock.now_us += 100 * s; /* only lists can tell */
+	EXPECT_EQ(lives.answered(1000), LIVES_OLD);
+}
+
+TEST(Lives, AClockThatWasSetBackIsSeenByTheListsThatGoOnNamingIt)
+{
+	Lives lives;
+
+	lives.listed(9000);
+	EXPECT_EQ(lives.listed(5000), LIVES_OLD);
+	lives.clock.now_us += LIVES_SET_BACK_US / 2;
+	EXPECT_EQ(lives.listed(4000), LIVES_OLD); /* yet another one */
+	lives.clock.now_us += LIVES_SET_BACK_US / 2;
+	EXPECT_EQ(lives.listed(4000), LIVES_OLD);
+	lives.clock.now_us += LIVES_SET_BACK_US / 2;
+	EXPECT_EQ(lives.listed(4000), LIVES_NEW);
+	EXPECT_EQ(lives.answered(4000), LIVES_SAME);
+	EXPECT_EQ(lives.listed(4001), LIVES_NEW);
+}
+
+/* Who answers what was asked after the newer one was known is there. */
+TEST(Lives, AClockThatWasSetBackIsSeenByAnAnswer)
+{
+	Lives lives;
+	int64_t known_us = lives.clock.now_us;
+
+	lives.listed(9000);
+	lives.clock.now_us += s;
+	EXPECT_EQ(lives.answered(5000, known_us), LIVES_OLD);
+	EXPECT_EQ(lives.answered(5000, known_us + 1), LIVES_NEW);
+	EXPECT_EQ(lives.listed(5000), LIVES_SAME);
+	/* The list that still names the one before is taken as a new one. */
+	EXPECT_EQ(lives.answered(5000, known_us + 2 * s), LIVES_SAME);
+}
+
+TEST(Lives, AStartThatIsNotSaidAgreesWithEveryLife)
+{
+	Lives lives;
+
+	EXPECT_EQ(lives.listed(0), LIVES_NEW);
+	EXPECT_EQ(lives.listed(0), LIVES_SAME);
+	EXPECT_EQ(lives.answered(700), LIVES_SAME);
+	EXPECT_EQ(lives.listed(1000), LIVES_NEW);
+	EXPECT_EQ(lives.listed(0), LIVES_SAME);
+	EXPECT_EQ(lives.answered(0), LIVES_SAME);
+	EXPECT_EQ(lives.listed(999), LIVES_OLD);
+}
+
+TEST(Lives, WhatNoListNamesIsForgottenInTheEnd)
+{
+	Lives lives;
+
+	lives.listed(1000);
+	lives.clock.now_us += LIVES_KEEP_US;
+	lives_forget(lives.it);
+	EXPECT_EQ(lives.listed(999), LIVES_OLD);
+	lives.clock.now_us += LIVES_KEEP_US + 1;
+	lives_forget(lives.it);
+	EXPECT_EQ(lives.listed(999), LIVES_NEW);
+}
+
+/* ---- in the pool ---- */
+
+struct Born : Pool {
+	void list(int64_t born_ms, bool leaving = false)
+	{
+		entries[0].born_ms = born_ms;
+		entries[0].leaving = leaving;
+		pool_update(it, entries.data(), entries.size());
+	}
+	Born()
+	{
+		add("i", "a");
+		add("other", "a");
+		list(1000);
+	}
+	pool_upstream *i()
+	{
+		return pool_find(it, "i");
+	}
+};
+
+/* Asked before anything was known of another one. */
+pool_upstream *answered(Born &pool, pool_upstream *asked, int64_t born_ms)
+{
+	return pool_answered(pool.it, asked, born_ms, 0);
+}
+
+/* Whatever was believed of the one before. */
+TEST(PoolLives, ANewOneStartsWithNoBeliefs)
+{
+	const pool_part part = { 5, 900 };
+	Born pool;
+	pool_upstream *before = pool_hold(pool.i());
+	pool_upstream *after;
+
+	before->in_flight = 3;
+	before->tokens_ahead = 5000;
+	pool_remember(pool.it, before, &part, 1, 0);
+	for (int i = 0; i < 5; i++)
+		pool_learn(pool.it, before, POOL_UNREACHABLE, 0, 0);
+	room_begin(before->room, 900);
+	room_made(before->room, "h", 900);
+	EXPECT_EQ(pool_cold_tokens(before, &part, 1), 0);
+	pool.list(1001);
+	after = pool.i();
+	ASSERT_NE(after, before);
+	EXPECT_FALSE(before->listed);
+	EXPECT_EQ(after->in_flight, 0u);
+	EXPECT_EQ(after->tokens_ahead, 0);
+	EXPECT_EQ(pool_cold_tokens(after, &part, 1), 900);
+	EXPECT_TRUE(pool_usable(pool.it, after));
+	EXPECT_EQ(room_taken_bytes(after->room), 0);
+	/* Its place among the others stays; words of peers part them. */
+	EXPECT_EQ(after->hash, before->hash);
+	EXPECT_NE(after->life, before->life);
+	EXPECT_EQ(pool_find_life(pool.it, after->life), after);
+	EXPECT_EQ(pool_find_life(pool.it, before->life), nullptr);
+	pool_release(before);
+}
+
+TEST(PoolLives, TheLeavingOfOneIsNotThatOfTheNext)
+{
+	Born pool;
+
+	pool.list(1000, true);
+	EXPECT_TRUE(pool.i()->entry.leaving);
+	pool.list(1001, false);
+	EXPECT_FALSE(pool.i()->entry.leaving);
+	EXPECT_FALSE(pool_in_doubt(pool.it));
+	pool.list(1000, true); /* late */
+	EXPECT_FALSE(pool.i()->entry.leaving);
+	EXPECT_EQ(pool.i()->entry.born_ms, 1001);
+	EXPECT_TRUE(pool_in_doubt(pool.it));
+}
+
+/* The one it took the place of has left the list meanwhile. */
+TEST(PoolLives, AnOlderOneDoesNotComeBackAlone)
+{
+	Born pool;
+
+	pool.list(1001);
+	pool_update(pool.it, &pool.entries[1], 1);
+	EXPECT_EQ(pool.i(), nullptr);
+	pool.list(1000);
+	EXPECT_EQ(pool.i(), nullptr);
+	EXPECT_NE(pool_find(pool.it, "other"), nullptr);
+	pool.list(1001);
+	EXPECT_NE(pool.i(), nullptr);
+}
+
+TEST(PoolLives, AnAnswerTellsOfALifeBeforeTheListDoes)
+{
+	Born pool;
+	pool_upstream *asked = pool_hold(pool.i());
+	pool_upstream *newer;
+
+	EXPECT_EQ(answered(pool, asked, 0), asked);
+	EXPECT_EQ(answered(pool, asked, 1000), asked);
+	newer = answered(pool, asked, 1001);
+	ASSERT_NE(newer, nullptr);
+	EXPECT_NE(newer, asked);
+	EXPECT_EQ(pool.i(), newer);
+	EXPECT_EQ(newer->entry.born_ms, 1001);
+	EXPECT_STREQ(newer->entry.service, "s");
+	/* What the ended one says, or one that may be it, is of no use. */
+	EXPECT_EQ(answered(pool, asked, 1000), nullptr);
+	EXPECT_EQ(answered(pool, asked, 0), nullptr);
+	EXPECT_EQ(answered(pool, asked, 1001), newer);
+	pool.list(1000); /* it has not heard yet */
+	EXPECT_EQ(pool.i(), newer);
+	pool_release(asked);
+}
+
+/* One that leaves has what it made for a while. */
+TEST(PoolLives, AnAnswerOfOneThatHasLeftTheListIsItsOwn)
+{
+	Born pool;
+	pool_upstream *asked = pool_hold(pool.i());
+
+	pool_update(pool.it, &pool.entries[1], 1);
+	EXPECT_EQ(answered(pool, asked, 1000), asked);
+	EXPECT_EQ(answered(pool, asked, 999), nullptr);
+	pool_release(asked);
+}
+
+} // namespace
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -179,24 +179,6 @@
 	}
 }
 
-TEST(PlfRecords, AnUpstreamThatIsNotReadyIsLeaving)
-{
-	pool_entry entry;
-
-	ASSERT_EQ(plf_read_upstream("servers/i-1",
-				    "{\"service\":\"s\",\"address\":\"1:2\","
-				    "\"zone\":\"a\",\"slots\":6,"
-				    "\"state\":\"draining\"}",
-				    &entry),
-		  LP_OK);
-	EXPECT_STREQ(entry.id, "i-1");
-	EXPECT_TRUE(entry.leaving);
-	EXPECT_EQ(entry.slots, 6u);
-	plf_clear_upstream(&entry);
-	EXPECT_EQ(plf_read_upstream("servers/i-1", "{}", &entry),
-		  LP_ERROR_PROTOCOL);
-}
-
 /* ---- the wire ---- */
 
 struct Fields {
@@ -325,37 +307,62 @@
 TEST(PlfCodec, AnswersOfACallMustMatchItsPieces)
 {
 	direct_made made[2] = {};
+	int64_t born_ms = -1;
+	auto read = [&](const std::string &body, uint32_t count) {
+		return plf_codec()->read_items(body.data(), body.size(), made,
+					       count, &born_ms);
+	};
 	const char good_answer[] = "{\"items\":[{\"handle\":\"1:2/3\"},"
 				   "{\"reason\":\"gone\"}]}";
 
-	ASSERT_TRUE(plf_codec()->read_items(good_answer, made, 2));
+	ASSERT_TRUE(read(good_answer, 2));
+	EXPECT_EQ(born_ms, 0);
 	EXPECT_EQ(made[0].result, DIRECT_ITEM_MADE);
 	EXPECT_STREQ(made[0].handle, "1:2/3");
 	EXPECT_EQ(made[1].result, DIRECT_ITEM_INPUT_GONE);
 	g_free(made[0].handle);
-	EXPECT_FALSE(plf_codec()->read_items(good_answer, made, 1));
-	EXPECT_FALSE(plf_codec()->read_items("no", made, 2));
-	EXPECT_FALSE(plf_codec()->read_items("{\"items\":7}", made, 2));
+	EXPECT_FALSE(read(good_answer, 1));
+	EXPECT_FALSE(read("no", 2));
+	EXPECT_FALSE(read("{\"items\":7}", 2));
+	/* One that cannot be read: none is. */
+	for (const char *item :
+	     { "7", "{}", "{\"handle\":7}", "{\"handle\":\"\"}",
+	       "{\"handle\":\"1:2/3,1:2/4\"}",
+	       "{\"handle\":\"1:2/3\\r\\na: b\"}", "{\"reason\":null}" })
+		EXPECT_FALSE(read("{\"items\":[{\"handle\":\"1:2/3\"}," +
+					  std::string(item) + "]}",
+				  2))
+			<< item;
+	ASSERT_TRUE(read("{\"born\":1764720000123,\"items\":[]}", 0));
+	EXPECT_EQ(born_ms, 1764720000123);
+	for (const char *born :
+	     { "\"1764720000123\"", "1.5", "-1", "0", "null", "[]", "true" })
+		EXPECT_FALSE(read(
+			"{\"born\":" + std::string(born) + ",\"items\":[]}", 0))
+			<< born;
 }
 
 TEST(PlfCodec, RoomIsToldInWholeMegabytesRoundedDown)
 {
-	int64_t least = 0;
-	int64_t most = 0;
-
-	ASSERT_TRUE(plf_codec()->read_room(
-		"{\"waiting\":0,\"busy\":1,\"free_mb\":17}", &least, &most));
-	EXPECT_EQ(least, 17000000);
-	EXPECT_EQ(most, 18000000);
-	ASSERT_TRUE(plf_codec()->read_room("{\"free_mb\":-3}", &least, &most));
-	EXPECT_EQ(least, 0);
-	for (const char *bad : { "", "no", "{}", "{\"free_mb\":\"17\"}",
-				 "{\"free_mb\":[17]}", "{\"free_mb\":null}" })
-		EXPECT_FALSE(plf_codec()->read_room(bad, &least, &most)) << bad;
+	direct_room room = {};
+	auto read = [&](const char *body) {
+		return plf_codec()->read_room(body, strlen(body), &room);
+	};
+
+	ASSERT_TRUE(read("{\"waiting\":0,\"busy\":1,\"free_mb\":17}"));
+	EXPECT_EQ(room.least_bytes, 17000000);
+	EXPECT_EQ(room.most_bytes, 18000000);
+	EXPECT_EQ(room.born_ms, 0);
+	ASSERT_TRUE(read("{\"free_mb\":-3,\"born\":5}"));
+	EXPECT_EQ(room.least_bytes, 0);
+	EXPECT_EQ(room.born_ms, 5);
+	for (const char *bad :
+	     { "", "no", "{}", "{\"free_mb\":\"17\"}", "{\"free_mb\":[17]}",
+	       "{\"free_mb\":null}", "{\"free_mb\":17,\"born\":\"5\"}" })
+		EXPECT_FALSE(read(bad)) << bad;
 	/* Larger than any upstream: not out of range. */
-	ASSERT_TRUE(plf_codec()->read_room("{\"free_mb\":9000000000000000000}",
-					   &least, &most));
-	EXPECT_GT(most, least);
+	ASSERT_TRUE(read("{\"free_mb\":9000000000000000000}"));
+	EXPECT_GT(room.most_bytes, room.least_bytes);
 }
 
 /* ---- the log ---- */
--- a/tests/pool_rig.h
+++ b/tests/pool_rig.h
@@ -29,7 +29,8 @@
 				     g_strdup("1:1"),
 				     g_strdup(domain),
 				     4,
-				     false };
+				     false,
+				     0 };
 
 		entries.push_back(entry);
 		pool_update(it, entries.data(), entries.size());
--- a/tools/pe.c
+++ b/tools/pe.c
@@ -231,14 +231,25 @@
 
 /* ---- upstreams ---- */
 
-static void write_entry(struct pe_upstream *upstream, const char *state)
+char *pe_entry(const struct pe_upstream *upstream, int64_t born_ms)
 {
-	g_autofree char *key = g_strdup_printf("servers/%s", upstream->id);
-	g_autofree char *value = g_strdup_printf(
+	g_autofree char *born = g_strdup_printf(
+		",\"born\":%" G_GINT64_FORMAT,
+		(gint64)(born_ms ? born_ms : upstream->born_ms));
+
+	return g_strdup_printf(
 		"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
-		"\"version\":\"v1\",\"slots\":4,\"state\":\"%s\",\"seq_no\":1}",
+		"\"version\":\"v1\",\"slots\":4,\"state\":\"%s\","
+		"\"cold_left_ms\":0,\"seq_no\":1%s}",
 		upstream->service, upstream->listener->address,
-		upstream->domain, state);
+		upstream->domain, upstream->draining ? "draining" : "ready",
+		upstream->pe->no_start ? "" : born);
+}
+
+void pe_tell(struct pe_upstream *upstream)
+{
+	g_autofree char *key = g_strdup_printf("servers/%s", upstream->id);
+	g_autofree char *value = pe_entry(upstream, 0);
 
 	pe_store_put(upstream->pe, key, value);
 }
@@ -254,12 +265,13 @@
 	upstream->service = g_strdup(service);
 	upstream->domain = g_strdup(domain);
 	upstream->work_ms = DEFAULT_WORK_MS;
+	upstream->born_ms = g_get_real_time() / 1000;
 	upstream->listener = pe_listener_create(on_request, on_left, upstream);
 	if (kind == PE_STAGE)
 		upstream->results = g_hash_table_new_full(
 			g_str_hash, g_str_equal, g_free, pe_result_free);
 	g_ptr_array_add(pe->upstreams, upstream);
-	write_entry(upstream, "ready");
+	pe_tell(upstream);
 	return upstream;
 }
 
@@ -289,7 +301,8 @@
 
 void pe_drain(struct pe_upstream *upstream)
 {
-	write_entry(upstream, "draining");
+	upstream->draining = true;
+	pe_tell(upstream);
 }
 
 void pe_replace(struct pe_upstream *upstream)
@@ -297,6 +310,51 @@
 	upstream->other_id = g_strdup("i-other");
 }
 
+/* Nothing of before answers any more. */
+static void end_connections(struct pe_upstream *upstream, bool silent)
+{
+	GPtrArray *conns = upstream->listener->conns;
+
+	for (guint i = conns->len; i-- > 0;) {
+		struct pe_conn *conn = g_ptr_array_index(conns, i);
+
+		if (silent)
+			pe_conn_silence(conn);
+		else
+			pe_conn_end(conn, true);
+	}
+}
+
+void pe_restart(struct pe_upstream *upstream,
+		const struct pe_restart_options *how)
+{
+	end_connections(upstream, how->silent);
+	if (upstream->results)
+		g_hash_table_remove_all(upstream->results);
+	upstream->at_work = 0;
+	upstream->draining = false;
+	upstream->born_ms =
+		MAX(upstream->born_ms + 1, g_get_real_time() / 1000) -
+		how->back_ms;
+	if (!how->untold)
+		pe_tell(upstream);
+}
+
+void pe_say_no_start(struct pe *pe)
+{
+	pe->no_start = true;
+}
+
+void pe_write(struct pe *pe, const char *key, const void *bytes, size_t size)
+{
+	pe_store_put_bytes(pe, key, bytes, size);
+}
+
+void pe_erase(struct pe *pe, const char *key)
+{
+	pe_store_remove(pe, key);
+}
+
 void pe_remove(struct pe_upstream *upstream)
 {
 	g_autofree char *key = g_strdup_printf("servers/%s", upstream->id);
--- a/tools/pe.h
+++ b/tools/pe.h
@@ -75,6 +75,30 @@
 /** Its process is replaced by one of another id at the same address; the
  * key-value service still names the old one. */
 void pe_replace(struct pe_upstream *upstream);
+/** How an upstream starts again. */
+struct pe_restart_options {
+	bool silent;	 /**< its connections stay open, and nothing comes */
+	bool untold;	 /**< the service still names the life before */
+	int64_t back_ms; /**< its clock is set back by this */
+};
+
+/**
+ * It ends at once and starts again under its id and address: what runs there
+ * is lost, its results are gone, it was born later.
+ */
+void pe_restart(struct pe_upstream *upstream,
+		const struct pe_restart_options *how);
+/** Write its entry as it stands now. */
+void pe_tell(struct pe_upstream *upstream);
+/** Its entry as it would write it, but for the start if `born_ms` is not 0;
+ * g_free(). */
+char *pe_entry(const struct pe_upstream *upstream, int64_t born_ms);
+/** Entries do not say a start, as before it was introduced. Before pe_add(). */
+void pe_say_no_start(struct pe *pe);
+/** Another writer's entry, any bytes; in place of what stands there. */
+void pe_write(struct pe *pe, const char *key, const void *bytes, size_t size);
+/** Another writer removes an entry. */
+void pe_erase(struct pe *pe, const char *key);
 /** Remove its entry and stop it. Frees it. */
 void pe_remove(struct pe_upstream *upstream);
 
--- a/tools/pe_listener.c
+++ b/tools/pe_listener.c
@@ -39,6 +39,14 @@
 	g_idle_add(on_free, conn);
 }
 
+void pe_conn_silence(struct pe_conn *conn)
+{
+	conn->silent = true;
+	if (conn->timer)
+		g_source_remove(conn->timer);
+	conn->timer = 0;
+}
+
 static void on_body(void *userdata, const char *bytes, size_t size)
 {
 	struct pe_conn *conn = userdata;
--- a/tools/pe_private.h
+++ b/tools/pe_private.h
@@ -37,8 +37,10 @@
 	struct pe_listener *listener;
 	enum pe_kind kind;
 	enum pe_fault fault;
-	char *id;	/**< as the key-value service names it */
-	char *other_id; /**< of a process that took the address; or NULL */
+	char *id;	 /**< as the key-value service names it */
+	char *other_id;	 /**< of a process that took the address; or NULL */
+	int64_t born_ms; /**< wall clock, as it says it */
+	bool draining;
 	char *service;
 	char *domain;
 	uint32_t work_ms;
@@ -67,10 +69,11 @@
 	GPtrArray *breaches;
 	uint32_t made;
 	uint32_t serial;
+	bool no_start; /**< upstreams do not say when they started */
 };
 
 struct pe_item {
-	char *value;
+	GBytes *value;
 	int64_t revision;
 };
 
@@ -92,6 +95,9 @@
 /** End the connection, in order or by a reset. */
 void pe_conn_end(struct pe_conn *conn, bool reset);
 
+/** Nothing comes or goes any more; its client learns nothing of it. */
+void pe_conn_silence(struct pe_conn *conn);
+
 /** An answer as it is written; g_free(). */
 char *pe_answer_text(uint32_t status, const char *extra, const char *body);
 
@@ -112,6 +118,9 @@
 /* ---- pe_store.c ---- */
 
 void pe_store_create(struct pe *pe);
+/** Any bytes. */
+void pe_store_put_bytes(struct pe *pe, const char *key, const void *bytes,
+			size_t size);
 void pe_store_put(struct pe *pe, const char *key, const char *value);
 void pe_store_remove(struct pe *pe, const char *key);
 
--- a/tools/pe_stage.c
+++ b/tools/pe_stage.c
@@ -121,6 +121,8 @@
 	items = json_object_get_array_member(
 		json_node_get_object(json_parser_get_root(parser)), "items");
 	json_builder_begin_object(builder);
+	if (!upstream->pe->no_start)
+		lp_json_int(builder, "born", upstream->born_ms);
 	json_builder_set_member_name(builder, "items");
 	json_builder_begin_array(builder);
 	for (guint i = 0; i < json_array_get_length(items); i++)
@@ -166,9 +168,11 @@
 /* Its room is never short here. */
 static void report(struct pe_upstream *upstream, struct pe_conn *conn)
 {
-	g_autofree char *text =
-		g_strdup_printf("{\"waiting\":0,\"busy\":%d,\"free_mb\":1}",
-				upstream->at_work > 0);
+	g_autofree char *born = g_strdup_printf(
+		"\"born\":%" G_GINT64_FORMAT ",", (gint64)upstream->born_ms);
+	g_autofree char *text = g_strdup_printf(
+		"{%s\"waiting\":0,\"busy\":%d,\"free_mb\":1}",
+		upstream->pe->no_start ? "" : born, upstream->at_work > 0);
 
 	pe_conn_answer(conn, 200, "", text);
 }
--- a/tools/pe_store.c
+++ b/tools/pe_store.c
@@ -11,7 +11,7 @@
 {
 	struct pe_item *item = data;
 
-	g_free(item->value);
+	g_bytes_unref(item->value);
 	g_free(item);
 }
 
@@ -31,8 +31,9 @@
 static void add_item(JsonBuilder *builder, const char *key,
 		     const struct pe_item *item)
 {
-	g_autofree char *value = g_base64_encode((const guchar *)item->value,
-						 strlen(item->value));
+	g_autofree char *value =
+		g_base64_encode(g_bytes_get_data(item->value, NULL),
+				g_bytes_get_size(item->value));
 
 	lp_json_text(builder, "key", key);
 	lp_json_text(builder, "value", value);
@@ -217,10 +218,16 @@
 }
 
 void pe_store_put(struct pe *pe, const char *key, const char *value)
+{
+	pe_store_put_bytes(pe, key, value, strlen(value));
+}
+
+void pe_store_put_bytes(struct pe *pe, const char *key, const void *bytes,
+			size_t size)
 {
 	struct pe_item *item = g_new0(struct pe_item, 1);
 
-	item->value = g_strdup(value);
+	item->value = g_bytes_new(bytes, size);
 	item->revision = ++pe->revision;
 	g_hash_table_replace(pe->items, g_strdup(key), item);
 	tell_watches(pe);
--- a/tools/soak_main.c
+++ b/tools/soak_main.c
@@ -11,6 +11,7 @@
 #include "http/http_client.h"
 #include "tools/pe.h"
 #include "tools/soak_config.h"
+#include "tools/soak_writer.h"
 
 #include <gio/gio.h>
 #include <glib/gstdio.h>
@@ -63,6 +64,7 @@
 	struct soak_settings settings;
 	struct pe *platform;
 	struct soak_config *config;
+	struct soak_writer *writer;
 	GPtrArray *upstreams;
 	struct entry entries[ENTRIES];
 	const char *addresses[ENTRIES + 1]; /* of entries, for callers */
@@ -399,6 +401,7 @@
 	soak->faults++;
 	look_for_ended(soak);
 	soak_config_disturb(soak->config);
+	soak_writer_disturb(soak->writer);
 	if (dice < 3)
 		fault_entry(soak, dice);
 	else if (dice == 3)
@@ -414,10 +417,9 @@
 
 /* ---- the run ---- */
 
-static void on_config_breach(void *userdata, const char *entry,
-			     const char *what)
+static void on_breach(void *userdata, const char *id, const char *what)
 {
-	breach(userdata, entry, what);
+	breach(userdata, id, what);
 }
 
 static void start_config(struct soak *soak)
@@ -426,7 +428,18 @@
 		.platform = soak->platform,
 		.seed = (uint32_t)soak->settings.seed,
 		.entries = soak->addresses,
-		.breach = on_config_breach,
+		.breach = on_breach,
+		.userdata = soak,
+	});
+}
+
+static void start_writer(struct soak *soak)
+{
+	soak->writer = soak_writer_create(&(struct soak_writer_options){
+		.platform = soak->platform,
+		.upstreams = soak->upstreams,
+		.seed = (uint32_t)soak->settings.seed,
+		.breach = on_breach,
 		.userdata = soak,
 	});
 }
@@ -440,6 +453,7 @@
 	soak->loop = g_main_loop_new(NULL, FALSE);
 	start_config(soak);
 	add_upstreams(soak);
+	start_writer(soak);
 	for (uint32_t i = 0; i < ENTRIES; i++) {
 		soak->entries[i].number = i;
 		write_settings(soak, &soak->entries[i]);
@@ -463,6 +477,7 @@
 	g_free(soak->folder);
 	g_ptr_array_unref(soak->upstreams);
 	soak_config_destroy(soak->config);
+	soak_writer_destroy(soak->writer);
 	pe_destroy(soak->platform);
 	g_main_loop_unref(soak->loop);
 	g_rand_free(soak->random);
@@ -520,6 +535,7 @@
 	if (faults)
 		g_source_remove(faults);
 	end_faults(soak);
+	soak_writer_settle(soak->writer);
 	soak_config_settle(soak->config);
 	report(soak);
 	status = soak->breaches ? 1 : 0;
