A prompt is placed where most bytes of its inputs lie, not most of them

Cause: a request may take in a few results of 3 MB and sixteen of 6 KB. The engine was looked for near the maker of most results, and all stages' bytes were counted there, one piece each.

Ruled out: the makers' side. Pieces of the 3 MB stage are made near the home of the prefix, and on routes without a second branch 25 of 100 cross.

Test: GraphOfStages.KnowsWhereMostBytesLie.

--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -359,13 +359,17 @@
 
 /* ---- sending ---- */
 
+static const char *domain_of_maker(void *userdata, uint64_t maker)
+{
+	const struct pool *pool = userdata;
+	const struct pool_upstream *upstream = pool_find_life(pool, maker);
+
+	return upstream ? upstream->entry.domain : NULL;
+}
+
 static void write_pool_ask(const struct direct_request *request,
 			   struct pool_ask *ask)
 {
-	uint64_t maker = request->graph ? graph_main_maker(request->graph) : 0;
-	struct pool_upstream *maker_upstream =
-		pool_find_life(request->direct->pool, maker);
-
 	*ask = (struct pool_ask){
 		.service = request->service,
 		.parts = (struct pool_part *)request->ask.parts->data,
@@ -376,10 +380,10 @@
 			     direct_request_now_us(request),
 	};
 	direct_stages_share(request->direct->stages, ask);
-	for (uint32_t i = 0; i < request->route->stages_count; i++)
-		ask->fetch_bytes += request->route->stages[i].bytes;
-	if (maker_upstream)
-		ask->domain = maker_upstream->entry.domain;
+	if (request->graph)
+		ask->domain = graph_main_domain(request->graph, domain_of_maker,
+						request->direct->pool,
+						&ask->fetch_bytes);
 	/* Late in any case. */
 	if (ask->target_us < 0)
 		ask->target_us = 0;
--- a/policy/graph.c
+++ b/policy/graph.c
@@ -241,10 +241,33 @@
 	return stage->pieces_count ? stage->pieces[0].maker : 0;
 }
 
-uint64_t graph_main_maker(const struct graph *graph)
+struct share {
+	const char *domain;
+	int64_t bytes;
+};
+
+static void add_share(GArray *shares, const char *domain, int64_t bytes)
+{
+	struct share share = { domain, bytes };
+
+	for (guint i = 0; i < shares->len; i++) {
+		struct share *other = &g_array_index(shares, struct share, i);
+
+		if (strcmp(other->domain, domain) != 0)
+			continue;
+		other->bytes += bytes;
+		return;
+	}
+	g_array_append_val(shares, share);
+}
+
+const char *graph_main_domain(const struct graph *graph,
+			      graph_domain_fn domain_of, void *userdata,
+			      int64_t *bytes)
 {
-	uint64_t best = 0;
-	uint32_t best_count = 0;
+	g_autoptr(GArray) shares =
+		g_array_new(FALSE, FALSE, sizeof(struct share));
+	struct share best = { 0 };
 
 	for (uint32_t i = 0; i < graph->count; i++) {
 		const struct stage *stage = &graph->stages[i];
@@ -252,19 +275,21 @@
 		if (!takes_from(graph, graph->count, i))
 			continue;
 		for (uint32_t j = 0; j < stage->pieces_count; j++) {
-			uint32_t same = 0;
+			const struct piece *piece = &stage->pieces[j];
+			const char *domain = domain_of(userdata, piece->maker);
 
-			for (uint32_t k = 0; k < stage->pieces_count; k++)
-				if (stage->pieces[k].maker ==
-				    stage->pieces[j].maker)
-					same++;
-			if (same <= best_count || !stage->pieces[j].maker)
-				continue;
-			best = stage->pieces[j].maker;
-			best_count = same;
+			if (domain)
+				add_share(shares, domain, piece->bytes);
 		}
 	}
-	return best;
+	for (guint i = 0; i < shares->len; i++) {
+		struct share share = g_array_index(shares, struct share, i);
+
+		if (share.bytes > best.bytes)
+			best = share;
+	}
+	*bytes = best.bytes;
+	return best.domain;
 }
 
 void graph_take_unneeded(struct graph *graph, bool all, GArray *out)
--- a/policy/graph.h
+++ b/policy/graph.h
@@ -66,8 +66,20 @@
 void graph_lost_inputs(struct graph *graph, uint32_t stage, GArray *out);
 /** The maker of the first piece of a stage, or 0. */
 uint64_t graph_maker(const struct graph *graph, uint32_t stage);
-/** The maker of most of what the request takes in, or 0. */
-uint64_t graph_main_maker(const struct graph *graph);
+/** The domain of a maker; NULL: it is not known. */
+typedef const char *(*graph_domain_fn)(void *userdata, uint64_t maker);
+/**
+ * Where most bytes lie of what the request itself takes in, and how many; NULL:
+ * nowhere. Borrowed from `domain_of`.
+ *
+ * A request may take in few large results of one stage and many small ones of
+ * another. By their number the prompt was placed near the small ones: results
+ * of 3 MB then lay in another domain for 80 of 100 requests, with five domains,
+ * and the prompt was not where its prefix was kept.
+ */
+const char *graph_main_domain(const struct graph *graph,
+			      graph_domain_fn domain_of, void *userdata,
+			      int64_t *bytes);
 /**
  * Take out handles that nobody needs any more: results whose takers are all
  * made; with `all`, every one. Appended to `out`, of struct graph_result.
--- a/tests/direct_policy_test.cc
+++ b/tests/direct_policy_test.cc
@@ -580,6 +580,39 @@
 	g_array_unref(out);
 }
 
+/* Few large results of one stage, many small ones of another, in five domains:
+ * the prompt goes where the bytes are. */
+TEST(GraphOfStages, KnowsWhereMostBytesLie)
+{
+	const uint32_t one = 1;
+	const graph_stage stages[] = { { nullptr, 0, 2 },
+				       { nullptr, 0, 8 },
+				       { &one, 1, 16 } };
+	graph *it = graph_create(stages, 3);
+	graph_domain_fn domain_of = [](void *, uint64_t maker) {
+		return maker ? (const char *)&"a\0b\0c\0d\0e"[2 * (maker - 1)]
+			     : nullptr;
+	};
+	int64_t bytes;
+
+	EXPECT_EQ(graph_main_domain(it, domain_of, nullptr, &bytes), nullptr);
+	EXPECT_EQ(bytes, 0);
+	for (uint32_t i = 0; i < 16; i++)
+		graph_made(it, 2, i, "s", 3, 6000);
+	for (uint32_t i = 0; i < 8; i++) /* only the stage after takes these */
+		graph_made(it, 1, i, "i", 4, 60000);
+	EXPECT_STREQ(graph_main_domain(it, domain_of, nullptr, &bytes), "c");
+	EXPECT_EQ(bytes, 96000);
+	graph_made(it, 0, 0, "l", 2, 3000000);
+	graph_made(it, 0, 1, "l", 0, 3000000); /* its maker is not known */
+	EXPECT_STREQ(graph_main_domain(it, domain_of, nullptr, &bytes), "b");
+	EXPECT_EQ(bytes, 3000000);
+	graph_made(it, 0, 1, "l", 2, 3000000);
+	EXPECT_STREQ(graph_main_domain(it, domain_of, nullptr, &bytes), "b");
+	EXPECT_EQ(bytes, 6000000);
+	graph_destroy(it);
+}
+
 /* ---- pieces ---- */
 
 struct Pieces : Pool {
