A key-value service that refuses is asked less and less, and peers tell of its return

Cause: while the service refused or was silent every entry asked it each 400 ms, twice: the look at the list and the watch, each with a retry of its own.

Changed: policy/backoff, twice as long after each failure up to 0.45 of the time in which a leaving upstream must be known, a part of it drawn; a watch is not tried while looks fail; a peer that tells of a look after two seconds in which nobody did is the first to be served again, and is followed at once.

Ruled out: longer waits of the watch in steady state. They are 6 s at this size already, and an entry that is cut from all others at the moment in which its watch goes silent would be late.

--- a/tests/cwrap.h
+++ b/tests/cwrap.h
@@ -38,6 +38,7 @@
 #include "platform/plf_share.h"
 #include "platform/plf_upstream.h"
 #include "policy/admission.h"
+#include "policy/backoff.h"
 #include "policy/bucket.h"
 #include "policy/claim.h"
 #include "policy/dispatchers.h"
--- a/tests/direct_policy_test.cc
+++ b/tests/direct_policy_test.cc
@@ -897,6 +897,48 @@
 	rig.end(call);
 }
 
+/* ---- asking again ---- */
+
+TEST(Backoff, WaitsLongerAfterEachFailureUpToABound)
+{
+	const backoff it = { 400000, 1800000 };
+
+	EXPECT_EQ(backoff_wait_us(&it, 0, 0), 400000);
+	EXPECT_EQ(backoff_wait_us(&it, 1, 0), 400000);
+	EXPECT_EQ(backoff_wait_us(&it, 2, 0), 800000);
+	EXPECT_EQ(backoff_wait_us(&it, 3, 0), 1600000);
+	EXPECT_EQ(backoff_wait_us(&it, 4, 0), 1800000);
+	EXPECT_EQ(backoff_wait_us(&it, G_MAXUINT32, 0), 1800000);
+	EXPECT_EQ(backoff_wait_us(&it, 4, 1), 1260000);
+}
+
+/* Eighty entries, of which each is refused for eight seconds: calls in all, and
+ * the most of them in a tenth of a second once they have parted. */
+TEST(Backoff, AFleetAsksLessOftenAndNotInStep)
+{
+	const backoff it = { 400000, 1800000 };
+	uint32_t calls = 0;
+	std::map<int64_t, uint32_t> each_tenth;
+
+	for (int entry = 0; entry < 80; entry++) {
+		int64_t at_us = 0;
+
+		for (uint32_t failures = 1; at_us < 8000000; failures++) {
+			double draw =
+				(double)(lp_hash_pair(entry, failures) % 1000) /
+				1000;
+
+			calls++;
+			if (at_us > 3000000)
+				each_tenth[at_us / 100000]++;
+			at_us += backoff_wait_us(&it, failures, draw);
+		}
+	}
+	EXPECT_LE(calls, 80u * 8); /* at 400 ms each: 1,600 */
+	for (const auto &tenth : each_tenth)
+		EXPECT_LE(tenth.second, 20u) << tenth.first;
+}
+
 /* ---- the watch's pace ---- */
 
 /* All calls that wait are forgotten at once: when the first new one begins,
--- a/tests/direct_test.cc
+++ b/tests/direct_test.cc
@@ -447,6 +447,47 @@
 	EXPECT_TRUE(turn_until([&] { return plf_feed_in_touch(rig.feed); }));
 }
 
+/* Refused calls are paid for, and keep a service down that is short. */
+TEST(Direct, AServiceThatRefusesIsAskedLessAndLess)
+{
+	Rig rig((int64_t)4000000);
+	int64_t before;
+
+	rig.add(PE_PLAIN, "plain");
+	rig.settle();
+	pe_store_fault(rig.platform, PE_STORE_BUSY);
+	ASSERT_TRUE(turn_until([&] { return !plf_feed_in_touch(rig.feed); }));
+	before = *lp_counter(rig.counters, "linepier_kv_failures_total",
+			     nullptr);
+	turn_until([] { return false; }, 4000);
+	EXPECT_LE(*lp_counter(rig.counters, "linepier_kv_failures_total",
+			      nullptr) -
+			  before,
+		  5);
+	pe_store_fault(rig.platform, PE_STORE_FINE);
+	rig.set_config(2);
+	EXPECT_TRUE(
+		turn_until([&] { return plf_feed_in_touch(rig.feed); }, 2000));
+	EXPECT_TRUE(turn_until(
+		[&] { return direct_config_version(rig.entry) == 2; }, 500));
+}
+
+/* ... and the first that it serves again tells the others. */
+TEST(Direct, APeerThatIsServedAgainIsFollowedAtOnce)
+{
+	Rig rig((int64_t)4000000);
+
+	rig.add(PE_PLAIN, "plain");
+	rig.settle();
+	pe_store_fault(rig.platform, PE_STORE_BUSY);
+	ASSERT_TRUE(turn_until([&] { return !plf_feed_in_touch(rig.feed); }));
+	turn_until([] { return false; }, 3500); /* its wait is 1.2 s or more */
+	pe_store_fault(rig.platform, PE_STORE_FINE);
+	EXPECT_FALSE(plf_feed_hear_list(rig.feed, 7, 0));
+	EXPECT_TRUE(
+		turn_until([&] { return plf_feed_in_touch(rig.feed); }, 300));
+}
+
 /* ---- the configuration ---- */
 
 TEST(Direct, AConfigurationIsInForceAtOnceAndNeverReverts)
