Pool: an answer from an address that the list no longer names is not its own

Read in the whole diff: without a start in the list, an upstream that moved under its id would have been given what was made at its old address. Test: PoolLives.AnAnswerFromWhereItWasIsNotItsOwn.

--- a/policy/pool.c
+++ b/policy/pool.c
@@ -314,6 +314,8 @@
 		return NULL;
 	if (!listed) /* it leaves, and has what it made for a while */
 		return upstream;
+	if (!is_same(listed, &upstream->entry)) /* it has moved */
+		return NULL;
 	if (word == LIVES_NEW)
 		return renew(pool, listed, born_ms);
 	/* Who does not say may be the one that was asked, and has ended. */
--- a/tests/lives_test.cc
+++ b/tests/lives_test.cc
@@ -228,6 +228,23 @@
 	pool_release(asked);
 }
 
+/* The list names it at another address now: whoever answered at the old one is
+ * not it. */
+TEST(PoolLives, AnAnswerFromWhereItWasIsNotItsOwn)
+{
+	Born pool;
+	pool_upstream *asked = pool_hold(pool.i());
+
+	g_free(pool.entries[0].address);
+	pool.entries[0].address = g_strdup("1:2");
+	pool.list(1000);
+	EXPECT_NE(pool.i(), asked);
+	EXPECT_EQ(answered(pool, asked, 1000), nullptr);
+	EXPECT_EQ(answered(pool, asked, 0), nullptr);
+	EXPECT_EQ(answered(pool, pool.i(), 1000), pool.i());
+	pool_release(asked);
+}
+
 /* One that leaves has what it made for a while. */
 TEST(PoolLives, AnAnswerOfOneThatHasLeftTheListIsItsOwn)
 {
