--- a/direct/direct_prepare.c
+++ b/direct/direct_prepare.c
@@ -102,12 +102,13 @@
 
 void direct_prepare_learn(struct direct_request *request)
 {
-	struct direct_learnt *learnt = direct_request_learnt(request);
 	uint32_t count =
 		MIN(request->route->stages_count, DIRECT_LEARNT_STAGES);
+	struct direct_learnt *learnt;
 
 	if (!request->graph || request->remakes || request->moves != 1)
 		return;
+	learnt = direct_request_learnt(request);
 	for (uint32_t i = 0; i < count; i++)
 		if (went_on(request, i))
 			remaining_learn(
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -540,18 +540,17 @@
 	set_stall_timer(request);
 }
 
-static void place_by_ourselves(struct direct_request *request)
+static void place_by_ourselves(struct direct_request *request,
+			       struct pool_ask *ask)
 {
 	struct pool *pool = request->direct->pool;
 	struct pool_upstream *upstream;
-	struct pool_ask ask;
 
 	request->place = (struct direct_place){ 0 };
-	write_pool_ask(request, &ask);
-	upstream = pool_pick(pool, &ask);
+	upstream = pool_pick(pool, ask);
 	if (!upstream) { /* none of its share is left */
-		ask.share_count = 0;
-		upstream = pool_pick(pool, &ask);
+		ask->share_count = 0;
+		upstream = pool_pick(pool, ask);
 	}
 	send_to(request, upstream);
 }
@@ -560,10 +559,12 @@
 		      const struct direct_place *place)
 {
 	struct direct_request *request = userdata;
+	struct pool_ask ask;
 
 	request->question = 0;
 	if (!upstream) {
-		place_by_ourselves(request);
+		write_pool_ask(request, &ask);
+		place_by_ourselves(request, &ask);
 		return;
 	}
 	request->place = *place;
@@ -571,19 +572,18 @@
 }
 
 /* Returns whether a peer was asked where the prompt goes. */
-static bool ask_placer(struct direct_request *request)
+static bool ask_placer(struct direct_request *request,
+		       const struct pool_ask *ask)
 {
 	struct direct *direct = request->direct;
 	uint64_t placer;
-	struct pool_ask ask;
 
 	if (!direct->places || !request->ask.parts->len)
 		return false;
-	write_pool_ask(request, &ask);
-	placer = direct_stages_placer(direct->stages, &ask);
+	placer = direct_stages_placer(direct->stages, ask);
 	if (!placer)
 		return false;
-	request->question = direct_places_ask(direct->places, placer, &ask,
+	request->question = direct_places_ask(direct->places, placer, ask,
 					      on_placed, request);
 	if (!request->question)
 		return false;
@@ -593,11 +593,14 @@
 
 void direct_sending_start(struct direct_request *request)
 {
+	struct pool_ask ask;
+
 	if (request->graph &&
 	    !graph_inputs_kept(request->graph, request->route->stages_count)) {
 		remake_inputs(request);
 		return;
 	}
-	if (!ask_placer(request))
-		place_by_ourselves(request);
+	write_pool_ask(request, &ask);
+	if (!ask_placer(request, &ask))
+		place_by_ourselves(request, &ask);
 }
--- a/policy/lives.c
+++ b/policy/lives.c
@@ -48,8 +48,8 @@
 	life->older_ms = 0;
 }
 
-/* Whether lists have named this older start for long enough. */
-static bool is_set_back(struct life *life, int64_t born_ms, int64_t now_us)
+/* A list names an older start. Returns whether lists have for long enough. */
+static bool note_older(struct life *life, int64_t born_ms, int64_t now_us)
 {
 	if (life->older_ms != born_ms) {
 		life->older_ms = born_ms;
@@ -69,7 +69,7 @@
 		life = add_life(lives, id);
 	life->listed_us = now_us;
 	if (known && born_ms < life->born_ms && born_ms &&
-	    !is_set_back(life, born_ms, now_us))
+	    !note_older(life, born_ms, now_us))
 		return LIVES_OLD;
 	if (known && (!born_ms || born_ms == life->born_ms)) {
 		life->older_ms = 0;
--- a/policy/pool.c
+++ b/policy/pool.c
@@ -248,14 +248,19 @@
 	return removed;
 }
 
+/* It borrows from upstreams, of which some may leave now. */
+static void clear_index(struct pool *pool)
+{
+	g_hash_table_remove_all(pool->services);
+	g_hash_table_remove_all(pool->by_life);
+}
+
 /* Lists by service, and lives: of what is listed now. */
 static void index_upstreams(struct pool *pool)
 {
 	GHashTableIter iter;
 	gpointer value;
 
-	g_hash_table_remove_all(pool->services);
-	g_hash_table_remove_all(pool->by_life);
 	g_hash_table_iter_init(&iter, pool->upstreams);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct pool_upstream *upstream = value;
@@ -271,9 +276,7 @@
 {
 	uint32_t changes;
 
-	/* They borrow from upstreams that may leave now. */
-	g_hash_table_remove_all(pool->services);
-	g_hash_table_remove_all(pool->by_life);
+	clear_index(pool);
 	pool->in_doubt = false;
 	changes = remove_missing(pool, entries, count);
 	for (uint32_t i = 0; i < count; i++)
@@ -297,6 +300,7 @@
 	struct pool_upstream *after;
 
 	entry.born_ms = born_ms;
+	clear_index(pool);
 	after = follow_life(pool, listed, &entry);
 	index_upstreams(pool);
 	return after;
--- a/tests/restart_test.cc
+++ b/tests/restart_test.cc
@@ -191,19 +191,14 @@
 
 /* ---- another writer ---- */
 
-std::string key_of(pe_upstream *upstream)
+void write(Rig &rig, const char *id, const std::string &value)
 {
-	return "servers/" + std::string(pe_name(upstream));
-}
-
-void write(Rig &rig, const std::string &key, const std::string &value)
-{
-	pe_write(rig.platform, key.c_str(), value.data(), value.size());
+	pe_write(rig.platform, id, value.data(), value.size());
 }
 
 std::string entry_of(pe_upstream *upstream)
 {
-	char *text = pe_entry(upstream, 0);
+	char *text = pe_entry(upstream);
 	std::string copy = text;
 
 	g_free(text);
@@ -231,7 +226,7 @@
 	       replace(entry_of(overwritten), "ready", "resting"),
 	       std::string("{\"a\":") + std::string(200000, '['),
 	       std::string(300000, ' ') }) {
-		write(rig, key_of(overwritten), value);
+		write(rig, pe_name(overwritten), value);
 		rig.settle();
 		before = pe_arrivals(overwritten);
 		for (int i = 0; i < 4; i++)
@@ -254,7 +249,7 @@
 	pe_upstream *plain = rig.add(PE_PLAIN, "plain");
 
 	rig.settle();
-	pe_erase(rig.platform, key_of(plain).c_str());
+	pe_erase(rig.platform, pe_name(plain));
 	rig.settle();
 	EXPECT_EQ(Ask(rig.address, "a1", "/look/x").wait().status, 503u);
 	pe_tell(plain);
@@ -274,11 +269,11 @@
 
 	first.join("127.0.0.1", 4000, { "127.0.0.2" });
 	second->join("127.0.0.2", 100, { "127.0.0.1" });
-	write(first, "servers/x-1", replace(entry, "plain", "pl ain 1"));
-	write(first, "servers/x-2", replace(entry, "plain", "p\\nl"));
-	write(first, "servers/x-3", replace(entry, "\"a\"", "\" a \\r\\n\""));
-	write(first, "servers/x-4", replace(entry, "ready", "odd"));
-	write(first, "servers/x-5", "\x80");
+	write(first, "x-1", replace(entry, "plain", "pl ain 1"));
+	write(first, "x-2", replace(entry, "plain", "p\\nl"));
+	write(first, "x-3", replace(entry, "\"a\"", "\" a \\r\\n\""));
+	write(first, "x-4", replace(entry, "ready", "odd"));
+	write(first, "x-5", "\x80");
 	first.settle();
 	second->settle();
 	EXPECT_TRUE(turn_until([&] {
--- a/tools/pe.c
+++ b/tools/pe.c
@@ -5,6 +5,8 @@
 #include <string.h>
 
 #define DEFAULT_WORK_MS 10
+/* Of the keys of upstreams' entries. */
+#define ENTRIES_PREFIX "servers/"
 /* Events of one stream, and the time between two. */
 #define EVENTS 6
 #define EVENT_MS 10
@@ -231,11 +233,10 @@
 
 /* ---- upstreams ---- */
 
-char *pe_entry(const struct pe_upstream *upstream, int64_t born_ms)
+char *pe_entry(const struct pe_upstream *upstream)
 {
-	g_autofree char *born = g_strdup_printf(
-		",\"born\":%" G_GINT64_FORMAT,
-		(gint64)(born_ms ? born_ms : upstream->born_ms));
+	g_autofree char *born = g_strdup_printf(",\"born\":%" G_GINT64_FORMAT,
+						(gint64)upstream->born_ms);
 
 	return g_strdup_printf(
 		"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
@@ -246,12 +247,25 @@
 		upstream->pe->no_start ? "" : born);
 }
 
+void pe_write(struct pe *pe, const char *id, const void *bytes, size_t size)
+{
+	g_autofree char *key = g_strconcat(ENTRIES_PREFIX, id, NULL);
+
+	pe_store_put_bytes(pe, key, bytes, size);
+}
+
+void pe_erase(struct pe *pe, const char *id)
+{
+	g_autofree char *key = g_strconcat(ENTRIES_PREFIX, id, NULL);
+
+	pe_store_remove(pe, key);
+}
+
 void pe_tell(struct pe_upstream *upstream)
 {
-	g_autofree char *key = g_strdup_printf("servers/%s", upstream->id);
-	g_autofree char *value = pe_entry(upstream, 0);
+	g_autofree char *value = pe_entry(upstream);
 
-	pe_store_put(upstream->pe, key, value);
+	pe_write(upstream->pe, upstream->id, value, strlen(value));
 }
 
 struct pe_upstream *pe_add(struct pe *pe, enum pe_kind kind,
@@ -345,21 +359,9 @@
 	pe->no_start = true;
 }
 
-void pe_write(struct pe *pe, const char *key, const void *bytes, size_t size)
-{
-	pe_store_put_bytes(pe, key, bytes, size);
-}
-
-void pe_erase(struct pe *pe, const char *key)
-{
-	pe_store_remove(pe, key);
-}
-
 void pe_remove(struct pe_upstream *upstream)
 {
-	g_autofree char *key = g_strdup_printf("servers/%s", upstream->id);
-
-	pe_store_remove(upstream->pe, key);
+	pe_erase(upstream->pe, upstream->id);
 	g_ptr_array_remove_fast(upstream->pe->upstreams, upstream);
 }
 
--- a/tools/pe.h
+++ b/tools/pe.h
@@ -90,15 +90,14 @@
 		const struct pe_restart_options *how);
 /** Write its entry as it stands now. */
 void pe_tell(struct pe_upstream *upstream);
-/** Its entry as it would write it, but for the start if `born_ms` is not 0;
- * g_free(). */
-char *pe_entry(const struct pe_upstream *upstream, int64_t born_ms);
+/** Its entry as it would write it; g_free(). */
+char *pe_entry(const struct pe_upstream *upstream);
 /** Entries do not say a start, as before it was introduced. Before pe_add(). */
 void pe_say_no_start(struct pe *pe);
 /** Another writer's entry, any bytes; in place of what stands there. */
-void pe_write(struct pe *pe, const char *key, const void *bytes, size_t size);
+void pe_write(struct pe *pe, const char *id, const void *bytes, size_t size);
 /** Another writer removes an entry. */
-void pe_erase(struct pe *pe, const char *key);
+void pe_erase(struct pe *pe, const char *id);
 /** Remove its entry and stop it. Frees it. */
 void pe_remove(struct pe_upstream *upstream);
 
--- a/tools/pe_store.c
+++ b/tools/pe_store.c
@@ -252,11 +252,8 @@
 void pe_store_silence(struct pe *pe)
 {
 	pe_link_stall(pe->link);
-	for (guint i = 0; i < pe->store->conns->len; i++) {
-		struct pe_conn *conn = g_ptr_array_index(pe->store->conns, i);
-
-		conn->silent = true;
-	}
+	for (guint i = 0; i < pe->store->conns->len; i++)
+		pe_conn_silence(g_ptr_array_index(pe->store->conns, i));
 }
 
 void pe_set_config(struct pe *pe, const char *json)
--- a/tools/soak_writer.c
+++ b/tools/soak_writer.c
@@ -65,7 +65,7 @@
 {
 	guint kind = (guint)g_rand_int_range(writer->random, 0,
 					     (gint32)G_N_ELEMENTS(changes) + 2);
-	g_autofree char *whole = pe_entry(writer->trap, 0);
+	g_autofree char *whole = pe_entry(writer->trap);
 	g_autofree char *plain =
 		replace(whole, &(struct change){ "\"service\":\"trap\"",
 						 "\"service\":\"plain\"" });
@@ -85,10 +85,9 @@
 
 static void write_value(struct soak_writer *writer, const char *id)
 {
-	g_autofree char *key = g_strdup_printf("servers/%s", id);
 	g_autoptr(GBytes) value = draw_value(writer);
 
-	pe_write(writer->options.platform, key, g_bytes_get_data(value, NULL),
+	pe_write(writer->options.platform, id, g_bytes_get_data(value, NULL),
 		 g_bytes_get_size(value));
 }
 
@@ -117,11 +116,8 @@
 
 static void erase(struct soak_writer *writer)
 {
-	g_autofree char *key = NULL;
-
 	writer->overwritten = draw_upstream(writer);
-	key = g_strdup_printf("servers/%s", pe_name(writer->overwritten));
-	pe_erase(writer->options.platform, key);
+	pe_erase(writer->options.platform, pe_name(writer->overwritten));
 }
 
 static void restart(struct soak_writer *writer)
