--- a/base/lp_error.c
+++ b/base/lp_error.c
@@ -41,6 +41,7 @@
 	{ "method", "the method is not allowed here", 405, false },
 	{ "key_lost", "the entry that owns the idempotency key cannot be asked",
 	  409, false },
+	{ "not_listening", "no process listens at the address", 502, true },
 };
 
 G_STATIC_ASSERT(G_N_ELEMENTS(infos) == -LP_ERROR_LAST + 1);
--- a/base/lp_error.h
+++ b/base/lp_error.h
@@ -41,7 +41,8 @@
 	LP_ERROR_SYSTEM = -26,
 	LP_ERROR_METHOD = -27,
 	LP_ERROR_KEY_LOST = -28,
-	LP_ERROR_LAST = LP_ERROR_KEY_LOST,
+	LP_ERROR_NOT_LISTENING = -29,
+	LP_ERROR_LAST = LP_ERROR_NOT_LISTENING,
 };
 
 /** What is known of the execution of a request or call. */
--- a/base/lp_event.c
+++ b/base/lp_event.c
@@ -116,6 +116,15 @@
 				       name, (gint64)value);
 }
 
+void lp_event_digest(struct lp_event_log *log, const char *name,
+		     uint64_t digest)
+{
+	if (log->open)
+		g_string_append_printf(log->buffer,
+				       ",\"%s\":\"%016" G_GINT64_MODIFIER "x\"",
+				       name, (guint64)digest);
+}
+
 bool lp_event_begin(struct lp_event_log *log, const char *event,
 		    const char *request)
 {
--- a/base/lp_event.h
+++ b/base/lp_event.h
@@ -42,6 +42,9 @@
 void lp_event_text(struct lp_event_log *log, const char *name,
 		   const char *value);
 void lp_event_int(struct lp_event_log *log, const char *name, int64_t value);
+/** A digest, in hexadecimal digits. */
+void lp_event_digest(struct lp_event_log *log, const char *name,
+		     uint64_t digest);
 void lp_event_end(struct lp_event_log *log);
 
 #endif
--- a/direct/direct.c
+++ b/direct/direct.c
@@ -31,6 +31,7 @@
 
 	*lp_counter(direct->options.counters,
 		    "linepier_upstream_restarts_total", NULL) += 1;
+	direct_ends_saw(direct->ends, before, DIRECT_END_RESTARTED);
 	if (!lp_event_begin(log, "upstream_restarted", NULL))
 		return;
 	lp_event_text(log, "upstream", after->entry.id);
@@ -43,6 +44,11 @@
 	lp_event_end(log);
 }
 
+static void on_upstream_ended(void *userdata, const struct loss *lost,
+			      guint count)
+{
+}
+
 /* Until a configuration says more: what keeps a stranger from filling us. */
 static const struct http_limits first_limits = {
 	.head_bytes = 16384,
@@ -82,6 +88,11 @@
 	direct->requests = g_hash_table_new(NULL, NULL);
 	direct->learnt =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	direct->ends = direct_ends_create(&(struct direct_ends_options){
+		.direct = direct,
+		.ended = on_upstream_ended,
+		.userdata = direct,
+	});
 	direct->calls = direct_calls_create(direct);
 	direct->results = direct_results_create(direct);
 	direct->stages = direct_stages_create(direct);
@@ -109,6 +120,7 @@
 	direct_calls_destroy(direct->calls);
 	direct_results_destroy(direct->results);
 	direct_stages_destroy(direct->stages);
+	direct_ends_destroy(direct->ends);
 	pool_destroy(direct->pool);
 	retries_destroy(direct->retries);
 	direct_config_unref(direct->config);
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -5,10 +5,12 @@
 #include "base/lp_histogram.h"
 #include "direct/direct.h"
 #include "direct/direct_calls.h"
+#include "direct/direct_ends.h"
 #include "direct/direct_peers.h"
 #include "http/http_client.h"
 #include "http/http_fetch.h"
 #include "http/http_server.h"
+#include "http/http_sock.h"
 #include "policy/graph.h"
 #include "policy/patience.h"
 #include "policy/pieces.h"
@@ -25,6 +27,7 @@
 /** Part of an engine's memory that is believed to hold prompts. */
 #define DIRECT_MEMORY_SHARE 0.8
 
+struct direct_ends;
 struct direct_places;
 struct direct_relay;
 struct direct_results;
@@ -50,6 +53,7 @@
 	int64_t listed_us; /* when the list was handed in last */
 	int64_t end_us;	   /* about to end then; 0: it is not */
 	struct retries *retries;
+	struct direct_ends *ends;
 	struct direct_stages *stages;
 	struct direct_calls *calls;
 	struct direct_results *results;
@@ -62,6 +66,19 @@
 	struct lp_histogram *first_times;
 };
 
+static inline int64_t *direct_counter(struct direct *direct, const char *name,
+				      const char *labels)
+{
+	return lp_counter(direct->options.counters, name, labels);
+}
+
+static inline void direct_clear_timer(guint *timer)
+{
+	if (*timer)
+		g_source_remove(*timer);
+	*timer = 0;
+}
+
 /** Tokens of prompts that an engine of this service keeps; 0: not known. */
 static inline int64_t direct_prompt_tokens(const struct direct *direct,
 					   const char *service)
--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -1,6 +1,7 @@
 /** A request from the door to its answer. */
 #include "direct/direct_request.h"
 
+#include "base/lp_digest.h"
 #include "base/lp_id.h"
 #include "policy/admission.h"
 
@@ -154,6 +155,30 @@
 	direct_request_free(request);
 }
 
+/* ---- its content ---- */
+
+/* The caller's own key makes the digest: all entries have it of the caller, and
+ * nobody else can try texts against what logs and datagrams say. */
+uint64_t direct_request_digest(struct direct_request *request)
+{
+	const char *method = http_call_method(request->call);
+	const char *host = request->ask.host ? request->ask.host : "";
+	const char *target = http_call_target(request->call);
+	const char *key = request->ask.key ? request->ask.key : "";
+	struct lp_digest_part parts[] = {
+		{ method, strlen(method) },
+		{ host, strlen(host) },
+		{ target, strlen(target) },
+		{ NULL, 0 },
+	};
+
+	if (request->digest)
+		return request->digest;
+	parts[3].bytes = http_call_body(request->call, &parts[3].size);
+	request->digest = lp_digest_keyed(key, parts, G_N_ELEMENTS(parts));
+	return request->digest;
+}
+
 /* ---- admission ---- */
 
 /* Time until the first event, if it were let in now. */
--- a/direct/direct_request.h
+++ b/direct/direct_request.h
@@ -39,6 +39,7 @@
 	int64_t waited_us; /* in earlier tries, about */
 	int64_t give_up_us;
 	int32_t priority;
+	uint64_t digest; /* of its content; 0: not asked for yet */
 	guint give_up_timer;
 	guint stall_timer;
 	enum direct_state state;
@@ -78,19 +79,6 @@
 	return lp_now_us(request->direct->options.clock);
 }
 
-static inline int64_t *direct_counter(struct direct *direct, const char *name,
-				      const char *labels)
-{
-	return lp_counter(direct->options.counters, name, labels);
-}
-
-static inline void direct_clear_timer(guint *timer)
-{
-	if (*timer)
-		g_source_remove(*timer);
-	*timer = 0;
-}
-
 /* ---- direct_request.c ---- */
 
 /** Free it; whatever is under way for it ends. Its call must be over. */
@@ -107,6 +95,10 @@
 /** End a begun answer so that it is seen to be cut. */
 void direct_request_cut(struct direct_request *request, const char *why);
 
+/** A keyed digest of what a caller would send again: caller, path and body. It
+ * is the same at all entries and in all tries, and tells nothing of them. */
+uint64_t direct_request_digest(struct direct_request *request);
+
 /** What is learnt of its route. */
 struct direct_learnt *
 direct_request_learnt(const struct direct_request *request);
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -19,6 +19,13 @@
 /* A caller that takes nothing holds no more than this. */
 #define UNSENT_MAX (1 << 20)
 
+/* It was lost with its upstream, or with the way there. */
+static void note_lost(struct direct_request *request)
+{
+	direct_ends_lost(request->direct->ends, direct_request_digest(request),
+			 request->upstream, request->sent_us);
+}
+
 /* End the sending under way; nothing is learnt from it but by `outcome`. */
 void direct_sending_leave(struct direct_request *request,
 			  enum pool_outcome outcome)
@@ -176,6 +183,7 @@
 	struct direct_request *request = userdata;
 
 	request->stall_timer = 0;
+	note_lost(request);
 	direct_sending_leave(request, POOL_UNREACHABLE);
 	step_on(request, VERDICT_BROKEN, "silent");
 	return G_SOURCE_REMOVE;
@@ -293,6 +301,8 @@
 	bool torn = request->unframed && request->body->len;
 
 	note_heard(request);
+	if (torn)
+		note_lost(request);
 	direct_sending_leave(request, torn ? POOL_UNREACHABLE : POOL_SERVED);
 	if (torn) {
 		g_string_truncate(request->body, 0);
@@ -312,6 +322,8 @@
 	bool success = request->status / 100 == 2;
 
 	if (reply->other_process) {
+		direct_ends_saw(request->direct->ends, request->upstream,
+				DIRECT_END_REPLACED);
 		direct_sending_leave(request, POOL_WRONG);
 		step_on(request, VERDICT_NOT_RUN, "other_process");
 	} else if (reply->not_run) {
@@ -343,6 +355,11 @@
 	request->exchange = NULL;
 	if (error) {
 		g_string_truncate(request->body, 0);
+		if (sent)
+			note_lost(request);
+		else if (error == LP_ERROR_NOT_LISTENING)
+			direct_ends_saw(request->direct->ends,
+					request->upstream, DIRECT_END_REFUSED);
 		direct_sending_leave(request, POOL_UNREACHABLE);
 		step_on(request, sent ? VERDICT_BROKEN : VERDICT_NOT_SENT,
 			error == LP_ERROR_PROTOCOL ? "garbled" : "connection");
--- a/http/http_client.c
+++ b/http/http_client.c
@@ -106,7 +106,7 @@
 	else if (exchange->parse.is_complete)
 		finish(exchange, LP_OK);
 	else
-		finish(exchange, LP_ERROR_UPSTREAM_GONE);
+		finish(exchange, error ? error : LP_ERROR_UPSTREAM_GONE);
 }
 
 static const struct http_sock_events sock_events = {
--- a/http/http_client.h
+++ b/http/http_client.h
@@ -21,7 +21,8 @@
 	/**
 	 * The exchange is over and freed after this call. LP_OK: the answer
 	 * came whole; LP_ERROR_UPSTREAM_GONE: the connection failed or was
-	 * cut; LP_ERROR_PROTOCOL: the bytes were no answer.
+	 * cut; LP_ERROR_NOT_LISTENING: nobody listens at the address;
+	 * LP_ERROR_PROTOCOL: the bytes were no answer.
 	 * `sent`: a byte of the request has left.
 	 */
 	void (*done)(void *userdata, int error, bool sent);
--- a/http/http_sock.c
+++ b/http/http_sock.c
@@ -125,7 +125,10 @@
 	g_autoptr(GError) gerror = NULL;
 
 	if (!g_socket_check_connect_result(sock->socket, &gerror)) {
-		end(sock, LP_ERROR_UPSTREAM_GONE);
+		end(sock, g_error_matches(gerror, G_IO_ERROR,
+					  G_IO_ERROR_CONNECTION_REFUSED)
+				  ? LP_ERROR_NOT_LISTENING
+				  : LP_ERROR_UPSTREAM_GONE);
 		return;
 	}
 	sock->connecting = false;
--- a/http/http_sock.h
+++ b/http/http_sock.h
@@ -22,7 +22,8 @@
 	void (*data)(void *userdata, const char *bytes, size_t size);
 	/**
 	 * The connection is over. LP_OK: the peer ended its side in order;
-	 * LP_ERROR_UPSTREAM_GONE: it was reset, or never came to stand.
+	 * LP_ERROR_UPSTREAM_GONE: it was reset, or never came to stand;
+	 * LP_ERROR_NOT_LISTENING: its host refused it, as nobody listens there.
 	 */
 	void (*ended)(void *userdata, int error);
 };
--- /dev/null
+++ b/policy/losses.h
@@ -0,0 +1,53 @@
+/**
+ * Requests that were lost with an upstream, until it is known whether the
+ * upstream has ended or only a connection to it.
+ *
+ * A reset, a garbled answer or silence may come of the network, of a full or a
+ * draining upstream, or of its end; only the last says anything about the
+ * request. So a loss is kept for a while and comes to count when the upstream's
+ * life is known to be over: its host refuses connections, another process
+ * answers at its address, or it says a new start. If it is seen to live, what
+ * was lost there is forgotten.
+ */
+#ifndef LOSSES_H
+#define LOSSES_H
+
+#include "base/lp_clock.h"
+
+#include <glib.h>
+#include <stdbool.h>
+
+/** A loss that nothing was found out about is forgotten; also how long an end
+ * is remembered for losses that show later. An upstream that starts again under
+ * its id says so within some heartbeats. */
+#define LOSSES_KEEP_US (10 * LP_US_PER_S)
+
+struct losses;
+
+struct loss {
+	uint64_t request; /**< digest of its content */
+	uint64_t life;	  /**< of the upstream */
+	int64_t began_us; /**< when it was sent there */
+	int64_t lost_us;
+};
+
+enum losses_word {
+	LOSSES_ASK,   /**< the first one there: find out what became of it */
+	LOSSES_WAIT,  /**< that is being found out already */
+	LOSSES_ENDED, /**< it is known to have ended: the loss counts */
+};
+
+struct losses *losses_create(const struct lp_clock *clock);
+void losses_destroy(struct losses *losses);
+/** Ended before: `loss->lost_us` becomes the time of the end if that was
+ * earlier. */
+enum losses_word losses_add(struct losses *losses, struct loss *loss);
+/** A life is over: what was lost with it (struct loss) is appended to `out`.
+ * Returns whether that is news. */
+bool losses_ended(struct losses *losses, uint64_t life, GArray *out);
+/** It lives: nothing that was lost there says anything. */
+void losses_live(struct losses *losses, uint64_t life);
+/** Drop what is older than LOSSES_KEEP_US. */
+void losses_forget(struct losses *losses);
+
+#endif
--- a/tools/pe.c
+++ b/tools/pe.c
@@ -83,6 +83,13 @@
 	pe_conn_end(conn, false);
 }
 
+/* The request ends who begins it. */
+static void end_by(struct pe_upstream *upstream, struct pe_conn *conn)
+{
+	pe_poison_struck(upstream->pe, conn->body->str);
+	pe_end(upstream, &upstream->pe->poison.end);
+}
+
 /* ---- an engine's stream ---- */
 
 struct stream {
@@ -111,6 +118,12 @@
 		pe_conn_end(conn, false);
 		return G_SOURCE_REMOVE;
 	}
+	if (pe_is_poison(stream->upstream->pe, conn->body->str) &&
+	    stream->next > stream->upstream->pe->poison.after_event) {
+		conn->timer = 0;
+		end_by(stream->upstream, conn);
+		return G_SOURCE_REMOVE;
+	}
 	chunk = g_strdup_printf("%zx\r\n%s\r\n", strlen(event), event);
 	pe_conn_write(conn, chunk);
 	stream->next++;
@@ -183,8 +196,19 @@
 	return G_SOURCE_REMOVE;
 }
 
+static gboolean on_poisoned(gpointer userdata)
+{
+	struct pe_conn *conn = userdata;
+
+	conn->timer = 0;
+	end_by(conn->listener->userdata, conn);
+	return G_SOURCE_REMOVE;
+}
+
 static void run(struct pe_upstream *upstream, struct pe_conn *conn)
 {
+	struct pe *pe = upstream->pe;
+
 	if (upstream->fault == PE_FAULT_FULL) {
 		pe_conn_answer(conn, 503, "X-Not-Run: 1\r\n", "");
 		return;
@@ -195,7 +219,14 @@
 		return;
 	}
 	note_run(upstream, conn);
-	conn->timer = g_timeout_add(upstream->work_ms, on_work_over, conn);
+	if (pe_is_poison(pe, conn->body->str))
+		pe_poison_arrived(pe, conn->body->str);
+	if (pe_is_poison(pe, conn->body->str) && !pe->poison.after_event)
+		conn->timer =
+			g_timeout_add(pe->poison.after_ms, on_poisoned, conn);
+	else
+		conn->timer =
+			g_timeout_add(upstream->work_ms, on_work_over, conn);
 }
 
 static void on_request(void *userdata, struct pe_conn *conn)
@@ -265,6 +296,8 @@
 {
 	g_autofree char *value = pe_entry(upstream);
 
+	if (upstream->away)
+		return;
 	pe_write(upstream->pe, upstream->id, value, strlen(value));
 }
 
@@ -293,6 +326,10 @@
 {
 	struct pe_upstream *upstream = data;
 
+	if (upstream->away)
+		g_source_remove(upstream->away);
+	if (upstream->telling)
+		g_source_remove(upstream->telling);
 	pe_listener_destroy(upstream->listener);
 	if (upstream->results)
 		g_hash_table_unref(upstream->results);
@@ -339,21 +376,69 @@
 	}
 }
 
-void pe_restart(struct pe_upstream *upstream,
-		const struct pe_restart_options *how)
+/* What it had is gone, and it starts anew. */
+static void begin_life(struct pe_upstream *upstream)
 {
-	end_connections(upstream, how->silent);
 	if (upstream->results)
 		g_hash_table_remove_all(upstream->results);
 	upstream->at_work = 0;
 	upstream->draining = false;
 	upstream->born_ms =
-		MAX(upstream->born_ms + 1, g_get_real_time() / 1000) -
-		how->back_ms;
+		MAX(upstream->born_ms + 1, g_get_real_time() / 1000);
+}
+
+void pe_restart(struct pe_upstream *upstream,
+		const struct pe_restart_options *how)
+{
+	if (upstream->away)
+		return;
+	end_connections(upstream, how->silent);
+	begin_life(upstream);
+	upstream->born_ms -= how->back_ms;
 	if (!how->untold)
 		pe_tell(upstream);
 }
 
+static gboolean on_told(gpointer userdata)
+{
+	struct pe_upstream *upstream = userdata;
+
+	upstream->telling = 0;
+	pe_erase(upstream->pe, upstream->id);
+	return G_SOURCE_REMOVE;
+}
+
+static gboolean on_back(gpointer userdata)
+{
+	struct pe_upstream *upstream = userdata;
+
+	upstream->away = 0;
+	if (upstream->telling)
+		g_source_remove(upstream->telling);
+	upstream->telling = 0;
+	if (upstream->end.new_id) {
+		pe_erase(upstream->pe, upstream->id);
+		g_free(upstream->id);
+		upstream->id = g_strdup_printf("i-%u", ++upstream->pe->serial);
+	}
+	begin_life(upstream);
+	pe_listener_go_on(upstream->listener);
+	pe_tell(upstream);
+	return G_SOURCE_REMOVE;
+}
+
+void pe_end(struct pe_upstream *upstream, const struct pe_end_options *how)
+{
+	if (upstream->away)
+		return;
+	pe_listener_stop(upstream->listener);
+	end_connections(upstream, false);
+	upstream->end = *how;
+	upstream->away = g_timeout_add((guint)how->away_ms, on_back, upstream);
+	upstream->telling =
+		g_timeout_add((guint)how->told_ms, on_told, upstream);
+}
+
 void pe_say_no_start(struct pe *pe)
 {
 	pe->no_start = true;
@@ -394,6 +479,8 @@
 	pe->revision = 1;
 	pe->upstreams = g_ptr_array_new_with_free_func(free_upstream);
 	pe->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	pe->accounts =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	pe->breaches = g_ptr_array_new_with_free_func(g_free);
 	pe_store_create(pe);
 	return pe;
@@ -407,6 +494,7 @@
 	g_ptr_array_unref(pe->watches);
 	g_hash_table_unref(pe->items);
 	g_hash_table_unref(pe->runs);
+	g_hash_table_unref(pe->accounts);
 	g_ptr_array_unref(pe->breaches);
 	g_free(pe);
 }
--- a/tools/pe.h
+++ b/tools/pe.h
@@ -98,6 +98,37 @@
 void pe_write(struct pe *pe, const char *id, const void *bytes, size_t size);
 /** Another writer removes an entry. */
 void pe_erase(struct pe *pe, const char *id);
+/** How an upstream ends by itself. */
+struct pe_end_options {
+	int64_t away_ms; /**< nobody listens at its address for so long */
+	int64_t told_ms; /**< its entry is removed after so long */
+	bool new_id;	 /**< back under another id, else with a new start */
+};
+
+/** Its process ends now: connections are reset, results are gone, connections
+ * are refused; it is back in time. */
+void pe_end(struct pe_upstream *upstream, const struct pe_end_options *how);
+
+/** Requests that end whoever begins them. */
+struct pe_poison_options {
+	/** The body has this in it, or the key of a piece; NULL: none do. Must
+	 * outlive the emulator. */
+	const char *content;
+	uint32_t after_ms;    /**< of work */
+	uint32_t after_event; /**< an engine: of its stream; 0: at once */
+	struct pe_end_options end;
+};
+
+/** What came of the worst of these requests, in all its tries. */
+struct pe_poison_book {
+	uint32_t ends;		 /**< upstreams that ended under it */
+	uint32_t arrivals;	 /**< at upstreams */
+	uint32_t arrivals_after; /**< once three had ended */
+	uint32_t arrivals_late;	 /**< and three seconds after that */
+};
+
+void pe_poison(struct pe *pe, const struct pe_poison_options *how);
+void pe_poison_seen(const struct pe *pe, struct pe_poison_book *worst);
 /** Remove its entry and stop it. Frees it. */
 void pe_remove(struct pe_upstream *upstream);
 
--- a/tools/pe_listener.c
+++ b/tools/pe_listener.c
@@ -114,6 +114,49 @@
 	return G_SOURCE_CONTINUE;
 }
 
+/* Bound, and nobody listens. */
+static GSocket *bind_socket(GSocketAddress *at)
+{
+	GSocket *socket =
+		g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+			     G_SOCKET_PROTOCOL_TCP, NULL);
+
+	g_socket_bind(socket, at, TRUE, NULL);
+	g_socket_set_blocking(socket, FALSE);
+	return socket;
+}
+
+void pe_listener_go_on(struct pe_listener *listener)
+{
+	g_socket_listen(listener->socket, NULL);
+	listener->source =
+		g_socket_create_source(listener->socket, G_IO_IN, NULL);
+	g_source_set_callback(listener->source, G_SOURCE_FUNC(on_accept),
+			      listener, NULL);
+	g_source_attach(listener->source, NULL);
+}
+
+static void end_source(struct pe_listener *listener)
+{
+	if (!listener->source)
+		return;
+	g_source_destroy(listener->source);
+	g_source_unref(listener->source);
+	listener->source = NULL;
+}
+
+/* The port stays ours, so that nobody else gets it meanwhile. */
+void pe_listener_stop(struct pe_listener *listener)
+{
+	g_autoptr(GSocketAddress) at =
+		g_socket_get_local_address(listener->socket, NULL);
+
+	end_source(listener);
+	g_socket_close(listener->socket, NULL);
+	g_object_unref(listener->socket);
+	listener->socket = bind_socket(at);
+}
+
 struct pe_listener *
 pe_listener_create(void (*request)(void *userdata, struct pe_conn *conn),
 		   void (*left)(void *userdata, struct pe_conn *conn),
@@ -124,12 +167,8 @@
 		g_inet_socket_address_new_from_string("127.0.0.1", 0);
 	g_autoptr(GSocketAddress) at = NULL;
 
-	listener->socket =
-		g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
-			     G_SOCKET_PROTOCOL_TCP, NULL);
-	g_socket_bind(listener->socket, any, FALSE, NULL);
-	g_socket_listen(listener->socket, NULL);
-	g_socket_set_blocking(listener->socket, FALSE);
+	listener->socket = bind_socket(any);
+	pe_listener_go_on(listener);
 	at = g_socket_get_local_address(listener->socket, NULL);
 	listener->address = g_strdup_printf(
 		"127.0.0.1:%u",
@@ -138,18 +177,12 @@
 	listener->request = request;
 	listener->left = left;
 	listener->userdata = userdata;
-	listener->source =
-		g_socket_create_source(listener->socket, G_IO_IN, NULL);
-	g_source_set_callback(listener->source, G_SOURCE_FUNC(on_accept),
-			      listener, NULL);
-	g_source_attach(listener->source, NULL);
 	return listener;
 }
 
 void pe_listener_destroy(struct pe_listener *listener)
 {
-	g_source_destroy(listener->source);
-	g_source_unref(listener->source);
+	end_source(listener);
 	g_object_unref(listener->socket);
 	while (listener->conns->len)
 		pe_conn_end(g_ptr_array_index(listener->conns, 0), true);
--- a/tools/pe_private.h
+++ b/tools/pe_private.h
@@ -2,6 +2,7 @@
 #ifndef PE_PRIVATE_H
 #define PE_PRIVATE_H
 
+#include "base/lp_clock.h"
 #include "http/http_parse.h"
 #include "http/http_sock.h"
 #include "tools/pe.h"
@@ -45,9 +46,12 @@
 	char *domain;
 	uint32_t work_ms;
 	uint32_t arrivals;
-	uint32_t calls;	     /* of pieces */
-	uint32_t at_work;    /**< calls of pieces */
-	GHashTable *results; /**< handle -> struct pe_result */
+	uint32_t calls;		   /* of pieces */
+	uint32_t at_work;	   /**< calls of pieces */
+	guint away;		   /**< timer: it is back; 0: it is there */
+	guint telling;		   /**< timer: its entry is removed */
+	struct pe_end_options end; /**< how it has ended */
+	GHashTable *results;	   /**< handle -> struct pe_result */
 };
 
 /** A result that is kept. */
@@ -70,6 +74,8 @@
 	uint32_t made;
 	uint32_t serial;
 	bool no_start; /**< upstreams do not say when they started */
+	struct pe_poison_options poison;
+	GHashTable *accounts; /**< content -> what came of it */
 };
 
 struct pe_item {
@@ -83,6 +89,10 @@
 pe_listener_create(void (*request)(void *userdata, struct pe_conn *conn),
 		   void (*left)(void *userdata, struct pe_conn *conn),
 		   void *userdata);
+/** Refuse connections from now on; those that stand stay. */
+void pe_listener_stop(struct pe_listener *listener);
+/** Take connections at the same address again. */
+void pe_listener_go_on(struct pe_listener *listener);
 /** All connections are reset. */
 void pe_listener_destroy(struct pe_listener *listener);
 const char *pe_conn_field(const struct pe_conn *conn, const char *name);
@@ -132,6 +142,17 @@
 const struct pe_result *pe_find_result(const struct pe *pe, const char *handle);
 void pe_result_free(gpointer result);
 
+/** The key of a piece of this call that ends who begins it, or NULL; g_free().
+ */
+char *pe_stage_poison(const struct pe *pe, const struct pe_conn *conn);
+
+/* ---- pe_poison.c ---- */
+
+bool pe_is_poison(const struct pe *pe, const char *content);
+/** Such a request has reached an upstream, or ends one now. */
+void pe_poison_arrived(struct pe *pe, const char *content);
+void pe_poison_struck(struct pe *pe, const char *content);
+
 /* ---- pe.c ---- */
 
 void pe_breach(struct pe *pe, const char *format, ...)
--- a/tools/pe_stage.c
+++ b/tools/pe_stage.c
@@ -134,6 +134,51 @@
 	pe_conn_answer(conn, 200, "X-Server-Load: 0,0,1\r\n", text);
 }
 
+char *pe_stage_poison(const struct pe *pe, const struct pe_conn *conn)
+{
+	g_autoptr(JsonParser) parser = json_parser_new();
+	JsonArray *items;
+
+	if (!pe->poison.content ||
+	    !json_parser_load_from_data(parser, conn->body->str, -1, NULL))
+		return NULL;
+	items = json_object_get_array_member(
+		json_node_get_object(json_parser_get_root(parser)), "items");
+	for (guint i = 0; i < json_array_get_length(items); i++) {
+		const char *key = json_object_get_string_member_with_default(
+			json_array_get_object_element(items, i), "key", "");
+
+		if (pe_is_poison(pe, key))
+			return g_strdup(key);
+	}
+	return NULL;
+}
+
+/* The call ends who begins it. */
+static gboolean on_poisoned(gpointer userdata)
+{
+	struct pe_conn *conn = userdata;
+	struct pe_upstream *upstream = conn->listener->userdata;
+	g_autofree char *key = pe_stage_poison(upstream->pe, conn);
+
+	conn->timer = 0;
+	pe_poison_struck(upstream->pe, key);
+	pe_end(upstream, &upstream->pe->poison.end);
+	return G_SOURCE_REMOVE;
+}
+
+static bool begin_poison(struct pe_upstream *upstream, struct pe_conn *conn)
+{
+	const struct pe *pe = upstream->pe;
+	g_autofree char *key = pe_stage_poison(pe, conn);
+
+	if (!key)
+		return false;
+	pe_poison_arrived(upstream->pe, key);
+	conn->timer = g_timeout_add(pe->poison.after_ms, on_poisoned, conn);
+	return true;
+}
+
 static gboolean on_call_over(gpointer userdata)
 {
 	struct pe_conn *conn = userdata;
@@ -201,6 +246,8 @@
 	}
 	upstream->calls++;
 	upstream->at_work++;
+	if (begin_poison(upstream, conn))
+		return;
 	conn->timer = g_timeout_add(upstream->work_ms * upstream->at_work,
 				    on_call_over, conn);
 }
