--- a/base/lp_digest.c
+++ b/base/lp_digest.c
@@ -9,8 +9,8 @@
 uint64_t lp_digest_keyed(const char *key, const struct lp_digest_part *parts,
 			 size_t count)
 {
-	GHmac *hmac = g_hmac_new(G_CHECKSUM_SHA256, (const guchar *)key,
-				 strlen(key));
+	GHmac *hmac =
+		g_hmac_new(G_CHECKSUM_SHA256, (const guchar *)key, strlen(key));
 	guint8 bytes[SHA256_BYTES];
 	gsize size = sizeof(bytes);
 	uint64_t digest;
--- a/direct/direct.c
+++ b/direct/direct.c
@@ -47,6 +47,9 @@
 static void on_upstream_ended(void *userdata, const struct loss *lost,
 			      guint count)
 {
+	struct direct *direct = userdata;
+
+	direct_quarantine_ended(direct->quarantine, lost, count);
 }
 
 /* Until a configuration says more: what keeps a stranger from filling us. */
@@ -88,6 +91,7 @@
 	direct->requests = g_hash_table_new(NULL, NULL);
 	direct->learnt =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	direct->quarantine = direct_quarantine_create(direct);
 	direct->ends = direct_ends_create(&(struct direct_ends_options){
 		.direct = direct,
 		.ended = on_upstream_ended,
@@ -121,6 +125,7 @@
 	direct_results_destroy(direct->results);
 	direct_stages_destroy(direct->stages);
 	direct_ends_destroy(direct->ends);
+	direct_quarantine_destroy(direct->quarantine);
 	pool_destroy(direct->pool);
 	retries_destroy(direct->retries);
 	direct_config_unref(direct->config);
@@ -228,6 +233,7 @@
 	direct->peers = peers;
 	if (peers)
 		direct->places = direct_places_create(direct, peers);
+	direct_quarantine_set_peers(direct->quarantine, peers);
 	direct_stages_set_peers(direct->stages, peers);
 	open_to_peers(direct);
 }
--- a/direct/direct_calls.c
+++ b/direct/direct_calls.c
@@ -46,6 +46,7 @@
 	struct pieces_call *call;
 	struct http_fetch *fetch;
 	uint32_t no_room; /* pieces not made for want of it */
+	bool lost;	  /* it was sent, and no whole answer came */
 	struct direct_reply reply;
 	int64_t born_ms; /* of the upstream that answered; 0: not said */
 };
@@ -266,6 +267,10 @@
 
 	if (!maker && result.result == DIRECT_ITEM_MADE)
 		result.result = DIRECT_ITEM_FAILED;
+	if (call->lost) {
+		result.result = DIRECT_ITEM_LOST;
+		result.maker = call->call->upstream->life;
+	}
 	if (result.result == DIRECT_ITEM_MADE) {
 		result.handle = g_steal_pointer(&made[at].handle);
 		pieces_made(pieces, call->call, piece, result.handle);
@@ -337,6 +342,19 @@
 	return names[outcome];
 }
 
+/* What its end says of the upstream's own. */
+static void note_end(const struct stage_call *call,
+		     const struct http_fetch_answer *answer)
+{
+	struct direct_ends *ends = call->calls->direct->ends;
+
+	if (answer->error == LP_ERROR_NOT_LISTENING)
+		direct_ends_saw(ends, call->call->upstream, DIRECT_END_REFUSED);
+	else if (!answer->error && call->reply.other_process)
+		direct_ends_saw(ends, call->call->upstream,
+				DIRECT_END_REPLACED);
+}
+
 static void end_call(struct stage_call *call,
 		     const struct http_fetch_answer *answer)
 {
@@ -346,6 +364,8 @@
 	uint64_t maker = made ? maker_of(call) : 0;
 	guint count = call->call->pieces->len;
 
+	call->lost = answer->error && answer->sent;
+	note_end(call, answer);
 	for (guint i = 0; made && i < count; i++)
 		call->no_room += made[i].result == DIRECT_ITEM_NO_ROOM;
 	log_call(call, made && !maker ? "restarted" : outcome_name(outcome));
--- a/direct/direct_codec.h
+++ b/direct/direct_codec.h
@@ -63,6 +63,8 @@
 	DIRECT_ITEM_INPUT_GONE,
 	DIRECT_ITEM_NO_ROOM,
 	DIRECT_ITEM_FAILED,
+	DIRECT_ITEM_LOST, /**< its call broke off: its upstream may have ended
+			   */
 };
 
 struct direct_made {
--- a/direct/direct_ends.c
+++ b/direct/direct_ends.c
@@ -61,6 +61,7 @@
 		return;
 	lp_event_text(log, "upstream", upstream->entry.id);
 	lp_event_text(log, "service", upstream->entry.service);
+	lp_event_digest(log, "life", upstream->life);
 	lp_event_text(log, "how", names[how]);
 	lp_event_int(log, "lost", lost->len);
 	lp_event_int(log, "list_age_us",
@@ -85,8 +86,7 @@
 void direct_ends_saw(struct direct_ends *ends,
 		     const struct pool_upstream *upstream, enum direct_end how)
 {
-	g_autoptr(GArray) lost =
-		g_array_new(FALSE, FALSE, sizeof(struct loss));
+	g_autoptr(GArray) lost = g_array_new(FALSE, FALSE, sizeof(struct loss));
 	uint64_t life = upstream->life;
 
 	if (upstream->entry.leaving)
@@ -94,8 +94,7 @@
 	if (losses_ended(ends->losses, life, lost) && lost->len)
 		log_end(ends, upstream, how, lost);
 	for (guint i = 0; i < lost->len; i++)
-		log_lost(ends, upstream,
-			 &g_array_index(lost, struct loss, i));
+		log_lost(ends, upstream, &g_array_index(lost, struct loss, i));
 	if (lost->len)
 		ends->options.ended(ends->options.userdata,
 				    (struct loss *)lost->data, lost->len);
@@ -208,13 +207,15 @@
 	return listed && listed != upstream;
 }
 
-void direct_ends_lost(struct direct_ends *ends, uint64_t request,
-		      const struct pool_upstream *upstream, int64_t began_us)
+void direct_ends_lost(struct direct_ends *ends,
+		      const struct pool_upstream *upstream,
+		      const struct direct_lost *lost)
 {
 	struct loss loss = {
-		.request = request,
+		.request = lost->request,
 		.life = upstream->life,
-		.began_us = began_us,
+		.round = lost->round,
+		.began_us = lost->began_us,
 		.lost_us = lp_now_us(direct_of(ends)->options.clock),
 	};
 	bool superseded = is_superseded(ends, upstream);
--- a/direct/direct_ends.h
+++ b/direct/direct_ends.h
@@ -21,11 +21,18 @@
 
 /** How an end was found out. */
 enum direct_end {
-	DIRECT_END_REFUSED,  /**< its host refuses connections */
-	DIRECT_END_REPLACED, /**< another process answers at its address */
+	DIRECT_END_REFUSED,   /**< its host refuses connections */
+	DIRECT_END_REPLACED,  /**< another process answers at its address */
 	DIRECT_END_RESTARTED, /**< it has said a new start */
 };
 
+/** A request that was lost. */
+struct direct_lost {
+	uint64_t request; /**< digest of its content */
+	uint32_t round;	  /**< quarantine_round() when it was sent */
+	int64_t began_us; /**< when that was */
+};
+
 struct direct_ends_options {
 	struct direct *direct;
 	/** An upstream has ended by itself; `lost`: what was under way there
@@ -41,8 +48,9 @@
  * A request was lost with this upstream. One that leaves, or has left the list,
  * may end as it pleases: that says nothing.
  */
-void direct_ends_lost(struct direct_ends *ends, uint64_t request,
-		      const struct pool_upstream *upstream, int64_t began_us);
+void direct_ends_lost(struct direct_ends *ends,
+		      const struct pool_upstream *upstream,
+		      const struct direct_lost *lost);
 /** It is known that this upstream has ended. */
 void direct_ends_saw(struct direct_ends *ends,
 		     const struct pool_upstream *upstream, enum direct_end how);
--- a/direct/direct_peers.c
+++ b/direct/direct_peers.c
@@ -77,6 +77,8 @@
 	GArray *listeners;   /* of struct listener */
 	void (*restarted)(void *userdata, uint64_t peer);
 	void *restarted_userdata;
+	void (*met)(void *userdata, uint64_t peer);
+	void *met_userdata;
 	int64_t version;
 	bool open; /* takes work of others */
 	bool ends;
@@ -268,8 +270,8 @@
 	say_hello(peers);
 }
 
-/* Takes a floating body. */
-static void tell_all(struct direct_peers *peers, char kind, GVariant *floating)
+void direct_peers_send_all(struct direct_peers *peers, char kind,
+			   GVariant *floating)
 {
 	g_autoptr(GVariant) body = g_variant_ref_sink(floating);
 	GHashTableIter iter;
@@ -284,16 +286,17 @@
 void direct_peers_tell_unreachable(struct direct_peers *peers,
 				   uint64_t upstream, int64_t aside_us)
 {
-	tell_all(peers, KIND_UNREACHABLE,
-		 g_variant_new(UNREACHABLE_TYPE, (guint64)upstream,
-			       (gint64)aside_us));
+	direct_peers_send_all(peers, KIND_UNREACHABLE,
+			      g_variant_new(UNREACHABLE_TYPE, (guint64)upstream,
+					    (gint64)aside_us));
 }
 
 void direct_peers_tell_list(struct direct_peers *peers, uint64_t hash,
 			    int64_t age_us)
 {
-	tell_all(peers, KIND_LIST,
-		 g_variant_new(LIST_TYPE, (guint64)hash, (gint64)age_us));
+	direct_peers_send_all(
+		peers, KIND_LIST,
+		g_variant_new(LIST_TYPE, (guint64)hash, (gint64)age_us));
 }
 
 static bool may_work(const struct direct_peers *peers, const struct peer *peer)
@@ -413,6 +416,15 @@
 {
 	g_array_set_size(peers->listeners, 0);
 	peers->restarted = NULL;
+	peers->met = NULL;
+}
+
+void direct_peers_on_met(struct direct_peers *peers,
+			 void (*met)(void *userdata, uint64_t peer),
+			 void *userdata)
+{
+	peers->met = met;
+	peers->met_userdata = userdata;
 }
 
 void direct_peers_on_restart(struct direct_peers *peers,
@@ -507,6 +519,8 @@
 	note_start(peers, from, start);
 	if (is_new)
 		greet(peers, from);
+	if (is_new && peers->met)
+		peers->met(peers->met_userdata, from->hash);
 	peers->options.config(peers->options.userdata, from->ip, version);
 }
 
--- a/direct/direct_peers.h
+++ b/direct/direct_peers.h
@@ -75,6 +75,10 @@
  * member. */
 bool direct_peers_send(struct direct_peers *peers, uint64_t peer, char kind,
 		       GVariant *body);
+/** Send a body to all members that are heard; it may be lost. Takes a floating
+ * body. */
+void direct_peers_send_all(struct direct_peers *peers, char kind,
+			   GVariant *floating);
 /** Take datagrams of a kind, of this type (a literal). */
 void direct_peers_listen(struct direct_peers *peers, char kind,
 			 const char *type, direct_peers_word word,
@@ -83,6 +87,10 @@
 void direct_peers_on_restart(struct direct_peers *peers,
 			     void (*restarted)(void *userdata, uint64_t peer),
 			     void *userdata);
+/** Be told when a member is heard that was not, or that has started anew. */
+void direct_peers_on_met(struct direct_peers *peers,
+			 void (*met)(void *userdata, uint64_t peer),
+			 void *userdata);
 /** Listeners go, all of them. */
 void direct_peers_listen_none(struct direct_peers *peers);
 /** How long to wait yet for members that we may not know; 0: they are met. */
--- a/direct/direct_prepare.c
+++ b/direct/direct_prepare.c
@@ -231,6 +231,7 @@
 			.bytes = config->bytes,
 			.has_inputs = config->after_count > 0,
 			.holds_room = holds_room(request, stage),
+			.alone = request->is_try,
 			.split = is_begun(request->graph, stage),
 		},
 	};
@@ -310,6 +311,8 @@
 		direct_sending_start(request);
 		return;
 	}
+	if (!direct_request_passes(request))
+		return;
 	ask_ready_stages(request);
 	if (request->remakes > REMAKES_MAX) {
 		direct_request_refuse(request, DIRECT_WAIT_FULL_US,
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -7,6 +7,7 @@
 #include "direct/direct_calls.h"
 #include "direct/direct_ends.h"
 #include "direct/direct_peers.h"
+#include "direct/direct_quarantine.h"
 #include "http/http_client.h"
 #include "http/http_fetch.h"
 #include "http/http_server.h"
@@ -54,6 +55,7 @@
 	int64_t end_us;	   /* about to end then; 0: it is not */
 	struct retries *retries;
 	struct direct_ends *ends;
+	struct direct_quarantine *quarantine;
 	struct direct_stages *stages;
 	struct direct_calls *calls;
 	struct direct_results *results;
--- a/direct/direct_relay.c
+++ b/direct/direct_relay.c
@@ -26,6 +26,7 @@
 #define FLAG_HAS_INPUTS 1
 #define FLAG_HOLDS_ROOM 2
 #define FLAG_SPLIT 4
+#define FLAG_ALONE 8
 
 /* Twenty round trips: what is not confirmed by then was lost, or its receiver
  * has much to do. */
@@ -268,7 +269,8 @@
 	int64_t now_us = now(relay);
 	uint32_t flags = (piece->has_inputs ? FLAG_HAS_INPUTS : 0) |
 			 (piece->holds_room ? FLAG_HOLDS_ROOM : 0) |
-			 (piece->split ? FLAG_SPLIT : 0);
+			 (piece->split ? FLAG_SPLIT : 0) |
+			 (piece->alone ? FLAG_ALONE : 0);
 
 	return g_variant_ref_sink(g_variant_new(
 		"(tsssu@au@asxxixusx)", (guint64)number, work->service,
@@ -381,7 +383,7 @@
 				   &handle)) {
 		struct direct_result result = {
 			.index = index,
-			.result = MIN(kind, DIRECT_ITEM_FAILED),
+			.result = MIN(kind, DIRECT_ITEM_LOST),
 			.maker = maker,
 		};
 
@@ -524,6 +526,7 @@
 	piece->has_inputs = flags & FLAG_HAS_INPUTS;
 	piece->holds_room = flags & FLAG_HOLDS_ROOM;
 	piece->split = flags & FLAG_SPLIT;
+	piece->alone = flags & FLAG_ALONE;
 	/* Domains are few. */
 	piece->near = *near ? g_intern_string(near) : NULL;
 }
--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -16,6 +16,7 @@
 {
 	direct_sending_leave(request, POOL_UNKNOWN);
 	direct_clear_timer(&request->give_up_timer);
+	direct_quarantine_over(request->direct->quarantine, request);
 	if (request->graph)
 		direct_stages_drop(request->direct->stages, request);
 	g_hash_table_remove(request->direct->requests, request);
@@ -179,6 +180,41 @@
 	return request->digest;
 }
 
+/* ---- upstreams that end under it ---- */
+
+bool direct_request_passes(struct direct_request *request)
+{
+	struct direct_quarantine *quarantine = request->direct->quarantine;
+	int64_t wait_us;
+
+	if (direct_quarantine_passes(quarantine, request, &wait_us))
+		return true;
+	if (request->begun)
+		direct_request_cut(request, "kept_out");
+	else
+		direct_request_refuse(request, wait_us, "kept_out");
+	return false;
+}
+
+uint32_t direct_request_round(struct direct_request *request)
+{
+	return direct_quarantine_round(request->direct->quarantine, request);
+}
+
+void direct_request_lost(struct direct_request *request,
+			 const struct pool_upstream *upstream, uint32_t round,
+			 int64_t began_us)
+{
+	const struct direct_lost lost = {
+		.request = direct_request_digest(request),
+		.round = round,
+		.began_us = began_us,
+	};
+
+	direct_quarantine_lost(request->direct->quarantine, request);
+	direct_ends_lost(request->direct->ends, upstream, &lost);
+}
+
 /* ---- admission ---- */
 
 /* Time until the first event, if it were let in now. */
@@ -344,6 +380,8 @@
 		patience_waited_us(&direct_request_learnt(request)->patience,
 				   request->ask.deadline_us);
 	retries_saw_request(direct->retries, request->service);
+	if (!direct_request_passes(request))
+		return;
 	if (request->route->stages_count)
 		direct_prepare_create(request);
 	if (admit(request))
--- a/direct/direct_request.h
+++ b/direct/direct_request.h
@@ -40,6 +40,8 @@
 	int64_t give_up_us;
 	int32_t priority;
 	uint64_t digest; /* of its content; 0: not asked for yet */
+	bool is_try;	 /* the only one of its content that may go */
+	bool was_try;	 /* ... or was, before it was lost */
 	guint give_up_timer;
 	guint stall_timer;
 	enum direct_state state;
@@ -54,6 +56,7 @@
 	struct http_exchange *exchange;
 	struct pool_upstream *upstream;
 	int64_t sent_us;
+	uint32_t round; /* direct_request_round() then */
 	int64_t expected_us;
 	int64_t cold_tokens;
 	bool heard;	  /* an event, or the head of another answer */
@@ -68,6 +71,7 @@
 	GPtrArray *tried; /* ids, owned */
 	uint32_t runs;
 	uint32_t moves;
+	uint32_t losses; /* sendings that were lost */
 	bool may_have_run;
 	bool begun;
 	char *last_event_id;
@@ -99,6 +103,17 @@
  * is the same at all entries and in all tries, and tells nothing of them. */
 uint64_t direct_request_digest(struct direct_request *request);
 
+/** Whether it may go to an upstream. If not, it is answered and freed. */
+bool direct_request_passes(struct direct_request *request);
+/** The round of ends to which those under it would belong from now on. */
+uint32_t direct_request_round(struct direct_request *request);
+/** It, or pieces of it, were lost with an upstream or with the way there.
+ * `round` and `began_us`: direct_request_round() and the time when it was sent.
+ */
+void direct_request_lost(struct direct_request *request,
+			 const struct pool_upstream *upstream, uint32_t round,
+			 int64_t began_us);
+
 /** What is learnt of its route. */
 struct direct_learnt *
 direct_request_learnt(const struct direct_request *request);
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -19,11 +19,11 @@
 /* A caller that takes nothing holds no more than this. */
 #define UNSENT_MAX (1 << 20)
 
-/* It was lost with its upstream, or with the way there. */
 static void note_lost(struct direct_request *request)
 {
-	direct_ends_lost(request->direct->ends, direct_request_digest(request),
-			 request->upstream, request->sent_us);
+	request->losses++;
+	direct_request_lost(request, request->upstream, request->round,
+			    request->sent_us);
 }
 
 /* End the sending under way; nothing is learnt from it but by `outcome`. */
@@ -114,12 +114,20 @@
 	direct_request_advance(request);
 }
 
+/* It may have ended the upstreams that it was lost with: no more of them in
+ * this try. */
+static bool is_suspect(const struct direct_request *request)
+{
+	return request->was_try || request->losses >= QUARANTINE_SUSPECT_ENDS;
+}
+
 /* The sending has ended (the upstream is left); decide and act. */
 static void step_on(struct direct_request *request, enum verdict_event event,
 		    const char *why)
 {
-	bool repeatable = request->route->kind == DIRECT_IDEMPOTENT ||
-			  request->route->resumes;
+	bool repeatable = (request->route->kind == DIRECT_IDEMPOTENT ||
+			   request->route->resumes) &&
+			  !is_suspect(request);
 	struct verdict_state state = {
 		.repeatable = repeatable,
 		.resumes = request->route->resumes,
@@ -277,6 +285,7 @@
 	begin_answer(request);
 	http_call_write(request->call, request->body->str, size);
 	g_string_erase(request->body, 0, (gssize)size);
+	direct_quarantine_goes_on(request->direct->quarantine, request);
 	set_stall_timer(request);
 }
 
@@ -309,6 +318,7 @@
 		step_on(request, VERDICT_BROKEN, "torn");
 		return;
 	}
+	direct_quarantine_served(request->direct->quarantine, request);
 	begin_answer(request);
 	http_call_write(request->call, request->body->str, request->body->len);
 	direct_request_log_end(request, "answered", request->status, NULL);
@@ -336,12 +346,15 @@
 		direct_sending_leave(request, POOL_UNREACHABLE);
 		step_on(request, VERDICT_BROKEN, "not_ours");
 	} else if (request->begun) {
+		direct_quarantine_served(request->direct->quarantine, request);
 		direct_sending_leave(request, POOL_ERROR);
 		step_on(request, VERDICT_BROKEN, "no_stream");
 	} else if (request->status >= 500) {
+		direct_quarantine_served(request->direct->quarantine, request);
 		direct_sending_leave(request, POOL_ERROR);
 		step_on(request, VERDICT_ERROR, "error");
 	} else {
+		direct_quarantine_served(request->direct->quarantine, request);
 		note_heard(request);
 		direct_sending_leave(request, POOL_SERVED);
 		step_on(request, VERDICT_ANSWERED, "answered");
@@ -463,6 +476,7 @@
 	request->state = DIRECT_STATE_SENT;
 	request->upstream = pool_hold(upstream);
 	request->sent_us = direct_request_now_us(request);
+	request->round = direct_request_round(request);
 	request->heard = false;
 	request->status = 0;
 	memset(&request->reply, 0, sizeof(request->reply));
@@ -612,6 +626,8 @@
 {
 	struct pool_ask ask;
 
+	if (!direct_request_passes(request))
+		return;
 	if (request->graph &&
 	    !graph_inputs_kept(request->graph, request->route->stages_count)) {
 		remake_inputs(request);
--- a/direct/direct_stages.c
+++ b/direct/direct_stages.c
@@ -35,6 +35,8 @@
 	uint64_t number;
 	struct direct_request *request;
 	uint32_t stage;
+	uint32_t round;	  /* direct_request_round() when it was asked, ... */
+	int64_t asked_us; /* and the time */
 	struct service *service;
 	struct direct_job *job;	 /* served here; NULL: at a peer, or waits */
 	struct direct_work work; /* at a peer: kept to be asked elsewhere */
@@ -323,6 +325,27 @@
 	return false;
 }
 
+/* Calls broke off: what was asked of these upstreams is lost. */
+static void note_lost(const struct ask *ask,
+		      const struct direct_result *results, uint32_t count)
+{
+	struct direct_request *request = ask->request;
+	const struct pool_upstream *before = NULL;
+
+	for (uint32_t i = 0; i < count; i++) {
+		const struct pool_upstream *upstream;
+
+		if (results[i].result != DIRECT_ITEM_LOST)
+			continue;
+		upstream =
+			pool_find_life(request->direct->pool, results[i].maker);
+		if (upstream && upstream != before)
+			direct_request_lost(request, upstream, ask->round,
+					    ask->asked_us);
+		before = upstream;
+	}
+}
+
 /* Results have come; the ask is over when `left` is 0. Its request may end by
  * this. */
 static void take_results(struct ask *ask, struct direct_result *results,
@@ -333,6 +356,7 @@
 	uint32_t stage = ask->stage;
 	bool late = any_is(results, count, DIRECT_ITEM_LATE);
 
+	note_lost(ask, results, count);
 	for (uint32_t i = 0; i < count; i++) {
 		take_result(ask, &results[i]);
 		remove_index(ask->work.indices, results[i].index);
@@ -441,6 +465,8 @@
 	ask->number = stages->next_number++;
 	ask->request = request;
 	ask->stage = work->piece.stage;
+	ask->round = direct_request_round(request);
+	ask->asked_us = now(stages);
 	ask->service = service_of(stages, work->service);
 	ask->work = *work;
 	memset(work, 0, sizeof(*work));
--- a/http/http_fetch.c
+++ b/http/http_fetch.c
@@ -26,10 +26,11 @@
 	g_free(fetch);
 }
 
-static void finish(struct http_fetch *fetch, int error)
+static void finish(struct http_fetch *fetch, int error, bool sent)
 {
 	const struct http_fetch_answer answer = {
 		.error = error,
+		.sent = sent,
 		.status = fetch->status,
 		.body = fetch->body->str,
 		.size = fetch->body->len,
@@ -42,10 +43,11 @@
 static gboolean on_timeout(gpointer userdata)
 {
 	struct http_fetch *fetch = userdata;
+	bool sent = http_exchange_sent(fetch->exchange);
 
 	fetch->timer = 0;
 	http_exchange_cancel(fetch->exchange);
-	finish(fetch, LP_ERROR_UPSTREAM_GONE);
+	finish(fetch, LP_ERROR_UPSTREAM_GONE, sent);
 	return G_SOURCE_REMOVE;
 }
 
@@ -87,7 +89,7 @@
 
 static void on_done(void *userdata, int error, bool sent)
 {
-	finish(userdata, error);
+	finish(userdata, error, sent);
 }
 
 static const struct http_exchange_events events = {
--- a/http/http_fetch.h
+++ b/http/http_fetch.h
@@ -14,6 +14,7 @@
 /** What came of it. Borrowed during the callback. */
 struct http_fetch_answer {
 	int error; /**< LP_OK: an answer came whole */
+	bool sent; /**< a byte of the request has left */
 	uint32_t status;
 	const char *body; /**< NUL-terminated */
 	size_t size;
--- a/policy/losses.h
+++ b/policy/losses.h
@@ -27,6 +27,7 @@
 struct loss {
 	uint64_t request; /**< digest of its content */
 	uint64_t life;	  /**< of the upstream */
+	uint32_t round;	  /**< quarantine_round() then */
 	int64_t began_us; /**< when it was sent there */
 	int64_t lost_us;
 };
--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -335,7 +335,9 @@
 	while (start < pieces->waiting->len &&
 	       count < pieces->options.batch_max) {
 		guint end = group_end(pieces, start);
-		bool fits = group_fits(pieces, start, end, room) &&
+		bool alone = waiting_at(pieces, start)->alone;
+		bool fits = (!alone || !count) &&
+			    group_fits(pieces, start, end, room) &&
 			    may_split(pieces, count, end - start) &&
 			    may_go(pieces, start, end, upstream);
 
@@ -349,6 +351,8 @@
 			if (taken)
 				taken[i] = true;
 		}
+		if (alone && fits && count)
+			break;
 		start = end;
 	}
 	return count;
--- a/policy/pieces.h
+++ b/policy/pieces.h
@@ -25,6 +25,7 @@
 	int64_t bytes;	  /**< of its result, about */
 	bool has_inputs;
 	bool holds_room;    /**< its inputs take up scarce room meanwhile */
+	bool alone;	    /**< shares a call with its own request only */
 	bool split;	    /**< others of its stage and request went ahead */
 	const char *near;   /**< domain of what it takes in, or of who takes
 			       it; NULL: no matter. Interned. */
--- a/tests/poison_test.cc
+++ b/tests/poison_test.cc
@@ -1,16 +1,18 @@
 /*
  * Requests that end the upstreams that begin them.
  *
- * Seen: a stream of one caller came again and again, each time with an attempt id
- * of its own and at any entry, and ended the engine that began it within 0.2 s; 17
- * of 18 engines were lost to it in 15 s, and what others had there with them.
+ * Seen: a stream of one caller came again and again, each time with an attempt
+ * id of its own and at any entry, and ended the engine that began it within 0.2
+ * s; 17 of 18 engines were lost to it in 15 s, and what others had there with
+ * them.
  *
- * How it came about: whatever an entry learns of a failure is about the upstream.
- * The request itself is forgotten with its try, so the next one is new to all.
+ * How it came about: whatever an entry learns of a failure is about the
+ * upstream. The request itself is forgotten with its try, so the next one is
+ * new to all.
  *
  * Cause: nothing that outlives a try says what was under way when an upstream
- * ended, and entries have no word for it. Proof: with a digest of the content in
- * the log the same one stands at each end, and none is without it.
+ * ended, and entries have no word for it. Proof: with a digest of the content
+ * in the log the same one stands at each end, and none is without it.
  */
 #include "direct_rig.h"
 
