--- a/direct/direct.c
+++ b/direct/direct.c
@@ -247,6 +247,26 @@
 		pool_heard_unreachable(direct->pool, heard, aside_us);
 }
 
+void direct_set_quarantine(struct direct *direct, bool on)
+{
+	direct_quarantine_turn(direct->quarantine, on);
+}
+
+void direct_let_in(struct direct *direct, uint64_t content)
+{
+	direct_quarantine_let_in(direct->quarantine, content);
+}
+
+void direct_print_quarantine(const struct direct *direct, GString *out)
+{
+	direct_quarantine_print(direct->quarantine, out);
+}
+
+uint32_t direct_kept_out(const struct direct *direct)
+{
+	return direct_quarantine_count(direct->quarantine);
+}
+
 bool direct_ready(const struct direct *direct)
 {
 	return direct->config && direct->has_upstreams;
--- a/direct/direct.h
+++ b/direct/direct.h
@@ -55,6 +55,16 @@
 /** A peer cannot reach an upstream and sets it aside for so long. */
 void direct_hear_unreachable(struct direct *direct, uint64_t upstream,
 			     int64_t aside_us);
+/** Refuse requests under which upstreams ended (the default), or only count
+ * them. */
+void direct_set_quarantine(struct direct *direct, bool on);
+/** An operator lets a request in again, at all entries: its digest, as the log
+ * and direct_print_quarantine() name it. */
+void direct_let_in(struct direct *direct, uint64_t content);
+/** Requests under which upstreams ended, a JSON object a line. */
+void direct_print_quarantine(const struct direct *direct, GString *out);
+/** How many requests are kept out. */
+uint32_t direct_kept_out(const struct direct *direct);
 /** Whether requests can be served: configuration and upstreams are known. */
 bool direct_ready(const struct direct *direct);
 /** End in order: answers end their connections from now on. */
--- a/direct/direct_quarantine.c
+++ b/direct/direct_quarantine.c
@@ -85,10 +85,10 @@
 	struct word *cells = (struct word *)words->data;
 
 	for (guint i = 0; i < words->len; i += WORDS_MAX)
-		direct_peers_send_all(quarantine->peers, KIND_WORDS,
-				      write_words(quarantine, cells + i,
-						  MIN(words->len - i,
-						      WORDS_MAX)));
+		direct_peers_send_all(
+			quarantine->peers, KIND_WORDS,
+			write_words(quarantine, cells + i,
+				    MIN(words->len - i, WORDS_MAX)));
 	for (guint i = words->len; i-- > 0;)
 		if (!--cells[i].tells)
 			g_array_remove_index_fast(words, i);
@@ -173,9 +173,8 @@
 	const struct word *cells = (const struct word *)words->data;
 
 	for (guint i = 0; i < words->len; i += WORDS_MAX) {
-		g_autoptr(GVariant) body = g_variant_ref_sink(
-			write_words(quarantine, cells + i,
-				    MIN(words->len - i, WORDS_MAX)));
+		g_autoptr(GVariant) body = g_variant_ref_sink(write_words(
+			quarantine, cells + i, MIN(words->len - i, WORDS_MAX)));
 
 		direct_peers_send(quarantine->peers, peer, KIND_WORDS, body);
 	}
@@ -260,8 +259,8 @@
 {
 	if (!quarantine_ended(quarantine->known, end))
 		return false;
-	log_change(quarantine, end->request,
-		   standing(quarantine, end->request), peer);
+	log_change(quarantine, end->request, standing(quarantine, end->request),
+		   peer);
 	return true;
 }
 
@@ -272,6 +271,29 @@
 		log_change(quarantine, request, "cleared", peer);
 }
 
+static void tell_try(struct direct_quarantine *quarantine, uint64_t request,
+		     int64_t until_us)
+{
+	tell(quarantine, (struct word){
+				 .what = WORD_TRIES,
+				 .request = request,
+				 .at_us = until_us,
+			 });
+}
+
+/* Whoever tried it has an answer to what became of it. */
+static void free_try(struct direct_quarantine *quarantine, uint64_t request)
+{
+	int64_t now_us = now(quarantine);
+	struct quarantine_view view;
+
+	if (!quarantine_look(quarantine->known, request, &view) ||
+	    view.try_until_us <= now_us)
+		return;
+	quarantine_trying(quarantine->known, request, now_us);
+	tell_try(quarantine, request, now_us);
+}
+
 void direct_quarantine_ended(struct direct_quarantine *quarantine,
 			     const struct loss *lost, guint count)
 {
@@ -293,6 +315,9 @@
 						 .at_us = end.ended_us,
 						 .ran_us = end.ran_us,
 					 });
+		/* A run of a later round can only have been a try. */
+		if (end.round > 1)
+			free_try(quarantine, end.request);
 	}
 }
 
@@ -364,16 +389,6 @@
 	lp_event_end(log);
 }
 
-static void tell_try(struct direct_quarantine *quarantine, uint64_t request,
-		     int64_t until_us)
-{
-	tell(quarantine, (struct word){
-				 .what = WORD_TRIES,
-				 .request = request,
-				 .at_us = until_us,
-			 });
-}
-
 bool direct_quarantine_passes(struct direct_quarantine *quarantine,
 			      struct direct_request *request, int64_t *wait_us)
 {
@@ -382,6 +397,11 @@
 	if (request->is_try || quarantine_is_empty(quarantine->known))
 		return true;
 	digest = direct_request_digest(request);
+	if (request->was_try) {
+		*wait_us = FIND_OUT_US;
+		log_refusal(quarantine, request, *wait_us);
+		return false;
+	}
 	switch (quarantine_ask(quarantine->known, digest, request->give_up_us,
 			       wait_us)) {
 	case QUARANTINE_PASS:
--- a/direct/direct_quarantine.h
+++ b/direct/direct_quarantine.h
@@ -34,7 +34,8 @@
 			     const struct loss *lost, guint count);
 /**
  * May it go to an upstream now? Refused: `*wait_us` is when to come back. One
- * that is tried goes on without being asked again.
+ * that is tried goes on without being asked again, until it is lost: that was
+ * its try.
  */
 bool direct_quarantine_passes(struct direct_quarantine *quarantine,
 			      struct direct_request *request, int64_t *wait_us);
--- a/policy/quarantine.c
+++ b/policy/quarantine.c
@@ -23,8 +23,8 @@
 	struct quarantine *quarantine = g_new0(struct quarantine, 1);
 
 	quarantine->clock = clock;
-	quarantine->records = g_hash_table_new_full(
-		g_int64_hash, g_int64_equal, NULL, g_free);
+	quarantine->records = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						    NULL, g_free);
 	return quarantine;
 }
 
@@ -158,8 +158,8 @@
 {
 	struct record *record = find(quarantine, end->request);
 
-	if (record && (has_life(record, end->life) ||
-		       end->ended_us <= record->served_us))
+	if (record &&
+	    (has_life(record, end->life) || end->ended_us <= record->served_us))
 		return false;
 	if (!record)
 		record = add(quarantine, end->request);
--- a/policy/quarantine.h
+++ b/policy/quarantine.h
@@ -11,9 +11,9 @@
  * - From two on it goes one at a time in the whole fleet (QUARANTINE_TRY), and
  *   is refused meanwhile. Who shared its upstreams by chance comes to an answer
  *   now; so does what many ask for while upstreams end for another reason.
- * - After three rounds it is kept out (QUARANTINE_REFUSE). A round is a run that
- *   was begun although the ends of the round before were known, so that ends of
- *   one moment, of a whole service even, are one round.
+ * - After three rounds it is kept out (QUARANTINE_REFUSE). A round is a run
+ * that was begun although the ends of the round before were known, so that ends
+ * of one moment, of a whole service even, are one round.
  * - It is let in again for one try after a minute, then after four times as
  *   long, at most after an hour: upstreams may have new software. Each such try
  *   may cost an upstream. An operator can let it in at once.
@@ -75,7 +75,7 @@
 	const struct quarantine_end *ends; /**< the earliest first */
 	uint32_t count;
 	uint32_t rounds;
-	int64_t served_us; /**< an answer cleared it last; 0: none did */
+	int64_t served_us;    /**< an answer cleared it last; 0: none did */
 	int64_t out_until_us; /**< kept out until then; in the past: it is not
 			       */
 	int64_t try_until_us; /**< a try is under way until then at the most */
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -73,6 +73,30 @@
 			  "or more" }));
 }
 
+TEST(PlfSettings, SayWhichRequestsAreLetInAgain)
+{
+	Settings said(std::string(good) + "quarantine.enabled=false\n"
+					  "quarantine.let_in=00000000000000ff,"
+					  "0123456789abcdef\n");
+	Settings silent(good);
+	Settings wrong(std::string(good) + "quarantine.enabled=no\n"
+					   "quarantine.let_in=ff\n");
+
+	EXPECT_EQ(said.error, LP_OK);
+	EXPECT_FALSE(said.it.quarantine);
+	ASSERT_EQ(said.it.let_in->len, 2u);
+	EXPECT_EQ(g_array_index(said.it.let_in, uint64_t, 1),
+		  0x0123456789abcdefu);
+	EXPECT_TRUE(silent.it.quarantine);
+	EXPECT_EQ(silent.it.let_in->len, 0u);
+	EXPECT_EQ(wrong.errors,
+		  (std::vector<std::string>{
+			  ":13: quarantine.enabled: \"no\" is not true or "
+			  "false",
+			  ":14: quarantine.let_in: \"ff\" is not a list of 16 "
+			  "hexadecimal digits each" }));
+}
+
 TEST(PlfSettings, ErrorsNameWhatIsMissing)
 {
 	Settings settings("zone=a\n");
--- a/tests/poison_test.cc
+++ b/tests/poison_test.cc
@@ -16,6 +16,8 @@
  */
 #include "direct_rig.h"
 
+#include <memory>
+
 namespace
 {
 
@@ -58,6 +60,25 @@
 	{
 		return turn % 2 ? two : one;
 	}
+	void add_upstreams(int each)
+	{
+		for (int i = 0; i < each; i++) {
+			one.add(PE_PLAIN, "plain");
+			one.add(PE_ENGINE, "engine");
+			one.add(PE_STAGE, "first");
+			one.add(PE_STAGE, "second");
+		}
+	}
+	std::string known()
+	{
+		GString *text = g_string_new(nullptr);
+		std::string known;
+
+		direct_print_quarantine(one.entry, text);
+		known = text->str;
+		g_string_free(text, TRUE);
+		return known;
+	}
 	pe_poison_book book()
 	{
 		pe_poison_book worst;
@@ -67,6 +88,38 @@
 	}
 };
 
+/* A caller's request, brought again to one entry after the other. */
+struct Caller {
+	Fleet &fleet;
+	std::string target;
+	std::string body;
+	Fields fields;
+	int tries = 0;
+	int refused = 0;
+
+	/* `at_once` tries at the same time, so often. */
+	void bring(int times, int at_once = 1)
+	{
+		for (int i = 0; i < times; i++) {
+			std::vector<std::unique_ptr<Ask>> asks;
+
+			for (int j = 0; j < at_once; j++)
+				asks.push_back(ask());
+			for (auto &one : asks)
+				refused += one->wait().status == 503;
+			turn_until([] { return false; }, 50);
+		}
+	}
+	std::unique_ptr<Ask> ask()
+	{
+		std::string id = body + std::to_string(++tries);
+
+		return std::make_unique<Ask>(fleet.at(tries).address,
+					     id.c_str(), target.c_str(), fields,
+					     body.c_str());
+	}
+};
+
 /* One caller comes again at once for six seconds. */
 TEST(Poison, ARequestThatEndsItsUpstreamsSoonReachesNone)
 {
@@ -97,4 +150,268 @@
 	EXPECT_GT(refused, tries / 2);
 }
 
+/* What may be repeated is not repeated for ever within its try. */
+TEST(Poison, OnRoutesOfEachKind)
+{
+	const char *const targets[] = { "/look/x", "/order/x", "/once/x",
+					"/again/x" };
+
+	for (const char *target : targets) {
+		Fleet fleet;
+		Caller caller{ fleet, target, poison, {} };
+
+		fleet.add_upstreams(8);
+		fleet.settle();
+		caller.bring(20);
+		EXPECT_LE(fleet.book().ends, 4u) << target;
+		EXPECT_GE(caller.refused, 15) << target;
+	}
+}
+
+TEST(Poison, WithinAStream)
+{
+	for (const char *target : { "/once/x", "/again/x" }) {
+		Fleet fleet(strikes(0, 3));
+		Caller caller{ fleet, target, poison, {} };
+
+		fleet.add_upstreams(8);
+		fleet.settle();
+		caller.bring(20);
+		EXPECT_LE(fleet.book().ends, 4u) << target;
+		EXPECT_GE(caller.refused, 15) << target;
+	}
+}
+
+/* Back in a moment under its id, with a new start. */
+TEST(Poison, UpstreamsThatKeepTheirIds)
+{
+	pe_poison_options how = strikes();
+
+	how.end.new_id = false;
+	how.end.away_ms = 30;
+	Fleet fleet(how);
+	Caller caller{ fleet, "/once/x", poison, {} };
+
+	fleet.add_upstreams(8);
+	fleet.settle();
+	caller.bring(20);
+	EXPECT_LE(fleet.book().ends, 4u);
+	EXPECT_GE(caller.refused, 15);
+}
+
+/* Those that are under way at the first ends are not known yet. */
+TEST(Poison, BroughtSeveralTimesAtOnce)
+{
+	Fleet fleet;
+	Caller caller{ fleet, "/once/x", poison, {} };
+
+	fleet.add_upstreams(12);
+	fleet.settle();
+	caller.bring(20, 6);
+	EXPECT_LE(fleet.book().ends, 6u + 3u);
+	EXPECT_GE(caller.refused, 100);
+}
+
+TEST(Poison, OfTwoCallersEachIsKnown)
+{
+	Fleet fleet;
+	Caller one{ fleet, "/once/x", "crash one", {} };
+	Caller two{ fleet, "/look/x", "crash two", {} };
+
+	fleet.add_upstreams(8);
+	fleet.settle();
+	for (int i = 0; i < 20; i++) {
+		one.bring(1);
+		two.bring(1);
+	}
+	EXPECT_LE(fleet.book().ends, 4u);
+	EXPECT_GE(one.refused, 15);
+	EXPECT_GE(two.refused, 15);
+}
+
+/* Its piece shares calls with pieces of others; those are made elsewhere. */
+TEST(Poison, InACallOfPieces)
+{
+	Fleet fleet;
+	Caller bad{ fleet,
+		    "/staged/x",
+		    "b",
+		    { { "X-Pieces", "2,2" }, { "X-Piece-Key", "crash" } } };
+	Caller good{ fleet,
+		     "/staged/x",
+		     "",
+		     { { "X-Pieces", "2,2" }, { "X-Piece-Key", "sound" } } };
+	std::vector<std::unique_ptr<Ask>> asks;
+
+	fleet.add_upstreams(8);
+	fleet.settle();
+	for (int i = 0; i < 12; i++) {
+		asks.push_back(bad.ask());
+		good.body = "g" + std::to_string(i) + "-";
+		asks.push_back(good.ask());
+		turn_until([] { return false; }, 60);
+	}
+	for (size_t i = 0; i < asks.size(); i++) {
+		asks[i]->wait();
+		if (i % 2) {
+			EXPECT_EQ(asks[i]->body, whole_stream);
+		}
+	}
+	EXPECT_LE(fleet.book().ends, 6u);
+}
+
+/* Streams of others that may go on elsewhere do, whatever they share with it.
+ */
+TEST(Poison, WhoSharesItsUpstreamsIsServed)
+{
+	Fleet fleet(strikes(40));
+	Caller bad{ fleet, "/once/x", poison, {} };
+	std::vector<std::unique_ptr<Ask>> asks;
+
+	fleet.add_upstreams(4);
+	fleet.settle();
+	for (int i = 0; i < 60; i++) {
+		std::string id = "g" + std::to_string(i);
+
+		if (i % 6 == 0)
+			asks.push_back(bad.ask());
+		else
+			asks.push_back(std::make_unique<Ask>(
+				fleet.at(i).address, id.c_str(), "/again/x",
+				Fields{}, id.c_str()));
+		turn_until([] { return false; }, 15);
+	}
+	for (size_t i = 0; i < asks.size(); i++) {
+		asks[i]->wait();
+		if (i % 6) {
+			EXPECT_EQ(asks[i]->body, whole_stream) << i;
+		}
+	}
+}
+
+/* What many ask for, while all upstreams end for another reason. */
+TEST(Poison, APopularRequestStaysServed)
+{
+	const pe_poison_options none = {};
+	const pe_end_options end = { 200, 100, true };
+	Fleet fleet(none);
+	Caller many{ fleet, "/once/x", "popular", {} };
+	std::vector<pe_upstream *> engines;
+	std::vector<std::unique_ptr<Ask>> asks;
+	int served = 0;
+
+	for (int i = 0; i < 4; i++)
+		engines.push_back(fleet.one.add(PE_ENGINE, "engine"));
+	fleet.settle();
+	for (int round = 0; round < 2; round++) {
+		for (int i = 0; i < 12; i++)
+			asks.push_back(many.ask());
+		turn_until([] { return false; }, 30);
+		for (auto *engine : engines)
+			pe_end(engine, &end);
+		turn_until([] { return false; }, 700);
+	}
+	for (int i = 0; i < 40; i++) {
+		asks.push_back(many.ask());
+		turn_until([] { return false; }, 10);
+	}
+	/* The first of them is tried, the others are refused meanwhile. */
+	for (size_t i = asks.size() - 40; i < asks.size(); i++)
+		served += asks[i]->wait().body == whole_stream;
+	EXPECT_GE(served, 25);
+	EXPECT_EQ(direct_kept_out(fleet.one.entry), 0u);
+}
+
+/* It resets, falls silent, garbles, is full, and lives: nobody ended it. */
+TEST(Poison, FaultsOfThoseThatLiveAreHeldAgainstNobody)
+{
+	const pe_poison_options none = {};
+	Fleet fleet(none);
+	std::vector<pe_upstream *> plain;
+
+	for (int i = 0; i < 3; i++)
+		plain.push_back(fleet.one.add(PE_PLAIN, "plain"));
+	fleet.settle();
+	for (int fault = PE_FAULT_FULL; fault <= PE_FAULT_UNFRAMED; fault++) {
+		for (auto *upstream : plain)
+			pe_fault(upstream, (enum pe_fault)fault);
+		for (int i = 0; i < 4; i++)
+			Ask(fleet.at(i).address, "a", "/look/x").wait();
+		turn_until([] { return false; }, 250);
+	}
+	EXPECT_EQ(fleet.known(), "");
+}
+
+/* An upstream that leaves ends with what it still has. */
+TEST(Poison, LeavingIsNoEnd)
+{
+	const pe_poison_options none = {};
+	const pe_end_options end = { 10000, 100, true };
+	Fleet fleet(none);
+	pe_upstream *leaving = fleet.one.add(PE_PLAIN, "plain");
+
+	pe_set_work_ms(leaving, 4000);
+	fleet.settle();
+	Ask ask(fleet.one.address, "a", "/order/x");
+
+	ASSERT_TRUE(turn_until([&] { return pe_arrivals(leaving) == 1; }));
+	pe_drain(leaving);
+	turn_until([] { return false; }, 1000);
+	pe_end(leaving, &end);
+	EXPECT_EQ(ask.wait().status, 502u);
+	turn_until([] { return false; }, 300);
+	EXPECT_EQ(fleet.known(), "");
+}
+
+/* An entry that starts later learns it of those it meets. */
+TEST(Poison, AnEntryThatStartsIsTold)
+{
+	Fleet fleet;
+	Caller caller{ fleet, "/once/x", poison, {} };
+	uint32_t arrivals;
+
+	fleet.add_upstreams(8);
+	fleet.settle();
+	caller.bring(6);
+	arrivals = fleet.book().arrivals;
+	Rig third(&fleet.one);
+
+	third.join("127.0.0.3", 500, { "127.0.0.1" }, 1);
+	third.settle();
+	ASSERT_TRUE(turn_until([&] { return direct_kept_out(third.entry); }));
+	Ask ask(third.address, "t", "/once/x", {}, poison);
+
+	EXPECT_EQ(ask.wait().status, 503u);
+	EXPECT_LT(ask.took_us, 200000);
+	/* To come back when it may be tried again, not before. */
+	EXPECT_GT(atof(ask.retry_after.c_str()), 50.0);
+	EXPECT_EQ(fleet.book().arrivals, arrivals);
+}
+
+TEST(Poison, OperatorsLetItInOrTurnItOff)
+{
+	Fleet fleet;
+	Caller caller{ fleet, "/once/x", poison, {} };
+	std::string known;
+	uint64_t content;
+
+	fleet.add_upstreams(8);
+	fleet.settle();
+	caller.bring(6);
+	known = fleet.known();
+	ASSERT_EQ(known.find("{\"content\":\""), 0u);
+	EXPECT_NE(known.find("kept_out"), std::string::npos);
+	EXPECT_EQ(known.find(poison), std::string::npos);
+	content = g_ascii_strtoull(known.substr(12, 16).c_str(), nullptr, 16);
+	direct_let_in(fleet.one.entry, content);
+	ASSERT_TRUE(
+		turn_until([&] { return !direct_kept_out(fleet.two.entry); }));
+	EXPECT_EQ(caller.ask()->wait().status, 502u);
+	caller.bring(6);
+	EXPECT_EQ(caller.ask()->wait().status, 503u);
+	direct_set_quarantine(fleet.one.entry, false);
+	direct_set_quarantine(fleet.two.entry, false);
+	EXPECT_EQ(caller.ask()->wait().status, 502u);
+}
+
 } // namespace
