--- a/agent/agent_load.c
+++ b/agent/agent_load.c
@@ -1,5 +1,7 @@
 #include "agent/agent_load.h"
 
+#include "base/lp_timer.h"
+
 #include "store/store_http.h"
 
 #include <string.h>
@@ -62,7 +64,7 @@
 		load->options.waiting(load->options.userdata,
 				      (uint32_t)waiting);
 	load->timer =
-		g_timeout_add(waiting >= 0 ? ASK_MS : ASK_RARELY_MS, ask, load);
+		lp_timer_add(waiting >= 0 ? ASK_MS : ASK_RARELY_MS, ask, load);
 }
 
 static gboolean ask(gpointer userdata)
--- a/base/lp_clock.c
+++ b/base/lp_clock.c
@@ -1,15 +1,18 @@
 #include "base/lp_clock.h"
 
-#include <glib.h>
+#include <time.h>
 
-static int64_t monotonic_now_us(void *userdata)
+static int64_t boot_now_us(void *userdata)
 {
-	return g_get_monotonic_time();
+	struct timespec now;
+
+	clock_gettime(CLOCK_BOOTTIME, &now);
+	return (int64_t)now.tv_sec * LP_US_PER_S + now.tv_nsec / 1000;
 }
 
-const struct lp_clock *lp_clock_monotonic(void)
+const struct lp_clock *lp_clock_boot(void)
 {
-	static const struct lp_clock clock = { monotonic_now_us, NULL };
+	static const struct lp_clock clock = { boot_now_us, NULL };
 
 	return &clock;
 }
--- a/base/lp_clock.h
+++ b/base/lp_clock.h
@@ -13,8 +13,12 @@
 	void *userdata;
 };
 
-/** The process's monotonic clock. Static; never freed. */
-const struct lp_clock *lp_clock_monotonic(void);
+/**
+ * Time since the host's boot, also that in which it is suspended: leases,
+ * deadlines and ages are over then for everyone else. Never set. Static; never
+ * freed.
+ */
+const struct lp_clock *lp_clock_boot(void);
 
 static inline int64_t lp_now_us(const struct lp_clock *clock)
 {
--- a/base/lp_event.c
+++ b/base/lp_event.c
@@ -1,6 +1,7 @@
 #include "base/lp_event.h"
 
 #include "base/lp_out.h"
+#include "base/lp_timer.h"
 
 /* At a front's usual load a request takes about three lines; thirty requests
  * a second and a storm of repeats stay well within it. */
@@ -61,7 +62,7 @@
 
 	g_string_erase(log->buffer, 0, (gssize)done);
 	if (log->buffer->len && !log->timer)
-		log->timer = g_timeout_add(FLUSH_MS, on_flush, log);
+		log->timer = lp_timer_add(FLUSH_MS, on_flush, log);
 }
 
 int64_t lp_event_log_lost(const struct lp_event_log *log)
@@ -151,5 +152,5 @@
 	log->open = false;
 	g_string_append(log->buffer, "}\n");
 	if (!log->timer)
-		log->timer = g_timeout_add(FLUSH_MS, on_flush, log);
+		log->timer = lp_timer_add(FLUSH_MS, on_flush, log);
 }
--- a/bench/bench_claims.c
+++ b/bench/bench_claims.c
@@ -107,7 +107,7 @@
 		.total = MAX(10, rate * SECONDS),
 	};
 	const struct claims_options options = {
-		.clock = lp_clock_monotonic(),
+		.clock = lp_clock_boot(),
 		.ops = &ops,
 		.userdata = &run,
 		.naive = naive,
@@ -147,7 +147,7 @@
 	struct lp_counters *counters = lp_counters_create();
 	const struct store_etcd_options kv_options = {
 		.url = fleet_kv_url(fleet->fleet),
-		.clock = lp_clock_monotonic(),
+		.clock = lp_clock_boot(),
 		.counters = counters,
 		.calls_per_s = KV_CALLS_PER_S,
 		.burst = KV_CALLS_PER_S,
--- a/bench/bench_decide.c
+++ b/bench/bench_decide.c
@@ -22,7 +22,7 @@
 static double route_cost_us(uint32_t upstreams, bool affinity)
 {
 	const struct route_options options = {
-		.clock = lp_clock_monotonic(),
+		.clock = lp_clock_boot(),
 		.domain = "d0",
 		.seed = 1,
 	};
--- a/cli/cli_io.c
+++ b/cli/cli_io.c
@@ -1,5 +1,7 @@
 #include "cli/cli.h"
 
+#include "base/lp_timer.h"
+
 #include <string.h>
 
 struct range_wait {
@@ -184,7 +186,7 @@
 {
 	GMainLoop *loop = g_main_loop_new(NULL, FALSE);
 
-	g_timeout_add((guint)(wait_us / LP_US_PER_MS), on_pause, loop);
+	lp_timer_add((guint)(wait_us / LP_US_PER_MS), on_pause, loop);
 	g_main_loop_run(loop);
 	g_main_loop_unref(loop);
 }
--- a/cli/linepier_main.c
+++ b/cli/linepier_main.c
@@ -75,7 +75,7 @@
 	};
 	const struct store_etcd_options options = {
 		.url = settings->kv_url,
-		.clock = lp_clock_monotonic(),
+		.clock = lp_clock_boot(),
 		.counters = cli.counters,
 		.calls_per_s = KV_CALLS_PER_S,
 	};
--- a/direct/direct_calls.c
+++ b/direct/direct_calls.c
@@ -1,6 +1,8 @@
 /** The dispatcher's side of stages: queues of pieces, calls that carry them. */
 #include "direct/direct_calls.h"
 
+#include "base/lp_timer.h"
+
 #include "direct/direct_private.h"
 
 #include <string.h>
@@ -581,8 +583,8 @@
 	if (!wake_us || service->wake)
 		return;
 	service->wake =
-		g_timeout_add((guint)(MAX(wake_us - now_us, 0) / LP_US_PER_MS),
-			      on_wake, service);
+		lp_timer_add((guint)(MAX(wake_us - now_us, 0) / LP_US_PER_MS),
+			     on_wake, service);
 }
 
 void direct_calls_run(struct direct_calls *calls)
--- a/direct/direct_ends.c
+++ b/direct/direct_ends.c
@@ -1,5 +1,7 @@
 #include "direct/direct_ends.h"
 
+#include "base/lp_timer.h"
+
 #include "direct/direct_private.h"
 
 /* One that takes a connection is asked once more after this: a process that
@@ -122,8 +124,7 @@
 		g_hash_table_remove(question->ends->questions,
 				    &question->upstream->life);
 	else
-		question->timer =
-			g_timeout_add(wait_ms, on_ask_again, question);
+		question->timer = lp_timer_add(wait_ms, on_ask_again, question);
 }
 
 static void on_connected(void *userdata)
@@ -177,8 +178,8 @@
 					   &events, question);
 	if (question->sock)
 		question->timer =
-			g_timeout_add(DIRECT_CONNECT_TIMEOUT_US / LP_US_PER_MS,
-				      on_silent, question);
+			lp_timer_add(DIRECT_CONNECT_TIMEOUT_US / LP_US_PER_MS,
+				     on_silent, question);
 	else
 		ask_again(question, SILENT_MS);
 }
--- a/direct/direct_peers.c
+++ b/direct/direct_peers.c
@@ -1,6 +1,7 @@
 #include "direct/direct_peers.h"
 
 #include "base/lp_id.h"
+#include "base/lp_timer.h"
 
 #include <string.h>
 
@@ -694,9 +695,9 @@
 	g_source_attach(peers->source, NULL);
 	add_seeds(peers);
 	say_hello(peers);
-	peers->hello_timer = g_timeout_add(HELLO_MS, on_hello_timer, peers);
+	peers->hello_timer = lp_timer_add(HELLO_MS, on_hello_timer, peers);
 	peers->first_timer =
-		g_timeout_add(FIRST_HELLO_MS, on_first_timer, peers);
+		lp_timer_add(FIRST_HELLO_MS, on_first_timer, peers);
 	return peers;
 }
 
--- a/direct/direct_places.c
+++ b/direct/direct_places.c
@@ -3,6 +3,7 @@
 #include "direct/direct_private.h"
 
 #include "base/lp_id.h"
+#include "base/lp_timer.h"
 
 #define KIND_PLACE 'P'
 #define KIND_PLACED 'Q'
@@ -142,7 +143,7 @@
 	question->placed = placed;
 	question->userdata = userdata;
 	question->timer =
-		g_timeout_add(ANSWER_US / LP_US_PER_MS, on_no_answer, question);
+		lp_timer_add(ANSWER_US / LP_US_PER_MS, on_no_answer, question);
 	g_hash_table_insert(places->questions, &question->number, question);
 	return number;
 }
@@ -390,7 +391,7 @@
 					     free_held);
 	/* Unlike those of an earlier life. */
 	places->next_number = lp_random_u64();
-	places->look_timer = g_timeout_add(LOOK_MS, on_look, places);
+	places->look_timer = lp_timer_add(LOOK_MS, on_look, places);
 	direct_peers_listen(peers, KIND_PLACE, PLACE_TYPE, on_place, places);
 	direct_peers_listen(peers, KIND_PLACED, PLACED_TYPE, on_placed, places);
 	direct_peers_listen(peers, KIND_STATE, STATE_TYPE, on_state, places);
--- a/direct/direct_quarantine.c
+++ b/direct/direct_quarantine.c
@@ -1,5 +1,7 @@
 #include "direct/direct_quarantine.h"
 
+#include "base/lp_timer.h"
+
 #include "direct/direct_request.h"
 
 /* A word about one request: what, request, life of the upstream, round, and
@@ -130,7 +132,7 @@
 	g_array_append_val(quarantine->words, word);
 	if (!quarantine->tell_timer)
 		quarantine->tell_timer =
-			g_timeout_add(TELL_MS, on_tell, quarantine);
+			lp_timer_add(TELL_MS, on_tell, quarantine);
 }
 
 /* ---- telling one member all ---- */
@@ -600,7 +602,7 @@
 	quarantine->known = quarantine_create(direct->options.clock);
 	quarantine->words = g_array_new(FALSE, FALSE, sizeof(struct word));
 	quarantine->remind_timer =
-		g_timeout_add(REMIND_MS, on_remind, quarantine);
+		lp_timer_add(REMIND_MS, on_remind, quarantine);
 	return quarantine;
 }
 
--- a/direct/direct_relay.c
+++ b/direct/direct_relay.c
@@ -3,6 +3,7 @@
 #include "direct/direct_private.h"
 
 #include "base/lp_id.h"
+#include "base/lp_timer.h"
 
 #include <string.h>
 
@@ -251,7 +252,7 @@
 static void start_tick(struct direct_relay *relay)
 {
 	if (!relay->tick)
-		relay->tick = g_timeout_add(TICK_MS, on_tick, relay);
+		relay->tick = lp_timer_add(TICK_MS, on_tick, relay);
 }
 
 /* ---- asking ---- */
--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -3,6 +3,7 @@
 
 #include "base/lp_digest.h"
 #include "base/lp_id.h"
+#include "base/lp_timer.h"
 #include "policy/admission.h"
 
 #include <string.h>
@@ -329,8 +330,8 @@
 		wait_us = deadline_us;
 	request->give_up_us = request->arrived_us + wait_us;
 	left_us = MAX(request->give_up_us - direct_request_now_us(request), 0);
-	request->give_up_timer = g_timeout_add((guint)(left_us / LP_US_PER_MS),
-					       on_give_up, request);
+	request->give_up_timer = lp_timer_add((guint)(left_us / LP_US_PER_MS),
+					      on_give_up, request);
 }
 
 static struct direct_request *create_request(struct direct *direct,
--- a/direct/direct_results.c
+++ b/direct/direct_results.c
@@ -1,5 +1,7 @@
 /** Results of stages that nobody needs any more: their makers are told. */
 #include "direct/direct_private.h"
+
+#include "base/lp_timer.h"
 #include "direct/direct_relay.h"
 
 /* Results are gathered this long, so that one call names many; once here and
@@ -196,7 +198,7 @@
 
 	if (!results->timer)
 		results->timer =
-			g_timeout_add(GATHER_MS, on_free_gathered, results);
+			lp_timer_add(GATHER_MS, on_free_gathered, results);
 	if (gathered)
 		return gathered;
 	gathered = g_new0(struct gathered, 1);
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -1,5 +1,7 @@
 /** A request on its way to an upstream and back. */
 #include "direct/direct_events.h"
+
+#include "base/lp_timer.h"
 #include "direct/direct_request.h"
 
 #include <string.h>
@@ -208,7 +210,7 @@
 		return;
 	if (request->runs + 1 >= route->attempts_max)
 		return;
-	request->stall_timer = g_timeout_add(
+	request->stall_timer = lp_timer_add(
 		(guint)(stall_us(request) / LP_US_PER_MS), on_stall, request);
 }
 
--- a/direct/direct_stages.c
+++ b/direct/direct_stages.c
@@ -3,6 +3,7 @@
 #include "direct/direct_request.h"
 
 #include "base/lp_id.h"
+#include "base/lp_timer.h"
 #include "policy/admission.h"
 
 #include <string.h>
@@ -600,7 +601,7 @@
 		return;
 	stages->direct->relay =
 		direct_relay_create(stages->direct, peers, &events);
-	stages->meet_timer = g_timeout_add(MEET_LOOK_MS, on_met_look, stages);
+	stages->meet_timer = lp_timer_add(MEET_LOOK_MS, on_met_look, stages);
 	find_dispatchers(stages);
 }
 
@@ -615,7 +616,7 @@
 					     free_ask);
 	/* Unlike those of an earlier life. */
 	stages->next_number = lp_random_u64();
-	stages->look_timer = g_timeout_add(LOOK_MS, on_look, stages);
+	stages->look_timer = lp_timer_add(LOOK_MS, on_look, stages);
 	return stages;
 }
 
--- a/entry/entry_http.c
+++ b/entry/entry_http.c
@@ -2,6 +2,7 @@
 #include "base/lp_log.h"
 
 #include "base/lp_json.h"
+#include "base/lp_timer.h"
 #include "entry/entry_gone.h"
 #include "entry/entry_private.h"
 #include "node/node_admin.h"
@@ -336,7 +337,7 @@
 
 static void set_slow_timer(SoupServerMessage *msg, guint timeout_ms)
 {
-	guint timer = g_timeout_add(timeout_ms, on_slow, msg);
+	guint timer = lp_timer_add(timeout_ms, on_slow, msg);
 
 	g_object_set_data_full(G_OBJECT(msg), "slow-timer",
 			       GUINT_TO_POINTER(timer), stop_slow_timer);
--- a/http/http_client.c
+++ b/http/http_client.c
@@ -1,6 +1,7 @@
 #include "http/http_client.h"
 
 #include "base/lp_clock.h"
+#include "base/lp_timer.h"
 #include "http/http_parse.h"
 #include "http/http_sock.h"
 
@@ -151,7 +152,7 @@
 	exchange->parse.head = on_head;
 	exchange->parse.body = on_body;
 	exchange->parse.userdata = exchange;
-	exchange->connect_timer = g_timeout_add(
+	exchange->connect_timer = lp_timer_add(
 		(guint)(options->connect_timeout_us / LP_US_PER_MS),
 		on_connect_timeout, exchange);
 	write_request(exchange, options);
--- a/http/http_fetch.c
+++ b/http/http_fetch.c
@@ -1,6 +1,7 @@
 #include "http/http_fetch.h"
 
 #include "base/lp_clock.h"
+#include "base/lp_timer.h"
 #include "base/lp_transfer.h"
 #include "http/http_client.h"
 
@@ -55,13 +56,13 @@
 {
 	if (fetch->timer)
 		g_source_remove(fetch->timer);
-	fetch->timer = g_timeout_add((guint)(wait_us / LP_US_PER_MS),
-				     on_timeout, fetch);
+	fetch->timer = lp_timer_add((guint)(wait_us / LP_US_PER_MS), on_timeout,
+				    fetch);
 }
 
 static void await_more(struct http_fetch *fetch)
 {
-	int64_t now_us = lp_now_us(lp_clock_monotonic());
+	int64_t now_us = lp_now_us(lp_clock_boot());
 
 	if (fetch->transfer.stall_us)
 		set_timer(fetch, lp_transfer_wait_us(&fetch->transfer, now_us));
@@ -73,7 +74,7 @@
 	struct http_fetch *fetch = userdata;
 
 	fetch->status = status;
-	fetch->transfer.begun_us = lp_now_us(lp_clock_monotonic());
+	fetch->transfer.begun_us = lp_now_us(lp_clock_boot());
 	await_more(fetch);
 	if (fetch->head)
 		fetch->head(fetch->userdata, status, fields);
--- a/http/http_server.c
+++ b/http/http_server.c
@@ -1,5 +1,7 @@
 #include "http/http_server.h"
 
+#include "base/lp_timer.h"
+
 #include "http/http_parse.h"
 #include "http/http_sock.h"
 
@@ -357,7 +359,7 @@
 	g_source_set_callback(server->source, G_SOURCE_FUNC(on_accept), server,
 			      NULL);
 	g_source_attach(server->source, NULL);
-	server->sweep = g_timeout_add(SWEEP_MS, on_sweep, server);
+	server->sweep = lp_timer_add(SWEEP_MS, on_sweep, server);
 	return server;
 }
 
--- a/http/http_sock.c
+++ b/http/http_sock.c
@@ -1,6 +1,7 @@
 #include "http/http_sock.h"
 
 #include "base/lp_clock.h"
+#include "base/lp_timer.h"
 
 #include <errno.h>
 #include <netinet/in.h>
@@ -285,7 +286,7 @@
 {
 	sock->closed = true;
 	if (!sock->over && !sock->connecting && http_sock_unsent(sock)) {
-		sock->linger = g_timeout_add(LINGER_MS, on_linger, sock);
+		sock->linger = lp_timer_add(LINGER_MS, on_linger, sock);
 		update_interest(sock);
 		return;
 	}
--- a/node/node.c
+++ b/node/node.c
@@ -3,6 +3,7 @@
 #include "base/lp_id.h"
 #include "base/lp_json.h"
 #include "base/lp_log.h"
+#include "base/lp_timer.h"
 #include "node/node_admin.h"
 #include "policy/member.h"
 
@@ -462,7 +463,7 @@
 
 	node->options = *options;
 	node->settings = options->settings;
-	node->clock = lp_clock_monotonic();
+	node->clock = lp_clock_boot();
 	node->counters = lp_counters_create();
 	node->trace = trace_create((uint32_t)node->settings->trace_events);
 	node->incarnation = lp_random_u64();
@@ -475,7 +476,7 @@
 		return error;
 	}
 	open_platform(node);
-	node->tick_timer = g_timeout_add(NODE_TICK_MS, on_tick, node);
+	node->tick_timer = lp_timer_add(NODE_TICK_MS, on_tick, node);
 	node->signals[0] = g_unix_signal_add(SIGTERM, on_signal, node);
 	node->signals[1] = g_unix_signal_add(SIGINT, on_signal, node);
 	*out = node;
--- a/store/store_etcd.c
+++ b/store/store_etcd.c
@@ -1,6 +1,7 @@
 #include "store/store_etcd.h"
 
 #include "base/lp_json.h"
+#include "base/lp_timer.h"
 #include "policy/bucket.h"
 #include "store/store_http.h"
 
@@ -205,7 +206,7 @@
 	wait_ms =
 		(guint)(bucket_wait_us(&etcd->budget, now_us) / LP_US_PER_MS) +
 		1;
-	etcd->timer = g_timeout_add(wait_ms, on_budget, etcd);
+	etcd->timer = lp_timer_add(wait_ms, on_budget, etcd);
 }
 
 static gboolean on_budget(gpointer userdata)
--- a/store/store_hosts.c
+++ b/store/store_hosts.c
@@ -1,6 +1,7 @@
 #include "store/store_hosts.h"
 
 #include "base/lp_clock.h"
+#include "base/lp_timer.h"
 
 #include <string.h>
 
@@ -86,8 +87,8 @@
 	double factor = g_random_double_range(1 - JITTER, 1 + JITTER);
 
 	client->timer =
-		g_timeout_add((guint)((double)poll_us * factor / LP_US_PER_MS),
-			      poll_now, client);
+		lp_timer_add((guint)((double)poll_us * factor / LP_US_PER_MS),
+			     poll_now, client);
 }
 
 static void on_list(void *userdata, const struct store_http_answer *answer)
--- a/store/store_http.c
+++ b/store/store_http.c
@@ -1,6 +1,7 @@
 #include "store/store_http.h"
 
 #include "base/lp_clock.h"
+#include "base/lp_timer.h"
 #include "base/lp_transfer.h"
 
 #define DEFAULT_TIMEOUT_US (2 * LP_US_PER_S)
@@ -119,8 +120,8 @@
 {
 	if (exchange->timer)
 		g_source_remove(exchange->timer);
-	exchange->timer = g_timeout_add((guint)(wait_us / LP_US_PER_MS),
-					on_timeout, exchange);
+	exchange->timer = lp_timer_add((guint)(wait_us / LP_US_PER_MS),
+				       on_timeout, exchange);
 }
 
 static void read_on(struct store_http_exchange *exchange);
@@ -148,7 +149,7 @@
 
 static void read_on(struct store_http_exchange *exchange)
 {
-	int64_t now_us = lp_now_us(lp_clock_monotonic());
+	int64_t now_us = lp_now_us(lp_clock_boot());
 
 	set_timer(exchange, lp_transfer_wait_us(&exchange->transfer, now_us));
 	g_input_stream_read_bytes_async(exchange->stream, READ_BYTES,
@@ -166,7 +167,7 @@
 		finish(exchange, LP_ERROR_PLATFORM_DOWN);
 		return;
 	}
-	exchange->transfer.begun_us = lp_now_us(lp_clock_monotonic());
+	exchange->transfer.begun_us = lp_now_us(lp_clock_boot());
 	if (exchange->http && exchange->begun)
 		exchange->begun(exchange->userdata);
 	read_on(exchange);
--- a/tests/direct_rig.h
+++ b/tests/direct_rig.h
@@ -141,6 +141,7 @@
 struct Rig {
 	pe *platform;
 	bool owns_platform;
+	const lp_clock *clock = lp_clock_boot();
 	lp_event_log *log;
 	lp_counters *counters = lp_counters_create();
 	direct *entry = nullptr;
@@ -151,6 +152,13 @@
 	std::string address;
 	int64_t drain_us = 800000;
 
+	/* On this clock. */
+	explicit Rig(const lp_clock *clock, int64_t drain_us = 800000)
+	    : platform(pe_create()), owns_platform(true), clock(clock),
+	      drain_us(drain_us)
+	{
+		start(true);
+	}
 	explicit Rig(bool with_config = true)
 	    : platform(pe_create()), owns_platform(true)
 	{
@@ -173,7 +181,7 @@
 		lp_event_options log_options = {};
 
 		log_options.process = "test";
-		log_options.clock = lp_clock_monotonic();
+		log_options.clock = clock;
 		log_options.fd = -1;
 		log = lp_event_log_create(&log_options);
 		listen();
@@ -214,7 +222,7 @@
 		direct_options options = {};
 		int error;
 
-		options.clock = lp_clock_monotonic();
+		options.clock = clock;
 		options.codec = plf_codec();
 		options.log = log;
 		options.counters = counters;
@@ -232,14 +240,14 @@
 		plf_kv_options kv_options = {};
 		plf_feed_options options = {};
 
-		kv_options.clock = lp_clock_monotonic();
+		kv_options.clock = clock;
 		kv_options.log = log;
 		kv_options.address = pe_store_address(platform);
 		kv_options.counters = counters;
 		kv_options.timeout_us = 300000;
 		kv_options.wait_us = 500000;
 		kv = plf_kv_create(&kv_options);
-		options.clock = lp_clock_monotonic();
+		options.clock = clock;
 		options.log = log;
 		options.kv = kv;
 		options.counters = counters;
@@ -264,7 +272,7 @@
 		std::string at = std::string(ip) + ":" +
 				 std::to_string(peers_port() + 60);
 
-		options.clock = lp_clock_monotonic();
+		options.clock = clock;
 		options.log = log;
 		options.direct = entry;
 		options.feed = feed;
@@ -282,7 +290,7 @@
 		for (auto &other : others)
 			seeds.push_back(other.data());
 		seeds.push_back(nullptr);
-		options.clock = lp_clock_monotonic();
+		options.clock = clock;
 		options.log = log;
 		options.ip = ip;
 		options.capacity = capacity;
--- a/tests/direct_test.cc
+++ b/tests/direct_test.cc
@@ -550,7 +550,7 @@
 		return direct_config_version(served.entry) == 4 &&
 		       !plf_feed_in_touch(refused.feed);
 	}));
-	options.clock = lp_clock_monotonic();
+	options.clock = lp_clock_boot();
 	options.log = served.log;
 	options.direct = served.entry;
 	options.feed = served.feed;
@@ -600,7 +600,7 @@
 			"127.0.0." + std::to_string(i + 1) + ":" + port;
 		plf_share_options options = {};
 
-		options.clock = lp_clock_monotonic();
+		options.clock = lp_clock_boot();
 		options.log = rigs[i]->log;
 		options.direct = rigs[i]->entry;
 		options.feed = rigs[i]->feed;
@@ -665,7 +665,7 @@
 		turn_until([&] { return pe_runs(rig.platform, "a1") == 1; }));
 	direct_drain(rig.entry);
 	direct_end_by(rig.entry,
-		      lp_now_us(lp_clock_monotonic()) + 1500 * LP_US_PER_MS);
+		      lp_now_us(lp_clock_boot()) + 1500 * LP_US_PER_MS);
 	Ask after(rig.address, "a2", "/order/x");
 
 	EXPECT_EQ(after.wait().status, 503u);
@@ -686,7 +686,7 @@
 	rig.settle();
 	direct_drain(rig.entry);
 	direct_end_by(rig.entry,
-		      lp_now_us(lp_clock_monotonic()) + 1500 * LP_US_PER_MS);
+		      lp_now_us(lp_clock_boot()) + 1500 * LP_US_PER_MS);
 	Ask ask(rig.address, "a1", "/order/x", { { "X-Deadline-Ms", "600" } });
 
 	EXPECT_EQ(ask.wait().status, 200u);
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -120,7 +120,7 @@
 		for (int port = 21300; !server && port < 21400; port++) {
 			address = "127.0.0.1:" + std::to_string(port);
 			options.address = address.c_str();
-			options.clock = lp_clock_monotonic();
+			options.clock = lp_clock_boot();
 			options.limits = limits;
 			options.request = [](void *self, http_call *call) {
 				static_cast<Served *>(self)->answer(call);
--- a/tests/upstream_test.cc
+++ b/tests/upstream_test.cc
@@ -171,7 +171,7 @@
 		lp_event_options options = {};
 
 		options.process = "test";
-		options.clock = lp_clock_monotonic();
+		options.clock = lp_clock_boot();
 		options.fd = -1;
 		log = lp_event_log_create(&options);
 		unreadable = plf_unreadable_create(log, counters);
