--- a/policy/losses.c
+++ b/policy/losses.c
@@ -1,9 +1,19 @@
 #include "policy/losses.h"
 
+#include "base/lp_id.h"
+
 struct losses {
 	const struct lp_clock *clock;
 	GArray *waiting;   /* of struct loss, the oldest first */
-	GHashTable *ended; /* life -> when */
+	GHashTable *ended; /* life -> struct ended */
+};
+
+/* A life as the list names it. One that starts again ends again before the list
+ * has its new start. */
+struct ended {
+	int64_t at_us; /* 0: there is one again */
+	int64_t noted_us;
+	uint32_t times;
 };
 
 /* Losses that wait at a time; the oldest yield. A host's open requests. */
@@ -42,14 +52,23 @@
 	return false;
 }
 
+/* What sets the ends of one life apart. */
+static uint64_t name_of(uint64_t life, uint32_t times)
+{
+	return times > 1 ? lp_hash_pair(life, times) : life;
+}
+
 enum losses_word losses_add(struct losses *losses, struct loss *loss)
 {
-	const int64_t *ended_us =
-		g_hash_table_lookup(losses->ended, &loss->life);
+	struct ended *ended = g_hash_table_lookup(losses->ended, &loss->life);
 	bool waits;
 
-	if (ended_us) {
-		loss->lost_us = MIN(loss->lost_us, *ended_us);
+	/* Sent after the end, and somebody took it. */
+	if (ended && loss->began_us > ended->at_us)
+		ended->at_us = 0;
+	if (ended && ended->at_us) {
+		loss->lost_us = MIN(loss->lost_us, ended->at_us);
+		loss->life = name_of(loss->life, ended->times);
 		return LOSSES_ENDED;
 	}
 	waits = waits_for(losses, loss->life);
@@ -60,38 +79,47 @@
 }
 
 /* Take out what was lost with a life; `out` may be NULL. */
-static void take(struct losses *losses, uint64_t life, GArray *out)
+static void take(struct losses *losses, uint64_t life, uint64_t name,
+		 GArray *out)
 {
 	guint at = 0;
 
 	while (at < losses->waiting->len) {
-		struct loss *loss = waiting_at(losses, at);
+		struct loss loss = *waiting_at(losses, at);
 
-		if (loss->life != life) {
+		if (loss.life != life) {
 			at++;
 			continue;
 		}
+		loss.life = name;
 		if (out)
-			g_array_append_val(out, *loss);
+			g_array_append_val(out, loss);
 		g_array_remove_index(losses->waiting, at);
 	}
 }
 
 bool losses_ended(struct losses *losses, uint64_t life, GArray *out)
 {
-	int64_t now_us = lp_now_us(losses->clock);
-
-	take(losses, life, out);
-	if (g_hash_table_contains(losses->ended, &life))
-		return false;
-	g_hash_table_insert(losses->ended, g_memdup2(&life, sizeof(life)),
-			    g_memdup2(&now_us, sizeof(now_us)));
-	return true;
+	struct ended *ended = g_hash_table_lookup(losses->ended, &life);
+	bool is_news = !ended || !ended->at_us;
+
+	if (!ended) {
+		ended = g_new0(struct ended, 1);
+		g_hash_table_insert(losses->ended,
+				    g_memdup2(&life, sizeof(life)), ended);
+	}
+	if (is_news) {
+		ended->at_us = lp_now_us(losses->clock);
+		ended->noted_us = ended->at_us;
+		ended->times++;
+	}
+	take(losses, life, name_of(life, ended->times), out);
+	return is_news;
 }
 
 void losses_live(struct losses *losses, uint64_t life)
 {
-	take(losses, life, NULL);
+	take(losses, life, life, NULL);
 }
 
 void losses_forget(struct losses *losses)
@@ -105,6 +133,6 @@
 		g_array_remove_index(losses->waiting, 0);
 	g_hash_table_iter_init(&iter, losses->ended);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		if (*(int64_t *)value < before_us)
+		if (((struct ended *)value)->noted_us < before_us)
 			g_hash_table_iter_remove(&iter);
 }
--- a/policy/losses.h
+++ b/policy/losses.h
@@ -40,8 +40,11 @@
 
 struct losses *losses_create(const struct lp_clock *clock);
 void losses_destroy(struct losses *losses);
-/** Ended before: `loss->lost_us` becomes the time of the end if that was
- * earlier. */
+/**
+ * It had ended before: `loss->lost_us` becomes the time of the end if that was
+ * earlier. What was sent after an end met a new process that the list does not
+ * tell apart yet: that one's end is another, and `loss->life` names it.
+ */
 enum losses_word losses_add(struct losses *losses, struct loss *loss);
 /** A life is over: what was lost with it (struct loss) is appended to `out`.
  * Returns whether that is news. */
--- a/tests/quarantine_test.cc
+++ b/tests/quarantine_test.cc
@@ -284,6 +284,21 @@
 	EXPECT_EQ(late.lost_us, ended_us);
 }
 
+/* It has started again before the list says so, and ends again. */
+TEST(Losses, OneLifeOfTheListMayEndTwice)
+{
+	Losses losses;
+
+	losses.add(1, 50);
+	losses_ended(losses.it, 50, losses.out);
+	losses.clock.now_us += s;
+	EXPECT_EQ(losses.add(1, 50), LOSSES_ASK);
+	EXPECT_TRUE(losses_ended(losses.it, 50, losses.out));
+	ASSERT_EQ(losses.out->len, 2u);
+	EXPECT_EQ(g_array_index(losses.out, loss, 0).life, 50u);
+	EXPECT_NE(g_array_index(losses.out, loss, 1).life, 50u);
+}
+
 TEST(Losses, AreForgottenIfItLivesOrNothingIsKnown)
 {
 	Losses losses;
--- a/tools/pe.c
+++ b/tools/pe.c
@@ -83,10 +83,18 @@
 	pe_conn_end(conn, false);
 }
 
+/* Path and body: what its caller sends again; g_free(). */
+static char *content_of(const struct pe_conn *conn)
+{
+	return g_strconcat(conn->parse.target->str, " ", conn->body->str, NULL);
+}
+
 /* The request ends who begins it. */
 static void end_by(struct pe_upstream *upstream, struct pe_conn *conn)
 {
-	pe_poison_struck(upstream->pe, conn->body->str);
+	g_autofree char *content = content_of(conn);
+
+	pe_poison_struck(upstream->pe, content);
 	pe_end(upstream, &upstream->pe->poison.end);
 }
 
@@ -189,7 +197,9 @@
 	struct pe_upstream *upstream = conn->listener->userdata;
 
 	conn->timer = 0;
-	if (upstream->kind == PE_ENGINE && streams(upstream->fault))
+	if (upstream->kind == PE_ENGINE &&
+	    (streams(upstream->fault) ||
+	     pe_is_poison(upstream->pe, conn->body->str)))
 		begin_stream(upstream, conn);
 	else
 		answer_plain(upstream, conn);
@@ -205,10 +215,23 @@
 	return G_SOURCE_REMOVE;
 }
 
-static void run(struct pe_upstream *upstream, struct pe_conn *conn)
+/* Returns whether it ends the upstream before any event. */
+static bool begin_poison(struct pe_upstream *upstream, struct pe_conn *conn)
 {
 	struct pe *pe = upstream->pe;
+	g_autofree char *content = content_of(conn);
+
+	if (!pe_is_poison(pe, conn->body->str))
+		return false;
+	pe_poison_arrived(pe, content);
+	if (upstream->kind == PE_ENGINE && pe->poison.after_event)
+		return false;
+	conn->timer = g_timeout_add(pe->poison.after_ms, on_poisoned, conn);
+	return true;
+}
 
+static void run(struct pe_upstream *upstream, struct pe_conn *conn)
+{
 	if (upstream->fault == PE_FAULT_FULL) {
 		pe_conn_answer(conn, 503, "X-Not-Run: 1\r\n", "");
 		return;
@@ -219,14 +242,9 @@
 		return;
 	}
 	note_run(upstream, conn);
-	if (pe_is_poison(pe, conn->body->str))
-		pe_poison_arrived(pe, conn->body->str);
-	if (pe_is_poison(pe, conn->body->str) && !pe->poison.after_event)
-		conn->timer =
-			g_timeout_add(pe->poison.after_ms, on_poisoned, conn);
-	else
-		conn->timer =
-			g_timeout_add(upstream->work_ms, on_work_over, conn);
+	if (begin_poison(upstream, conn))
+		return;
+	conn->timer = g_timeout_add(upstream->work_ms, on_work_over, conn);
 }
 
 static void on_request(void *userdata, struct pe_conn *conn)
--- a/tools/soak_main.c
+++ b/tools/soak_main.c
@@ -11,6 +11,8 @@
 #include "http/http_client.h"
 #include "tools/pe.h"
 #include "tools/soak_config.h"
+#include "tools/soak_poison.h"
+#include "tools/soak_suspend.h"
 #include "tools/soak_writer.h"
 
 #include <gio/gio.h>
@@ -30,12 +32,21 @@
 #define FIRST_PORT 22000
 #define PORT_SPAN 4000
 #define STREAM_EVENTS 6
+/* The longest timeout of a route, and what a busy host may take beyond it to
+ * say that it is over. */
+#define ROUTE_MAX_US (3 * LP_US_PER_S)
+#define ANSWER_SLACK_US (1500 * LP_US_PER_MS)
+/* An entry that is not stopped has read a request by then. */
+#define READ_US (500 * LP_US_PER_MS)
 
 struct soak_settings {
 	char *daemon;
 	int64_t seed;
 	int64_t requests;
 	int64_t faults;
+	int64_t poison;
+	int64_t suspend;
+	char *env;
 };
 
 #define FIELD(name) offsetof(struct soak_settings, name)
@@ -48,6 +59,12 @@
 	  "callers' requests" },
 	{ "faults", LP_SETTING_BOOL, FIELD(faults), "yes", 0, 0, NULL,
 	  "inject faults" },
+	{ "poison", LP_SETTING_BOOL, FIELD(poison), "no", 0, 0, NULL,
+	  "some requests end the upstreams that begin them" },
+	{ "suspend", LP_SETTING_BOOL, FIELD(suspend), "no", 0, 0, NULL,
+	  "suspend hosts; their clocks stand still by what env loads" },
+	{ "env", LP_SETTING_STRING, FIELD(env), "", 0, 0, NULL,
+	  "NAME=VALUE,... for the program under test" },
 };
 
 struct entry {
@@ -57,7 +74,11 @@
 	char *ready;
 	GPid pid;
 	bool paused;
-	bool leaving; /* got SIGTERM */
+	bool leaving;	/* got SIGTERM */
+	uint32_t stops; /* how often it was stopped or started */
+	/* of the last time that it stood still */
+	int64_t stopped_us;
+	int64_t resumed_us; /* or was started */
 };
 
 struct soak {
@@ -65,6 +86,8 @@
 	struct pe *platform;
 	struct soak_config *config;
 	struct soak_writer *writer;
+	struct soak_poison *poison;   /* NULL: none */
+	struct soak_suspend *suspend; /* NULL: likewise */
 	GPtrArray *upstreams;
 	struct entry entries[ENTRIES];
 	const char *addresses[ENTRIES + 1]; /* of entries, for callers */
@@ -86,6 +109,10 @@
 	struct soak *soak;
 	enum kind kind;
 	char *id;
+	const char *poison; /* what ends who begins it, or NULL */
+	uint32_t entry;
+	uint32_t stops; /* of its entry, when it began */
+	int64_t begun_us;
 	struct http_exchange *exchange;
 	guint timer;
 	uint32_t status;
@@ -126,15 +153,37 @@
 	g_file_set_contents(entry->settings, text, -1, NULL);
 }
 
+/* g_strfreev(). */
+static char **write_env(const struct soak *soak, const struct entry *entry)
+{
+	g_auto(GStrv) more = g_strsplit(soak->settings.env, ",", -1);
+	char **env = g_environ_setenv(g_get_environ(), "LINEPIER_BOOT",
+				      entry->settings, TRUE);
+
+	for (char **at = more; *at; at++) {
+		g_auto(GStrv) pair = g_strsplit(*at, "=", 2);
+
+		if (pair[0] && pair[1])
+			env = g_environ_setenv(env, pair[0], pair[1], TRUE);
+	}
+	if (soak->suspend)
+		env = g_environ_setenv(
+			env, "LP_SUSPENDED",
+			soak_suspend_path(soak->suspend, entry->number), TRUE);
+	return env;
+}
+
 static void start_entry(struct soak *soak, struct entry *entry)
 {
 	char *argv[] = { soak->settings.daemon, "platform", NULL };
-	g_auto(GStrv) env = g_environ_setenv(g_get_environ(), "LINEPIER_BOOT",
-					     entry->settings, TRUE);
+	g_auto(GStrv) env = write_env(soak, entry);
 	g_autoptr(GError) gerror = NULL;
 
 	entry->leaving = false;
 	entry->paused = false;
+	entry->stops++;
+	entry->stopped_us = g_get_monotonic_time();
+	entry->resumed_us = entry->stopped_us;
 	if (!g_spawn_async(NULL, argv, env,
 			   G_SPAWN_DO_NOT_REAP_CHILD |
 				   G_SPAWN_STDOUT_TO_DEV_NULL,
@@ -203,6 +252,38 @@
 	return !strcmp(body, expected->str);
 }
 
+/* When its entry had to answer at the latest. Its time goes on while its entry
+ * stands still; what came then, or just before, is read only after it. */
+static int64_t due_us(const struct ask *ask)
+{
+	const struct entry *entry = &ask->soak->entries[ask->entry];
+
+	if (ask->begun_us + READ_US > entry->stopped_us &&
+	    ask->begun_us < entry->resumed_us)
+		return entry->resumed_us + ROUTE_MAX_US;
+	return MAX(ask->begun_us + ROUTE_MAX_US, entry->resumed_us);
+}
+
+static void judge_time(const struct ask *ask)
+{
+	struct soak *soak = ask->soak;
+	const struct entry *entry = &soak->entries[ask->entry];
+	int64_t now_us = g_get_monotonic_time();
+
+	/* Of several stops only the last is known. */
+	if (entry->paused || soak_suspend_holds(soak->suspend, ask->entry) ||
+	    entry->stops > ask->stops + 1 ||
+	    now_us <= due_us(ask) + ANSWER_SLACK_US)
+		return;
+	breach(soak, ask->id, "held past its time");
+	printf("it was %s, status %u, %d ms after it began, %d ms after its "
+	       "entry went on%s\n",
+	       targets[ask->kind], ask->status,
+	       (int)((now_us - ask->begun_us) / LP_US_PER_MS),
+	       (int)((now_us - entry->resumed_us) / LP_US_PER_MS),
+	       entry->leaving ? ", leaving" : "");
+}
+
 static void judge(struct ask *ask, int error)
 {
 	struct soak *soak = ask->soak;
@@ -217,6 +298,7 @@
 		soak->refused++;
 	else
 		soak->failed++;
+	judge_time(ask);
 	if (!error && ask->status == 200 && !whole) {
 		breach(soak, ask->id, "a success without the whole answer");
 		printf("it was %s: %s\n", targets[ask->kind], ask->body->str);
@@ -287,13 +369,16 @@
 	http_fields_add(&fields, "Authorization", "Bearer key-always");
 	if (ask->kind == KIND_STAGED) {
 		http_fields_add(&fields, "X-Pieces", "2,3");
-		http_fields_add(&fields, "X-Piece-Key", ask->id);
+		http_fields_add(&fields, "X-Piece-Key",
+				ask->poison ? ask->poison : ask->id);
 	}
 	ask->exchange = http_exchange_start(&(struct http_exchange_options){
 		.address = address,
 		.method = "POST",
 		.target = targets[ask->kind],
 		.fields = &fields,
+		.body = ask->poison ? ask->poison : "",
+		.body_size = ask->poison ? strlen(ask->poison) : 0,
 		.has_body = true,
 		.connect_timeout_us = LP_US_PER_S,
 		.events = &events,
@@ -309,10 +394,14 @@
 	struct ask *ask = g_new0(struct ask, 1);
 
 	ask->soak = soak;
+	ask->entry = entry;
+	ask->stops = soak->entries[entry].stops;
+	ask->begun_us = g_get_monotonic_time();
 	ask->kind = (enum kind)g_rand_int_range(soak->random, 0, KINDS);
 	ask->id = g_strdup_printf("s%" G_GINT64_FORMAT "-%u",
 				  (gint64)soak->settings.seed, ++soak->asked);
 	ask->body = g_string_new(NULL);
+	ask->poison = soak_poison_draw(soak->poison);
 	soak->open++;
 	start_exchange(ask, soak->entries[entry].callers);
 	if (ask->exchange)
@@ -348,12 +437,19 @@
 	struct entry *entry =
 		&soak->entries[g_rand_int_range(soak->random, 0, ENTRIES)];
 
+	soak_poison_excuse(soak->poison);
+	/* It goes on first, whatever it is to be told. */
+	if (soak_suspend_holds(soak->suspend, entry->number))
+		soak_suspend_end(soak->suspend);
 	if (entry->paused) {
 		kill(entry->pid, SIGCONT);
 		entry->paused = false;
+		entry->resumed_us = g_get_monotonic_time();
 	} else if (what == 0) {
 		kill(entry->pid, SIGSTOP);
 		entry->paused = true;
+		entry->stops++;
+		entry->stopped_us = g_get_monotonic_time();
 	} else if (what == 1) {
 		end_entry(entry, SIGKILL);
 		start_entry(soak, entry);
@@ -402,6 +498,7 @@
 	look_for_ended(soak);
 	soak_config_disturb(soak->config);
 	soak_writer_disturb(soak->writer);
+	soak_suspend_disturb(soak->suspend);
 	if (dice < 3)
 		fault_entry(soak, dice);
 	else if (dice == 3)
@@ -444,6 +541,51 @@
 	});
 }
 
+static void start_poison(struct soak *soak)
+{
+	if (!soak->settings.poison)
+		return;
+	soak->poison = soak_poison_create(&(struct soak_poison_options){
+		.platform = soak->platform,
+		.seed = (uint32_t)soak->settings.seed,
+		.breach = on_breach,
+		.userdata = soak,
+	});
+}
+
+/* Those that are paused or leave are left alone. */
+static GPid running_pid(void *userdata, uint32_t number)
+{
+	const struct soak *soak = userdata;
+	const struct entry *entry = &soak->entries[number];
+
+	return entry->paused || entry->leaving ? 0 : entry->pid;
+}
+
+static void on_resumed(void *userdata, uint32_t number, int64_t stopped_us)
+{
+	struct soak *soak = userdata;
+
+	soak->entries[number].stops++;
+	soak->entries[number].stopped_us = stopped_us;
+	soak->entries[number].resumed_us = g_get_monotonic_time();
+	soak_poison_excuse(soak->poison);
+}
+
+static void start_suspend(struct soak *soak)
+{
+	if (!soak->settings.suspend)
+		return;
+	soak->suspend = soak_suspend_create(&(struct soak_suspend_options){
+		.folder = soak->folder,
+		.entries = ENTRIES,
+		.seed = (uint32_t)soak->settings.seed,
+		.pid = running_pid,
+		.resumed = on_resumed,
+		.userdata = soak,
+	});
+}
+
 static void start(struct soak *soak)
 {
 	soak->random = g_rand_new_with_seed((guint32)soak->settings.seed);
@@ -454,6 +596,8 @@
 	start_config(soak);
 	add_upstreams(soak);
 	start_writer(soak);
+	start_poison(soak);
+	start_suspend(soak);
 	for (uint32_t i = 0; i < ENTRIES; i++) {
 		soak->entries[i].number = i;
 		write_settings(soak, &soak->entries[i]);
@@ -473,11 +617,13 @@
 		g_free(entry->callers);
 		g_free(entry->ready);
 	}
+	soak_suspend_destroy(soak->suspend);
 	g_rmdir(soak->folder);
 	g_free(soak->folder);
 	g_ptr_array_unref(soak->upstreams);
 	soak_config_destroy(soak->config);
 	soak_writer_destroy(soak->writer);
+	soak_poison_destroy(soak->poison);
 	pe_destroy(soak->platform);
 	g_main_loop_unref(soak->loop);
 	g_rand_free(soak->random);
@@ -488,13 +634,16 @@
 static void end_faults(struct soak *soak)
 {
 	pe_store_fault(soak->platform, PE_STORE_FINE);
+	soak_suspend_end(soak->suspend);
 	for (guint i = 0; i < soak->upstreams->len; i++)
 		pe_fault(g_ptr_array_index(soak->upstreams, i), PE_FAULT_NONE);
 	for (uint32_t i = 0; i < ENTRIES; i++) {
 		struct entry *entry = &soak->entries[i];
 
-		if (entry->paused)
+		if (entry->paused) {
 			kill(entry->pid, SIGCONT);
+			entry->resumed_us = g_get_monotonic_time();
+		}
 		entry->paused = false;
 		if (!entry->leaving)
 			continue;
@@ -537,6 +686,7 @@
 	end_faults(soak);
 	soak_writer_settle(soak->writer);
 	soak_config_settle(soak->config);
+	soak_poison_settle(soak->poison);
 	report(soak);
 	status = soak->breaches ? 1 : 0;
 	stop(soak);
