--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,7 @@
 
 soak: all
 	@$(BUILD)/lp-soak --daemon=$(BUILD)/linepierd --seed=$(SEED) \
-		--requests=$(REQUESTS)
+		--requests=$(REQUESTS) --poison=yes
 
 SOURCES = $(shell git ls-files '*.c' '*.h')
 
--- a/tests/suspend_shim.c
+++ b/tests/suspend_shim.c
@@ -23,8 +23,8 @@
 
 	if (fd < 0)
 		return;
-	memory = mmap(NULL, sizeof(*suspended_us), PROT_READ, MAP_SHARED, fd,
-		      0);
+	memory =
+		mmap(NULL, sizeof(*suspended_us), PROT_READ, MAP_SHARED, fd, 0);
 	close(fd);
 	if (memory != MAP_FAILED)
 		suspended_us = memory;
--- a/tools/load.c
+++ b/tools/load.c
@@ -1,5 +1,7 @@
 #include "tools/load_private.h"
 
+#include <stdio.h>
+
 static void read_line(struct request *request);
 static void send_request(struct request *request);
 
@@ -114,6 +116,21 @@
 		finish_load(load);
 }
 
+/* Counts it as lost; for whoever reads the log of a failed run, where and why.
+ */
+static void lose(struct request *request, const char *where,
+		 const GError *gerror)
+{
+	request->load->report.lost += 1;
+	fprintf(stderr,
+		"lost: request %u, %s, %" G_GINT64_FORMAT
+		" ms after it was due: %s\n",
+		request->number, where,
+		(gint64)(g_get_monotonic_time() - request->due_us) /
+			LP_US_PER_MS,
+		gerror ? gerror->message : "it ended");
+}
+
 /* Nothing was sent: a balancer tries the next entry. */
 static bool never_connected(const GError *gerror)
 {
@@ -133,7 +150,7 @@
 		send_request(request);
 		return;
 	}
-	request->load->report.lost += 1;
+	lose(request, "whole answer", gerror);
 	end_request(request);
 }
 
@@ -199,12 +216,13 @@
 static void on_line(GObject *source, GAsyncResult *result, gpointer data)
 {
 	struct request *request = data;
+	g_autoptr(GError) gerror = NULL;
 	g_autofree char *line = g_data_input_stream_read_line_finish(
-		G_DATA_INPUT_STREAM(source), result, NULL, NULL);
+		G_DATA_INPUT_STREAM(source), result, NULL, &gerror);
 
 	if (!line) {
 		if (!request->whole && !request->has_problem)
-			request->load->report.lost += 1;
+			lose(request, "within a stream", gerror);
 		end_request(request);
 		return;
 	}
@@ -237,11 +255,12 @@
 static void on_stream(GObject *source, GAsyncResult *result, gpointer data)
 {
 	struct request *request = data;
+	g_autoptr(GError) gerror = NULL;
 	g_autoptr(GInputStream) stream =
-		soup_session_send_finish(SOUP_SESSION(source), result, NULL);
+		soup_session_send_finish(SOUP_SESSION(source), result, &gerror);
 
 	if (!stream) {
-		request->load->report.lost += 1;
+		lose(request, "before a stream", gerror);
 		end_request(request);
 		return;
 	}
@@ -464,8 +483,9 @@
 static void on_ticket(GObject *source, GAsyncResult *result, gpointer data)
 {
 	struct request *request = data;
+	g_autoptr(GError) gerror = NULL;
 	g_autoptr(GBytes) bytes = soup_session_send_and_read_finish(
-		SOUP_SESSION(source), result, NULL);
+		SOUP_SESSION(source), result, &gerror);
 	g_autoptr(JsonNode) root = NULL;
 	g_autofree char *text = NULL;
 	gsize size;
@@ -481,7 +501,7 @@
 	request->session->open -= 1;
 	request->session = NULL;
 	if (!request->key) {
-		request->load->report.lost += 1;
+		lose(request, "ticket", gerror);
 		end_request(request);
 		return;
 	}
--- a/tools/soak_suspend.c
+++ b/tools/soak_suspend.c
@@ -44,8 +44,8 @@
 	suspend->paths = g_new0(char *, options->entries + 1);
 	suspend->suspended_us = g_new0(int64_t, options->entries);
 	for (uint32_t i = 0; i < options->entries; i++) {
-		suspend->paths[i] = g_strdup_printf("%s/suspended-%u",
-						    options->folder, i);
+		suspend->paths[i] =
+			g_strdup_printf("%s/suspended-%u", options->folder, i);
 		write_file(suspend, i);
 	}
 	return suspend;
@@ -89,8 +89,8 @@
 	wait_ms = g_rand_boolean(suspend->random) ? SHORT_MS : LONG_MS;
 	suspend->entry = (uint32_t)g_rand_int_range(
 		suspend->random, 0, (gint32)suspend->options.entries);
-	suspend->pid = suspend->options.pid(suspend->options.userdata,
-					    suspend->entry);
+	suspend->pid =
+		suspend->options.pid(suspend->options.userdata, suspend->entry);
 	if (!suspend->pid)
 		return;
 	suspend->since_us = g_get_monotonic_time();
--- a/tools/soak_suspend.h
+++ b/tools/soak_suspend.h
@@ -1,9 +1,10 @@
 /**
- * The part of the soak that suspends hosts: an entry is stopped for some seconds
- * and goes on as if its steady clock had stood still.
+ * The part of the soak that suspends hosts: an entry is stopped for some
+ * seconds and goes on as if its steady clock had stood still.
  *
- * The stopping is done here; that the clock of the process goes by the file that
- * LP_SUSPENDED names is the matter of whoever starts it (the soak's `env`).
+ * The stopping is done here; that the clock of the process goes by the file
+ * that LP_SUSPENDED names is the matter of whoever starts it (the soak's
+ * `env`).
  */
 #ifndef SOAK_SUSPEND_H
 #define SOAK_SUSPEND_H
@@ -18,7 +19,8 @@
 	const char *folder; /**< for the files; copied */
 	uint32_t entries;
 	uint32_t seed;
-	/** The process of an entry that runs, or 0: it cannot be stopped now. */
+	/** The process of an entry that runs, or 0: it cannot be stopped now.
+	 */
 	GPid (*pid)(void *userdata, uint32_t entry);
 	/** It goes on now, and has stood still since then. */
 	void (*resumed)(void *userdata, uint32_t entry, int64_t since_us);
