--- a/direct/direct_quarantine.c
+++ b/direct/direct_quarantine.c
@@ -28,7 +28,7 @@
 #define OUTLIVES_US (1 * LP_US_PER_S)
 /* What another entry can mean: a round more each minute for a week. */
 #define ROUND_MAX 10000
-#define AGE_MAX_US (24 * 3600 * LP_US_PER_S)
+#define AGE_MAX_US (INT64_C(24) * 3600 * LP_US_PER_S)
 
 struct word {
 	guint8 what;
--- a/tests/suspend_shim.c
+++ b/tests/suspend_shim.c
@@ -4,7 +4,6 @@
  * LP_SUSPENDED names (int64_t, microseconds); all others go on. Whoever
  * suspends it stops the process meanwhile.
  */
-#define _GNU_SOURCE
 #include <fcntl.h>
 #include <stdint.h>
 #include <stdlib.h>
