--- a/direct/direct_ends.c
+++ b/direct/direct_ends.c
@@ -136,7 +136,8 @@
 		ask_again(question, SURE_MS);
 		return;
 	}
-	losses_live(question->ends->losses, question->upstream->life);
+	/* Someone is there. If that is another life of it, it says a new start
+	 * before the losses are forgotten. */
 	g_hash_table_remove(question->ends->questions,
 			    &question->upstream->life);
 }
--- a/policy/losses.c
+++ b/policy/losses.c
@@ -1,7 +1,5 @@
 #include "policy/losses.h"
 
-#include "base/lp_id.h"
-
 struct losses {
 	const struct lp_clock *clock;
 	GArray *waiting;   /* of struct loss, the oldest first */
@@ -13,7 +11,6 @@
 struct ended {
 	int64_t at_us; /* 0: there is one again */
 	int64_t noted_us;
-	uint32_t times;
 };
 
 /* Losses that wait at a time; the oldest yield. A host's open requests. */
@@ -52,12 +49,6 @@
 	return false;
 }
 
-/* What sets the ends of one life apart. */
-static uint64_t name_of(uint64_t life, uint32_t times)
-{
-	return times > 1 ? lp_hash_pair(life, times) : life;
-}
-
 enum losses_word losses_add(struct losses *losses, struct loss *loss)
 {
 	struct ended *ended = g_hash_table_lookup(losses->ended, &loss->life);
@@ -68,7 +59,6 @@
 		ended->at_us = 0;
 	if (ended && ended->at_us) {
 		loss->lost_us = MIN(loss->lost_us, ended->at_us);
-		loss->life = name_of(loss->life, ended->times);
 		return LOSSES_ENDED;
 	}
 	waits = waits_for(losses, loss->life);
@@ -78,9 +68,8 @@
 	return waits ? LOSSES_WAIT : LOSSES_ASK;
 }
 
-/* Take out what was lost with a life; `out` may be NULL. */
-static void take(struct losses *losses, uint64_t life, uint64_t name,
-		 GArray *out)
+/* Take out what was lost with a life. */
+static void take(struct losses *losses, uint64_t life, GArray *out)
 {
 	guint at = 0;
 
@@ -91,9 +80,7 @@
 			at++;
 			continue;
 		}
-		loss.life = name;
-		if (out)
-			g_array_append_val(out, loss);
+		g_array_append_val(out, loss);
 		g_array_remove_index(losses->waiting, at);
 	}
 }
@@ -111,17 +98,11 @@
 	if (is_news) {
 		ended->at_us = lp_now_us(losses->clock);
 		ended->noted_us = ended->at_us;
-		ended->times++;
 	}
-	take(losses, life, name_of(life, ended->times), out);
+	take(losses, life, out);
 	return is_news;
 }
 
-void losses_live(struct losses *losses, uint64_t life)
-{
-	take(losses, life, life, NULL);
-}
-
 void losses_forget(struct losses *losses)
 {
 	int64_t before_us = lp_now_us(losses->clock) - LOSSES_KEEP_US;
--- a/policy/losses.h
+++ b/policy/losses.h
@@ -6,8 +6,8 @@
  * draining upstream, or of its end; only the last says anything about the
  * request. So a loss is kept for a while and comes to count when the upstream's
  * life is known to be over: its host refuses connections, another process
- * answers at its address, or it says a new start. If it is seen to live, what
- * was lost there is forgotten.
+ * answers at its address, or it says a new start. If nothing of this is seen,
+ * it is forgotten.
  */
 #ifndef LOSSES_H
 #define LOSSES_H
@@ -43,14 +43,12 @@
 /**
  * It had ended before: `loss->lost_us` becomes the time of the end if that was
  * earlier. What was sent after an end met a new process that the list does not
- * tell apart yet: that one's end is another, and `loss->life` names it.
+ * tell apart yet: that one's end is to be found out again.
  */
 enum losses_word losses_add(struct losses *losses, struct loss *loss);
 /** A life is over: what was lost with it (struct loss) is appended to `out`.
  * Returns whether that is news. */
 bool losses_ended(struct losses *losses, uint64_t life, GArray *out);
-/** It lives: nothing that was lost there says anything. */
-void losses_live(struct losses *losses, uint64_t life);
 /** Drop what is older than LOSSES_KEEP_US. */
 void losses_forget(struct losses *losses);
 
--- a/policy/quarantine.c
+++ b/policy/quarantine.c
@@ -122,10 +122,14 @@
 	return record;
 }
 
-static bool has_life(const struct record *record, uint64_t life)
+/* A life that ends in a later round is another one: that run was begun although
+ * its end was known, so it has started again, and no list says so yet. */
+static bool has_end(const struct record *record,
+		    const struct quarantine_end *end)
 {
 	for (uint32_t i = 0; i < record->count; i++)
-		if (record->ends[i].life == life)
+		if (record->ends[i].life == end->life &&
+		    record->ends[i].round == end->round)
 			return true;
 	return false;
 }
@@ -159,7 +163,7 @@
 	struct record *record = find(quarantine, end->request);
 
 	if (record &&
-	    (has_life(record, end->life) || end->ended_us <= record->served_us))
+	    (has_end(record, end) || end->ended_us <= record->served_us))
 		return false;
 	if (!record)
 		record = add(quarantine, end->request);
--- a/tests/poison_test.cc
+++ b/tests/poison_test.cc
@@ -199,6 +199,24 @@
 	EXPECT_GE(caller.refused, 15);
 }
 
+/* Back before anyone can ask whether it has ended: its new start tells. */
+TEST(Poison, UpstreamsThatAreBackAtOnce)
+{
+	const pe_poison_options none = {};
+	const pe_restart_options at_once = {};
+	Fleet fleet(none);
+	pe_upstream *plain = fleet.one.add(PE_PLAIN, "plain");
+
+	pe_set_work_ms(plain, 3000);
+	fleet.settle();
+	Ask ask(fleet.one.address, "a", "/order/x");
+
+	ASSERT_TRUE(turn_until([&] { return pe_arrivals(plain) == 1; }));
+	pe_restart(plain, &at_once);
+	EXPECT_EQ(ask.wait().status, 502u);
+	EXPECT_TRUE(turn_until([&] { return fleet.known() != ""; }, 4000));
+}
+
 /* Those that are under way at the first ends are not known yet. */
 TEST(Poison, BroughtSeveralTimesAtOnce)
 {
