--- a/direct/direct_ends.c
+++ b/direct/direct_ends.c
@@ -93,7 +93,9 @@
 
 	if (upstream->entry.leaving)
 		return;
-	if (losses_ended(ends->losses, life, lost) && lost->len)
+	if (losses_ended(ends->losses, life, how == DIRECT_END_RESTARTED,
+			 lost) &&
+	    lost->len)
 		log_end(ends, upstream, how, lost);
 	for (guint i = 0; i < lost->len; i++)
 		log_lost(ends, upstream, &g_array_index(lost, struct loss, i));
@@ -105,6 +107,16 @@
 
 /* ---- asking ---- */
 
+/* Nothing was found out. Ends the question. */
+static void give_up(struct question *question, bool seen_alive)
+{
+	struct direct_ends *ends = question->ends;
+	uint64_t life = question->upstream->life;
+
+	losses_not_found(ends->losses, life, seen_alive);
+	g_hash_table_remove(ends->questions, &life);
+}
+
 static gboolean on_ask_again(gpointer userdata)
 {
 	struct question *question = userdata;
@@ -121,8 +133,7 @@
 	question->sock = NULL;
 	direct_clear_timer(&question->timer);
 	if (question->asked == QUESTIONS_MAX)
-		g_hash_table_remove(question->ends->questions,
-				    &question->upstream->life);
+		give_up(question, question->took_one);
 	else
 		question->timer = lp_timer_add(wait_ms, on_ask_again, question);
 }
@@ -131,15 +142,12 @@
 {
 	struct question *question = userdata;
 
-	if (!question->took_one) {
-		question->took_one = true;
-		ask_again(question, SURE_MS);
+	if (question->took_one) {
+		give_up(question, true);
 		return;
 	}
-	/* Someone is there. If that is another life of it, it says a new start
-	 * before the losses are forgotten. */
-	g_hash_table_remove(question->ends->questions,
-			    &question->upstream->life);
+	question->took_one = true;
+	ask_again(question, SURE_MS);
 }
 
 static void on_data(void *userdata, const char *bytes, size_t size)
--- a/policy/losses.h
+++ b/policy/losses.h
@@ -46,9 +46,19 @@
  * tell apart yet: that one's end is to be found out again.
  */
 enum losses_word losses_add(struct losses *losses, struct loss *loss);
-/** A life is over: what was lost with it (struct loss) is appended to `out`.
- * Returns whether that is news. */
-bool losses_ended(struct losses *losses, uint64_t life, GArray *out);
+/**
+ * A life is over: what was lost with it (struct loss) is appended to `out`.
+ * Returns whether that is news. `restarted`: it says a new start, else nobody
+ * is there. Of the second, what someone was seen alive after did not end it.
+ */
+bool losses_ended(struct losses *losses, uint64_t life, bool restarted,
+		  GArray *out);
+/**
+ * It was asked about, and nothing was found out: the next loss there is to be
+ * asked about anew. `seen_alive`: someone takes connections there, who may be
+ * another life of it; only a new start tells.
+ */
+void losses_not_found(struct losses *losses, uint64_t life, bool seen_alive);
 /** Drop what is older than LOSSES_KEEP_US. */
 void losses_forget(struct losses *losses);
 
--- a/tests/poison_test.cc
+++ b/tests/poison_test.cc
@@ -16,6 +16,7 @@
  */
 #include "direct_rig.h"
 
+#include <algorithm>
 #include <memory>
 
 namespace
@@ -360,6 +361,35 @@
 	EXPECT_EQ(fleet.known(), "");
 }
 
+/* It resets a connection, lives, and ends a moment later: that is asked about
+ * anew, and what the reset broke off is not held against its request. */
+TEST(Poison, AnEndAfterAResetIsFoundOut)
+{
+	const pe_poison_options none = {};
+	const pe_end_options end = { 20000, 20000, true };
+	Fleet fleet(none);
+	pe_upstream *plain = fleet.one.add(PE_PLAIN, "plain");
+	std::string known;
+
+	fleet.settle();
+	pe_fault(plain, PE_FAULT_RESET);
+	Ask reset(fleet.one.address, "a", "/order/reset");
+
+	EXPECT_EQ(reset.wait().status, 502u);
+	turn_until([] { return false; }, 800);
+	EXPECT_EQ(fleet.known(), "");
+	pe_fault(plain, PE_FAULT_NONE);
+	pe_set_work_ms(plain, 3000);
+	Ask lost(fleet.one.address, "b", "/order/lost");
+
+	ASSERT_TRUE(turn_until([&] { return pe_arrivals(plain) == 2; }));
+	pe_end(plain, &end);
+	EXPECT_EQ(lost.wait().status, 502u);
+	EXPECT_TRUE(turn_until([&] { return fleet.known() != ""; }, 2000));
+	known = fleet.known();
+	EXPECT_EQ(std::count(known.begin(), known.end(), '\n'), 1);
+}
+
 /* An upstream that leaves ends with what it still has. */
 TEST(Poison, LeavingIsNoEnd)
 {
--- a/tests/quarantine_test.cc
+++ b/tests/quarantine_test.cc
@@ -277,9 +277,9 @@
 	EXPECT_EQ(losses.add(1, 50), LOSSES_ASK);
 	EXPECT_EQ(losses.add(2, 50), LOSSES_WAIT);
 	EXPECT_EQ(losses.add(3, 51), LOSSES_ASK);
-	EXPECT_TRUE(losses_ended(losses.it, 50, losses.out));
+	EXPECT_TRUE(losses_ended(losses.it, 50, false, losses.out));
 	EXPECT_EQ(losses.out->len, 2u);
-	EXPECT_FALSE(losses_ended(losses.it, 50, losses.out));
+	EXPECT_FALSE(losses_ended(losses.it, 50, false, losses.out));
 	EXPECT_EQ(losses.out->len, 2u);
 	EXPECT_EQ(losses.add(4, 50), LOSSES_ENDED);
 }
@@ -291,7 +291,7 @@
 	loss late = { 1, 50, 1, 0, 0 };
 	int64_t ended_us = losses.clock.now_us;
 
-	losses_ended(losses.it, 50, losses.out);
+	losses_ended(losses.it, 50, false, losses.out);
 	losses.clock.now_us += s;
 	late.lost_us = losses.clock.now_us;
 	EXPECT_EQ(losses_add(losses.it, &late), LOSSES_ENDED);
@@ -304,18 +304,44 @@
 	Losses losses;
 
 	losses.add(1, 50);
-	losses_ended(losses.it, 50, losses.out);
+	losses_ended(losses.it, 50, false, losses.out);
 	losses.clock.now_us += s;
 	EXPECT_EQ(losses.add(1, 50), LOSSES_ASK);
-	EXPECT_TRUE(losses_ended(losses.it, 50, losses.out));
+	EXPECT_TRUE(losses_ended(losses.it, 50, false, losses.out));
 	ASSERT_EQ(losses.out->len, 2u);
 }
 
+/* A reset is not held against its request when the upstream ends later, unless
+ * it says that it had started again. */
+TEST(Losses, WhatSomeoneIsSeenAliveAfterDidNotEndIt)
+{
+	for (bool restarted : { false, true }) {
+		Losses losses;
+
+		EXPECT_EQ(losses.add(1, 50), LOSSES_ASK);
+		losses_not_found(losses.it, 50, true);
+		EXPECT_EQ(losses.add(2, 50), LOSSES_ASK);
+		EXPECT_EQ(losses.add(3, 50), LOSSES_WAIT);
+		losses_ended(losses.it, 50, restarted, losses.out);
+		EXPECT_EQ(losses.out->len, restarted ? 3u : 2u);
+	}
+}
+
+TEST(Losses, WhatNobodyAnsweredForMayHaveEndedIt)
+{
+	Losses losses;
+
+	losses.add(1, 50);
+	losses_not_found(losses.it, 50, false);
+	losses_ended(losses.it, 50, false, losses.out);
+	EXPECT_EQ(losses.out->len, 1u);
+}
+
 TEST(Losses, AreForgottenIfNothingIsKnown)
 {
 	Losses losses;
 
-	losses_ended(losses.it, 50, losses.out);
+	losses_ended(losses.it, 50, false, losses.out);
 	losses.add(1, 51);
 	losses.clock.now_us += LOSSES_KEEP_US + 1;
 	losses_forget(losses.it);
