--- a/base/lp_digest.c
+++ b/base/lp_digest.c
@@ -26,3 +26,21 @@
 	memcpy(&digest, bytes, sizeof(digest));
 	return digest ? digest : 1;
 }
+
+void lp_digest_print(uint64_t digest, char out[LP_DIGEST_SIZE])
+{
+	g_snprintf(out, LP_DIGEST_SIZE, "%016" G_GINT64_MODIFIER "x",
+		   (guint64)digest);
+}
+
+bool lp_digest_parse(const char *text, uint64_t *out)
+{
+	guint64 digest;
+
+	if (!text || strlen(text) != LP_DIGEST_SIZE - 1 ||
+	    !g_ascii_string_to_unsigned(text, 16, 1, G_MAXUINT64, &digest,
+					NULL))
+		return false;
+	*out = digest;
+	return true;
+}
--- a/base/lp_digest.h
+++ b/base/lp_digest.h
@@ -5,6 +5,7 @@
 #ifndef LP_DIGEST_H
 #define LP_DIGEST_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -22,4 +23,11 @@
 uint64_t lp_digest_keyed(const char *key, const struct lp_digest_part *parts,
 			 size_t count);
 
+/** Bytes of a digest as text, in hexadecimal digits, with its terminator. */
+#define LP_DIGEST_SIZE 17
+
+void lp_digest_print(uint64_t digest, char out[LP_DIGEST_SIZE]);
+/** False: the text is no digest as it is printed. */
+bool lp_digest_parse(const char *text, uint64_t *out);
+
 #endif
--- a/base/lp_event.c
+++ b/base/lp_event.c
@@ -1,5 +1,6 @@
 #include "base/lp_event.h"
 
+#include "base/lp_digest.h"
 #include "base/lp_out.h"
 #include "base/lp_timer.h"
 
@@ -120,10 +121,10 @@
 void lp_event_digest(struct lp_event_log *log, const char *name,
 		     uint64_t digest)
 {
-	if (log->open)
-		g_string_append_printf(log->buffer,
-				       ",\"%s\":\"%016" G_GINT64_MODIFIER "x\"",
-				       name, (guint64)digest);
+	char text[LP_DIGEST_SIZE];
+
+	lp_digest_print(digest, text);
+	lp_event_text(log, name, text);
 }
 
 bool lp_event_begin(struct lp_event_log *log, const char *event,
--- a/base/lp_timer.c
+++ b/base/lp_timer.c
@@ -73,15 +73,8 @@
 	return FALSE;
 }
 
-static gboolean watcher_check(GSource *source)
-{
-	look_for_jump();
-	return FALSE;
-}
-
 static GSourceFuncs watcher_funcs = {
 	.prepare = watcher_prepare,
-	.check = watcher_check,
 };
 
 static gboolean timer_dispatch(GSource *source, GSourceFunc callback,
@@ -109,7 +102,7 @@
 	timers = g_hash_table_new(NULL, NULL);
 	read_offset(&offset_us);
 	watcher = g_source_new(&watcher_funcs, sizeof(GSource));
-	/* Before any timer of the same turn. */
+	/* Before timers say how long the turn may sleep. */
 	g_source_set_priority(watcher, G_PRIORITY_HIGH);
 	g_source_attach(watcher, NULL);
 }
@@ -121,8 +114,7 @@
 		read_offset(&offset_us);
 }
 
-guint lp_timer_add_full(guint wait_ms, GSourceFunc callback, gpointer userdata,
-			GDestroyNotify destroy)
+guint lp_timer_add(guint wait_ms, GSourceFunc callback, gpointer userdata)
 {
 	GSource *source = g_source_new(&timer_funcs, sizeof(struct timer));
 	struct timer *timer = (struct timer *)source;
@@ -134,13 +126,8 @@
 	g_hash_table_add(timers, source);
 	g_source_set_ready_time(source,
 				g_get_monotonic_time() + timer->wait_us);
-	g_source_set_callback(source, callback, userdata, destroy);
+	g_source_set_callback(source, callback, userdata, NULL);
 	id = g_source_attach(source, NULL);
 	g_source_unref(source);
 	return id;
 }
-
-guint lp_timer_add(guint wait_ms, GSourceFunc callback, gpointer userdata)
-{
-	return lp_timer_add_full(wait_ms, callback, userdata, NULL);
-}
--- a/base/lp_timer.h
+++ b/base/lp_timer.h
@@ -21,9 +21,6 @@
 /** Call `callback` in so many milliseconds, and again while it returns
  * G_SOURCE_CONTINUE. Returns the source's id. */
 guint lp_timer_add(guint wait_ms, GSourceFunc callback, gpointer userdata);
-/** The same; `destroy` is called with `userdata` when the timer has ended. */
-guint lp_timer_add_full(guint wait_ms, GSourceFunc callback, gpointer userdata,
-			GDestroyNotify destroy);
 /** Suspensions are seen by this clock; NULL: by lp_clock_boot(). For tests. */
 void lp_timer_set_clock(const struct lp_clock *clock);
 
--- a/direct/direct_ends.c
+++ b/direct/direct_ends.c
@@ -218,18 +218,12 @@
 }
 
 void direct_ends_lost(struct direct_ends *ends,
-		      const struct pool_upstream *upstream,
-		      const struct direct_lost *lost)
+		      const struct pool_upstream *upstream, struct loss loss)
 {
-	struct loss loss = {
-		.request = lost->request,
-		.life = upstream->life,
-		.round = lost->round,
-		.began_us = lost->began_us,
-		.lost_us = lp_now_us(direct_of(ends)->options.clock),
-	};
 	bool superseded = is_superseded(ends, upstream);
 
+	loss.life = upstream->life;
+	loss.lost_us = lp_now_us(direct_of(ends)->options.clock);
 	losses_forget(ends->losses);
 	if (upstream->entry.leaving || (!upstream->listed && !superseded))
 		return;
--- a/direct/direct_ends.h
+++ b/direct/direct_ends.h
@@ -26,13 +26,6 @@
 	DIRECT_END_RESTARTED, /**< it has said a new start */
 };
 
-/** A request that was lost. */
-struct direct_lost {
-	uint64_t request; /**< digest of its content */
-	uint32_t round;	  /**< quarantine_round() when it was sent */
-	int64_t began_us; /**< when that was */
-};
-
 struct direct_ends_options {
 	struct direct *direct;
 	/** An upstream has ended by itself; `lost`: what was under way there
@@ -46,11 +39,11 @@
 void direct_ends_destroy(struct direct_ends *ends);
 /**
  * A request was lost with this upstream. One that leaves, or has left the list,
- * may end as it pleases: that says nothing.
+ * may end as it pleases: that says nothing. Of `loss`, upstream and time are
+ * filled in here.
  */
 void direct_ends_lost(struct direct_ends *ends,
-		      const struct pool_upstream *upstream,
-		      const struct direct_lost *lost);
+		      const struct pool_upstream *upstream, struct loss loss);
 /** It is known that this upstream has ended. */
 void direct_ends_saw(struct direct_ends *ends,
 		     const struct pool_upstream *upstream, enum direct_end how);
--- a/direct/direct_peers.c
+++ b/direct/direct_peers.c
@@ -272,16 +272,16 @@
 }
 
 void direct_peers_send_all(struct direct_peers *peers, char kind,
-			   GVariant *floating)
+			   GVariant *body)
 {
-	g_autoptr(GVariant) body = g_variant_ref_sink(floating);
+	g_autoptr(GVariant) held = g_variant_ref_sink(body);
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, peers->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		if (is_fresh(peers, value))
-			send_to(peers, value, kind, body);
+			send_to(peers, value, kind, held);
 }
 
 void direct_peers_tell_unreachable(struct direct_peers *peers,
--- a/direct/direct_peers.h
+++ b/direct/direct_peers.h
@@ -75,10 +75,10 @@
  * member. */
 bool direct_peers_send(struct direct_peers *peers, uint64_t peer, char kind,
 		       GVariant *body);
-/** Send a body to all members that are heard; it may be lost. Takes a floating
- * body. */
+/** Send a body to all members that are heard; it may be lost. A floating one is
+ * taken over. */
 void direct_peers_send_all(struct direct_peers *peers, char kind,
-			   GVariant *floating);
+			   GVariant *body);
 /** Take datagrams of a kind, of this type (a literal). */
 void direct_peers_listen(struct direct_peers *peers, char kind,
 			 const char *type, direct_peers_word word,
--- a/direct/direct_quarantine.c
+++ b/direct/direct_quarantine.c
@@ -1,7 +1,7 @@
 #include "direct/direct_quarantine.h"
 
+#include "base/lp_digest.h"
 #include "base/lp_timer.h"
-
 #include "direct/direct_request.h"
 
 /* A word about one request: what, request, life of the upstream, round, and
@@ -50,6 +50,28 @@
 	guint reminded; /* members, so far */
 };
 
+static struct word word_of_end(const struct quarantine_end *end)
+{
+	return (struct word){
+		.what = WORD_ENDED,
+		.request = end->request,
+		.life = end->life,
+		.round = end->round,
+		.at_us = end->ended_us,
+		.ran_us = end->ran_us,
+	};
+}
+
+/* Of WORD_SERVED and WORD_TRIES. */
+static struct word word_of_time(guint8 what, uint64_t request, int64_t at_us)
+{
+	return (struct word){
+		.what = what,
+		.request = request,
+		.at_us = at_us,
+	};
+}
+
 static int64_t now(const struct direct_quarantine *quarantine)
 {
 	return lp_now_us(quarantine->direct->options.clock);
@@ -80,17 +102,30 @@
 	return g_variant_builder_end(&builder);
 }
 
+/* To one member, or to all (0). */
+static void send_words(struct direct_quarantine *quarantine, uint64_t peer,
+		       const struct word *words, guint count)
+{
+	for (guint i = 0; i < count; i += WORDS_MAX) {
+		g_autoptr(GVariant) body = g_variant_ref_sink(write_words(
+			quarantine, words + i, MIN(count - i, WORDS_MAX)));
+
+		if (peer)
+			direct_peers_send(quarantine->peers, peer, KIND_WORDS,
+					  body);
+		else
+			direct_peers_send_all(quarantine->peers, KIND_WORDS,
+					      body);
+	}
+}
+
 /* Returns whether there are words left. */
 static bool tell_words(struct direct_quarantine *quarantine)
 {
 	GArray *words = quarantine->words;
 	struct word *cells = (struct word *)words->data;
 
-	for (guint i = 0; i < words->len; i += WORDS_MAX)
-		direct_peers_send_all(
-			quarantine->peers, KIND_WORDS,
-			write_words(quarantine, cells + i,
-				    MIN(words->len - i, WORDS_MAX)));
+	send_words(quarantine, 0, cells, words->len);
 	for (guint i = words->len; i-- > 0;)
 		if (!--cells[i].tells)
 			g_array_remove_index_fast(words, i);
@@ -127,8 +162,7 @@
 		return;
 	word.tells = TELLS - 1;
 	drop_older(quarantine->words, &word);
-	direct_peers_send_all(quarantine->peers, KIND_WORDS,
-			      write_words(quarantine, &word, 1));
+	send_words(quarantine, 0, &word, 1);
 	g_array_append_val(quarantine->words, word);
 	if (!quarantine->tell_timer)
 		quarantine->tell_timer =
@@ -140,25 +174,13 @@
 static void add_request(void *userdata, const struct quarantine_view *view)
 {
 	GArray *words = userdata;
-	struct word served = {
-		.what = WORD_SERVED,
-		.request = view->request,
-		.at_us = view->served_us,
-	};
+	struct word word =
+		word_of_time(WORD_SERVED, view->request, view->served_us);
 
 	if (view->served_us)
-		g_array_append_val(words, served);
+		g_array_append_val(words, word);
 	for (uint32_t i = 0; i < view->count; i++) {
-		const struct quarantine_end *end = &view->ends[i];
-		struct word word = {
-			.what = WORD_ENDED,
-			.request = end->request,
-			.life = end->life,
-			.round = end->round,
-			.at_us = end->ended_us,
-			.ran_us = end->ran_us,
-		};
-
+		word = word_of_end(&view->ends[i]);
 		g_array_append_val(words, word);
 	}
 }
@@ -169,19 +191,6 @@
 		add_request(userdata, view);
 }
 
-static void send_words(struct direct_quarantine *quarantine, uint64_t peer,
-		       const GArray *words)
-{
-	const struct word *cells = (const struct word *)words->data;
-
-	for (guint i = 0; i < words->len; i += WORDS_MAX) {
-		g_autoptr(GVariant) body = g_variant_ref_sink(write_words(
-			quarantine, cells + i, MIN(words->len - i, WORDS_MAX)));
-
-		direct_peers_send(quarantine->peers, peer, KIND_WORDS, body);
-	}
-}
-
 static void on_met(void *userdata, uint64_t peer)
 {
 	struct direct_quarantine *quarantine = userdata;
@@ -189,7 +198,7 @@
 		g_array_new(FALSE, FALSE, sizeof(struct word));
 
 	quarantine_each(quarantine->known, add_request, words);
-	send_words(quarantine, peer, words);
+	send_words(quarantine, peer, (struct word *)words->data, words->len);
 }
 
 static uint64_t next_member(struct direct_quarantine *quarantine)
@@ -214,7 +223,8 @@
 		return G_SOURCE_CONTINUE;
 	quarantine_each(quarantine->known, add_suspect, words);
 	if (words->len)
-		send_words(quarantine, next_member(quarantine), words);
+		send_words(quarantine, next_member(quarantine),
+			   (struct word *)words->data, words->len);
 	return G_SOURCE_CONTINUE;
 }
 
@@ -273,14 +283,13 @@
 		log_change(quarantine, request, "cleared", peer);
 }
 
-static void tell_try(struct direct_quarantine *quarantine, uint64_t request,
-		     int64_t until_us)
+/* Here and at the others: it is tried until then; not any more, if that is now.
+ */
+static void set_try(struct direct_quarantine *quarantine, uint64_t request,
+		    int64_t until_us)
 {
-	tell(quarantine, (struct word){
-				 .what = WORD_TRIES,
-				 .request = request,
-				 .at_us = until_us,
-			 });
+	quarantine_trying(quarantine->known, request, until_us);
+	tell(quarantine, word_of_time(WORD_TRIES, request, until_us));
 }
 
 /* Whoever tried it has an answer to what became of it. */
@@ -289,14 +298,22 @@
 	int64_t now_us = now(quarantine);
 	struct quarantine_view view;
 
-	if (!quarantine_look(quarantine->known, request, &view) ||
-	    view.try_until_us <= now_us)
-		return;
-	quarantine_trying(quarantine->known, request, now_us);
-	tell_try(quarantine, request, now_us);
+	if (quarantine_look(quarantine->known, request, &view) &&
+	    view.try_until_us > now_us)
+		set_try(quarantine, request, now_us);
 }
 
-static void tell_owner(struct direct_quarantine *quarantine, uint64_t request)
+/* What was until now is cleared, here and at the others. */
+static void clear_now(struct direct_quarantine *quarantine, uint64_t request)
+{
+	int64_t now_us = now(quarantine);
+
+	note_served(quarantine, request, now_us, 0);
+	tell(quarantine, word_of_time(WORD_SERVED, request, now_us));
+}
+
+static void tell_kept_out(struct direct_quarantine *quarantine,
+			  uint64_t request)
 {
 	const struct direct_options *options = &quarantine->direct->options;
 	struct quarantine_view view = { 0 };
@@ -319,15 +336,8 @@
 		};
 
 		if (note_end(quarantine, &end, 0))
-			tell(quarantine, (struct word){
-						 .what = WORD_ENDED,
-						 .request = end.request,
-						 .life = end.life,
-						 .round = end.round,
-						 .at_us = end.ended_us,
-						 .ran_us = end.ran_us,
-					 });
-		tell_owner(quarantine, end.request);
+			tell(quarantine, word_of_end(&end));
+		tell_kept_out(quarantine, end.request);
 		/* A run of a later round can only have been a try. */
 		if (end.round > 1)
 			free_try(quarantine, end.request);
@@ -423,7 +433,7 @@
 		request->is_try = true;
 		request->was_try = true;
 		log_change(quarantine, digest, "tried", 0);
-		tell_try(quarantine, digest, request->give_up_us);
+		set_try(quarantine, digest, request->give_up_us);
 		return true;
 	case QUARANTINE_REFUSE:
 		break;
@@ -446,7 +456,6 @@
 {
 	struct quarantine_view view;
 	uint64_t digest;
-	int64_t now_us = now(quarantine);
 
 	if (quarantine_is_empty(quarantine->known))
 		return;
@@ -454,13 +463,8 @@
 	request->is_try = false;
 	if (!quarantine_look(quarantine->known, digest, &view) || !view.count)
 		return;
-	note_served(quarantine, digest, now_us, 0);
-	tell(quarantine, (struct word){
-				 .what = WORD_SERVED,
-				 .request = digest,
-				 .at_us = now_us,
-			 });
-	tell_try(quarantine, digest, now_us);
+	clear_now(quarantine, digest);
+	set_try(quarantine, digest, now(quarantine));
 }
 
 void direct_quarantine_goes_on(struct direct_quarantine *quarantine,
@@ -480,14 +484,10 @@
 static void end_try(struct direct_quarantine *quarantine,
 		    struct direct_request *request, int64_t until_us)
 {
-	uint64_t digest;
-
 	if (!request->is_try)
 		return;
 	request->is_try = false;
-	digest = direct_request_digest(request);
-	quarantine_trying(quarantine->known, digest, until_us);
-	tell_try(quarantine, digest, until_us);
+	set_try(quarantine, direct_request_digest(request), until_us);
 }
 
 void direct_quarantine_lost(struct direct_quarantine *quarantine,
@@ -527,14 +527,7 @@
 void direct_quarantine_let_in(struct direct_quarantine *quarantine,
 			      uint64_t request)
 {
-	int64_t now_us = now(quarantine);
-
-	note_served(quarantine, request, now_us, 0);
-	tell(quarantine, (struct word){
-				 .what = WORD_SERVED,
-				 .request = request,
-				 .at_us = now_us,
-			 });
+	clear_now(quarantine, request);
 }
 
 struct printing {
@@ -545,29 +538,33 @@
 static void print_end(const struct direct_quarantine *quarantine,
 		      const struct quarantine_end *end, GString *out)
 {
-	g_string_append_printf(
-		out,
-		"{\"life\":\"%016" G_GINT64_MODIFIER "x\",\"round\":%u,"
-		"\"age_us\":%" G_GINT64_FORMAT ",\"ran_us\":%" G_GINT64_FORMAT
-		"}",
-		(guint64)end->life, end->round,
-		(gint64)(now(quarantine) - end->ended_us), (gint64)end->ran_us);
+	char life[LP_DIGEST_SIZE];
+
+	lp_digest_print(end->life, life);
+	g_string_append_printf(out,
+			       "{\"life\":\"%s\",\"round\":%u,"
+			       "\"age_us\":%" G_GINT64_FORMAT
+			       ",\"ran_us\":%" G_GINT64_FORMAT "}",
+			       life, end->round,
+			       (gint64)(now(quarantine) - end->ended_us),
+			       (gint64)end->ran_us);
 }
 
 static void print_request(void *userdata, const struct quarantine_view *view)
 {
 	const struct printing *printing = userdata;
 	const struct direct_quarantine *quarantine = printing->quarantine;
+	char content[LP_DIGEST_SIZE];
 
 	if (!view->count)
 		return;
+	lp_digest_print(view->request, content);
 	g_string_append_printf(
 		printing->out,
-		"{\"content\":\"%016" G_GINT64_MODIFIER "x\",\"standing\":"
+		"{\"content\":\"%s\",\"standing\":"
 		"\"%s\",\"rounds\":%u,\"out_us\":%" G_GINT64_FORMAT
 		",\"ends\":[",
-		(guint64)view->request, standing(quarantine, view->request),
-		view->rounds,
+		content, standing(quarantine, view->request), view->rounds,
 		(gint64)MAX(view->out_until_us - now(quarantine), 0));
 	for (uint32_t i = 0; i < view->count; i++) {
 		if (i)
--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -206,14 +206,14 @@
 			 const struct pool_upstream *upstream, uint32_t round,
 			 int64_t began_us)
 {
-	const struct direct_lost lost = {
+	const struct loss loss = {
 		.request = direct_request_digest(request),
 		.round = round,
 		.began_us = began_us,
 	};
 
 	direct_quarantine_lost(request->direct->quarantine, request);
-	direct_ends_lost(request->direct->ends, upstream, &lost);
+	direct_ends_lost(request->direct->ends, upstream, loss);
 }
 
 /* ---- admission ---- */
--- a/tests/poison_test.cc
+++ b/tests/poison_test.cc
@@ -121,6 +121,19 @@
 	}
 };
 
+/* Brought twenty times, it ends four upstreams at the most. */
+void expect_kept_out(const pe_poison_options &how, const char *target)
+{
+	Fleet fleet(how);
+	Caller caller{ fleet, target, poison, {} };
+
+	fleet.add_upstreams(8);
+	fleet.settle();
+	caller.bring(20);
+	EXPECT_LE(fleet.book().ends, 4u) << target;
+	EXPECT_GE(caller.refused, 15) << target;
+}
+
 /* One caller comes again at once for six seconds. */
 TEST(Poison, ARequestThatEndsItsUpstreamsSoonReachesNone)
 {
@@ -157,30 +170,14 @@
 	const char *const targets[] = { "/look/x", "/order/x", "/once/x",
 					"/again/x" };
 
-	for (const char *target : targets) {
-		Fleet fleet;
-		Caller caller{ fleet, target, poison, {} };
-
-		fleet.add_upstreams(8);
-		fleet.settle();
-		caller.bring(20);
-		EXPECT_LE(fleet.book().ends, 4u) << target;
-		EXPECT_GE(caller.refused, 15) << target;
-	}
+	for (const char *target : targets)
+		expect_kept_out(strikes(), target);
 }
 
 TEST(Poison, WithinAStream)
 {
-	for (const char *target : { "/once/x", "/again/x" }) {
-		Fleet fleet(strikes(0, 3));
-		Caller caller{ fleet, target, poison, {} };
-
-		fleet.add_upstreams(8);
-		fleet.settle();
-		caller.bring(20);
-		EXPECT_LE(fleet.book().ends, 4u) << target;
-		EXPECT_GE(caller.refused, 15) << target;
-	}
+	for (const char *target : { "/once/x", "/again/x" })
+		expect_kept_out(strikes(0, 3), target);
 }
 
 /* Back in a moment under its id, with a new start. */
@@ -190,14 +187,7 @@
 
 	how.end.new_id = false;
 	how.end.away_ms = 30;
-	Fleet fleet(how);
-	Caller caller{ fleet, "/once/x", poison, {} };
-
-	fleet.add_upstreams(8);
-	fleet.settle();
-	caller.bring(20);
-	EXPECT_LE(fleet.book().ends, 4u);
-	EXPECT_GE(caller.refused, 15);
+	expect_kept_out(how, "/once/x");
 }
 
 /* Back before anyone can ask whether it has ended: its new start tells. */
--- a/tools/pe.c
+++ b/tools/pe.c
@@ -219,10 +219,11 @@
 static bool begin_poison(struct pe_upstream *upstream, struct pe_conn *conn)
 {
 	struct pe *pe = upstream->pe;
-	g_autofree char *content = content_of(conn);
+	g_autofree char *content = NULL;
 
 	if (!pe_is_poison(pe, conn->body->str))
 		return false;
+	content = content_of(conn);
 	pe_poison_arrived(pe, content);
 	if (upstream->kind == PE_ENGINE && pe->poison.after_event)
 		return false;
--- a/tools/pe_poison.c
+++ b/tools/pe_poison.c
@@ -10,7 +10,6 @@
 
 /* What is known of one such request: whoever sends it, in all its tries. */
 struct account {
-	uint32_t ends;
 	int64_t allowed_us; /* when the last end that is allowed was */
 	struct pe_poison_book book;
 };
@@ -43,7 +42,7 @@
 	int64_t now_us = g_get_monotonic_time();
 
 	account->book.arrivals++;
-	if (account->ends < ENDS_ALLOWED)
+	if (account->book.ends < ENDS_ALLOWED)
 		return;
 	account->book.arrivals_after++;
 	if (now_us - account->allowed_us > CONTACT_US)
@@ -54,9 +53,8 @@
 {
 	struct account *account = account_of(pe, content);
 
-	account->ends++;
 	account->book.ends++;
-	if (account->ends == ENDS_ALLOWED)
+	if (account->book.ends == ENDS_ALLOWED)
 		account->allowed_us = g_get_monotonic_time();
 }
 
--- a/tools/soak_main.c
+++ b/tools/soak_main.c
@@ -173,6 +173,20 @@
 	return env;
 }
 
+/* It has stood still since then, and goes on now. */
+static void note_resumed(struct entry *entry, int64_t stopped_us)
+{
+	entry->stopped_us = stopped_us;
+	entry->resumed_us = g_get_monotonic_time();
+}
+
+static void resume(struct entry *entry)
+{
+	kill(entry->pid, SIGCONT);
+	entry->paused = false;
+	note_resumed(entry, entry->stopped_us);
+}
+
 static void start_entry(struct soak *soak, struct entry *entry)
 {
 	char *argv[] = { soak->settings.daemon, "platform", NULL };
@@ -182,8 +196,7 @@
 	entry->leaving = false;
 	entry->paused = false;
 	entry->stops++;
-	entry->stopped_us = g_get_monotonic_time();
-	entry->resumed_us = entry->stopped_us;
+	note_resumed(entry, g_get_monotonic_time());
 	if (!g_spawn_async(NULL, argv, env,
 			   G_SPAWN_DO_NOT_REAP_CHILD |
 				   G_SPAWN_STDOUT_TO_DEV_NULL,
@@ -442,9 +455,7 @@
 	if (soak_suspend_holds(soak->suspend, entry->number))
 		soak_suspend_end(soak->suspend);
 	if (entry->paused) {
-		kill(entry->pid, SIGCONT);
-		entry->paused = false;
-		entry->resumed_us = g_get_monotonic_time();
+		resume(entry);
 	} else if (what == 0) {
 		kill(entry->pid, SIGSTOP);
 		entry->paused = true;
@@ -567,8 +578,7 @@
 	struct soak *soak = userdata;
 
 	soak->entries[number].stops++;
-	soak->entries[number].stopped_us = stopped_us;
-	soak->entries[number].resumed_us = g_get_monotonic_time();
+	note_resumed(&soak->entries[number], stopped_us);
 	soak_poison_excuse(soak->poison);
 }
 
@@ -640,11 +650,8 @@
 	for (uint32_t i = 0; i < ENTRIES; i++) {
 		struct entry *entry = &soak->entries[i];
 
-		if (entry->paused) {
-			kill(entry->pid, SIGCONT);
-			entry->resumed_us = g_get_monotonic_time();
-		}
-		entry->paused = false;
+		if (entry->paused)
+			resume(entry);
 		if (!entry->leaving)
 			continue;
 		end_entry(entry, SIGKILL);
