Test: a caller who hangs up ends its entry (fails)

Symptom: when a caller closes its connection while its request is worked on, the entry ends with all requests that it holds (sanitized build: heap-use-after-free in flow_take_chunk, freed by entry_request_abandon), or writes over memory of others (plain build). Behind the hundreds of lost requests of scenario.burst beside many busy processes; here brought about by two hang-ups alone, without load.

New verb "hang-up" of the scenario language.

--- a/tools/scenario.c
+++ b/tools/scenario.c
@@ -66,6 +66,7 @@
 	{ "unlist", sc_verb_unlist, true },
 	{ "kill-readers", sc_verb_kill_readers, true },
 	{ "start-killed", sc_verb_start_killed, true },
+	{ "hang-up", sc_verb_hang_up, true },
 	{ "send-raw", sc_verb_send_raw, true },
 	{ "linepierd", sc_verb_linepierd, false },
 	{ "roll", sc_verb_roll, true },
--- a/tools/scenario_call.c
+++ b/tools/scenario_call.c
@@ -202,6 +202,68 @@
 	printf("%s\n", lines[0] ? lines[0] : "nothing");
 }
 
+/* Reads until `text` has come, or the entry closes. */
+static bool read_until(GSocketConnection *connection, const char *text)
+{
+	GInputStream *stream =
+		g_io_stream_get_input_stream(G_IO_STREAM(connection));
+	g_autoptr(GString) got = g_string_new(NULL);
+	char buffer[512];
+	gssize size;
+
+	while (!strstr(got->str, text)) {
+		size = g_input_stream_read(stream, buffer, sizeof(buffer), NULL,
+					   NULL);
+		if (size <= 0)
+			return false;
+		g_string_append_len(got, buffer, size);
+	}
+	return true;
+}
+
+static char *hang_up_request(struct scenario *scenario,
+			     const struct words *words, bool stream)
+{
+	g_autofree char *body = call_body(scenario, words);
+
+	return g_strdup_printf(
+		"POST /v1/pipelines/%s HTTP/1.1\r\nHost: entry\r\n"
+		"Authorization: Bearer token-%s\r\nAccept: %s\r\n"
+		"Content-Length: %zu\r\n\r\n%s",
+		sc_word(words, 1), sc_option(words, "org", "head-office"),
+		stream ? "text/event-stream" : "application/json", strlen(body),
+		body);
+}
+
+/*
+ * hang-up PIPELINE [after_ms=N] [org=NAME] [entry=N] [subject=S] [tokens=N]:
+ * a caller closes its connection after that time, or after the first token of
+ * its stream.
+ */
+void sc_verb_hang_up(struct scenario *scenario, const struct words *words)
+{
+	const char *entry = scenario->entries[sc_number(words, "entry", 0)];
+	uint32_t after_ms = sc_number(words, "after_ms", 0);
+	g_autofree char *request =
+		hang_up_request(scenario, words, !after_ms);
+	g_autoptr(GSocketClient) client = g_socket_client_new();
+	g_autoptr(GSocketConnection) connection =
+		g_socket_client_connect_to_host(client, entry, 0, NULL, NULL);
+
+	if (!connection) {
+		sc_fail(scenario, "no connection");
+		return;
+	}
+	g_output_stream_write_all(
+		g_io_stream_get_output_stream(G_IO_STREAM(connection)), request,
+		strlen(request), NULL, NULL, NULL);
+	if (after_ms)
+		fleet_pause(after_ms * LP_US_PER_MS);
+	else if (!read_until(connection, "event: token"))
+		sc_fail(scenario, "no token came");
+	g_io_stream_close(G_IO_STREAM(connection), NULL, NULL);
+}
+
 /* executions SERVICE: runs of keys that may run once. */
 struct fleet_reply sc_executions_of(struct scenario *scenario,
 				    const char *service, const char *path)
--- a/tools/scenario_private.h
+++ b/tools/scenario_private.h
@@ -101,6 +101,7 @@
 				    const char *service, const char *path);
 void sc_verb_call(struct scenario *scenario, const struct words *words);
 void sc_verb_executions(struct scenario *scenario, const struct words *words);
+void sc_verb_hang_up(struct scenario *scenario, const struct words *words);
 void sc_verb_send_raw(struct scenario *scenario, const struct words *words);
 void sc_verb_ticket(struct scenario *scenario, const struct words *words);
 
