A request of a caller who hung up is taken out of the flow

Callers saw: one hang-up ended the entry, and with it all its requests (sanitized build), or memory of others was overwritten (plain build); the engine of a caller who was gone worked on.

Cause: the flow takes a request back by its id. run() had the id written into a variable of its own, the field that entry_request_abandon() reads was never written; flow_cancel() with an id of zeros found nothing, and the request was freed under the flow.

Why it holds: the flow writes the id into the request itself, before any callback may free it (now part of flow_submit()'s contract).

Ruled out: a second free in on_finished() (the handle is cleared by the first hang-up); a chunk that is told during the hang-up (all come from one loop).

--- a/entry/entry_request.c
+++ b/entry/entry_request.c
@@ -25,7 +25,7 @@
 	uint64_t fingerprint;
 	bool holds_key; /* entry_owners_end() is owed */
 	bool flowing;
-	struct lp_call_id id;
+	struct lp_call_id id; /* in the flow, once `flowing` */
 };
 
 /* ---- the tables of a configuration ---- */
@@ -423,15 +423,19 @@
 	};
 	struct flow_outcome outcome;
 	char id[LP_REQUEST_ID_SIZE];
-	struct lp_call_id call_id;
 
 	request->flowing = true;
-	/* On LP_OK the request may already be gone. */
-	if (!flow_submit(entry->flow, &submit, &call_id, &outcome)) {
+	/*
+	 * On LP_OK the request may already be gone. The id stays in the
+	 * request: by it entry_request_abandon() takes back what the flow has;
+	 * a flow that keeps a request of a caller who hung up goes on to use
+	 * it after it is freed.
+	 */
+	if (!flow_submit(entry->flow, &submit, &request->id, &outcome)) {
 		entry_rearm(entry);
 		return;
 	}
-	lp_request_id_format(&call_id, id);
+	lp_request_id_format(&request->id, id);
 	const struct entry_answer answer = {
 		.error = outcome.error,
 		.run = outcome.run,
--- a/policy/flow.h
+++ b/policy/flow.h
@@ -203,9 +203,10 @@
 void flow_agent_removed(struct flow *flow, const char *service,
 			const char *agent);
 /**
- * Accept a request or refuse it at the door. On LP_OK `out` lives until
- * finish(), which may already have been called. A refusal did not run;
- * `outcome` is filled then.
+ * Accept a request or refuse it at the door. On LP_OK it lives until finish(),
+ * which may already have been called. A refusal did not run; `outcome` is
+ * filled then. `id` is filled in either case, before any callback and not
+ * touched after one: it may stand in what finish() frees.
  */
 int flow_submit(struct flow *flow, const struct flow_submit *submit,
 		struct lp_call_id *id, struct flow_outcome *outcome);
--- a/tools/scenario_call.c
+++ b/tools/scenario_call.c
@@ -244,8 +244,7 @@
 {
 	const char *entry = scenario->entries[sc_number(words, "entry", 0)];
 	uint32_t after_ms = sc_number(words, "after_ms", 0);
-	g_autofree char *request =
-		hang_up_request(scenario, words, !after_ms);
+	g_autofree char *request = hang_up_request(scenario, words, !after_ms);
 	g_autoptr(GSocketClient) client = g_socket_client_new();
 	g_autoptr(GSocketConnection) connection =
 		g_socket_client_connect_to_host(client, entry, 0, NULL, NULL);
