The load's questions of readiness outlive it

Symptom: the load tool wrote to freed memory when a question whether an entry is ready was answered in the turn in which the load was destroyed (sanitized: heap-use-after-free in on_ready, freed by load_destroy).

Cause: soup_session_abort() cancels what is under way, but an answer that is already there is told afterwards without an error, and the guard looked for the error. Now the question holds a reference to the entry's state.

--- a/tools/load.c
+++ b/tools/load.c
@@ -321,12 +321,12 @@
 
 	for (uint32_t i = 0; i < count; i++) {
 		const struct target *target =
-			&load->targets[(number + i) % count];
+			load->targets[(number + i) % count];
 
 		if (target->ready)
 			return target->address;
 	}
-	return load->targets[number % count].address;
+	return load->targets[number % count]->address;
 }
 
 static void on_ready(GObject *source, GAsyncResult *result, gpointer data)
@@ -339,11 +339,9 @@
 	g_autoptr(GBytes) bytes = soup_session_send_and_read_finish(
 		SOUP_SESSION(source), result, &gerror);
 
-	/* Cancelled: the load may be gone. */
-	if (g_error_matches(gerror, G_IO_ERROR, G_IO_ERROR_CANCELLED))
-		return;
 	target->ready = bytes && ready;
 	target->asking = false;
+	g_rc_box_release(target);
 }
 
 static gboolean ask_ready(gpointer data)
@@ -351,7 +349,7 @@
 	struct load *load = data;
 
 	for (uint32_t i = 0; i < load->targets_count; i++) {
-		struct target *target = &load->targets[i];
+		struct target *target = load->targets[i];
 		g_autofree char *url = NULL;
 		g_autoptr(SoupMessage) msg = NULL;
 
@@ -360,9 +358,9 @@
 		url = g_strdup_printf("http://%s/readyz", target->address);
 		msg = soup_message_new("GET", url);
 		target->asking = true;
-		soup_session_send_and_read_async(load->probes, msg,
-						 G_PRIORITY_HIGH, NULL,
-						 on_ready, target);
+		soup_session_send_and_read_async(
+			load->probes, msg, G_PRIORITY_HIGH, NULL, on_ready,
+			g_rc_box_acquire(target));
 	}
 	return G_SOURCE_CONTINUE;
 }
@@ -612,11 +610,11 @@
 		load->options.subjects = DEFAULT_SUBJECTS;
 	load->random = g_rand_new_with_seed(options->seed);
 	load->targets_count = g_strv_length((char **)options->entries);
-	load->targets = g_new0(struct target, load->targets_count + 1);
+	load->targets = g_new0(struct target *, load->targets_count + 1);
 	for (uint32_t i = 0; i < load->targets_count; i++) {
-		load->targets[i].load = load;
-		load->targets[i].address = options->entries[i];
-		load->targets[i].ready = true;
+		load->targets[i] = g_rc_box_new0(struct target);
+		load->targets[i]->address = options->entries[i];
+		load->targets[i]->ready = true;
 	}
 	load->probes =
 		soup_session_new_with_options("timeout", READY_TIMEOUT_S, NULL);
@@ -640,6 +638,8 @@
 	soup_session_abort(load->probes);
 	g_object_unref(load->probes);
 	g_ptr_array_unref(load->sessions);
+	for (uint32_t i = 0; i < load->targets_count; i++)
+		g_rc_box_release(load->targets[i]);
 	g_free(load->targets);
 	g_array_unref(load->times);
 	g_array_unref(load->first_times);
--- a/tools/load_private.h
+++ b/tools/load_private.h
@@ -59,9 +59,9 @@
 	bool has_problem;
 };
 
-/* The balancer's view of one entry. */
+/* The balancer's view of one entry. A question under way holds a reference: its
+ * answer may come when the load is gone. */
 struct target {
-	struct load *load;
 	const char *address;
 	bool ready;
 	bool asking;
@@ -69,7 +69,7 @@
 
 struct load {
 	struct load_options options;
-	struct target *targets;
+	struct target **targets;
 	uint32_t targets_count;
 	SoupSession *probes;
 	guint ready_timer;
