Lines are read as they come, not one a turn; the load reads before it gives up

Callers saw nothing: the load tool counted as lost what the entries had answered whole and in time (scenario.burst beside busy processes, "within a stream" and "whole answer", cancelled by the load's own patience).

Cause: g_data_input_stream_read_line_async() takes a turn of the loop for each line. An answer of sixteen tokens is some fifty lines; with 2,000 requests open a turn took 0.5 to 0.8 s. And the timer of its patience had the priority of the reading, so that it ended what stood unread in the same turn.

Why it holds: base/lp_lines reads in one turn all that has come, and the timer runs only in a turn in which nothing is left to read. A stream that stands still is lost after the same time as before (Load.AStreamThatStandsStillIsLostInTime).

--- a/tools/load.c
+++ b/tools/load.c
@@ -2,7 +2,6 @@
 
 #include <stdio.h>
 
-static void read_line(struct request *request);
 static void send_request(struct request *request);
 
 /* ---- choosing ---- */
@@ -105,7 +104,7 @@
 	if (request->timer)
 		g_source_remove(request->timer);
 	request->timer = 0;
-	g_clear_object(&request->lines);
+	g_clear_pointer(&request->lines, lp_lines_destroy);
 	g_clear_object(&request->msg);
 	if (request->session)
 		request->session->open -= 1;
@@ -138,43 +137,15 @@
 			       G_IO_ERROR_CONNECTION_REFUSED);
 }
 
-/* No answer: at another entry if the first was not even reached. */
-static void take_silence(struct request *request, const GError *gerror)
+/* The first was not even reached. */
+static void send_elsewhere(struct request *request)
 {
-	if (never_connected(gerror) && request->resent < RESENDS_MAX) {
-		request->resent += 1;
-		g_source_remove(request->timer);
-		g_clear_object(&request->msg);
-		g_clear_object(&request->cancel);
-		request->session->open -= 1;
-		send_request(request);
-		return;
-	}
-	lose(request, "whole answer", gerror);
-	end_request(request);
-}
-
-static void on_whole(GObject *source, GAsyncResult *result, gpointer data)
-{
-	struct request *request = data;
-	g_autoptr(GError) gerror = NULL;
-	g_autoptr(GBytes) bytes = soup_session_send_and_read_finish(
-		SOUP_SESSION(source), result, &gerror);
-	g_autofree char *text = NULL;
-	gsize size;
-	const char *raw;
-
-	if (!bytes) {
-		take_silence(request, gerror);
-		return;
-	}
-	raw = g_bytes_get_data(bytes, &size);
-	text = g_strndup(raw ? raw : "", size);
-	if (soup_message_get_status(request->msg) == SOUP_STATUS_OK)
-		load_take_answer(request, text);
-	else
-		load_take_problem(request, text);
-	end_request(request);
+	request->resent += 1;
+	g_source_remove(request->timer);
+	g_clear_object(&request->msg);
+	g_clear_object(&request->cancel);
+	request->session->open -= 1;
+	send_request(request);
 }
 
 static void take_token(struct request *request, const char *data)
@@ -213,46 +184,57 @@
 		load_take_problem(request, data);
 }
 
-static void on_line(GObject *source, GAsyncResult *result, gpointer data)
+static bool is_refused(const struct request *request)
 {
-	struct request *request = data;
-	g_autoptr(GError) gerror = NULL;
-	g_autofree char *line = g_data_input_stream_read_line_finish(
-		G_DATA_INPUT_STREAM(source), result, NULL, &gerror);
+	return soup_message_get_status(request->msg) != SOUP_STATUS_OK;
+}
 
-	if (!line) {
-		if (!request->whole && !request->has_problem)
-			lose(request, "within a stream", gerror);
-		end_request(request);
-		return;
-	}
-	if (g_str_has_prefix(line, "event: ")) {
+static void on_line(void *userdata, const char *line)
+{
+	struct request *request = userdata;
+
+	if (!request->stream || is_refused(request)) {
+		g_string_append(request->text, line);
+	} else if (g_str_has_prefix(line, "event: ")) {
 		g_free(request->event);
 		request->event = g_strdup(line + strlen("event: "));
 	} else if (g_str_has_prefix(line, "data: ")) {
 		take_event(request, line + strlen("data: "));
 	}
-	read_line(request);
 }
 
-static void read_line(struct request *request)
+static void on_ended(void *userdata, const GError *gerror)
 {
-	g_data_input_stream_read_line_async(request->lines, G_PRIORITY_DEFAULT,
-					    request->cancel, on_line, request);
+	struct request *request = userdata;
+
+	if (request->stream && !is_refused(request)) {
+		if (!request->whole && !request->has_problem)
+			lose(request, "within a stream", gerror);
+	} else if (gerror && !request->stream) {
+		lose(request, "whole answer", gerror);
+	} else if (is_refused(request)) {
+		load_take_problem(request, request->text->str);
+	} else {
+		load_take_answer(request, request->text->str);
+	}
+	end_request(request);
 }
 
-static void on_problem_read(GObject *source, GAsyncResult *result,
-			    gpointer data)
+/* No head of an answer came. */
+static void take_silence(struct request *request, const GError *gerror)
 {
-	struct request *request = data;
-	g_autofree char *line = g_data_input_stream_read_line_finish(
-		G_DATA_INPUT_STREAM(source), result, NULL, NULL);
-
-	load_take_problem(request, line ? line : "");
+	if (request->stream) {
+		lose(request, "before a stream", gerror);
+	} else if (never_connected(gerror) && request->resent < RESENDS_MAX) {
+		send_elsewhere(request);
+		return;
+	} else {
+		lose(request, "whole answer", gerror);
+	}
 	end_request(request);
 }
 
-static void on_stream(GObject *source, GAsyncResult *result, gpointer data)
+static void on_head(GObject *source, GAsyncResult *result, gpointer data)
 {
 	struct request *request = data;
 	g_autoptr(GError) gerror = NULL;
@@ -260,18 +242,17 @@
 		soup_session_send_finish(SOUP_SESSION(source), result, &gerror);
 
 	if (!stream) {
-		lose(request, "before a stream", gerror);
-		end_request(request);
-		return;
-	}
-	request->lines = g_data_input_stream_new(stream);
-	if (soup_message_get_status(request->msg) == SOUP_STATUS_OK) {
-		read_line(request);
+		take_silence(request, gerror);
 		return;
 	}
-	g_data_input_stream_read_line_async(request->lines, G_PRIORITY_DEFAULT,
-					    request->cancel, on_problem_read,
-					    request);
+	request->text = g_string_new(NULL);
+	request->lines = lp_lines_create(&(struct lp_lines_options){
+		.stream = stream,
+		.cancellable = request->cancel,
+		.line = on_line,
+		.ended = on_ended,
+		.userdata = request,
+	});
 }
 
 static gboolean on_too_late(gpointer data)
@@ -425,17 +406,17 @@
 			"Connection", "close");
 	request->session = take_session(load);
 	request->cancel = g_cancellable_new();
-	request->timer = g_timeout_add(
+	/*
+	 * After all that has come is read: a loop that is late with its own
+	 * work must not count against the entries what stands in its sockets.
+	 */
+	request->timer = g_timeout_add_full(
+		G_PRIORITY_LOW,
 		(guint)((request->deadline_us + PATIENCE_US) / LP_US_PER_MS),
-		on_too_late, request);
-	if (request->stream)
-		soup_session_send_async(request->session->soup, request->msg,
-					G_PRIORITY_DEFAULT, request->cancel,
-					on_stream, request);
-	else
-		soup_session_send_and_read_async(
-			request->session->soup, request->msg,
-			G_PRIORITY_DEFAULT, request->cancel, on_whole, request);
+		on_too_late, request, NULL);
+	soup_session_send_async(request->session->soup, request->msg,
+				G_PRIORITY_DEFAULT, request->cancel, on_head,
+				request);
 }
 
 /* ---- keys ---- */
@@ -586,6 +567,8 @@
 	g_free(request->id);
 	g_free(request->streamed);
 	g_free(request->event);
+	if (request->text)
+		g_string_free(request->text, TRUE);
 	g_clear_object(&request->cancel);
 	g_free(request);
 }
--- a/tools/load_private.h
+++ b/tools/load_private.h
@@ -4,6 +4,7 @@
 
 #include "base/lp_clock.h"
 #include "base/lp_error.h"
+#include "base/lp_lines.h"
 #include "tools/load.h"
 
 #include <json-glib/json-glib.h>
@@ -39,7 +40,8 @@
 	char *id;	/* as the answer named it */
 	char *streamed; /* text of the tokens so far */
 	SoupMessage *msg;
-	GDataInputStream *lines;
+	struct lp_lines *lines;
+	GString *text; /* of a whole answer or a refusal so far */
 	GCancellable *cancel;
 	guint timer;
 	guint retry_timer;
