--- a/base/lp_lines.c
+++ b/base/lp_lines.c
@@ -75,8 +75,8 @@
 
 static gboolean on_readable(GObject *stream, gpointer userdata);
 
-/* Anew for each wait: a source of libsoup's streams is made for what is buffered
- * at the time, and one made while something was is ready for ever. */
+/* Anew for each wait: a source of libsoup's streams is made for what is
+ * buffered at the time, and one made while something was is ready for ever. */
 static void await_more(struct lp_lines *lines)
 {
 	lines->source = g_pollable_input_stream_create_source(
--- a/tests/lines_test.cc
+++ b/tests/lines_test.cc
@@ -1,4 +1,5 @@
-/* base/lp_lines.h: whole lines however their bytes come, all of them in a turn. */
+/* base/lp_lines.h: whole lines however their bytes come, all of them in a turn.
+ */
 #include "cwrap.h"
 
 #include <gtest/gtest.h>
@@ -96,8 +97,8 @@
 	LineReader::turns();
 	reader.finish();
 	LineReader::turns();
-	EXPECT_EQ(reader.told, std::vector<std::string>(
-				       { "one", "two", "", "rest" }));
+	EXPECT_EQ(reader.told,
+		  std::vector<std::string>({ "one", "two", "", "rest" }));
 	EXPECT_TRUE(reader.ended);
 	EXPECT_FALSE(reader.broken);
 }
--- a/tools/soak_main.c
+++ b/tools/soak_main.c
@@ -15,12 +15,14 @@
 #include "tools/soak_suspend.h"
 #include "tools/soak_writer.h"
 
+#include <fcntl.h>
 #include <gio/gio.h>
 #include <glib/gstdio.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #define ENTRIES 2
 #define READY_LIMIT_US (15 * LP_US_PER_S)
@@ -32,6 +34,8 @@
 #define FIRST_PORT 22000
 #define PORT_SPAN 4000
 #define STREAM_EVENTS 6
+#define LOGS_MODE 0755
+#define LOG_MODE 0644
 /* The longest timeout of a route, and what a busy host may take beyond it to
  * say that it is over. */
 #define ROUTE_MAX_US (3 * LP_US_PER_S)
@@ -47,6 +51,7 @@
 	int64_t poison;
 	int64_t suspend;
 	char *env;
+	char *logs;
 };
 
 #define FIELD(name) offsetof(struct soak_settings, name)
@@ -65,6 +70,8 @@
 	  "suspend hosts; their clocks stand still by what env loads" },
 	{ "env", LP_SETTING_STRING, FIELD(env), "", 0, 0, NULL,
 	  "NAME=VALUE,... for the program under test" },
+	{ "logs", LP_SETTING_STRING, FIELD(logs), "", 0, 0, NULL,
+	  "folder for what the entries print; empty: nowhere" },
 };
 
 struct entry {
@@ -187,23 +194,37 @@
 	note_resumed(entry, entry->stopped_us);
 }
 
+/* Of this and its earlier lives; close(). */
+static int open_log(const struct soak *soak, const struct entry *entry)
+{
+	g_autofree char *path = NULL;
+
+	if (!*soak->settings.logs)
+		return open("/dev/null", O_WRONLY | O_CLOEXEC);
+	g_mkdir_with_parents(soak->settings.logs, LOGS_MODE);
+	path = g_strdup_printf("%s/entry-%u.log", soak->settings.logs,
+			       entry->number);
+	return open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, LOG_MODE);
+}
+
 static void start_entry(struct soak *soak, struct entry *entry)
 {
 	char *argv[] = { soak->settings.daemon, "platform", NULL };
 	g_auto(GStrv) env = write_env(soak, entry);
 	g_autoptr(GError) gerror = NULL;
+	int log = open_log(soak, entry);
 
 	entry->leaving = false;
 	entry->paused = false;
 	entry->stops++;
 	note_resumed(entry, g_get_monotonic_time());
-	if (!g_spawn_async(NULL, argv, env,
-			   G_SPAWN_DO_NOT_REAP_CHILD |
-				   G_SPAWN_STDOUT_TO_DEV_NULL,
-			   NULL, NULL, &entry->pid, &gerror)) {
+	if (!g_spawn_async_with_fds(NULL, argv, env, G_SPAWN_DO_NOT_REAP_CHILD,
+				    NULL, NULL, &entry->pid, -1, log, -1,
+				    &gerror)) {
 		fprintf(stderr, "%s: %s\n", argv[0], gerror->message);
 		exit(2);
 	}
+	close(log);
 }
 
 static void end_entry(struct entry *entry, int signal_number)
