The watch of the configuration begins again while a look at the list is still coming

Cause: while looks fail, the watch is begun again only by the first look that is answered whole. Log lines: kv_call_failed, purpose range, 216 KB and 219 KB after 10.0 s, at both entries, no purpose watch among them.

Why it holds: the first good answer that begins to come says that the service answers; that begins the watch. An outage costs no more calls than before.

--- a/store/store_http.c
+++ b/store/store_http.c
@@ -21,7 +21,7 @@
 	GCancellable *cancel;
 	struct lp_transfer transfer; /* of the body */
 	guint timer;
-	void (*begun)(void *userdata);
+	void (*begun)(void *userdata, uint32_t status);
 	void (*done)(void *userdata, const struct store_http_answer *answer);
 	void (*dropped)(void *userdata);
 	void *userdata;
@@ -169,7 +169,8 @@
 	}
 	exchange->transfer.begun_us = lp_now_us(lp_clock_boot());
 	if (exchange->http && exchange->begun)
-		exchange->begun(exchange->userdata);
+		exchange->begun(exchange->userdata,
+				soup_message_get_status(exchange->message));
 	read_on(exchange);
 }
 
--- a/store/store_http.h
+++ b/store/store_http.h
@@ -28,7 +28,7 @@
 	int64_t timeout_us; /**< until the answer begins; 0: 2 s */
 	int64_t stall_us;   /**< between two pieces of it; 0: timeout_us */
 	/** The answer begins to come; or NULL. */
-	void (*begun)(void *userdata);
+	void (*begun)(void *userdata, uint32_t status);
 	void (*done)(void *userdata, const struct store_http_answer *answer);
 	/** Called in place of done() when it is cancelled or the client is
 	 * destroyed; or NULL. */
--- a/store/store_kv.h
+++ b/store/store_kv.h
@@ -81,6 +81,11 @@
 	/** Whether a watch waits, and nothing of an answer is coming: it may
 	 * have been lost in silence. */
 	bool (*watch_waits)(const struct store_kv *kv);
+	/** answering() is called whenever a good answer begins to come, however
+	 * long the rest of it takes. NULL where a backend cannot tell. */
+	void (*tell_answering)(struct store_kv *kv,
+			       void (*answering)(void *userdata),
+			       void *userdata);
 	void (*destroy)(struct store_kv *kv);
 };
 
--- a/tests/slow_link_test.cc
+++ b/tests/slow_link_test.cc
@@ -63,6 +63,39 @@
 	EXPECT_TRUE(comes_into_force(rig, 2, 5000));
 }
 
+/* What another writer wrote: with it a look at the list takes 27 s. */
+void write_large_entry(Rig &rig)
+{
+	const std::string value(400000, '[');
+
+	pe_write(rig.platform, "x-1", value.data(), value.size());
+}
+
+/*
+ * Found by the soak, seed 7016. What happened: after an outage the newest
+ * configuration was not in force 24 s later, though the service answered. Why:
+ * the watch had ended, and began again with the first look at the list that was
+ * answered whole; a look took 13 s, for an entry of 200 KB that another writer
+ * had written, and was given up after 10. What showed it: calls for the list
+ * that ended with 216 KB received after 10.0 s, one after another, and no call
+ * for the configuration among them.
+ */
+TEST(SlowLink, ALookThatTakesLongDoesNotHoldBackTheConfiguration)
+{
+	Rig rig;
+
+	rig.add(PE_PLAIN, "plain");
+	rig.settle();
+	pe_store_fault(rig.platform, PE_STORE_BUSY);
+	ASSERT_TRUE(turn_until([&] { return !plf_feed_in_touch(rig.feed); }));
+	turn_until([] { return false; }, 1500); /* the watch has ended, too */
+	write_large_entry(rig);
+	pe_store_set_rate(rig.platform, 20000);
+	rig.set_config(2);
+	pe_store_fault(rig.platform, PE_STORE_FINE);
+	EXPECT_TRUE(comes_into_force(rig, 2, 5000));
+}
+
 /* The other side of the bound: what no longer comes is not waited for. */
 TEST(SlowLink, AnAnswerThatFallsSilentIsGivenUp)
 {
