A load that is given up waits for its requests' last callbacks

Symptom: a scenario that failed under way ("not ready after a replacement", scenario.rolling beside 48 busy loops) ended in a use after free of the load tool, on_ended, freed by load_destroy.

Cause: requests were freed with the load while reads and sends of them were under way. Now they are cancelled and heard of before.

--- a/tools/load.c
+++ b/tools/load.c
@@ -612,10 +612,28 @@
 	return load;
 }
 
+/* Callbacks of requests under way still name them. */
+static void end_open_requests(struct load *load)
+{
+	if (load->timer)
+		g_source_remove(load->timer);
+	load->timer = 0;
+	load->done = NULL;
+	for (guint i = 0; i < load->requests->len; i++) {
+		struct request *request = g_ptr_array_index(load->requests, i);
+
+		if (!request->ended && request->cancel)
+			g_cancellable_cancel(request->cancel);
+	}
+	while (load->open)
+		g_main_context_iteration(NULL, TRUE);
+}
+
 void load_destroy(struct load *load)
 {
 	if (!load)
 		return;
+	end_open_requests(load);
 	if (load->ready_timer)
 		g_source_remove(load->ready_timer);
 	soup_session_abort(load->probes);
