--- a/base/lp_lines.c
+++ b/base/lp_lines.c
@@ -5,7 +5,7 @@
 
 #define READ_SIZE 16384
 /* Of one stream in one turn; then others have theirs. */
-#define TURN_SIZE (16 * READ_SIZE)
+#define TURN_SIZE ((gsize)16 * READ_SIZE)
 
 struct lp_lines {
 	struct lp_lines_options options;
--- a/node/node_listener.c
+++ b/node/node_listener.c
@@ -12,8 +12,8 @@
 #define BACKLOG 1024
 /* In one turn; then what has been taken has its own. */
 #define ACCEPTS_MAX 256
-/* libsoup does not tell the socket of a connection that it was handed; the address
- * of its peer goes with it. */
+/* libsoup does not tell the socket of a connection that it was handed; the
+ * address of its peer goes with it. */
 #define SOCKET_KEY "node-listener-socket"
 
 struct node_listener {
--- a/node/node_listener.h
+++ b/node/node_listener.h
@@ -4,7 +4,8 @@
  * libsoup takes one connection in a turn of the loop. On a busy host a turn
  * takes tens of milliseconds, and connections wait in the system's queue, which
  * is reset with the listener: an entry that was stopped lost requests that had
- * been sent to it. This one takes all that wait, and once more before it closes.
+ * been sent to it. This one takes all that wait, and once more before it
+ * closes.
  */
 #ifndef NODE_LISTENER_H
 #define NODE_LISTENER_H
