--- a/tests/load_test.cc
+++ b/tests/load_test.cc
@@ -196,3 +196,32 @@
 	EXPECT_GE(took_ms, PATIENCE_MS);
 	EXPECT_LE(took_ms, PATIENCE_MS + 1000);
 }
+
+/* Whatever it is at: connecting, reading, or waiting for a ticket. */
+TEST(Load, MayBeGivenUpUnderWay)
+{
+	PlainEntry entry(TOKENS / 2);
+	GPtrArray *errors = cfg_errors_create();
+	cfg_doc *doc = nullptr;
+	const char *entries[] = { entry.server.address.c_str(), nullptr };
+	load_options options = {};
+
+	ASSERT_EQ(cfg_doc_load(config, strlen(config), "config", errors, &doc),
+		  LP_OK);
+	options.doc = doc;
+	options.entries = entries;
+	options.rate_per_s = 500;
+	options.requests = 1000;
+	options.seed = 1;
+	options.tokens = TOKENS;
+	options.stream_percent = 50;
+	load *load = load_create(&options);
+	load_start(load, nullptr, nullptr);
+	while (load_sent(load) < 100)
+		g_main_context_iteration(nullptr, TRUE);
+	load_destroy(load);
+	while (g_main_context_iteration(nullptr, FALSE))
+		;
+	cfg_doc_destroy(doc);
+	g_ptr_array_unref(errors);
+}
--- a/tools/load.c
+++ b/tools/load.c
@@ -612,6 +612,14 @@
 	return load;
 }
 
+/* It has not been sent. */
+static void end_second_try(struct request *request)
+{
+	g_source_remove(request->retry_timer);
+	request->retry_timer = 0;
+	end_request(request);
+}
+
 /* Callbacks of requests under way still name them. */
 static void end_open_requests(struct load *load)
 {
@@ -622,9 +630,16 @@
 	for (guint i = 0; i < load->requests->len; i++) {
 		struct request *request = g_ptr_array_index(load->requests, i);
 
-		if (!request->ended && request->cancel)
+		if (request->retry_timer)
+			end_second_try(request);
+		else if (!request->ended && request->cancel)
 			g_cancellable_cancel(request->cancel);
 	}
+	for (guint i = 0; i < load->sessions->len; i++) {
+		struct session *session = g_ptr_array_index(load->sessions, i);
+
+		soup_session_abort(session->soup);
+	}
 	while (load->open)
 		g_main_context_iteration(NULL, TRUE);
 }
