Lines go on after a zero byte

Found by reading: the first version looked for the newline with strchr(), so a zero byte from an engine would have hidden all lines after it. Lines.GoOnAfterAZeroByte fails with strchr().

--- a/base/lp_lines.c
+++ b/base/lp_lines.c
@@ -35,8 +35,8 @@
 	gsize from = 0;
 	char *end;
 
-	while (!is_over(lines) &&
-	       (end = strchr(lines->rest->str + from, '\n'))) {
+	while (!is_over(lines) && (end = memchr(lines->rest->str + from, '\n',
+						lines->rest->len - from))) {
 		*end = '\0';
 		lines->options.line(lines->options.userdata,
 				    lines->rest->str + from);
--- a/base/lp_lines.h
+++ b/base/lp_lines.h
@@ -18,7 +18,8 @@
 	GInputStream *stream; /**< can be polled; a reference is taken */
 	/** Ends it with an error; no line is told after it. May be NULL. */
 	GCancellable *cancellable;
-	/** A line without its newline, borrowed; also the rest without one. */
+	/** A line without its newline, borrowed; also the rest without one. A
+	 * zero byte ends it early. */
 	void (*line)(void *userdata, const char *line);
 	/** Once, last: NULL at the end of the stream, else why it broke off;
 	 * borrowed. */
--- a/tests/lines_test.cc
+++ b/tests/lines_test.cc
@@ -108,6 +108,15 @@
 	EXPECT_FALSE(reader.broken);
 }
 
+TEST(Lines, GoOnAfterAZeroByte)
+{
+	LineReader reader;
+
+	reader.write(std::string("o\0ne\ntwo\n", 9));
+	LineReader::turns();
+	EXPECT_EQ(reader.told, std::vector<std::string>({ "o", "two" }));
+}
+
 TEST(Lines, AllThatHasComeIsToldInOneTurn)
 {
 	LineReader reader;
