--- a/store/store_kv.h
+++ b/store/store_kv.h
@@ -1,7 +1,8 @@
 /**
  * The platform's key-value service: compare-and-swap, leases, watches.
  *
- * The interface is a struct of callbacks; store_etcd.h is the one backend.
+ * The interface is a struct of callbacks; its backends are store_etcd.h and, on
+ * the users' platform, platform/plf_kv.h.
  * Results are borrowed during the callback. A transaction that ends in
  * LP_ERROR_PLATFORM_DOWN may have taken effect: the caller reads again.
  */
