Watch of the configuration: one state with one owner

policy/watch_keeper holds it: running, delayed or suspended, the last only while the service is known to answer nothing.

Ruled out by reading: the other timers and calls under a condition in plf_kept, plf_share, direct_quarantine, direct_stages, direct_calls.

--- /dev/null
+++ b/policy/watch_keeper.c
@@ -0,0 +1,62 @@
+#include "policy/watch_keeper.h"
+
+/* A watch that lasted so long was served. */
+#define SERVED_US (1 * LP_US_PER_S)
+
+static enum watch_keeper_action start(struct watch_keeper *keeper)
+{
+	keeper->state = WATCH_KEEPER_RUNNING;
+	keeper->started_us = lp_now_us(keeper->clock);
+	return WATCH_KEEPER_START;
+}
+
+void watch_keeper_init(struct watch_keeper *keeper,
+		       const struct lp_clock *clock)
+{
+	*keeper = (struct watch_keeper){ .clock = clock };
+	start(keeper);
+}
+
+enum watch_keeper_action watch_keeper_ended(struct watch_keeper *keeper)
+{
+	if (lp_now_us(keeper->clock) - keeper->started_us > SERVED_US)
+		keeper->failures = 0;
+	keeper->failures++;
+	if (keeper->unreachable) {
+		keeper->state = WATCH_KEEPER_SUSPENDED;
+		return WATCH_KEEPER_NOTHING;
+	}
+	keeper->state = WATCH_KEEPER_DELAYED;
+	return WATCH_KEEPER_DELAY;
+}
+
+enum watch_keeper_action watch_keeper_timer_fired(struct watch_keeper *keeper)
+{
+	return start(keeper);
+}
+
+void watch_keeper_probe_failed(struct watch_keeper *keeper)
+{
+	keeper->unreachable = true;
+}
+
+enum watch_keeper_action watch_keeper_answered(struct watch_keeper *keeper,
+					       bool is_silent)
+{
+	bool was_unreachable = keeper->unreachable;
+
+	keeper->unreachable = false;
+	if (!was_unreachable)
+		return WATCH_KEEPER_NOTHING;
+	if (keeper->state == WATCH_KEEPER_RUNNING && !is_silent)
+		return WATCH_KEEPER_NOTHING;
+	return start(keeper);
+}
+
+const char *watch_keeper_state_name(const struct watch_keeper *keeper)
+{
+	static const char *const names[] = { "running", "delayed",
+					     "suspended" };
+
+	return names[keeper->state];
+}
--- a/tests/cwrap.h
+++ b/tests/cwrap.h
@@ -68,6 +68,7 @@
 #include "policy/throttle.h"
 #include "policy/trace.h"
 #include "policy/verdict.h"
+#include "policy/watch_keeper.h"
 #include "policy/watch_pace.h"
 #include "policy/worker.h"
 #include "tools/pe.h"
--- a/tests/feed_test.cc
+++ b/tests/feed_test.cc
@@ -114,6 +114,11 @@
 	{
 		plf_feed_destroy(feed);
 	}
+	int64_t *running()
+	{
+		return lp_counter(rig.counters, "linepier_config_watch_running",
+				  nullptr);
+	}
 	void look_fails()
 	{
 		ASSERT_TRUE(turn_until([this] { return store.looking(); }));
@@ -131,9 +136,11 @@
 	ASSERT_TRUE(turn_until([&] { return store.looking(); }));
 	store.first_byte();
 	store.watch_ends();
+	EXPECT_EQ(*scripted.running(), 0);
 	store.look_ends(LP_OK);
 	watches = store.watches;
 	EXPECT_TRUE(turn_until([&] { return store.watches > watches; }, 5000));
+	EXPECT_EQ(*scripted.running(), 1);
 }
 
 /* ... and one that ends while nothing is answered waits for the next answer. */
