--- a/tools/pe.c
+++ b/tools/pe.c
@@ -6,6 +6,7 @@
 
 #define DEFAULT_WORK_MS 10
 /* Of the keys of upstreams' entries. */
+#define EVACUATIONS_PREFIX "op/evacuate/"
 #define ENTRIES_PREFIX "servers/"
 /* Events of one stream, and the time between two. */
 #define EVENTS 6
@@ -316,6 +317,20 @@
 	pe_store_remove(pe, key);
 }
 
+void pe_evacuate(struct pe *pe, const char *domain)
+{
+	g_autofree char *key = g_strconcat(EVACUATIONS_PREFIX, domain, NULL);
+
+	pe_store_put(pe, key, "{}");
+}
+
+void pe_take_back(struct pe *pe, const char *domain)
+{
+	g_autofree char *key = g_strconcat(EVACUATIONS_PREFIX, domain, NULL);
+
+	pe_store_remove(pe, key);
+}
+
 void pe_tell(struct pe_upstream *upstream)
 {
 	g_autofree char *value = pe_entry(upstream);
@@ -517,6 +532,7 @@
 	pe_listener_destroy(pe->store);
 	g_ptr_array_unref(pe->watches);
 	g_hash_table_unref(pe->items);
+	g_hash_table_unref(pe->removed);
 	g_hash_table_unref(pe->runs);
 	g_hash_table_unref(pe->accounts);
 	g_ptr_array_unref(pe->breaches);
--- a/tools/pe.h
+++ b/tools/pe.h
@@ -59,6 +59,9 @@
 void pe_store_silence(struct pe *pe);
 /** Write the operators' configuration. */
 void pe_set_config(struct pe *pe, const char *json);
+/** The operators close a failure domain to new work, and open it again. */
+void pe_evacuate(struct pe *pe, const char *domain);
+void pe_take_back(struct pe *pe, const char *domain);
 /** A configuration of this version with one route of each kind; g_free(). */
 char *pe_sample_config(int64_t version);
 /** The same with some routes more, 130 bytes each. */
--- a/tools/pe_private.h
+++ b/tools/pe_private.h
@@ -67,6 +67,7 @@
 	enum pe_store_fault store_fault;
 	int64_t revision;
 	GHashTable *items;    /**< key -> struct pe_item */
+	GHashTable *removed;  /**< key -> revision of its removal */
 	GPtrArray *watches;   /**< of struct pe_conn that wait */
 	GPtrArray *upstreams; /**< of struct pe_upstream */
 	GHashTable *runs;     /**< request id -> count */
--- a/tools/pe_store.c
+++ b/tools/pe_store.c
@@ -90,7 +90,6 @@
 	gpointer value;
 	uint32_t count = 0;
 
-	json_builder_begin_array(builder);
 	g_hash_table_iter_init(&iter, pe->items);
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
 		const struct pe_item *item = value;
@@ -102,7 +101,31 @@
 		json_builder_end_object(builder);
 		count++;
 	}
-	json_builder_end_array(builder);
+	return count;
+}
+
+/* Keys under a prefix that were removed after a revision; returns how many. */
+static uint32_t add_removed(struct pe *pe, JsonBuilder *builder,
+			    const char *prefix, int64_t after)
+{
+	GHashTableIter iter;
+	gpointer key;
+	gpointer revision;
+	uint32_t count = 0;
+
+	g_hash_table_iter_init(&iter, pe->removed);
+	while (g_hash_table_iter_next(&iter, &key, &revision)) {
+		int64_t at = *(const int64_t *)revision;
+
+		if (!g_str_has_prefix(key, prefix) || at <= after)
+			continue;
+		json_builder_begin_object(builder);
+		lp_json_text(builder, "key", key);
+		lp_json_int(builder, "revision", at);
+		lp_json_bool(builder, "tombstone", true);
+		json_builder_end_object(builder);
+		count++;
+	}
 	return count;
 }
 
@@ -113,7 +136,9 @@
 
 	json_builder_begin_object(builder);
 	json_builder_set_member_name(builder, "items");
+	json_builder_begin_array(builder);
 	add_items(pe, builder, prefix, -1);
+	json_builder_end_array(builder);
 	lp_json_bool(builder, "has_more", false);
 	lp_json_int(builder, "current_rev", pe->revision);
 	json_builder_end_object(builder);
@@ -124,14 +149,17 @@
 static bool answer_watch(struct pe *pe, struct pe_conn *conn, bool timed_out)
 {
 	g_autofree char *prefix = query(conn, "prefix");
-	g_autofree char *after = query(conn, "after");
+	g_autofree char *text = query(conn, "after");
+	int64_t after = g_ascii_strtoll(text, NULL, 10);
 	g_autoptr(JsonBuilder) builder = json_builder_new();
 	uint32_t count;
 
 	json_builder_begin_object(builder);
 	json_builder_set_member_name(builder, "events");
-	count = add_items(pe, builder, prefix,
-			  g_ascii_strtoll(after, NULL, 10));
+	json_builder_begin_array(builder);
+	count = add_items(pe, builder, prefix, after);
+	count += add_removed(pe, builder, prefix, after);
+	json_builder_end_array(builder);
 	lp_json_int(builder, "current_rev", pe->revision);
 	json_builder_end_object(builder);
 	if (!count && !timed_out)
@@ -259,6 +287,8 @@
 	pe->link = pe_link_create();
 	pe->items = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					  free_item);
+	pe->removed =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	pe->watches = g_ptr_array_new();
 	pe->store = pe_listener_create(on_request, on_left, pe);
 }
@@ -284,6 +314,7 @@
 	item->value = g_bytes_new(bytes, size);
 	item->revision = ++pe->revision;
 	g_hash_table_replace(pe->items, g_strdup(key), item);
+	g_hash_table_remove(pe->removed, key);
 	tell_watches(pe);
 }
 
@@ -291,6 +322,9 @@
 {
 	pe->revision++;
 	g_hash_table_remove(pe->items, key);
+	g_hash_table_replace(pe->removed, g_strdup(key),
+			     g_memdup2(&pe->revision, sizeof(pe->revision)));
+	tell_watches(pe);
 }
 
 void pe_store_fault(struct pe *pe, enum pe_store_fault fault)
