Evacuations: domains that operators close get nothing new; cold upstreams are paced

The pool leaves closed domains out in every choice (calls, retries, resumed streams, pieces, prompts, homes of prefixes, answers of a placer). Where nothing is left a request is refused at once (domains_closed).

Cold is what the list says, a new start, one that could not be reached, a domain that is taken back.

--- a/direct/direct.c
+++ b/direct/direct.c
@@ -1,3 +1,4 @@
+#include "direct/direct_closures.h"
 #include "direct/direct_places.h"
 #include "direct/direct_private.h"
 #include "direct/direct_relay.h"
@@ -52,6 +53,27 @@
 	direct_quarantine_ended(direct->quarantine, lost, count);
 }
 
+static void refuse_unservable(struct direct *direct)
+{
+	g_autoptr(GList) requests = g_hash_table_get_keys(direct->requests);
+
+	for (GList *at = requests; at; at = at->next)
+		direct_request_domain_closed(at->data);
+}
+
+static void open_to_peers(struct direct *direct);
+
+static void on_closures(void *userdata)
+{
+	struct direct *direct = userdata;
+
+	open_to_peers(direct);
+	if (!pool_close(direct->pool, direct_closures_known(direct->closures)))
+		return;
+	refuse_unservable(direct);
+	direct_calls_run(direct->calls);
+}
+
 /* Until a configuration says more: what keeps a stranger from filling us. */
 static const struct http_limits first_limits = {
 	.head_bytes = 16384,
@@ -87,6 +109,13 @@
 	direct->domain = g_strdup(options->domain);
 	direct->pool = pool_create(options->clock, options->domain);
 	pool_hear_restarts(direct->pool, on_restarted, direct);
+	direct->closures =
+		direct_closures_create(&(struct direct_closures_options){
+			.log = options->log,
+			.counters = options->counters,
+			.changed = on_closures,
+			.userdata = direct,
+		});
 	direct->retries = retries_create(&retries);
 	direct->requests = g_hash_table_new(NULL, NULL);
 	direct->learnt =
@@ -127,6 +156,7 @@
 	direct_ends_destroy(direct->ends);
 	direct_quarantine_destroy(direct->quarantine);
 	pool_destroy(direct->pool);
+	direct_closures_destroy(direct->closures);
 	retries_destroy(direct->retries);
 	direct_config_unref(direct->config);
 	g_hash_table_unref(direct->requests);
@@ -218,6 +248,18 @@
 	direct_calls_run(direct->calls);
 }
 
+void direct_set_closed_domains(struct direct *direct, int64_t revision,
+			       const char *const *domains, uint32_t count)
+{
+	direct_closures_set_all(direct->closures, revision, domains, count);
+}
+
+void direct_set_domain(struct direct *direct, int64_t revision,
+		       const char *domain, bool closed)
+{
+	direct_closures_set(direct->closures, revision, domain, closed);
+}
+
 bool direct_in_doubt(const struct direct *direct)
 {
 	return pool_in_doubt(direct->pool);
@@ -233,6 +275,7 @@
 	direct->peers = peers;
 	if (peers)
 		direct->places = direct_places_create(direct, peers);
+	direct_closures_set_peers(direct->closures, peers);
 	direct_quarantine_set_peers(direct->quarantine, peers);
 	direct_stages_set_peers(direct->stages, peers);
 	open_to_peers(direct);
@@ -280,7 +323,8 @@
 
 bool direct_ready(const struct direct *direct)
 {
-	return direct->config && direct->has_upstreams;
+	return direct->config && direct->has_upstreams &&
+	       closures_is_known(direct_closures_known(direct->closures));
 }
 
 void direct_drain(struct direct *direct)
--- a/direct/direct.h
+++ b/direct/direct.h
@@ -50,6 +50,13 @@
 int64_t direct_config_version(const struct direct *direct);
 void direct_set_upstreams(struct direct *direct,
 			  const struct pool_entry *entries, uint32_t count);
+/** Operators have closed these failure domains to new work, and no others, as
+ * of this revision of theirs. */
+void direct_set_closed_domains(struct direct *direct, int64_t revision,
+			       const char *const *domains, uint32_t count);
+/** They have closed or opened one. */
+void direct_set_domain(struct direct *direct, int64_t revision,
+		       const char *domain, bool closed);
 /** Some upstream may have set its clock back: the list is to be handed in
  * again when it is known to be the same still. */
 bool direct_in_doubt(const struct direct *direct);
@@ -75,7 +82,8 @@
 void direct_offer_end(struct direct *direct, const struct quarantine_end *end);
 /** How many requests are kept out. */
 uint32_t direct_kept_out(const struct direct *direct);
-/** Whether requests can be served: configuration and upstreams are known. */
+/** Whether requests can be served: configuration, upstreams and closed domains
+ * are known. */
 bool direct_ready(const struct direct *direct);
 /** End in order: answers end their connections from now on. */
 void direct_drain(struct direct *direct);
--- a/direct/direct_config.h
+++ b/direct/direct_config.h
@@ -59,6 +59,10 @@
 	int64_t piece_us;   /**< and that of each piece */
 	int64_t room_bytes; /**< for results, one upstream */
 	int64_t linger_us;  /**< results that nobody gives up stay so long */
+	/* of upstreams that have just started */
+	int64_t cold_us;   /**< cold for so long; 0: no bound */
+	double cold_per_s; /**< requests that a cold one takes, of all entries
+			    */
 	/* of a service of model engines */
 	int64_t engine_tokens; /**< memory for prompts, in tokens */
 };
--- a/direct/direct_peers.c
+++ b/direct/direct_peers.c
@@ -64,6 +64,12 @@
 	void *userdata;
 };
 
+/* Who is told of members that are met. */
+struct greeter {
+	void (*met)(void *userdata, uint64_t peer);
+	void *userdata;
+};
+
 struct direct_peers {
 	struct direct_peers_options options;
 	char *ip;
@@ -78,8 +84,7 @@
 	GArray *listeners;   /* of struct listener */
 	void (*restarted)(void *userdata, uint64_t peer);
 	void *restarted_userdata;
-	void (*met)(void *userdata, uint64_t peer);
-	void *met_userdata;
+	GArray *greeters; /* of struct greeter */
 	int64_t version;
 	bool open; /* takes work of others */
 	bool ends;
@@ -417,15 +422,16 @@
 {
 	g_array_set_size(peers->listeners, 0);
 	peers->restarted = NULL;
-	peers->met = NULL;
+	g_array_set_size(peers->greeters, 0);
 }
 
 void direct_peers_on_met(struct direct_peers *peers,
 			 void (*met)(void *userdata, uint64_t peer),
 			 void *userdata)
 {
-	peers->met = met;
-	peers->met_userdata = userdata;
+	struct greeter greeter = { met, userdata };
+
+	g_array_append_val(peers->greeters, greeter);
 }
 
 void direct_peers_on_restart(struct direct_peers *peers,
@@ -520,8 +526,12 @@
 	note_start(peers, from, start);
 	if (is_new)
 		greet(peers, from);
-	if (is_new && peers->met)
-		peers->met(peers->met_userdata, from->hash);
+	for (guint i = 0; is_new && i < peers->greeters->len; i++) {
+		const struct greeter *greeter =
+			&g_array_index(peers->greeters, struct greeter, i);
+
+		greeter->met(greeter->userdata, from->hash);
+	}
 	peers->options.config(peers->options.userdata, from->ip, version);
 }
 
@@ -685,6 +695,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
 	peers->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
 	peers->listeners = g_array_new(FALSE, FALSE, sizeof(struct listener));
+	peers->greeters = g_array_new(FALSE, FALSE, sizeof(struct greeter));
 	peers->start = lp_random_u64();
 	peers->started_us = lp_now_us(options->clock);
 	if (!peers->options.settle_us)
@@ -714,6 +725,7 @@
 	g_hash_table_unref(peers->by_hash);
 	g_hash_table_unref(peers->peers);
 	g_array_unref(peers->listeners);
+	g_array_unref(peers->greeters);
 	g_strfreev(peers->seeds);
 	g_free(peers->ip);
 	g_free(peers);
--- a/direct/direct_peers.h
+++ b/direct/direct_peers.h
@@ -87,7 +87,8 @@
 void direct_peers_on_restart(struct direct_peers *peers,
 			     void (*restarted)(void *userdata, uint64_t peer),
 			     void *userdata);
-/** Be told when a member is heard that was not, or that has started anew. */
+/** Be told when a member is heard that was not, or that has started anew; any
+ * number of listeners. */
 void direct_peers_on_met(struct direct_peers *peers,
 			 void (*met)(void *userdata, uint64_t peer),
 			 void *userdata);
--- a/direct/direct_places.c
+++ b/direct/direct_places.c
@@ -197,7 +197,7 @@
 		return;
 	}
 	upstream = pool_find_life(places->direct->pool, engine);
-	if (upstream && upstream->entry.leaving)
+	if (upstream && !pool_is_open(upstream))
 		upstream = NULL;
 	if (!upstream) {
 		direct_places_ended(places, &place, POOL_UNKNOWN);
@@ -285,6 +285,7 @@
 	held = g_new0(struct held, 1);
 	held->key = key;
 	held->upstream = pool_hold(upstream);
+	pool_sent(direct->pool, upstream);
 	held->at_us = now(places);
 	held->cold_tokens =
 		pool_cold_tokens(upstream, ask->parts, ask->parts_count);
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -28,6 +28,7 @@
 /** Part of an engine's memory that is believed to hold prompts. */
 #define DIRECT_MEMORY_SHARE 0.8
 
+struct direct_closures;
 struct direct_ends;
 struct direct_places;
 struct direct_relay;
@@ -54,6 +55,7 @@
 	int64_t listed_us; /* when the list was handed in last */
 	int64_t end_us;	   /* about to end then; 0: it is not */
 	struct retries *retries;
+	struct direct_closures *closures;
 	struct direct_ends *ends;
 	struct direct_quarantine *quarantine;
 	struct direct_stages *stages;
@@ -101,6 +103,9 @@
 void direct_request_drop(struct direct_request *request);
 /** Its pieces have moved on; called by the stages. */
 void direct_request_advance(struct direct_request *request);
+/** Operators have closed a domain: if nothing is left that could serve it, it
+ * is refused. */
+void direct_request_domain_closed(struct direct_request *request);
 /** A piece cannot be made in time. */
 void direct_request_pieces_late(struct direct_request *request);
 
--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -274,6 +274,37 @@
 	return false;
 }
 
+/* Operators have closed all upstreams of a service that it still needs. */
+static bool needs_closed(const struct direct_request *request)
+{
+	const struct pool *pool = request->direct->pool;
+	const struct direct_route *route = request->route;
+
+	if (pool_is_closed(pool, request->service))
+		return true;
+	for (uint32_t i = 0; request->graph && i < route->stages_count; i++)
+		if (!graph_stage_made(request->graph, i) &&
+		    pool_is_closed(pool, route->stages[i].service))
+			return true;
+	return false;
+}
+
+/* Returns whether an open domain could serve it; else it is refused and gone.
+ */
+static bool is_servable(struct direct_request *request)
+{
+	if (!needs_closed(request))
+		return true;
+	direct_request_refuse(request, DIRECT_WAIT_FULL_US, "domains_closed");
+	return false;
+}
+
+void direct_request_domain_closed(struct direct_request *request)
+{
+	if (request->state == DIRECT_STATE_STAGES && request->service)
+		is_servable(request);
+}
+
 /* ---- the beginning ---- */
 
 static const struct direct_organisation *
@@ -385,7 +416,7 @@
 		return;
 	if (request->route->stages_count)
 		direct_prepare_create(request);
-	if (admit(request))
+	if (is_servable(request) && admit(request))
 		direct_request_advance(request);
 }
 
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -585,6 +585,8 @@
 		ask->share_count = 0;
 		upstream = pool_pick(pool, ask);
 	}
+	if (upstream)
+		pool_sent(pool, upstream);
 	send_to(request, upstream);
 }
 
--- a/direct/direct_stages.c
+++ b/direct/direct_stages.c
@@ -48,6 +48,7 @@
 	GHashTable *services; /* name -> struct service */
 	GHashTable *asks;     /* number -> struct ask */
 	uint64_t next_number;
+	double cold_phase; /* unlike that of other entries: warmup.h */
 	guint look_timer;
 	guint meet_timer; /* pieces wait for it; 0: members are met */
 };
@@ -187,6 +188,46 @@
 	return 0;
 }
 
+/* Ours, of what a cold upstream of a service takes. Plain services have nobody
+ * who sends on behalf of all. */
+static double cold_share(const struct direct_stages *stages,
+			 const struct service *service, uint32_t members)
+{
+	if (members < 2)
+		return WARMUP_OWNER_SHARE;
+	for (uint32_t i = 0; service && i < service->parts; i++)
+		if (service->dispatchers[i] == self_of(stages))
+			return WARMUP_OWNER_SHARE;
+	return (service ? WARMUP_OTHERS_SHARE : WARMUP_OWNER_SHARE) / members;
+}
+
+static void share_cold_upstreams(struct direct_stages *stages, uint32_t members)
+{
+	const struct direct_config *config = stages->direct->config;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!config)
+		return;
+	g_hash_table_iter_init(&iter, config->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct direct_service *figures = value;
+		struct warmup_limits limits = {
+			.cold_us = figures->cold_us,
+			.per_s = figures->cold_per_s,
+			.phase = members > 1 ? stages->cold_phase : 0,
+		};
+
+		if (!figures->cold_us || figures->cold_per_s <= 0)
+			continue;
+		limits.share = cold_share(
+			stages,
+			g_hash_table_lookup(stages->services, figures->name),
+			members);
+		pool_set_warmup(stages->direct->pool, figures->name, &limits);
+	}
+}
+
 static void find_dispatchers(struct direct_stages *stages)
 {
 	g_autoptr(GArray) members =
@@ -195,8 +236,10 @@
 	GHashTableIter iter;
 	gpointer value;
 
-	if (!stages->direct->relay)
+	if (!stages->direct->relay) {
+		share_cold_upstreams(stages, 1);
 		return;
+	}
 	direct_peers_members(stages->direct->peers, members);
 	tasks = list_tasks(stages);
 	dispatchers_find((struct dispatchers_member *)members->data,
@@ -217,6 +260,7 @@
 		if (!service->is_engines)
 			set_own_parts(stages, service);
 	}
+	share_cold_upstreams(stages, direct_peers_count(stages->direct->peers));
 }
 
 static gboolean on_look(gpointer userdata)
@@ -616,6 +660,7 @@
 					     free_ask);
 	/* Unlike those of an earlier life. */
 	stages->next_number = lp_random_u64();
+	stages->cold_phase = g_random_double();
 	stages->look_timer = lp_timer_add(LOOK_MS, on_look, stages);
 	return stages;
 }
--- a/node/node.c
+++ b/node/node.c
@@ -140,9 +140,15 @@
 {
 	struct node *node = userdata;
 
+	const struct store_watch watch = {
+		.key = CFG_KEY,
+		.changed = on_changed,
+		.ended = on_watch_ended,
+		.userdata = node,
+	};
+
 	if (on)
-		node->kv->ops->watch(node->kv, "config_watch", CFG_KEY,
-				     on_changed, on_watch_ended, node);
+		node->kv->ops->watch(node->kv, "config_watch", &watch);
 	else
 		node->kv->ops->unwatch(node->kv);
 }
--- /dev/null
+++ b/policy/closures.c
@@ -0,0 +1,92 @@
+#include "policy/closures.h"
+
+#include <string.h>
+
+#define REVISION_UNKNOWN (-1)
+
+struct closures {
+	GHashTable *domains; /* set of names */
+	int64_t revision;
+};
+
+struct closures *closures_create(void)
+{
+	struct closures *closures = g_new0(struct closures, 1);
+
+	closures->domains =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	closures->revision = REVISION_UNKNOWN;
+	return closures;
+}
+
+void closures_destroy(struct closures *closures)
+{
+	if (!closures)
+		return;
+	g_hash_table_unref(closures->domains);
+	g_free(closures);
+}
+
+static bool take_revision(struct closures *closures, int64_t revision)
+{
+	if (revision <= closures->revision)
+		return false;
+	closures->revision = revision;
+	return true;
+}
+
+bool closures_set_all(struct closures *closures, int64_t revision,
+		      const char *const *domains, uint32_t count)
+{
+	if (!take_revision(closures, revision))
+		return false;
+	g_hash_table_remove_all(closures->domains);
+	for (uint32_t i = 0; i < count; i++)
+		g_hash_table_add(closures->domains, g_strdup(domains[i]));
+	return true;
+}
+
+bool closures_set(struct closures *closures, int64_t revision,
+		  const char *domain, bool closed)
+{
+	if (!take_revision(closures, revision))
+		return false;
+	if (closed)
+		g_hash_table_add(closures->domains, g_strdup(domain));
+	else
+		g_hash_table_remove(closures->domains, domain);
+	return true;
+}
+
+bool closures_has(const struct closures *closures, const char *domain)
+{
+	return g_hash_table_contains(closures->domains, domain);
+}
+
+bool closures_is_known(const struct closures *closures)
+{
+	return closures->revision != REVISION_UNKNOWN;
+}
+
+int64_t closures_revision(const struct closures *closures)
+{
+	return closures->revision;
+}
+
+static gint by_name(gconstpointer a, gconstpointer b)
+{
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+GPtrArray *closures_list(const struct closures *closures)
+{
+	GPtrArray *list = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer name;
+
+	g_hash_table_iter_init(&iter, closures->domains);
+	while (g_hash_table_iter_next(&iter, &name, NULL))
+		g_ptr_array_add(list, name);
+	g_ptr_array_sort(list, by_name);
+	return list;
+}
--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -469,6 +469,7 @@
 	struct pieces_call *call = g_new0(struct pieces_call, 1);
 
 	call->upstream = pool_hold(upstream);
+	pool_sent(pieces->options.pool, upstream);
 	call->pieces = g_array_new(FALSE, FALSE, sizeof(struct piece));
 	room_set_linger(upstream->room, pieces->options.linger_us);
 	call->own_bytes = room_own_bytes(upstream->room);
--- a/policy/pool.c
+++ b/policy/pool.c
@@ -58,6 +58,8 @@
 	pool_restarted_fn restarted;
 	void *restarted_userdata;
 	GHashTable *services; /* name -> GPtrArray of struct pool_upstream */
+	const struct closures *closures; /* NULL: none are known */
+	GHashTable *warmups;		 /* service -> struct warmup_limits */
 };
 
 /* ---- the list ---- */
@@ -107,6 +109,8 @@
 	pool->services =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 				      (GDestroyNotify)g_ptr_array_unref);
+	pool->warmups =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return pool;
 }
 
@@ -115,6 +119,7 @@
 	if (!pool)
 		return;
 	g_hash_table_unref(pool->services);
+	g_hash_table_unref(pool->warmups);
 	g_hash_table_unref(pool->by_life);
 	g_hash_table_unref(pool->upstreams);
 	lives_destroy(pool->lives);
@@ -122,6 +127,110 @@
 	g_free(pool);
 }
 
+/* ---- closed domains, cold upstreams ---- */
+
+static const struct warmup_limits *
+limits_of(const struct pool *pool, const struct pool_upstream *upstream)
+{
+	return g_hash_table_lookup(pool->warmups, upstream->entry.service);
+}
+
+static void note_cold(const struct pool *pool, struct pool_upstream *upstream,
+		      int64_t for_us)
+{
+	int64_t now_us = lp_now_us(pool->clock);
+
+	warmup_begin(&upstream->warmup, limits_of(pool, upstream), now_us,
+		     now_us + for_us);
+}
+
+/* It may have started unnoticed: cold for as long as one that has. */
+static void suspect_cold(const struct pool *pool,
+			 struct pool_upstream *upstream)
+{
+	const struct warmup_limits *limits = limits_of(pool, upstream);
+
+	if (limits)
+		note_cold(pool, upstream, limits->cold_us);
+}
+
+static bool is_closed(const struct pool *pool,
+		      const struct pool_upstream *upstream)
+{
+	return pool->closures &&
+	       closures_has(pool->closures, upstream->entry.domain);
+}
+
+uint32_t pool_close(struct pool *pool, const struct closures *closures)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t changes = 0;
+
+	pool->closures = closures;
+	g_hash_table_iter_init(&iter, pool->upstreams);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct pool_upstream *upstream = value;
+		bool closed = is_closed(pool, upstream);
+
+		if (closed == upstream->closed)
+			continue;
+		upstream->closed = closed;
+		changes++;
+		if (!closed)
+			suspect_cold(pool, upstream);
+	}
+	return changes;
+}
+
+void pool_set_warmup(struct pool *pool, const char *service,
+		     const struct warmup_limits *limits)
+{
+	g_hash_table_replace(pool->warmups, g_strdup(service),
+			     g_memdup2(limits, sizeof(*limits)));
+}
+
+void pool_sent(struct pool *pool, struct pool_upstream *upstream)
+{
+	warmup_sent(&upstream->warmup, limits_of(pool, upstream),
+		    lp_now_us(pool->clock));
+}
+
+bool pool_is_open(const struct pool_upstream *upstream)
+{
+	return upstream->listed && !upstream->entry.leaving &&
+	       !upstream->closed;
+}
+
+bool pool_is_closed(const struct pool *pool, const char *service)
+{
+	const GPtrArray *list = pool_of_service(pool, service);
+	bool any = false;
+
+	for (guint i = 0; list && i < list->len; i++) {
+		const struct pool_upstream *upstream =
+			g_ptr_array_index(list, i);
+
+		if (upstream->entry.leaving)
+			continue;
+		if (!upstream->closed)
+			return false;
+		any = true;
+	}
+	return any;
+}
+
+/* Whether it may get something at this moment, as far as others' safety goes.
+ */
+static bool may_send(const struct pool *pool,
+		     const struct pool_upstream *upstream)
+{
+	return pool_is_open(upstream) &&
+	       warmup_may_send(&upstream->warmup, lp_now_us(pool->clock));
+}
+
+/* ---- the list ---- */
+
 static struct pool_upstream *create_upstream(const struct pool *pool,
 					     const struct pool_entry *entry)
 {
@@ -148,6 +257,8 @@
 	upstream->room = room_create(&room);
 	upstream->parts = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						g_free, g_free);
+	upstream->closed = is_closed(pool, upstream);
+	note_cold(pool, upstream, entry->cold_us);
 	return upstream;
 }
 
@@ -222,6 +333,8 @@
 		follow_life(pool, upstream, entry);
 		return true;
 	}
+	if (entry->cold_us)
+		note_cold(pool, upstream, entry->cold_us);
 	changed = upstream->entry.leaving != entry->leaving;
 	upstream->entry.slots = entry->slots;
 	upstream->entry.leaving = entry->leaving;
@@ -302,6 +415,7 @@
 	entry.born_ms = born_ms;
 	clear_index(pool);
 	after = follow_life(pool, listed, &entry);
+	suspect_cold(pool, after);
 	index_upstreams(pool);
 	return after;
 }
@@ -443,6 +557,7 @@
 			  MIN(MAX(ASIDE_FIRST_US, took_us) << doublings,
 			      ASIDE_MAX_US));
 		upstream->failures++;
+		suspect_cold(pool, upstream);
 	} else {
 		upstream->failures = 0;
 	}
@@ -477,7 +592,7 @@
 
 bool pool_usable(const struct pool *pool, const struct pool_upstream *upstream)
 {
-	return upstream->listed && !upstream->entry.leaving &&
+	return may_send(pool, upstream) &&
 	       lp_now_us(pool->clock) >= upstream->aside_until_us;
 }
 
@@ -520,7 +635,7 @@
 			g_ptr_array_index(list, i);
 		uint64_t rank = home_rank(ask, upstream);
 
-		if (upstream->entry.leaving || rank <= best ||
+		if (!pool_is_open(upstream) || rank <= best ||
 		    !is_in_share(ask, upstream))
 			continue;
 		best = rank;
@@ -599,7 +714,7 @@
 		bool usable = pool_usable(pool, upstream);
 		double cost;
 
-		if (upstream->entry.leaving || !is_in_share(ask, upstream) ||
+		if (!may_send(pool, upstream) || !is_in_share(ask, upstream) ||
 		    was_tried(ask, upstream->entry.id))
 			continue;
 		fade_beliefs(upstream, now_us);
--- a/policy/pool.h
+++ b/policy/pool.h
@@ -11,7 +11,9 @@
 #define POOL_H
 
 #include "base/lp_clock.h"
+#include "policy/closures.h"
 #include "policy/room.h"
+#include "policy/warmup.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -31,6 +33,7 @@
 	uint32_t slots;
 	bool leaving;
 	int64_t born_ms; /**< wall clock at its start; 0: not said */
+	int64_t cold_us; /**< cold for so long yet, by the list; 0: it is not */
 };
 
 /** One life of an upstream: lives.h. */
@@ -40,6 +43,8 @@
 			  life keeps */
 	uint64_t life; /**< of its id and start: names it to others */
 	bool listed;
+	bool closed; /**< operators have closed its domain */
+	struct warmup warmup;
 	uint32_t in_flight;	/**< our requests or calls there */
 	int64_t tokens_ahead;	/**< prompt tokens we sent, not read yet */
 	int64_t aside_until_us; /**< gets nothing before, if others can */
@@ -117,6 +122,18 @@
 /** The list names a life that seems to have ended: the same list may have to
  * be taken again. */
 bool pool_in_doubt(const struct pool *pool);
+/** Domains that are closed to new work: borrowed, and looked at again with each
+ * call. Returns how many upstreams were closed or opened by it. */
+uint32_t pool_close(struct pool *pool, const struct closures *closures);
+/** Bounds of a service's upstreams while they are cold; copied. */
+void pool_set_warmup(struct pool *pool, const char *service,
+		     const struct warmup_limits *limits);
+/** A request or call goes there now. */
+void pool_sent(struct pool *pool, struct pool_upstream *upstream);
+/** Whether it may get anything new at all, now or later. */
+bool pool_is_open(const struct pool_upstream *upstream);
+/** Whether a service has upstreams, and all of them are closed. */
+bool pool_is_closed(const struct pool *pool, const char *service);
 /** Where all entries would place a prompt of these parts, or NULL. */
 const struct pool_upstream *pool_home(const struct pool *pool,
 				      const struct pool_ask *ask);
--- a/store/store_etcd.c
+++ b/store/store_etcd.c
@@ -452,10 +452,8 @@
 	return etcd->watch_cancel != NULL;
 }
 
-static void
-etcd_watch(struct store_kv *kv, const char *purpose, const char *key,
-	   void (*changed)(void *userdata, const struct store_pair *pair),
-	   void (*ended)(void *userdata, int error), void *userdata)
+static void etcd_watch(struct store_kv *kv, const char *purpose,
+		       const struct store_watch *watch)
 {
 	struct etcd *etcd = (struct etcd *)kv;
 	g_autoptr(JsonBuilder) builder = json_builder_new();
@@ -466,14 +464,14 @@
 
 	etcd_unwatch(kv);
 	count_call(etcd, purpose);
-	etcd->watch_changed = changed;
-	etcd->watch_ended = ended;
-	etcd->watch_userdata = userdata;
+	etcd->watch_changed = watch->changed;
+	etcd->watch_ended = watch->ended;
+	etcd->watch_userdata = watch->userdata;
 	etcd->watch_cancel = g_cancellable_new();
 	json_builder_begin_object(builder);
 	json_builder_set_member_name(builder, "create_request");
 	json_builder_begin_object(builder);
-	add_b64(builder, "key", key);
+	add_b64(builder, "key", watch->key);
 	json_builder_end_object(builder);
 	json_builder_end_object(builder);
 	body = lp_json_print(builder);
--- a/store/store_kv.h
+++ b/store/store_kv.h
@@ -51,6 +51,22 @@
 	int64_t lease;
 };
 
+/** What a watch hears of. */
+struct store_watch {
+	const char *key;
+	bool is_prefix; /**< all keys that begin with `key`; not of store_etcd
+			 */
+	/** Of a prefix: all that stands there at this revision, when the watch
+	 * begins and whenever it has had to read anew. */
+	void (*read)(void *userdata, int64_t revision,
+		     const struct store_pair *pairs, uint32_t count);
+	/** A new value; of a prefix also a key that is gone: value NULL. */
+	void (*changed)(void *userdata, const struct store_pair *pair);
+	/** Once, when the watch breaks. */
+	void (*ended)(void *userdata, int error);
+	void *userdata;
+};
+
 /** `purpose` names the counter the call is counted under. */
 struct store_kv_ops {
 	/** Read a key, or all keys with this prefix. */
@@ -69,14 +85,9 @@
 			    void (*done)(void *userdata,
 					 const struct store_answer *answer),
 			    void *userdata);
-	/**
-	 * Watch one key. changed() for each new value, after which ended()
-	 * once with an error when the watch breaks. Only one a key.
-	 */
-	void (*watch)(struct store_kv *kv, const char *purpose, const char *key,
-		      void (*changed)(void *userdata,
-				      const struct store_pair *pair),
-		      void (*ended)(void *userdata, int error), void *userdata);
+	/** Begin the watch; there is one at a time. Copied, but for the key. */
+	void (*watch)(struct store_kv *kv, const char *purpose,
+		      const struct store_watch *watch);
 	/** End the watch; ended() is not called. */
 	void (*unwatch)(struct store_kv *kv);
 	/** Whether a watch waits, and nothing of an answer is coming: it may
--- a/tests/evacuation_test.cc
+++ b/tests/evacuation_test.cc
@@ -207,4 +207,65 @@
 	}));
 }
 
+/* ---- cold upstreams ---- */
+
+/* The sample with a bound for engines that have just started. */
+void set_cold_config(Rig &rig, int64_t version)
+{
+	char *text = pe_sample_config(version);
+	std::string json = text;
+	const std::string engine = "{\"name\":\"engine\",";
+
+	g_free(text);
+	json.replace(json.find(engine), engine.size(),
+		     engine + "\"cold_s\":2,\"cold_per_s\":4,");
+	pe_set_config(rig.platform, json.c_str());
+}
+
+/* All engines are cold at once and get all traffic: no more than their bound
+ * goes to each, and what cannot go is refused at once. */
+TEST(ColdUpstreams, GetNoMoreThanTheirBound)
+{
+	Rig rig;
+	pe_upstream *cold[] = { rig.add(PE_ENGINE, "engine"),
+				rig.add(PE_ENGINE, "engine") };
+	std::vector<std::unique_ptr<Ask>> asks;
+	int refused = 0;
+
+	set_cold_config(rig, 2);
+	rig.settle(2);
+	for (pe_upstream *engine : cold)
+		pe_set_cold(engine, 5000);
+	wait_ms(600);
+	for (int i = 0; i < 100; i++) {
+		asks.push_back(std::make_unique<Ask>(
+			rig.address, std::to_string(i).c_str(), "/once/x",
+			Fields{ { "X-Token-Counts", "10,6" },
+				{ "X-Prompt-Prefix", "a:5,b:5" } }));
+		wait_ms(10);
+	}
+	for (auto &ask : asks)
+		refused += ask->wait().status == 503;
+	for (pe_upstream *engine : cold) {
+		EXPECT_LE(pe_arrivals(engine), 5u);
+		EXPECT_GE(pe_arrivals(engine), 2u);
+	}
+	EXPECT_GT(refused, 80);
+}
+
+/* ... and the open and warm ones get the rest. */
+TEST(ColdUpstreams, LeaveTheRestToThoseThatAreWarm)
+{
+	Rig rig;
+	pe_upstream *cold = rig.add(PE_ENGINE, "engine");
+
+	rig.add(PE_ENGINE, "engine");
+	set_cold_config(rig, 2);
+	rig.settle(2);
+	pe_set_cold(cold, 5000);
+	wait_ms(600);
+	for (int i = 0; i < 40; i++)
+		EXPECT_EQ(ask(rig, "/once/x"), whole);
+}
+
 } // namespace
--- a/tests/feed_test.cc
+++ b/tests/feed_test.cc
@@ -49,11 +49,10 @@
 			of(kv)->range_done = done;
 			of(kv)->range_userdata = userdata;
 		};
-		ops.watch = [](store_kv *kv, const char *, const char *,
-			       void (*)(void *, const store_pair *),
-			       void (*ended)(void *, int), void *userdata) {
-			of(kv)->watch_ended = ended;
-			of(kv)->watch_userdata = userdata;
+		ops.watch = [](store_kv *kv, const char *,
+			       const store_watch *watch) {
+			of(kv)->watch_ended = watch->ended;
+			of(kv)->watch_userdata = watch->userdata;
 			of(kv)->watched = true;
 			of(kv)->watches++;
 		};
--- a/tests/pool_rig.h
+++ b/tests/pool_rig.h
@@ -30,6 +30,7 @@
 				     g_strdup(domain),
 				     4,
 				     false,
+				     0,
 				     0 };
 
 		entries.push_back(entry);
--- a/tools/pe.c
+++ b/tools/pe.c
@@ -292,10 +292,10 @@
 	return g_strdup_printf(
 		"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
 		"\"version\":\"v1\",\"slots\":4,\"state\":\"%s\","
-		"\"cold_left_ms\":0,\"seq_no\":1%s}",
+		"\"cold_left_ms\":%u,\"seq_no\":1%s}",
 		upstream->service, upstream->listener->address,
 		upstream->domain, upstream->draining ? "draining" : "ready",
-		upstream->pe->no_start ? "" : born);
+		upstream->cold_ms, upstream->pe->no_start ? "" : born);
 }
 
 void pe_write(struct pe *pe, const char *id, const void *bytes, size_t size)
@@ -317,6 +317,12 @@
 	pe_store_remove(pe, key);
 }
 
+void pe_set_cold(struct pe_upstream *upstream, uint32_t cold_ms)
+{
+	upstream->cold_ms = cold_ms;
+	pe_tell(upstream);
+}
+
 void pe_evacuate(struct pe *pe, const char *domain)
 {
 	g_autofree char *key = g_strconcat(EVACUATIONS_PREFIX, domain, NULL);
--- a/tools/pe.h
+++ b/tools/pe.h
@@ -73,6 +73,8 @@
 void pe_fault(struct pe_upstream *upstream, enum pe_fault fault);
 /** How long a request or call takes. */
 void pe_set_work_ms(struct pe_upstream *upstream, uint32_t work_ms);
+/** Write that it is cold for so long yet; 0: it is not. */
+void pe_set_cold(struct pe_upstream *upstream, uint32_t cold_ms);
 /** Write that it is draining. */
 void pe_drain(struct pe_upstream *upstream);
 /** Its process is replaced by one of another id at the same address; the
--- a/tools/pe_private.h
+++ b/tools/pe_private.h
@@ -42,6 +42,7 @@
 	char *other_id;	 /**< of a process that took the address; or NULL */
 	int64_t born_ms; /**< wall clock, as it says it */
 	bool draining;
+	uint32_t cold_ms; /**< as its entry says */
 	char *service;
 	char *domain;
 	uint32_t work_ms;
