A placer asks engines what they have in memory

Cause: after all entries lost power, and after each change of the placer, prefixes that engines still held were believed to be nowhere: they were read again, or copied from nowhere.

Tests: EngineMemory.*; IsAskedByAnEntryThatStarts is red without the question (run).

--- a/direct/direct.c
+++ b/direct/direct.c
@@ -128,6 +128,12 @@
 	});
 	direct->calls = direct_calls_create(direct);
 	direct->results = direct_results_create(direct);
+	direct->memory = direct_memory_create(&(struct direct_memory_options){
+		.clock = options->clock,
+		.log = options->log,
+		.codec = options->codec,
+		.pool = direct->pool,
+	});
 	direct->stages = direct_stages_create(direct);
 	direct->answer_times = lp_histogram_create(
 		options->counters, "linepier_answer_milliseconds");
@@ -155,6 +161,7 @@
 	direct_stages_destroy(direct->stages);
 	direct_ends_destroy(direct->ends);
 	direct_quarantine_destroy(direct->quarantine);
+	direct_memory_destroy(direct->memory);
 	pool_destroy(direct->pool);
 	direct_closures_destroy(direct->closures);
 	retries_destroy(direct->retries);
--- /dev/null
+++ b/direct/direct_memory.h
@@ -0,0 +1,34 @@
+/**
+ * What engines have in memory, asked of them by an entry that begins to place
+ * prompts there.
+ *
+ * A placer knows prefixes by the prompts it has placed. One that has just
+ * started, or taken over, knows none: it would have prompts read again that
+ * engines still hold. So it asks each engine once. The question delays an
+ * engine's work a little and answers are some KB, so an engine is not asked
+ * again for a while, and not by entries that do not place.
+ */
+#ifndef DIRECT_MEMORY_H
+#define DIRECT_MEMORY_H
+
+#include "base/lp_event.h"
+#include "direct/direct_codec.h"
+#include "policy/pool.h"
+
+struct direct_memory;
+
+struct direct_memory_options {
+	const struct lp_clock *clock;
+	struct lp_event_log *log;
+	const struct direct_codec *codec;
+	struct pool *pool;
+};
+
+struct direct_memory *
+direct_memory_create(const struct direct_memory_options *options);
+/** Questions under way end; before the pool does. */
+void direct_memory_destroy(struct direct_memory *memory);
+/** Ask all engines of a service that have not been asked lately. */
+void direct_memory_ask(struct direct_memory *memory, const char *service);
+
+#endif
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -6,6 +6,7 @@
 #include "direct/direct.h"
 #include "direct/direct_calls.h"
 #include "direct/direct_ends.h"
+#include "direct/direct_memory.h"
 #include "direct/direct_peers.h"
 #include "direct/direct_quarantine.h"
 #include "http/http_client.h"
@@ -61,6 +62,7 @@
 	struct direct_stages *stages;
 	struct direct_calls *calls;
 	struct direct_results *results;
+	struct direct_memory *memory;
 	struct direct_peers *peers;   /* NULL: no other entries are known */
 	struct direct_relay *relay;   /* NULL: likewise */
 	struct direct_places *places; /* NULL: likewise */
--- a/direct/direct_stages.c
+++ b/direct/direct_stages.c
@@ -23,6 +23,7 @@
 struct service {
 	char *name;
 	bool is_engines; /* prompts are placed there, no pieces dispatched */
+	bool is_ours;	 /* and we place some of them, members being met */
 	uint32_t parts;
 	uint64_t dispatchers[PARTS_MAX];
 	struct admission_memory learnt[DIRECT_RANKS];
@@ -188,6 +189,15 @@
 	return 0;
 }
 
+static bool places_some(const struct direct_stages *stages,
+			const struct service *service)
+{
+	for (uint32_t i = 0; i < service->parts; i++)
+		if (service->dispatchers[i] == self_of(stages))
+			return true;
+	return false;
+}
+
 /* Ours, of what a cold upstream of a service takes. Plain services have nobody
  * who sends on behalf of all. */
 static double cold_share(const struct direct_stages *stages,
@@ -195,9 +205,8 @@
 {
 	if (members < 2)
 		return WARMUP_OWNER_SHARE;
-	for (uint32_t i = 0; service && i < service->parts; i++)
-		if (service->dispatchers[i] == self_of(stages))
-			return WARMUP_OWNER_SHARE;
+	if (service && places_some(stages, service))
+		return WARMUP_OWNER_SHARE;
 	return (service ? WARMUP_OTHERS_SHARE : WARMUP_OWNER_SHARE) / members;
 }
 
@@ -263,9 +272,31 @@
 	share_cold_upstreams(stages, direct_peers_count(stages->direct->peers));
 }
 
+/* Whoever begins to place prompts asks what is in the engines' memory. */
+static void take_over_engines(struct direct_stages *stages)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (stages->meet_timer || !direct_ready(stages->direct))
+		return;
+	g_hash_table_iter_init(&iter, stages->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct service *service = value;
+		bool was_ours = service->is_ours;
+
+		service->is_ours =
+			service->is_engines && places_some(stages, service);
+		if (service->is_ours && !was_ours)
+			direct_memory_ask(stages->direct->memory,
+					  service->name);
+	}
+}
+
 static gboolean on_look(gpointer userdata)
 {
 	find_dispatchers(userdata);
+	take_over_engines(userdata);
 	return G_SOURCE_CONTINUE;
 }
 
@@ -478,6 +509,7 @@
 	stages->meet_timer = 0;
 	waiting = g_hash_table_get_values(stages->asks);
 	find_dispatchers(stages);
+	take_over_engines(stages);
 	for (GList *at = waiting; at; at = at->next)
 		place(stages, at->data);
 	return G_SOURCE_REMOVE;
--- a/policy/pool.c
+++ b/policy/pool.c
@@ -674,6 +674,36 @@
 		forget_oldest(upstream);
 }
 
+static gboolean is_read_part(gpointer id, gpointer value, gpointer userdata)
+{
+	const int64_t *now_us = userdata;
+
+	return ((const struct part *)value)->ready_us <= *now_us;
+}
+
+void pool_set_memory(struct pool *pool, struct pool_upstream *upstream,
+		     const struct pool_part *parts, uint32_t count)
+{
+	int64_t now_us = lp_now_us(pool->clock);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_foreach_remove(upstream->parts, is_read_part, &now_us);
+	for (uint32_t i = 0; i < count; i++) {
+		struct part part = { parts[i].tokens, now_us, now_us };
+
+		if (!g_hash_table_contains(upstream->parts, &parts[i].id))
+			g_hash_table_insert(
+				upstream->parts,
+				g_memdup2(&parts[i].id, sizeof(parts[i].id)),
+				g_memdup2(&part, sizeof(part)));
+	}
+	upstream->parts_tokens = 0;
+	g_hash_table_iter_init(&iter, upstream->parts);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		upstream->parts_tokens += ((const struct part *)value)->tokens;
+}
+
 static void fade_beliefs(struct pool_upstream *upstream, int64_t now_us)
 {
 	int64_t quiet_us = now_us - upstream->seen_us;
--- a/policy/pool.h
+++ b/policy/pool.h
@@ -45,16 +45,18 @@
 	bool listed;
 	bool closed; /**< operators have closed its domain */
 	struct warmup warmup;
-	uint32_t in_flight;	/**< our requests or calls there */
-	int64_t tokens_ahead;	/**< prompt tokens we sent, not read yet */
-	int64_t aside_until_us; /**< gets nothing before, if others can */
-	uint32_t failures;	/**< in a row */
-	double error_share;	/**< of late answers, 0 to 1 */
-	double slowness;	/**< time taken / time expected, fading */
-	int64_t busy_until_us;	/**< with calls of others */
-	struct room *room;	/**< for results of stages */
-	int64_t room_asked_us;	/**< when it was asked of its room; 0: never */
-	int64_t room_heard_us;	/**< when it told of it; 0: never */
+	uint32_t in_flight;	 /**< our requests or calls there */
+	int64_t tokens_ahead;	 /**< prompt tokens we sent, not read yet */
+	int64_t aside_until_us;	 /**< gets nothing before, if others can */
+	uint32_t failures;	 /**< in a row */
+	double error_share;	 /**< of late answers, 0 to 1 */
+	double slowness;	 /**< time taken / time expected, fading */
+	int64_t busy_until_us;	 /**< with calls of others */
+	struct room *room;	 /**< for results of stages */
+	int64_t room_asked_us;	 /**< when it was asked of its room; 0: never */
+	int64_t room_heard_us;	 /**< when it told of it; 0: never */
+	int64_t memory_asked_us; /**< when it was asked of its memory; 0: never
+				  */
 	/* private */
 	uint32_t refs;
 	GHashTable *parts; /* part id -> struct part */
@@ -168,6 +170,10 @@
 void pool_remember(struct pool *pool, struct pool_upstream *upstream,
 		   const struct pool_part *parts, uint32_t count,
 		   int64_t capacity_tokens);
+/** An engine says which parts it has in memory: these, and no others but those
+ * that it is believed to be reading. */
+void pool_set_memory(struct pool *pool, struct pool_upstream *upstream,
+		     const struct pool_part *parts, uint32_t count);
 /**
  * Learn from an outcome. `took_us` and `expected_us` compare the time of an
  * answer with what was expected; 0: not known. Of a failure, `took_us` is how
--- a/tests/copy_test.cc
+++ b/tests/copy_test.cc
@@ -2,6 +2,7 @@
  * Long shared prompts, of which another engine than the one that gets a
  * request has the start in memory: it is copied, not read again.
  */
+#include "direct_rig.h"
 #include "pool_rig.h"
 
 #include <gtest/gtest.h>
@@ -121,4 +122,92 @@
 	closures_destroy(closed);
 }
 
+/* ---- what engines say they have ---- */
+
+TEST(EngineMemory, TakesThePlaceOfWhatWasBelieved)
+{
+	CopyingPool pool;
+	const pool_part told[] = { { 9, 700 } };
+
+	pool.pass_ms(1000);
+	pool_set_memory(pool.it, pool.home, told, 1);
+	EXPECT_EQ(pool_cold_tokens(pool.home, prompt.data(), 2), 14000);
+	EXPECT_EQ(pool_cold_tokens(pool.home, &told[0], 1), 0);
+}
+
+/* An answer that was on its way may not know of a prompt sent meanwhile. */
+TEST(EngineMemory, LeavesWhatIsBeingRead)
+{
+	CopyingPool pool;
+
+	pool_set_memory(pool.it, pool.home, nullptr, 0);
+	EXPECT_EQ(pool_cold_tokens(pool.home, prompt.data(), 2), 0);
+}
+
+TEST(EngineMemory, IsReadWholeOrNotAtAll)
+{
+	const struct {
+		const char *body;
+		bool whole;
+		guint parts;
+	} rows[] = {
+		{ "{\"held\":[[\"\",\"5c1e\",800,\"m\"],"
+		  "[\"\",\"91bd\",410,\"m\"]]}",
+		  true, 2 },
+		{ "{\"epoch\":3,\"next\":9,\"held\":[]}", true, 0 },
+		{ "", false, 0 },
+		{ "{}", false, 0 },
+		{ "[]", false, 0 },
+		{ "{\"held\":{}}", false, 0 },
+		{ "{\"held\":[7]}", false, 0 },
+		{ "{\"held\":[[]]}", false, 0 },
+		{ "{\"held\":[[\"\",7,800,\"m\"]]}", false, 0 },
+		{ "{\"held\":[[\"\",\"5c1e\",-1,\"m\"]]}", false, 0 },
+		{ "{\"held\":[[\"\",\"5c1e\",\"800\",\"m\"]]}", false, 0 },
+		{ "{\"held\":[[\"\",{},800,\"m\"]]}", false, 0 },
+		{ "{\"held\":[[\"\",\"5c1e\",800,\"m\"]]", false, 0 },
+	};
+
+	for (const auto &row : rows) {
+		GArray *parts =
+			g_array_new(FALSE, FALSE, sizeof(struct pool_part));
+
+		EXPECT_EQ(plf_codec()->read_memory(row.body, strlen(row.body),
+						   parts),
+			  row.whole)
+			<< row.body;
+		EXPECT_TRUE(!row.whole || parts->len == row.parts) << row.body;
+		g_array_unref(parts);
+	}
+}
+
+/* All entries lose power: who places prompts then learns from the engines what
+ * they hold, and expects nothing of it to be read again. */
+TEST(EngineMemory, IsAskedByAnEntryThatStarts)
+{
+	Rig before;
+	const Fields fields = { { "X-Token-Counts", "9400,6" },
+				{ "X-Prompt-Prefix", "aa:9000,b1:400" } };
+
+	for (int i = 0; i < 4; i++)
+		before.add(PE_ENGINE, "engine");
+	before.settle();
+	EXPECT_EQ(Ask(before.address, "m1", "/once/x", fields).wait().status,
+		  200u);
+	Rig after(&before);
+
+	before.end();
+	after.settle();
+	turn_until([] { return false; }, 500);
+	EXPECT_EQ(Ask(after.address, "m2", "/once/x",
+		      Fields{ { "X-Token-Counts", "9400,6" },
+			      { "X-Prompt-Prefix", "aa:9000,b2:400" } })
+			  .wait()
+			  .status,
+		  200u);
+	EXPECT_EQ(*lp_counter(after.counters, "linepier_prompt_tokens_total",
+			      "cached=\"no\""),
+		  400);
+}
+
 } // namespace
