Homes: regions of a route and of its organisation bind calls, pieces and prompts

allowed_regions was read nowhere: on a deployment of several regions a request could have reached an upstream in any of them. Both sets are read once with the configuration, their common part goes with the request, with its pieces to their dispatcher and with its prompt to its placer; memory is copied only within it. What no open upstream in these regions can serve is refused at once.

--- a/direct/direct.c
+++ b/direct/direct.c
@@ -255,6 +255,12 @@
 	direct_calls_run(direct->calls);
 }
 
+void direct_set_region(struct direct *direct, const char *domain,
+		       const char *region)
+{
+	pool_set_region(direct->pool, domain, region);
+}
+
 void direct_set_closed_domains(struct direct *direct, int64_t revision,
 			       const char *const *domains, uint32_t count)
 {
--- a/direct/direct.h
+++ b/direct/direct.h
@@ -50,6 +50,9 @@
 int64_t direct_config_version(const struct direct *direct);
 void direct_set_upstreams(struct direct *direct,
 			  const struct pool_entry *entries, uint32_t count);
+/** The region of a failure domain; before the first list. */
+void direct_set_region(struct direct *direct, const char *domain,
+		       const char *region);
 /** Operators have closed these failure domains to new work, and no others, as
  * of this revision of theirs. */
 void direct_set_closed_domains(struct direct *direct, int64_t revision,
--- a/direct/direct_config.h
+++ b/direct/direct_config.h
@@ -6,6 +6,8 @@
 #ifndef DIRECT_CONFIG_H
 #define DIRECT_CONFIG_H
 
+#include "policy/homes.h"
+
 #include <glib.h>
 #include <stdbool.h>
 #include <stddef.h>
@@ -46,8 +48,9 @@
 	uint32_t shares_count;
 	struct direct_stage *stages;
 	uint32_t stages_count;
-	bool is_public; /**< needs no key */
-	bool resumes;	/**< a stream may go on at another upstream */
+	const char *homes; /**< regions that may have it: policy/homes.h */
+	bool is_public;	   /**< needs no key */
+	bool resumes;	   /**< a stream may go on at another upstream */
 };
 
 struct direct_service {
@@ -72,7 +75,8 @@
 
 struct direct_organisation {
 	char *name;
-	int32_t priority; /**< compared before the route's; negative: none */
+	int32_t priority;  /**< compared before the route's; negative: none */
+	const char *homes; /**< regions that may have its requests */
 };
 
 struct direct_limits {
--- a/direct/direct_places.c
+++ b/direct/direct_places.c
@@ -10,8 +10,8 @@
 #define KIND_STATE 'E'
 
 /* number, service, parts (id, tokens), tried, domain and bytes of what is
- * fetched, us until the target */
-#define PLACE_TYPE "(tsa(tx)atsxx)"
+ * fetched, us until the target, regions */
+#define PLACE_TYPE "(tsa(tx)atsxxs)"
 /* number, engine, source of a copy, copied, cold tokens, tokens ahead */
 #define PLACED_TYPE "(tttxxx)"
 #define STATE_TYPE "(tuxx)" /* number, state, took and expected us */
@@ -131,10 +131,10 @@
 {
 	uint64_t number = places->next_number++;
 	g_autoptr(GVariant) body = g_variant_ref_sink(g_variant_new(
-		"(ts@a(tx)@atsxx)", (guint64)number, ask->service,
+		"(ts@a(tx)@atsxxs)", (guint64)number, ask->service,
 		write_parts(ask), write_tried(ask),
 		ask->domain ? ask->domain : "", (gint64)ask->fetch_bytes,
-		(gint64)ask->target_us));
+		(gint64)ask->target_us, homes_write(ask->homes)));
 	struct question *question;
 
 	if (!direct_peers_send(places->peers, placer, KIND_PLACE, body))
@@ -294,8 +294,7 @@
 	held->upstream = pool_hold(upstream);
 	pool_sent(direct->pool, upstream);
 	held->at_us = now(places);
-	copy = pool_find_copy(direct->pool, upstream, ask->parts,
-			      ask->parts_count);
+	copy = pool_find_copy(direct->pool, upstream, ask);
 	held->source = copy.from ? copy.from->life : 0;
 	held->copied_tokens = copy.tokens;
 	held->cold_tokens =
@@ -334,12 +333,15 @@
 	struct pool_ask ask = { 0 };
 	const struct held *held;
 	const char *domain;
+	const char *homes;
 	guint64 number;
 
 	if (!direct_ready(places->direct))
 		return;
-	g_variant_get(body, "(t&s@a(tx)@at&sxx)", &number, &ask.service, &list,
-		      &tried_list, &domain, &ask.fetch_bytes, &ask.target_us);
+	g_variant_get(body, "(t&s@a(tx)@at&sxx&s)", &number, &ask.service,
+		      &list, &tried_list, &domain, &ask.fetch_bytes,
+		      &ask.target_us, &homes);
+	ask.homes = homes_read(homes);
 	parts = read_parts(list, &ask.parts_count);
 	tried = read_tried(places, ask.service, tried_list);
 	ask.parts = parts;
--- a/direct/direct_prepare.c
+++ b/direct/direct_prepare.c
@@ -133,6 +133,7 @@
 	const struct pool_upstream *near = NULL;
 	struct pool_ask ask = {
 		.service = request->service,
+		.homes = request->homes,
 		.parts = (struct pool_part *)request->ask.parts->data,
 		.parts_count = request->ask.parts->len,
 	};
@@ -229,6 +230,7 @@
 			.until_us = request->give_up_us,
 			.priority = request->priority,
 			.bytes = config->bytes,
+			.homes = request->homes,
 			.has_inputs = config->after_count > 0,
 			.holds_room = holds_room(request, stage),
 			.alone = request->is_try,
--- a/direct/direct_relay.c
+++ b/direct/direct_relay.c
@@ -15,8 +15,8 @@
 #define KIND_GIVE_UP 'G'
 
 /* number, service, request, key, stage, pieces, inputs, due and useless in so
- * many us, priority, bytes, flags, domain and bytes of what is near */
-#define ASK_TYPE "(tsssuauasxxixusx)"
+ * many us, priority, bytes, flags, domain and bytes of what is near, regions */
+#define ASK_TYPE "(tsssuauasxxixusxs)"
 #define TAKEN_TYPE "(tax)" /* number, waits a rank */
 #define DROP_TYPE "(t)"	   /* number */
 /* number, serial, results (piece, result, maker, handle), waits a rank */
@@ -274,7 +274,7 @@
 			 (piece->alone ? FLAG_ALONE : 0);
 
 	return g_variant_ref_sink(g_variant_new(
-		"(tsssu@au@asxxixusx)", (guint64)number, work->service,
+		"(tsssu@au@asxxixusxs)", (guint64)number, work->service,
 		work->id, work->key ? work->key : "", piece->stage,
 		g_variant_new_fixed_array(G_VARIANT_TYPE_UINT32,
 					  work->indices->data,
@@ -282,7 +282,7 @@
 		strings(work->inputs), (gint64)(piece->due_us - now_us),
 		(gint64)(piece->until_us - now_us), piece->priority,
 		(gint64)piece->bytes, flags, piece->near ? piece->near : "",
-		(gint64)piece->near_bytes));
+		(gint64)piece->near_bytes, homes_write(piece->homes)));
 }
 
 bool direct_relay_ask(struct direct_relay *relay, uint64_t peer,
@@ -505,6 +505,7 @@
 	g_autoptr(GVariant) inputs = NULL;
 	int64_t now_us = now(relay);
 	const char *near;
+	const char *homes;
 	guint64 number;
 	gint64 due_us;
 	gint64 until_us;
@@ -512,10 +513,10 @@
 	gsize count;
 	const void *cells;
 
-	g_variant_get(body, "(tsssu@au@asxxixu&sx)", &number, &work->service,
+	g_variant_get(body, "(tsssu@au@asxxixu&sx&s)", &number, &work->service,
 		      &work->id, &work->key, &piece->stage, &indices, &inputs,
 		      &due_us, &until_us, &piece->priority, &piece->bytes,
-		      &flags, &near, &piece->near_bytes);
+		      &flags, &near, &piece->near_bytes, &homes);
 	cells = g_variant_get_fixed_array(indices, &count, sizeof(uint32_t));
 	work->indices = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	g_array_append_vals(work->indices, cells, (guint)count);
@@ -530,6 +531,7 @@
 	piece->alone = flags & FLAG_ALONE;
 	/* Domains are few. */
 	piece->near = *near ? g_intern_string(near) : NULL;
+	piece->homes = homes_read(homes);
 }
 
 static void confirm_ask(struct direct_relay *relay, const struct served *served)
--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -274,17 +274,18 @@
 	return false;
 }
 
-/* Operators have closed all upstreams of a service that it still needs. */
+/* Of a service that it still needs, no upstream is open in its regions. */
 static bool needs_closed(const struct direct_request *request)
 {
 	const struct pool *pool = request->direct->pool;
 	const struct direct_route *route = request->route;
 
-	if (pool_is_closed(pool, request->service))
+	if (pool_is_closed(pool, request->service, request->homes))
 		return true;
 	for (uint32_t i = 0; request->graph && i < route->stages_count; i++)
 		if (!graph_stage_made(request->graph, i) &&
-		    pool_is_closed(pool, route->stages[i].service))
+		    pool_is_closed(pool, route->stages[i].service,
+				   request->homes))
 			return true;
 	return false;
 }
@@ -330,6 +331,10 @@
 	if (request->config->needs_keys && !request->route->is_public &&
 	    !request->organisation)
 		return 401;
+	request->homes =
+		homes_both(request->route->homes,
+			   request->organisation ? request->organisation->homes
+						 : HOMES_ANYWHERE);
 	request->priority = direct_config_rank(request->config, request->route,
 					       request->organisation);
 	request->service =
--- a/direct/direct_request.h
+++ b/direct/direct_request.h
@@ -34,6 +34,7 @@
 	const struct direct_route *route;
 	const char *service;
 	const struct direct_organisation *organisation;
+	const char *homes; /* regions that may have it: policy/homes.h */
 	struct direct_ask ask;
 	int64_t arrived_us;
 	int64_t waited_us; /* in earlier tries, about */
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -406,6 +406,7 @@
 {
 	*ask = (struct pool_ask){
 		.service = request->service,
+		.homes = request->homes,
 		.parts = (struct pool_part *)request->ask.parts->data,
 		.parts_count = request->ask.parts->len,
 		.tried = (const char *const *)request->tried->pdata,
@@ -460,12 +461,12 @@
 {
 	const struct pool *pool = request->direct->pool;
 	const struct direct_place *place = &request->place;
-	const GArray *parts = request->ask.parts;
+	struct pool_ask ask;
 
-	if (!place->peer)
-		return pool_find_copy(pool, request->upstream,
-				      (struct pool_part *)parts->data,
-				      parts->len);
+	if (!place->peer) {
+		write_pool_ask(request, &ask);
+		return pool_find_copy(pool, request->upstream, &ask);
+	}
 	return (struct pool_copy){
 		.from = place->source ? pool_find_life(pool, place->source)
 				      : NULL,
--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -336,7 +336,9 @@
 	       count < pieces->options.batch_max) {
 		guint end = group_end(pieces, start);
 		bool alone = waiting_at(pieces, start)->alone;
-		bool fits = (!alone || !count) &&
+		bool fits = homes_have(waiting_at(pieces, start)->homes,
+				       upstream->region) &&
+			    (!alone || !count) &&
 			    group_fits(pieces, start, end, room) &&
 			    may_split(pieces, count, end - start) &&
 			    may_go(pieces, start, end, upstream);
--- a/policy/pieces.h
+++ b/policy/pieces.h
@@ -30,6 +30,7 @@
 	const char *near;   /**< domain of what it takes in, or of who takes
 			       it; NULL: no matter. Interned. */
 	int64_t near_bytes; /**< that would cross domains elsewhere */
+	const char *homes;  /**< regions that may have it: homes.h */
 	int64_t added_us;   /**< when it began to wait; set by pieces_add() */
 };
 
--- a/policy/pool.c
+++ b/policy/pool.c
@@ -74,6 +74,7 @@
 	const struct closures *closures; /* NULL: none are known */
 	GHashTable *warmups;		 /* service -> struct warmup_limits */
 	GHashTable *copying;		 /* service -> struct copying */
+	GHashTable *regions;		 /* domain -> interned region */
 };
 
 /* ---- the list ---- */
@@ -127,6 +128,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	pool->copying =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	pool->regions =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return pool;
 }
 
@@ -137,6 +140,7 @@
 	g_hash_table_unref(pool->services);
 	g_hash_table_unref(pool->warmups);
 	g_hash_table_unref(pool->copying);
+	g_hash_table_unref(pool->regions);
 	g_hash_table_unref(pool->by_life);
 	g_hash_table_unref(pool->upstreams);
 	lives_destroy(pool->lives);
@@ -219,7 +223,14 @@
 	       !upstream->closed;
 }
 
-bool pool_is_closed(const struct pool *pool, const char *service)
+void pool_set_region(struct pool *pool, const char *domain, const char *region)
+{
+	g_hash_table_replace(pool->regions, g_strdup(domain),
+			     (gpointer)g_intern_string(region));
+}
+
+bool pool_is_closed(const struct pool *pool, const char *service,
+		    const char *homes)
 {
 	const GPtrArray *list = pool_of_service(pool, service);
 	bool any = false;
@@ -230,7 +241,7 @@
 
 		if (upstream->entry.leaving)
 			continue;
-		if (!upstream->closed)
+		if (!upstream->closed && homes_have(homes, upstream->region))
 			return false;
 		any = true;
 	}
@@ -275,6 +286,7 @@
 	upstream->parts = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						g_free, g_free);
 	upstream->closed = is_closed(pool, upstream);
+	upstream->region = g_hash_table_lookup(pool->regions, entry->domain);
 	note_cold(pool, upstream, entry->cold_us);
 	return upstream;
 }
@@ -545,8 +557,7 @@
 /* The engine that has read the most of a prompt. */
 static struct pool_copy find_source(const struct pool *pool,
 				    const GPtrArray *list,
-				    const struct pool_part *parts,
-				    uint32_t count)
+				    const struct pool_ask *ask)
 {
 	struct pool_copy best = { 0 };
 	int64_t now_us = lp_now_us(pool->clock);
@@ -555,9 +566,11 @@
 		struct pool_upstream *upstream = g_ptr_array_index(list, i);
 		int64_t tokens;
 
-		if (upstream->failures || now_us < upstream->aside_until_us)
+		if (upstream->failures || now_us < upstream->aside_until_us ||
+		    !homes_have(ask->homes, upstream->region))
 			continue;
-		tokens = tokens_read(upstream, parts, count, now_us);
+		tokens = tokens_read(upstream, ask->parts, ask->parts_count,
+				     now_us);
 		if (tokens > best.tokens)
 			best = (struct pool_copy){ upstream, tokens };
 	}
@@ -597,17 +610,17 @@
 
 struct pool_copy pool_find_copy(const struct pool *pool,
 				const struct pool_upstream *upstream,
-				const struct pool_part *parts, uint32_t count)
+				const struct pool_ask *ask)
 {
-	const char *service = upstream->entry.service;
-	const GPtrArray *list = pool_of_service(pool, service);
+	const GPtrArray *list = pool_of_service(pool, ask->service);
 	const struct pool_copy none = { 0 };
 
-	if (!list || !may_copy(pool, service, count))
+	if (!list || !may_copy(pool, ask->service, ask->parts_count))
 		return none;
-	return copy_from(pool, find_source(pool, list, parts, count), upstream,
-			 all_tokens(parts, count),
-			 pool_cold_tokens(upstream, parts, count));
+	return copy_from(
+		pool, find_source(pool, list, ask), upstream,
+		all_tokens(ask->parts, ask->parts_count),
+		pool_cold_tokens(upstream, ask->parts, ask->parts_count));
 }
 
 /* Its price, as time. */
@@ -821,6 +834,7 @@
 		uint64_t rank = home_rank(ask, upstream);
 
 		if (!pool_is_open(upstream) || rank <= best ||
+		    !homes_have(ask->homes, upstream->region) ||
 		    !is_in_share(ask, upstream))
 			continue;
 		best = rank;
@@ -915,8 +929,7 @@
 	};
 
 	if (may_copy(pool, ask->service, ask->parts_count))
-		choice.source =
-			find_source(pool, list, ask->parts, ask->parts_count);
+		choice.source = find_source(pool, list, ask);
 	return choice;
 }
 
@@ -938,6 +951,7 @@
 		double cost;
 
 		if (!may_send(pool, upstream) || !is_in_share(ask, upstream) ||
+		    !homes_have(ask->homes, upstream->region) ||
 		    was_tried(ask, upstream->entry.id))
 			continue;
 		fade_beliefs(upstream, now_us);
--- a/policy/pool.h
+++ b/policy/pool.h
@@ -12,6 +12,7 @@
 
 #include "base/lp_clock.h"
 #include "policy/closures.h"
+#include "policy/homes.h"
 #include "policy/room.h"
 #include "policy/warmup.h"
 
@@ -43,7 +44,8 @@
 			  life keeps */
 	uint64_t life; /**< of its id and start: names it to others */
 	bool listed;
-	bool closed; /**< operators have closed its domain */
+	bool closed;	    /**< operators have closed its domain */
+	const char *region; /**< of its domain; NULL: not known. Interned. */
 	struct warmup warmup;
 	uint32_t in_flight;	 /**< our requests or calls there */
 	int64_t tokens_ahead;	 /**< prompt tokens we sent, not read yet */
@@ -80,6 +82,7 @@
 	const char *service;
 	const struct pool_part *parts; /**< of the prompt, or NULL */
 	uint32_t parts_count;
+	const char *homes;  /**< regions that may have it: homes.h */
 	const char *domain; /**< near what the upstream has to fetch, or NULL */
 	int64_t fetch_bytes;  /**< that it has to fetch from that domain */
 	int64_t target_us;    /**< the first event is on time within this; 0: no
@@ -140,8 +143,12 @@
 void pool_sent(struct pool *pool, struct pool_upstream *upstream);
 /** Whether it may get anything new at all, now or later. */
 bool pool_is_open(const struct pool_upstream *upstream);
-/** Whether a service has upstreams, and all of them are closed. */
-bool pool_is_closed(const struct pool *pool, const char *service);
+/** Whether a service has upstreams, and all of them are closed or elsewhere
+ * than in these regions. */
+bool pool_is_closed(const struct pool *pool, const char *service,
+		    const char *homes);
+/** The region of a failure domain, before the first list. */
+void pool_set_region(struct pool *pool, const char *domain, const char *region);
 /** Where all entries would place a prompt of these parts, or NULL. */
 const struct pool_upstream *pool_home(const struct pool *pool,
 				      const struct pool_ask *ask);
@@ -156,7 +163,7 @@
  * faster than to read it. */
 struct pool_copy pool_find_copy(const struct pool *pool,
 				const struct pool_upstream *upstream,
-				const struct pool_part *parts, uint32_t count);
+				const struct pool_ask *ask);
 /** How long engines of a service take to copy so many tokens. */
 int64_t pool_copy_us(const struct pool *pool, const char *service,
 		     int64_t tokens);
--- a/tests/copy_test.cc
+++ b/tests/copy_test.cc
@@ -32,9 +32,18 @@
 				return pool_find(it, id);
 		return nullptr;
 	}
+	pool_copy copy_to(const pool_upstream *engine)
+	{
+		pool_ask ask = {};
+
+		ask.service = "s";
+		ask.parts = next.data();
+		ask.parts_count = next.size();
+		return pool_find_copy(it, engine, &ask);
+	}
 	pool_copy copy()
 	{
-		return pool_find_copy(it, other(), next.data(), 2);
+		return copy_to(other());
 	}
 	void pass_ms(int64_t ms)
 	{
@@ -65,8 +74,7 @@
 	CopyingPool pool;
 
 	pool.pass_ms(1000);
-	EXPECT_EQ(pool_find_copy(pool.it, pool.home, next.data(), 2).from,
-		  nullptr);
+	EXPECT_EQ(pool.copy_to(pool.home).from, nullptr);
 	pool_learn(pool.it, pool.home, POOL_UNREACHABLE, 0, 0);
 	EXPECT_EQ(pool.copy().from, nullptr);
 }
@@ -114,10 +122,7 @@
 	closures_set(closed, 1, "a", true);
 	pool_close(pool.it, closed);
 	EXPECT_STREQ(pool.pick(next)->entry.id, "there");
-	EXPECT_EQ(pool_find_copy(pool.it, pool_find(pool.it, "there"),
-				 next.data(), 2)
-			  .from,
-		  pool.home);
+	EXPECT_EQ(pool.copy_to(pool_find(pool.it, "there")).from, pool.home);
 	pool_close(pool.it, nullptr);
 	closures_destroy(closed);
 }
--- a/tests/cwrap.h
+++ b/tests/cwrap.h
@@ -48,6 +48,7 @@
 #include "policy/dispatchers.h"
 #include "policy/flow.h"
 #include "policy/graph.h"
+#include "policy/homes.h"
 #include "policy/keys.h"
 #include "policy/limit.h"
 #include "policy/lives.h"
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -70,14 +70,14 @@
 		const guint32 index = 0;
 		const char *none[] = { nullptr };
 
-		send('A', g_variant_new("(tsssu@au@asxxixusx)", (guint64)number,
-					"first", id, "k", 0u,
+		send('A', g_variant_new("(tsssu@au@asxxixusxs)",
+					(guint64)number, "first", id, "k", 0u,
 					g_variant_new_fixed_array(
 						G_VARIANT_TYPE_UINT32, &index,
 						1, sizeof(index)),
 					g_variant_new_strv(none, 0),
 					(gint64)500000, (gint64)5000000, 0,
-					(gint64)100, 0u, "", (gint64)0));
+					(gint64)100, 0u, "", (gint64)0, "*"));
 	}
 	/* Take what has come, unanswered. */
 	void hear()
@@ -106,7 +106,7 @@
 		if (place)
 			g_variant_unref(place);
 		place = g_variant_ref_sink(g_variant_new_from_bytes(
-			G_VARIANT_TYPE("(tsa(tx)atsxx)"), copy, FALSE));
+			G_VARIANT_TYPE("(tsa(tx)atsxxs)"), copy, FALSE));
 		g_bytes_unref(copy);
 	}
 	void read_hello(const char *bytes, gsize size)
--- a/tests/warmup_test.cc
+++ b/tests/warmup_test.cc
@@ -214,9 +214,9 @@
 	pool.add("1", "a");
 	pool.add("2", "b");
 	pool.set("a", true);
-	EXPECT_FALSE(pool_is_closed(pool.it, "s"));
+	EXPECT_FALSE(pool_is_closed(pool.it, "s", HOMES_ANYWHERE));
 	pool.set("b", true);
-	EXPECT_TRUE(pool_is_closed(pool.it, "s"));
+	EXPECT_TRUE(pool_is_closed(pool.it, "s", HOMES_ANYWHERE));
 	EXPECT_EQ(pool.pick(), nullptr);
 	/* One that comes there meanwhile is closed, too. */
 	pool.add("3", "a");
--- a/tools/pe.c
+++ b/tools/pe.c
@@ -256,6 +256,8 @@
 	const char *expected = pe_conn_field(conn, "X-Expect-Instance");
 	const char *id = upstream->other_id ? upstream->other_id : upstream->id;
 
+	if (upstream->kind == PE_ENGINE && pe_memory_request(upstream, conn))
+		return;
 	upstream->arrivals++;
 	if (pe_conn_field(conn, "Authorization"))
 		pe_breach(upstream->pe, "a key was passed on");
@@ -267,8 +269,6 @@
 		pe_stage_request(upstream, conn);
 		return;
 	}
-	if (upstream->kind == PE_ENGINE && pe_memory_request(upstream, conn))
-		return;
 	if (!pe_conn_field(conn, "X-Attempt-Id") ||
 	    !pe_conn_field(conn, "X-Deadline-Ms"))
 		pe_breach(upstream->pe, "a request without id or deadline");
