A binary of its own for the users' platform

Cause: a start on the weakest hosts (0.09 of a core) took 9 ms of processor time, 7.6 of them for loading 46 libraries, of which the platform's entry uses 32 (zmq and what it loads, yaml, cyaml belong to the other roles). After all hosts lose power callers wait for the first entry that listens.

--- a/Makefile
+++ b/Makefile
@@ -36,11 +36,11 @@
 REQUESTS = 300
 
 demo-platform: all
-	@$(BUILD)/lp-soak --daemon=$(BUILD)/linepierd --faults=no --seed=$(SEED) \
+	@$(BUILD)/lp-soak --daemon=$(BUILD)/linepier-platformd --faults=no --seed=$(SEED) \
 		--requests=100
 
 soak: all
-	@$(BUILD)/lp-soak --daemon=$(BUILD)/linepierd --seed=$(SEED) \
+	@$(BUILD)/lp-soak --daemon=$(BUILD)/linepier-platformd --seed=$(SEED) \
 		--requests=$(REQUESTS) --poison=yes
 
 SOURCES = $(shell git ls-files '*.c' '*.h')
--- a/entry/linepierd_main.c
+++ b/entry/linepierd_main.c
@@ -1,14 +1,8 @@
-/*
- * linepierd: an entry or an agent, as --role says; with the one argument
- * "platform", the entry that runs on the users' platform.
- */
+/* linepierd: an entry or an agent, as --role says. */
 #include "agent/agent.h"
 #include "base/lp_error.h"
 #include "base/lp_log.h"
 #include "entry/entry.h"
-#include "platform/plf_entry.h"
-
-#include <string.h>
 
 #define EXIT_USAGE 2
 
@@ -30,8 +24,6 @@
 	struct lp_settings_rest rest = { 0 };
 	int status = EXIT_USAGE;
 
-	if (argc == 2 && !strcmp(argv[1], "platform"))
-		return plf_entry_run();
 	lp_settings_load(node_settings_table, node_settings_count, &settings,
 			 argc, argv, "[OPTION...]", &rest);
 	node_settings_check(&settings, rest.errors);
--- a/tools/soak_main.c
+++ b/tools/soak_main.c
@@ -56,7 +56,7 @@
 
 #define FIELD(name) offsetof(struct soak_settings, name)
 static const struct lp_setting table[] = {
-	{ "daemon", LP_SETTING_STRING, FIELD(daemon), "build/linepierd", 0, 0,
+	{ "daemon", LP_SETTING_STRING, FIELD(daemon), "build/linepier-platformd", 0, 0,
 	  NULL, "the program under test" },
 	{ "seed", LP_SETTING_INT, FIELD(seed), "1", 0, G_MAXINT32, NULL,
 	  "of everything random" },
@@ -209,7 +209,7 @@
 
 static void start_entry(struct soak *soak, struct entry *entry)
 {
-	char *argv[] = { soak->settings.daemon, "platform", NULL };
+	char *argv[] = { soak->settings.daemon, NULL };
 	g_auto(GStrv) env = write_env(soak, entry);
 	g_autoptr(GError) gerror = NULL;
 	int log = open_log(soak, entry);
