--- a/direct/direct.h
+++ b/direct/direct.h
@@ -93,9 +93,7 @@
 /**
  * The entry is gone at `end_us`: from now on take only requests whose time is
  * over by then, and short enough not to put its end off. Callers of a domain
- * with no other entry come all the while, and plain services answer in a
- * fraction of a second: 0.015 of their credit on days on which entries are
- * restarted in turn (8 paired runs).
+ * with no other entry come all the while.
  */
 void direct_end_by(struct direct *direct, int64_t end_us);
 /** Requests that are being read or served. */
--- a/direct/direct_prepare.c
+++ b/direct/direct_prepare.c
@@ -125,12 +125,12 @@
 }
 
 /* Near its inputs, if it has any; else near the engine that will take it. */
-static void set_near(struct direct_request *request, uint32_t stage,
-		     struct piece *piece)
+static void set_preferred_domain(struct direct_request *request, uint32_t stage,
+				 struct piece *piece)
 {
 	const struct direct_stage *stages = request->route->stages;
 	const struct pool *pool = request->direct->pool;
-	const struct pool_upstream *near = NULL;
+	const struct pool_upstream *preferred = NULL;
 	struct pool_ask ask = {
 		.service = request->service,
 		.homes = request->homes,
@@ -144,18 +144,19 @@
 
 		if (!maker)
 			continue;
-		near = pool_find_life(pool, maker);
-		piece->near_bytes +=
+		preferred = pool_find_life(pool, maker);
+		piece->preferred_bytes +=
 			stages[before].bytes *
 			(int64_t)graph_pieces(request->graph, before);
 	}
 	if (!stages[stage].after_count && !after_stage_us(request, stage)) {
 		direct_stages_share(request->direct->stages, &ask);
-		near = pool_home(pool, &ask);
-		piece->near_bytes = stages[stage].bytes;
+		preferred = pool_home(pool, &ask);
+		piece->preferred_bytes = stages[stage].bytes;
 	}
 	/* The upstream may be gone before the piece is. Domains are few. */
-	piece->near = near ? g_intern_string(near->entry.domain) : NULL;
+	piece->preferred_domain =
+		preferred ? g_intern_string(preferred->entry.domain) : NULL;
 }
 
 /* Whether a stage's inputs take up a good part of their makers' room. */
@@ -238,7 +239,7 @@
 		},
 	};
 
-	set_near(request, stage, &work.piece);
+	set_preferred_domain(request, stage, &work.piece);
 	if (request->asked_us[stage])
 		request->remakes++;
 	else
--- a/direct/direct_relay.c
+++ b/direct/direct_relay.c
@@ -281,8 +281,9 @@
 					  work->indices->len, sizeof(uint32_t)),
 		strings(work->inputs), (gint64)(piece->due_us - now_us),
 		(gint64)(piece->until_us - now_us), piece->priority,
-		(gint64)piece->bytes, flags, piece->near ? piece->near : "",
-		(gint64)piece->near_bytes, homes_write(piece->homes)));
+		(gint64)piece->bytes, flags,
+		piece->preferred_domain ? piece->preferred_domain : "",
+		(gint64)piece->preferred_bytes, homes_write(piece->homes)));
 }
 
 bool direct_relay_ask(struct direct_relay *relay, uint64_t peer,
@@ -504,7 +505,7 @@
 	g_autoptr(GVariant) indices = NULL;
 	g_autoptr(GVariant) inputs = NULL;
 	int64_t now_us = now(relay);
-	const char *near;
+	const char *preferred;
 	const char *homes;
 	guint64 number;
 	gint64 due_us;
@@ -516,7 +517,7 @@
 	g_variant_get(body, "(tsssu@au@asxxixu&sx&s)", &number, &work->service,
 		      &work->id, &work->key, &piece->stage, &indices, &inputs,
 		      &due_us, &until_us, &piece->priority, &piece->bytes,
-		      &flags, &near, &piece->near_bytes, &homes);
+		      &flags, &preferred, &piece->preferred_bytes, &homes);
 	cells = g_variant_get_fixed_array(indices, &count, sizeof(uint32_t));
 	work->indices = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	g_array_append_vals(work->indices, cells, (guint)count);
@@ -530,7 +531,8 @@
 	piece->split = flags & FLAG_SPLIT;
 	piece->alone = flags & FLAG_ALONE;
 	/* Domains are few. */
-	piece->near = *near ? g_intern_string(near) : NULL;
+	piece->preferred_domain =
+		*preferred ? g_intern_string(preferred) : NULL;
 	piece->homes = homes_read(homes);
 }
 
--- a/direct/direct_request.h
+++ b/direct/direct_request.h
@@ -9,9 +9,7 @@
 #include "direct/direct_places.h"
 #include "direct/direct_private.h"
 
-/** An entry that ends: another takes the request as soon as it is asked. On
- * days on which entries are restarted in turn or killed together, 0.011 of the
- * credit against half a second (12 paired runs). */
+/** An entry that ends: another takes the request as soon as it is asked. */
 #define DIRECT_WAIT_ELSEWHERE_US (20 * LP_US_PER_MS)
 /** One that has just started is configured within about 100 ms. */
 #define DIRECT_WAIT_START_US (100 * LP_US_PER_MS)
--- a/policy/admission.h
+++ b/policy/admission.h
@@ -5,10 +5,6 @@
  * Answers the burst: more requests come for some seconds than stages can serve
  * in time. Each that is let in makes the others wait, so one that would be
  * late is refused at once, before any work is done for it.
- *
- * Grounds: admitting within 1.2 and 1.5 targets gained 0.005 and 0.010 of the
- * credit where bursts are short against a target, and lost 0.023 and 0.047
- * where stages are short for long (15 paired runs each).
  */
 #ifndef ADMISSION_H
 #define ADMISSION_H
@@ -29,10 +25,8 @@
  * and by what pieces took lately.
  *
  * The queue counts what waits now; what is on its way to it does not show. What
- * was learnt does, but outlasts the queue: it counts up to twice the queue's
- * estimate. Without that bound, an empty queue still refused: 0.005 and 0.020
- * of the credit on days with bursts (two deployments, 35 paired runs). Without
- * what was learnt, the second deployment gains 0.018 and a third loses 0.008.
+ * was learnt does, but outlasts the queue, and an empty queue would still
+ * refuse: it counts up to twice the queue's estimate.
  */
 int64_t admission_stage_us(const struct admission_memory *memory,
 			   int64_t queue_us, int64_t now_us);
--- a/policy/backoff.h
+++ b/policy/backoff.h
@@ -3,10 +3,8 @@
  * twice as long after each failure in a row, up to a bound, and of each wait a
  * part is drawn, so that a fleet does not ask in step.
  *
- * What it buys: a service that is short of something is not held down by those
- * that ask, and calls that are refused are not paid for. With 80 entries and a
- * service that was busy for 8 s, 2,189 of 4,689 calls of a day were refused
- * ones at a wait of 0.4 s each.
+ * A service that is short of something is not held down by those that ask, and
+ * calls that are refused are not paid for.
  */
 #ifndef BACKOFF_H
 #define BACKOFF_H
--- a/policy/dispatchers.h
+++ b/policy/dispatchers.h
@@ -39,9 +39,7 @@
  *
  * Members that are there answer within a few ms, and those that start together
  * find each other one by one, so it waits for as long as new ones turn up, and
- * a little longer while some that it knows of are silent. An entry of three
- * that is back from a restart asks 600 ms sooner than after the longest wait:
- * 0.022 of the credit on days with restarts (mean of 20 paired runs).
+ * a little longer while some that it knows of are silent.
  */
 int64_t dispatchers_meeting_left_us(const struct dispatchers_meeting *meeting,
 				    int64_t now_us);
--- a/policy/graph.h
+++ b/policy/graph.h
@@ -73,9 +73,7 @@
  * nowhere. Borrowed from `domain_of`.
  *
  * A request may take in few large results of one stage and many small ones of
- * another. Counted by number, prompts go near the small ones: with five domains
- * 80 of 100 bytes of results of 3 MB crossed them. Counted by bytes, half as
- * many cross in a day, of all stages (two paired runs).
+ * another: bytes count, not numbers.
  */
 const char *graph_main_domain(const struct graph *graph,
 			      graph_domain_fn domain_of, void *userdata,
--- a/policy/lives.h
+++ b/policy/lives.h
@@ -10,9 +10,9 @@
  * that lists go on naming for LIVES_SET_BACK_US, is the life that is there. A
  * newer one would have written its own entry again by then.
  *
- * What it buys: beliefs of before end with their life (an empty engine is not
- * taken for one that has a prompt in memory, results of a dead maker are not
- * passed on), and a word that is late ends nothing.
+ * Beliefs of before end with their life (an empty engine is not taken for one
+ * that has a prompt in memory, results of a dead maker are not passed on), and
+ * a word that is late ends nothing.
  */
 #ifndef LIVES_H
 #define LIVES_H
--- a/policy/patience.h
+++ b/policy/patience.h
@@ -10,9 +10,6 @@
  * kinds: a time that is given again and again is that of a first try. One that
  * is not given often is what is left of the next longer one that is. Where all
  * wait differently nothing is concluded.
- *
- * What it buys: ordering pieces by it, 0.008 and 0.003 of the credit on days
- * with bursts and restarts (two deployments, 20 paired runs each).
  */
 #ifndef PATIENCE_H
 #define PATIENCE_H
--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -4,11 +4,7 @@
 
 /* Results that cross domains are paid for: 3 MB weigh as 95 ms of waiting. */
 #define FETCH_BYTES_PER_US 62
-/* Inputs more so: each piece of a stage fetches all of them. Three times the
- * weight that a byte has where a prompt is placed saves two fifths of the bytes
- * that cross (0.018 of the credit on a deployment where they are dear, 20
- * paired runs), and no kind of request is served less; six times saves hardly
- * more, and some are. */
+/* Inputs more so: each piece of a stage fetches all of them. */
 #define INPUT_BYTES_PER_US 10
 /* ... but nothing waits longer than about a full call for a nearer upstream. */
 #define FAR_WAIT_MAX_US (400 * LP_US_PER_MS)
@@ -311,14 +307,15 @@
 	int64_t now_us = now(pieces);
 	int64_t worth_us;
 
-	if (!first->near || !strcmp(first->near, upstream->entry.domain))
+	if (!first->preferred_domain ||
+	    !strcmp(first->preferred_domain, upstream->entry.domain))
 		return true;
 	worth_us =
-		first->near_bytes * (end - start) /
+		first->preferred_bytes * (end - start) /
 		(first->has_inputs ? INPUT_BYTES_PER_US : FETCH_BYTES_PER_US);
 	return is_due(pieces, first) ||
 	       now_us - first->added_us >= MIN(worth_us, FAR_WAIT_MAX_US) ||
-	       !any_usable_in(pieces, first->near);
+	       !any_usable_in(pieces, first->preferred_domain);
 }
 
 /*
--- a/policy/pieces.h
+++ b/policy/pieces.h
@@ -24,14 +24,14 @@
 	int32_t priority; /**< 0 goes first */
 	int64_t bytes;	  /**< of its result, about */
 	bool has_inputs;
-	bool holds_room;    /**< its inputs take up scarce room meanwhile */
-	bool alone;	    /**< shares a call with its own request only */
-	bool split;	    /**< others of its stage and request went ahead */
-	const char *near;   /**< domain of what it takes in, or of who takes
-			       it; NULL: no matter. Interned. */
-	int64_t near_bytes; /**< that would cross domains elsewhere */
-	const char *homes;  /**< regions that may have it: homes.h */
-	int64_t added_us;   /**< when it began to wait; set by pieces_add() */
+	bool holds_room; /**< its inputs take up scarce room meanwhile */
+	bool alone;	 /**< shares a call with its own request only */
+	bool split;	 /**< others of its stage and request went ahead */
+	const char *preferred_domain; /**< domain of what it takes in, or of who
+			     takes it; NULL: no matter. Interned. */
+	int64_t preferred_bytes;      /**< that would cross domains elsewhere */
+	const char *homes;	      /**< regions that may have it: homes.h */
+	int64_t added_us; /**< when it began to wait; set by pieces_add() */
 };
 
 struct pieces_options {
--- a/policy/quarantine.h
+++ b/policy/quarantine.h
@@ -18,9 +18,6 @@
  *   long, at most after an hour: upstreams may have new software. Each such try
  *   may cost an upstream. An operator can let it in at once.
  *
- * What it buys: without it a request that came again each 55 ms ended 101 to
- * 104 engines of two entries in six seconds (emulator), with it three.
- *
  * What entries know of a request is a set that only grows until an answer
  * clears it, so words of each other may come late, twice and in any order.
  */
--- a/policy/remaining.h
+++ b/policy/remaining.h
@@ -9,10 +9,6 @@
  * through misses its target by less than that, though nothing is short of what
  * being on time would take. What is learnt is the time beyond the expected one:
  * its mean and its spread, so that most are on time and not half of them.
- *
- * Grounds: five domains, 100 upstreams of stages, three seconds after all
- * entries were killed: first events of the most urgent kind came 1.55 to 1.93 s
- * after the request (a target of 1.6 s), 46 of 54 of them too late.
  */
 #ifndef REMAINING_H
 #define REMAINING_H
--- a/policy/room.h
+++ b/policy/room.h
@@ -11,11 +11,6 @@
  * What others hold there shows in two ways, and counts until it is given up
  * through us or the maker must have dropped it: pieces that met no room tell
  * how much there was when their call began, and the upstream can be asked.
- *
- * What it buys: with bytes counted in sum, a change of dispatchers left the
- * count too low for as long as the load lasted, and after a restart of all
- * entries two thirds of the pieces of some seconds met no room. Three entries
- * and 14 upstreams, days with restarts, 20 paired runs: 0.028 of the credit.
  */
 #ifndef ROOM_H
 #define ROOM_H
--- a/policy/watch_pace.c
+++ b/policy/watch_pace.c
@@ -3,9 +3,7 @@
 #include <glib.h>
 
 /* Each wait grows by this for each member from the ninth on: eight calls of the
- * fleet begin in the time of one alone. With half a member's worth, five
- * entries took a change that their store had forgotten to tell 0.9 and 1.4 s
- * later. */
+ * fleet begin in the time of one alone. */
 #define PER_MEMBER 0.125
 /* A call that went silent just before its entry lost all others too ends before
  * the time for a change and the slack of a disturbance are over together. */
--- a/policy/watch_pace.h
+++ b/policy/watch_pace.h
@@ -11,12 +11,7 @@
  *
  * By themselves they would not: all begin when the fleet starts, and again when
  * a change is told to all. So the first call after that waits for a part of the
- * time that each entry draws. Without it a fleet of 68 that lost its calls at
- * one moment noticed it 6 s later, all at once.
- *
- * What it buys: with 27 entries 0.77 of an entry's calls to the key-value
- * service were those of the watch; at the most three times the wait makes a
- * third of them.
+ * time that each entry draws.
  */
 #ifndef WATCH_PACE_H
 #define WATCH_PACE_H
--- a/tests/direct_policy_test.cc
+++ b/tests/direct_policy_test.cc
@@ -684,8 +684,8 @@
 		far.request = &requests[1];
 		far.due_us = clock.now_us + due_us;
 		far.until_us = far.due_us + 5000000;
-		far.near = "b";
-		far.near_bytes = 3100000;
+		far.preferred_domain = "b";
+		far.preferred_bytes = 3100000;
 		pieces_add(queue, &far);
 	}
 	/* All upstreams that are asked say that nothing else is there. */
--- a/tests/near_test.cc
+++ b/tests/preferred_domain_test.cc
@@ -51,8 +51,8 @@
 		one.due_us = clock.now_us + 900 * ms;
 		one.until_us = clock.now_us + 6000 * ms;
 		one.has_inputs = true;
-		one.near = domains[at];
-		one.near_bytes = 360000;
+		one.preferred_domain = domains[at];
+		one.preferred_bytes = 360000;
 		for (uint32_t i = 0; i < 10; i++) {
 			one.index = i;
 			pieces_add(queue, &one);
@@ -64,9 +64,10 @@
 			const piece *one =
 				&g_array_index(call->pieces, piece, i);
 
-			all_bytes += one->near_bytes;
-			if (strcmp(one->near, call->upstream->entry.domain))
-				far_bytes += one->near_bytes;
+			all_bytes += one->preferred_bytes;
+			if (strcmp(one->preferred_domain,
+				   call->upstream->entry.domain))
+				far_bytes += one->preferred_bytes;
 			late += clock.now_us > one->due_us;
 			served++;
 		}
