--- a/direct/direct_stages.c
+++ b/direct/direct_stages.c
@@ -198,14 +198,19 @@
 	return false;
 }
 
-/* Ours, of what a cold upstream of a service takes. Plain services have nobody
- * who sends on behalf of all. */
-static double cold_share(const struct direct_stages *stages,
-			 const struct service *service, uint32_t members)
+/* Whether we send to a service on behalf of all entries; plain services have
+ * nobody who does. */
+static bool sends_for_all(const struct direct_stages *stages,
+			  const struct service *service, uint32_t members)
 {
-	if (members < 2)
-		return WARMUP_OWNER_SHARE;
-	if (service && places_some(stages, service))
+	return members < 2 || (service && places_some(stages, service));
+}
+
+/* Ours, of what a cold upstream of a service takes. */
+static double cold_share(const struct service *service, bool for_all,
+			 uint32_t members)
+{
+	if (for_all)
 		return WARMUP_OWNER_SHARE;
 	return (service ? WARMUP_OTHERS_SHARE : WARMUP_OWNER_SHARE) / members;
 }
@@ -221,6 +226,7 @@
 	g_hash_table_iter_init(&iter, config->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct direct_service *figures = value;
+		const struct service *service;
 		struct warmup_limits limits = {
 			.cold_us = figures->cold_us,
 			.per_s = figures->cold_per_s,
@@ -229,10 +235,9 @@
 
 		if (!figures->cold_us || figures->cold_per_s <= 0)
 			continue;
-		limits.share = cold_share(
-			stages,
-			g_hash_table_lookup(stages->services, figures->name),
-			members);
+		service = g_hash_table_lookup(stages->services, figures->name);
+		limits.for_all = sends_for_all(stages, service, members);
+		limits.share = cold_share(service, limits.for_all, members);
 		pool_set_warmup(stages->direct->pool, figures->name, &limits);
 	}
 }
--- a/policy/pool.c
+++ b/policy/pool.c
@@ -165,9 +165,8 @@
 		     now_us + for_us);
 }
 
-/* It may have started unnoticed: cold for as long as one that has. */
-static void suspect_cold(const struct pool *pool,
-			 struct pool_upstream *upstream)
+/* It has started, or is opened again: cold for as long as one that has. */
+static void assume_cold(const struct pool *pool, struct pool_upstream *upstream)
 {
 	const struct warmup_limits *limits = limits_of(pool, upstream);
 
@@ -175,6 +174,17 @@
 		note_cold(pool, upstream, limits->cold_us);
 }
 
+/* It may have started unnoticed. Whoever sends for all can wait for the list to
+ * say more; the share of one entry is too small to live on a suspicion. */
+static void suspect_cold(const struct pool *pool,
+			 struct pool_upstream *upstream)
+{
+	const struct warmup_limits *limits = limits_of(pool, upstream);
+
+	if (limits && limits->for_all)
+		assume_cold(pool, upstream);
+}
+
 static bool is_closed(const struct pool *pool,
 		      const struct pool_upstream *upstream)
 {
@@ -199,7 +209,7 @@
 		upstream->closed = closed;
 		changes++;
 		if (!closed)
-			suspect_cold(pool, upstream);
+			assume_cold(pool, upstream);
 	}
 	return changes;
 }
@@ -444,7 +454,7 @@
 	entry.born_ms = born_ms;
 	clear_index(pool);
 	after = follow_life(pool, listed, &entry);
-	suspect_cold(pool, after);
+	assume_cold(pool, after);
 	index_upstreams(pool);
 	return after;
 }
--- a/policy/warmup.h
+++ b/policy/warmup.h
@@ -22,6 +22,7 @@
 	int64_t cold_us; /**< an upstream is cold for so long; 0: no bound */
 	double per_s;	 /**< requests a second that it takes, of all */
 	double share;	 /**< of that, ours */
+	bool for_all;	 /**< we send on behalf of all entries */
 	double phase;	 /**< 0 to 1: our first one, in pauses between two */
 };
 
--- a/tests/warmup_test.cc
+++ b/tests/warmup_test.cc
@@ -6,7 +6,7 @@
 namespace
 {
 
-const warmup_limits engine = { 3000000, 9.1, WARMUP_OWNER_SHARE, 0 };
+const warmup_limits engine = { 3000000, 9.1, WARMUP_OWNER_SHARE, true, 0 };
 
 /* ---- closures ---- */
 
@@ -239,6 +239,24 @@
 	EXPECT_NE(pool.pick(), nullptr);
 }
 
+/* One that could not be reached may have started anew: whoever sends for all
+ * waits for the list to say more; a plain service goes on. */
+TEST(PoolClosures, OneThatWasNotReachedIsSuspectedOnlyByWhoSendsForAll)
+{
+	for (bool for_all : { true, false }) {
+		Pool pool;
+		warmup_limits limits = engine;
+
+		limits.for_all = for_all;
+		pool_set_warmup(pool.it, "s", &limits);
+		pool.add("1", "a");
+		pool_learn(pool.it, pool.pick(), POOL_UNREACHABLE, 0, 0);
+		pool.clock.now_us += LP_US_PER_S;
+		pool_sent(pool.it, pool.pick());
+		EXPECT_EQ(pool.pick() == nullptr, for_all);
+	}
+}
+
 /* The list may say so before the configuration says what follows from it. */
 TEST(PoolClosures, AColdUpstreamIsPacedAsSoonAsItsBoundIsKnown)
 {
