--- a/tools/soak_main.c
+++ b/tools/soak_main.c
@@ -56,8 +56,8 @@
 
 #define FIELD(name) offsetof(struct soak_settings, name)
 static const struct lp_setting table[] = {
-	{ "daemon", LP_SETTING_STRING, FIELD(daemon), "build/linepier-platformd", 0, 0,
-	  NULL, "the program under test" },
+	{ "daemon", LP_SETTING_STRING, FIELD(daemon),
+	  "build/linepier-platformd", 0, 0, NULL, "the program under test" },
 	{ "seed", LP_SETTING_INT, FIELD(seed), "1", 0, G_MAXINT32, NULL,
 	  "of everything random" },
 	{ "requests", LP_SETTING_INT, FIELD(requests), "300", 1, 1000000, NULL,
