Hellos name all members in turn; soak: evacuations

Symptom: beside a load of 20, two of 68 entries knew all others and not each other, for 30 s and for good. Each round of hellos now goes on where the one before ended. Test: Relay.AnEntryOfALargeFleetNames..., red before (40 of 90 named in 5 s).

--- a/direct/direct_peers.c
+++ b/direct/direct_peers.c
@@ -15,7 +15,7 @@
 #define SILENT_US (3500 * LP_US_PER_MS)
 /* Work with many inputs or results; larger ones are not sent. */
 #define DATAGRAM_MAX 8192
-/* Members named in one hello: the newest of them find the rest. */
+/* Members named in one hello; the next one goes on with those after them. */
 #define NAMED_MAX 40
 #define DATAGRAMS_A_TURN 32
 /* A member that did not do its work gets none for this long, and not before
@@ -79,6 +79,7 @@
 	guint hello_timer;
 	guint first_timer; /* 0: the first hellos are over */
 	uint32_t first_hellos;
+	uint32_t named_next; /* where the next hello begins to name members */
 	GHashTable *peers;   /* ip -> struct peer */
 	GHashTable *by_hash; /* hash -> struct peer */
 	GArray *listeners;   /* of struct listener */
@@ -163,24 +164,34 @@
 						 : capacity;
 }
 
-static GVariant *make_hello(struct direct_peers *peers)
+/* Members heard lately, borrowed. */
+static GPtrArray *fresh_ips(const struct direct_peers *peers)
 {
-	GVariantBuilder names;
+	GPtrArray *ips = g_ptr_array_new();
 	GHashTableIter iter;
 	gpointer value;
-	uint32_t count = 0;
 
-	g_variant_builder_init(&names, G_VARIANT_TYPE("as"));
 	g_hash_table_iter_init(&iter, peers->peers);
-	while (count < NAMED_MAX &&
-	       g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct peer *peer = value;
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (is_fresh(peers, value))
+			g_ptr_array_add(ips, ((struct peer *)value)->ip);
+	return ips;
+}
 
-		if (!is_fresh(peers, peer))
-			continue;
-		g_variant_builder_add(&names, "s", peer->ip);
-		count++;
-	}
+/* Each hello of ours that goes to all begins where the one before ended: all
+ * are named in turn, however many there are. */
+static GVariant *make_hello(struct direct_peers *peers)
+{
+	g_autoptr(GPtrArray) ips = fresh_ips(peers);
+	uint32_t count = MIN(ips->len, NAMED_MAX);
+	GVariantBuilder names;
+
+	g_variant_builder_init(&names, G_VARIANT_TYPE("as"));
+	for (uint32_t i = 0; i < count; i++)
+		g_variant_builder_add(
+			&names, "s",
+			g_ptr_array_index(ips,
+					  (peers->named_next + i) % ips->len));
 	return g_variant_ref_sink(
 		g_variant_new(HELLO_TYPE, (gint64)peers->version, &names,
 			      own_capacity(peers), (guint64)peers->start));
@@ -250,6 +261,7 @@
 {
 	struct direct_peers *peers = userdata;
 
+	peers->named_next += NAMED_MAX;
 	forget_silent(peers);
 	add_seeds(peers);
 	say_hello(peers);
--- a/tests/direct_rig.h
+++ b/tests/direct_rig.h
@@ -240,7 +240,7 @@
 			plf_kept_write(static_cast<Rig *>(self)->kept, content);
 		};
 		options.userdata = this;
-		for (int port = 21400; !entry && port < 21500; port++) {
+		for (int port = 21400; !entry && port < 21900; port++) {
 			address = "127.0.0.1:" + std::to_string(port);
 			options.address = address.c_str();
 			entry = direct_create(&options, &error);
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -5,6 +5,7 @@
 #include "direct_rig.h"
 
 #include <memory>
+#include <set>
 
 namespace
 {
@@ -18,9 +19,10 @@
 	GSocket *socket;
 	GSocketAddress *to;
 	std::map<char, int> seen;
-	GVariant *last = nullptr;  /* result */
-	GVariant *place = nullptr; /* question */
-	uint32_t capacity = 0;	   /* of the last hello */
+	GVariant *last = nullptr;    /* result */
+	GVariant *place = nullptr;   /* question */
+	uint32_t capacity = 0;	     /* of the last hello */
+	std::set<std::string> named; /* in any hello */
 
 	explicit Fake(const char *ip = fake_ip)
 	{
@@ -115,6 +117,15 @@
 			G_VARIANT_TYPE("(xasut)"), bytes, size, FALSE, nullptr,
 			nullptr));
 
+		GVariant *names = g_variant_get_child_value(hello, 1);
+
+		for (gsize i = 0; i < g_variant_n_children(names); i++) {
+			const char *name;
+
+			g_variant_get_child(names, i, "&s", &name);
+			named.insert(name);
+		}
+		g_variant_unref(names);
 		g_variant_get_child(hello, 2, "u", &capacity);
 		g_variant_unref(hello);
 	}
@@ -687,6 +698,36 @@
 	EXPECT_EQ(one.fake.seen['E'], 1);
 }
 
+/* Found by a fleet of 68 that started on a busy host: two entries did not know
+ * of each other, and never would have. A hello names forty members at the most,
+ * and all entries named the same forty of those they knew, so that two others
+ * whose first hellos had been lost were never named to each other. */
+TEST(Relay, AnEntryOfALargeFleetNamesAllMembersInTurn)
+{
+	const int count = 90;
+	Rig rig;
+	std::vector<std::unique_ptr<Fake>> members;
+
+	rig.add(PE_PLAIN, "plain");
+	rig.settle();
+	rig.join(first_ip, 500, { fake_ip });
+	for (int i = 0; i < count; i++) {
+		std::string ip = "127.0.3." + std::to_string(i + 1);
+
+		members.push_back(std::make_unique<Fake>(ip.c_str()));
+	}
+	for (int second = 0; second < 5; second++) {
+		for (auto &member : members)
+			member->hello(100);
+		turn_until([] { return false; }, 1000);
+		members[0]->hear();
+		/* Those that came while it was not heard are not counted. */
+		if (second == 0)
+			members[0]->named.clear();
+	}
+	EXPECT_EQ(members[0]->named.size(), (size_t)count);
+}
+
 /* What cannot be read is not served, and ends nothing. */
 TEST(Relay, DatagramsOfOthersAreLeftOut)
 {
--- a/tools/pe.c
+++ b/tools/pe.c
@@ -666,3 +666,13 @@
 		"%" G_GINT64_FORMAT "\",\"key-always\"],\"priority\":-1}]}",
 		(gint64)version, more, routes, pieces, pieces, (gint64)version);
 }
+
+const char *pe_domain(const struct pe_upstream *upstream)
+{
+	return upstream->domain;
+}
+
+bool pe_is_stage(const struct pe_upstream *upstream)
+{
+	return upstream->kind == PE_STAGE;
+}
--- a/tools/pe.h
+++ b/tools/pe.h
@@ -139,6 +139,9 @@
 /** Remove its entry and stop it. Frees it. */
 void pe_remove(struct pe_upstream *upstream);
 
+/** Its failure domain; whether it does pieces of stages. */
+const char *pe_domain(const struct pe_upstream *upstream);
+bool pe_is_stage(const struct pe_upstream *upstream);
 /** Its id, as the key-value service names it. */
 const char *pe_name(const struct pe_upstream *upstream);
 /** Requests and calls that reached an upstream. */
--- a/tools/soak_main.c
+++ b/tools/soak_main.c
@@ -11,6 +11,7 @@
 #include "http/http_client.h"
 #include "tools/pe.h"
 #include "tools/soak_config.h"
+#include "tools/soak_evacuation.h"
 #include "tools/soak_poison.h"
 #include "tools/soak_suspend.h"
 #include "tools/soak_writer.h"
@@ -27,6 +28,10 @@
 #define ENTRIES 2
 #define READY_LIMIT_US (15 * LP_US_PER_S)
 #define ASK_EVERY_MS 20
+/* Once the faults are over, to see what an evacuation comes to. */
+#define ASKS_AFTER_FAULTS 40
+/* Of the upstreams of a service, this one is in the other domain. */
+#define UPSTREAMS_EACH 3
 #define FAULT_EVERY_MS 700
 #define ASK_TIMEOUT_MS 9000
 /* Ports of one soak: callers, the balancer, peers' TCP, a spare one each. */
@@ -50,6 +55,7 @@
 	int64_t faults;
 	int64_t poison;
 	int64_t suspend;
+	int64_t evacuate;
 	char *env;
 	char *logs;
 };
@@ -68,6 +74,8 @@
 	  "some requests end the upstreams that begin them" },
 	{ "suspend", LP_SETTING_BOOL, FIELD(suspend), "no", 0, 0, NULL,
 	  "suspend hosts; their clocks stand still by what env loads" },
+	{ "evacuate", LP_SETTING_BOOL, FIELD(evacuate), "no", 0, 0, NULL,
+	  "close failure domains to new work, and open them again" },
 	{ "env", LP_SETTING_STRING, FIELD(env), "", 0, 0, NULL,
 	  "NAME=VALUE,... for the program under test" },
 	{ "logs", LP_SETTING_STRING, FIELD(logs), "", 0, 0, NULL,
@@ -93,8 +101,9 @@
 	struct pe *platform;
 	struct soak_config *config;
 	struct soak_writer *writer;
-	struct soak_poison *poison;   /* NULL: none */
-	struct soak_suspend *suspend; /* NULL: likewise */
+	struct soak_poison *poison;	    /* NULL: none */
+	struct soak_suspend *suspend;	    /* NULL: likewise */
+	struct soak_evacuation *evacuation; /* NULL: likewise */
 	GPtrArray *upstreams;
 	struct entry entries[ENTRIES];
 	const char *addresses[ENTRIES + 1]; /* of entries, for callers */
@@ -460,10 +469,16 @@
 		{ PE_STAGE, "second" },
 	};
 
-	for (size_t i = 0; i < G_N_ELEMENTS(rows) * 3; i++)
-		g_ptr_array_add(soak->upstreams,
-				pe_add(soak->platform, rows[i / 3].kind,
-				       rows[i / 3].service, "a"));
+	for (size_t i = 0; i < G_N_ELEMENTS(rows) * UPSTREAMS_EACH; i++) {
+		bool elsewhere = soak->settings.evacuate &&
+				 i % UPSTREAMS_EACH == UPSTREAMS_EACH - 1;
+
+		g_ptr_array_add(
+			soak->upstreams,
+			pe_add(soak->platform, rows[i / UPSTREAMS_EACH].kind,
+			       rows[i / UPSTREAMS_EACH].service,
+			       elsewhere ? SOAK_OTHER_DOMAIN : SOAK_DOMAIN));
+	}
 }
 
 static void fault_entry(struct soak *soak, uint32_t what)
@@ -531,6 +546,7 @@
 	soak_config_disturb(soak->config);
 	soak_writer_disturb(soak->writer);
 	soak_suspend_disturb(soak->suspend);
+	soak_evacuation_disturb(soak->evacuation);
 	if (dice < 3)
 		fault_entry(soak, dice);
 	else if (dice == 3)
@@ -617,6 +633,30 @@
 	});
 }
 
+static void ask_after_faults(void *userdata)
+{
+	struct soak *soak = userdata;
+
+	soak->settings.requests += ASKS_AFTER_FAULTS;
+	g_timeout_add(ASK_EVERY_MS, on_ask_timer, soak);
+	g_main_loop_run(soak->loop);
+}
+
+static void start_evacuation(struct soak *soak)
+{
+	if (!soak->settings.evacuate)
+		return;
+	soak->evacuation =
+		soak_evacuation_create(&(struct soak_evacuation_options){
+			.platform = soak->platform,
+			.upstreams = soak->upstreams,
+			.seed = (uint32_t)soak->settings.seed,
+			.ask = ask_after_faults,
+			.breach = on_breach,
+			.userdata = soak,
+		});
+}
+
 static void start(struct soak *soak)
 {
 	soak->random = g_rand_new_with_seed((guint32)soak->settings.seed);
@@ -629,6 +669,7 @@
 	start_writer(soak);
 	start_poison(soak);
 	start_suspend(soak);
+	start_evacuation(soak);
 	for (uint32_t i = 0; i < ENTRIES; i++) {
 		soak->entries[i].number = i;
 		write_settings(soak, &soak->entries[i]);
@@ -655,6 +696,7 @@
 	soak_config_destroy(soak->config);
 	soak_writer_destroy(soak->writer);
 	soak_poison_destroy(soak->poison);
+	soak_evacuation_destroy(soak->evacuation);
 	pe_destroy(soak->platform);
 	g_main_loop_unref(soak->loop);
 	g_rand_free(soak->random);
@@ -715,6 +757,7 @@
 	soak_writer_settle(soak->writer);
 	soak_config_settle(soak->config);
 	soak_poison_settle(soak->poison);
+	soak_evacuation_settle(soak->evacuation);
 	report(soak);
 	status = soak->breaches ? 1 : 0;
 	stop(soak);
