--- a/direct/direct.c
+++ b/direct/direct.c
@@ -352,6 +352,14 @@
 	direct->end_us = end_us;
 }
 
+void direct_refuse_unsent(struct direct *direct)
+{
+	g_autoptr(GList) requests = g_hash_table_get_keys(direct->requests);
+
+	for (GList *at = requests; at; at = at->next)
+		direct_request_entry_ends(at->data);
+}
+
 uint32_t direct_busy(const struct direct *direct)
 {
 	return http_server_busy(direct->server);
--- a/direct/direct.h
+++ b/direct/direct.h
@@ -96,6 +96,9 @@
  * with no other entry come all the while.
  */
 void direct_end_by(struct direct *direct, int64_t end_us);
+/** The entry ends in a moment: refuse what no upstream has got yet, truthfully
+ * as not run, so that its callers ask another entry. */
+void direct_refuse_unsent(struct direct *direct);
 /** Requests that are being read or served. */
 uint32_t direct_busy(const struct direct *direct);
 
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -108,6 +108,8 @@
 /** Operators have closed a domain: if nothing is left that could serve it, it
  * is refused. */
 void direct_request_domain_closed(struct direct_request *request);
+/** The entry ends: it is refused unless an upstream has it. */
+void direct_request_entry_ends(struct direct_request *request);
 /** A piece cannot be made in time. */
 void direct_request_pieces_late(struct direct_request *request);
 
--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -306,6 +306,13 @@
 		is_servable(request);
 }
 
+void direct_request_entry_ends(struct direct_request *request)
+{
+	if (request->state != DIRECT_STATE_SENT && !request->begun)
+		direct_request_refuse(request, DIRECT_WAIT_ELSEWHERE_US,
+				      "draining");
+}
+
 /* ---- the beginning ---- */
 
 static const struct direct_organisation *
--- a/policy/pool.c
+++ b/policy/pool.c
@@ -77,7 +77,7 @@
 	GHashTable *regions;		 /* domain -> interned region */
 };
 
-/* ---- the list ---- */
+/* ---- start and end ---- */
 
 struct pool_upstream *pool_hold(struct pool_upstream *upstream)
 {
--- a/tests/direct_test.cc
+++ b/tests/direct_test.cc
@@ -416,6 +416,32 @@
 		turn_until([&] { return pe_pieces_kept(rig.platform) == 0; }));
 }
 
+/* Found by a hunted day: requests of the least urgent kind waited for a short
+ * stage until their entry, which had been told to stop, was gone; their
+ * connections were reset without an answer. */
+TEST(Direct, AnEntryThatEndsRefusesWhatNoUpstreamHas)
+{
+	Rig rig;
+	pe_upstream *stage = rig.add(PE_STAGE, "first");
+	pe_upstream *plain = rig.add(PE_PLAIN, "plain");
+
+	rig.add(PE_STAGE, "second");
+	rig.add(PE_ENGINE, "engine");
+	rig.settle();
+	pe_fault(stage, PE_FAULT_SILENT);
+	pe_set_work_ms(plain, 200);
+	Ask waits(rig.address, "w", "/staged/x",
+		  { { "X-Pieces", "1,1" }, { "X-Piece-Key", "k" } });
+	Ask sent(rig.address, "s", "/order/x");
+	ASSERT_TRUE(turn_until(
+		[&] { return pe_calls(stage) && pe_arrivals(plain); }));
+	direct_drain(rig.entry);
+	direct_refuse_unsent(rig.entry);
+	EXPECT_EQ(waits.wait().status, 503u);
+	EXPECT_NE(waits.retry_after, "");
+	EXPECT_EQ(sent.wait().status, 200u);
+}
+
 /* ---- the list of upstreams ---- */
 
 TEST(Direct, ALeavingUpstreamGetsNothingNew)
