--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -292,28 +292,37 @@
 
 /* ---- the client ---- */
 
-/* A server that says these bytes to whoever connects, then ends. */
+/* A server that says these bytes to whoever connects, then ends. Its threads
+ * may outlive it, on a busy host: what they say is the service's, which they
+ * hold. */
 struct Script {
+	struct Reply {
+		std::string text;
+		bool reset;
+	};
 	GSocketService *service = g_threaded_socket_service_new(4);
 	std::string address;
-	std::string text;
-	bool reset;
 
 	Script(std::string bytes, bool with_reset)
-	    : text(std::move(bytes)), reset(with_reset)
 	{
+		auto *reply = new Reply{ std::move(bytes), with_reset };
 		guint16 port = g_socket_listener_add_any_inet_port(
 			G_SOCKET_LISTENER(service), nullptr, nullptr);
 
 		address = "127.0.0.1:" + std::to_string(port);
-		g_signal_connect(service, "run", G_CALLBACK(on_incoming), this);
+		g_signal_connect_data(service, "run", G_CALLBACK(on_incoming),
+				      reply, free_reply, (GConnectFlags)0);
 	}
 	~Script()
 	{
 		g_object_unref(service);
 	}
+	static void free_reply(gpointer reply, GClosure *)
+	{
+		delete static_cast<Reply *>(reply);
+	}
 	static gboolean on_incoming(GSocketService *, GSocketConnection *conn,
-				    GObject *, Script *self)
+				    GObject *, Reply *reply)
 	{
 		GSocket *socket = g_socket_connection_get_socket(conn);
 		linger at_once = { 1, 0 };
@@ -321,9 +330,9 @@
 
 		g_socket_receive(socket, request, sizeof(request), nullptr,
 				 nullptr);
-		g_socket_send(socket, self->text.data(), self->text.size(),
+		g_socket_send(socket, reply->text.data(), reply->text.size(),
 			      nullptr, nullptr);
-		if (self->reset)
+		if (reply->reset)
 			setsockopt(g_socket_get_fd(socket), SOL_SOCKET,
 				   SO_LINGER, &at_once, sizeof(at_once));
 		return FALSE;
