Pool: what an engine copies and reads of a prompt is found in one place

The tokens left to read were worked out three times (the choice, the placer's reply, the sending), each from a second walk over the prompt's parts, and each candidate looked up its service's figures of copying twice by name. The copy now says what is read, too, and the figures are looked up once a choice.

--- a/direct/direct_places.c
+++ b/direct/direct_places.c
@@ -297,9 +297,7 @@
 	copy = pool_find_copy(direct->pool, upstream, ask);
 	held->source = copy.from ? copy.from->life : 0;
 	held->copied_tokens = copy.tokens;
-	held->cold_tokens =
-		pool_cold_tokens(upstream, ask->parts, ask->parts_count) -
-		copy.tokens;
+	held->cold_tokens = copy.cold_tokens;
 	upstream->in_flight++;
 	upstream->tokens_ahead += held->cold_tokens;
 	pool_remember(direct->pool, upstream, ask->parts, ask->parts_count,
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -455,8 +455,8 @@
 		g_ptr_array_unref(inputs);
 }
 
-/* Where the engine copies from what it lacks of the prompt: by ourselves, or as
- * its placer says. */
+/* What the engine lacks of the prompt and copies: by ourselves, or as its
+ * placer says. */
 static struct pool_copy find_copy(const struct direct_request *request)
 {
 	const struct pool *pool = request->direct->pool;
@@ -471,26 +471,20 @@
 		.from = place->source ? pool_find_life(pool, place->source)
 				      : NULL,
 		.tokens = place->copied_tokens,
+		.cold_tokens = place->cold_tokens,
 	};
 }
 
 /* By ourselves, or as its placer counts. */
 static void count_tokens(struct direct_request *request)
 {
-	const struct pool_upstream *upstream = request->upstream;
-	const GArray *parts = request->ask.parts;
 	const struct direct_place *place = &request->place;
 	struct pool_copy copy = find_copy(request);
-	int64_t ahead =
-		place->peer ? place->tokens_ahead : upstream->tokens_ahead;
+	int64_t ahead = place->peer ? place->tokens_ahead
+				    : request->upstream->tokens_ahead;
 
 	request->copy_from = copy.from;
-	request->cold_tokens =
-		place->peer ? place->cold_tokens
-			    : pool_cold_tokens(upstream,
-					       (struct pool_part *)parts->data,
-					       parts->len) -
-				      copy.tokens;
+	request->cold_tokens = copy.cold_tokens;
 	request->expected_us = DIRECT_ENGINE_FIRST_US / 4 +
 			       (ahead + request->cold_tokens) * LP_US_PER_MS /
 				       POOL_TOKENS_PER_MS +
--- a/policy/pool.c
+++ b/policy/pool.c
@@ -551,12 +551,15 @@
 		g_hash_table_remove(pool->copying, service);
 }
 
-int64_t pool_copy_us(const struct pool *pool, const char *service,
-		     int64_t tokens)
+static const struct copying *copying_of(const struct pool *pool,
+					const char *service)
 {
-	const struct copying *copying =
-		g_hash_table_lookup(pool->copying, service);
+	return g_hash_table_lookup(pool->copying, service);
+}
 
+/* `copying` NULL: they do not, and no tokens are copied. */
+static int64_t copy_us(const struct copying *copying, int64_t tokens)
+{
 	if (!copying || !tokens)
 		return 0;
 	return COPY_SETUP_US +
@@ -564,15 +567,48 @@
 			 copying->bytes_per_us);
 }
 
-/* The engine that has read the most of a prompt. */
-static struct pool_copy find_source(const struct pool *pool,
-				    const GPtrArray *list,
-				    const struct pool_ask *ask)
+int64_t pool_copy_us(const struct pool *pool, const char *service,
+		     int64_t tokens)
+{
+	return copy_us(copying_of(pool, service), tokens);
+}
+
+/* Its price, as time. */
+static int64_t copy_price_us(const struct copying *copying, int64_t tokens)
+{
+	return copying ? tokens * copying->token_bytes / COPIED_BYTES_PER_US
+		       : 0;
+}
+
+static int64_t all_tokens(const struct pool_part *parts, uint32_t count)
+{
+	int64_t tokens = 0;
+
+	for (uint32_t i = 0; i < count; i++)
+		tokens += parts[i].tokens;
+	return tokens;
+}
+
+/* Who can copy a prompt to the others of its service. */
+struct source {
+	const struct copying *copying; /* NULL: nothing is copied */
+	struct pool_upstream *engine;  /* has read the most of it; or NULL */
+	int64_t tokens;		       /* that it has read */
+	int64_t all_tokens;	       /* of the prompt */
+};
+
+/* A prompt of one part has nothing that others share. */
+static struct source find_source(const struct pool *pool, const GPtrArray *list,
+				 const struct pool_ask *ask)
 {
-	struct pool_copy best = { 0 };
+	struct source source = {
+		.copying = ask->parts_count > 1 ? copying_of(pool, ask->service)
+						: NULL,
+		.all_tokens = all_tokens(ask->parts, ask->parts_count),
+	};
 	int64_t now_us = lp_now_us(pool->clock);
 
-	for (guint i = 0; i < list->len; i++) {
+	for (guint i = 0; source.copying && i < list->len; i++) {
 		struct pool_upstream *upstream = g_ptr_array_index(list, i);
 		int64_t tokens;
 
@@ -581,67 +617,38 @@
 			continue;
 		tokens = tokens_read(upstream, ask->parts, ask->parts_count,
 				     now_us);
-		if (tokens > best.tokens)
-			best = (struct pool_copy){ upstream, tokens };
+		if (tokens <= source.tokens)
+			continue;
+		source.engine = upstream;
+		source.tokens = tokens;
 	}
-	return best;
+	return source;
 }
 
-/* What an engine that lacks `cold` of `all` tokens copies from that source. */
-static struct pool_copy copy_from(const struct pool *pool,
-				  struct pool_copy source,
+static struct pool_copy copy_from(const struct source *source,
 				  const struct pool_upstream *upstream,
-				  int64_t all, int64_t cold)
+				  const struct pool_ask *ask)
 {
-	struct pool_copy copy = { source.from, source.tokens - (all - cold) };
-	const struct pool_copy none = { 0 };
+	int64_t cold = pool_cold_tokens(upstream, ask->parts, ask->parts_count);
+	int64_t tokens = source->tokens - (source->all_tokens - cold);
+	const struct pool_copy none = { .cold_tokens = cold };
 
-	if (!source.from || source.from == upstream || copy.tokens <= 0 ||
-	    pool_copy_us(pool, upstream->entry.service, copy.tokens) >=
-		    copy.tokens * LP_US_PER_MS / POOL_TOKENS_PER_MS)
+	if (!source->engine || source->engine == upstream || tokens <= 0 ||
+	    copy_us(source->copying, tokens) >=
+		    tokens * LP_US_PER_MS / POOL_TOKENS_PER_MS)
 		return none;
-	return copy;
-}
-
-static int64_t all_tokens(const struct pool_part *parts, uint32_t count)
-{
-	int64_t tokens = 0;
-
-	for (uint32_t i = 0; i < count; i++)
-		tokens += parts[i].tokens;
-	return tokens;
-}
-
-static bool may_copy(const struct pool *pool, const char *service,
-		     uint32_t parts_count)
-{
-	return parts_count > 1 && g_hash_table_contains(pool->copying, service);
+	return (struct pool_copy){ source->engine, tokens, cold - tokens };
 }
 
 struct pool_copy pool_find_copy(const struct pool *pool,
 				const struct pool_upstream *upstream,
 				const struct pool_ask *ask)
 {
+	static const GPtrArray empty;
 	const GPtrArray *list = pool_of_service(pool, ask->service);
-	const struct pool_copy none = { 0 };
-
-	if (!list || !may_copy(pool, ask->service, ask->parts_count))
-		return none;
-	return copy_from(
-		pool, find_source(pool, list, ask), upstream,
-		all_tokens(ask->parts, ask->parts_count),
-		pool_cold_tokens(upstream, ask->parts, ask->parts_count));
-}
-
-/* Its price, as time. */
-static int64_t copy_price_us(const struct pool *pool, const char *service,
-			     int64_t tokens)
-{
-	const struct copying *copying =
-		g_hash_table_lookup(pool->copying, service);
+	struct source source = find_source(pool, list ? list : &empty, ask);
 
-	return copying ? tokens * copying->token_bytes / COPIED_BYTES_PER_US
-		       : 0;
+	return copy_from(&source, upstream, ask);
 }
 
 static void forget_oldest(struct pool_upstream *upstream)
@@ -865,8 +872,7 @@
 struct choice {
 	const struct pool_ask *ask;
 	const struct pool_upstream *home;
-	struct pool_copy source; /* of the prompt; NULL: nobody has it */
-	int64_t all_tokens;
+	struct source source; /* of the prompt */
 };
 
 /* Shared tokens that would be read once more; the last part is the request's
@@ -879,24 +885,22 @@
 
 /* Estimated time until a prompt is read there, with what else counts as time.
  */
-static double prompt_cost_us(const struct pool *pool,
-			     const struct choice *choice,
+static double prompt_cost_us(const struct choice *choice,
 			     const struct pool_upstream *upstream)
 {
 	const struct pool_ask *ask = choice->ask;
-	int64_t cold = pool_cold_tokens(upstream, ask->parts, ask->parts_count);
-	struct pool_copy copy = copy_from(pool, choice->source, upstream,
-					  choice->all_tokens, cold);
-	int64_t tokens = upstream->tokens_ahead + cold - copy.tokens;
+	const struct copying *copying = choice->source.copying;
+	struct pool_copy copy = copy_from(&choice->source, upstream, ask);
+	int64_t tokens = upstream->tokens_ahead + copy.cold_tokens;
 	double cost = FIRST_STEP_US +
 		      (double)PER_REQUEST_US * upstream->in_flight +
 		      (double)tokens * LP_US_PER_MS / POOL_TOKENS_PER_MS +
-		      (double)pool_copy_us(pool, ask->service, copy.tokens);
+		      (double)copy_us(copying, copy.tokens);
 
 	if (ask->target_us &&
 	    cost * upstream->slowness > (double)ask->target_us)
 		cost += LATE_US;
-	cost += (double)copy_price_us(pool, ask->service, copy.tokens);
+	cost += (double)copy_price_us(copying, copy.tokens);
 	if (choice->home && upstream != choice->home)
 		cost += NOT_HOME_US +
 			(double)MAX(shared_cold(ask, upstream) - copy.tokens,
@@ -917,7 +921,7 @@
 		      const struct pool_upstream *upstream)
 {
 	const struct pool_ask *ask = choice->ask;
-	double cost = ask->parts_count ? prompt_cost_us(pool, choice, upstream)
+	double cost = ask->parts_count ? prompt_cost_us(choice, upstream)
 				       : plain_cost_us(upstream);
 
 	cost *= upstream->slowness * (1.0 + 4.0 * upstream->error_share);
@@ -928,21 +932,6 @@
 	return cost;
 }
 
-static struct choice begin_choice(const struct pool *pool,
-				  const struct pool_ask *ask,
-				  const GPtrArray *list)
-{
-	struct choice choice = {
-		.ask = ask,
-		.home = find_home(ask, list),
-		.all_tokens = all_tokens(ask->parts, ask->parts_count),
-	};
-
-	if (may_copy(pool, ask->service, ask->parts_count))
-		choice.source = find_source(pool, list, ask);
-	return choice;
-}
-
 struct pool_upstream *pool_pick(struct pool *pool, const struct pool_ask *ask)
 {
 	const GPtrArray *list = pool_of_service(pool, ask->service);
@@ -954,7 +943,11 @@
 
 	if (!list)
 		return NULL;
-	choice = begin_choice(pool, ask, list);
+	choice = (struct choice){
+		.ask = ask,
+		.home = find_home(ask, list),
+		.source = find_source(pool, list, ask),
+	};
 	for (guint i = 0; i < list->len; i++) {
 		struct pool_upstream *upstream = g_ptr_array_index(list, i);
 		bool usable = pool_usable(pool, upstream);
--- a/policy/pool.h
+++ b/policy/pool.h
@@ -72,10 +72,11 @@
 	int64_t tokens;
 };
 
-/** Memory of a prompt that an engine has from another one. */
+/** What an engine does for a prompt's memory: copies some, reads the rest. */
 struct pool_copy {
-	struct pool_upstream *from; /**< NULL: none; not held */
-	int64_t tokens;		    /**< that need not be read */
+	struct pool_upstream *from; /**< NULL: none is copied; not held */
+	int64_t tokens;		    /**< that are copied */
+	int64_t cold_tokens;	    /**< that are read */
 };
 
 struct pool_ask {
@@ -159,8 +160,8 @@
  */
 void pool_set_copying(struct pool *pool, const char *service,
 		      int64_t token_bytes, double bytes_per_us);
-/** Where this engine best copies from what it lacks of a prompt, if that is
- * faster than to read it. */
+/** What this engine lacks of a prompt, and where it best copies from, if that
+ * is faster than to read it. */
 struct pool_copy pool_find_copy(const struct pool *pool,
 				const struct pool_upstream *upstream,
 				const struct pool_ask *ask);
