One way to ask an upstream; one walk over the requests of an entry

Calls of pieces, questions of room, results given up and the new question of memory each filled in address, fields and the connect timeout, of which direct_memory had a copy of its own: direct_fetch does it for the four. Two new loops over all requests were twins of the one at the end of an entry. No change of behaviour.

--- a/direct/direct.c
+++ b/direct/direct.c
@@ -53,12 +53,14 @@
 	direct_quarantine_ended(direct->quarantine, lost, count);
 }
 
-static void refuse_unservable(struct direct *direct)
+/* `act` may end the request that it is given. */
+static void each_request(struct direct *direct,
+			 void (*act)(struct direct_request *request))
 {
 	g_autoptr(GList) requests = g_hash_table_get_keys(direct->requests);
 
 	for (GList *at = requests; at; at = at->next)
-		direct_request_domain_closed(at->data);
+		act(at->data);
 }
 
 static void open_to_peers(struct direct *direct);
@@ -70,7 +72,7 @@
 	open_to_peers(direct);
 	if (!pool_close(direct->pool, direct_closures_known(direct->closures)))
 		return;
-	refuse_unservable(direct);
+	each_request(direct, direct_request_domain_closed);
 	direct_calls_run(direct->calls);
 }
 
@@ -144,13 +146,9 @@
 
 void direct_destroy(struct direct *direct)
 {
-	g_autoptr(GList) requests = NULL;
-
 	if (!direct)
 		return;
-	requests = g_hash_table_get_keys(direct->requests);
-	for (GList *at = requests; at; at = at->next)
-		direct_request_drop(at->data);
+	each_request(direct, direct_request_drop);
 	http_server_destroy(direct->server);
 	if (direct->peers)
 		direct_peers_listen_none(direct->peers);
@@ -354,10 +352,7 @@
 
 void direct_refuse_unsent(struct direct *direct)
 {
-	g_autoptr(GList) requests = g_hash_table_get_keys(direct->requests);
-
-	for (GList *at = requests; at; at = at->next)
-		direct_request_entry_ends(at->data);
+	each_request(direct, direct_request_entry_ends);
 }
 
 uint32_t direct_busy(const struct direct *direct)
--- a/direct/direct_calls.c
+++ b/direct/direct_calls.c
@@ -443,30 +443,25 @@
 	const struct direct_codec *codec = calls->direct->options.codec;
 	g_autofree char *body = write_items(calls, made->pieces);
 	struct stage_call *call = g_new0(struct stage_call, 1);
-	struct http_fields fields;
 
 	call->calls = calls;
 	call->service = service;
 	call->call = made;
 	call->reply.running = -1;
 	call->reply.waiting = -1;
-	http_fields_init(&fields);
-	codec->write_call(made->upstream->entry.id, &fields);
 	g_hash_table_add(calls->under_way, call);
-	call->fetch = http_fetch_start(&(struct http_fetch_options){
-		.address = made->upstream->entry.address,
-		.method = "POST",
-		.target = codec->items_target,
-		.fields = &fields,
-		.body = body,
-		.connect_timeout_us = DIRECT_CONNECT_TIMEOUT_US,
-		.timeout_us = MAX(CALL_SLACK * made->expected_us,
-				  CALL_TIMEOUT_MIN_US),
-		.head = on_call_head,
-		.done = on_call_done,
-		.userdata = call,
-	});
-	http_fields_clear(&fields);
+	call->fetch = direct_fetch_start(
+		codec, made->upstream,
+		&(struct http_fetch_options){
+			.method = "POST",
+			.target = codec->items_target,
+			.body = body,
+			.timeout_us = MAX(CALL_SLACK * made->expected_us,
+					  CALL_TIMEOUT_MIN_US),
+			.head = on_call_head,
+			.done = on_call_done,
+			.userdata = call,
+		});
 	if (!call->fetch)
 		end_call(call, &no_answer);
 }
@@ -542,26 +537,21 @@
 	struct direct_calls *calls = service->calls;
 	const struct direct_codec *codec = calls->direct->options.codec;
 	struct room_question *question = g_new0(struct room_question, 1);
-	struct http_fields fields;
 
 	question->service = service;
 	question->upstream = pool_hold(upstream);
 	question->own_bytes = room_own_bytes(upstream->room);
 	question->asked_us = lp_now_us(calls->direct->options.clock);
-	http_fields_init(&fields);
-	codec->write_call(upstream->entry.id, &fields);
 	g_hash_table_add(calls->questions, question);
-	question->fetch = http_fetch_start(&(struct http_fetch_options){
-		.address = upstream->entry.address,
-		.method = "GET",
-		.target = codec->room_target,
-		.fields = &fields,
-		.connect_timeout_us = DIRECT_CONNECT_TIMEOUT_US,
-		.timeout_us = ROOM_TIMEOUT_US,
-		.done = on_room_told,
-		.userdata = question,
-	});
-	http_fields_clear(&fields);
+	question->fetch =
+		direct_fetch_start(codec, upstream,
+				   &(struct http_fetch_options){
+					   .method = "GET",
+					   .target = codec->room_target,
+					   .timeout_us = ROOM_TIMEOUT_US,
+					   .done = on_room_told,
+					   .userdata = question,
+				   });
 	if (!question->fetch)
 		end_question(question);
 }
--- a/direct/direct_memory.c
+++ b/direct/direct_memory.c
@@ -1,8 +1,7 @@
 #include "direct/direct_memory.h"
 
-#include "http/http_fetch.h"
+#include "direct/direct_fetch.h"
 
-#define CONNECT_TIMEOUT_US (400 * LP_US_PER_MS)
 /* What is not told by then has been learnt by placing. */
 #define ANSWER_TIMEOUT_US (1 * LP_US_PER_S)
 /* An engine is asked once in this time at the most. */
@@ -86,25 +85,20 @@
 {
 	const struct direct_codec *codec = memory->options.codec;
 	struct question *question = g_new0(struct question, 1);
-	struct http_fields fields;
 
 	engine->memory_asked_us = now(memory);
 	question->memory = memory;
 	question->engine = pool_hold(engine);
 	question->asked_us = now(memory);
-	http_fields_init(&fields);
-	codec->write_call(engine->entry.id, &fields);
-	question->fetch = http_fetch_start(&(struct http_fetch_options){
-		.address = engine->entry.address,
-		.method = "GET",
-		.target = codec->memory_target,
-		.fields = &fields,
-		.connect_timeout_us = CONNECT_TIMEOUT_US,
-		.timeout_us = ANSWER_TIMEOUT_US,
-		.done = on_told,
-		.userdata = question,
-	});
-	http_fields_clear(&fields);
+	question->fetch =
+		direct_fetch_start(codec, engine,
+				   &(struct http_fetch_options){
+					   .method = "GET",
+					   .target = codec->memory_target,
+					   .timeout_us = ANSWER_TIMEOUT_US,
+					   .done = on_told,
+					   .userdata = question,
+				   });
 	if (question->fetch)
 		g_hash_table_add(memory->questions, question);
 	else
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -6,11 +6,11 @@
 #include "direct/direct.h"
 #include "direct/direct_calls.h"
 #include "direct/direct_ends.h"
+#include "direct/direct_fetch.h"
 #include "direct/direct_memory.h"
 #include "direct/direct_peers.h"
 #include "direct/direct_quarantine.h"
 #include "http/http_client.h"
-#include "http/http_fetch.h"
 #include "http/http_server.h"
 #include "http/http_sock.h"
 #include "policy/graph.h"
@@ -20,12 +20,6 @@
 #include "policy/retries.h"
 #include "policy/verdict.h"
 
-/**
- * Within a region a connection stands in a few ms; a lost packet is sent again
- * after a second, and by then another upstream is the better choice.
- */
-#define DIRECT_CONNECT_TIMEOUT_US (400 * LP_US_PER_MS)
-
 /** Part of an engine's memory that is believed to hold prompts. */
 #define DIRECT_MEMORY_SHARE 0.8
 
--- a/direct/direct_results.c
+++ b/direct/direct_results.c
@@ -100,7 +100,6 @@
 {
 	const struct direct_codec *codec = results->direct->options.codec;
 	g_autofree char *body = NULL;
-	struct http_fields fields;
 	struct free_call *call;
 
 	body = codec->write_free(gathered->handles);
@@ -110,20 +109,15 @@
 	call->handles = g_ptr_array_ref(gathered->handles);
 	call->each_bytes = gathered->bytes / gathered->handles->len;
 	call->started_us = lp_now_us(results->direct->options.clock);
-	http_fields_init(&fields);
-	codec->write_call(upstream->entry.id, &fields);
-	call->fetch = http_fetch_start(&(struct http_fetch_options){
-		.address = upstream->entry.address,
-		.method = "POST",
-		.target = codec->free_target,
-		.fields = &fields,
-		.body = body,
-		.connect_timeout_us = DIRECT_CONNECT_TIMEOUT_US,
-		.timeout_us = FREE_TIMEOUT_US,
-		.done = on_free_done,
-		.userdata = call,
-	});
-	http_fields_clear(&fields);
+	call->fetch = direct_fetch_start(codec, upstream,
+					 &(struct http_fetch_options){
+						 .method = "POST",
+						 .target = codec->free_target,
+						 .body = body,
+						 .timeout_us = FREE_TIMEOUT_US,
+						 .done = on_free_done,
+						 .userdata = call,
+					 });
 	g_hash_table_add(results->calls, call);
 	if (!call->fetch)
 		end_free_call(call);
