--- a/direct/direct_closures.c
+++ b/direct/direct_closures.c
@@ -1,5 +1,7 @@
 #include "direct/direct_closures.h"
 
+#include "base/lp_texts.h"
+
 #define KIND_CLOSURES 'V'
 #define CLOSURES_TYPE "(xas)" /* revision, domains */
 
@@ -46,10 +48,8 @@
 	*lp_counter(closures->options.counters, "linepier_closed_domains",
 		    NULL) = domains->len;
 	if (lp_event_begin(log, "closed_domains", NULL)) {
-		g_autofree char *names = NULL;
+		g_autofree char *names = lp_texts_join(domains, ",");
 
-		g_ptr_array_add(domains, NULL);
-		names = g_strjoinv(",", (char **)domains->pdata);
 		lp_event_text(log, "domains", names);
 		lp_event_text(log, "source", source);
 		lp_event_int(log, "revision",
--- a/direct/direct_codec.h
+++ b/direct/direct_codec.h
@@ -102,12 +102,12 @@
 	bool (*read_items)(const char *body, size_t size,
 			   struct direct_made *made, uint32_t count,
 			   int64_t *born_ms);
-	/** Path and body of a call that gives results up. */
 	/** Path that asks an engine which parts of prompts it has in memory,
 	 * and the answer: appended, of struct pool_part. False: it cannot be
 	 * read. */
 	const char *memory_target;
 	bool (*read_memory)(const char *body, size_t size, GArray *parts);
+	/** Path and body of a call that gives results up. */
 	const char *free_target;
 	char *(*write_free)(const GPtrArray *handles);
 	/** Path of a question about an upstream's room for results, and its
--- a/node/node.c
+++ b/node/node.c
@@ -139,7 +139,6 @@
 static void spread_watch(void *userdata, bool on)
 {
 	struct node *node = userdata;
-
 	const struct store_watch watch = {
 		.key = CFG_KEY,
 		.changed = on_changed,
--- a/policy/closures.c
+++ b/policy/closures.c
@@ -1,6 +1,6 @@
 #include "policy/closures.h"
 
-#include <string.h>
+#include "base/lp_texts.h"
 
 #define REVISION_UNKNOWN (-1)
 
@@ -73,11 +73,6 @@
 	return closures->revision;
 }
 
-static gint by_name(gconstpointer a, gconstpointer b)
-{
-	return strcmp(*(const char *const *)a, *(const char *const *)b);
-}
-
 GPtrArray *closures_list(const struct closures *closures)
 {
 	GPtrArray *list = g_ptr_array_new();
@@ -87,6 +82,6 @@
 	g_hash_table_iter_init(&iter, closures->domains);
 	while (g_hash_table_iter_next(&iter, &name, NULL))
 		g_ptr_array_add(list, name);
-	g_ptr_array_sort(list, by_name);
+	lp_texts_sort(list);
 	return list;
 }
--- a/policy/homes.c
+++ b/policy/homes.c
@@ -1,24 +1,20 @@
 #include "policy/homes.h"
 
+#include "base/lp_texts.h"
+
 #include <string.h>
 
 #define SEPARATOR ","
 /* How HOMES_ANYWHERE is written; no region has this name. */
 #define ANYWHERE_TEXT "*"
 
-static gint by_name(gconstpointer a, gconstpointer b)
-{
-	return strcmp(*(const char *const *)a, *(const char *const *)b);
-}
-
 /* Takes an array of borrowed names, in any order. */
 static const char *intern_set(GPtrArray *names)
 {
 	g_autofree char *text = NULL;
 
-	g_ptr_array_sort(names, by_name);
-	g_ptr_array_add(names, NULL);
-	text = g_strjoinv(SEPARATOR, (char **)names->pdata);
+	lp_texts_sort(names);
+	text = lp_texts_join(names, SEPARATOR);
 	return g_intern_string(text);
 }
 
--- a/store/store_kv.h
+++ b/store/store_kv.h
@@ -53,14 +53,13 @@
 
 /** What a watch hears of. */
 struct store_watch {
-	const char *key;
-	bool is_prefix; /**< all keys that begin with `key`; not of store_etcd
-			 */
-	/** Of a prefix: all that stands there at this revision, when the watch
-	 * begins and whenever it has had to read anew. */
+	const char *key; /**< on the users' platform all keys that begin with
+			    it, with store_etcd this one */
+	/** On the platform: all that stands there at this revision, when the
+	 * watch begins and whenever it has had to read anew. */
 	void (*read)(void *userdata, int64_t revision,
 		     const struct store_pair *pairs, uint32_t count);
-	/** A new value; of a prefix also a key that is gone: value NULL. */
+	/** A new value; on the platform also a key that is gone: value NULL. */
 	void (*changed)(void *userdata, const struct store_pair *pair);
 	/** Once, when the watch breaks. */
 	void (*ended)(void *userdata, int error);
