Emulator: removed keys stand among the items; tests: one staged request

The table of removals beside the table of items was walked by a copy of the same loop: a removed key is an item without a value. Two tests spelled out the same staged request. Assertions as they were.

--- a/tests/direct_rig.h
+++ b/tests/direct_rig.h
@@ -367,4 +367,13 @@
 	"id: 3\ndata: token 3\n\nid: 4\ndata: token 4\n\n"
 	"id: 5\ndata: token 5\n\nid: 6\ndata: token 6\n\n";
 
+/* A request with stages, of this id: its answer. */
+inline std::string ask_staged(const Rig &rig, const std::string &id)
+{
+	return Ask(rig.address, id.c_str(), "/staged/x",
+		   Fields{ { "X-Pieces", "3,2" }, { "X-Piece-Key", "k" + id } })
+		.wait()
+		.body;
+}
+
 #endif
--- a/tests/evacuation_test.cc
+++ b/tests/evacuation_test.cc
@@ -60,15 +60,9 @@
 void ask_each(Rig &rig, int count)
 {
 	for (int i = 0; i < count; i++) {
-		std::string id = "s" + std::to_string(i);
-
 		EXPECT_EQ(ask(rig), whole);
 		EXPECT_EQ(ask(rig, "/once/x"), whole);
-		EXPECT_EQ(Ask(rig.address, id.c_str(), "/staged/x",
-			      Fields{ { "X-Pieces", "3,2" },
-				      { "X-Piece-Key", "k" + id } })
-				  .wait()
-				  .body,
+		EXPECT_EQ(ask_staged(rig, "s" + std::to_string(i)),
 			  whole_stream);
 	}
 }
--- a/tests/homes_test.cc
+++ b/tests/homes_test.cc
@@ -78,16 +78,9 @@
 	abroad.push_back(pe_add(rig.platform, PE_PLAIN, "plain", "a"));
 	pe_set_config(rig.platform, json.c_str());
 	rig.settle(2);
-	for (int i = 0; i < 4; i++) {
-		std::string id = "s" + std::to_string(i);
-
-		EXPECT_EQ(Ask(rig.address, id.c_str(), "/staged/x",
-			      Fields{ { "X-Pieces", "3,2" },
-				      { "X-Piece-Key", "k" + id } })
-				  .wait()
-				  .body,
+	for (int i = 0; i < 4; i++)
+		EXPECT_EQ(ask_staged(rig, "s" + std::to_string(i)),
 			  whole_stream);
-	}
 	/* Its only upstream is abroad: refused at once. */
 	EXPECT_EQ(Ask(rig.address, "p", "/order/x").wait().status, 503u);
 	for (pe_upstream *upstream : stages_abroad)
--- a/tools/pe.c
+++ b/tools/pe.c
@@ -545,7 +545,6 @@
 	pe_listener_destroy(pe->store);
 	g_ptr_array_unref(pe->watches);
 	g_hash_table_unref(pe->items);
-	g_hash_table_unref(pe->removed);
 	g_hash_table_unref(pe->runs);
 	g_hash_table_unref(pe->accounts);
 	g_ptr_array_unref(pe->breaches);
--- a/tools/pe_private.h
+++ b/tools/pe_private.h
@@ -69,7 +69,6 @@
 	enum pe_store_fault store_fault;
 	int64_t revision;
 	GHashTable *items;    /**< key -> struct pe_item */
-	GHashTable *removed;  /**< key -> revision of its removal */
 	GPtrArray *watches;   /**< of struct pe_conn that wait */
 	GPtrArray *upstreams; /**< of struct pe_upstream */
 	GHashTable *runs;     /**< request id -> count */
@@ -82,7 +81,7 @@
 };
 
 struct pe_item {
-	GBytes *value;
+	GBytes *value; /**< NULL: it was removed at the revision */
 	int64_t revision;
 };
 
--- a/tools/pe_store.c
+++ b/tools/pe_store.c
@@ -14,7 +14,8 @@
 {
 	struct pe_item *item = data;
 
-	g_bytes_unref(item->value);
+	if (item->value)
+		g_bytes_unref(item->value);
 	g_free(item);
 }
 
@@ -31,16 +32,25 @@
 	return g_strdup("");
 }
 
+static bool is_removed(const struct pe_item *item)
+{
+	return !item->value;
+}
+
 static void add_item(JsonBuilder *builder, const char *key,
 		     const struct pe_item *item)
 {
-	g_autofree char *value =
-		g_base64_encode(g_bytes_get_data(item->value, NULL),
-				g_bytes_get_size(item->value));
+	g_autofree char *value = NULL;
 
 	lp_json_text(builder, "key", key);
-	lp_json_text(builder, "value", value);
 	lp_json_int(builder, "revision", item->revision);
+	if (is_removed(item)) {
+		lp_json_bool(builder, "tombstone", true);
+		return;
+	}
+	value = g_base64_encode(g_bytes_get_data(item->value, NULL),
+				g_bytes_get_size(item->value));
+	lp_json_text(builder, "value", value);
 	lp_json_int(builder, "made", item->revision);
 	lp_json_int(builder, "lease", 0);
 }
@@ -66,7 +76,7 @@
 	const struct pe_item *item = g_hash_table_lookup(pe->items, key);
 	g_autoptr(JsonBuilder) builder = json_builder_new();
 
-	if (!item) {
+	if (!item || is_removed(item)) {
 		g_autofree char *body = g_strdup_printf(
 			"{\"current_rev\":%" G_GINT64_FORMAT "}",
 			(gint64)pe->revision);
@@ -81,9 +91,10 @@
 	answer_json(pe, conn, builder);
 }
 
-/* Items under a prefix that changed after a revision; returns how many. */
+/* Items under a prefix that changed after a revision, with those that were
+ * removed or without; returns how many. */
 static uint32_t add_items(struct pe *pe, JsonBuilder *builder,
-			  const char *prefix, int64_t after)
+			  const char *prefix, int64_t after, bool with_removed)
 {
 	GHashTableIter iter;
 	gpointer key;
@@ -94,7 +105,8 @@
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
 		const struct pe_item *item = value;
 
-		if (!g_str_has_prefix(key, prefix) || item->revision <= after)
+		if (!g_str_has_prefix(key, prefix) || item->revision <= after ||
+		    (is_removed(item) && !with_removed))
 			continue;
 		json_builder_begin_object(builder);
 		add_item(builder, key, item);
@@ -104,31 +116,6 @@
 	return count;
 }
 
-/* Keys under a prefix that were removed after a revision; returns how many. */
-static uint32_t add_removed(struct pe *pe, JsonBuilder *builder,
-			    const char *prefix, int64_t after)
-{
-	GHashTableIter iter;
-	gpointer key;
-	gpointer revision;
-	uint32_t count = 0;
-
-	g_hash_table_iter_init(&iter, pe->removed);
-	while (g_hash_table_iter_next(&iter, &key, &revision)) {
-		int64_t at = *(const int64_t *)revision;
-
-		if (!g_str_has_prefix(key, prefix) || at <= after)
-			continue;
-		json_builder_begin_object(builder);
-		lp_json_text(builder, "key", key);
-		lp_json_int(builder, "revision", at);
-		lp_json_bool(builder, "tombstone", true);
-		json_builder_end_object(builder);
-		count++;
-	}
-	return count;
-}
-
 static void answer_range(struct pe *pe, struct pe_conn *conn)
 {
 	g_autofree char *prefix = query(conn, "prefix");
@@ -137,7 +124,7 @@
 	json_builder_begin_object(builder);
 	json_builder_set_member_name(builder, "items");
 	json_builder_begin_array(builder);
-	add_items(pe, builder, prefix, -1);
+	add_items(pe, builder, prefix, -1, false);
 	json_builder_end_array(builder);
 	lp_json_bool(builder, "has_more", false);
 	lp_json_int(builder, "current_rev", pe->revision);
@@ -157,8 +144,7 @@
 	json_builder_begin_object(builder);
 	json_builder_set_member_name(builder, "events");
 	json_builder_begin_array(builder);
-	count = add_items(pe, builder, prefix, after);
-	count += add_removed(pe, builder, prefix, after);
+	count = add_items(pe, builder, prefix, after, true);
 	json_builder_end_array(builder);
 	lp_json_int(builder, "current_rev", pe->revision);
 	json_builder_end_object(builder);
@@ -287,8 +273,6 @@
 	pe->link = pe_link_create();
 	pe->items = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					  free_item);
-	pe->removed =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	pe->watches = g_ptr_array_new();
 	pe->store = pe_listener_create(on_request, on_left, pe);
 }
@@ -306,25 +290,26 @@
 	pe_store_put_bytes(pe, key, value, strlen(value));
 }
 
-void pe_store_put_bytes(struct pe *pe, const char *key, const void *bytes,
-			size_t size)
+/* Takes the value; NULL: the key is removed. */
+static void change_item(struct pe *pe, const char *key, GBytes *value)
 {
 	struct pe_item *item = g_new0(struct pe_item, 1);
 
-	item->value = g_bytes_new(bytes, size);
+	item->value = value;
 	item->revision = ++pe->revision;
 	g_hash_table_replace(pe->items, g_strdup(key), item);
-	g_hash_table_remove(pe->removed, key);
 	tell_watches(pe);
 }
 
+void pe_store_put_bytes(struct pe *pe, const char *key, const void *bytes,
+			size_t size)
+{
+	change_item(pe, key, g_bytes_new(bytes, size));
+}
+
 void pe_store_remove(struct pe *pe, const char *key)
 {
-	pe->revision++;
-	g_hash_table_remove(pe->items, key);
-	g_hash_table_replace(pe->removed, g_strdup(key),
-			     g_memdup2(&pe->revision, sizeof(pe->revision)));
-	tell_watches(pe);
+	change_item(pe, key, NULL);
 }
 
 void pe_store_fault(struct pe *pe, enum pe_store_fault fault)
