Read an upstream's limit in its answers, and log what is known of it

What the record of LIMIT could not tell: whether an answer named a limit, to which entry, and when. Every answer of an upstream is read in one place now, of callers' requests and of calls of our own (direct_notices); a change is a line (upstream_limit) and a count. No decision goes by it yet.

--- a/direct/direct.c
+++ b/direct/direct.c
@@ -118,6 +118,13 @@
 			.changed = on_closures,
 			.userdata = direct,
 		});
+	direct->notices =
+		direct_notices_create(&(struct direct_notices_options){
+			.clock = options->clock,
+			.log = options->log,
+			.counters = options->counters,
+			.pool = direct->pool,
+		});
 	direct->retries = retries_create(&retries);
 	direct->requests = g_hash_table_new(NULL, NULL);
 	direct->learnt =
@@ -135,6 +142,7 @@
 		.log = options->log,
 		.codec = options->codec,
 		.pool = direct->pool,
+		.notices = direct->notices,
 	});
 	direct->stages = direct_stages_create(direct);
 	direct->answer_times = lp_histogram_create(
@@ -160,6 +168,7 @@
 	direct_ends_destroy(direct->ends);
 	direct_quarantine_destroy(direct->quarantine);
 	direct_memory_destroy(direct->memory);
+	direct_notices_destroy(direct->notices);
 	pool_destroy(direct->pool);
 	direct_closures_destroy(direct->closures);
 	retries_destroy(direct->retries);
--- a/direct/direct_calls.c
+++ b/direct/direct_calls.c
@@ -46,7 +46,7 @@
 	struct direct_calls *calls;
 	struct service *service;
 	struct pieces_call *call;
-	struct http_fetch *fetch;
+	struct direct_fetch *fetch;
 	uint32_t no_room; /* pieces not made for want of it */
 	bool lost;	  /* it was sent, and no whole answer came */
 	struct direct_reply reply;
@@ -386,18 +386,13 @@
 	schedule_run(calls);
 }
 
-static void on_call_head(void *userdata, uint32_t status,
-			 const struct http_fields *fields)
+static void on_call_done(void *userdata, const struct http_fetch_answer *answer,
+			 const struct direct_reply *reply)
 {
 	struct stage_call *call = userdata;
 
-	call->calls->direct->options.codec->read_reply(status, fields, NULL,
-						       &call->reply);
-}
-
-static void on_call_done(void *userdata, const struct http_fetch_answer *answer)
-{
-	end_call(userdata, answer);
+	call->reply = *reply;
+	end_call(call, answer);
 }
 
 /* What stands for the answer of a call that could not be made or is dropped. */
@@ -450,18 +445,18 @@
 	call->reply.running = -1;
 	call->reply.waiting = -1;
 	g_hash_table_add(calls->under_way, call);
-	call->fetch = direct_fetch_start(
-		codec, made->upstream,
-		&(struct http_fetch_options){
-			.method = "POST",
-			.target = codec->items_target,
-			.body = body,
-			.timeout_us = MAX(CALL_SLACK * made->expected_us,
-					  CALL_TIMEOUT_MIN_US),
-			.head = on_call_head,
-			.done = on_call_done,
-			.userdata = call,
-		});
+	call->fetch = direct_fetch_start(&(struct direct_fetch_options){
+		.codec = codec,
+		.notices = calls->direct->notices,
+		.upstream = made->upstream,
+		.method = "POST",
+		.target = codec->items_target,
+		.body = body,
+		.timeout_us = MAX(CALL_SLACK * made->expected_us,
+				  CALL_TIMEOUT_MIN_US),
+		.done = on_call_done,
+		.userdata = call,
+	});
 	if (!call->fetch)
 		end_call(call, &no_answer);
 }
@@ -473,7 +468,7 @@
 	struct pool_upstream *upstream; /* held */
 	int64_t own_bytes;
 	int64_t asked_us;
-	struct http_fetch *fetch;
+	struct direct_fetch *fetch;
 };
 
 static void log_room(const struct room_question *question, bool told,
@@ -516,7 +511,8 @@
 }
 
 /* Not told: calls go there all the same, and tell. */
-static void on_room_told(void *userdata, const struct http_fetch_answer *answer)
+static void on_room_told(void *userdata, const struct http_fetch_answer *answer,
+			 const struct direct_reply *reply)
 {
 	struct room_question *question = userdata;
 	struct direct_calls *calls = question->service->calls;
@@ -543,15 +539,16 @@
 	question->own_bytes = room_own_bytes(upstream->room);
 	question->asked_us = lp_now_us(calls->direct->options.clock);
 	g_hash_table_add(calls->questions, question);
-	question->fetch =
-		direct_fetch_start(codec, upstream,
-				   &(struct http_fetch_options){
-					   .method = "GET",
-					   .target = codec->room_target,
-					   .timeout_us = ROOM_TIMEOUT_US,
-					   .done = on_room_told,
-					   .userdata = question,
-				   });
+	question->fetch = direct_fetch_start(&(struct direct_fetch_options){
+		.codec = codec,
+		.notices = calls->direct->notices,
+		.upstream = upstream,
+		.method = "GET",
+		.target = codec->room_target,
+		.timeout_us = ROOM_TIMEOUT_US,
+		.done = on_room_told,
+		.userdata = question,
+	});
 	if (!question->fetch)
 		end_question(question);
 }
@@ -643,7 +640,7 @@
 	for (GList *at = list; at; at = at->next) {
 		struct stage_call *call = at->data;
 
-		http_fetch_cancel(call->fetch);
+		direct_fetch_cancel(call->fetch);
 		end_call(call, &no_answer);
 	}
 }
@@ -655,7 +652,7 @@
 	for (GList *at = list; at; at = at->next) {
 		struct room_question *question = at->data;
 
-		http_fetch_cancel(question->fetch);
+		direct_fetch_cancel(question->fetch);
 		end_question(question);
 	}
 }
--- a/direct/direct_codec.h
+++ b/direct/direct_codec.h
@@ -36,8 +36,16 @@
 				  prompt in memory, or NULL */
 };
 
+/** What an answer says of its upstream's limit. */
+enum direct_limit {
+	DIRECT_LIMIT_NONE,
+	DIRECT_LIMIT_NAMED,
+	DIRECT_LIMIT_UNREADABLE,
+};
+
 /** What the head of an upstream's answer says. */
 struct direct_reply {
+	bool is_success;
 	bool is_ours;	    /**< it names the request that we sent */
 	bool is_genuine;    /**< it bears the upstream's mark */
 	bool not_run;	    /**< the upstream promises so */
@@ -47,6 +55,9 @@
 	int32_t running;    /**< requests or calls at work there; negative: not
 			       said */
 	int32_t waiting;
+	enum direct_limit limit;
+	double limit_per_s; /**< requests a second that the upstream takes of
+			       all entries; only if it names a limit */
 };
 
 /** One piece of a call of stages. */
--- a/direct/direct_fetch.c
+++ b/direct/direct_fetch.c
@@ -1,19 +1,79 @@
 #include "direct/direct_fetch.h"
 
-struct http_fetch *direct_fetch_start(const struct direct_codec *codec,
-				      const struct pool_upstream *upstream,
-				      const struct http_fetch_options *options)
+struct direct_fetch {
+	struct direct_fetch_options options;
+	struct http_fetch *http;
+	struct direct_reply reply;
+};
+
+static void free_fetch(struct direct_fetch *fetch)
+{
+	pool_release(fetch->options.upstream);
+	g_free(fetch);
+}
+
+static void on_head(void *userdata, uint32_t status,
+		    const struct http_fields *fields)
+{
+	struct direct_fetch *fetch = userdata;
+	const struct direct_fetch_options *options = &fetch->options;
+
+	options->codec->read_reply(status, fields, NULL, &fetch->reply);
+	direct_notices_hear(options->notices, options->upstream, &fetch->reply);
+}
+
+static void on_done(void *userdata, const struct http_fetch_answer *answer)
 {
-	struct http_fetch_options filled = *options;
-	struct http_fetch *fetch;
+	struct direct_fetch *fetch = userdata;
+	const struct direct_reply reply = fetch->reply;
+	const struct direct_fetch_options options = fetch->options;
+
+	free_fetch(fetch);
+	options.done(options.userdata, answer, &reply);
+}
+
+static struct http_fetch *start_http(struct direct_fetch *fetch)
+{
+	const struct direct_fetch_options *options = &fetch->options;
 	struct http_fields fields;
+	struct http_fetch *http;
 
 	http_fields_init(&fields);
-	codec->write_call(upstream->entry.id, &fields);
-	filled.address = upstream->entry.address;
-	filled.fields = &fields;
-	filled.connect_timeout_us = DIRECT_CONNECT_TIMEOUT_US;
-	fetch = http_fetch_start(&filled);
+	options->codec->write_call(options->upstream->entry.id, &fields);
+	http = http_fetch_start(&(struct http_fetch_options){
+		.address = options->upstream->entry.address,
+		.method = options->method,
+		.target = options->target,
+		.fields = &fields,
+		.body = options->body,
+		.connect_timeout_us = DIRECT_CONNECT_TIMEOUT_US,
+		.timeout_us = options->timeout_us,
+		.head = on_head,
+		.done = on_done,
+		.userdata = fetch,
+	});
 	http_fields_clear(&fields);
-	return fetch;
+	return http;
+}
+
+struct direct_fetch *
+direct_fetch_start(const struct direct_fetch_options *options)
+{
+	struct direct_fetch *fetch = g_new0(struct direct_fetch, 1);
+
+	fetch->options = *options;
+	fetch->reply.running = -1;
+	fetch->reply.waiting = -1;
+	pool_hold(fetch->options.upstream);
+	fetch->http = start_http(fetch);
+	if (fetch->http)
+		return fetch;
+	free_fetch(fetch);
+	return NULL;
+}
+
+void direct_fetch_cancel(struct direct_fetch *fetch)
+{
+	http_fetch_cancel(fetch->http);
+	free_fetch(fetch);
 }
--- a/direct/direct_memory.c
+++ b/direct/direct_memory.c
@@ -11,7 +11,7 @@
 	struct direct_memory *memory;
 	struct pool_upstream *engine; /* held */
 	int64_t asked_us;
-	struct http_fetch *fetch;
+	struct direct_fetch *fetch;
 };
 
 struct direct_memory {
@@ -45,7 +45,7 @@
 	struct question *question = data;
 
 	if (question->fetch)
-		http_fetch_cancel(question->fetch);
+		direct_fetch_cancel(question->fetch);
 	pool_release(question->engine);
 	g_free(question);
 }
@@ -63,7 +63,8 @@
 		       question->engine;
 }
 
-static void on_told(void *userdata, const struct http_fetch_answer *answer)
+static void on_told(void *userdata, const struct http_fetch_answer *answer,
+		    const struct direct_reply *reply)
 {
 	struct question *question = userdata;
 	struct direct_memory *memory = question->memory;
@@ -83,22 +84,23 @@
 static void ask_engine(struct direct_memory *memory,
 		       struct pool_upstream *engine)
 {
-	const struct direct_codec *codec = memory->options.codec;
+	const struct direct_memory_options *options = &memory->options;
 	struct question *question = g_new0(struct question, 1);
 
 	engine->memory_asked_us = now(memory);
 	question->memory = memory;
 	question->engine = pool_hold(engine);
 	question->asked_us = now(memory);
-	question->fetch =
-		direct_fetch_start(codec, engine,
-				   &(struct http_fetch_options){
-					   .method = "GET",
-					   .target = codec->memory_target,
-					   .timeout_us = ANSWER_TIMEOUT_US,
-					   .done = on_told,
-					   .userdata = question,
-				   });
+	question->fetch = direct_fetch_start(&(struct direct_fetch_options){
+		.codec = options->codec,
+		.notices = options->notices,
+		.upstream = engine,
+		.method = "GET",
+		.target = options->codec->memory_target,
+		.timeout_us = ANSWER_TIMEOUT_US,
+		.done = on_told,
+		.userdata = question,
+	});
 	if (question->fetch)
 		g_hash_table_add(memory->questions, question);
 	else
--- a/direct/direct_memory.h
+++ b/direct/direct_memory.h
@@ -13,6 +13,7 @@
 
 #include "base/lp_event.h"
 #include "direct/direct_codec.h"
+#include "direct/direct_notices.h"
 #include "policy/pool.h"
 
 struct direct_memory;
@@ -22,6 +23,7 @@
 	struct lp_event_log *log;
 	const struct direct_codec *codec;
 	struct pool *pool;
+	struct direct_notices *notices;
 };
 
 struct direct_memory *
--- /dev/null
+++ b/direct/direct_notices.h
@@ -0,0 +1,32 @@
+/**
+ * What upstreams say of themselves in their answers, whatever was asked: that
+ * they take only so many requests a second (policy/rate_limit.h).
+ *
+ * Every answer of an upstream is read here, of requests as of calls of our own,
+ * and what it changes is believed in the pool.
+ */
+#ifndef DIRECT_NOTICES_H
+#define DIRECT_NOTICES_H
+
+#include "base/lp_counter.h"
+#include "base/lp_event.h"
+#include "direct/direct_codec.h"
+
+struct direct_notices;
+
+struct direct_notices_options {
+	const struct lp_clock *clock;
+	struct lp_event_log *log;
+	struct lp_counters *counters;
+	struct pool *pool;
+};
+
+struct direct_notices *
+direct_notices_create(const struct direct_notices_options *options);
+void direct_notices_destroy(struct direct_notices *notices);
+/** The head of an answer of this upstream has come. */
+void direct_notices_hear(struct direct_notices *notices,
+			 struct pool_upstream *upstream,
+			 const struct direct_reply *reply);
+
+#endif
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -8,6 +8,7 @@
 #include "direct/direct_ends.h"
 #include "direct/direct_fetch.h"
 #include "direct/direct_memory.h"
+#include "direct/direct_notices.h"
 #include "direct/direct_peers.h"
 #include "direct/direct_quarantine.h"
 #include "http/http_client.h"
@@ -51,6 +52,7 @@
 	int64_t end_us;	   /* about to end then; 0: it is not */
 	struct retries *retries;
 	struct direct_closures *closures;
+	struct direct_notices *notices;
 	struct direct_ends *ends;
 	struct direct_quarantine *quarantine;
 	struct direct_stages *stages;
--- a/direct/direct_results.c
+++ b/direct/direct_results.c
@@ -32,7 +32,7 @@
 	GPtrArray *handles;
 	int64_t each_bytes;
 	int64_t started_us;
-	struct http_fetch *fetch;
+	struct direct_fetch *fetch;
 };
 
 static void free_gathered(gpointer data)
@@ -82,7 +82,8 @@
 }
 
 /* Lost or not: an upstream drops what nobody names after a few seconds. */
-static void on_free_done(void *userdata, const struct http_fetch_answer *answer)
+static void on_free_done(void *userdata, const struct http_fetch_answer *answer,
+			 const struct direct_reply *reply)
 {
 	struct free_call *call = userdata;
 
@@ -109,15 +110,17 @@
 	call->handles = g_ptr_array_ref(gathered->handles);
 	call->each_bytes = gathered->bytes / gathered->handles->len;
 	call->started_us = lp_now_us(results->direct->options.clock);
-	call->fetch = direct_fetch_start(codec, upstream,
-					 &(struct http_fetch_options){
-						 .method = "POST",
-						 .target = codec->free_target,
-						 .body = body,
-						 .timeout_us = FREE_TIMEOUT_US,
-						 .done = on_free_done,
-						 .userdata = call,
-					 });
+	call->fetch = direct_fetch_start(&(struct direct_fetch_options){
+		.codec = codec,
+		.notices = results->direct->notices,
+		.upstream = upstream,
+		.method = "POST",
+		.target = codec->free_target,
+		.body = body,
+		.timeout_us = FREE_TIMEOUT_US,
+		.done = on_free_done,
+		.userdata = call,
+	});
 	g_hash_table_add(results->calls, call);
 	if (!call->fetch)
 		end_free_call(call);
@@ -240,7 +243,7 @@
 	for (GList *at = calls; at; at = at->next) {
 		struct free_call *call = at->data;
 
-		http_fetch_cancel(call->fetch);
+		direct_fetch_cancel(call->fetch);
 		end_free_call(call);
 	}
 	if (results->timer)
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -253,6 +253,8 @@
 			    !http_fields_get(fields, "Transfer-Encoding");
 	request->direct->options.codec->read_reply(status, fields, request->id,
 						   &request->reply);
+	direct_notices_hear(request->direct->notices, request->upstream,
+			    &request->reply);
 	/* A resumed stream keeps the head of its first upstream. */
 	if (request->begun)
 		return;
--- a/policy/pool.h
+++ b/policy/pool.h
@@ -13,6 +13,7 @@
 #include "base/lp_clock.h"
 #include "policy/closures.h"
 #include "policy/homes.h"
+#include "policy/rate_limit.h"
 #include "policy/room.h"
 #include "policy/warmup.h"
 
@@ -47,6 +48,7 @@
 	bool closed;	    /**< operators have closed its domain */
 	const char *region; /**< of its domain; NULL: not known. Interned. */
 	struct warmup warmup;
+	struct rate_limit limit; /**< that it has named */
 	uint32_t in_flight;	 /**< our requests or calls there */
 	int64_t tokens_ahead;	 /**< prompt tokens we sent, not read yet */
 	int64_t aside_until_us;	 /**< gets nothing before, if others can */
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -339,6 +339,44 @@
 	}
 }
 
+TEST(PlfCodec, ALimitIsADecimalNumber)
+{
+	const struct {
+		const char *value;
+		direct_limit limit;
+		double per_s;
+	} cases[] = {
+		{ "1", DIRECT_LIMIT_NAMED, 1 },
+		{ "0", DIRECT_LIMIT_NAMED, 0 },
+		{ "2.75", DIRECT_LIMIT_NAMED, 2.75 },
+		{ "", DIRECT_LIMIT_UNREADABLE, 0 },
+		{ ".", DIRECT_LIMIT_UNREADABLE, 0 },
+		{ "-1", DIRECT_LIMIT_UNREADABLE, 0 },
+		{ "1e3", DIRECT_LIMIT_UNREADABLE, 0 },
+		{ "nan", DIRECT_LIMIT_UNREADABLE, 0 },
+		{ "1.2.3", DIRECT_LIMIT_UNREADABLE, 0 },
+		{ "5 a second", DIRECT_LIMIT_UNREADABLE, 0 },
+		{ "000000000000000000001", DIRECT_LIMIT_UNREADABLE, 0 },
+	};
+	Fields none;
+	direct_reply reply = {};
+
+	plf_codec()->read_reply(200, &none.it, "a", &reply);
+	EXPECT_EQ(reply.limit, DIRECT_LIMIT_NONE);
+	for (const auto &row : cases) {
+		const std::vector<std::pair<const char *, const char *>>
+			field = { { "Server-Limit", row.value } };
+		Fields fields(field);
+
+		reply = {};
+		plf_codec()->read_reply(503, &fields.it, "a", &reply);
+		EXPECT_EQ(reply.limit, row.limit) << row.value;
+		if (row.limit == DIRECT_LIMIT_NAMED) {
+			EXPECT_EQ(reply.limit_per_s, row.per_s) << row.value;
+		}
+	}
+}
+
 TEST(PlfCodec, ACallersFieldsAreReadOrRefused)
 {
 	const struct {
