--- a/tools/pe.c
+++ b/tools/pe.c
@@ -34,17 +34,30 @@
 			     GUINT_TO_POINTER(GPOINTER_TO_UINT(count) + 1));
 }
 
-static char *answer_fields(struct pe_conn *conn, bool foreign)
+void pe_answer(struct pe_upstream *upstream, struct pe_conn *conn,
+	       uint32_t status, const char *extra, const char *body)
 {
-	return g_strdup_printf("X-Attempt-Id: %s\r\nX-Server-Seal: mark\r\n",
+	g_autofree char *notices = pe_notice_fields(upstream);
+	g_autofree char *fields = g_strconcat(extra, notices, NULL);
+
+	pe_conn_answer(conn, status, fields, body);
+}
+
+static char *answer_fields(const struct pe_upstream *upstream,
+			   struct pe_conn *conn, bool foreign)
+{
+	g_autofree char *notices = pe_notice_fields(upstream);
+
+	return g_strdup_printf("X-Attempt-Id: %s\r\nX-Server-Seal: mark\r\n%s",
 			       foreign ? "another"
-				       : pe_conn_field(conn, "X-Attempt-Id"));
+				       : pe_conn_field(conn, "X-Attempt-Id"),
+			       notices);
 }
 
 static void answer_plain(struct pe_upstream *upstream, struct pe_conn *conn)
 {
-	g_autofree char *fields =
-		answer_fields(conn, upstream->fault == PE_FAULT_FOREIGN);
+	g_autofree char *fields = answer_fields(
+		upstream, conn, upstream->fault == PE_FAULT_FOREIGN);
 	g_autofree char *text = NULL;
 
 	switch (upstream->fault) {
@@ -142,7 +155,7 @@
 static void begin_stream(struct pe_upstream *upstream, struct pe_conn *conn)
 {
 	const char *after = pe_conn_field(conn, "Last-Event-Id");
-	g_autofree char *fields = answer_fields(conn, false);
+	g_autofree char *fields = answer_fields(upstream, conn, false);
 	g_autofree char *head = g_strdup_printf(
 		"HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n"
 		"Transfer-Encoding: chunked\r\n\r\n",
@@ -235,12 +248,12 @@
 static void run(struct pe_upstream *upstream, struct pe_conn *conn)
 {
 	if (upstream->fault == PE_FAULT_FULL) {
-		pe_conn_answer(conn, 503, "X-Not-Run: 1\r\n", "");
+		pe_answer(upstream, conn, 503, "X-Not-Run: 1\r\n", "");
 		return;
 	}
 	if (upstream->kind == PE_ENGINE &&
 	    !engine_inputs_there(upstream, conn)) {
-		pe_conn_answer(conn, 409, "X-Not-Run: 1\r\n", "");
+		pe_answer(upstream, conn, 409, "X-Not-Run: 1\r\n", "");
 		return;
 	}
 	pe_memory_take(upstream, conn);
@@ -265,6 +278,7 @@
 		pe_conn_answer(conn, 421, "", "");
 		return;
 	}
+	pe_notices_arrived(upstream);
 	if (upstream->kind == PE_STAGE) {
 		pe_stage_request(upstream, conn);
 		return;
@@ -381,6 +395,7 @@
 	if (upstream->telling)
 		g_source_remove(upstream->telling);
 	pe_listener_destroy(upstream->listener);
+	pe_notices_clear(upstream);
 	if (upstream->results)
 		g_hash_table_unref(upstream->results);
 	g_hash_table_unref(upstream->memory);
@@ -433,6 +448,7 @@
 	if (upstream->results)
 		g_hash_table_remove_all(upstream->results);
 	g_hash_table_remove_all(upstream->memory);
+	pe_notices_clear(upstream);
 	upstream->at_work = 0;
 	upstream->draining = false;
 	upstream->born_ms =
--- a/tools/pe.h
+++ b/tools/pe.h
@@ -75,6 +75,9 @@
 void pe_set_work_ms(struct pe_upstream *upstream, uint32_t work_ms);
 /** Write that it is cold for so long yet; 0: it is not. */
 void pe_set_cold(struct pe_upstream *upstream, uint32_t cold_ms);
+/** Name a limit in its answers: requests a second that it takes of all entries;
+ * negative: none any more. Entries that do not keep to it are a breach. */
+void pe_set_limit(struct pe_upstream *upstream, double per_s);
 /** Write that it is draining. */
 void pe_drain(struct pe_upstream *upstream);
 /** Its process is replaced by one of another id at the same address; the
--- a/tools/pe_memory.c
+++ b/tools/pe_memory.c
@@ -71,13 +71,15 @@
 	json_builder_end_array(builder);
 	json_builder_end_object(builder);
 	body = lp_json_print(builder);
-	pe_conn_answer(conn, 200, "Content-Type: application/json\r\n", body);
+	pe_answer(upstream, conn, 200, "Content-Type: application/json\r\n",
+		  body);
 }
 
 bool pe_memory_request(struct pe_upstream *upstream, struct pe_conn *conn)
 {
 	if (strcmp(conn->parse.target->str, LIST_TARGET) != 0)
 		return false;
+	pe_notices_arrived(upstream);
 	answer_list(upstream, conn);
 	return true;
 }
--- /dev/null
+++ b/tools/pe_notices.c
@@ -0,0 +1,79 @@
+/** What the emulator's upstreams say of themselves, and whether entries keep to
+ * it. */
+#include "tools/pe_private.h"
+
+/* Entries keep to a limit from this long after it was named first, ... */
+#define LIMIT_HOLDS_US (3 * LP_US_PER_S)
+/* ... in any such span, with this much beyond it. */
+#define LIMIT_SPAN_US (4 * LP_US_PER_S)
+#define LIMIT_EXCESS 1.5
+#define LIMIT_SLACK 5
+
+static int64_t now_us(void)
+{
+	return g_get_monotonic_time();
+}
+
+char *pe_notice_fields(const struct pe_upstream *upstream)
+{
+	char number[G_ASCII_DTOSTR_BUF_SIZE];
+
+	/* Another process has the address: it says nothing of this one. */
+	if (!upstream->limit.named || upstream->other_id)
+		return g_strdup("");
+	g_ascii_formatd(number, sizeof(number), "%.3f", upstream->limit.per_s);
+	return g_strdup_printf("Server-Limit: %s\r\n", number);
+}
+
+void pe_set_limit(struct pe_upstream *upstream, double per_s)
+{
+	struct pe_limit *limit = &upstream->limit;
+
+	if (!limit->arrivals)
+		limit->arrivals = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	g_array_set_size(limit->arrivals, 0);
+	limit->named = per_s >= 0;
+	limit->per_s = MAX(per_s, 0);
+	limit->named_us = now_us();
+	limit->broken = false;
+}
+
+void pe_notices_clear(struct pe_upstream *upstream)
+{
+	if (upstream->limit.arrivals)
+		g_array_unref(upstream->limit.arrivals);
+	upstream->limit = (struct pe_limit){ 0 };
+}
+
+/* Arrivals in the span that ends now; older ones are dropped. */
+static uint32_t arrivals_in_span(struct pe_limit *limit)
+{
+	guint old = 0;
+
+	while (old < limit->arrivals->len &&
+	       g_array_index(limit->arrivals, int64_t, old) <=
+		       now_us() - LIMIT_SPAN_US)
+		old++;
+	if (old)
+		g_array_remove_range(limit->arrivals, 0, old);
+	return limit->arrivals->len;
+}
+
+void pe_notices_arrived(struct pe_upstream *upstream)
+{
+	struct pe_limit *limit = &upstream->limit;
+	const double span_s = (double)LIMIT_SPAN_US / LP_US_PER_S;
+	int64_t at_us = now_us();
+	uint32_t count;
+
+	if (!limit->named || at_us < limit->named_us + LIMIT_HOLDS_US)
+		return;
+	g_array_append_val(limit->arrivals, at_us);
+	count = arrivals_in_span(limit);
+	if (limit->broken ||
+	    count <= LIMIT_EXCESS * limit->per_s * span_s + LIMIT_SLACK)
+		return;
+	limit->broken = true;
+	pe_breach(upstream->pe, "%s takes %.2f a second and got %u in %.0f s",
+		  upstream->id, limit->per_s, count, span_s);
+}
--- a/tools/pe_private.h
+++ b/tools/pe_private.h
@@ -33,6 +33,15 @@
 	void *userdata;
 };
 
+/** A limit that an upstream names, and what came of it. */
+struct pe_limit {
+	bool named;
+	double per_s;
+	int64_t named_us;
+	GArray *arrivals; /**< of int64_t: since it holds, of the last span */
+	bool broken;	  /**< written down already */
+};
+
 struct pe_upstream {
 	struct pe *pe;
 	struct pe_listener *listener;
@@ -43,6 +52,7 @@
 	int64_t born_ms; /**< wall clock, as it says it */
 	bool draining;
 	uint32_t cold_ms; /**< as its entry says */
+	struct pe_limit limit;
 	char *service;
 	char *domain;
 	uint32_t work_ms;
@@ -108,6 +118,9 @@
 /** Write an answer and end the connection. `extra`: header lines or "". */
 void pe_conn_answer(struct pe_conn *conn, uint32_t status, const char *extra,
 		    const char *body);
+/** The same for an upstream, which speaks of itself in it. */
+void pe_answer(struct pe_upstream *upstream, struct pe_conn *conn,
+	       uint32_t status, const char *extra, const char *body);
 void pe_conn_write(struct pe_conn *conn, const char *text);
 /** It is answered: await the next request on the connection. */
 void pe_conn_next(struct pe_conn *conn);
@@ -162,6 +175,15 @@
 void pe_poison_arrived(struct pe *pe, const char *content);
 void pe_poison_struck(struct pe *pe, const char *content);
 
+/* ---- pe_notices.c ---- */
+
+/** Header lines in which it speaks of itself; g_free(). */
+char *pe_notice_fields(const struct pe_upstream *upstream);
+/** A request or call has reached it, and is meant for it. */
+void pe_notices_arrived(struct pe_upstream *upstream);
+/** It starts anew, or ends. */
+void pe_notices_clear(struct pe_upstream *upstream);
+
 /* ---- pe.c ---- */
 
 void pe_breach(struct pe *pe, const char *format, ...)
--- a/tools/pe_stage.c
+++ b/tools/pe_stage.c
@@ -131,7 +131,7 @@
 	json_builder_end_array(builder);
 	json_builder_end_object(builder);
 	text = lp_json_print(builder);
-	pe_conn_answer(conn, 200, "X-Server-Load: 0,0,1\r\n", text);
+	pe_answer(upstream, conn, 200, "X-Server-Load: 0,0,1\r\n", text);
 }
 
 char *pe_stage_poison(const struct pe *pe, const struct pe_conn *conn)
@@ -207,7 +207,7 @@
 				upstream->results,
 				json_array_get_string_element(handles, i));
 	}
-	pe_conn_answer(conn, 200, "", "{}");
+	pe_answer(upstream, conn, 200, "", "{}");
 }
 
 /* Its room is never short here. */
@@ -219,7 +219,7 @@
 		"{%s\"waiting\":0,\"busy\":%d,\"free_mb\":1}",
 		upstream->pe->no_start ? "" : born, upstream->at_work > 0);
 
-	pe_conn_answer(conn, 200, "", text);
+	pe_answer(upstream, conn, 200, "", text);
 }
 
 void pe_stage_request(struct pe_upstream *upstream, struct pe_conn *conn)
@@ -240,8 +240,8 @@
 		return;
 	}
 	if (upstream->fault == PE_FAULT_FULL || upstream->at_work > QUEUE_MAX) {
-		pe_conn_answer(conn, 503,
-			       "X-Not-Run: 1\r\nX-Server-Load: 1,2,1\r\n", "");
+		pe_answer(upstream, conn, 503,
+			  "X-Not-Run: 1\r\nX-Server-Load: 1,2,1\r\n", "");
 		return;
 	}
 	upstream->calls++;
