--- a/tests/rate_limit_test.cc
+++ b/tests/rate_limit_test.cc
@@ -120,6 +120,9 @@
 {
 	Fleet fleet;
 
+	/* Long enough that calls go to both. */
+	for (pe_upstream *upstream : fleet.upstreams["first"])
+		pe_set_work_ms(upstream, 150);
 	pe_set_limit(fleet.upstreams["first"][0], 1);
 	fleet.ask_for("/staged/x", until_judged_ms);
 	EXPECT_EQ(fleet.count(200), (int)fleet.asks.size());
