--- a/direct/direct.c
+++ b/direct/direct.c
@@ -296,6 +296,7 @@
 	if (peers)
 		direct->places = direct_places_create(direct, peers);
 	direct_closures_set_peers(direct->closures, peers);
+	direct_notices_set_peers(direct->notices, peers);
 	direct_quarantine_set_peers(direct->quarantine, peers);
 	direct_stages_set_peers(direct->stages, peers);
 	open_to_peers(direct);
--- a/direct/direct_memory.c
+++ b/direct/direct_memory.c
@@ -110,7 +110,9 @@
 static bool is_to_be_asked(const struct direct_memory *memory,
 			   const struct pool_upstream *engine)
 {
+	/* One that takes only so many requests gets those of callers. */
 	return pool_usable(memory->options.pool, engine) &&
+	       !engine->limit.named &&
 	       (!engine->memory_asked_us ||
 		now(memory) - engine->memory_asked_us >= ASK_EACH_US);
 }
--- a/direct/direct_notices.c
+++ b/direct/direct_notices.c
@@ -1,10 +1,16 @@
 #include "direct/direct_notices.h"
 
+#define KIND_LIMITS 'N'
+/* upstream, whether it names a limit, requests a second, us since the answer */
+#define LIMITS_TYPE "a(tbdx)"
+/* Limits in one datagram. */
+#define LIMITS_MAX 100
 /* A limit is logged in thousandths: log lines carry whole numbers. */
 #define LIMIT_LOG_SCALE 1000
 
 struct direct_notices {
 	struct direct_notices_options options;
+	struct direct_peers *peers; /* NULL: nobody */
 };
 
 static int64_t now(const struct direct_notices *notices)
@@ -12,6 +18,53 @@
 	return lp_now_us(notices->options.clock);
 }
 
+/* ---- telling ---- */
+
+static void add_limit(const struct direct_notices *notices,
+		      const struct pool_upstream *upstream,
+		      GVariantBuilder *limits)
+{
+	const struct rate_limit *limit = &upstream->limit;
+
+	g_variant_builder_add(limits, "(tbdx)", (guint64)upstream->life,
+			      (gboolean)limit->named, limit->per_s,
+			      (gint64)(now(notices) - limit->heard_us));
+}
+
+static void tell_limit(struct direct_notices *notices,
+		       struct pool_upstream *upstream)
+{
+	GVariantBuilder limits;
+
+	upstream->limit.told_us = now(notices);
+	if (!notices->peers)
+		return;
+	g_variant_builder_init(&limits, G_VARIANT_TYPE(LIMITS_TYPE));
+	add_limit(notices, upstream, &limits);
+	direct_peers_send_all(notices->peers, KIND_LIMITS,
+			      g_variant_builder_end(&limits));
+}
+
+/* All that are named, so that who has just started keeps to them. */
+static void on_met(void *userdata, uint64_t peer)
+{
+	struct direct_notices *notices = userdata;
+	g_autoptr(GPtrArray) limited = pool_limited(notices->options.pool);
+	guint count = MIN(limited->len, LIMITS_MAX);
+	g_autoptr(GVariant) body = NULL;
+	GVariantBuilder limits;
+
+	if (!count)
+		return;
+	g_variant_builder_init(&limits, G_VARIANT_TYPE(LIMITS_TYPE));
+	for (guint i = 0; i < count; i++)
+		add_limit(notices, g_ptr_array_index(limited, i), &limits);
+	body = g_variant_ref_sink(g_variant_builder_end(&limits));
+	direct_peers_send(notices->peers, peer, KIND_LIMITS, body);
+}
+
+/* ---- learning ---- */
+
 static void log_limit(const struct direct_notices *notices,
 		      const struct pool_upstream *upstream, const char *source)
 {
@@ -54,6 +107,7 @@
 		.per_s = reply->limit_per_s,
 		.heard_us = now(notices),
 	};
+	bool changed;
 
 	if (reply->limit == DIRECT_LIMIT_UNREADABLE) {
 		log_unreadable(notices, upstream);
@@ -62,8 +116,12 @@
 	/* A refusal or a failure may leave out what a success says. */
 	if (!word.named && !reply->is_success)
 		return;
-	if (rate_limit_hear(&upstream->limit, &word))
+	changed = pool_heard_limit(notices->options.pool, upstream, &word);
+	if (changed)
 		log_limit(notices, upstream, "answer");
+	if (changed ||
+	    rate_limit_is_to_be_told(&upstream->limit, word.heard_us))
+		tell_limit(notices, upstream);
 }
 
 void direct_notices_hear(struct direct_notices *notices,
@@ -77,6 +135,56 @@
 	hear_limit(notices, upstream, reply);
 }
 
+static void take_told(struct direct_notices *notices, uint64_t peer,
+		      struct pool_upstream *upstream,
+		      const struct rate_limit_word *word)
+{
+	if (pool_heard_limit(notices->options.pool, upstream, word))
+		log_limit(notices, upstream,
+			  direct_peers_ip(notices->peers, peer));
+	/* Whoever told us has told the others. */
+	if (upstream->limit.heard_us == word->heard_us)
+		upstream->limit.told_us = now(notices);
+}
+
+static void on_limits(void *userdata, uint64_t peer, GVariant *body)
+{
+	struct direct_notices *notices = userdata;
+	GVariantIter iter;
+	guint64 life;
+	gboolean named;
+	gdouble per_s;
+	gint64 age_us;
+
+	g_variant_iter_init(&iter, body);
+	while (g_variant_iter_next(&iter, "(tbdx)", &life, &named, &per_s,
+				   &age_us)) {
+		struct rate_limit_word word = {
+			.named = named,
+			.per_s = per_s,
+			.heard_us = now(notices) - MAX(age_us, 0),
+		};
+		struct pool_upstream *upstream =
+			pool_find_life(notices->options.pool, life);
+
+		if (upstream && per_s >= 0)
+			take_told(notices, peer, upstream, &word);
+	}
+}
+
+/* ---- start and end ---- */
+
+void direct_notices_set_peers(struct direct_notices *notices,
+			      struct direct_peers *peers)
+{
+	notices->peers = peers;
+	if (!peers)
+		return;
+	direct_peers_listen(peers, KIND_LIMITS, LIMITS_TYPE, on_limits,
+			    notices);
+	direct_peers_on_met(peers, on_met, notices);
+}
+
 struct direct_notices *
 direct_notices_create(const struct direct_notices_options *options)
 {
--- a/direct/direct_notices.h
+++ b/direct/direct_notices.h
@@ -3,7 +3,10 @@
  * they take only so many requests a second (policy/rate_limit.h).
  *
  * Every answer of an upstream is read here, of requests as of calls of our own,
- * and what it changes is believed in the pool.
+ * and what it changes is believed in the pool. Members are told, and each that
+ * is met: a limit holds for all entries together, and who sends there next may
+ * not have had an answer yet. A word that is lost is told again with a later
+ * answer.
  */
 #ifndef DIRECT_NOTICES_H
 #define DIRECT_NOTICES_H
@@ -11,6 +14,7 @@
 #include "base/lp_counter.h"
 #include "base/lp_event.h"
 #include "direct/direct_codec.h"
+#include "direct/direct_peers.h"
 
 struct direct_notices;
 
@@ -24,6 +28,9 @@
 struct direct_notices *
 direct_notices_create(const struct direct_notices_options *options);
 void direct_notices_destroy(struct direct_notices *notices);
+/** Tell these and hear them; NULL: nobody. Borrowed. */
+void direct_notices_set_peers(struct direct_notices *notices,
+			      struct direct_peers *peers);
 /** The head of an answer of this upstream has come. */
 void direct_notices_hear(struct direct_notices *notices,
 			 struct pool_upstream *upstream,
--- a/direct/direct_peers.c
+++ b/direct/direct_peers.c
@@ -33,6 +33,9 @@
 /* One that has no configuration after this is not counted on. */
 #define STARTING_US (3 * LP_US_PER_S)
 
+/* One that was heard or first named in this time may be there, and work. */
+#define KNOWN_US (60 * LP_US_PER_S)
+
 #define KIND_HELLO 'H'
 #define KIND_SIGN 'S' /* asks for a hello */
 #define KIND_UNREACHABLE 'U'
@@ -82,6 +85,7 @@
 	uint32_t named_next; /* where the next hello begins to name members */
 	GHashTable *peers;   /* ip -> struct peer */
 	GHashTable *by_hash; /* hash -> struct peer */
+	GHashTable *known;   /* ip -> int64_t: heard, or first named, last */
 	GArray *listeners;   /* of struct listener */
 	void (*restarted)(void *userdata, uint64_t peer);
 	void *restarted_userdata;
@@ -103,6 +107,14 @@
 	g_free(peer);
 }
 
+static void note_known(struct direct_peers *peers, const char *ip)
+{
+	int64_t now_us = lp_now_us(peers->options.clock);
+
+	g_hash_table_replace(peers->known, g_strdup(ip),
+			     g_memdup2(&now_us, sizeof(now_us)));
+}
+
 static struct peer *peer_of(struct direct_peers *peers, const char *ip)
 {
 	struct peer *peer = g_hash_table_lookup(peers->peers, ip);
@@ -114,6 +126,8 @@
 		g_inet_socket_address_new_from_string(ip, peers->options.port);
 	if (!address)
 		return NULL;
+	if (!g_hash_table_contains(peers->known, ip))
+		note_known(peers, ip);
 	peer = g_new0(struct peer, 1);
 	peer->ip = g_strdup(ip);
 	peer->hash = lp_hash_str(ip);
@@ -257,6 +271,8 @@
 	return G_SOURCE_REMOVE;
 }
 
+static void forget_unknown(struct direct_peers *peers);
+
 static gboolean on_hello_timer(gpointer userdata)
 {
 	struct direct_peers *peers = userdata;
@@ -264,6 +280,7 @@
 	peers->named_next += NAMED_MAX;
 	forget_silent(peers);
 	add_seeds(peers);
+	forget_unknown(peers);
 	say_hello(peers);
 	return G_SOURCE_CONTINUE;
 }
@@ -467,6 +484,37 @@
 	return count;
 }
 
+static bool is_known(const struct direct_peers *peers, const int64_t *at_us)
+{
+	return lp_now_us(peers->options.clock) - *at_us < KNOWN_US;
+}
+
+uint32_t direct_peers_known(const struct direct_peers *peers)
+{
+	GHashTableIter iter;
+	gpointer at_us;
+	uint32_t count = 1;
+
+	g_hash_table_iter_init(&iter, peers->known);
+	while (g_hash_table_iter_next(&iter, NULL, &at_us))
+		count += is_known(peers, at_us);
+	return count;
+}
+
+/* Seeds are named for as long as we live, and not known anew each time. */
+static void forget_unknown(struct direct_peers *peers)
+{
+	GHashTableIter iter;
+	gpointer ip;
+	gpointer at_us;
+
+	g_hash_table_iter_init(&iter, peers->known);
+	while (g_hash_table_iter_next(&iter, &ip, &at_us))
+		if (!is_known(peers, at_us) &&
+		    !g_hash_table_contains(peers->peers, ip))
+			g_hash_table_iter_remove(&iter);
+}
+
 uint64_t direct_peers_self(const struct direct_peers *peers)
 {
 	return lp_hash_str(peers->ip);
@@ -526,6 +574,7 @@
 	bool is_new;
 
 	from->heard_us = lp_now_us(peers->options.clock);
+	note_known(peers, from->ip);
 	g_variant_get(body, HELLO_TYPE, &version, &names, &from->capacity,
 		      &start);
 	is_new = !was_fresh || from->start != start;
@@ -706,6 +755,8 @@
 	peers->peers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
 	peers->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
+	peers->known =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	peers->listeners = g_array_new(FALSE, FALSE, sizeof(struct listener));
 	peers->greeters = g_array_new(FALSE, FALSE, sizeof(struct greeter));
 	peers->start = lp_random_u64();
@@ -736,6 +787,7 @@
 	g_object_unref(peers->socket);
 	g_hash_table_unref(peers->by_hash);
 	g_hash_table_unref(peers->peers);
+	g_hash_table_unref(peers->known);
 	g_array_unref(peers->listeners);
 	g_array_unref(peers->greeters);
 	g_strfreev(peers->seeds);
--- a/direct/direct_peers.h
+++ b/direct/direct_peers.h
@@ -98,6 +98,9 @@
 int64_t direct_peers_meeting_left_us(const struct direct_peers *peers);
 /** Members heard lately, ourselves among them. */
 uint32_t direct_peers_count(const struct direct_peers *peers);
+/** Members that may be there though they are not heard: all that were heard or
+ * named in the last minute, ourselves among them. */
+uint32_t direct_peers_known(const struct direct_peers *peers);
 /** What names ourselves among them. */
 uint64_t direct_peers_self(const struct direct_peers *peers);
 
--- a/direct/direct_places.c
+++ b/direct/direct_places.c
@@ -12,8 +12,9 @@
 /* number, service, parts (id, tokens), tried, domain and bytes of what is
  * fetched, us until the target, regions */
 #define PLACE_TYPE "(tsa(tx)atsxxs)"
-/* number, engine, source of a copy, copied, cold tokens, tokens ahead */
-#define PLACED_TYPE "(tttxxx)"
+/* number, engine, source of a copy, copied, cold tokens, tokens ahead, us until
+ * some engine may take it if there is none */
+#define PLACED_TYPE "(tttxxxx)"
 #define STATE_TYPE "(tuxx)" /* number, state, took and expected us */
 
 /* States of a placed request; an outcome of enum pool_outcome is added to the
@@ -193,7 +194,7 @@
 
 	g_variant_get(body, PLACED_TYPE, &number, &engine, &source,
 		      &place.copied_tokens, &place.cold_tokens,
-		      &place.tokens_ahead);
+		      &place.tokens_ahead, &place.wait_us);
 	place.number = number;
 	place.source = source;
 	question = g_hash_table_lookup(places->questions, &number);
@@ -207,7 +208,7 @@
 		upstream = NULL;
 	if (!upstream) {
 		direct_places_ended(places, &place, POOL_UNKNOWN);
-		place = (struct direct_place){ 0 };
+		place = (struct direct_place){ .wait_us = place.wait_us };
 	}
 	answer(question, upstream, &place);
 }
@@ -307,17 +308,19 @@
 }
 
 /* `held` NULL: it could not be placed. */
-static GVariant *write_placed(uint64_t number, const struct held *held)
+static GVariant *write_placed(uint64_t number, const struct held *held,
+			      int64_t wait_us)
 {
 	if (!held)
 		return g_variant_new(PLACED_TYPE, (guint64)number, (guint64)0,
 				     (guint64)0, (gint64)0, (gint64)0,
-				     (gint64)0);
+				     (gint64)0, (gint64)wait_us);
 	return g_variant_new(
 		PLACED_TYPE, (guint64)number, (guint64)held->upstream->life,
 		(guint64)held->source, (gint64)held->copied_tokens,
 		(gint64)held->cold_tokens,
-		(gint64)(held->upstream->tokens_ahead - held->cold_tokens));
+		(gint64)(held->upstream->tokens_ahead - held->cold_tokens),
+		(gint64)0);
 }
 
 static void on_place(void *userdata, uint64_t peer, GVariant *body)
@@ -348,7 +351,9 @@
 	ask.domain = *domain ? domain : NULL;
 	direct_stages_share(places->direct->stages, &ask);
 	held = hold(places, lp_hash_pair(peer, number), &ask);
-	reply = g_variant_ref_sink(write_placed(number, held));
+	reply = g_variant_ref_sink(write_placed(
+		number, held,
+		held ? 0 : pool_turn_us(places->direct->pool, &ask)));
 	direct_peers_send(places->peers, peer, KIND_PLACED, reply);
 }
 
--- a/direct/direct_places.h
+++ b/direct/direct_places.h
@@ -18,6 +18,8 @@
 
 /** Where a request was placed; all zero: by ourselves. */
 struct direct_place {
+	int64_t wait_us; /**< nobody may take it yet: until then, about; 0: the
+			    placer does not say so */
 	uint64_t peer;	 /**< the placer */
 	uint64_t number; /**< of this placing */
 	uint64_t source; /**< engine to copy memory from; 0: none */
--- a/direct/direct_results.c
+++ b/direct/direct_results.c
@@ -11,11 +11,13 @@
 #define HANDLES_MAX 64
 /* An upstream drops what nobody names by itself after a few seconds. */
 #define FREE_TIMEOUT_US (2 * LP_US_PER_S)
+#define DROPPED_US (4 * LP_US_PER_S)
 
 /* Results of one maker that are given up next. */
 struct gathered {
 	GPtrArray *handles;
 	int64_t bytes;
+	int64_t since_us;
 };
 
 struct direct_results {
@@ -147,6 +149,42 @@
 	}
 }
 
+static struct gathered *gathered_of(struct direct_results *results,
+				    GHashTable *all, uint64_t maker);
+
+/* Until the maker's limit lets us call; together with what comes meanwhile. */
+static void put_off(struct direct_results *results, uint64_t maker,
+		    const struct gathered *gathered)
+{
+	int64_t now_us = lp_now_us(results->direct->options.clock);
+	struct gathered *waiting;
+
+	if (now_us - gathered->since_us >= DROPPED_US)
+		return;
+	waiting = gathered_of(results, results->taken, maker);
+	waiting->since_us = MIN(waiting->since_us, gathered->since_us);
+	waiting->bytes += gathered->bytes;
+	for (guint i = 0; i < gathered->handles->len; i++)
+		g_ptr_array_add(
+			waiting->handles,
+			g_strdup(g_ptr_array_index(gathered->handles, i)));
+}
+
+static void call_maker(struct direct_results *results,
+		       struct pool_upstream *upstream,
+		       const struct gathered *gathered)
+{
+	struct pool *pool = results->direct->pool;
+
+	if (pool_limit_wait_us(pool, upstream)) {
+		put_off(results, upstream->life, gathered);
+		return;
+	}
+	if (upstream->limit.named)
+		pool_sent(pool, upstream);
+	send_free(results, upstream, gathered);
+}
+
 static void send_all(struct direct_results *results, GHashTable *all,
 		     bool are_ours)
 {
@@ -170,7 +208,7 @@
 			send_to_dispatcher(results, dispatcher, upstream,
 					   gathered);
 		else
-			send_free(results, upstream, gathered);
+			call_maker(results, upstream, gathered);
 	}
 }
 
@@ -200,6 +238,7 @@
 		return gathered;
 	gathered = g_new0(struct gathered, 1);
 	gathered->handles = g_ptr_array_new_with_free_func(g_free);
+	gathered->since_us = lp_now_us(results->direct->options.clock);
 	g_hash_table_insert(all, g_memdup2(&maker, sizeof(maker)), gathered);
 	return gathered;
 }
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -579,18 +579,21 @@
 	http_fields_clear(&fields);
 }
 
-/* To this upstream; NULL: there is none. */
+/* Nobody may take it; some upstream may in `wait_us`; 0: that is not known. */
+static void refuse_unplaced(struct direct_request *request, int64_t wait_us)
+{
+	const char *why = wait_us ? "limited" : "no_upstream";
+
+	if (request->begun)
+		direct_request_cut(request, why);
+	else
+		direct_request_refuse(
+			request, wait_us ? wait_us : DIRECT_WAIT_FULL_US, why);
+}
+
 static void send_to(struct direct_request *request,
 		    struct pool_upstream *upstream)
 {
-	if (!upstream) {
-		if (request->begun)
-			direct_request_cut(request, "no_upstream");
-		else
-			direct_request_refuse(request, DIRECT_WAIT_FULL_US,
-					      "no_upstream");
-		return;
-	}
 	prepare_sending(request, upstream);
 	log_sending(request);
 	start_exchange(request);
@@ -602,8 +605,9 @@
 	set_stall_timer(request);
 }
 
+/* `wait_us`: its placer had none and says when some may take it; else 0. */
 static void place_by_ourselves(struct direct_request *request,
-			       struct pool_ask *ask)
+			       struct pool_ask *ask, int64_t wait_us)
 {
 	struct pool *pool = request->direct->pool;
 	struct pool_upstream *upstream;
@@ -614,8 +618,12 @@
 		ask->share_count = 0;
 		upstream = pool_pick(pool, ask);
 	}
-	if (upstream)
-		pool_sent(pool, upstream);
+	if (!upstream) {
+		refuse_unplaced(request,
+				wait_us ? wait_us : pool_turn_us(pool, ask));
+		return;
+	}
+	pool_sent(pool, upstream);
 	send_to(request, upstream);
 }
 
@@ -628,7 +636,7 @@
 	request->question = 0;
 	if (!upstream) {
 		write_pool_ask(request, &ask);
-		place_by_ourselves(request, &ask);
+		place_by_ourselves(request, &ask, place->wait_us);
 		return;
 	}
 	request->place = *place;
@@ -668,5 +676,5 @@
 	}
 	write_pool_ask(request, &ask);
 	if (!ask_placer(request, &ask))
-		place_by_ourselves(request, &ask);
+		place_by_ourselves(request, &ask, 0);
 }
--- a/direct/direct_stages.c
+++ b/direct/direct_stages.c
@@ -26,6 +26,7 @@
 	bool is_ours;	 /* and we place some of them, members being met */
 	uint32_t parts;
 	uint64_t dispatchers[PARTS_MAX];
+	int64_t owned_us; /* when the last part became ours */
 	struct admission_memory learnt[DIRECT_RANKS];
 	int64_t waits_us[DIRECT_RANKS]; /* at the dispatcher */
 	int64_t waits_at_us;
@@ -49,7 +50,7 @@
 	GHashTable *services; /* name -> struct service */
 	GHashTable *asks;     /* number -> struct ask */
 	uint64_t next_number;
-	double cold_phase; /* unlike that of other entries: warmup.h */
+	double phase; /* unlike that of other entries: warmup.h, rate_limit.h */
 	guint look_timer;
 	guint meet_timer; /* pieces wait for it; 0: members are met */
 };
@@ -92,6 +93,7 @@
 	service->name = g_strdup(name);
 	service->parts = 1;
 	service->dispatchers[0] = self_of(stages);
+	service->owned_us = now(stages);
 	g_hash_table_insert(stages->services, service->name, service);
 	return service;
 }
@@ -120,12 +122,13 @@
 	if (service->dispatchers[part] == dispatcher)
 		return;
 	service->dispatchers[part] = dispatcher;
+	if (dispatcher == self_of(stages))
+		service->owned_us = now(stages);
 	log_dispatcher(stages, service, part, dispatcher, members);
 }
 
-/* Our own queue calls the upstreams of the parts that are ours; all of them
- * while none is, for who believes that they are. */
-static void set_own_parts(struct direct_stages *stages,
+/* Bits of the parts that are ours. */
+static uint64_t own_parts(const struct direct_stages *stages,
 			  const struct service *service)
 {
 	uint64_t own = 0;
@@ -133,6 +136,16 @@
 	for (uint32_t i = 0; i < service->parts; i++)
 		if (service->dispatchers[i] == self_of(stages))
 			own |= UINT64_C(1) << i;
+	return own;
+}
+
+/* Our own queue calls the upstreams of the parts that are ours; all of them
+ * while none is, for who believes that they are. */
+static void set_own_parts(struct direct_stages *stages,
+			  const struct service *service)
+{
+	uint64_t own = own_parts(stages, service);
+
 	direct_calls_set_parts(stages->direct->calls, service->name,
 			       service->parts, own ? own : UINT64_MAX);
 }
@@ -192,10 +205,7 @@
 static bool places_some(const struct direct_stages *stages,
 			const struct service *service)
 {
-	for (uint32_t i = 0; i < service->parts; i++)
-		if (service->dispatchers[i] == self_of(stages))
-			return true;
-	return false;
+	return own_parts(stages, service) != 0;
 }
 
 /* Whether we send to a service on behalf of all entries; plain services have
@@ -230,7 +240,7 @@
 		struct warmup_limits limits = {
 			.cold_us = figures->cold_us,
 			.per_s = figures->cold_per_s,
-			.phase = members > 1 ? stages->cold_phase : 0,
+			.phase = members > 1 ? stages->phase : 0,
 		};
 
 		if (!figures->cold_us || figures->cold_per_s <= 0)
@@ -242,6 +252,42 @@
 	}
 }
 
+/* Our parts of the limits that upstreams name. */
+static void share_limits(struct direct_stages *stages)
+{
+	const struct direct_peers *peers =
+		stages->direct->relay ? stages->direct->peers : NULL;
+	struct rate_limit_fleet fleet = {
+		.heard = peers ? direct_peers_count(peers) : 1,
+		.known = peers ? direct_peers_known(peers) : 1,
+	};
+	struct pool_limit_share share = {
+		.parts = 1,
+		.own = 1,
+		.own_part = rate_limit_part(&fleet),
+		.phase = fleet.known > 1 ? stages->phase : 0,
+	};
+	GHashTableIter iter;
+	gpointer value;
+
+	pool_set_limit_share(stages->direct->pool, NULL, &share);
+	fleet.has_owner = true;
+	g_hash_table_iter_init(&iter, stages->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct service *service = value;
+
+		share.parts = service->parts;
+		share.own = own_parts(stages, service);
+		fleet.owner_us = now(stages) - service->owned_us;
+		fleet.is_owner = true;
+		share.own_part = rate_limit_part(&fleet);
+		fleet.is_owner = false;
+		share.other_part = rate_limit_part(&fleet);
+		pool_set_limit_share(stages->direct->pool, service->name,
+				     &share);
+	}
+}
+
 static void find_dispatchers(struct direct_stages *stages)
 {
 	g_autoptr(GArray) members =
@@ -252,6 +298,7 @@
 
 	if (!stages->direct->relay) {
 		share_cold_upstreams(stages, 1);
+		share_limits(stages);
 		return;
 	}
 	direct_peers_members(stages->direct->peers, members);
@@ -275,6 +322,7 @@
 			set_own_parts(stages, service);
 	}
 	share_cold_upstreams(stages, direct_peers_count(stages->direct->peers));
+	share_limits(stages);
 }
 
 /* Whoever begins to place prompts asks what is in the engines' memory. */
@@ -700,7 +748,7 @@
 					     free_ask);
 	/* Unlike those of an earlier life. */
 	stages->next_number = lp_random_u64();
-	stages->cold_phase = g_random_double();
+	stages->phase = g_random_double();
 	stages->look_timer = lp_timer_add(LOOK_MS, on_look, stages);
 	return stages;
 }
--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -232,6 +232,7 @@
 			const struct pool_upstream *upstream)
 {
 	return pieces->options.room_bytes && !upstream->room_heard_us &&
+	       !upstream->limit.named &&
 	       (!upstream->room_asked_us ||
 		now(pieces) - upstream->room_asked_us < ROOM_ANSWER_US);
 }
@@ -562,11 +563,12 @@
 
 /* ---- room ---- */
 
-/* Never asked; or others' results still count there. */
+/* Never asked; or others' results still count there. One that takes only so
+ * many requests gets calls for them; these tell the same. */
 static bool is_to_be_asked(const struct pieces *pieces,
 			   const struct pool_upstream *upstream)
 {
-	if (!is_usable(pieces, upstream))
+	if (!is_usable(pieces, upstream) || upstream->limit.named)
 		return false;
 	if (!upstream->room_asked_us)
 		return true;
@@ -622,6 +624,27 @@
 	int64_t free_us;
 };
 
+/* It takes no call now for its limit alone. */
+static bool awaits_slot(const struct pieces *pieces,
+			const struct pool_upstream *upstream)
+{
+	return is_own(pieces, upstream) && pool_is_open(upstream) &&
+	       pool_limit_wait_us(pieces->options.pool, upstream);
+}
+
+/* Calls that it ends in the time of one at the usual speed. */
+static double speed_of(const struct pieces *pieces,
+		       const struct pool_upstream *upstream)
+{
+	double speed = 1.0 / MAX(upstream->slowness, 0.1);
+	int64_t call_us = call_time_us(pieces, pieces->options.batch_max);
+
+	if (!upstream->limit.named)
+		return speed;
+	return MIN(speed, pool_limit_per_s(pieces->options.pool, upstream) *
+				  (double)call_us / LP_US_PER_S);
+}
+
 static struct outlook look(const struct pieces *pieces)
 {
 	const GPtrArray *list = upstreams_of(pieces);
@@ -631,11 +654,15 @@
 		const struct pool_upstream *upstream =
 			g_ptr_array_index(list, i);
 
-		if (!is_usable(pieces, upstream))
+		if (!is_usable(pieces, upstream) &&
+		    !awaits_slot(pieces, upstream))
 			continue;
-		outlook.upstreams += 1.0 / MAX(upstream->slowness, 0.1);
+		outlook.upstreams += speed_of(pieces, upstream);
 		outlook.free_us =
-			MIN(outlook.free_us, wait_us(pieces, upstream));
+			MIN(outlook.free_us,
+			    MAX(wait_us(pieces, upstream),
+				pool_limit_wait_us(pieces->options.pool,
+						   upstream)));
 	}
 	if (outlook.upstreams > 0)
 		return outlook;
--- a/policy/pool.c
+++ b/policy/pool.c
@@ -2,7 +2,9 @@
 
 #include "base/lp_id.h"
 #include "policy/lives.h"
+#include "policy/turns.h"
 
+#include <math.h>
 #include <string.h>
 
 /* Time of an engine's answer beside its prompt: the first step. */
@@ -49,6 +51,11 @@
 /* A copy is asked for and begun in this time. */
 #define COPY_SETUP_US (5 * LP_US_PER_MS)
 
+/* What unlisted upstreams have said of themselves is kept for so long, ... */
+#define UNLISTED_KEEP_US (600 * LP_US_PER_S)
+/* ... and of so many of them. */
+#define UNLISTED_MAX 1000
+
 struct part {
 	int64_t tokens;
 	int64_t used_us;
@@ -61,6 +68,12 @@
 	double bytes_per_us;
 };
 
+/* What a life said of itself that is not in the list. */
+struct unlisted {
+	struct rate_limit limit;
+	int64_t since_us;
+};
+
 struct pool {
 	const struct lp_clock *clock;
 	char *domain;
@@ -74,7 +87,11 @@
 	const struct closures *closures; /* NULL: none are known */
 	GHashTable *warmups;		 /* service -> struct warmup_limits */
 	GHashTable *copying;		 /* service -> struct copying */
-	GHashTable *regions;		 /* domain -> interned region */
+	GHashTable *limit_shares;	 /* likewise struct pool_limit_share */
+	struct pool_limit_share limit_share; /* of other services */
+	GHashTable *turns;		     /* service -> struct turns */
+	GHashTable *unlisted;		     /* life -> struct unlisted */
+	GHashTable *regions;		     /* domain -> interned region */
 };
 
 /* ---- start and end ---- */
@@ -128,6 +145,17 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	pool->copying =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	pool->limit_shares =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	pool->limit_share = (struct pool_limit_share){
+		.parts = 1,
+		.own = 1,
+		.own_part = RATE_LIMIT_OWNER,
+	};
+	pool->turns =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	pool->unlisted = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					       g_free, g_free);
 	pool->regions =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return pool;
@@ -140,6 +168,9 @@
 	g_hash_table_unref(pool->services);
 	g_hash_table_unref(pool->warmups);
 	g_hash_table_unref(pool->copying);
+	g_hash_table_unref(pool->limit_shares);
+	g_hash_table_unref(pool->turns);
+	g_hash_table_unref(pool->unlisted);
 	g_hash_table_unref(pool->regions);
 	g_hash_table_unref(pool->by_life);
 	g_hash_table_unref(pool->upstreams);
@@ -223,8 +254,10 @@
 
 void pool_sent(struct pool *pool, struct pool_upstream *upstream)
 {
-	warmup_sent(&upstream->warmup, limits_of(pool, upstream),
-		    lp_now_us(pool->clock));
+	int64_t now_us = lp_now_us(pool->clock);
+
+	warmup_sent(&upstream->warmup, limits_of(pool, upstream), now_us);
+	rate_limit_sent(&upstream->limit, now_us);
 }
 
 bool pool_is_open(const struct pool_upstream *upstream)
@@ -258,13 +291,120 @@
 	return any;
 }
 
+/* ---- limits that upstreams name ---- */
+
+void pool_set_limit_share(struct pool *pool, const char *service,
+			  const struct pool_limit_share *share)
+{
+	if (service)
+		g_hash_table_replace(pool->limit_shares, g_strdup(service),
+				     g_memdup2(share, sizeof(*share)));
+	else
+		pool->limit_share = *share;
+}
+
+static struct rate_limit_share share_of(const struct pool *pool,
+					const struct pool_upstream *upstream)
+{
+	const struct pool_limit_share *found = g_hash_table_lookup(
+		pool->limit_shares, upstream->entry.service);
+	const struct pool_limit_share *share =
+		found ? found : &pool->limit_share;
+	bool is_own = share->own >> (upstream->hash % share->parts) & 1;
+	/* Slots of one entry at several upstreams do not coincide. */
+	double phase =
+		share->phase + (double)upstream->hash / (double)UINT64_MAX;
+
+	return (struct rate_limit_share){
+		.part = is_own ? share->own_part : share->other_part,
+		.phase = phase - floor(phase),
+	};
+}
+
+bool pool_heard_limit(struct pool *pool, struct pool_upstream *upstream,
+		      const struct rate_limit_word *word)
+{
+	return rate_limit_hear(&upstream->limit, word);
+}
+
+GPtrArray *pool_limited(const struct pool *pool)
+{
+	GPtrArray *limited = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, pool->upstreams);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (((const struct pool_upstream *)value)->limit.named)
+			g_ptr_array_add(limited, value);
+	return limited;
+}
+
+int64_t pool_limit_wait_us(const struct pool *pool,
+			   const struct pool_upstream *upstream)
+{
+	struct rate_limit_share share;
+
+	if (!upstream->limit.named)
+		return 0;
+	share = share_of(pool, upstream);
+	return rate_limit_wait_us(&upstream->limit, &share,
+				  lp_now_us(pool->clock));
+}
+
+double pool_limit_per_s(const struct pool *pool,
+			const struct pool_upstream *upstream)
+{
+	struct rate_limit_share share = share_of(pool, upstream);
+
+	return rate_limit_own_per_s(&upstream->limit, &share);
+}
+
+static gboolean is_forgotten(gpointer life, gpointer value, gpointer userdata)
+{
+	const int64_t *now_us = userdata;
+
+	return *now_us - ((const struct unlisted *)value)->since_us >=
+	       UNLISTED_KEEP_US;
+}
+
+/* It leaves the list, and may be back in it: an entry lapses while the service
+ * is away. */
+static void keep_unlisted(struct pool *pool,
+			  const struct pool_upstream *upstream)
+{
+	int64_t now_us = lp_now_us(pool->clock);
+	struct unlisted unlisted = { upstream->limit, now_us };
+
+	if (!upstream->limit.named)
+		return;
+	g_hash_table_foreach_remove(pool->unlisted, is_forgotten, &now_us);
+	if (g_hash_table_size(pool->unlisted) >= UNLISTED_MAX)
+		return;
+	g_hash_table_replace(pool->unlisted,
+			     g_memdup2(&upstream->life, sizeof(upstream->life)),
+			     g_memdup2(&unlisted, sizeof(unlisted)));
+}
+
+static void take_unlisted(struct pool *pool, struct pool_upstream *upstream)
+{
+	const struct unlisted *unlisted =
+		g_hash_table_lookup(pool->unlisted, &upstream->life);
+
+	if (!unlisted)
+		return;
+	upstream->limit = unlisted->limit;
+	g_hash_table_remove(pool->unlisted, &upstream->life);
+}
+
 /* Whether it may get something at this moment, as far as others' safety goes.
  */
 static bool may_send(const struct pool *pool,
 		     const struct pool_upstream *upstream)
 {
 	return pool_is_open(upstream) &&
-	       warmup_may_send(&upstream->warmup, lp_now_us(pool->clock));
+	       warmup_may_send(&upstream->warmup, lp_now_us(pool->clock)) &&
+	       !pool_limit_wait_us(pool, upstream);
 }
 
 /* ---- the list ---- */
@@ -331,6 +471,7 @@
 {
 	struct pool_upstream *upstream = create_upstream(pool, entry);
 
+	take_unlisted(pool, upstream);
 	g_hash_table_insert(pool->upstreams, upstream->entry.id, upstream);
 	return upstream;
 }
@@ -386,14 +527,16 @@
 	g_autoptr(GHashTable) named = g_hash_table_new(g_str_hash, g_str_equal);
 	GHashTableIter iter;
 	gpointer key;
+	gpointer value;
 	uint32_t removed = 0;
 
 	for (uint32_t i = 0; i < count; i++)
 		g_hash_table_add(named, entries[i].id);
 	g_hash_table_iter_init(&iter, pool->upstreams);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
 		if (g_hash_table_contains(named, key))
 			continue;
+		keep_unlisted(pool, value);
 		g_hash_table_iter_remove(&iter);
 		removed++;
 	}
@@ -969,3 +1112,61 @@
 	}
 	return best;
 }
+
+/* ---- when to come back ---- */
+
+/* Of those that could take it but for a limit: the first that may, and how
+ * often they may together. */
+struct outlook {
+	int64_t wait_us; /* 0: there is none */
+	double per_s;
+};
+
+static bool could_take(const struct pool_ask *ask,
+		       const struct pool_upstream *upstream)
+{
+	return pool_is_open(upstream) && is_in_share(ask, upstream) &&
+	       homes_have(ask->homes, upstream->region) &&
+	       !was_tried(ask, upstream->entry.id);
+}
+
+static struct outlook look_ahead(const struct pool *pool,
+				 const struct pool_ask *ask)
+{
+	const GPtrArray *list = pool_of_service(pool, ask->service);
+	struct outlook outlook = { 0 };
+
+	for (guint i = 0; list && i < list->len; i++) {
+		const struct pool_upstream *upstream =
+			g_ptr_array_index(list, i);
+		int64_t wait_us = pool_limit_wait_us(pool, upstream);
+
+		if (!wait_us || !could_take(ask, upstream))
+			continue;
+		if (!outlook.wait_us || wait_us < outlook.wait_us)
+			outlook.wait_us = wait_us;
+		outlook.per_s += pool_limit_per_s(pool, upstream);
+	}
+	return outlook;
+}
+
+static struct turns *turns_of(struct pool *pool, const char *service)
+{
+	struct turns *turns = g_hash_table_lookup(pool->turns, service);
+
+	if (turns)
+		return turns;
+	turns = g_new0(struct turns, 1);
+	g_hash_table_insert(pool->turns, g_strdup(service), turns);
+	return turns;
+}
+
+int64_t pool_turn_us(struct pool *pool, const struct pool_ask *ask)
+{
+	struct outlook outlook = look_ahead(pool, ask);
+
+	if (!outlook.wait_us)
+		return 0;
+	return turns_next_us(turns_of(pool, ask->service), outlook.wait_us,
+			     outlook.per_s, lp_now_us(pool->clock));
+}
--- a/policy/pool.h
+++ b/policy/pool.h
@@ -97,6 +97,15 @@
 	uint32_t tried_count;
 };
 
+/** Our parts of the limits that a service's upstreams name: rate_limit.h. */
+struct pool_limit_share {
+	uint32_t parts;	   /**< of the service's upstreams */
+	uint64_t own;	   /**< bits of those that we send to for all */
+	double own_part;   /**< of a limit there ... */
+	double other_part; /**< ... and elsewhere */
+	double phase;	   /**< 0 to 1, unlike that of other entries */
+};
+
 /** What became of something sent. */
 enum pool_outcome {
 	POOL_SERVED,
@@ -142,6 +151,29 @@
 /** Bounds of a service's upstreams while they are cold; copied. */
 void pool_set_warmup(struct pool *pool, const char *service,
 		     const struct warmup_limits *limits);
+/** Our parts of the limits of a service's upstreams; copied. `service` NULL: of
+ * all that are not set. */
+void pool_set_limit_share(struct pool *pool, const char *service,
+			  const struct pool_limit_share *share);
+/** An answer said this of an upstream's limit. Returns whether it changes what
+ * is known, which outlives the upstream's entry in the list. */
+bool pool_heard_limit(struct pool *pool, struct pool_upstream *upstream,
+		      const struct rate_limit_word *word);
+/** Listed upstreams that name a limit: of struct pool_upstream, borrowed;
+ * g_ptr_array_unref(). */
+GPtrArray *pool_limited(const struct pool *pool);
+/** Time until its limit lets us send there; 0: now. */
+int64_t pool_limit_wait_us(const struct pool *pool,
+			   const struct pool_upstream *upstream);
+/** Requests a second that its limit leaves to us; only if it is named. */
+double pool_limit_per_s(const struct pool *pool,
+			const struct pool_upstream *upstream);
+/**
+ * When whoever asks may be told to come back: time until some upstream may take
+ * it that may not now, behind those that were told so before. 0: none may at
+ * any time that is known.
+ */
+int64_t pool_turn_us(struct pool *pool, const struct pool_ask *ask);
 /** A request or call goes there now. */
 void pool_sent(struct pool *pool, struct pool_upstream *upstream);
 /** Whether it may get anything new at all, now or later. */
--- a/policy/rate_limit.c
+++ b/policy/rate_limit.c
@@ -1,5 +1,13 @@
 #include "policy/rate_limit.h"
 
+#include <glib.h>
+#include <math.h>
+
+/* What is known is told again this often at the most. */
+#define TELL_EACH_US (1 * LP_US_PER_S)
+/* The end of a limit is told again for so long. */
+#define TELL_END_US (5 * LP_US_PER_S)
+
 bool rate_limit_hear(struct rate_limit *limit,
 		     const struct rate_limit_word *word)
 {
@@ -8,8 +16,70 @@
 
 	if (word->heard_us < limit->heard_us)
 		return false;
+	if (limit->named && !word->named)
+		limit->ended_us = word->heard_us;
 	limit->heard_us = word->heard_us;
 	limit->named = word->named;
 	limit->per_s = word->named ? word->per_s : 0;
 	return changed;
 }
+
+bool rate_limit_is_to_be_told(const struct rate_limit *limit, int64_t now_us)
+{
+	bool has_ended_lately =
+		limit->ended_us && now_us - limit->ended_us < TELL_END_US;
+
+	return (limit->named || has_ended_lately) &&
+	       now_us - limit->told_us >= TELL_EACH_US;
+}
+
+double rate_limit_part(const struct rate_limit_fleet *fleet)
+{
+	double known = MAX(fleet->known, 1);
+	double owner = fleet->owner_us < RATE_LIMIT_NEW_US
+			       ? RATE_LIMIT_NEW_OWNER
+			       : RATE_LIMIT_OWNER;
+
+	if (!fleet->has_owner)
+		return RATE_LIMIT_OWNER / known;
+	if (!fleet->is_owner)
+		return RATE_LIMIT_OTHERS / known;
+	return known == 1 ? RATE_LIMIT_OWNER : owner * fleet->heard / known;
+}
+
+double rate_limit_own_per_s(const struct rate_limit *limit,
+			    const struct rate_limit_share *share)
+{
+	return MAX(limit->per_s, RATE_LIMIT_MIN_PER_S) * share->part;
+}
+
+/* When the slot that holds this moment has begun. */
+static int64_t slot_start_us(const struct rate_limit_share *share,
+			     double slot_us, int64_t now_us)
+{
+	double slot = floor((double)now_us / slot_us - share->phase);
+
+	return (int64_t)((slot + share->phase) * slot_us);
+}
+
+int64_t rate_limit_wait_us(const struct rate_limit *limit,
+			   const struct rate_limit_share *share, int64_t now_us)
+{
+	double slot_us;
+	int64_t start_us;
+
+	if (!limit->named)
+		return 0;
+	slot_us = LP_US_PER_S / rate_limit_own_per_s(limit, share);
+	start_us = slot_start_us(share, slot_us, now_us);
+	if (limit->sent_us < start_us &&
+	    now_us - start_us < RATE_LIMIT_VALID_US)
+		return 0;
+	return MAX(start_us + (int64_t)slot_us - now_us, 1);
+}
+
+void rate_limit_sent(struct rate_limit *limit, int64_t now_us)
+{
+	if (limit->named)
+		limit->sent_us = now_us;
+}
--- a/policy/rate_limit.h
+++ b/policy/rate_limit.h
@@ -4,18 +4,48 @@
  *
  * The newest answer counts, whichever entry had it: one that names a limit,
  * or one that names none any more.
+ *
+ * Entries keep to a limit together without a message a request: each has a
+ * part of it, and one slot after the other in which it may send once. The
+ * parts add up to less than the limit whoever can hear whom:
+ *
+ * - Whoever places or dispatches for a service has RATE_LIMIT_OWNER, and only
+ *   as much of it as it hears of the fleet. So two groups of entries that are
+ *   cut off from each other have one limit between them. One that has just
+ *   taken over has RATE_LIMIT_NEW_OWNER: the one before may not know yet.
+ * - The others, who send there only while that one does not answer, divide
+ *   RATE_LIMIT_OTHERS among all.
+ * - Where nobody places, entries divide RATE_LIMIT_OWNER evenly.
+ *
+ * A slot that is not used is lost after RATE_LIMIT_VALID_US, or a fleet whose
+ * entries have all saved one up could use them at once.
  */
 #ifndef RATE_LIMIT_H
 #define RATE_LIMIT_H
 
+#include "base/lp_clock.h"
+
 #include <stdbool.h>
 #include <stdint.h>
 
+#define RATE_LIMIT_OWNER 0.9
+#define RATE_LIMIT_NEW_OWNER 0.45
+#define RATE_LIMIT_OTHERS 0.1
+/** An owner is new for so long: by then the one before has noticed that it
+ * does not hear the others. */
+#define RATE_LIMIT_NEW_US (4 * LP_US_PER_S)
+#define RATE_LIMIT_VALID_US (2 * LP_US_PER_S)
+/** Less than this is not kept to, or nobody would hear that it has ended. */
+#define RATE_LIMIT_MIN_PER_S 0.2
+
 /** What is known of one upstream; all zero: it has named none. */
 struct rate_limit {
 	bool named;
 	double per_s;	  /**< of all entries; only if it is named */
 	int64_t heard_us; /**< when the answer came that says so; 0: never */
+	int64_t ended_us; /**< when one came that named none any more */
+	int64_t told_us;  /**< when entries were told last */
+	int64_t sent_us;  /**< our last request there while it is named */
 };
 
 /** What an answer said of it. */
@@ -25,9 +55,39 @@
 	int64_t heard_us;
 };
 
+/** Our part of a limit. */
+struct rate_limit_share {
+	double part; /**< of the limit, 0 to 1 */
+	/** Where our slots begin, unlike those of others; 0 to 1. */
+	double phase;
+};
+
+/** What an entry knows of its fleet, for its part of a limit. */
+struct rate_limit_fleet {
+	uint32_t heard;	  /**< entries heard now, ourselves among them */
+	uint32_t known;	  /**< entries heard or named lately, likewise */
+	bool has_owner;	  /**< one of them sends for all */
+	bool is_owner;	  /**< and it is us ... */
+	int64_t owner_us; /**< ... for so long */
+};
+
 /** Take a word, unless a newer one is known. Returns whether it changes what
  * is known. */
 bool rate_limit_hear(struct rate_limit *limit,
 		     const struct rate_limit_word *word);
+/** An answer has confirmed what is known: whether other entries are to be told
+ * again. They have not been for a while, and may have missed it. */
+bool rate_limit_is_to_be_told(const struct rate_limit *limit, int64_t now_us);
+/** Our part of the limits of a service. */
+double rate_limit_part(const struct rate_limit_fleet *fleet);
+/** Time until we may send a request there; 0: now. */
+int64_t rate_limit_wait_us(const struct rate_limit *limit,
+			   const struct rate_limit_share *share,
+			   int64_t now_us);
+/** Requests a second that we may send there; only if it is named. */
+double rate_limit_own_per_s(const struct rate_limit *limit,
+			    const struct rate_limit_share *share);
+/** A request is sent there. */
+void rate_limit_sent(struct rate_limit *limit, int64_t now_us);
 
 #endif
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -668,9 +668,9 @@
 	Ask ask(one.rig.address, "a1", "/again/x", prompt);
 
 	EXPECT_EQ(ask.wait().body, whole_stream);
-	one.fake.send('Q', g_variant_new("(tttxxx)", (guint64)1, (guint64)2,
+	one.fake.send('Q', g_variant_new("(tttxxxx)", (guint64)1, (guint64)2,
 					 (guint64)0, (gint64)0, (gint64)0,
-					 (gint64)0));
+					 (gint64)0, (gint64)0));
 	one.fake.hear_for(150);
 	EXPECT_EQ(one.fake.seen['E'], 1);
 }
@@ -690,9 +690,9 @@
 		return one.fake.seen['P'] > 0;
 	}));
 	g_variant_get_child(one.fake.place, 0, "t", &number);
-	one.fake.send('Q',
-		      g_variant_new("(tttxxx)", number, (guint64)2, (guint64)0,
-				    (gint64)0, (gint64)0, (gint64)0));
+	one.fake.send('Q', g_variant_new("(tttxxxx)", number, (guint64)2,
+					 (guint64)0, (gint64)0, (gint64)0,
+					 (gint64)0, (gint64)0));
 	EXPECT_EQ(ask.wait().body, whole_stream);
 	one.fake.hear();
 	EXPECT_EQ(one.fake.seen['E'], 1);
