--- a/tools/soak_main.c
+++ b/tools/soak_main.c
@@ -12,6 +12,7 @@
 #include "tools/pe.h"
 #include "tools/soak_config.h"
 #include "tools/soak_evacuation.h"
+#include "tools/soak_notices.h"
 #include "tools/soak_poison.h"
 #include "tools/soak_suspend.h"
 #include "tools/soak_writer.h"
@@ -28,7 +29,7 @@
 #define ENTRIES 2
 #define READY_LIMIT_US (15 * LP_US_PER_S)
 #define ASK_EVERY_MS 20
-/* Once the faults are over, to see what an evacuation comes to. */
+/* Once the faults are over, to see what comes of what they left. */
 #define ASKS_AFTER_FAULTS 40
 /* Of the upstreams of a service, this one is in the other domain. */
 #define UPSTREAMS_EACH 3
@@ -56,6 +57,7 @@
 	int64_t poison;
 	int64_t suspend;
 	int64_t evacuate;
+	int64_t notices;
 	char *env;
 	char *logs;
 };
@@ -76,6 +78,8 @@
 	  "suspend hosts; their clocks stand still by what env loads" },
 	{ "evacuate", LP_SETTING_BOOL, FIELD(evacuate), "no", 0, 0, NULL,
 	  "close failure domains to new work, and open them again" },
+	{ "notices", LP_SETTING_BOOL, FIELD(notices), "no", 0, 0, NULL,
+	  "upstreams say in their answers what they take" },
 	{ "env", LP_SETTING_STRING, FIELD(env), "", 0, 0, NULL,
 	  "NAME=VALUE,... for the program under test" },
 	{ "logs", LP_SETTING_STRING, FIELD(logs), "", 0, 0, NULL,
@@ -104,6 +108,7 @@
 	struct soak_poison *poison;	    /* NULL: none */
 	struct soak_suspend *suspend;	    /* NULL: likewise */
 	struct soak_evacuation *evacuation; /* NULL: likewise */
+	struct soak_notices *notices;	    /* NULL: likewise */
 	GPtrArray *upstreams;
 	struct entry entries[ENTRIES];
 	const char *addresses[ENTRIES + 1]; /* of entries, for callers */
@@ -547,6 +552,7 @@
 	soak_writer_disturb(soak->writer);
 	soak_suspend_disturb(soak->suspend);
 	soak_evacuation_disturb(soak->evacuation);
+	soak_notices_disturb(soak->notices);
 	if (dice < 3)
 		fault_entry(soak, dice);
 	else if (dice == 3)
@@ -657,6 +663,20 @@
 		});
 }
 
+static void start_notices(struct soak *soak)
+{
+	if (!soak->settings.notices)
+		return;
+	soak->notices = soak_notices_create(&(struct soak_notices_options){
+		.platform = soak->platform,
+		.upstreams = soak->upstreams,
+		.seed = (uint32_t)soak->settings.seed,
+		.ask = ask_after_faults,
+		.breach = on_breach,
+		.userdata = soak,
+	});
+}
+
 static void start(struct soak *soak)
 {
 	soak->random = g_rand_new_with_seed((guint32)soak->settings.seed);
@@ -670,6 +690,7 @@
 	start_poison(soak);
 	start_suspend(soak);
 	start_evacuation(soak);
+	start_notices(soak);
 	for (uint32_t i = 0; i < ENTRIES; i++) {
 		soak->entries[i].number = i;
 		write_settings(soak, &soak->entries[i]);
@@ -697,6 +718,7 @@
 	soak_writer_destroy(soak->writer);
 	soak_poison_destroy(soak->poison);
 	soak_evacuation_destroy(soak->evacuation);
+	soak_notices_destroy(soak->notices);
 	pe_destroy(soak->platform);
 	g_main_loop_unref(soak->loop);
 	g_rand_free(soak->random);
@@ -757,6 +779,7 @@
 	soak_writer_settle(soak->writer);
 	soak_config_settle(soak->config);
 	soak_poison_settle(soak->poison);
+	soak_notices_settle(soak->notices);
 	soak_evacuation_settle(soak->evacuation);
 	report(soak);
 	status = soak->breaches ? 1 : 0;
