Read in an upstream's answers that it leaves, and log it

What the record of DRAIN could not tell: whether an answer said so, to which entry, and what the list said of it then. No decision goes by it yet.

--- a/direct/direct_codec.h
+++ b/direct/direct_codec.h
@@ -55,6 +55,7 @@
 	int32_t running;    /**< requests or calls at work there; negative: not
 			       said */
 	int32_t waiting;
+	bool leaving; /**< the upstream leaves: nothing new goes there */
 	enum direct_limit limit;
 	double limit_per_s; /**< requests a second that the upstream takes of
 			       all entries; only if it names a limit */
--- a/direct/direct_notices.c
+++ b/direct/direct_notices.c
@@ -124,6 +124,34 @@
 		tell_limit(notices, upstream);
 }
 
+static void log_leaving(const struct direct_notices *notices,
+			const struct pool_upstream *upstream,
+			const char *source)
+{
+	struct lp_event_log *log = notices->options.log;
+
+	*lp_counter(notices->options.counters,
+		    "linepier_upstream_leaving_total", NULL) += 1;
+	if (!lp_event_begin(log, "upstream_leaving", NULL))
+		return;
+	lp_event_text(log, "upstream", upstream->entry.id);
+	lp_event_text(log, "service", upstream->entry.service);
+	lp_event_text(log, "source", source);
+	lp_event_text(log, "listed",
+		      upstream->entry.leaving ? "leaving" : "ready");
+	lp_event_int(log, "in_flight", upstream->in_flight);
+	lp_event_end(log);
+}
+
+static void hear_leaving(struct direct_notices *notices,
+			 struct pool_upstream *upstream)
+{
+	if (upstream->said_leaving)
+		return;
+	upstream->said_leaving = true;
+	log_leaving(notices, upstream, "answer");
+}
+
 void direct_notices_hear(struct direct_notices *notices,
 			 struct pool_upstream *upstream,
 			 const struct direct_reply *reply)
@@ -133,6 +161,8 @@
 	if (reply->other_process || !reply->is_ours)
 		return;
 	hear_limit(notices, upstream, reply);
+	if (reply->leaving)
+		hear_leaving(notices, upstream);
 }
 
 static void take_told(struct direct_notices *notices, uint64_t peer,
--- a/policy/pool.h
+++ b/policy/pool.h
@@ -45,6 +45,7 @@
 			  life keeps */
 	uint64_t life; /**< of its id and start: names it to others */
 	bool listed;
+	bool said_leaving;  /**< it said in an answer that it leaves */
 	bool closed;	    /**< operators have closed its domain */
 	const char *region; /**< of its domain; NULL: not known. Interned. */
 	struct warmup warmup;
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -339,6 +339,24 @@
 	}
 }
 
+TEST(PlfCodec, AnAnswerSaysThatItsUpstreamLeaves)
+{
+	const struct {
+		const char *value;
+		bool leaving;
+	} cases[] = { { "1", true }, { "0", false }, { "", false } };
+
+	for (const auto &row : cases) {
+		const std::vector<std::pair<const char *, const char *>>
+			field = { { "Server-Leaving", row.value } };
+		Fields fields(field);
+		direct_reply reply = {};
+
+		plf_codec()->read_reply(503, &fields.it, "a", &reply);
+		EXPECT_EQ(reply.leaving, row.leaving) << row.value;
+	}
+}
+
 TEST(PlfCodec, ALimitIsADecimalNumber)
 {
 	const struct {
