--- a/tests/rate_limit_test.cc
+++ b/tests/rate_limit_test.cc
@@ -2,97 +2,13 @@
  * Limits that upstreams name in their answers: requests a second that they take
  * of all entries together. The emulator writes down who does not keep to them.
  */
-#include "direct_rig.h"
-
-#include <memory>
+#include "fleet_rig.h"
 
 namespace
 {
 
 /* A limit holds three seconds after it was named, over any four. */
 const int64_t until_judged_ms = 3000 + 4000 + 500;
-const int64_t ask_every_ms = 20;
-
-/* A fleet that shares a platform with two upstreams of each service. */
-struct Fleet {
-	Rig first;
-	std::vector<std::unique_ptr<Rig>> others;
-	std::map<std::string, std::vector<pe_upstream *>> upstreams;
-	std::vector<std::unique_ptr<Ask>> asks;
-	int number = 0;
-
-	explicit Fleet(int size = 3)
-	{
-		std::vector<std::string> ips;
-
-		add(PE_PLAIN, "plain");
-		add(PE_ENGINE, "engine");
-		add(PE_STAGE, "first");
-		add(PE_STAGE, "second");
-		for (int i = 1; i < size; i++)
-			others.push_back(std::make_unique<Rig>(&first));
-		for (int i = 0; i < size; i++)
-			ips.push_back("127.0.0." + std::to_string(i + 1));
-		for (int i = 0; i < size; i++)
-			entry(i).join(ips[i].c_str(), 500, ips);
-		for (int i = 0; i < size; i++)
-			entry(i).settle();
-		EXPECT_TRUE(turn_until([&] { return has_met(size); }));
-	}
-	void add(pe_kind kind, const char *service)
-	{
-		for (int i = 0; i < 2; i++)
-			upstreams[service].push_back(first.add(kind, service));
-	}
-	int size() const
-	{
-		return (int)others.size() + 1;
-	}
-	Rig &entry(int i)
-	{
-		return i ? *others[i - 1] : first;
-	}
-	bool has_met(int count)
-	{
-		for (int i = 0; i < size(); i++)
-			if ((int)direct_peers_count(entry(i).peers) < count)
-				return false;
-		return true;
-	}
-	/* Of the next entry in turn. */
-	Ask &ask(const char *target)
-	{
-		std::string id = std::to_string(++number);
-		Fields fields = { { "X-Token-Counts", "10,6" },
-				  { "X-Prompt-Prefix", "a:5,b" + id + ":5" } };
-
-		if (strstr(target, "staged")) {
-			fields["X-Pieces"] = "1,1";
-			fields["X-Piece-Key"] = "k" + id;
-		}
-		asks.push_back(
-			std::make_unique<Ask>(entry(number % size()).address,
-					      id.c_str(), target, fields));
-		return *asks.back();
-	}
-	void ask_for(const char *target, int64_t ms)
-	{
-		const int64_t end_us = g_get_monotonic_time() + ms * 1000;
-
-		while (g_get_monotonic_time() < end_us) {
-			ask(target);
-			turn_until([] { return false; }, ask_every_ms);
-		}
-	}
-	int count(uint32_t status)
-	{
-		int found = 0;
-
-		for (auto &ask : asks)
-			found += ask->wait().status == status;
-		return found;
-	}
-};
 
 /* The reported day: engines that had named one request a second got thirteen in
  * four seconds, though all entries had been told. */
--- a/tools/pe.c
+++ b/tools/pe.c
@@ -43,8 +43,8 @@
 	pe_conn_answer(conn, status, fields, body);
 }
 
-static char *answer_fields(const struct pe_upstream *upstream,
-			   struct pe_conn *conn, bool foreign)
+static char *answer_fields(struct pe_upstream *upstream, struct pe_conn *conn,
+			   bool foreign)
 {
 	g_autofree char *notices = pe_notice_fields(upstream);
 
--- a/tools/pe.h
+++ b/tools/pe.h
@@ -78,6 +78,12 @@
 /** Name a limit in its answers: requests a second that it takes of all entries;
  * negative: none any more. Entries that do not keep to it are a breach. */
 void pe_set_limit(struct pe_upstream *upstream, double per_s);
+/** Say in its answers that it leaves, whatever its entry says; until it starts
+ * anew. */
+void pe_say_leaving(struct pe_upstream *upstream);
+/** What has reached it later than entries may send there, since the first such
+ * answer. One that has started or stood still since is excused of its first. */
+uint32_t pe_late_arrivals(const struct pe_upstream *upstream);
 /** Write that it is draining. */
 void pe_drain(struct pe_upstream *upstream);
 /** Its process is replaced by one of another id at the same address; the
--- a/tools/pe_notices.c
+++ b/tools/pe_notices.c
@@ -9,20 +9,39 @@
 #define LIMIT_EXCESS 1.5
 #define LIMIT_SLACK 5
 
+/* Once it has said that it leaves, entries have this long, by their settings.
+ */
+#define LEAVING_HOLDS_US (2 * LP_US_PER_S)
+
 static int64_t now_us(void)
 {
 	return g_get_monotonic_time();
 }
 
-char *pe_notice_fields(const struct pe_upstream *upstream)
+char *pe_notice_fields(struct pe_upstream *upstream)
 {
+	GString *fields = g_string_new(NULL);
 	char number[G_ASCII_DTOSTR_BUF_SIZE];
 
 	/* Another process has the address: it says nothing of this one. */
-	if (!upstream->limit.named || upstream->other_id)
-		return g_strdup("");
-	g_ascii_formatd(number, sizeof(number), "%.3f", upstream->limit.per_s);
-	return g_strdup_printf("Server-Limit: %s\r\n", number);
+	if (upstream->limit.named && !upstream->other_id) {
+		g_ascii_formatd(number, sizeof(number), "%.3f",
+				upstream->limit.per_s);
+		g_string_append_printf(fields, "Server-Limit: %s\r\n", number);
+	}
+	if (upstream->says_leaving && !upstream->other_id) {
+		g_string_append(fields, "Server-Leaving: 1\r\n");
+		if (!upstream->told_leaving_us)
+			upstream->told_leaving_us = now_us();
+	}
+	return g_string_free(fields, FALSE);
+}
+
+void pe_say_leaving(struct pe_upstream *upstream)
+{
+	upstream->says_leaving = true;
+	upstream->told_leaving_us = 0;
+	upstream->late_arrivals = 0;
 }
 
 void pe_set_limit(struct pe_upstream *upstream, double per_s)
@@ -43,6 +62,7 @@
 	if (upstream->limit.arrivals)
 		g_array_unref(upstream->limit.arrivals);
 	upstream->limit = (struct pe_limit){ 0 };
+	upstream->says_leaving = false;
 }
 
 /* Arrivals in the span that ends now; older ones are dropped. */
@@ -59,7 +79,7 @@
 	return limit->arrivals->len;
 }
 
-void pe_notices_arrived(struct pe_upstream *upstream)
+static void check_limit(struct pe_upstream *upstream)
 {
 	struct pe_limit *limit = &upstream->limit;
 	const double span_s = (double)LIMIT_SPAN_US / LP_US_PER_S;
@@ -77,3 +97,21 @@
 	pe_breach(upstream->pe, "%s takes %.2f a second and got %u in %.0f s",
 		  upstream->id, limit->per_s, count, span_s);
 }
+
+static void note_late(struct pe_upstream *upstream)
+{
+	if (upstream->says_leaving && upstream->told_leaving_us &&
+	    now_us() >= upstream->told_leaving_us + LEAVING_HOLDS_US)
+		upstream->late_arrivals++;
+}
+
+uint32_t pe_late_arrivals(const struct pe_upstream *upstream)
+{
+	return upstream->late_arrivals;
+}
+
+void pe_notices_arrived(struct pe_upstream *upstream)
+{
+	check_limit(upstream);
+	note_late(upstream);
+}
--- a/tools/pe_private.h
+++ b/tools/pe_private.h
@@ -53,6 +53,9 @@
 	bool draining;
 	uint32_t cold_ms; /**< as its entry says */
 	struct pe_limit limit;
+	bool says_leaving;
+	int64_t told_leaving_us; /**< first answer that says so; 0: none yet */
+	uint32_t late_arrivals;	 /**< later than may be, after it */
 	char *service;
 	char *domain;
 	uint32_t work_ms;
@@ -178,7 +181,7 @@
 /* ---- pe_notices.c ---- */
 
 /** Header lines in which it speaks of itself; g_free(). */
-char *pe_notice_fields(const struct pe_upstream *upstream);
+char *pe_notice_fields(struct pe_upstream *upstream);
 /** A request or call has reached it, and is meant for it. */
 void pe_notices_arrived(struct pe_upstream *upstream);
 /** It starts anew, or ends. */
