An upstream that says in its answers that it leaves gets nothing new (DRAIN)

An entry passed on an answer of an engine that said so and sent it more 2.7 and 6.4 s later (2 s are allowed), and others did, until the list said it, ten seconds on: the key-value service was away.

Cause: that an upstream leaves was taken from its entry in the list alone; the answer's head was read without the field. Ruled out: entries that know while their placer does not (a place at an upstream that is not open is not taken, and no entry wrote upstream_leaving before an answer of its own), a mark that a list took back (no list came).

Class: a state of another party that is known from one source only, while it states it in a nearer one that nobody reads.

Now it is a belief of that life, whatever the list says and beyond its entry there; told to all entries twice, and to each that is met. Results there are not given up by calls any more.

--- a/direct/direct_ends.c
+++ b/direct/direct_ends.c
@@ -91,7 +91,7 @@
 	g_autoptr(GArray) lost = g_array_new(FALSE, FALSE, sizeof(struct loss));
 	uint64_t life = upstream->life;
 
-	if (upstream->entry.leaving)
+	if (pool_is_leaving(upstream))
 		return;
 	if (losses_ended(ends->losses, life, how == DIRECT_END_RESTARTED,
 			 lost) &&
@@ -225,7 +225,7 @@
 	loss.life = upstream->life;
 	loss.lost_us = lp_now_us(direct_of(ends)->options.clock);
 	losses_forget(ends->losses);
-	if (upstream->entry.leaving || (!upstream->listed && !superseded))
+	if (pool_is_leaving(upstream) || (!upstream->listed && !superseded))
 		return;
 	switch (losses_add(ends->losses, &loss)) {
 	case LOSSES_ENDED:
--- a/direct/direct_notices.c
+++ b/direct/direct_notices.c
@@ -1,16 +1,26 @@
 #include "direct/direct_notices.h"
 
+#include "base/lp_timer.h"
+
 #define KIND_LIMITS 'N'
 /* upstream, whether it names a limit, requests a second, us since the answer */
 #define LIMITS_TYPE "a(tbdx)"
 /* Limits in one datagram. */
 #define LIMITS_MAX 100
+#define KIND_LEAVING 'X'
+#define LEAVING_TYPE "at" /* upstreams */
+/* Upstreams in one datagram. */
+#define LEAVING_MAX 500
+/* They are told of again after this: a datagram may be lost. */
+#define LEAVING_AGAIN_MS 500
 /* A limit is logged in thousandths: log lines carry whole numbers. */
 #define LIMIT_LOG_SCALE 1000
 
 struct direct_notices {
 	struct direct_notices_options options;
 	struct direct_peers *peers; /* NULL: nobody */
+	GArray *leaving; /* lives that are told of again, of uint64_t */
+	guint leaving_timer;
 };
 
 static int64_t now(const struct direct_notices *notices)
@@ -45,10 +55,58 @@
 			      g_variant_builder_end(&limits));
 }
 
-/* All that are named, so that who has just started keeps to them. */
-static void on_met(void *userdata, uint64_t peer)
+static GVariant *write_leaving(const GArray *lives)
+{
+	return g_variant_new_fixed_array(G_VARIANT_TYPE_UINT64, lives->data,
+					 MIN(lives->len, LEAVING_MAX),
+					 sizeof(uint64_t));
+}
+
+static gboolean on_leaving_again(gpointer userdata)
 {
 	struct direct_notices *notices = userdata;
+
+	notices->leaving_timer = 0;
+	if (notices->peers)
+		direct_peers_send_all(notices->peers, KIND_LEAVING,
+				      write_leaving(notices->leaving));
+	g_array_set_size(notices->leaving, 0);
+	return G_SOURCE_REMOVE;
+}
+
+static void tell_leaving(struct direct_notices *notices,
+			 const struct pool_upstream *upstream)
+{
+	g_array_append_val(notices->leaving, upstream->life);
+	if (notices->peers)
+		direct_peers_send_all(notices->peers, KIND_LEAVING,
+				      write_leaving(notices->leaving));
+	if (!notices->leaving_timer)
+		notices->leaving_timer = lp_timer_add(
+			LEAVING_AGAIN_MS, on_leaving_again, notices);
+}
+
+static void greet_with_leaving(struct direct_notices *notices, uint64_t peer)
+{
+	g_autoptr(GPtrArray) leaving = pool_said_leaving(notices->options.pool);
+	g_autoptr(GArray) lives = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	g_autoptr(GVariant) body = NULL;
+
+	for (guint i = 0; i < leaving->len; i++) {
+		const struct pool_upstream *upstream =
+			g_ptr_array_index(leaving, i);
+
+		g_array_append_val(lives, upstream->life);
+	}
+	if (!lives->len)
+		return;
+	body = g_variant_ref_sink(write_leaving(lives));
+	direct_peers_send(notices->peers, peer, KIND_LEAVING, body);
+}
+
+/* All that are named, so that who has just started keeps to them. */
+static void greet_with_limits(struct direct_notices *notices, uint64_t peer)
+{
 	g_autoptr(GPtrArray) limited = pool_limited(notices->options.pool);
 	guint count = MIN(limited->len, LIMITS_MAX);
 	g_autoptr(GVariant) body = NULL;
@@ -63,6 +121,12 @@
 	direct_peers_send(notices->peers, peer, KIND_LIMITS, body);
 }
 
+static void on_met(void *userdata, uint64_t peer)
+{
+	greet_with_limits(userdata, peer);
+	greet_with_leaving(userdata, peer);
+}
+
 /* ---- learning ---- */
 
 static void log_limit(const struct direct_notices *notices,
@@ -146,10 +210,10 @@
 static void hear_leaving(struct direct_notices *notices,
 			 struct pool_upstream *upstream)
 {
-	if (upstream->said_leaving)
+	if (!pool_heard_leaving(notices->options.pool, upstream))
 		return;
-	upstream->said_leaving = true;
 	log_leaving(notices, upstream, "answer");
+	tell_leaving(notices, upstream);
 }
 
 void direct_notices_hear(struct direct_notices *notices,
@@ -202,6 +266,23 @@
 	}
 }
 
+static void on_leaving(void *userdata, uint64_t peer, GVariant *body)
+{
+	struct direct_notices *notices = userdata;
+	struct pool *pool = notices->options.pool;
+	gsize count;
+	const uint64_t *lives =
+		g_variant_get_fixed_array(body, &count, sizeof(uint64_t));
+
+	for (gsize i = 0; i < count; i++) {
+		struct pool_upstream *upstream = pool_find_life(pool, lives[i]);
+
+		if (upstream && pool_heard_leaving(pool, upstream))
+			log_leaving(notices, upstream,
+				    direct_peers_ip(notices->peers, peer));
+	}
+}
+
 /* ---- start and end ---- */
 
 void direct_notices_set_peers(struct direct_notices *notices,
@@ -212,6 +293,8 @@
 		return;
 	direct_peers_listen(peers, KIND_LIMITS, LIMITS_TYPE, on_limits,
 			    notices);
+	direct_peers_listen(peers, KIND_LEAVING, LEAVING_TYPE, on_leaving,
+			    notices);
 	direct_peers_on_met(peers, on_met, notices);
 }
 
@@ -221,10 +304,16 @@
 	struct direct_notices *notices = g_new0(struct direct_notices, 1);
 
 	notices->options = *options;
+	notices->leaving = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	return notices;
 }
 
 void direct_notices_destroy(struct direct_notices *notices)
 {
+	if (!notices)
+		return;
+	if (notices->leaving_timer)
+		g_source_remove(notices->leaving_timer);
+	g_array_unref(notices->leaving);
 	g_free(notices);
 }
--- a/direct/direct_results.c
+++ b/direct/direct_results.c
@@ -176,6 +176,9 @@
 {
 	struct pool *pool = results->direct->pool;
 
+	/* It takes no more calls of ours, and takes its results with it. */
+	if (upstream->said_leaving)
+		return;
 	if (pool_limit_wait_us(pool, upstream)) {
 		put_off(results, upstream->life, gathered);
 		return;
--- a/policy/pool.c
+++ b/policy/pool.c
@@ -71,6 +71,7 @@
 /* What a life said of itself that is not in the list. */
 struct unlisted {
 	struct rate_limit limit;
+	bool said_leaving;
 	int64_t since_us;
 };
 
@@ -262,10 +263,23 @@
 
 bool pool_is_open(const struct pool_upstream *upstream)
 {
-	return upstream->listed && !upstream->entry.leaving &&
+	return upstream->listed && !pool_is_leaving(upstream) &&
 	       !upstream->closed;
 }
 
+bool pool_is_leaving(const struct pool_upstream *upstream)
+{
+	return upstream->entry.leaving || upstream->said_leaving;
+}
+
+bool pool_heard_leaving(struct pool *pool, struct pool_upstream *upstream)
+{
+	bool is_new = !upstream->said_leaving;
+
+	upstream->said_leaving = true;
+	return is_new;
+}
+
 void pool_set_region(struct pool *pool, const char *domain, const char *region)
 {
 	g_hash_table_replace(pool->regions, g_strdup(domain),
@@ -282,7 +296,7 @@
 		const struct pool_upstream *upstream =
 			g_ptr_array_index(list, i);
 
-		if (upstream->entry.leaving)
+		if (pool_is_leaving(upstream))
 			continue;
 		if (!upstream->closed && homes_have(homes, upstream->region))
 			return false;
@@ -327,17 +341,40 @@
 	return rate_limit_hear(&upstream->limit, word);
 }
 
-GPtrArray *pool_limited(const struct pool *pool)
+/* Listed upstreams of which something holds. */
+static GPtrArray *
+find_upstreams(const struct pool *pool,
+	       bool (*holds)(const struct pool_upstream *upstream))
 {
-	GPtrArray *limited = g_ptr_array_new();
+	GPtrArray *found = g_ptr_array_new();
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, pool->upstreams);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		if (((const struct pool_upstream *)value)->limit.named)
-			g_ptr_array_add(limited, value);
-	return limited;
+		if (holds(value))
+			g_ptr_array_add(found, value);
+	return found;
+}
+
+static bool names_limit(const struct pool_upstream *upstream)
+{
+	return upstream->limit.named;
+}
+
+GPtrArray *pool_limited(const struct pool *pool)
+{
+	return find_upstreams(pool, names_limit);
+}
+
+static bool has_said_leaving(const struct pool_upstream *upstream)
+{
+	return upstream->said_leaving;
+}
+
+GPtrArray *pool_said_leaving(const struct pool *pool)
+{
+	return find_upstreams(pool, has_said_leaving);
 }
 
 int64_t pool_limit_wait_us(const struct pool *pool,
@@ -374,9 +411,13 @@
 			  const struct pool_upstream *upstream)
 {
 	int64_t now_us = lp_now_us(pool->clock);
-	struct unlisted unlisted = { upstream->limit, now_us };
+	struct unlisted unlisted = {
+		.limit = upstream->limit,
+		.said_leaving = upstream->said_leaving,
+		.since_us = now_us,
+	};
 
-	if (!upstream->limit.named)
+	if (!upstream->limit.named && !upstream->said_leaving)
 		return;
 	g_hash_table_foreach_remove(pool->unlisted, is_forgotten, &now_us);
 	if (g_hash_table_size(pool->unlisted) >= UNLISTED_MAX)
@@ -394,6 +435,7 @@
 	if (!unlisted)
 		return;
 	upstream->limit = unlisted->limit;
+	upstream->said_leaving = unlisted->said_leaving;
 	g_hash_table_remove(pool->unlisted, &upstream->life);
 }
 
--- a/policy/pool.h
+++ b/policy/pool.h
@@ -160,9 +160,10 @@
  * is known, which outlives the upstream's entry in the list. */
 bool pool_heard_limit(struct pool *pool, struct pool_upstream *upstream,
 		      const struct rate_limit_word *word);
-/** Listed upstreams that name a limit: of struct pool_upstream, borrowed;
- * g_ptr_array_unref(). */
+/** Listed upstreams that name a limit, or have said that they leave: of struct
+ * pool_upstream, borrowed; g_ptr_array_unref(). */
 GPtrArray *pool_limited(const struct pool *pool);
+GPtrArray *pool_said_leaving(const struct pool *pool);
 /** Time until its limit lets us send there; 0: now. */
 int64_t pool_limit_wait_us(const struct pool *pool,
 			   const struct pool_upstream *upstream);
@@ -177,6 +178,12 @@
 int64_t pool_turn_us(struct pool *pool, const struct pool_ask *ask);
 /** A request or call goes there now. */
 void pool_sent(struct pool *pool, struct pool_upstream *upstream);
+/** An answer said that it leaves: nothing new goes there, whatever the list
+ * says, for as long as this life lasts and beyond its entry in the list.
+ * Returns whether that was not known. */
+bool pool_heard_leaving(struct pool *pool, struct pool_upstream *upstream);
+/** It leaves, by the list or by what it said. */
+bool pool_is_leaving(const struct pool_upstream *upstream);
 /** Whether it may get anything new at all, now or later. */
 bool pool_is_open(const struct pool_upstream *upstream);
 /** Whether a service has upstreams, and all of them are closed or elsewhere
--- a/tests/cwrap.h
+++ b/tests/cwrap.h
@@ -23,6 +23,7 @@
 #include "config/cfg_record.h"
 #include "direct/direct.h"
 #include "direct/direct_events.h"
+#include "direct/direct_notices.h"
 #include "direct/direct_peers.h"
 #include "entry/entry_map.h"
 #include "http/http_client.h"
--- a/tests/notices_test.cc
+++ b/tests/notices_test.cc
@@ -38,4 +38,147 @@
 	}
 }
 
+/* A peer that places for others has had no such answer itself. */
+TEST(SaidLeaving, IsKnownToAllEntriesAtOnce)
+{
+	Fleet fleet;
+	pe_upstream *leaving = fleet.upstreams["engine"][0];
+	uint32_t before;
+
+	pe_say_leaving(leaving);
+	fleet.ask_for("/once/x", 300);
+	before = pe_arrivals(leaving);
+	EXPECT_GT(before, 0u);
+	fleet.ask_for("/once/x", 1000);
+	EXPECT_EQ(pe_arrivals(leaving), before);
+}
+
+/* The list names it ready all the time, for as long as the service is away. */
+TEST(SaidLeaving, IsKnownToAnEntryThatStarts)
+{
+	Fleet fleet;
+	pe_upstream *leaving = fleet.upstreams["plain"][0];
+	uint32_t before;
+
+	pe_say_leaving(leaving);
+	fleet.ask_for("/look/x", 300);
+	Rig late(&fleet.first);
+	late.join("127.0.0.9", 500, { "127.0.0.1", "127.0.0.2" });
+	late.settle();
+	ASSERT_TRUE(turn_until(
+		[&] { return direct_peers_count(late.peers) == 4; }));
+	before = pe_arrivals(leaving);
+	for (int i = 0; i < 10; i++)
+		EXPECT_EQ(Ask(late.address, ("l" + std::to_string(i)).c_str(),
+			      "/look/x")
+				  .wait()
+				  .status,
+			  200u);
+	EXPECT_EQ(pe_arrivals(leaving), before);
+}
+
+/* What runs there goes on, and is answered. */
+TEST(SaidLeaving, WhatRunsThereIsAnswered)
+{
+	Rig rig;
+	pe_upstream *only = rig.add(PE_PLAIN, "plain");
+
+	rig.settle();
+	pe_set_work_ms(only, 300);
+	Ask one(rig.address, "1", "/order/x");
+	Ask two(rig.address, "2", "/order/x");
+	ASSERT_TRUE(turn_until([&] { return pe_arrivals(only) == 2; }));
+	pe_say_leaving(only);
+	EXPECT_EQ(one.wait().status, 200u);
+	EXPECT_EQ(two.wait().status, 200u);
+}
+
+/* Nobody is left: refused at once, and truthfully. */
+TEST(SaidLeaving, WithoutAnotherItIsRefusedAtOnce)
+{
+	Rig rig;
+	pe_upstream *only = rig.add(PE_PLAIN, "plain");
+
+	rig.settle();
+	pe_say_leaving(only);
+	EXPECT_EQ(Ask(rig.address, "1", "/order/x").wait().status, 200u);
+	Ask refused(rig.address, "2", "/order/x");
+	EXPECT_EQ(refused.wait().status, 503u);
+	EXPECT_NE(refused.retry_after, "");
+	EXPECT_LT(refused.took_us, 200 * LP_US_PER_MS);
+	EXPECT_EQ(pe_runs(rig.platform, "2"), 0u);
+}
+
+/* It starts again under its id: what its life before said is over. */
+TEST(SaidLeaving, EndsWithItsLife)
+{
+	Rig rig;
+	pe_upstream *only = rig.add(PE_PLAIN, "plain");
+
+	rig.settle();
+	pe_say_leaving(only);
+	EXPECT_EQ(Ask(rig.address, "1", "/look/x").wait().status, 200u);
+	EXPECT_EQ(Ask(rig.address, "2", "/look/x").wait().status, 503u);
+	pe_restart_options how = {};
+	pe_restart(only, &how);
+	EXPECT_TRUE(turn_until([&] {
+		return Ask(rig.address, "3", "/look/x").wait().status == 200;
+	}));
+}
+
+/* Its entry lapses while the service is away and comes back as ready. */
+TEST(SaidLeaving, OutlivesTheEntryInTheList)
+{
+	TestClock clock;
+	pool *it = pool_create(&clock.clock, "a");
+	char id[] = "1", service[] = "s", address[] = "1:1", domain[] = "a";
+	pool_entry entry = { id, service, address, domain, 4, false, 7, 0 };
+
+	pool_update(it, &entry, 1);
+	EXPECT_TRUE(pool_heard_leaving(it, pool_find(it, "1")));
+	EXPECT_FALSE(pool_heard_leaving(it, pool_find(it, "1")));
+	pool_update(it, nullptr, 0);
+	clock.now_us += 60 * LP_US_PER_S;
+	pool_update(it, &entry, 1);
+	EXPECT_FALSE(pool_is_open(pool_find(it, "1")));
+	entry.born_ms = 8;
+	pool_update(it, &entry, 1);
+	EXPECT_TRUE(pool_is_open(pool_find(it, "1")));
+	pool_destroy(it);
+}
+
+/* Another process has the address and says that it leaves: that is not about
+ * the one that was asked. */
+TEST(SaidLeaving, IsOnlyBelievedOfWhoSaysIt)
+{
+	Rig rig;
+	pe_upstream *only = rig.add(PE_PLAIN, "plain");
+	direct_reply reply = {};
+
+	rig.settle();
+	reply.leaving = true;
+	reply.is_ours = true;
+	reply.other_process = true;
+	direct_notices_options options = { rig.clock, rig.log, rig.counters,
+					   pool_create(rig.clock, "a") };
+	direct_notices *notices = direct_notices_create(&options);
+	char id[] = "1", service[] = "s", address[] = "1:1", domain[] = "a";
+	pool_entry entry = { id, service, address, domain, 4, false, 7, 0 };
+
+	pool_update(options.pool, &entry, 1);
+	pool_upstream *upstream = pool_find(options.pool, "1");
+	direct_notices_hear(notices, upstream, &reply);
+	EXPECT_FALSE(upstream->said_leaving);
+	reply.other_process = false;
+	reply.is_ours = false;
+	direct_notices_hear(notices, upstream, &reply);
+	EXPECT_FALSE(upstream->said_leaving);
+	reply.is_ours = true;
+	direct_notices_hear(notices, upstream, &reply);
+	EXPECT_TRUE(upstream->said_leaving);
+	direct_notices_destroy(notices);
+	pool_destroy(options.pool);
+	EXPECT_EQ(pe_arrivals(only), 0u);
+}
+
 } // namespace
