--- a/direct/direct_calls.c
+++ b/direct/direct_calls.c
@@ -230,6 +230,7 @@
 		     room_other_bytes(made->upstream->room));
 	lp_event_int(log, "took_us", now_us - made->started_us);
 	lp_event_int(log, "expected_us", made->expected_us);
+	lp_event_int(log, "rest_us", call->reply.rest_us);
 	lp_event_int(log, "others_running", call->reply.running);
 	lp_event_int(log, "others_waiting", call->reply.waiting);
 	lp_event_end(log);
--- a/direct/direct_codec.h
+++ b/direct/direct_codec.h
@@ -55,7 +55,9 @@
 	int32_t running;    /**< requests or calls at work there; negative: not
 			       said */
 	int32_t waiting;
-	bool leaving; /**< the upstream leaves: nothing new goes there */
+	bool leaving;	 /**< the upstream leaves: nothing new goes there */
+	int64_t rest_us; /**< a refusal: the upstream wants nothing of this
+			    entry for so long; 0: it does not say */
 	enum direct_limit limit;
 	double limit_per_s; /**< requests a second that the upstream takes of
 			       all entries; only if it names a limit */
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -89,6 +89,7 @@
 						  request->tried->len - 1)
 			      : "");
 	lp_event_int(log, "status", request->status);
+	lp_event_int(log, "rest_us", request->reply.rest_us);
 	lp_event_int(log, "after_us",
 		     direct_request_now_us(request) - request->sent_us);
 	lp_event_int(log, "sendings", request->moves);
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -357,6 +357,35 @@
 	}
 }
 
+TEST(PlfCodec, ARefusalMayAskForRest)
+{
+	const struct {
+		uint32_t status;
+		const char *value;
+		int64_t rest_us;
+	} cases[] = {
+		{ 503, "3", 3000000 },
+		{ 503, "0.25", 250000 },
+		{ 429, "1", 1000000 },
+		{ 503, "0", 0 },
+		{ 200, "3", 0 },
+		{ 503, "-1", 0 },
+		{ 503, "soon", 0 },
+		{ 503, "99999999999", 86400000000 },
+		{ 503, "Thu, 03 Dec 2026 10:00:00 GMT", 0 },
+	};
+
+	for (const auto &row : cases) {
+		const std::vector<std::pair<const char *, const char *>>
+			field = { { "Retry-After", row.value } };
+		Fields fields(field);
+		direct_reply reply = {};
+
+		plf_codec()->read_reply(row.status, &fields.it, "a", &reply);
+		EXPECT_EQ(reply.rest_us, row.rest_us) << row.value;
+	}
+}
+
 TEST(PlfCodec, ALimitIsADecimalNumber)
 {
 	const struct {
