--- a/tests/notices_test.cc
+++ b/tests/notices_test.cc
@@ -181,4 +181,34 @@
 	EXPECT_EQ(pe_arrivals(only), 0u);
 }
 
+/* ---- rest ---- */
+
+const uint32_t rest_ms = 3000;
+
+/* What has come meanwhile is under way, and not told yet. */
+const int64_t told_ms = 500;
+
+/* The reported day: engines that turned an entry away and asked it for three
+ * seconds of rest got three to five more from it in that time; two may come. */
+TEST(Rest, AnUpstreamThatAsksForItIsLeftAlone)
+{
+	for (const Kind &kind : kinds) {
+		Fleet fleet;
+		pe_upstream *resting = fleet.upstreams[kind.service][0];
+		uint32_t before;
+
+		for (pe_upstream *upstream : fleet.upstreams[kind.service])
+			pe_set_work_ms(upstream, 60);
+		pe_set_rest(resting, rest_ms);
+		/* Each entry is told. */
+		fleet.ask_for(kind.target, told_ms);
+		before = pe_arrivals(resting);
+		EXPECT_GT(before, 0u) << kind.target;
+		fleet.ask_for(kind.target, rest_ms - told_ms - 200);
+		EXPECT_LE(pe_arrivals(resting) - before, 2u) << kind.target;
+		EXPECT_EQ(fleet.count(200), (int)fleet.asks.size())
+			<< kind.target;
+	}
+}
+
 } // namespace
--- a/tools/pe.c
+++ b/tools/pe.c
@@ -279,6 +279,8 @@
 		return;
 	}
 	pe_notices_arrived(upstream);
+	if (pe_notices_turn_away(upstream, conn))
+		return;
 	if (upstream->kind == PE_STAGE) {
 		pe_stage_request(upstream, conn);
 		return;
--- a/tools/pe.h
+++ b/tools/pe.h
@@ -78,6 +78,9 @@
 /** Name a limit in its answers: requests a second that it takes of all entries;
  * negative: none any more. Entries that do not keep to it are a breach. */
 void pe_set_limit(struct pe_upstream *upstream, double per_s);
+/** Turn all away, not run, and ask whoever is turned away for this long a rest;
+ * 0: serve again. */
+void pe_set_rest(struct pe_upstream *upstream, uint32_t rest_ms);
 /** Say in its answers that it leaves, whatever its entry says; until it starts
  * anew. */
 void pe_say_leaving(struct pe_upstream *upstream);
--- a/tools/pe_notices.c
+++ b/tools/pe_notices.c
@@ -63,6 +63,7 @@
 		g_array_unref(upstream->limit.arrivals);
 	upstream->limit = (struct pe_limit){ 0 };
 	upstream->says_leaving = false;
+	upstream->rest_ms = 0;
 }
 
 /* Arrivals in the span that ends now; older ones are dropped. */
@@ -98,6 +99,25 @@
 		  upstream->id, limit->per_s, count, span_s);
 }
 
+void pe_set_rest(struct pe_upstream *upstream, uint32_t rest_ms)
+{
+	upstream->rest_ms = rest_ms;
+}
+
+bool pe_notices_turn_away(struct pe_upstream *upstream, struct pe_conn *conn)
+{
+	g_autofree char *fields = NULL;
+	char number[G_ASCII_DTOSTR_BUF_SIZE];
+
+	if (!upstream->rest_ms)
+		return false;
+	g_ascii_formatd(number, sizeof(number), "%.3f",
+			upstream->rest_ms / 1000.0);
+	fields = g_strdup_printf("X-Not-Run: 1\r\nRetry-After: %s\r\n", number);
+	pe_answer(upstream, conn, 503, fields, "");
+	return true;
+}
+
 static void note_late(struct pe_upstream *upstream)
 {
 	if (upstream->says_leaving && upstream->told_leaving_us &&
--- a/tools/pe_private.h
+++ b/tools/pe_private.h
@@ -53,6 +53,8 @@
 	bool draining;
 	uint32_t cold_ms; /**< as its entry says */
 	struct pe_limit limit;
+	uint32_t
+		rest_ms; /**< that it asks of all it turns away; 0: it serves */
 	bool says_leaving;
 	int64_t told_leaving_us; /**< first answer that says so; 0: none yet */
 	uint32_t late_arrivals;	 /**< later than may be, after it */
@@ -182,6 +184,8 @@
 
 /** Header lines in which it speaks of itself; g_free(). */
 char *pe_notice_fields(struct pe_upstream *upstream);
+/** It turns all away: this one is answered so. */
+bool pe_notices_turn_away(struct pe_upstream *upstream, struct pe_conn *conn);
 /** A request or call has reached it, and is meant for it. */
 void pe_notices_arrived(struct pe_upstream *upstream);
 /** It starts anew, or ends. */
