An upstream that asks for rest is left alone for as long (BUDGET)

Engines that turned an entry away and asked it for three seconds of rest got three to five more from it in that time (two may come); 61 prompts went to one of them in nine seconds, from five entries, and were turned away.

Cause: a refusal was read as "not run" without the time that it names; an upstream that is full is set aside for 60 ms, and one that is set aside is better than none. Ruled out: entries that keep to it while their placer does not know (the placer sent three of its own), rest that is outweighed for want of others (thirteen were usable).

Class: as with DRAIN and LIMIT, a word of an answer that nobody reads.

Now nothing goes there before its time is over: no request, repeat, resumed stream, call of pieces, question, or result given up. Whoever places for us is told whom we may not ask, with those that were tried.

Rest.AnUpstreamThatAsksForItIsLeftAlone was red with 35 to 37 more in 2.3 s and some 15 of 130 refused; two at most now, and none refused.

--- a/direct/direct_notices.c
+++ b/direct/direct_notices.c
@@ -227,6 +227,9 @@
 	hear_limit(notices, upstream, reply);
 	if (reply->leaving)
 		hear_leaving(notices, upstream);
+	if (reply->rest_us)
+		pool_heard_rest(notices->options.pool, upstream,
+				reply->rest_us);
 }
 
 static void take_told(struct direct_notices *notices, uint64_t peer,
--- a/direct/direct_notices.h
+++ b/direct/direct_notices.h
@@ -1,12 +1,14 @@
 /**
  * What upstreams say of themselves in their answers, whatever was asked: that
- * they take only so many requests a second (policy/rate_limit.h), or leave.
+ * they take only so many requests a second (policy/rate_limit.h), leave, or
+ * want nothing of this entry for a while.
  *
  * Every answer of an upstream is read here, of requests as of calls of our own,
- * and what it changes is believed in the pool. Members are told, and each that
- * is met: a limit holds for all entries together, and who sends there next may
- * not have had an answer yet. A word of a limit that is lost is told again with
- * a later answer; of one that leaves there may be none, so it is told twice.
+ * and what it changes is believed in the pool. Rest is asked of one entry; of
+ * the others, members are told, and each that is met: a limit holds for all
+ * entries together, and who sends there next may not have had an answer yet. A
+ * word of a limit that is lost is told again with a later answer; of one that
+ * leaves there may be none, so it is told twice.
  */
 #ifndef DIRECT_NOTICES_H
 #define DIRECT_NOTICES_H
--- a/direct/direct_places.c
+++ b/direct/direct_places.c
@@ -115,14 +115,26 @@
 	return g_variant_builder_end(&parts);
 }
 
-static GVariant *write_tried(const struct pool_ask *ask)
+/* And those that want nothing of us: its placer is another entry to them. */
+static GVariant *write_tried(const struct direct_places *places,
+			     const struct pool_ask *ask)
 {
+	const struct pool *pool = places->direct->pool;
+	const GPtrArray *upstreams = pool_of_service(pool, ask->service);
 	GVariantBuilder tried;
 
 	g_variant_builder_init(&tried, G_VARIANT_TYPE("at"));
 	for (uint32_t i = 0; i < ask->tried_count; i++)
 		g_variant_builder_add(&tried, "t",
 				      (guint64)lp_hash_str(ask->tried[i]));
+	for (guint i = 0; upstreams && i < upstreams->len; i++) {
+		const struct pool_upstream *upstream =
+			g_ptr_array_index(upstreams, i);
+
+		if (pool_is_resting(pool, upstream))
+			g_variant_builder_add(&tried, "t",
+					      (guint64)upstream->hash);
+	}
 	return g_variant_builder_end(&tried);
 }
 
@@ -133,7 +145,7 @@
 	uint64_t number = places->next_number++;
 	g_autoptr(GVariant) body = g_variant_ref_sink(g_variant_new(
 		"(ts@a(tx)@atsxxs)", (guint64)number, ask->service,
-		write_parts(ask), write_tried(ask),
+		write_parts(ask), write_tried(places, ask),
 		ask->domain ? ask->domain : "", (gint64)ask->fetch_bytes,
 		(gint64)ask->target_us, homes_write(ask->homes)));
 	struct question *question;
@@ -204,7 +216,8 @@
 		return;
 	}
 	upstream = pool_find_life(places->direct->pool, engine);
-	if (upstream && !pool_is_open(upstream))
+	if (upstream && (!pool_is_open(upstream) ||
+			 pool_is_resting(places->direct->pool, upstream)))
 		upstream = NULL;
 	if (!upstream) {
 		direct_places_ended(places, &place, POOL_UNKNOWN);
--- a/direct/direct_results.c
+++ b/direct/direct_results.c
@@ -152,7 +152,8 @@
 static struct gathered *gathered_of(struct direct_results *results,
 				    GHashTable *all, uint64_t maker);
 
-/* Until the maker's limit lets us call; together with what comes meanwhile. */
+/* Until the maker's rest is over and its limit lets us call; together with what
+ * comes meanwhile. */
 static void put_off(struct direct_results *results, uint64_t maker,
 		    const struct gathered *gathered)
 {
@@ -179,7 +180,8 @@
 	/* It takes no more calls of ours, and takes its results with it. */
 	if (upstream->said_leaving)
 		return;
-	if (pool_limit_wait_us(pool, upstream)) {
+	if (pool_is_resting(pool, upstream) ||
+	    pool_limit_wait_us(pool, upstream)) {
 		put_off(results, upstream->life, gathered);
 		return;
 	}
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -124,6 +124,21 @@
 	return request->was_try || request->losses >= QUARANTINE_SUSPECT_ENDS;
 }
 
+static void write_pool_ask(const struct direct_request *request,
+			   struct pool_ask *ask);
+
+/* Not run, and not sent again: back when some upstream may take it. */
+static void refuse_not_run(struct direct_request *request, const char *why)
+{
+	struct pool_ask ask;
+	int64_t wait_us;
+
+	write_pool_ask(request, &ask);
+	wait_us = pool_turn_us(request->direct->pool, &ask);
+	direct_request_refuse(request, wait_us ? wait_us : DIRECT_WAIT_FULL_US,
+			      why);
+}
+
 /* The sending has ended (the upstream is left); decide and act. */
 static void step_on(struct direct_request *request, enum verdict_event event,
 		    const char *why)
@@ -162,7 +177,7 @@
 		remake_inputs(request);
 		break;
 	case VERDICT_REFUSE:
-		direct_request_refuse(request, DIRECT_WAIT_FULL_US, why);
+		refuse_not_run(request, why);
 		break;
 	case VERDICT_FAIL:
 		direct_request_answer_own(request, 502, 0, why);
--- a/policy/pool.c
+++ b/policy/pool.c
@@ -71,6 +71,7 @@
 /* What a life said of itself that is not in the list. */
 struct unlisted {
 	struct rate_limit limit;
+	int64_t rest_until_us;
 	bool said_leaving;
 	int64_t since_us;
 };
@@ -397,6 +398,29 @@
 	return rate_limit_own_per_s(&upstream->limit, &share);
 }
 
+/* ---- upstreams that rest ---- */
+
+void pool_heard_rest(struct pool *pool, struct pool_upstream *upstream,
+		     int64_t rest_us)
+{
+	upstream->rest_until_us =
+		MAX(upstream->rest_until_us, lp_now_us(pool->clock) + rest_us);
+}
+
+static int64_t rest_left_us(const struct pool *pool,
+			    const struct pool_upstream *upstream)
+{
+	return MAX(upstream->rest_until_us - lp_now_us(pool->clock), 0);
+}
+
+bool pool_is_resting(const struct pool *pool,
+		     const struct pool_upstream *upstream)
+{
+	return rest_left_us(pool, upstream) > 0;
+}
+
+/* ---- what outlives the list ---- */
+
 static gboolean is_forgotten(gpointer life, gpointer value, gpointer userdata)
 {
 	const int64_t *now_us = userdata;
@@ -413,11 +437,13 @@
 	int64_t now_us = lp_now_us(pool->clock);
 	struct unlisted unlisted = {
 		.limit = upstream->limit,
+		.rest_until_us = upstream->rest_until_us,
 		.said_leaving = upstream->said_leaving,
 		.since_us = now_us,
 	};
 
-	if (!upstream->limit.named && !upstream->said_leaving)
+	if (!upstream->limit.named && !upstream->said_leaving &&
+	    !pool_is_resting(pool, upstream))
 		return;
 	g_hash_table_foreach_remove(pool->unlisted, is_forgotten, &now_us);
 	if (g_hash_table_size(pool->unlisted) >= UNLISTED_MAX)
@@ -435,6 +461,7 @@
 	if (!unlisted)
 		return;
 	upstream->limit = unlisted->limit;
+	upstream->rest_until_us = unlisted->rest_until_us;
 	upstream->said_leaving = unlisted->said_leaving;
 	g_hash_table_remove(pool->unlisted, &upstream->life);
 }
@@ -446,6 +473,7 @@
 {
 	return pool_is_open(upstream) &&
 	       warmup_may_send(&upstream->warmup, lp_now_us(pool->clock)) &&
+	       !pool_is_resting(pool, upstream) &&
 	       !pool_limit_wait_us(pool, upstream);
 }
 
@@ -1157,37 +1185,38 @@
 
 /* ---- when to come back ---- */
 
-/* Of those that could take it but for a limit: the first that may, and how
- * often they may together. */
+/* Of all that could take it: when the first may, and how often they may
+ * together then. */
 struct outlook {
-	int64_t wait_us; /* 0: there is none */
-	double per_s;
+	int64_t wait_us; /* G_MAXINT64: there is none */
+	double per_s;	 /* INFINITY: as often as they are asked */
 };
 
 static bool could_take(const struct pool_ask *ask,
 		       const struct pool_upstream *upstream)
 {
 	return pool_is_open(upstream) && is_in_share(ask, upstream) &&
-	       homes_have(ask->homes, upstream->region) &&
-	       !was_tried(ask, upstream->entry.id);
+	       homes_have(ask->homes, upstream->region);
 }
 
 static struct outlook look_ahead(const struct pool *pool,
 				 const struct pool_ask *ask)
 {
 	const GPtrArray *list = pool_of_service(pool, ask->service);
-	struct outlook outlook = { 0 };
+	struct outlook outlook = { .wait_us = G_MAXINT64 };
 
 	for (guint i = 0; list && i < list->len; i++) {
 		const struct pool_upstream *upstream =
 			g_ptr_array_index(list, i);
-		int64_t wait_us = pool_limit_wait_us(pool, upstream);
 
-		if (!wait_us || !could_take(ask, upstream))
+		if (!could_take(ask, upstream))
 			continue;
-		if (!outlook.wait_us || wait_us < outlook.wait_us)
-			outlook.wait_us = wait_us;
-		outlook.per_s += pool_limit_per_s(pool, upstream);
+		outlook.wait_us = MIN(outlook.wait_us,
+				      MAX(rest_left_us(pool, upstream),
+					  pool_limit_wait_us(pool, upstream)));
+		outlook.per_s += upstream->limit.named
+					 ? pool_limit_per_s(pool, upstream)
+					 : INFINITY;
 	}
 	return outlook;
 }
@@ -1207,7 +1236,7 @@
 {
 	struct outlook outlook = look_ahead(pool, ask);
 
-	if (!outlook.wait_us)
+	if (!outlook.wait_us || outlook.wait_us == G_MAXINT64)
 		return 0;
 	return turns_next_us(turns_of(pool, ask->service), outlook.wait_us,
 			     outlook.per_s, lp_now_us(pool->clock));
--- a/policy/pool.h
+++ b/policy/pool.h
@@ -45,9 +45,10 @@
 			  life keeps */
 	uint64_t life; /**< of its id and start: names it to others */
 	bool listed;
-	bool said_leaving;  /**< it said in an answer that it leaves */
-	bool closed;	    /**< operators have closed its domain */
-	const char *region; /**< of its domain; NULL: not known. Interned. */
+	int64_t rest_until_us; /**< it wants nothing of us before */
+	bool said_leaving;     /**< it said in an answer that it leaves */
+	bool closed;	       /**< operators have closed its domain */
+	const char *region;    /**< of its domain; NULL: not known. Interned. */
 	struct warmup warmup;
 	struct rate_limit limit; /**< that it has named */
 	uint32_t in_flight;	 /**< our requests or calls there */
@@ -171,9 +172,9 @@
 double pool_limit_per_s(const struct pool *pool,
 			const struct pool_upstream *upstream);
 /**
- * When whoever asks may be told to come back: time until some upstream may take
- * it that may not now, behind those that were told so before. 0: none may at
- * any time that is known.
+ * When whoever asks may be told to come back: if all upstreams that could take
+ * it rest or are at their limits, time until one of them may, behind those that
+ * were told so before. Else 0.
  */
 int64_t pool_turn_us(struct pool *pool, const struct pool_ask *ask);
 /** A request or call goes there now. */
@@ -182,6 +183,12 @@
  * says, for as long as this life lasts and beyond its entry in the list.
  * Returns whether that was not known. */
 bool pool_heard_leaving(struct pool *pool, struct pool_upstream *upstream);
+/** It turned us away and wants nothing of us for so long. Kept to whatever else
+ * there is, and beyond its entry in the list. */
+void pool_heard_rest(struct pool *pool, struct pool_upstream *upstream,
+		     int64_t rest_us);
+bool pool_is_resting(const struct pool *pool,
+		     const struct pool_upstream *upstream);
 /** It leaves, by the list or by what it said. */
 bool pool_is_leaving(const struct pool_upstream *upstream);
 /** Whether it may get anything new at all, now or later. */
