--- a/tools/pe.h
+++ b/tools/pe.h
@@ -81,6 +81,9 @@
 /** Turn all away, not run, and ask whoever is turned away for this long a rest;
  * 0: serve again. */
 void pe_set_rest(struct pe_upstream *upstream, uint32_t rest_ms);
+/** What has reached it since, later than what was under way when it turned the
+ * first away, until that one's rest was over. */
+uint32_t pe_rest_arrivals(const struct pe_upstream *upstream);
 /** Say in its answers that it leaves, whatever its entry says; until it starts
  * anew. */
 void pe_say_leaving(struct pe_upstream *upstream);
--- a/tools/pe_notices.c
+++ b/tools/pe_notices.c
@@ -9,6 +9,8 @@
 #define LIMIT_EXCESS 1.5
 #define LIMIT_SLACK 5
 
+/* What is under way when an upstream asks for rest may still come. */
+#define UNDER_WAY_US (500 * LP_US_PER_MS)
 /* Once it has said that it leaves, entries have this long, by their settings.
  */
 #define LEAVING_HOLDS_US (2 * LP_US_PER_S)
@@ -18,6 +20,20 @@
 	return g_get_monotonic_time();
 }
 
+/* With these faults its answer is not read, or is nobody's. */
+static bool is_heard(const struct pe_upstream *upstream)
+{
+	switch (upstream->fault) {
+	case PE_FAULT_RESET:
+	case PE_FAULT_SILENT:
+	case PE_FAULT_GARBLED:
+	case PE_FAULT_FOREIGN:
+		return false;
+	default:
+		return true;
+	}
+}
+
 char *pe_notice_fields(struct pe_upstream *upstream)
 {
 	GString *fields = g_string_new(NULL);
@@ -31,7 +47,7 @@
 	}
 	if (upstream->says_leaving && !upstream->other_id) {
 		g_string_append(fields, "Server-Leaving: 1\r\n");
-		if (!upstream->told_leaving_us)
+		if (!upstream->told_leaving_us && is_heard(upstream))
 			upstream->told_leaving_us = now_us();
 	}
 	return g_string_free(fields, FALSE);
@@ -102,6 +118,22 @@
 void pe_set_rest(struct pe_upstream *upstream, uint32_t rest_ms)
 {
 	upstream->rest_ms = rest_ms;
+	upstream->turned_away_us = 0;
+	upstream->rest_arrivals = 0;
+}
+
+uint32_t pe_rest_arrivals(const struct pe_upstream *upstream)
+{
+	return upstream->rest_arrivals;
+}
+
+static void note_rest(struct pe_upstream *upstream)
+{
+	int64_t since_us = now_us() - upstream->turned_away_us;
+
+	if (upstream->turned_away_us && since_us >= UNDER_WAY_US &&
+	    since_us < upstream->rest_ms * LP_US_PER_MS)
+		upstream->rest_arrivals++;
 }
 
 bool pe_notices_turn_away(struct pe_upstream *upstream, struct pe_conn *conn)
@@ -111,6 +143,8 @@
 
 	if (!upstream->rest_ms)
 		return false;
+	if (!upstream->turned_away_us)
+		upstream->turned_away_us = now_us();
 	g_ascii_formatd(number, sizeof(number), "%.3f",
 			upstream->rest_ms / 1000.0);
 	fields = g_strdup_printf("X-Not-Run: 1\r\nRetry-After: %s\r\n", number);
@@ -121,6 +155,7 @@
 static void note_late(struct pe_upstream *upstream)
 {
 	if (upstream->says_leaving && upstream->told_leaving_us &&
+	    is_heard(upstream) &&
 	    now_us() >= upstream->told_leaving_us + LEAVING_HOLDS_US)
 		upstream->late_arrivals++;
 }
@@ -134,4 +169,5 @@
 {
 	check_limit(upstream);
 	note_late(upstream);
+	note_rest(upstream);
 }
--- a/tools/pe_private.h
+++ b/tools/pe_private.h
@@ -55,6 +55,8 @@
 	struct pe_limit limit;
 	uint32_t
 		rest_ms; /**< that it asks of all it turns away; 0: it serves */
+	int64_t turned_away_us; /**< the first of them; 0: none yet */
+	uint32_t rest_arrivals; /**< in the rest that it asked of that one */
 	bool says_leaving;
 	int64_t told_leaving_us; /**< first answer that says so; 0: none yet */
 	uint32_t late_arrivals;	 /**< later than may be, after it */
--- a/tools/soak_main.c
+++ b/tools/soak_main.c
@@ -663,6 +663,16 @@
 		});
 }
 
+static uint32_t count_starts(void *userdata)
+{
+	const struct soak *soak = userdata;
+	uint32_t starts = 0;
+
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		starts += soak->entries[i].stops;
+	return starts;
+}
+
 static void start_notices(struct soak *soak)
 {
 	if (!soak->settings.notices)
@@ -671,6 +681,8 @@
 		.platform = soak->platform,
 		.upstreams = soak->upstreams,
 		.seed = (uint32_t)soak->settings.seed,
+		.entries = ENTRIES,
+		.starts = count_starts,
 		.ask = ask_after_faults,
 		.breach = on_breach,
 		.userdata = soak,
@@ -776,11 +788,12 @@
 	if (faults)
 		g_source_remove(faults);
 	end_faults(soak);
+	soak_notices_end(soak->notices);
 	soak_writer_settle(soak->writer);
 	soak_config_settle(soak->config);
 	soak_poison_settle(soak->poison);
-	soak_notices_settle(soak->notices);
 	soak_evacuation_settle(soak->evacuation);
+	soak_notices_settle(soak->notices);
 	report(soak);
 	status = soak->breaches ? 1 : 0;
 	stop(soak);
--- a/tools/soak_notices.h
+++ b/tools/soak_notices.h
@@ -1,9 +1,10 @@
 /**
  * The soak's upstreams that say something of themselves in their answers: that
- * they take only so many requests a second.
+ * they take only so many requests a second, that they leave (and start again a
+ * while later), that they want nothing of an entry for a while.
  *
- * The emulator writes down whoever does not keep to it. Once the faults are
- * over and nothing is said any more, each upstream must get work again.
+ * Whoever does not keep to it breaks a promise. Once the faults are over and
+ * nothing is said any more, each upstream must get work again.
  */
 #ifndef SOAK_NOTICES_H
 #define SOAK_NOTICES_H
@@ -16,6 +17,10 @@
 	struct pe *platform;
 	const GPtrArray *upstreams; /**< of struct pe_upstream; borrowed */
 	uint32_t seed;
+	uint32_t entries;
+	/** How often entries have started or stood still so far: what they know
+	 * may have gone by it. */
+	uint32_t (*starts)(void *userdata);
 	/** Have callers ask for a while, until all are answered. */
 	void (*ask)(void *userdata);
 	void (*breach)(void *userdata, const char *id, const char *what);
@@ -27,7 +32,9 @@
 void soak_notices_destroy(struct soak_notices *notices);
 /** A fault may come. `notices` NULL: none does. */
 void soak_notices_disturb(struct soak_notices *notices);
-/** The faults are over: nothing is said any more, and all are used again. */
+/** The faults are over, and nothing is said any more. */
+void soak_notices_end(struct soak_notices *notices);
+/** After it: all upstreams are used again. */
 void soak_notices_settle(struct soak_notices *notices);
 
 #endif
