--- a/direct/direct_notices.c
+++ b/direct/direct_notices.c
@@ -2,6 +2,8 @@
 
 #include "base/lp_timer.h"
 
+#include <math.h>
+
 #define KIND_LIMITS 'N'
 /* upstream, whether it names a limit, requests a second, us since the answer */
 #define LIMITS_TYPE "a(tbdx)"
@@ -264,7 +266,7 @@
 		struct pool_upstream *upstream =
 			pool_find_life(notices->options.pool, life);
 
-		if (upstream && per_s >= 0)
+		if (upstream && isfinite(per_s) && per_s >= 0)
 			take_told(notices, peer, upstream, &word);
 	}
 }
--- a/direct/direct_peers.c
+++ b/direct/direct_peers.c
@@ -271,7 +271,24 @@
 	return G_SOURCE_REMOVE;
 }
 
-static void forget_unknown(struct direct_peers *peers);
+static bool is_known(const struct direct_peers *peers, const int64_t *at_us)
+{
+	return lp_now_us(peers->options.clock) - *at_us < KNOWN_US;
+}
+
+/* Seeds are named for as long as we live, and not known anew each time. */
+static void forget_unknown(struct direct_peers *peers)
+{
+	GHashTableIter iter;
+	gpointer ip;
+	gpointer at_us;
+
+	g_hash_table_iter_init(&iter, peers->known);
+	while (g_hash_table_iter_next(&iter, &ip, &at_us))
+		if (!is_known(peers, at_us) &&
+		    !g_hash_table_contains(peers->peers, ip))
+			g_hash_table_iter_remove(&iter);
+}
 
 static gboolean on_hello_timer(gpointer userdata)
 {
@@ -484,11 +501,6 @@
 	return count;
 }
 
-static bool is_known(const struct direct_peers *peers, const int64_t *at_us)
-{
-	return lp_now_us(peers->options.clock) - *at_us < KNOWN_US;
-}
-
 uint32_t direct_peers_known(const struct direct_peers *peers)
 {
 	GHashTableIter iter;
@@ -501,20 +513,6 @@
 	return count;
 }
 
-/* Seeds are named for as long as we live, and not known anew each time. */
-static void forget_unknown(struct direct_peers *peers)
-{
-	GHashTableIter iter;
-	gpointer ip;
-	gpointer at_us;
-
-	g_hash_table_iter_init(&iter, peers->known);
-	while (g_hash_table_iter_next(&iter, &ip, &at_us))
-		if (!is_known(peers, at_us) &&
-		    !g_hash_table_contains(peers->peers, ip))
-			g_hash_table_iter_remove(&iter);
-}
-
 uint64_t direct_peers_self(const struct direct_peers *peers)
 {
 	return lp_hash_str(peers->ip);
--- a/direct/direct_results.c
+++ b/direct/direct_results.c
@@ -149,8 +149,24 @@
 	}
 }
 
+static gboolean on_free_gathered(gpointer userdata);
+
 static struct gathered *gathered_of(struct direct_results *results,
-				    GHashTable *all, uint64_t maker);
+				    GHashTable *all, uint64_t maker)
+{
+	struct gathered *gathered = g_hash_table_lookup(all, &maker);
+
+	if (!results->timer)
+		results->timer =
+			lp_timer_add(GATHER_MS, on_free_gathered, results);
+	if (gathered)
+		return gathered;
+	gathered = g_new0(struct gathered, 1);
+	gathered->handles = g_ptr_array_new_with_free_func(g_free);
+	gathered->since_us = lp_now_us(results->direct->options.clock);
+	g_hash_table_insert(all, g_memdup2(&maker, sizeof(maker)), gathered);
+	return gathered;
+}
 
 /* Until the maker's rest is over and its limit lets us call; together with what
  * comes meanwhile. */
@@ -231,23 +247,6 @@
 	return G_SOURCE_REMOVE;
 }
 
-static struct gathered *gathered_of(struct direct_results *results,
-				    GHashTable *all, uint64_t maker)
-{
-	struct gathered *gathered = g_hash_table_lookup(all, &maker);
-
-	if (!results->timer)
-		results->timer =
-			lp_timer_add(GATHER_MS, on_free_gathered, results);
-	if (gathered)
-		return gathered;
-	gathered = g_new0(struct gathered, 1);
-	gathered->handles = g_ptr_array_new_with_free_func(g_free);
-	gathered->since_us = lp_now_us(results->direct->options.clock);
-	g_hash_table_insert(all, g_memdup2(&maker, sizeof(maker)), gathered);
-	return gathered;
-}
-
 void direct_results_give_up(struct direct_results *results, uint64_t maker,
 			    char *handle, int64_t bytes)
 {
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -54,6 +54,39 @@
 	request->upstream = NULL;
 }
 
+/* ---- what the pool is asked ---- */
+
+static const char *domain_of_maker(void *userdata, uint64_t maker)
+{
+	const struct pool *pool = userdata;
+	const struct pool_upstream *upstream = pool_find_life(pool, maker);
+
+	return upstream ? upstream->entry.domain : NULL;
+}
+
+static void write_pool_ask(const struct direct_request *request,
+			   struct pool_ask *ask)
+{
+	*ask = (struct pool_ask){
+		.service = request->service,
+		.homes = request->homes,
+		.parts = (struct pool_part *)request->ask.parts->data,
+		.parts_count = request->ask.parts->len,
+		.tried = (const char *const *)request->tried->pdata,
+		.tried_count = request->tried->len,
+		.target_us = request->arrived_us + request->route->target_us -
+			     direct_request_now_us(request),
+	};
+	direct_stages_share(request->direct->stages, ask);
+	if (request->graph)
+		ask->domain = graph_main_domain(request->graph, domain_of_maker,
+						request->direct->pool,
+						&ask->fetch_bytes);
+	/* Late in any case. */
+	if (ask->target_us < 0)
+		ask->target_us = 0;
+}
+
 /* ---- what follows a sending ---- */
 
 static bool take_retry(void *userdata)
@@ -124,9 +157,6 @@
 	return request->was_try || request->losses >= QUARANTINE_SUSPECT_ENDS;
 }
 
-static void write_pool_ask(const struct direct_request *request,
-			   struct pool_ask *ask);
-
 /* Not run, and not sent again: back when some upstream may take it. */
 static void refuse_not_run(struct direct_request *request, const char *why)
 {
@@ -411,37 +441,6 @@
 
 /* ---- sending ---- */
 
-static const char *domain_of_maker(void *userdata, uint64_t maker)
-{
-	const struct pool *pool = userdata;
-	const struct pool_upstream *upstream = pool_find_life(pool, maker);
-
-	return upstream ? upstream->entry.domain : NULL;
-}
-
-static void write_pool_ask(const struct direct_request *request,
-			   struct pool_ask *ask)
-{
-	*ask = (struct pool_ask){
-		.service = request->service,
-		.homes = request->homes,
-		.parts = (struct pool_part *)request->ask.parts->data,
-		.parts_count = request->ask.parts->len,
-		.tried = (const char *const *)request->tried->pdata,
-		.tried_count = request->tried->len,
-		.target_us = request->arrived_us + request->route->target_us -
-			     direct_request_now_us(request),
-	};
-	direct_stages_share(request->direct->stages, ask);
-	if (request->graph)
-		ask->domain = graph_main_domain(request->graph, domain_of_maker,
-						request->direct->pool,
-						&ask->fetch_bytes);
-	/* Late in any case. */
-	if (ask->target_us < 0)
-		ask->target_us = 0;
-}
-
 static void write_fields(struct direct_request *request,
 			 struct http_fields *fields)
 {
--- a/policy/pool.c
+++ b/policy/pool.c
@@ -410,6 +410,9 @@
 static int64_t rest_left_us(const struct pool *pool,
 			    const struct pool_upstream *upstream)
 {
+	/* Most never asked for any: the clock is not read for them. */
+	if (!upstream->rest_until_us)
+		return 0;
 	return MAX(upstream->rest_until_us - lp_now_us(pool->clock), 0);
 }
 
