--- a/tests/fleet_rig.h
+++ b/tests/fleet_rig.h
@@ -56,6 +56,19 @@
 				return false;
 		return true;
 	}
+	/* One more, that has met the others before it is asked anything. */
+	std::unique_ptr<Rig> start_another()
+	{
+		auto late = std::make_unique<Rig>(&first);
+
+		late->join("127.0.0.9", 500, { "127.0.0.1", "127.0.0.2" });
+		late->settle();
+		EXPECT_TRUE(turn_until([&] {
+			return (int)direct_peers_count(late->peers) ==
+			       size() + 1;
+		}));
+		return late;
+	}
 	/* Of the next entry in turn. */
 	Ask &ask(const char *target)
 	{
--- a/tests/notices_test.cc
+++ b/tests/notices_test.cc
@@ -63,14 +63,10 @@
 
 	pe_say_leaving(leaving);
 	fleet.ask_for("/look/x", 300);
-	Rig late(&fleet.first);
-	late.join("127.0.0.9", 500, { "127.0.0.1", "127.0.0.2" });
-	late.settle();
-	ASSERT_TRUE(turn_until(
-		[&] { return direct_peers_count(late.peers) == 4; }));
+	std::unique_ptr<Rig> late = fleet.start_another();
 	before = pe_arrivals(leaving);
 	for (int i = 0; i < 10; i++)
-		EXPECT_EQ(Ask(late.address, ("l" + std::to_string(i)).c_str(),
+		EXPECT_EQ(Ask(late->address, ("l" + std::to_string(i)).c_str(),
 			      "/look/x")
 				  .wait()
 				  .status,
--- a/tools/soak_notices.c
+++ b/tools/soak_notices.c
@@ -64,7 +64,7 @@
 				"asked for rest, and got more");
 }
 
-/* Its end: checked, and the upstream serves as before. Frees it. */
+/* Checks it, and has the upstream serve as before. Takes it. */
 static void end_word(struct word *word)
 {
 	const struct pe_restart_options how = { 0 };
@@ -76,7 +76,6 @@
 		pe_set_rest(word->upstream, 0);
 	if (word->timer)
 		g_source_remove(word->timer);
-	g_ptr_array_remove_fast(word->notices->words, word);
 	g_free(word);
 }
 
@@ -85,6 +84,7 @@
 	struct word *word = userdata;
 
 	word->timer = 0;
+	g_ptr_array_remove_fast(word->notices->words, word);
 	end_word(word);
 	return G_SOURCE_REMOVE;
 }
@@ -151,7 +151,7 @@
 	if (!notices)
 		return;
 	while (notices->words->len)
-		end_word(g_ptr_array_index(notices->words, 0));
+		end_word(g_ptr_array_steal_index_fast(notices->words, 0));
 	upstreams = notices->options.upstreams;
 	for (guint i = 0; i < upstreams->len; i++)
 		pe_set_limit(g_ptr_array_index(upstreams, i), -1);
