Soak: entries that stood still or have started are excused of what they send untold

Counts begin anew now when an entry starts or goes on, and the checks of leaving and rest have no allowance for starts any more: nothing late, three each.

--- a/tools/pe.h
+++ b/tools/pe.h
@@ -84,11 +84,15 @@
 /** What has reached it since, later than what was under way when it turned the
  * first away, until that one's rest was over. */
 uint32_t pe_rest_arrivals(const struct pe_upstream *upstream);
+/** An entry has started or stood still: it sends what has gathered before any
+ * answer tells it what upstreams say of themselves. What is kept to counts anew
+ * from now on. */
+void pe_excuse_entry(struct pe *pe);
 /** Say in its answers that it leaves, whatever its entry says; until it starts
  * anew. */
 void pe_say_leaving(struct pe_upstream *upstream);
 /** What has reached it later than entries may send there, since the first such
- * answer. One that has started or stood still since is excused of its first. */
+ * answer. */
 uint32_t pe_late_arrivals(const struct pe_upstream *upstream);
 /** Write that it is draining. */
 void pe_drain(struct pe_upstream *upstream);
--- a/tools/pe_notices.c
+++ b/tools/pe_notices.c
@@ -171,3 +171,18 @@
 	note_late(upstream);
 	note_rest(upstream);
 }
+
+static void excuse(gpointer data, gpointer userdata)
+{
+	struct pe_upstream *upstream = data;
+
+	if (upstream->limit.named)
+		pe_set_limit(upstream, upstream->limit.per_s);
+	upstream->told_leaving_us = 0;
+	upstream->turned_away_us = 0;
+}
+
+void pe_excuse_entry(struct pe *pe)
+{
+	g_ptr_array_foreach(pe->upstreams, excuse, NULL);
+}
--- a/tools/soak_main.c
+++ b/tools/soak_main.c
@@ -492,6 +492,7 @@
 		&soak->entries[g_rand_int_range(soak->random, 0, ENTRIES)];
 
 	soak_poison_excuse(soak->poison);
+	pe_excuse_entry(soak->platform);
 	/* It goes on first, whatever it is to be told. */
 	if (soak_suspend_holds(soak->suspend, entry->number))
 		soak_suspend_end(soak->suspend);
@@ -623,6 +624,7 @@
 	soak->entries[number].stops++;
 	note_resumed(&soak->entries[number], stopped_us);
 	soak_poison_excuse(soak->poison);
+	pe_excuse_entry(soak->platform);
 }
 
 static void start_suspend(struct soak *soak)
@@ -663,16 +665,6 @@
 		});
 }
 
-static uint32_t count_starts(void *userdata)
-{
-	const struct soak *soak = userdata;
-	uint32_t starts = 0;
-
-	for (uint32_t i = 0; i < ENTRIES; i++)
-		starts += soak->entries[i].stops;
-	return starts;
-}
-
 static void start_notices(struct soak *soak)
 {
 	if (!soak->settings.notices)
@@ -682,7 +674,6 @@
 		.upstreams = soak->upstreams,
 		.seed = (uint32_t)soak->settings.seed,
 		.entries = ENTRIES,
-		.starts = count_starts,
 		.ask = ask_after_faults,
 		.breach = on_breach,
 		.userdata = soak,
--- a/tools/soak_notices.c
+++ b/tools/soak_notices.c
@@ -25,8 +25,7 @@
 struct word {
 	struct soak_notices *notices;
 	struct pe_upstream *upstream;
-	bool leaves;	 /* else it rests */
-	uint32_t starts; /* of entries, when it began */
+	bool leaves; /* else it rests */
 	guint timer;
 };
 
@@ -52,14 +51,12 @@
 static void check_word(const struct word *word)
 {
 	const struct soak_notices_options *options = &word->notices->options;
-	uint32_t starts = options->starts(options->userdata) - word->starts;
 
-	if (word->leaves &&
-	    pe_late_arrivals(word->upstream) > EACH_MAX * starts)
+	if (word->leaves && pe_late_arrivals(word->upstream))
 		options->breach(options->userdata, pe_name(word->upstream),
 				"said that it leaves, and got more");
-	if (!word->leaves && pe_rest_arrivals(word->upstream) >
-				     EACH_MAX * (options->entries + starts))
+	if (!word->leaves &&
+	    pe_rest_arrivals(word->upstream) > EACH_MAX * options->entries)
 		options->breach(options->userdata, pe_name(word->upstream),
 				"asked for rest, and got more");
 }
@@ -103,7 +100,6 @@
 
 static void begin_word(struct soak_notices *notices, bool leaves)
 {
-	const struct soak_notices_options *options = &notices->options;
 	struct pe_upstream *upstream = draw_upstream(notices);
 	struct word *word;
 
@@ -113,7 +109,6 @@
 	word->notices = notices;
 	word->upstream = upstream;
 	word->leaves = leaves;
-	word->starts = options->starts(options->userdata);
 	word->timer = g_timeout_add(WORD_MS, on_word_over, word);
 	g_ptr_array_add(notices->words, word);
 	if (leaves)
--- a/tools/soak_notices.h
+++ b/tools/soak_notices.h
@@ -18,9 +18,6 @@
 	const GPtrArray *upstreams; /**< of struct pe_upstream; borrowed */
 	uint32_t seed;
 	uint32_t entries;
-	/** How often entries have started or stood still so far: what they know
-	 * may have gone by it. */
-	uint32_t (*starts)(void *userdata);
 	/** Have callers ask for a while, until all are answered. */
 	void (*ask)(void *userdata);
 	void (*breach)(void *userdata, const char *id, const char *what);
