Log what a leaving entry has told its balancer when it closes its listener

Nothing said whether the balancer could know by then that the entry leaves. Each answer to a probe of /readyz is noted with who asked (policy/drain); the line at the close says how many probers there are, how many were told and have probed again since, and when. linepier_probes_total counts them.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -210,6 +210,28 @@
 	entry_rearm(entry);
 }
 
+/* -1, for "never", stays. */
+static int64_t age_ms(int64_t age_us)
+{
+	return age_us < 0 ? -1 : age_us / LP_US_PER_MS;
+}
+
+static void log_close(const struct entry *entry)
+{
+	struct drain_view view;
+
+	drain_get_view(node_drain(entry->node), &view);
+	lp_log(LP_LOG_INFO, "entry", NULL,
+	       "closed to callers %" G_GINT64_FORMAT
+	       " ms after leaving: probers %u, told %u, informed %u, first "
+	       "told "
+	       "after %" G_GINT64_FORMAT " ms, last probe %" G_GINT64_FORMAT
+	       " ms ago",
+	       view.leaving_for_us / LP_US_PER_MS, view.probers, view.told,
+	       view.informed, age_ms(view.told_first_us),
+	       age_ms(view.probed_age_us));
+}
+
 static void check_leaving(struct entry *entry)
 {
 	int64_t since_us = entry_now_us(entry) - entry->leave_us;
@@ -218,6 +240,7 @@
 	    since_us < entry->settings->drain_wait_ms * LP_US_PER_MS)
 		return;
 	entry->refusing = true;
+	log_close(entry);
 	entry_http_close(entry->http);
 }
 
--- a/node/node.c
+++ b/node/node.c
@@ -30,6 +30,7 @@
 	struct spread *spread;
 	struct cfg_snapshot *snapshot;
 	struct node_admin *admin;
+	struct drain *drain;
 	GMainLoop *loop;
 	uint64_t incarnation;
 	int64_t leave_us; /* when shutdown began, or 0 */
@@ -352,6 +353,7 @@
 	if (node->leave_us)
 		return;
 	node->leave_us = lp_now_us(node->clock);
+	drain_begin(node->drain);
 	lp_log(LP_LOG_INFO, "node", NULL, "leaving");
 	node->options.role->leave(node->options.userdata);
 	node->options.role->announce(node->options.userdata);
@@ -460,6 +462,16 @@
 	node->hosts = store_hosts_create(&hosts);
 }
 
+static struct drain *create_drain(const struct node *node)
+{
+	const struct node_settings *settings = node->settings;
+
+	return drain_create(&(struct drain_options){
+		.clock = node->clock,
+		.interval_us = settings->probe_interval_ms * LP_US_PER_MS,
+	});
+}
+
 int node_create(const struct node_options *options, struct node **out,
 		char **why)
 {
@@ -473,6 +485,7 @@
 	node->trace = trace_create((uint32_t)node->settings->trace_events);
 	node->incarnation = lp_random_u64();
 	node->loop = g_main_loop_new(NULL, FALSE);
+	node->drain = create_drain(node);
 	error = open_sock(node, why);
 	if (!error)
 		error = open_admin(node, why);
@@ -503,6 +516,7 @@
 	node_admin_destroy(node->admin);
 	wire_sock_destroy(node->sock);
 	cfg_snapshot_unref(node->snapshot);
+	drain_destroy(node->drain);
 	trace_destroy(node->trace);
 	lp_counters_destroy(node->counters);
 	g_main_loop_unref(node->loop);
@@ -558,3 +572,16 @@
 {
 	return node->leave_us;
 }
+
+void node_probed(struct node *node, const char *prober)
+{
+	drain_probed(node->drain, prober);
+	*lp_counter(node->counters, "linepier_probes_total",
+		    node->leave_us ? "answer=\"leaving\""
+				   : "answer=\"other\"") += 1;
+}
+
+const struct drain *node_drain(const struct node *node)
+{
+	return node->drain;
+}
--- a/node/node.h
+++ b/node/node.h
@@ -10,6 +10,7 @@
 #include "base/lp_counter.h"
 #include "base/lp_settings.h"
 #include "config/cfg_record.h"
+#include "policy/drain.h"
 #include "policy/spread.h"
 #include "policy/trace.h"
 #include "store/store_etcd.h"
@@ -48,6 +49,7 @@
 	int64_t hosts_poll_ms;
 	int64_t drain_wait_ms;
 	int64_t drain_max_ms;
+	int64_t probe_interval_ms;
 	int64_t body_max;
 	int64_t read_timeout_ms;
 	int64_t age_limit_ms;
@@ -117,6 +119,9 @@
 /** Random, of this process's start; never 0. */
 uint64_t node_incarnation(const struct node *node);
 bool node_leaving(const struct node *node);
+/** `prober`, an address, is given an answer to its probe of our readiness. */
+void node_probed(struct node *node, const char *prober);
+const struct drain *node_drain(const struct node *node);
 int node_send(struct node *node, const char *peer, const struct wire_msg *msg);
 int node_connect(struct node *node, const char *peer, const char *address);
 void node_disconnect(struct node *node, const char *address);
--- /dev/null
+++ b/policy/drain.c
@@ -0,0 +1,137 @@
+#include "policy/drain.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* Balancers, orchestrators and monitors of one process; of more, the one that
+ * was silent longest is forgotten. */
+#define PROBERS_MAX 32
+/* "Not ready" answers after which a prober has read one: it probed again. */
+#define ANSWERS_TO_INFORM 2
+
+struct prober {
+	char *name;
+	int64_t probed_us; /* last */
+	int64_t told_us;   /* first "not ready" answer */
+	uint32_t answers;  /* "not ready" */
+};
+
+struct drain {
+	struct drain_options options;
+	int64_t begun_us;
+	bool begun;
+	struct prober probers[PROBERS_MAX];
+	uint32_t count;
+};
+
+static int64_t now_us(const struct drain *drain)
+{
+	return lp_now_us(drain->options.clock);
+}
+
+struct drain *drain_create(const struct drain_options *options)
+{
+	struct drain *drain = g_new0(struct drain, 1);
+
+	drain->options = *options;
+	return drain;
+}
+
+void drain_destroy(struct drain *drain)
+{
+	if (!drain)
+		return;
+	for (uint32_t i = 0; i < drain->count; i++)
+		g_free(drain->probers[i].name);
+	g_free(drain);
+}
+
+void drain_begin(struct drain *drain)
+{
+	if (drain->begun)
+		return;
+	drain->begun = true;
+	drain->begun_us = now_us(drain);
+}
+
+static struct prober *find(struct drain *drain, const char *name)
+{
+	for (uint32_t i = 0; i < drain->count; i++)
+		if (!strcmp(drain->probers[i].name, name))
+			return &drain->probers[i];
+	return NULL;
+}
+
+static struct prober *most_silent(struct drain *drain)
+{
+	struct prober *found = &drain->probers[0];
+
+	for (uint32_t i = 1; i < drain->count; i++)
+		if (drain->probers[i].probed_us < found->probed_us)
+			found = &drain->probers[i];
+	return found;
+}
+
+static struct prober *add(struct drain *drain, const char *name)
+{
+	struct prober *prober = drain->count < PROBERS_MAX
+					? &drain->probers[drain->count++]
+					: most_silent(drain);
+
+	g_free(prober->name);
+	*prober = (struct prober){ .name = g_strdup(name) };
+	return prober;
+}
+
+void drain_probed(struct drain *drain, const char *name)
+{
+	struct prober *prober = find(drain, name);
+
+	if (!prober)
+		prober = add(drain, name);
+	prober->probed_us = now_us(drain);
+	if (!drain->begun)
+		return;
+	if (!prober->answers)
+		prober->told_us = prober->probed_us;
+	prober->answers++;
+}
+
+/* It was probing when the process began to leave, or has begun since. */
+static bool has_say(const struct drain *drain, const struct prober *prober)
+{
+	return prober->probed_us >=
+	       drain->begun_us - drain->options.interval_us;
+}
+
+static bool is_informed(const struct prober *prober)
+{
+	return prober->answers >= ANSWERS_TO_INFORM;
+}
+
+void drain_get_view(const struct drain *drain, struct drain_view *out)
+{
+	int64_t probed_us = INT64_MIN;
+	int64_t told_us = INT64_MAX;
+
+	*out = (struct drain_view){ .probed_age_us = -1, .told_first_us = -1 };
+	if (drain->begun)
+		out->leaving_for_us = now_us(drain) - drain->begun_us;
+	for (uint32_t i = 0; i < drain->count; i++) {
+		const struct prober *prober = &drain->probers[i];
+
+		probed_us = MAX(probed_us, prober->probed_us);
+		if (!has_say(drain, prober))
+			continue;
+		out->probers++;
+		out->informed += is_informed(prober);
+		if (!prober->answers)
+			continue;
+		out->told++;
+		told_us = MIN(told_us, prober->told_us);
+	}
+	if (drain->count)
+		out->probed_age_us = now_us(drain) - probed_us;
+	if (out->told)
+		out->told_first_us = told_us - drain->begun_us;
+}
