An entry that leaves listens until its balancer has read that it does

Callers saw "Connection refused" on streams and tickets while entries were stopped in order (scenario.rolling).

Cause: an entry closed its listener drain-wait after SIGTERM, whatever its balancer knew; a balancer that probes later goes on sending connections.

Now the time counts from the first answer that told a prober, and a prober is informed once it has probed again (policy/drain).

scenario.slow-balancer drives it without stopping a process: a balancer that probes once a second.

Ruled out: requests cut under way, and connections reset with the listener (none in these runs).

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -216,31 +216,33 @@
 	return age_us < 0 ? -1 : age_us / LP_US_PER_MS;
 }
 
-static void log_close(const struct entry *entry)
+static void log_close(const struct entry *entry, enum drain_state state)
 {
 	struct drain_view view;
 
 	drain_get_view(node_drain(entry->node), &view);
 	lp_log(LP_LOG_INFO, "entry", NULL,
 	       "closed to callers %" G_GINT64_FORMAT
-	       " ms after leaving: probers %u, told %u, informed %u, first "
+	       " ms after leaving (%s): probers %u, told %u, informed %u, "
+	       "first "
 	       "told "
 	       "after %" G_GINT64_FORMAT " ms, last probe %" G_GINT64_FORMAT
 	       " ms ago",
-	       view.leaving_for_us / LP_US_PER_MS, view.probers, view.told,
-	       view.informed, age_ms(view.told_first_us),
-	       age_ms(view.probed_age_us));
+	       view.leaving_for_us / LP_US_PER_MS, drain_state_name(state),
+	       view.probers, view.told, view.informed,
+	       age_ms(view.told_first_us), age_ms(view.probed_age_us));
 }
 
 static void check_leaving(struct entry *entry)
 {
-	int64_t since_us = entry_now_us(entry) - entry->leave_us;
+	enum drain_state state = drain_look(node_drain(entry->node));
 
-	if (!entry->leave_us || entry->refusing ||
-	    since_us < entry->settings->drain_wait_ms * LP_US_PER_MS)
+	if (entry->refusing || state == DRAIN_NOT_LEAVING ||
+	    state == DRAIN_WAITING)
 		return;
 	entry->refusing = true;
-	log_close(entry);
+	entry->closed_us = entry_now_us(entry);
+	log_close(entry, state);
 	entry_http_close(entry->http);
 }
 
@@ -290,19 +292,14 @@
 
 static void on_leave(void *userdata)
 {
-	struct entry *entry = userdata;
-
-	entry->leave_us = entry_now_us(entry);
 }
 
 static bool is_idle(void *userdata)
 {
 	struct entry *entry = userdata;
-	int64_t since_us = entry_now_us(entry) - entry->leave_us;
 
 	return entry->refusing && !entry->requests &&
-	       since_us > entry->settings->drain_wait_ms * LP_US_PER_MS +
-				  LAST_WORDS_US;
+	       entry_now_us(entry) - entry->closed_us > LAST_WORDS_US;
 }
 
 static const char *unready(void *userdata)
--- a/entry/entry_private.h
+++ b/entry/entry_private.h
@@ -25,8 +25,8 @@
 	struct quota_holder *holder; /* of the quotas this entry holds */
 	GSource *timer;		     /* wakes the flow when it asks for it */
 	uint32_t requests;	     /* in this process, in any state */
-	bool refusing; /* shutdown: the balancer had time to notice */
-	int64_t leave_us;
+	bool refusing;	   /* shutdown: nobody is sent here any more */
+	int64_t closed_us; /* since when */
 };
 
 static inline int64_t entry_now_us(const struct entry *entry)
--- a/node/node.c
+++ b/node/node.c
@@ -462,13 +462,26 @@
 	node->hosts = store_hosts_create(&hosts);
 }
 
+/* Two probes, told and informed; what runs needs the other half of the time. */
+static int64_t listen_at_most_us(const struct node_settings *settings)
+{
+	int64_t told_ms =
+		2 * settings->probe_interval_ms + settings->drain_wait_ms;
+	int64_t most_ms = MIN(told_ms, settings->drain_max_ms / 2);
+
+	return MAX(most_ms, settings->drain_wait_ms) * LP_US_PER_MS;
+}
+
 static struct drain *create_drain(const struct node *node)
 {
 	const struct node_settings *settings = node->settings;
 
 	return drain_create(&(struct drain_options){
 		.clock = node->clock,
+		.least_us = settings->drain_wait_ms * LP_US_PER_MS,
+		.settle_us = settings->drain_wait_ms * LP_US_PER_MS,
 		.interval_us = settings->probe_interval_ms * LP_US_PER_MS,
+		.most_us = listen_at_most_us(settings),
 	});
 }
 
--- a/policy/drain.c
+++ b/policy/drain.c
@@ -18,6 +18,7 @@
 
 struct drain {
 	struct drain_options options;
+	int64_t created_us;
 	int64_t begun_us;
 	bool begun;
 	struct prober probers[PROBERS_MAX];
@@ -34,6 +35,7 @@
 	struct drain *drain = g_new0(struct drain, 1);
 
 	drain->options = *options;
+	drain->created_us = now_us(drain);
 	return drain;
 }
 
@@ -109,6 +111,53 @@
 	return prober->answers >= ANSWERS_TO_INFORM;
 }
 
+static bool has_settled(const struct drain *drain, const struct prober *prober)
+{
+	return is_informed(prober) &&
+	       now_us(drain) - prober->told_us >= drain->options.settle_us;
+}
+
+/* It may not have been found by its balancer yet. */
+static bool is_new(const struct drain *drain)
+{
+	return !drain->count &&
+	       now_us(drain) - drain->created_us < drain->options.interval_us;
+}
+
+enum drain_state drain_look(const struct drain *drain)
+{
+	int64_t since_us = now_us(drain) - drain->begun_us;
+	uint32_t probers = 0;
+
+	if (!drain->begun)
+		return DRAIN_NOT_LEAVING;
+	if (since_us < drain->options.least_us)
+		return DRAIN_WAITING;
+	if (since_us >= drain->options.most_us)
+		return DRAIN_TIMEOUT;
+	for (uint32_t i = 0; i < drain->count; i++) {
+		const struct prober *prober = &drain->probers[i];
+
+		if (!has_say(drain, prober))
+			continue;
+		if (!has_settled(drain, prober))
+			return DRAIN_WAITING;
+		probers++;
+	}
+	if (probers)
+		return DRAIN_INFORMED;
+	return is_new(drain) ? DRAIN_WAITING : DRAIN_UNPROBED;
+}
+
+const char *drain_state_name(enum drain_state state)
+{
+	static const char *const names[] = { "not_leaving", "waiting",
+					     "informed", "unprobed",
+					     "timeout" };
+
+	return names[state];
+}
+
 void drain_get_view(const struct drain *drain, struct drain_view *out)
 {
 	int64_t probed_us = INT64_MIN;
--- a/policy/drain.h
+++ b/policy/drain.h
@@ -1,11 +1,17 @@
 /**
- * What a process that leaves has told whoever probes its readiness.
+ * When a process that leaves may stop listening.
  *
  * A balancer sends new connections until the process's own answers to its
- * probes have taken the process out. A prober is told by the first answer that
- * says "not ready", and informed once it has probed again after that: then it
- * is known to have read an answer. Probers are told apart by name, as there may
- * be several balancers.
+ * probes have taken the process out. A listener that closes after a fixed time
+ * refuses connections of a balancer that probes late, is suspended, or needs a
+ * second failed probe. So the time counts from the first answer that told a
+ * prober, and a prober is informed once it has been told and has probed again:
+ * then it is known to have read an answer.
+ *
+ * Probers are told apart by name, as there may be several balancers. One that
+ * has been silent for longer than a balancer ever is gets no say. A process
+ * that is younger than that, and was never probed, may have a balancer that
+ * has not come to it yet.
  */
 #ifndef DRAIN_H
 #define DRAIN_H
@@ -19,13 +25,24 @@
 
 struct drain_options {
 	const struct lp_clock *clock;
+	int64_t least_us;    /**< listen for so long after leaving */
+	int64_t settle_us;   /**< and after each prober was told first */
 	int64_t interval_us; /**< longest time between probes of a balancer */
+	int64_t most_us;     /**< after leaving: stop listening in any case */
+};
+
+enum drain_state {
+	DRAIN_NOT_LEAVING,
+	DRAIN_WAITING,	/**< the listener stays */
+	DRAIN_INFORMED, /**< it may close: every prober is informed, ... */
+	DRAIN_UNPROBED, /**< ... nobody probes, ... */
+	DRAIN_TIMEOUT,	/**< ... or a prober was not informed in time */
 };
 
 /** What a decision went by, for log lines. Ages are -1 for "never". */
 struct drain_view {
 	int64_t leaving_for_us;
-	uint32_t probers;      /**< that probed within an interval of leaving */
+	uint32_t probers;      /**< that have a say */
 	uint32_t told;	       /**< of these */
 	uint32_t informed;     /**< of these */
 	int64_t probed_age_us; /**< the last probe of anyone */
@@ -39,6 +56,9 @@
 void drain_begin(struct drain *drain);
 /** `prober` (an address; copied) is given an answer to its probe. */
 void drain_probed(struct drain *drain, const char *prober);
+enum drain_state drain_look(const struct drain *drain);
+/** Static. */
+const char *drain_state_name(enum drain_state state);
 void drain_get_view(const struct drain *drain, struct drain_view *out);
 
 #endif
--- a/tests/cwrap.h
+++ b/tests/cwrap.h
@@ -47,6 +47,7 @@
 #include "policy/claim.h"
 #include "policy/closures.h"
 #include "policy/dispatchers.h"
+#include "policy/drain.h"
 #include "policy/flow.h"
 #include "policy/graph.h"
 #include "policy/homes.h"
--- a/tools/load.c
+++ b/tools/load.c
@@ -589,6 +589,8 @@
 	load->options = *options;
 	if (!load->options.tokens)
 		load->options.tokens = DEFAULT_TOKENS;
+	if (!load->options.probe_ms)
+		load->options.probe_ms = READY_MS;
 	if (!load->options.subjects)
 		load->options.subjects = DEFAULT_SUBJECTS;
 	load->random = g_rand_new_with_seed(options->seed);
@@ -674,7 +676,8 @@
 	load->started_us = g_get_monotonic_time();
 	load->timer = g_timeout_add(TICK_MS, on_tick, load);
 	if (!load->options.direct)
-		load->ready_timer = g_timeout_add(READY_MS, ask_ready, load);
+		load->ready_timer =
+			g_timeout_add(load->options.probe_ms, ask_ready, load);
 }
 
 static void on_done(void *loop)
--- a/tools/load.h
+++ b/tools/load.h
@@ -39,6 +39,7 @@
 	uint32_t subjects;	 /**< distinct prefixes; 0: 200 */
 	int64_t deadline_us;	 /**< 0: the pipeline's */
 	const char *only_from;	 /**< organisation; NULL: the shares */
+	uint32_t probe_ms;	 /**< between looks at readiness; 0: 50 */
 	bool direct; /**< against a stand-in itself: any 200 is an answer */
 };
 
--- a/tools/scenario_load.c
+++ b/tools/scenario_load.c
@@ -24,6 +24,7 @@
 		.key_percent = sc_number(words, "keys", 30),
 		.ticket_percent = sc_number(words, "tickets", 30),
 		.retry_percent = sc_number(words, "retries", 30),
+		.probe_ms = sc_number(words, "probe-ms", 0),
 	};
 
 	load_destroy(scenario->load);
