--- a/http/http_server.c
+++ b/http/http_server.c
@@ -428,6 +428,11 @@
 	return (const char *)call->conn->body->data;
 }
 
+char *http_call_peer(const struct http_call *call)
+{
+	return http_sock_peer(call->conn->sock);
+}
+
 int64_t http_call_arrived_us(const struct http_call *call)
 {
 	return call->conn->since_us;
--- a/http/http_server.h
+++ b/http/http_server.h
@@ -56,6 +56,8 @@
 const struct http_fields *http_call_fields(const struct http_call *call);
 /** The body, NUL-terminated. */
 const char *http_call_body(const struct http_call *call, size_t *size);
+/** The client's IP address, "" if it has gone; g_free(). */
+char *http_call_peer(const struct http_call *call);
 /** When the first byte of the request was read. */
 int64_t http_call_arrived_us(const struct http_call *call);
 /**
--- a/http/http_sock.c
+++ b/http/http_sock.c
@@ -68,6 +68,17 @@
 	return sock->sent_any;
 }
 
+char *http_sock_peer(const struct http_sock *sock)
+{
+	g_autoptr(GSocketAddress) address =
+		g_socket_get_remote_address(sock->socket, NULL);
+
+	if (!G_IS_INET_SOCKET_ADDRESS(address))
+		return g_strdup("");
+	return g_inet_address_to_string(g_inet_socket_address_get_address(
+		G_INET_SOCKET_ADDRESS(address)));
+}
+
 static void update_interest(struct http_sock *sock)
 {
 	GIOCondition condition = 0;
--- a/http/http_sock.h
+++ b/http/http_sock.h
@@ -45,6 +45,8 @@
 size_t http_sock_unsent(const struct http_sock *sock);
 /** Whether any byte has left: before that, nothing can have been read. */
 bool http_sock_sent_any(const struct http_sock *sock);
+/** The peer's IP address, "" if it has gone; g_free(). */
+char *http_sock_peer(const struct http_sock *sock);
 /** Stop or go on reading. */
 void http_sock_pause(struct http_sock *sock, bool pause);
 /** Close in order, once what was written has left (2 s at most). */
