An answer that is on its way counts as open, and is not cut while it is read

Callers would see a large answer cut when their entry ends, or two seconds after the entry closed the connection, though they read all the time.

Cause: a closed connection with unsent bytes was not counted as busy, and its linger time ran from the close, not from the last byte taken. Shown by HttpServer.AnAnswerIsOwedUntilASlowReaderHasIt, a slow reader of 24 MB: red before (busy 0, answer cut), green now. The linger time begins anew as long as the client takes something; busy counts what is being delivered.

--- a/http/http_server.c
+++ b/http/http_server.c
@@ -42,7 +42,8 @@
 	GSource *source;
 	guint sweep;
 	GHashTable *conns;
-	GPtrArray *dropped; /* connections that have ended, to be freed */
+	GHashTable *delivering; /* closed, with bytes on their way */
+	GPtrArray *dropped;	/* connections that have ended, to be freed */
 	uint32_t busy;
 	bool draining;
 };
@@ -91,6 +92,11 @@
 	set_owed(conn, false);
 	set_reading(conn, false);
 	g_hash_table_remove(conn->server->conns, conn);
+	if (!reset && http_sock_unsent(conn->sock)) {
+		g_hash_table_add(conn->server->delivering, conn);
+		http_sock_close(conn->sock);
+		return;
+	}
 	if (reset)
 		http_sock_abort(conn->sock);
 	else
@@ -252,9 +258,18 @@
 		gone(gone_userdata);
 }
 
+static void on_delivered(void *userdata)
+{
+	struct conn *conn = userdata;
+
+	g_hash_table_remove(conn->server->delivering, conn);
+	g_ptr_array_add(conn->server->dropped, conn);
+}
+
 static const struct http_sock_events sock_events = {
 	.data = on_data,
 	.ended = on_ended,
+	.delivered = on_delivered,
 };
 
 /* ---- the listener ---- */
@@ -354,6 +369,7 @@
 	server->options.address = NULL;
 	server->listener = listener;
 	server->conns = g_hash_table_new(NULL, NULL);
+	server->delivering = g_hash_table_new(NULL, NULL);
 	server->dropped = g_ptr_array_new_with_free_func(free_conn);
 	server->source = g_socket_create_source(listener, G_IO_IN, NULL);
 	g_source_set_callback(server->source, G_SOURCE_FUNC(on_accept), server,
@@ -372,6 +388,14 @@
 	g_clear_object(&server->listener);
 }
 
+static void stop_delivering(gpointer key, gpointer value, gpointer userdata)
+{
+	struct conn *conn = key;
+
+	http_sock_abort(conn->sock);
+	free_conn(conn);
+}
+
 void http_server_destroy(struct http_server *server)
 {
 	g_autoptr(GList) conns = NULL;
@@ -383,6 +407,8 @@
 	conns = g_hash_table_get_keys(server->conns);
 	for (GList *at = conns; at; at = at->next)
 		drop_conn(at->data, true);
+	g_hash_table_foreach(server->delivering, stop_delivering, NULL);
+	g_hash_table_unref(server->delivering);
 	g_hash_table_unref(server->conns);
 	g_ptr_array_unref(server->dropped);
 	g_free(server);
@@ -399,9 +425,27 @@
 	server->draining = true;
 }
 
+/* Kept connections whose last answer is still on its way. */
+static uint32_t count_unsent(const struct http_server *server)
+{
+	GHashTableIter iter;
+	gpointer key;
+	uint32_t count = 0;
+
+	g_hash_table_iter_init(&iter, server->conns);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		const struct conn *conn = key;
+
+		count += !conn->owed && !conn->reading &&
+			 http_sock_unsent(conn->sock);
+	}
+	return count;
+}
+
 uint32_t http_server_busy(const struct http_server *server)
 {
-	return server->busy;
+	return server->busy + g_hash_table_size(server->delivering) +
+	       count_unsent(server);
 }
 
 /* ---- a call ---- */
--- a/http/http_server.h
+++ b/http/http_server.h
@@ -48,7 +48,7 @@
 void http_server_drain(struct http_server *server);
 /** Take no new connections. */
 void http_server_stop_listening(struct http_server *server);
-/** Requests that are being read or are owed an answer. */
+/** Requests that are being read, or whose answer is owed or being delivered. */
 uint32_t http_server_busy(const struct http_server *server);
 
 const char *http_call_method(const struct http_call *call);
--- a/http/http_sock.c
+++ b/http/http_sock.c
@@ -4,9 +4,11 @@
 #include "base/lp_timer.h"
 
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -15,7 +17,7 @@
 /* Unacknowledged bytes for this long end a connection: three times a round
  * trip with one retransmission after the usual second. */
 #define PEER_SILENT_MS 3000
-/* A closed connection may still deliver what was written before it. */
+/* A closed connection whose peer takes nothing for so long is given up. */
 #define LINGER_MS 2000
 
 struct http_sock {
@@ -23,6 +25,7 @@
 	GSource *source;
 	gpointer tag;
 	guint linger; /* timer of a closed connection with bytes to deliver */
+	int64_t undelivered; /* bytes, when that timer was set */
 	struct http_sock_events events;
 	void *userdata;
 	GByteArray *out;
@@ -99,11 +102,13 @@
 		return;
 	sock->over = true;
 	g_source_destroy(sock->source);
-	if (sock->closed) {
-		release(sock); /* the one that http_sock_close() left */
+	if (!sock->closed) {
+		sock->events.ended(sock->userdata, error);
 		return;
 	}
-	sock->events.ended(sock->userdata, error);
+	if (sock->events.delivered)
+		sock->events.delivered(sock->userdata);
+	release(sock); /* the one that http_sock_close() left */
 }
 
 static void send_queued(struct http_sock *sock)
@@ -284,10 +289,23 @@
 	update_interest(sock);
 }
 
+/* Bytes that the peer has not acknowledged, here and in the system. */
+static int64_t undelivered(const struct http_sock *sock)
+{
+	int queued = 0;
+
+	ioctl(g_socket_get_fd(sock->socket), SIOCOUTQ, &queued);
+	return (int64_t)http_sock_unsent(sock) + queued;
+}
+
 static gboolean on_linger(gpointer userdata)
 {
 	struct http_sock *sock = userdata;
+	int64_t before = sock->undelivered;
 
+	sock->undelivered = undelivered(sock);
+	if (sock->undelivered < before)
+		return G_SOURCE_CONTINUE;
 	sock->linger = 0;
 	end(sock, LP_ERROR_UPSTREAM_GONE);
 	return G_SOURCE_REMOVE;
@@ -297,6 +315,7 @@
 {
 	sock->closed = true;
 	if (!sock->over && !sock->connecting && http_sock_unsent(sock)) {
+		sock->undelivered = undelivered(sock);
 		sock->linger = lp_timer_add(LINGER_MS, on_linger, sock);
 		update_interest(sock);
 		return;
--- a/http/http_sock.h
+++ b/http/http_sock.h
@@ -15,7 +15,7 @@
 
 struct http_sock;
 
-/** None of these is called after http_sock_close(). */
+/** Of these only delivered() is called after http_sock_close(). */
 struct http_sock_events {
 	/** Outgoing connections: it stands. May be NULL. */
 	void (*connected)(void *userdata);
@@ -26,6 +26,11 @@
 	 * LP_ERROR_NOT_LISTENING: its host refused it, as nobody listens there.
 	 */
 	void (*ended)(void *userdata, int error);
+	/**
+	 * What http_sock_close() left to be delivered has been taken by the
+	 * system, or was given up: the last word of it. May be NULL.
+	 */
+	void (*delivered)(void *userdata);
 };
 
 /** Take over an accepted socket. */
@@ -49,9 +54,16 @@
 char *http_sock_peer(const struct http_sock *sock);
 /** Stop or go on reading. */
 void http_sock_pause(struct http_sock *sock, bool pause);
-/** Close in order, once what was written has left (2 s at most). */
+/**
+ * Close in order, once what was written has left. It is given up when the peer
+ * takes nothing of it for two seconds. With nothing unsent the socket is gone
+ * on return, else after delivered().
+ */
 void http_sock_close(struct http_sock *sock);
-/** Close at once with a reset; what was written may be lost. */
+/**
+ * Close at once with a reset; what was written may be lost. Allowed also
+ * between http_sock_close() and delivered(), which is then not called.
+ */
 void http_sock_abort(struct http_sock *sock);
 
 #endif
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -7,7 +7,9 @@
 
 #include <cstring>
 #include <functional>
+#include <memory>
 #include <string>
+#include <vector>
 
 namespace
 {
@@ -160,6 +162,7 @@
 				static_cast<Raw *>(self)->ended = true;
 				static_cast<Raw *>(self)->error = error;
 			},
+			nullptr,
 		};
 
 		sock = http_sock_connect(address.c_str(), &events, this);
@@ -290,6 +293,43 @@
 	EXPECT_NE(raw.heard.find("ok"), std::string::npos);
 }
 
+/* A closed connection was given two seconds to deliver its answer, also if its
+ * client was reading all the time, and the server was said to be idle
+ * meanwhile: an entry that ended cut the answer. */
+TEST(HttpServer, AnAnswerIsOwedUntilASlowReaderHasIt)
+{
+	const std::string body(24000000, 'x');
+	Served served;
+	Raw raw(served.address);
+	gint64 begun_us = g_get_monotonic_time();
+	bool answered = false;
+
+	http_server_drain(served.server);
+	served.answer = [&](http_call *call) {
+		http_call_answer(call, 200, nullptr, body.data(), body.size());
+		answered = true;
+	};
+	raw.say("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+	ASSERT_TRUE(turn_until([&] { return answered; }));
+	while (g_get_monotonic_time() - begun_us < 3 * G_USEC_PER_SEC) {
+		size_t before = raw.heard.size();
+		gint64 since_us = g_get_monotonic_time();
+
+		http_sock_pause(raw.sock, false);
+		turn_until([&] { return raw.heard.size() > before + 100000; });
+		http_sock_pause(raw.sock, true);
+		EXPECT_EQ(http_server_busy(served.server), 1u);
+		turn_until([&] {
+			return g_get_monotonic_time() - since_us > 50000;
+		});
+	}
+	http_sock_pause(raw.sock, false);
+	EXPECT_TRUE(turn_until([&] { return raw.ended; }));
+	EXPECT_EQ(raw.error, LP_OK);
+	EXPECT_GT(raw.heard.size(), body.size());
+	EXPECT_EQ(http_server_busy(served.server), 0u);
+}
+
 /* ---- the client ---- */
 
 /* A server that says these bytes to whoever connects, then ends. Its threads
