An entry of direct/ takes what has connected before it ends

Callers would see a reset of a connection on which they had sent a request, where the entry had no turn between their connection and its end.

Cause: the process ended with its listener.

--- a/direct/direct.c
+++ b/direct/direct.c
@@ -365,6 +365,11 @@
 	each_request(direct, direct_request_entry_ends);
 }
 
+void direct_stop_listening(struct direct *direct)
+{
+	http_server_stop_listening(direct->server);
+}
+
 uint32_t direct_busy(const struct direct *direct)
 {
 	return http_server_busy(direct->server);
--- a/direct/direct.h
+++ b/direct/direct.h
@@ -99,7 +99,9 @@
 /** The entry ends in a moment: refuse what no upstream has got yet, truthfully
  * as not run, so that its callers ask another entry. */
 void direct_refuse_unsent(struct direct *direct);
-/** Requests that are being read or served. */
+/** Take what has connected, and no new connections after that. */
+void direct_stop_listening(struct direct *direct);
+/** Requests that are being read or served, or whose answer is on its way. */
 uint32_t direct_busy(const struct direct *direct);
 
 #endif
--- a/http/http_server.c
+++ b/http/http_server.c
@@ -11,6 +11,8 @@
 #define SWEEP_MS 250
 /* Bytes of a next request that are read ahead of its turn. */
 #define AHEAD_MAX 65536
+/* Connections that wait to be taken. */
+#define BACKLOG 512
 /* New connections taken at one wake-up. */
 #define ACCEPTS_MAX 64
 
@@ -290,19 +292,22 @@
 	conn->sock = http_sock_accepted(socket, &sock_events, conn);
 }
 
-static gboolean on_accept(GSocket *socket, GIOCondition condition,
-			  gpointer userdata)
+static void take(struct http_server *server, uint32_t most)
 {
-	struct http_server *server = userdata;
-
-	for (uint32_t i = 0; i < ACCEPTS_MAX; i++) {
+	for (uint32_t i = 0; i < most; i++) {
 		g_autoptr(GSocket) accepted =
-			g_socket_accept(socket, NULL, NULL);
+			g_socket_accept(server->listener, NULL, NULL);
 
 		if (!accepted)
-			break;
+			return;
 		add_conn(server, accepted);
 	}
+}
+
+static gboolean on_accept(GSocket *socket, GIOCondition condition,
+			  gpointer userdata)
+{
+	take(userdata, ACCEPTS_MAX);
 	return G_SOURCE_CONTINUE;
 }
 
@@ -349,7 +354,7 @@
 	if (!at || !socket || !g_socket_bind(socket, at, TRUE, NULL))
 		return NULL;
 	g_socket_set_blocking(socket, FALSE);
-	g_socket_set_listen_backlog(socket, 512);
+	g_socket_set_listen_backlog(socket, BACKLOG);
 	if (!g_socket_listen(socket, NULL))
 		return NULL;
 	return g_steal_pointer(&socket);
@@ -383,6 +388,7 @@
 {
 	if (!server->source)
 		return;
+	take(server, BACKLOG);
 	g_source_destroy(server->source);
 	g_clear_pointer(&server->source, g_source_unref);
 	g_clear_object(&server->listener);
--- a/http/http_server.h
+++ b/http/http_server.h
@@ -46,7 +46,7 @@
 			    const struct http_limits *limits);
 /** From now on each answer ends its connection. */
 void http_server_drain(struct http_server *server);
-/** Take no new connections. */
+/** Take what has connected, and no new connections after that. */
 void http_server_stop_listening(struct http_server *server);
 /** Requests that are being read, or whose answer is owed or being delivered. */
 uint32_t http_server_busy(const struct http_server *server);
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -330,6 +330,46 @@
 	EXPECT_EQ(http_server_busy(served.server), 0u);
 }
 
+/* What it has, connected and sent, before the server had a turn. */
+static GSocket *call_at_once(const std::string &address)
+{
+	static const char request[] = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+	guint port = (guint)atoi(address.c_str() + address.find(':') + 1);
+	g_autoptr(GSocketAddress) at =
+		g_inet_socket_address_new_from_string("127.0.0.1", port);
+	GSocket *socket =
+		g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+			     G_SOCKET_PROTOCOL_TCP, nullptr);
+
+	EXPECT_TRUE(g_socket_connect(socket, at, nullptr, nullptr));
+	g_socket_send(socket, request, strlen(request), nullptr, nullptr);
+	g_socket_set_blocking(socket, FALSE);
+	return socket;
+}
+
+/* An entry that ended reset the connections that waited for a turn. */
+TEST(HttpServer, WhatHasConnectedIsAnsweredAlsoIfTheListenerCloses)
+{
+	Served served;
+	std::vector<GSocket *> callers;
+	size_t answered = 0;
+
+	for (int i = 0; i < 200; i++)
+		callers.push_back(call_at_once(served.address));
+	http_server_stop_listening(served.server);
+	for (GSocket *caller : callers) {
+		char reply[64];
+
+		turn_until([&] {
+			return g_socket_condition_check(caller, G_IO_IN) != 0;
+		});
+		answered += g_socket_receive(caller, reply, sizeof(reply),
+					     nullptr, nullptr) > 0;
+		g_object_unref(caller);
+	}
+	EXPECT_EQ(answered, callers.size());
+}
+
 /* ---- the client ---- */
 
 /* A server that says these bytes to whoever connects, then ends. Its threads
