A server that ends closes connections that owe nothing in order

Callers would lose an answer that their system had received and they had not read yet: a reset discards it. Shown by HttpServer.ConnectionsThatOweNothingEndInOrderWithTheServer, red before. Those that are owed an answer, or have sent a part of a request, are still reset.

--- a/http/http_server.c
+++ b/http/http_server.c
@@ -402,6 +402,13 @@
 	free_conn(conn);
 }
 
+/* A reset tells that an answer is cut; where none is owed it could take with
+ * it the last one, which the client has not read yet. */
+static void end_conn(struct conn *conn)
+{
+	drop_conn(conn, conn->owed || conn->reading);
+}
+
 void http_server_destroy(struct http_server *server)
 {
 	g_autoptr(GList) conns = NULL;
@@ -412,7 +419,7 @@
 	g_source_remove(server->sweep);
 	conns = g_hash_table_get_keys(server->conns);
 	for (GList *at = conns; at; at = at->next)
-		drop_conn(at->data, true);
+		end_conn(at->data);
 	g_hash_table_foreach(server->delivering, stop_delivering, NULL);
 	g_hash_table_unref(server->delivering);
 	g_hash_table_unref(server->conns);
--- a/http/http_server.h
+++ b/http/http_server.h
@@ -40,7 +40,8 @@
 /** NULL, and `*error`: LP_ERROR_SYSTEM (no such address, or taken). */
 struct http_server *
 http_server_create(const struct http_server_options *options, int *error);
-/** All connections are reset. No call may be owed an answer any more. */
+/** Connections with a request end by a reset, others in order. No call of them
+ * may be used any more. */
 void http_server_destroy(struct http_server *server);
 void http_server_set_limits(struct http_server *server,
 			    const struct http_limits *limits);
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -370,6 +370,19 @@
 	EXPECT_EQ(answered, callers.size());
 }
 
+/* A reset would take with it an answer that its client has not read yet. */
+TEST(HttpServer, ConnectionsThatOweNothingEndInOrderWithTheServer)
+{
+	auto served = std::make_unique<Served>();
+	Raw raw(served->address);
+
+	raw.say("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+	ASSERT_TRUE(raw.hears("ok"));
+	served.reset();
+	ASSERT_TRUE(turn_until([&] { return raw.ended; }));
+	EXPECT_EQ(raw.error, LP_OK);
+}
+
 /* ---- the client ---- */
 
 /* A server that says these bytes to whoever connects, then ends. Its threads
