An entry that leaves serves the requests that it took last

Callers got 503, leaving, on connections that the entry had taken just before it closed its listener, though it goes on for as long as anything is open.

Cause: from the close of its listener on an entry refused everything new. Each connection has one request, so what is new after that is bounded.

A drain that is informed or unprobed is called so also at the end of its time.

--- a/entry/entry_http.c
+++ b/entry/entry_http.c
@@ -280,8 +280,6 @@
 		return LP_ERROR_METHOD;
 	if (!snapshot)
 		return LP_ERROR_NO_CONFIG;
-	if (http->entry->refusing)
-		return LP_ERROR_LEAVING;
 	organisation = authenticate(http, msg);
 	if (!organisation)
 		return LP_ERROR_UNAUTHENTICATED;
--- a/node/node.c
+++ b/node/node.c
@@ -373,12 +373,12 @@
 
 static void check_left(struct node *node)
 {
-	int64_t since_us = lp_now_us(node->clock) - node->leave_us;
+	int64_t now_us = lp_now_us(node->clock);
 
-	if (since_us < LEAVE_MIN_US)
+	if (now_us - node->leave_us < LEAVE_MIN_US)
 		return;
 	if (!node->options.role->idle(node->options.userdata) &&
-	    since_us < node->settings->drain_max_ms * LP_US_PER_MS)
+	    now_us < node_ends_us(node))
 		return;
 	lp_log(LP_LOG_INFO, "node", NULL, "left");
 	g_main_loop_quit(node->loop);
@@ -586,6 +586,13 @@
 	return node->leave_us;
 }
 
+int64_t node_ends_us(const struct node *node)
+{
+	if (!node->leave_us)
+		return INT64_MAX;
+	return node->leave_us + node->settings->drain_max_ms * LP_US_PER_MS;
+}
+
 void node_probed(struct node *node, const char *prober)
 {
 	drain_probed(node->drain, prober);
--- a/node/node.h
+++ b/node/node.h
@@ -119,6 +119,8 @@
 /** Random, of this process's start; never 0. */
 uint64_t node_incarnation(const struct node *node);
 bool node_leaving(const struct node *node);
+/** When the process ends though work is left; INT64_MAX unless it leaves. */
+int64_t node_ends_us(const struct node *node);
 /** `prober`, an address, is given an answer to its probe of our readiness. */
 void node_probed(struct node *node, const char *prober);
 const struct drain *node_drain(const struct node *node);
--- a/policy/drain.c
+++ b/policy/drain.c
@@ -124,17 +124,11 @@
 	       now_us(drain) - drain->created_us < drain->options.interval_us;
 }
 
-enum drain_state drain_look(const struct drain *drain)
+/* What the probers have been told, whatever the time. */
+static enum drain_state judge(const struct drain *drain)
 {
-	int64_t since_us = now_us(drain) - drain->begun_us;
 	uint32_t probers = 0;
 
-	if (!drain->begun)
-		return DRAIN_NOT_LEAVING;
-	if (since_us < drain->options.least_us)
-		return DRAIN_WAITING;
-	if (since_us >= drain->options.most_us)
-		return DRAIN_TIMEOUT;
 	for (uint32_t i = 0; i < drain->count; i++) {
 		const struct prober *prober = &drain->probers[i];
 
@@ -149,6 +143,21 @@
 	return is_new(drain) ? DRAIN_WAITING : DRAIN_UNPROBED;
 }
 
+enum drain_state drain_look(const struct drain *drain)
+{
+	int64_t since_us = now_us(drain) - drain->begun_us;
+	enum drain_state state;
+
+	if (!drain->begun)
+		return DRAIN_NOT_LEAVING;
+	if (since_us < drain->options.least_us)
+		return DRAIN_WAITING;
+	state = judge(drain);
+	if (state == DRAIN_WAITING && since_us >= drain->options.most_us)
+		return DRAIN_TIMEOUT;
+	return state;
+}
+
 const char *drain_state_name(enum drain_state state)
 {
 	static const char *const names[] = { "not_leaving", "waiting",
--- a/tools/scenario.c
+++ b/tools/scenario.c
@@ -68,6 +68,9 @@
 	{ "start-killed", sc_verb_start_killed, true },
 	{ "hang-up", sc_verb_hang_up, true },
 	{ "send-raw", sc_verb_send_raw, true },
+	{ "connect", sc_verb_connect, true },
+	{ "send-held", sc_verb_send_held, true },
+	{ "wait-closed", sc_verb_wait_closed, true },
 	{ "linepierd", sc_verb_linepierd, false },
 	{ "roll", sc_verb_roll, true },
 	{ "fault", sc_verb_fault, true },
@@ -127,6 +130,7 @@
 static void clear(struct scenario *scenario)
 {
 	load_destroy(scenario->load);
+	g_clear_object(&scenario->held);
 	fleet_destroy(scenario->fleet);
 	cfg_doc_destroy(scenario->doc);
 	g_strfreev(scenario->entries);
--- a/tools/scenario_call.c
+++ b/tools/scenario_call.c
@@ -178,22 +178,23 @@
 	return g_string_free(text, FALSE);
 }
 
-/* send-raw TEXT [entry=N]: bytes as they are ("\\r\\n" for line ends); the
- * first line of what comes back until the entry closes. */
-void sc_verb_send_raw(struct scenario *scenario, const struct words *words)
+static GSocketConnection *connect_to(const struct scenario *scenario,
+				     const struct words *words)
 {
 	const char *entry = scenario->entries[sc_number(words, "entry", 0)];
-	g_autofree char *text = g_strcompress(sc_word(words, 1));
 	g_autoptr(GSocketClient) client = g_socket_client_new();
-	g_autoptr(GSocketConnection) connection =
-		g_socket_client_connect_to_host(client, entry, 0, NULL, NULL);
+
+	return g_socket_client_connect_to_host(client, entry, 0, NULL, NULL);
+}
+
+/* Bytes as they are ("\\r\\n" for line ends); prints the first line of what
+ * comes back. */
+static void send_text(GSocketConnection *connection, const char *escaped)
+{
+	g_autofree char *text = g_strcompress(escaped);
 	g_autofree char *answer = NULL;
 	g_auto(GStrv) lines = NULL;
 
-	if (!connection) {
-		sc_fail(scenario, "no connection");
-		return;
-	}
 	g_output_stream_write_all(
 		g_io_stream_get_output_stream(G_IO_STREAM(connection)), text,
 		strlen(text), NULL, NULL, NULL);
@@ -202,6 +203,52 @@
 	printf("%s\n", lines[0] ? lines[0] : "nothing");
 }
 
+/* send-raw TEXT [entry=N]: on a connection of its own. */
+void sc_verb_send_raw(struct scenario *scenario, const struct words *words)
+{
+	g_autoptr(GSocketConnection) connection = connect_to(scenario, words);
+
+	if (connection)
+		send_text(connection, sc_word(words, 1));
+	else
+		sc_fail(scenario, "no connection");
+}
+
+/* connect [entry=N]: a connection that sends nothing yet. */
+void sc_verb_connect(struct scenario *scenario, const struct words *words)
+{
+	g_clear_object(&scenario->held);
+	scenario->held = connect_to(scenario, words);
+	if (!scenario->held)
+		sc_fail(scenario, "no connection");
+}
+
+/* send-held TEXT: as send-raw, on the connection of the last connect. */
+void sc_verb_send_held(struct scenario *scenario, const struct words *words)
+{
+	if (scenario->held)
+		send_text(scenario->held, sc_word(words, 1));
+	else
+		sc_fail(scenario, "no connection is held");
+	g_clear_object(&scenario->held);
+}
+
+/* wait-closed [entry=N]: until the entry takes no connections. */
+void sc_verb_wait_closed(struct scenario *scenario, const struct words *words)
+{
+	int64_t until_us = g_get_monotonic_time() + WAIT_TIMEOUT_US;
+
+	while (g_get_monotonic_time() < until_us) {
+		g_autoptr(GSocketConnection) connection =
+			connect_to(scenario, words);
+
+		if (!connection)
+			return;
+		fleet_pause(POLL_US);
+	}
+	sc_fail(scenario, "it still takes connections");
+}
+
 /* Reads until `text` has come, or the entry closes. */
 static bool read_until(GSocketConnection *connection, const char *text)
 {
--- a/tools/scenario_private.h
+++ b/tools/scenario_private.h
@@ -9,6 +9,7 @@
 #include "tools/load_print.h"
 #include "tools/scenario.h"
 
+#include <gio/gio.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -31,7 +32,8 @@
 	char *ticket;
 	uint32_t calls;
 	char **entries;
-	GQueue running; /* of struct capture */
+	GQueue running;		 /* of struct capture */
+	GSocketConnection *held; /* of connect; or NULL */
 	bool failed;
 };
 
@@ -100,10 +102,13 @@
 struct fleet_reply sc_executions_of(struct scenario *scenario,
 				    const char *service, const char *path);
 void sc_verb_call(struct scenario *scenario, const struct words *words);
+void sc_verb_connect(struct scenario *scenario, const struct words *words);
 void sc_verb_executions(struct scenario *scenario, const struct words *words);
 void sc_verb_hang_up(struct scenario *scenario, const struct words *words);
+void sc_verb_send_held(struct scenario *scenario, const struct words *words);
 void sc_verb_send_raw(struct scenario *scenario, const struct words *words);
 void sc_verb_ticket(struct scenario *scenario, const struct words *words);
+void sc_verb_wait_closed(struct scenario *scenario, const struct words *words);
 
 /* ---- scenario_load.c ---- */
 
