An entry does not end while a connection that it took has not been answered

Callers got a reset where they had connected and were slow to send, or slow to take their answer: the process ended 200 ms after the close of its listener once no request was in the flow.

Ruled out on the way: sockets that their own remote address keeps alive (none; Serve.AConnectionIsOpenUntilItIsAnswered).

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -237,10 +237,9 @@
 {
 	enum drain_state state = drain_look(node_drain(entry->node));
 
-	if (entry->refusing || state == DRAIN_NOT_LEAVING ||
+	if (entry->closed_us || state == DRAIN_NOT_LEAVING ||
 	    state == DRAIN_WAITING)
 		return;
-	entry->refusing = true;
 	entry->closed_us = entry_now_us(entry);
 	log_close(entry, state);
 	entry_http_close(entry->http);
@@ -294,11 +293,22 @@
 {
 }
 
+/* Who had connected, and sends nothing, is waited for as long as any request.
+ */
+static bool has_heard_all(const struct entry *entry)
+{
+	int64_t since_us = entry_now_us(entry) - entry->closed_us;
+
+	return !entry_http_open(entry->http) ||
+	       since_us > entry->settings->read_timeout_ms * LP_US_PER_MS;
+}
+
 static bool is_idle(void *userdata)
 {
 	struct entry *entry = userdata;
 
-	return entry->refusing && !entry->requests &&
+	return entry->closed_us && !entry->requests &&
+	       !entry_http_owed(entry->http) && has_heard_all(entry) &&
 	       entry_now_us(entry) - entry->closed_us > LAST_WORDS_US;
 }
 
--- a/entry/entry_http.c
+++ b/entry/entry_http.c
@@ -522,6 +522,16 @@
 	node_listener_close(http->listener);
 }
 
+uint32_t entry_http_owed(const struct entry_http *http)
+{
+	return g_hash_table_size(http->exchanges);
+}
+
+uint32_t entry_http_open(const struct entry_http *http)
+{
+	return node_listener_open(http->listener);
+}
+
 void entry_http_destroy(struct entry_http *http)
 {
 	if (!http)
--- a/entry/entry_private.h
+++ b/entry/entry_private.h
@@ -25,8 +25,7 @@
 	struct quota_holder *holder; /* of the quotas this entry holds */
 	GSource *timer;		     /* wakes the flow when it asks for it */
 	uint32_t requests;	     /* in this process, in any state */
-	bool refusing;	   /* shutdown: nobody is sent here any more */
-	int64_t closed_us; /* since when */
+	int64_t closed_us; /* shutdown: listens no more since then; 0: does */
 };
 
 static inline int64_t entry_now_us(const struct entry *entry)
@@ -161,5 +160,9 @@
 void entry_http_destroy(struct entry_http *http);
 /** Stop listening; open connections stay until answered. */
 void entry_http_close(struct entry_http *http);
+/** Requests whose answer is owed, or is being written. */
+uint32_t entry_http_owed(const struct entry_http *http);
+/** Connections that have a request to send, or an answer to get. */
+uint32_t entry_http_open(const struct entry_http *http);
 
 #endif
--- a/node/node_listener.c
+++ b/node/node_listener.c
@@ -20,6 +20,7 @@
 	SoupServer *server;
 	GSocket *socket; /* NULL: closed */
 	GSource *source;
+	GHashTable *open; /* sockets handed over, not owned, not ended */
 	bool failing; /* the last attempt to take one failed, and was logged */
 };
 
@@ -42,6 +43,19 @@
 	return g_steal_pointer(&socket);
 }
 
+static void on_socket_ended(gpointer userdata, GObject *socket)
+{
+	struct node_listener *listener = userdata;
+
+	g_hash_table_remove(listener->open, socket);
+}
+
+static void note_open(struct node_listener *listener, GSocket *socket)
+{
+	g_hash_table_add(listener->open, socket);
+	g_object_weak_ref(G_OBJECT(socket), on_socket_ended, listener);
+}
+
 static bool hand_over(struct node_listener *listener, GSocket *accepted,
 		      GError **gerror)
 {
@@ -52,6 +66,7 @@
 	g_autoptr(GSocketAddress) remote =
 		g_socket_get_remote_address(accepted, NULL);
 
+	note_open(listener, accepted);
 	if (remote)
 		g_object_set_data_full(G_OBJECT(remote), SOCKET_KEY,
 				       g_object_ref(accepted), g_object_unref);
@@ -124,6 +139,7 @@
 	listener = g_new0(struct node_listener, 1);
 	listener->server = server;
 	listener->socket = socket;
+	listener->open = g_hash_table_new(NULL, NULL);
 	listener->source = g_socket_create_source(socket, G_IO_IN, NULL);
 	g_source_set_callback(listener->source, G_SOURCE_FUNC(on_accept),
 			      listener, NULL);
@@ -143,10 +159,22 @@
 	g_clear_object(&listener->socket);
 }
 
+uint32_t node_listener_open(const struct node_listener *listener)
+{
+	return g_hash_table_size(listener->open);
+}
+
+static void forget_socket(gpointer socket, gpointer value, gpointer userdata)
+{
+	g_object_weak_unref(socket, on_socket_ended, userdata);
+}
+
 void node_listener_destroy(struct node_listener *listener)
 {
 	if (!listener)
 		return;
 	node_listener_close(listener);
+	g_hash_table_foreach(listener->open, forget_socket, listener);
+	g_hash_table_unref(listener->open);
 	g_free(listener);
 }
--- a/node/node_listener.h
+++ b/node/node_listener.h
@@ -11,6 +11,7 @@
 #define NODE_LISTENER_H
 
 #include <libsoup/soup.h>
+#include <stdint.h>
 
 struct node_listener;
 
@@ -23,6 +24,9 @@
 GSocket *node_listener_socket(SoupServerMessage *msg);
 /** Hand over what has connected, then take nothing new. */
 void node_listener_close(struct node_listener *listener);
+/** Connections handed over that have not ended. Each ends with its answer, so
+ * these have a request to send, or an answer to get. */
+uint32_t node_listener_open(const struct node_listener *listener);
 /** NULL is allowed. */
 void node_listener_destroy(struct node_listener *listener);
 
--- a/tests/serve_test.cc
+++ b/tests/serve_test.cc
@@ -112,7 +112,7 @@
 	node_listener *listener = nullptr;
 	std::vector<GSocket *> callers;
 
-	explicit Waiting(int count)
+	explicit Waiting(int count, bool say = true)
 	{
 		g_autofree char *why = nullptr;
 		int port = 21400;
@@ -128,7 +128,7 @@
 		}
 		EXPECT_LT(port, 21450);
 		for (int i = 0; i < count; i++)
-			callers.push_back(call(port));
+			callers.push_back(say ? call(port) : connect(port));
 	}
 
 	~Waiting()
@@ -140,10 +140,8 @@
 		g_object_unref(server);
 	}
 
-	static GSocket *call(int port)
+	static GSocket *connect(int port)
 	{
-		static const char request[] =
-			"GET / HTTP/1.1\r\nHost: x\r\n\r\n";
 		GSocketAddress *address = g_inet_socket_address_new_from_string(
 			"127.0.0.1", (guint)port);
 		GSocket *socket =
@@ -151,13 +149,28 @@
 				     G_SOCKET_PROTOCOL_TCP, nullptr);
 
 		g_socket_connect(socket, address, nullptr, nullptr);
-		g_socket_send(socket, request, sizeof(request) - 1, nullptr,
-			      nullptr);
 		g_socket_set_blocking(socket, FALSE);
 		g_object_unref(address);
 		return socket;
 	}
 
+	static void ask(GSocket *caller)
+	{
+		static const char request[] =
+			"GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+
+		g_socket_send(caller, request, sizeof(request) - 1, nullptr,
+			      nullptr);
+	}
+
+	static GSocket *call(int port)
+	{
+		GSocket *caller = connect(port);
+
+		ask(caller);
+		return caller;
+	}
+
 	/* How many have the beginning of a good answer. */
 	size_t answered() const
 	{
@@ -219,3 +232,19 @@
 	waiting.turns_until_answered(200);
 	EXPECT_EQ(waiting.answered(), 300u);
 }
+
+/* An entry ended while connections that it had taken were still to send their
+ * request, or to get their answer. */
+TEST(Serve, AConnectionIsOpenUntilItIsAnswered)
+{
+	Waiting waiting(3, false);
+
+	EXPECT_EQ(node_listener_open(waiting.listener), 0u);
+	node_listener_close(waiting.listener);
+	EXPECT_EQ(node_listener_open(waiting.listener), 3u);
+	for (GSocket *caller : waiting.callers)
+		Waiting::ask(caller);
+	waiting.turns_until_answered(200);
+	EXPECT_EQ(waiting.answered(), 3u);
+	EXPECT_EQ(node_listener_open(waiting.listener), 0u);
+}
