A second SIGTERM, or one after a drain, does not cut what an entry has

Callers got a reset: the second signal of any kind ended a process at once. A service manager stops what an operator has drained (linepier drain, then SIGTERM), and signals come twice.

scenario.second-signal, a reset before, 200 now. Two SIGINT still end at once: a person at a terminal. direct/ ignored repeated signals before (PlannedEnd.ASecondSignalChangesNothing).

--- a/node/node.c
+++ b/node/node.c
@@ -34,6 +34,7 @@
 	GMainLoop *loop;
 	uint64_t incarnation;
 	int64_t leave_us; /* when shutdown began, or 0 */
+	bool interrupted; /* by SIGINT */
 	guint tick_timer;
 	guint signals[2];
 };
@@ -359,14 +360,24 @@
 	node->options.role->announce(node->options.userdata);
 }
 
-static gboolean on_signal(gpointer userdata)
+/* Comes again from service managers, and after a drain by an operator. */
+static gboolean on_term(gpointer userdata)
+{
+	node_leave(userdata);
+	return G_SOURCE_CONTINUE;
+}
+
+/* A second one is a person at a terminal who does not want to wait. */
+static gboolean on_interrupt(gpointer userdata)
 {
 	struct node *node = userdata;
 
-	if (node->leave_us) {
-		lp_log(LP_LOG_WARN, "node", NULL, "a second signal: ending");
+	if (node->interrupted) {
+		lp_log(LP_LOG_WARN, "node", NULL,
+		       "interrupted twice: ending at once");
 		g_main_loop_quit(node->loop);
 	}
+	node->interrupted = true;
 	node_leave(node);
 	return G_SOURCE_CONTINUE;
 }
@@ -508,8 +519,8 @@
 	}
 	open_platform(node);
 	node->tick_timer = lp_timer_add(NODE_TICK_MS, on_tick, node);
-	node->signals[0] = g_unix_signal_add(SIGTERM, on_signal, node);
-	node->signals[1] = g_unix_signal_add(SIGINT, on_signal, node);
+	node->signals[0] = g_unix_signal_add(SIGTERM, on_term, node);
+	node->signals[1] = g_unix_signal_add(SIGINT, on_interrupt, node);
 	*out = node;
 	return LP_OK;
 }
