Poison.InFleetsOfEachSize says what an entry that is not ready knows; what disturbs it

A run that shows what disturbs it: its process has a tenth of a processor (stopped 45 of each 50 ms). All calls of all entries are given up after the rig's 300 ms (7 of 7 each), as a turn of the one loop takes longer; all 68 members are known. It stays listed.

--- a/tests/poison_test.cc
+++ b/tests/poison_test.cc
@@ -508,6 +508,38 @@
 	pe_store_fault(fleet.one.platform, PE_STORE_FINE);
 }
 
+/* Which entries of a fleet are not ready or have not met all others, and why.
+ */
+static std::string unmet(const std::vector<std::unique_ptr<Rig>> &rigs)
+{
+	std::string text;
+
+	for (size_t i = 0; i < rigs.size(); i++) {
+		const Rig &rig = *rigs[i];
+		guint members = direct_peers_count(rig.peers);
+
+		if (direct_ready(rig.entry) && members >= rigs.size())
+			continue;
+		text += "entry " + std::to_string(i) + ": configuration " +
+			std::to_string(direct_config_version(rig.entry)) +
+			", members " + std::to_string(members) +
+			", calls of the list " +
+			std::to_string(*lp_counter(rig.counters,
+						   "linepier_kv_calls_total",
+						   "purpose=\"range\"")) +
+			", of the watch " +
+			std::to_string(*lp_counter(rig.counters,
+						   "linepier_kv_calls_total",
+						   "purpose=\"watch\"")) +
+			", failed " +
+			std::to_string(*lp_counter(rig.counters,
+						   "linepier_kv_failures_total",
+						   nullptr)) +
+			"\n";
+	}
+	return text;
+}
+
 /* Brought to all entries in turn, at three of them in the same millisecond,
  * before any can tell the others; some have been killed and started anew
  * meanwhile. */
@@ -536,7 +568,9 @@
 				    (int)direct_peers_count(rig->peers) < size)
 					return false;
 			return true;
-		}));
+		})) << size
+		    << " entries\n"
+		    << unmet(rigs);
 		for (int i = 0; i < 30; i++) {
 			std::vector<std::unique_ptr<Ask>> asks;
 
