--- a/entry/entry.c
+++ b/entry/entry.c
@@ -220,7 +220,7 @@
 {
 	struct drain_view view;
 
-	drain_get_view(node_drain(entry->node), &view);
+	drain_get_view(entry->drain, &view);
 	lp_log(LP_LOG_INFO, "entry", NULL,
 	       "closed to callers %" G_GINT64_FORMAT
 	       " ms after leaving (%s): probers %u, told %u, informed %u, "
@@ -235,7 +235,7 @@
 
 static void check_leaving(struct entry *entry)
 {
-	enum drain_state state = drain_look(node_drain(entry->node));
+	enum drain_state state = drain_look(entry->drain);
 
 	if (entry->closed_us || state == DRAIN_NOT_LEAVING ||
 	    state == DRAIN_WAITING)
@@ -291,6 +291,21 @@
 
 static void on_leave(void *userdata)
 {
+	struct entry *entry = userdata;
+
+	drain_begin(entry->drain);
+}
+
+void entry_probed(struct entry *entry, const char *prober)
+{
+	drain_probed(entry->drain, prober);
+	entry_count(entry, "linepier_probes_total", "answer",
+		    node_leaving(entry->node) ? "leaving" : "other");
+}
+
+static void on_probed(void *userdata, const char *prober)
+{
+	entry_probed(userdata, prober);
 }
 
 /* Who had connected, and sends nothing, is waited for as long as any request.
@@ -344,12 +359,37 @@
 	.leave = on_leave,
 	.idle = is_idle,
 	.unready = unready,
+	.probed = on_probed,
 	.gauges = set_gauges,
 	.status = add_status,
 };
 
 /* ---- life ---- */
 
+/* Two probes, told and informed; what runs needs the other half of the time. */
+static int64_t listen_at_most_us(const struct node_settings *settings)
+{
+	int64_t told_ms =
+		2 * settings->probe_interval_ms + settings->drain_wait_ms;
+	int64_t most_ms = MIN(told_ms, settings->drain_max_ms / 2);
+
+	return MAX(most_ms, settings->drain_wait_ms) * LP_US_PER_MS;
+}
+
+static struct drain *create_drain(const struct entry *entry)
+{
+	const struct node_settings *settings = entry->settings;
+
+	return drain_create(&(struct drain_options){
+		.clock = node_clock(entry->node),
+		.least_us = settings->drain_wait_ms * LP_US_PER_MS,
+		.settle_us = settings->drain_wait_ms * LP_US_PER_MS,
+		.interval_us = settings->probe_interval_ms * LP_US_PER_MS,
+		.first_us = settings->probe_interval_ms * LP_US_PER_MS,
+		.most_us = listen_at_most_us(settings),
+	});
+}
+
 static void create_parts(struct entry *entry)
 {
 	const struct node_settings *settings = entry->settings;
@@ -373,6 +413,7 @@
 		.userdata = entry,
 	};
 
+	entry->drain = create_drain(entry);
 	entry->flow = flow_create(&flow);
 	entry->quota = quota_create(&quota);
 	entry->holder = quota_holder_create(node_clock(entry->node));
@@ -390,6 +431,7 @@
 	quota_holder_destroy(entry->holder);
 	entry_owners_destroy(entry->owners);
 	entry_peers_destroy(entry->peers);
+	drain_destroy(entry->drain);
 }
 
 int entry_run(const struct node_settings *settings)
--- a/entry/entry_http.c
+++ b/entry/entry_http.c
@@ -478,7 +478,7 @@
 	const char *why = NULL;
 
 	clear_slow_timer(msg);
-	node_probed(entry->node, soup_server_message_get_remote_host(msg));
+	entry_probed(entry, soup_server_message_get_remote_host(msg));
 	if (node_leaving(entry->node))
 		why = "leaving\n";
 	else if (!node_snapshot(entry->node))
--- a/entry/entry_private.h
+++ b/entry/entry_private.h
@@ -5,6 +5,7 @@
 #include "entry/entry.h"
 #include "entry/entry_map.h"
 #include "policy/claim.h"
+#include "policy/drain.h"
 #include "policy/flow.h"
 #include "policy/keys.h"
 #include "policy/quota.h"
@@ -22,6 +23,7 @@
 	struct entry_http *http;
 	struct entry_owners *owners;
 	struct quota *quota;
+	struct drain *drain;
 	struct quota_holder *holder; /* of the quotas this entry holds */
 	GSource *timer;		     /* wakes the flow when it asks for it */
 	uint32_t requests;	     /* in this process, in any state */
@@ -36,6 +38,9 @@
 /** Count under `name` with one label, or none. */
 void entry_count(struct entry *entry, const char *name, const char *label,
 		 const char *value);
+/** `prober`, an IP address, is given an answer to its probe of our readiness.
+ */
+void entry_probed(struct entry *entry, const char *prober);
 /** Call after anything that may have changed when the flow wakes next. */
 void entry_rearm(struct entry *entry);
 
--- a/node/node.c
+++ b/node/node.c
@@ -30,7 +30,6 @@
 	struct spread *spread;
 	struct cfg_snapshot *snapshot;
 	struct node_admin *admin;
-	struct drain *drain;
 	GMainLoop *loop;
 	uint64_t incarnation;
 	int64_t leave_us; /* when shutdown began, or 0 */
@@ -324,6 +323,14 @@
 	return node->options.role->unready(node->options.userdata);
 }
 
+static void admin_probed(void *userdata, const char *prober)
+{
+	struct node *node = userdata;
+
+	if (node->options.role->probed)
+		node->options.role->probed(node->options.userdata, prober);
+}
+
 static void admin_status(void *userdata, JsonBuilder *builder)
 {
 	struct node *node = userdata;
@@ -354,7 +361,6 @@
 	if (node->leave_us)
 		return;
 	node->leave_us = lp_now_us(node->clock);
-	drain_begin(node->drain);
 	lp_log(LP_LOG_INFO, "node", NULL, "leaving");
 	node->options.role->leave(node->options.userdata);
 	node->options.role->announce(node->options.userdata);
@@ -436,6 +442,7 @@
 		.metrics = admin_metrics,
 		.status = admin_status,
 		.unready = admin_unready,
+		.probed = admin_probed,
 		.userdata = node,
 	};
 
@@ -473,29 +480,6 @@
 	node->hosts = store_hosts_create(&hosts);
 }
 
-/* Two probes, told and informed; what runs needs the other half of the time. */
-static int64_t listen_at_most_us(const struct node_settings *settings)
-{
-	int64_t told_ms =
-		2 * settings->probe_interval_ms + settings->drain_wait_ms;
-	int64_t most_ms = MIN(told_ms, settings->drain_max_ms / 2);
-
-	return MAX(most_ms, settings->drain_wait_ms) * LP_US_PER_MS;
-}
-
-static struct drain *create_drain(const struct node *node)
-{
-	const struct node_settings *settings = node->settings;
-
-	return drain_create(&(struct drain_options){
-		.clock = node->clock,
-		.least_us = settings->drain_wait_ms * LP_US_PER_MS,
-		.settle_us = settings->drain_wait_ms * LP_US_PER_MS,
-		.interval_us = settings->probe_interval_ms * LP_US_PER_MS,
-		.most_us = listen_at_most_us(settings),
-	});
-}
-
 int node_create(const struct node_options *options, struct node **out,
 		char **why)
 {
@@ -509,7 +493,6 @@
 	node->trace = trace_create((uint32_t)node->settings->trace_events);
 	node->incarnation = lp_random_u64();
 	node->loop = g_main_loop_new(NULL, FALSE);
-	node->drain = create_drain(node);
 	error = open_sock(node, why);
 	if (!error)
 		error = open_admin(node, why);
@@ -540,7 +523,6 @@
 	node_admin_destroy(node->admin);
 	wire_sock_destroy(node->sock);
 	cfg_snapshot_unref(node->snapshot);
-	drain_destroy(node->drain);
 	trace_destroy(node->trace);
 	lp_counters_destroy(node->counters);
 	g_main_loop_unref(node->loop);
@@ -603,16 +585,3 @@
 		return INT64_MAX;
 	return node->leave_us + node->settings->drain_max_ms * LP_US_PER_MS;
 }
-
-void node_probed(struct node *node, const char *prober)
-{
-	drain_probed(node->drain, prober);
-	*lp_counter(node->counters, "linepier_probes_total",
-		    node->leave_us ? "answer=\"leaving\""
-				   : "answer=\"other\"") += 1;
-}
-
-const struct drain *node_drain(const struct node *node)
-{
-	return node->drain;
-}
--- a/node/node.h
+++ b/node/node.h
@@ -10,7 +10,6 @@
 #include "base/lp_counter.h"
 #include "base/lp_settings.h"
 #include "config/cfg_record.h"
-#include "policy/drain.h"
 #include "policy/spread.h"
 #include "policy/trace.h"
 #include "store/store_etcd.h"
@@ -85,6 +84,8 @@
 	bool (*idle)(void *userdata);
 	/** NULL when ready for work, else why not. */
 	const char *(*unready)(void *userdata);
+	/** `prober`, an IP address, is given that as an answer; or NULL. */
+	void (*probed)(void *userdata, const char *prober);
 	/** Set the role's gauges, which are about to be printed; or NULL. */
 	void (*gauges)(void *userdata);
 	/** Add members to the status object. */
@@ -121,9 +122,6 @@
 bool node_leaving(const struct node *node);
 /** When the process ends though work is left; INT64_MAX unless it leaves. */
 int64_t node_ends_us(const struct node *node);
-/** `prober`, an address, is given an answer to its probe of our readiness. */
-void node_probed(struct node *node, const char *prober);
-const struct drain *node_drain(const struct node *node);
 int node_send(struct node *node, const char *peer, const struct wire_msg *msg);
 int node_connect(struct node *node, const char *peer, const char *address);
 void node_disconnect(struct node *node, const char *address);
--- a/node/node_admin.c
+++ b/node/node_admin.c
@@ -41,8 +41,8 @@
 	struct node_admin *admin = userdata;
 	const char *why = admin->options.unready(admin->options.userdata);
 
-	node_probed(admin->options.node,
-		    soup_server_message_get_remote_host(msg));
+	admin->options.probed(admin->options.userdata,
+			      soup_server_message_get_remote_host(msg));
 	if (why)
 		respond(msg, SOUP_STATUS_SERVICE_UNAVAILABLE, "text/plain",
 			why);
--- a/node/node_admin.h
+++ b/node/node_admin.h
@@ -11,6 +11,8 @@
 	void (*metrics)(void *userdata, GString *out);
 	void (*status)(void *userdata, JsonBuilder *builder);
 	const char *(*unready)(void *userdata);
+	/** Readiness is answered to this IP address. */
+	void (*probed)(void *userdata, const char *prober);
 	void *userdata;
 };
 
--- a/policy/drain.c
+++ b/policy/drain.c
@@ -121,7 +121,7 @@
 static bool is_new(const struct drain *drain)
 {
 	return !drain->count &&
-	       now_us(drain) - drain->created_us < drain->options.interval_us;
+	       now_us(drain) - drain->created_us < drain->options.first_us;
 }
 
 /* What the probers have been told, whatever the time. */
--- a/policy/drain.h
+++ b/policy/drain.h
@@ -9,9 +9,12 @@
  * then it is known to have read an answer.
  *
  * Probers are told apart by name, as there may be several balancers. One that
- * has been silent for longer than a balancer ever is gets no say. A process
- * that is younger than that, and was never probed, may have a balancer that
- * has not come to it yet.
+ * has been silent for longer than a prober ever is gets no say. A process that
+ * is young and was never probed may have a balancer that has not come to it
+ * yet.
+ *
+ * An agent has the same question: its probers are the entries, whose hellos it
+ * answers with its load, and with whether it leaves.
  */
 #ifndef DRAIN_H
 #define DRAIN_H
@@ -27,7 +30,8 @@
 	const struct lp_clock *clock;
 	int64_t least_us;    /**< listen for so long after leaving */
 	int64_t settle_us;   /**< and after each prober was told first */
-	int64_t interval_us; /**< longest time between probes of a balancer */
+	int64_t interval_us; /**< longest time between probes of a prober */
+	int64_t first_us;    /**< the first probe comes within this life time */
 	int64_t most_us;     /**< after leaving: stop listening in any case */
 };
 
--- a/tests/drain_test.cc
+++ b/tests/drain_test.cc
@@ -24,6 +24,7 @@
 			wait_ms * LP_US_PER_MS,
 			wait_ms * LP_US_PER_MS,
 			interval_ms * LP_US_PER_MS,
+			interval_ms * LP_US_PER_MS,
 			most_ms * LP_US_PER_MS,
 		};
 
