An agent does not end before its entries have heard that it leaves

Callers of stages that may not be repeated were told that they may have run, after their whole deadline, for a call that reached nobody.

Now an agent ends when each entry that said hello lately has been told and has said hello again (policy/drain), or after 2.8 beats.

scenario.agent-unheard, one call: 504, may have run, before; 503, not run, now. Ruled out: entries that stand still while an agent leaves (0 refused so in three stops).

--- a/agent/agent.c
+++ b/agent/agent.c
@@ -5,11 +5,14 @@
 #include "agent/agent_upstream.h"
 #include "base/lp_json.h"
 #include "base/lp_log.h"
+#include "policy/drain.h"
 #include "policy/worker.h"
 
 #include <string.h>
 
 #define PEER_FORGET_US (60 * LP_US_PER_S)
+/* An entry that has not said hello for so long has gone. */
+#define HELLO_SILENT_US (NODE_HELLO_US + 5 * LP_US_PER_S)
 
 /* An entry that has shown itself. */
 struct peer {
@@ -25,6 +28,7 @@
 	struct upstream *upstream;
 	struct agent_orders *orders;
 	struct agent_load *load;
+	struct drain *drain; /* its probers are the entries */
 	GHashTable *peers;
 	int64_t *calls;
 	int64_t *runs;
@@ -308,6 +312,7 @@
 	if (msg->type == WIRE_HELLO) {
 		node_heard_revision(agent->node, name, msg->u.hello.revision,
 				    msg->u.hello.kv_age_ms);
+		drain_probed(agent->drain, name);
 		beat(agent, peer);
 	} else if (msg->type == WIRE_CALL) {
 		node_heard_revision(agent->node, name, msg->u.call.revision,
@@ -371,14 +376,33 @@
 {
 	struct agent *agent = userdata;
 
+	drain_begin(agent->drain);
 	worker_leave(agent->worker);
 }
 
+static void log_end(const struct agent *agent, enum drain_state state)
+{
+	struct drain_view view;
+
+	drain_get_view(agent->drain, &view);
+	lp_log(LP_LOG_INFO, "agent", NULL,
+	       "ends %" G_GINT64_FORMAT
+	       " ms after leaving (%s): entries %u, told %u, informed %u",
+	       view.leaving_for_us / LP_US_PER_MS, drain_state_name(state),
+	       view.probers, view.told, view.informed);
+}
+
+/* A call that is on its way from an entry that has not heard is refused, as
+ * long as somebody is there to refuse it. */
 static bool is_idle(void *userdata)
 {
 	struct agent *agent = userdata;
+	enum drain_state state = drain_look(agent->drain);
 
-	return worker_idle(agent->worker);
+	if (!worker_idle(agent->worker) || state == DRAIN_WAITING)
+		return false;
+	log_end(agent, state);
+	return true;
 }
 
 static const char *unready(void *userdata)
@@ -433,6 +457,17 @@
 	agent->worker = worker_create(&options);
 }
 
+static struct drain *create_drain(const struct agent *agent)
+{
+	double silent_ms = NODE_BEATS_SILENT * (double)agent->settings->beat_ms;
+
+	return drain_create(&(struct drain_options){
+		.clock = node_clock(agent->node),
+		.interval_us = HELLO_SILENT_US,
+		.most_us = (int64_t)(silent_ms * LP_US_PER_MS),
+	});
+}
+
 static void open_counters(struct agent *agent)
 {
 	struct lp_counters *counters = node_counters(agent->node);
@@ -464,6 +499,7 @@
 	agent.orders = agent_orders_create(agent.node);
 	open_counters(&agent);
 	create_worker(&agent);
+	agent.drain = create_drain(&agent);
 	const struct agent_load_options load = {
 		.url = settings->upstream_url,
 		.waiting = on_upstream_waiting,
@@ -478,6 +514,7 @@
 	node_destroy(agent.node);
 	upstream_destroy(agent.upstream);
 	worker_destroy(agent.worker);
+	drain_destroy(agent.drain);
 	g_hash_table_unref(agent.peers);
 	return LP_OK;
 }
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -6,7 +6,6 @@
 
 #include <string.h>
 
-#define BEATS_SILENT 2.8 /* then an agent gets no more calls */
 #define LAST_WORDS_US (200 * LP_US_PER_MS) /* answers leave the sockets */
 
 void entry_count(struct entry *entry, const char *name, const char *label,
@@ -403,7 +402,7 @@
 		.domain = settings->domain,
 		.seed = incarnation,
 		.silence_us = (int64_t)((double)settings->beat_ms *
-					LP_US_PER_MS * BEATS_SILENT),
+					LP_US_PER_MS * NODE_BEATS_SILENT),
 		.naive = settings->naive,
 		.no_affinity = !settings->affinity,
 	};
--- a/entry/entry_peers.c
+++ b/entry/entry_peers.c
@@ -5,7 +5,6 @@
 
 #include <string.h>
 
-#define HELLO_US (15 * LP_US_PER_S)	    /* keeps us known to an agent */
 #define HELLO_AGAIN_US (500 * LP_US_PER_MS) /* to one we do not hear */
 #define BEATS_MISSED 1.4
 #define AGENTS_MIN 4 /* of a service, whatever the total */
@@ -336,7 +335,7 @@
 		struct conn *conn = value;
 		int64_t after_us = may_be_new(peers, conn, now_us)
 					   ? HELLO_AGAIN_US
-					   : HELLO_US;
+					   : NODE_HELLO_US;
 
 		if (now_us - conn->hello_us >= after_us)
 			hello(peers, conn);
--- a/node/node.h
+++ b/node/node.h
@@ -93,6 +93,10 @@
 };
 
 #define NODE_TICK_MS 100
+/** Without a word of an agent for so many beats an entry sends it no calls. */
+#define NODE_BEATS_SILENT 2.8
+/** An entry says hello to each of its agents at least so often. */
+#define NODE_HELLO_US (15 * LP_US_PER_S)
 
 struct node_options {
 	const struct node_settings *settings;
