Callers of an entry that reaches drain-max are told before it ends

Callers saw their connection cut without a word: the process ended at drain-max with whatever was under way.

FlowTest.EndsEveryRequestByTheTimeOfItsOwnEnd. Left: a keyed request that waits for another entry or its claim is still cut.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -7,6 +7,8 @@
 #include <string.h>
 
 #define LAST_WORDS_US (200 * LP_US_PER_MS) /* answers leave the sockets */
+/* Before the end of the process: what is not done by then is told so. */
+#define LAST_ANSWERS_US (2 * LAST_WORDS_US)
 
 void entry_count(struct entry *entry, const char *name, const char *label,
 		 const char *value)
@@ -293,6 +295,8 @@
 	struct entry *entry = userdata;
 
 	drain_begin(entry->drain);
+	flow_end_by(entry->flow, node_ends_us(entry->node) - LAST_ANSWERS_US);
+	entry_rearm(entry);
 }
 
 void entry_probed(struct entry *entry, const char *prober)
--- a/entry/entry_request.c
+++ b/entry/entry_request.c
@@ -572,12 +572,6 @@
 		       "the body must be a JSON object, at most 32 deep");
 		return;
 	}
-	if (entry->closed_us &&
-	    request->deadline_us > node_ends_us(entry->node)) {
-		free_request(request);
-		refuse(entry, ask, LP_ERROR_LEAVING, 0, NULL);
-		return;
-	}
 	request->handle = handle;
 	if (handle)
 		*handle = request;
--- a/policy/flow.c
+++ b/policy/flow.c
@@ -75,6 +75,7 @@
 					       free_service);
 	flow->requests = g_hash_table_new_full(g_direct_hash, g_direct_equal,
 					       NULL, free_request);
+	flow->end_us = INT64_MAX;
 	flow->wakes = g_sequence_new(NULL);
 	flow->throttle = throttle_create(options->seed);
 	return flow;
@@ -193,10 +194,16 @@
 	return true;
 }
 
+static int64_t deadline_of(const struct flow *flow,
+			   const struct flow_submit *submit)
+{
+	return MIN(submit->deadline_us, flow->end_us);
+}
+
 static int check_door(struct flow *flow, const struct flow_submit *submit,
 		      int64_t *estimate_us)
 {
-	int64_t left_us = submit->deadline_us - flow_now_us(flow);
+	int64_t left_us = deadline_of(flow, submit) - flow_now_us(flow);
 	struct door door = look_ahead(flow, submit);
 	int64_t spare_us = left_us - (door.estimate_us - door.wait_us);
 
@@ -234,7 +241,7 @@
 	request->weight = submit->weight;
 	request->affinity = submit->affinity;
 	request->arrived_us = flow_now_us(flow);
-	request->deadline_us = submit->deadline_us;
+	request->deadline_us = deadline_of(flow, submit);
 	request->costs = g_new0(struct flow_cost, submit->stages_count);
 	request->text = g_string_new(NULL);
 	request->owner = submit->owner;
@@ -255,7 +262,7 @@
 int flow_submit(struct flow *flow, const struct flow_submit *submit,
 		struct lp_call_id *id, struct flow_outcome *outcome)
 {
-	int64_t left_us = submit->deadline_us - flow_now_us(flow);
+	int64_t left_us = deadline_of(flow, submit) - flow_now_us(flow);
 	int64_t estimate_us;
 	struct flow_request *request;
 	int error;
@@ -431,6 +438,21 @@
 	flow_set_wake(flow, request);
 }
 
+void flow_end_by(struct flow *flow, int64_t end_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	flow->end_us = end_us;
+	g_hash_table_iter_init(&iter, flow->requests);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct flow_request *request = value;
+
+		request->deadline_us = MIN(request->deadline_us, end_us);
+		flow_set_wake(flow, request);
+	}
+}
+
 static void tick_services(struct flow *flow)
 {
 	GHashTableIter iter;
--- a/policy/flow.h
+++ b/policy/flow.h
@@ -223,6 +223,11 @@
 		enum flow_state state);
 /** Nobody waits any more: withdraw and forget. finish() is not called. */
 void flow_cancel(struct flow *flow, const struct lp_call_id *id);
+/**
+ * Every request, also one that comes later, ends by then: its deadline is cut
+ * to it, and the door refuses what would take longer.
+ */
+void flow_end_by(struct flow *flow, int64_t end_us);
 /** Do what is due. */
 void flow_tick(struct flow *flow);
 /** When flow_tick() is next needed; INT64_MAX: no request waits. */
--- a/policy/flow_private.h
+++ b/policy/flow_private.h
@@ -35,6 +35,7 @@
 	char *domain;
 	GHashTable *services;
 	GHashTable *requests; /* serial to flow_request */
+	int64_t end_us;	      /* no request lasts longer; INT64_MAX: any */
 	GSequence *wakes;     /* flow_request by wake_us */
 	struct throttle *throttle;
 	struct flow_stats stats;
--- a/tests/policy_test.cc
+++ b/tests/policy_test.cc
@@ -1232,6 +1232,23 @@
 	EXPECT_EQ(finished[0].run, LP_RUN_NOT_RUN);
 }
 
+/* An entry that ends cut what was still under way, without a word. */
+TEST_F(FlowTest, EndsEveryRequestByTheTimeOfItsOwnEnd)
+{
+	hear("a", 1);
+	ASSERT_EQ(submit(&once, 60 * S), LP_OK);
+	flow_end_by(fl, clock.now_us + 2 * S);
+	ASSERT_EQ(submit(&plain, 60 * S), LP_OK);
+	pass(S);
+	EXPECT_TRUE(finished.empty());
+	pass(S + 10 * MS);
+	ASSERT_EQ(finished.size(), 2u);
+	EXPECT_EQ(finished[0].error, LP_ERROR_DEADLINE_PASSED);
+	EXPECT_EQ(finished[1].error, LP_ERROR_DEADLINE_PASSED);
+	EXPECT_EQ(finished[0].run, LP_RUN_MAY_HAVE_RUN);
+	EXPECT_EQ(submit(&plain, 60 * S), LP_ERROR_DEADLINE_PASSED);
+}
+
 TEST_F(FlowTest, ALeavingAgentGetsNothingNew)
 {
 	hear("a", 1);
