--- a/policy/closures.c
+++ b/policy/closures.c
@@ -27,19 +27,12 @@
 	g_free(closures);
 }
 
-static bool take_revision(struct closures *closures, int64_t revision)
-{
-	if (revision <= closures->revision)
-		return false;
-	closures->revision = revision;
-	return true;
-}
-
 bool closures_set_all(struct closures *closures, int64_t revision,
 		      const char *const *domains, uint32_t count)
 {
-	if (!take_revision(closures, revision))
+	if (revision <= closures->revision)
 		return false;
+	closures->revision = revision;
 	g_hash_table_remove_all(closures->domains);
 	for (uint32_t i = 0; i < count; i++)
 		g_hash_table_add(closures->domains, g_strdup(domains[i]));
@@ -49,8 +42,9 @@
 bool closures_set(struct closures *closures, int64_t revision,
 		  const char *domain, bool closed)
 {
-	if (!take_revision(closures, revision))
+	if (revision < closures->revision)
 		return false;
+	closures->revision = revision;
 	if (closed)
 		g_hash_table_add(closures->domains, g_strdup(domain));
 	else
--- a/policy/closures.h
+++ b/policy/closures.h
@@ -21,7 +21,8 @@
  * was known. */
 bool closures_set_all(struct closures *closures, int64_t revision,
 		      const char *const *domains, uint32_t count);
-/** One change, the next after what is known. Returns whether it was newer. */
+/** One change, the next after what is known; several may have one revision, as
+ * they were made together. Returns whether it was not older. */
 bool closures_set(struct closures *closures, int64_t revision,
 		  const char *domain, bool closed);
 bool closures_has(const struct closures *closures, const char *domain);
--- a/tests/evacuation_test.cc
+++ b/tests/evacuation_test.cc
@@ -100,6 +100,27 @@
 	EXPECT_EQ(arrivals(two.b), before);
 }
 
+/* An answer of the service may bring changes in any order. A domain that was
+ * opened when another one was closed stayed closed for good where the answer
+ * had the closing first, and all requests were refused. */
+TEST(Evacuation, TheOrderOfChangesInAnAnswerDoesNotMatter)
+{
+	Domains two;
+	uint32_t before;
+
+	pe_evacuate(two.rig.platform, "b");
+	wait_ms(300);
+	pe_store_fault(two.rig.platform, PE_STORE_DEAF_WATCHES);
+	pe_take_back(two.rig.platform, "b");
+	pe_evacuate(two.rig.platform, "a");
+	pe_store_fault(two.rig.platform, PE_STORE_FINE);
+	wait_ms(1500);
+	before = arrivals(two.a);
+	ask_each(two.rig, 2);
+	EXPECT_EQ(arrivals(two.a), before);
+	EXPECT_GT(arrivals(two.b), 0u);
+}
+
 /* What runs there when it is ordered goes on. */
 TEST(Evacuation, WhatRunsThereIsAnswered)
 {
--- a/tests/warmup_test.cc
+++ b/tests/warmup_test.cc
@@ -44,6 +44,18 @@
 	EXPECT_EQ(it.list(), "");
 }
 
+/* A transaction of an operator has one revision for all that it changes. */
+TEST(Closures, ChangesOfOneRevisionAllCount)
+{
+	Closures it;
+
+	EXPECT_TRUE(it.all(4, { "a" }));
+	EXPECT_TRUE(closures_set(it.it, 7, "a", false));
+	EXPECT_TRUE(closures_set(it.it, 7, "b", true));
+	EXPECT_EQ(it.list(), "b");
+	EXPECT_EQ(closures_revision(it.it), 7);
+}
+
 TEST(Closures, WhatIsOlderChangesNothing)
 {
 	Closures it;
--- a/tools/pe_store.c
+++ b/tools/pe_store.c
@@ -91,25 +91,36 @@
 	answer_json(pe, conn, builder);
 }
 
+static gint newest_first(gconstpointer left, gconstpointer right,
+			 gpointer userdata)
+{
+	struct pe *pe = userdata;
+	const struct pe_item *a = g_hash_table_lookup(pe->items, left);
+	const struct pe_item *b = g_hash_table_lookup(pe->items, right);
+
+	return (a->revision < b->revision) - (a->revision > b->revision);
+}
+
 /* Items under a prefix that changed after a revision, with those that were
- * removed or without; returns how many. */
+ * removed or without; returns how many. The platform promises no order: the
+ * newest stand first. */
 static uint32_t add_items(struct pe *pe, JsonBuilder *builder,
 			  const char *prefix, int64_t after, bool with_removed)
 {
-	GHashTableIter iter;
-	gpointer key;
-	gpointer value;
+	g_autoptr(GList) keys = g_hash_table_get_keys(pe->items);
 	uint32_t count = 0;
 
-	g_hash_table_iter_init(&iter, pe->items);
-	while (g_hash_table_iter_next(&iter, &key, &value)) {
-		const struct pe_item *item = value;
+	keys = g_list_sort_with_data(keys, newest_first, pe);
+	for (GList *at = keys; at; at = at->next) {
+		const struct pe_item *item =
+			g_hash_table_lookup(pe->items, at->data);
 
-		if (!g_str_has_prefix(key, prefix) || item->revision <= after ||
+		if (!g_str_has_prefix(at->data, prefix) ||
+		    item->revision <= after ||
 		    (is_removed(item) && !with_removed))
 			continue;
 		json_builder_begin_object(builder);
-		add_item(builder, key, item);
+		add_item(builder, at->data, item);
 		json_builder_end_object(builder);
 		count++;
 	}
