Soak: a request that came while its entry stood still is read after that stop

The trace: an entry was suspended until 10.51 s, and for a moment again until 11.72; requests of the first stop were read at 10.52 and answered at 13.52, after the route's 3 s (took_us 2,999,388). The check knew the last stop only, and counted them as sent before it.

Each stop is kept now, and a request is read after the one in which it came; what else the check asks is as it was.

--- a/tools/soak_main.c
+++ b/tools/soak_main.c
@@ -86,6 +86,12 @@
 	  "folder for what the entries print; empty: nowhere" },
 };
 
+/* A time in which an entry stood still, or none ran. */
+struct pause {
+	int64_t from_us;
+	int64_t to_us;
+};
+
 struct entry {
 	uint32_t number;
 	char *settings;
@@ -98,6 +104,7 @@
 	/* of the last time that it stood still */
 	int64_t stopped_us;
 	int64_t resumed_us; /* or was started */
+	GArray *pauses;	    /* of struct pause, all that are over */
 };
 
 struct soak {
@@ -197,8 +204,11 @@
 /* It has stood still since then, and goes on now. */
 static void note_resumed(struct entry *entry, int64_t stopped_us)
 {
-	entry->stopped_us = stopped_us;
-	entry->resumed_us = g_get_monotonic_time();
+	const struct pause pause = { stopped_us, g_get_monotonic_time() };
+
+	entry->stopped_us = pause.from_us;
+	entry->resumed_us = pause.to_us;
+	g_array_append_val(entry->pauses, pause);
 }
 
 static void resume(struct entry *entry)
@@ -300,16 +310,30 @@
 	return !strcmp(body, expected->str);
 }
 
+/* When its entry could read it: what came while it stood still, or just before,
+ * is read when it goes on. */
+static int64_t read_us(const struct ask *ask, const GArray *pauses)
+{
+	int64_t at_us = ask->begun_us;
+
+	for (guint i = 0; i < pauses->len; i++) {
+		const struct pause *pause =
+			&g_array_index(pauses, struct pause, i);
+
+		if (at_us + READ_US > pause->from_us && at_us < pause->to_us)
+			at_us = pause->to_us;
+	}
+	return at_us;
+}
+
 /* When its entry had to answer at the latest. Its time goes on while its entry
- * stands still; what came then, or just before, is read only after it. */
+ * stands still, but no answer comes then. */
 static int64_t due_us(const struct ask *ask)
 {
 	const struct entry *entry = &ask->soak->entries[ask->entry];
 
-	if (ask->begun_us + READ_US > entry->stopped_us &&
-	    ask->begun_us < entry->resumed_us)
-		return entry->resumed_us + ROUTE_MAX_US;
-	return MAX(ask->begun_us + ROUTE_MAX_US, entry->resumed_us);
+	return MAX(read_us(ask, entry->pauses) + ROUTE_MAX_US,
+		   entry->resumed_us);
 }
 
 static void judge_time(const struct ask *ask)
@@ -696,6 +720,8 @@
 	start_notices(soak);
 	for (uint32_t i = 0; i < ENTRIES; i++) {
 		soak->entries[i].number = i;
+		soak->entries[i].pauses =
+			g_array_new(FALSE, FALSE, sizeof(struct pause));
 		write_settings(soak, &soak->entries[i]);
 		soak->addresses[i] = soak->entries[i].callers;
 		start_entry(soak, &soak->entries[i]);
@@ -709,6 +735,7 @@
 
 		end_entry(entry, SIGKILL);
 		g_unlink(entry->settings);
+		g_array_unref(entry->pauses);
 		g_free(entry->settings);
 		g_free(entry->callers);
 		g_free(entry->ready);
