Soak: a balancer that stands still when entries are told to end

--balancer=yes: entries are probed each second, callers go to those in rotation, and who was sent to an entry that ends in order gets an answer. Each seed draws the same as without it, but for the entry that a caller is sent to.

--- a/tools/soak_main.c
+++ b/tools/soak_main.c
@@ -10,6 +10,7 @@
 #include "base/lp_settings.h"
 #include "http/http_client.h"
 #include "tools/pe.h"
+#include "tools/soak_balancer.h"
 #include "tools/soak_config.h"
 #include "tools/soak_evacuation.h"
 #include "tools/soak_notices.h"
@@ -48,6 +49,9 @@
 #define ANSWER_SLACK_US (1500 * LP_US_PER_MS)
 /* An entry that is not stopped has read a request by then. */
 #define READ_US (500 * LP_US_PER_MS)
+#define GRACE_US (5 * LP_US_PER_S)
+/* Before the end of its grace time an entry may refuse, then cut. */
+#define GRACE_LAST_US (1500 * LP_US_PER_MS)
 
 struct soak_settings {
 	char *daemon;
@@ -58,6 +62,7 @@
 	int64_t suspend;
 	int64_t evacuate;
 	int64_t notices;
+	int64_t balancer;
 	char *env;
 	char *logs;
 };
@@ -80,6 +85,8 @@
 	  "close failure domains to new work, and open them again" },
 	{ "notices", LP_SETTING_BOOL, FIELD(notices), "no", 0, 0, NULL,
 	  "upstreams say in their answers what they take" },
+	{ "balancer", LP_SETTING_BOOL, FIELD(balancer), "no", 0, 0, NULL,
+	  "callers go where a balancer sends them, which may stand still" },
 	{ "env", LP_SETTING_STRING, FIELD(env), "", 0, 0, NULL,
 	  "NAME=VALUE,... for the program under test" },
 	{ "logs", LP_SETTING_STRING, FIELD(logs), "", 0, 0, NULL,
@@ -99,8 +106,9 @@
 	char *ready;
 	GPid pid;
 	bool paused;
-	bool leaving;	/* got SIGTERM */
-	uint32_t stops; /* how often it was stopped or started */
+	bool leaving;	 /* got SIGTERM, ... */
+	int64_t term_us; /* ... at this time */
+	uint32_t stops;	 /* how often it was stopped or started */
 	/* of the last time that it stood still */
 	int64_t stopped_us;
 	int64_t resumed_us; /* or was started */
@@ -116,9 +124,11 @@
 	struct soak_suspend *suspend;	    /* NULL: likewise */
 	struct soak_evacuation *evacuation; /* NULL: likewise */
 	struct soak_notices *notices;	    /* NULL: likewise */
+	struct soak_balancer *balancer;	    /* NULL: likewise */
 	GPtrArray *upstreams;
 	struct entry entries[ENTRIES];
 	const char *addresses[ENTRIES + 1]; /* of entries, for callers */
+	const char *ready[ENTRIES];	    /* and for the balancer */
 	char *folder;
 	GRand *random;
 	GMainLoop *loop;
@@ -139,7 +149,8 @@
 	char *id;
 	const char *poison; /* what ends who begins it, or NULL */
 	uint32_t entry;
-	uint32_t stops; /* of its entry, when it began */
+	uint32_t stops;	 /* of its entry, when it began */
+	bool sent_there; /* by the balancer, which had it in rotation */
 	int64_t begun_us;
 	struct http_exchange *exchange;
 	guint timer;
@@ -174,10 +185,11 @@
 		"listen.front=%s\nlisten.ready=%s\n"
 		"listen.control=127.0.0.%u:%d\nport_range=%d,%d\n"
 		"seeds=127.0.0.1:1,127.0.0.2:1\nplatform.address=%s\n"
-		"bounds.grace_s=5\nbounds.retry_slack=40\n",
+		"bounds.grace_s=%d\nbounds.retry_slack=40\n",
 		entry->number, entry->number + 1, entry->callers, entry->ready,
 		entry->number + 1, first + 2, first + 3, first + 3,
-		pe_store_address(soak->platform));
+		pe_store_address(soak->platform),
+		(int)(GRACE_US / LP_US_PER_S));
 	g_file_set_contents(entry->settings, text, -1, NULL);
 }
 
@@ -356,6 +368,27 @@
 	       entry->leaving ? ", leaving" : "");
 }
 
+/* An entry that ends in order, in this one life and without standing still,
+ * answers whoever its balancer sent there, until shortly before its time is up.
+ */
+static void judge_planned_end(const struct ask *ask, int error)
+{
+	struct soak *soak = ask->soak;
+	const struct entry *entry = &soak->entries[ask->entry];
+	int64_t since_us = g_get_monotonic_time() - entry->term_us;
+
+	if (!ask->sent_there || !entry->leaving || !error || ask->status ||
+	    !ask->timer || entry->stops != ask->stops || entry->paused ||
+	    soak_suspend_holds(soak->suspend, ask->entry) ||
+	    since_us > GRACE_US - GRACE_LAST_US)
+		return;
+	breach(soak, ask->id, "no answer of an entry that ends in order");
+	printf("it was %s, %s, %d ms after SIGTERM, begun %d ms before\n",
+	       targets[ask->kind], lp_strerror(error),
+	       (int)(since_us / LP_US_PER_MS),
+	       (int)((g_get_monotonic_time() - ask->begun_us) / LP_US_PER_MS));
+}
+
 static void judge(struct ask *ask, int error)
 {
 	struct soak *soak = ask->soak;
@@ -371,6 +404,7 @@
 	else
 		soak->failed++;
 	judge_time(ask);
+	judge_planned_end(ask, error);
 	if (!error && ask->status == 200 && !whole) {
 		breach(soak, ask->id, "a success without the whole answer");
 		printf("it was %s: %s\n", targets[ask->kind], ask->body->str);
@@ -462,12 +496,14 @@
 static gboolean on_ask_timer(gpointer userdata)
 {
 	struct soak *soak = userdata;
-	uint32_t entry = (uint32_t)g_rand_int_range(soak->random, 0, ENTRIES);
+	uint32_t drawn = (uint32_t)g_rand_int_range(soak->random, 0, ENTRIES);
+	uint32_t entry = soak_balancer_choose(soak->balancer, drawn);
 	struct ask *ask = g_new0(struct ask, 1);
 
 	ask->soak = soak;
 	ask->entry = entry;
 	ask->stops = soak->entries[entry].stops;
+	ask->sent_there = soak_balancer_has(soak->balancer, entry);
 	ask->begun_us = g_get_monotonic_time();
 	ask->kind = (enum kind)g_rand_int_range(soak->random, 0, KINDS);
 	ask->id = g_strdup_printf("s%" G_GINT64_FORMAT "-%u",
@@ -536,6 +572,8 @@
 	} else {
 		kill(entry->pid, SIGTERM);
 		entry->leaving = true;
+		entry->term_us = g_get_monotonic_time();
+		soak_balancer_entry_leaves(soak->balancer);
 	}
 }
 
@@ -704,6 +742,17 @@
 	});
 }
 
+static void start_balancer(struct soak *soak)
+{
+	if (!soak->settings.balancer)
+		return;
+	soak->balancer = soak_balancer_create(&(struct soak_balancer_options){
+		.ready = soak->ready,
+		.entries = ENTRIES,
+		.seed = (uint32_t)soak->settings.seed,
+	});
+}
+
 static void start(struct soak *soak)
 {
 	soak->random = g_rand_new_with_seed((guint32)soak->settings.seed);
@@ -724,12 +773,15 @@
 			g_array_new(FALSE, FALSE, sizeof(struct pause));
 		write_settings(soak, &soak->entries[i]);
 		soak->addresses[i] = soak->entries[i].callers;
+		soak->ready[i] = soak->entries[i].ready;
 		start_entry(soak, &soak->entries[i]);
 	}
+	start_balancer(soak);
 }
 
 static void stop(struct soak *soak)
 {
+	soak_balancer_destroy(soak->balancer);
 	for (uint32_t i = 0; i < ENTRIES; i++) {
 		struct entry *entry = &soak->entries[i];
 
@@ -780,6 +832,9 @@
 
 	for (guint i = 0; i < breaches->len; i++)
 		breach(soak, "upstream", g_ptr_array_index(breaches, i));
+	if (soak->balancer)
+		printf("the balancer stood still %u times\n",
+		       soak_balancer_pauses(soak->balancer));
 	printf("seed %" G_GINT64_FORMAT
 	       ": %u requests, %u answered, %u refused, %u failed or cut, "
 	       "%u faults, %u promises broken\n",
