--- a/tests/planned_end_test.cc
+++ b/tests/planned_end_test.cc
@@ -140,6 +140,19 @@
 	EXPECT_TRUE(entry.ends_within(2000));
 }
 
+/* Found by the soak: the balancer had stood still already when the entry was
+ * told to end, and after 3 s without a probe it was taken to have gone. */
+TEST(PlannedEnd, ABalancerThatStoodStillBeforeIsWaitedFor)
+{
+	Entry entry(8);
+
+	ASSERT_EQ(entry.probe(), 503);
+	g_usleep(3500000);
+	kill(entry.pid, SIGTERM);
+	g_usleep(3500000);
+	EXPECT_EQ(entry.call(), 503);
+}
+
 /* A balancer that never probes again does not hold it past its grace time. */
 TEST(PlannedEnd, AnEntryThatNobodyProbesEndsWithinItsGraceTime)
 {
