--- a/entry/entry.c
+++ b/entry/entry.c
@@ -223,11 +223,9 @@
 
 	drain_get_view(entry->drain, &view);
 	lp_log(LP_LOG_INFO, "entry", NULL,
-	       "closed to callers %" G_GINT64_FORMAT
-	       " ms after leaving (%s): probers %u, told %u, informed %u, "
-	       "first "
-	       "told "
-	       "after %" G_GINT64_FORMAT " ms, last probe %" G_GINT64_FORMAT
+	       "closed to callers %" G_GINT64_FORMAT " ms after leaving (%s): "
+	       "%u probers, %u told, %u informed; first told after "
+	       "%" G_GINT64_FORMAT " ms, last probe %" G_GINT64_FORMAT
 	       " ms ago",
 	       view.leaving_for_us / LP_US_PER_MS, drain_state_name(state),
 	       view.probers, view.told, view.informed,
--- a/policy/drain.c
+++ b/policy/drain.c
@@ -3,9 +3,9 @@
 #include <glib.h>
 #include <string.h>
 
-/* Balancers, orchestrators and monitors of one process; of more, the one that
- * was silent longest is forgotten. */
-#define PROBERS_MAX 32
+/* Entries of an agent, or balancers and monitors of an entry; of more, the one
+ * that was silent longest is forgotten. */
+#define PROBERS_MAX 256
 /* "Not ready" answers after which a prober has read one: it probed again. */
 #define ANSWERS_TO_INFORM 2
 
--- a/tests/drain_test.cc
+++ b/tests/drain_test.cc
@@ -181,12 +181,12 @@
 	Leaving entry;
 
 	entry.pass(60000);
-	for (int i = 0; i < 100; i++) {
+	for (int i = 0; i < 400; i++) {
 		entry.pass(1);
 		entry.probe(std::to_string(i).c_str());
 	}
 	entry.begin();
-	for (int i = 68; i < 100; i++) {
+	for (int i = 144; i < 400; i++) {
 		entry.probe(std::to_string(i).c_str());
 		entry.probe(std::to_string(i).c_str());
 	}
