--- a/tests/planned_end_test.cc
+++ b/tests/planned_end_test.cc
@@ -15,8 +15,10 @@
 namespace
 {
 
-constexpr int first_port = 24100;
-constexpr int last_port = 24900;
+/* Tests run side by side, each in a process of its own. */
+constexpr int first_port = 26100;
+constexpr int ports_each = 3;
+constexpr int processes_max = 260;
 constexpr int64_t start_limit_us = 10 * LP_US_PER_S;
 
 /* One request on a connection of its own; the status, 0: no answer. */
@@ -47,7 +49,7 @@
 
 /* Its key-value service is away, so it refuses every request. */
 struct Entry {
-	int port = first_port + getpid() % (last_port - first_port);
+	int port = first_port + getpid() % processes_max * ports_each;
 	std::string settings;
 	GPid pid = 0;
 
