--- a/tools/soak_balancer.c
+++ b/tools/soak_balancer.c
@@ -11,7 +11,6 @@
 #define AT_WORK_ONE_IN 3
 
 struct target {
-	struct soak_balancer *balancer;
 	const char *address;
 	struct http_exchange *probe; /* under way, or NULL */
 	uint32_t status;
@@ -105,10 +104,8 @@
 
 	balancer->count = options->entries;
 	balancer->targets = g_new0(struct target, options->entries);
-	for (uint32_t i = 0; i < options->entries; i++) {
-		balancer->targets[i].balancer = balancer;
+	for (uint32_t i = 0; i < options->entries; i++)
 		balancer->targets[i].address = options->ready[i];
-	}
 	balancer->random = g_rand_new_with_seed(options->seed);
 	balancer->timer = g_timeout_add(PROBE_MS, on_timer, balancer);
 	return balancer;
