--- a/base/lp_counter.c
+++ b/base/lp_counter.c
@@ -1,5 +1,7 @@
 #include "base/lp_counter.h"
 
+#include <string.h>
+
 struct lp_counters {
 	GTree *cells; /* "name{labels}" to int64_t */
 };
@@ -52,3 +54,40 @@
 {
 	g_tree_foreach(counters->cells, print_cell, out);
 }
+
+struct summary {
+	const char *name;
+	GString *out;
+};
+
+static void append_without_quotes(GString *out, const char *labels)
+{
+	for (; *labels && *labels != '}'; labels++)
+		if (*labels != '"')
+			g_string_append_c(out, *labels);
+}
+
+static gboolean summarize_cell(gpointer key, gpointer value, gpointer userdata)
+{
+	struct summary *summary = userdata;
+	size_t length = strlen(summary->name);
+	const char *labels = (const char *)key + length;
+
+	if (!g_str_has_prefix(key, summary->name) || *labels != '{' ||
+	    !*(int64_t *)value)
+		return FALSE;
+	if (summary->out->len)
+		g_string_append_c(summary->out, ' ');
+	append_without_quotes(summary->out, labels + 1);
+	g_string_append_printf(summary->out, "=%" G_GINT64_FORMAT,
+			       *(int64_t *)value);
+	return FALSE;
+}
+
+void lp_counters_summarize(const struct lp_counters *counters, const char *name,
+			   GString *out)
+{
+	struct summary summary = { name, out };
+
+	g_tree_foreach(counters->cells, summarize_cell, &summary);
+}
--- a/base/lp_counter.h
+++ b/base/lp_counter.h
@@ -18,5 +18,11 @@
 		    const char *labels);
 /** Print every cell, sorted by name. */
 void lp_counters_print(const struct lp_counters *counters, GString *out);
+/**
+ * Append the cells of one counter to `out` as `labels=value`, separated by
+ * blanks and without quotes; cells at 0 are left out.
+ */
+void lp_counters_summarize(const struct lp_counters *counters, const char *name,
+			   GString *out);
 
 #endif
--- a/direct/direct_peers.c
+++ b/direct/direct_peers.c
@@ -3,6 +3,8 @@
 #include "base/lp_id.h"
 #include "base/lp_timer.h"
 
+#include "direct/direct_traffic.h"
+
 #include <string.h>
 
 /* A hello costs one datagram for each peer. A peer that misses three of them is
@@ -77,6 +79,7 @@
 
 struct direct_peers {
 	struct direct_peers_options options;
+	struct direct_traffic *traffic;
 	char *ip;
 	char **seeds;
 	GSocket *socket;
@@ -161,6 +164,8 @@
 		return false;
 	g_variant_store(body, datagram);
 	datagram[size] = kind;
+	direct_traffic_count(peers->traffic, DIRECT_TRAFFIC_SENT, kind,
+			     size + 1);
 	/* A datagram that cannot be sent counts as lost on the way. */
 	g_socket_send_to(peers->socket, peer->address, datagram, size + 1, NULL,
 			 NULL);
@@ -699,6 +704,10 @@
 	const char *type = body_type(peers, kind);
 	GVariant *body = type ? read_body(type, bytes, size - 1) : NULL;
 
+	direct_traffic_count(peers->traffic,
+			     body ? DIRECT_TRAFFIC_RECEIVED
+				  : DIRECT_TRAFFIC_MALFORMED,
+			     kind, size);
 	if (!peer || !body) {
 		if (body)
 			g_variant_unref(body);
@@ -764,6 +773,7 @@
 		return NULL;
 	peers = g_new0(struct direct_peers, 1);
 	peers->options = *options;
+	peers->traffic = direct_traffic_create(options->counters);
 	peers->ip = g_strdup(options->ip);
 	peers->seeds = g_strdupv((char **)options->seeds);
 	peers->socket = socket;
@@ -809,6 +819,7 @@
 	g_array_unref(peers->listeners);
 	g_array_unref(peers->discovery_listeners);
 	g_strfreev(peers->seeds);
+	direct_traffic_destroy(peers->traffic);
 	g_free(peers->ip);
 	g_free(peers);
 }
--- a/direct/direct_peers.h
+++ b/direct/direct_peers.h
@@ -14,6 +14,7 @@
 #define DIRECT_PEERS_H
 
 #include "base/lp_clock.h"
+#include "base/lp_counter.h"
 #include "base/lp_event.h"
 #include "policy/dispatchers.h"
 
@@ -24,7 +25,8 @@
 struct direct_peers_options {
 	const struct lp_clock *clock;
 	struct lp_event_log *log;
-	const char *ip;	       /**< of this entry; copied */
+	struct lp_counters *counters; /**< direct_traffic.h; NULL: none */
+	const char *ip;		      /**< of this entry; copied */
 	uint32_t capacity;     /**< of this entry, in thousandths of a core */
 	int64_t slow_start_us; /**< reduced capacity for so long; 0: 8 s */
 	uint16_t port;	       /**< UDP port, the same on all hosts */
--- a/tests/base_test.cc
+++ b/tests/base_test.cc
@@ -130,3 +130,19 @@
 	g_free(back);
 	g_bytes_unref(zipped);
 }
+TEST(Counter, SummaryHasNonZeroCellsOfOneName)
+{
+	lp_counters *counters = lp_counters_create();
+	GString *out = g_string_new(nullptr);
+
+	*lp_counter(counters, "calls_total",
+		    "purpose=\"watch\",status=\"200\"") = 3;
+	*lp_counter(counters, "calls_total", "purpose=\"range\"") = 1;
+	*lp_counter(counters, "calls_total", "purpose=\"unused\"") = 0;
+	*lp_counter(counters, "calls_total", nullptr) = 9;
+	*lp_counter(counters, "calls_total_bytes", "purpose=\"range\"") = 7;
+	lp_counters_summarize(counters, "calls_total", out);
+	EXPECT_STREQ(out->str, "purpose=range=1 purpose=watch,status=200=3");
+	g_string_free(out, TRUE);
+	lp_counters_destroy(counters);
+}
--- a/tests/direct_rig.h
+++ b/tests/direct_rig.h
@@ -302,6 +302,7 @@
 
 		options.clock = clock;
 		options.log = log;
+		options.counters = counters;
 		options.direct = entry;
 		options.feed = feed;
 		options.address = at.c_str();
@@ -320,6 +321,7 @@
 		seeds.push_back(nullptr);
 		options.clock = clock;
 		options.log = log;
+		options.counters = counters;
 		options.ip = ip;
 		options.capacity = capacity;
 		options.slow_start_us = slow_start_us;
--- a/tests/direct_test.cc
+++ b/tests/direct_test.cc
@@ -597,6 +597,7 @@
 	}));
 	options.clock = lp_clock_boot();
 	options.log = served.log;
+	options.counters = served.counters;
 	options.direct = served.entry;
 	options.feed = served.feed;
 	options.address = "127.0.0.1:21512";
@@ -648,6 +649,7 @@
 
 		options.clock = lp_clock_boot();
 		options.log = rigs[i]->log;
+		options.counters = rigs[i]->counters;
 		options.direct = rigs[i]->entry;
 		options.feed = rigs[i]->feed;
 		options.address = at.c_str();
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -761,6 +761,24 @@
 	EXPECT_EQ(members[0]->named_ips.size(), (size_t)count);
 }
 
+/* Traffic between entries is counted by kind, malformed datagrams apart. */
+TEST(Relay, DatagramsAreCountedByKind)
+{
+	EntryWithFakePeer setup;
+	auto count = [&](const char *labels) {
+		return *lp_counter(setup.rig.counters,
+				   "linepier_peer_datagrams_total", labels);
+	};
+
+	setup.fake.send_hello(50);
+	setup.fake.send('A', g_variant_new("(s)", "not an ask"));
+	ASSERT_TRUE(run_loop_until([&] {
+		return count("direction=\"malformed\",kind=\"A\"") == 1;
+	}));
+	EXPECT_GE(count("direction=\"received\",kind=\"H\""), 1);
+	EXPECT_GE(count("direction=\"sent\",kind=\"H\""), 1);
+}
+
 /* Datagrams that cannot be read must have no effect. */
 TEST(Relay, MalformedDatagramsAreIgnored)
 {
