A bounded number of entries call the key-value service for the fleet

Cause: each entry watched the configuration, read the list of upstreams when it started and polled whenever no announcement had reached it. Calls thus grew with the fleet, and faster than it: while an announcement was on its way to 385 entries, a hundred others polled as well.

Change: members rank themselves (policy/store_reader); the first eight, strong ones before weak ones, watch and poll, and report to all when their watch is answered. A report carries the version, the rank, and the hash and age of the list. Others take over when no report or list has come for too long: the waits grow with the logarithm of the rank, so a fleet of any size begins with a few takeovers. An entry that took over stops once eight better readers report. An entry that starts takes everything from a member; only those that the settings name as seeds call at once. A configuration that came from a peer is announced to eight random peers instead of all.

--- a/direct/direct.c
+++ b/direct/direct.c
@@ -293,6 +293,11 @@
 				  closed);
 }
 
+void direct_share_closed_domains(struct direct *direct)
+{
+	direct_closed_domains_share(direct->closed_domains);
+}
+
 bool direct_needs_upstream_list(const struct direct *direct)
 {
 	return pool_needs_reapply(direct->pool);
--- a/direct/direct.h
+++ b/direct/direct.h
@@ -79,6 +79,8 @@
 /** Close or open one failure domain, as of this revision. */
 void direct_set_domain_closed(struct direct *direct, int64_t revision,
 			      const char *domain, bool closed);
+/** Send the closed failure domains to all peers again. */
+void direct_share_closed_domains(struct direct *direct);
 /** Whether the list names an incarnation that seems to have terminated, as
  * when an upstream's clock was set back: the adapter then has to pass the same
  * list again once it has confirmed that the list is unchanged. */
--- a/direct/direct_closed_domains.c
+++ b/direct/direct_closed_domains.c
@@ -64,15 +64,21 @@
 	closed_domains->options.changed(closed_domains->options.userdata);
 }
 
-static void publish_change(struct direct_closed_domains *closed_domains)
+void direct_closed_domains_share(struct direct_closed_domains *closed_domains)
 {
-	report_change(closed_domains, "key_value");
-	if (closed_domains->peers)
+	if (closed_domains->peers &&
+	    closed_domains_is_known(closed_domains->state))
 		direct_peers_send_all(closed_domains->peers,
 				      KIND_CLOSED_DOMAINS,
 				      write_closed_domains(closed_domains));
 }
 
+static void publish_change(struct direct_closed_domains *closed_domains)
+{
+	report_change(closed_domains, "key_value");
+	direct_closed_domains_share(closed_domains);
+}
+
 static void on_peer_closed_domains(void *userdata, uint64_t peer,
 				   GVariant *body)
 {
--- a/direct/direct_closed_domains.h
+++ b/direct/direct_closed_domains.h
@@ -43,6 +43,9 @@
 void direct_closed_domains_set(struct direct_closed_domains *closed_domains,
 			       int64_t revision, const char *domain,
 			       bool closed);
+/** Send the current set, if it is known, to all peers: they may have missed a
+ * change. */
+void direct_closed_domains_share(struct direct_closed_domains *closed_domains);
 /** The current set; borrowed. */
 const struct closed_domains *
 direct_closed_domains_known(const struct direct_closed_domains *closed_domains);
--- a/direct/direct_peers.c
+++ b/direct/direct_peers.c
@@ -20,6 +20,9 @@
 /* Peers named in one hello; the next hello names those after them. */
 #define NAMES_PER_HELLO 40
 #define DATAGRAMS_PER_ITERATION 32
+/* Peers that get a hello at once when this entry got a configuration from a
+ * peer: enough for each version to spread in a few rounds. */
+#define HELLO_SAMPLE 8
 /* A suspected peer gets no work for this long, nor before a datagram of it has
  * been received again. */
 #define SUSPECT_US (2 * LP_US_PER_S)
@@ -44,10 +47,14 @@
 #define KIND_PROBE 'S' /* liveness probe; answered by a hello */
 #define KIND_UNREACHABLE 'U'
 #define KIND_UPSTREAM_LIST 'L'
+#define KIND_WATCH 'Y'		  /* the sender reads the key-value service */
 #define UPSTREAM_LIST_TYPE "(tx)" /* hash, us since the list was requested */
 /* configuration version, IPs of live peers, capacity, start id */
 #define HELLO_TYPE "(xasut)"
 #define PROBE_TYPE "(t)"
+/* configuration version, rank of the reader, us since the answer; hash of its
+ * list, us since that was read */
+#define WATCH_TYPE "(xuxtx)"
 #define UNREACHABLE_TYPE "(tx)" /* upstream's incarnation, us to eject it */
 
 struct peer {
@@ -312,11 +319,44 @@
 	return G_SOURCE_CONTINUE;
 }
 
+static GPtrArray *live_peers(const struct direct_peers *peers)
+{
+	GPtrArray *live = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, peers->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (is_alive(peers, value))
+			g_ptr_array_add(live, value);
+	return live;
+}
+
+/* Sends hellos to live peers chosen at random, some possibly twice. */
+static void send_hello_sample(struct direct_peers *peers)
+{
+	g_autoptr(GPtrArray) live = live_peers(peers);
+	g_autoptr(GVariant) hello = write_hello(peers);
+
+	for (uint32_t i = 0; i < MIN(live->len, HELLO_SAMPLE); i++) {
+		guint at = live->len <= HELLO_SAMPLE
+				   ? i
+				   : (guint)g_random_int_range(
+					     0, (gint32)live->len);
+
+		send_datagram(peers, g_ptr_array_index(live, at), KIND_HELLO,
+			      hello);
+	}
+}
+
 void direct_peers_set_config_version(struct direct_peers *peers,
-				     int64_t version)
+				     int64_t version, bool to_all)
 {
 	peers->config_version = version;
-	send_hellos(peers);
+	if (to_all)
+		send_hellos(peers);
+	else
+		send_hello_sample(peers);
 }
 
 void direct_peers_set_ready(struct direct_peers *peers, bool is_ready)
@@ -362,6 +402,17 @@
 					    (gint64)age_us));
 }
 
+void direct_peers_report_watch(struct direct_peers *peers,
+			       const struct direct_peers_watch_report *report)
+{
+	direct_peers_send_all(
+		peers, KIND_WATCH,
+		g_variant_new(WATCH_TYPE, (gint64)peers->config_version,
+			      (guint32)report->rank, (gint64)report->age_us,
+			      (guint64)report->list_hash,
+			      (gint64)report->list_age_us));
+}
+
 static bool may_get_work(const struct direct_peers *peers,
 			 const struct peer *peer)
 {
@@ -641,6 +692,27 @@
 					age_us);
 }
 
+static void handle_watch(struct direct_peers *peers, const struct peer *from,
+			 GVariant *body)
+{
+	gint64 version;
+	guint32 rank;
+	gint64 age_us;
+	guint64 list_hash;
+	gint64 list_age_us;
+
+	g_variant_get(body, WATCH_TYPE, &version, &rank, &age_us, &list_hash,
+		      &list_age_us);
+	peers->options.on_watch_report(peers->options.userdata, from->hash,
+				       rank, age_us);
+	peers->options.on_config_version(peers->options.userdata, from->ip,
+					 version);
+	if (list_hash)
+		peers->options.on_upstream_list(peers->options.userdata,
+						from->ip, list_hash,
+						list_age_us);
+}
+
 static const struct listener *listener_of(const struct direct_peers *peers,
 					  char kind)
 {
@@ -668,6 +740,8 @@
 		return UNREACHABLE_TYPE;
 	case KIND_UPSTREAM_LIST:
 		return UPSTREAM_LIST_TYPE;
+	case KIND_WATCH:
+		return WATCH_TYPE;
 	default:
 		return listener ? listener->type : NULL;
 	}
@@ -722,6 +796,8 @@
 		handle_unreachable(peers, body);
 	else if (kind == KIND_UPSTREAM_LIST)
 		handle_upstream_list(peers, peer, body);
+	else if (kind == KIND_WATCH)
+		handle_watch(peers, peer, body);
 	else
 		pass_to_listener(peers, peer, kind, body);
 	g_variant_unref(body);
--- a/direct/direct_peers.h
+++ b/direct/direct_peers.h
@@ -38,6 +38,11 @@
 	 * list. */
 	void (*on_upstream_list)(void *userdata, const char *ip, uint64_t hash,
 				 int64_t age_us);
+	/** A peer reports that the key-value service has answered its watch;
+	 * `rank`: the peer's rank among the readers of the service. Its list of
+	 * upstreams follows by on_upstream_list, if it has one. */
+	void (*on_watch_report)(void *userdata, uint64_t peer, uint32_t rank,
+				int64_t age_us);
 	/** A peer's hello: the configuration version that it has in force. */
 	void (*on_config_version)(void *userdata, const char *ip,
 				  int64_t version);
@@ -48,9 +53,10 @@
 struct direct_peers *
 direct_peers_create(const struct direct_peers_options *options);
 void direct_peers_destroy(struct direct_peers *peers);
-/** Set the configuration version in hellos, and send one at once. */
+/** Set the configuration version in hellos, and send one at once: to all peers,
+ * or to a few that are chosen at random. */
 void direct_peers_set_config_version(struct direct_peers *peers,
-				     int64_t version);
+				     int64_t version, bool to_all);
 /** Whether this entry can take work of peers; false at first. A change is sent
  * at once. */
 void direct_peers_set_ready(struct direct_peers *peers, bool is_ready);
@@ -64,6 +70,18 @@
  * ago; `hash`: of the list. */
 void direct_peers_report_upstream_list(struct direct_peers *peers,
 				       uint64_t hash, int64_t age_us);
+/** What a reader of the key-value service reports. */
+struct direct_peers_watch_report {
+	uint32_t rank;	     /**< this entry's, among the readers */
+	int64_t age_us;	     /**< since the service answered its watch */
+	uint64_t list_hash;  /**< of its list of upstreams; 0: none */
+	int64_t list_age_us; /**< since that list was read */
+};
+
+/** Report to live peers that the key-value service has answered this entry's
+ * watch. */
+void direct_peers_report_watch(struct direct_peers *peers,
+			       const struct direct_peers_watch_report *report);
 /** Append this entry and the peers that may get work to `out`, of struct
  * dispatchers_member. */
 void direct_peers_members(const struct direct_peers *peers, GArray *out);
--- a/direct/direct_quarantine.c
+++ b/direct/direct_quarantine.c
@@ -529,7 +529,8 @@
 void direct_quarantine_restore(struct direct_quarantine *quarantine,
 			       const struct quarantine_termination *termination)
 {
-	record_termination(quarantine, termination, 0);
+	if (record_termination(quarantine, termination, 0))
+		broadcast(quarantine, termination_report(termination));
 }
 
 /* ---- operators ---- */
--- a/policy/watch_keeper.c
+++ b/policy/watch_keeper.c
@@ -46,17 +46,30 @@
 	bool was_unreachable = keeper->unreachable;
 
 	keeper->unreachable = false;
-	if (!was_unreachable)
+	if (!was_unreachable || keeper->state == WATCH_KEEPER_STOPPED)
 		return WATCH_KEEPER_NOTHING;
 	if (keeper->state == WATCH_KEEPER_RUNNING && !is_silent)
 		return WATCH_KEEPER_NOTHING;
 	return start(keeper);
 }
 
+void watch_keeper_stop(struct watch_keeper *keeper)
+{
+	keeper->state = WATCH_KEEPER_STOPPED;
+	keeper->unreachable = false;
+	keeper->failures = 0;
+}
+
+enum watch_keeper_action watch_keeper_resume(struct watch_keeper *keeper)
+{
+	return keeper->state == WATCH_KEEPER_STOPPED ? start(keeper)
+						     : WATCH_KEEPER_NOTHING;
+}
+
 const char *watch_keeper_state_name(const struct watch_keeper *keeper)
 {
-	static const char *const names[] = { "running", "delayed",
-					     "suspended" };
+	static const char *const names[] = { "running", "delayed", "suspended",
+					     "stopped" };
 
 	return names[keeper->state];
 }
--- a/policy/watch_keeper.h
+++ b/policy/watch_keeper.h
@@ -1,13 +1,17 @@
 /**
  * Restarts one watch of a remote service whenever it ends or is lost.
  *
- * The watch is in exactly one of three states, each of which ends by an event
- * that is certain to occur:
+ * While the watch is wanted it is in exactly one of three states, each of which
+ * ends by an event that is certain to occur:
  *
  *   running    until the watch ends
  *   delayed    until the retry timer fires, or the service answers
  *   suspended  until the service answers anything at all
  *
+ * The caller may stop the watch in any state, and start it again later:
+ *
+ *   stopped    until the caller starts the watch
+ *
  * The watch is suspended only while the service is unreachable. The caller
  * probes the service until it answers; until then retries of the watch would
  * only be refused, and refused calls cost money.
@@ -28,6 +32,7 @@
 	WATCH_KEEPER_RUNNING,
 	WATCH_KEEPER_DELAYED,
 	WATCH_KEEPER_SUSPENDED,
+	WATCH_KEEPER_STOPPED,
 };
 
 enum watch_keeper_action {
@@ -58,6 +63,10 @@
  */
 enum watch_keeper_action watch_keeper_on_answer(struct watch_keeper *keeper,
 						bool is_silent);
+/** The caller has ended the watch and removed the retry timer. */
+void watch_keeper_stop(struct watch_keeper *keeper);
+/** The caller wants the watch again; nothing if it was not stopped. */
+enum watch_keeper_action watch_keeper_resume(struct watch_keeper *keeper);
 /** A static string for log lines. */
 const char *watch_keeper_state_name(const struct watch_keeper *keeper);
 
--- a/store/store_kv.h
+++ b/store/store_kv.h
@@ -61,6 +61,9 @@
 		     const struct store_pair *pairs, uint32_t count);
 	/** A new value; on the platform also a key that is gone: value NULL. */
 	void (*changed)(void *userdata, const struct store_pair *pair);
+	/** On the platform: the service has answered, with changes or without.
+	 * May be NULL. */
+	void (*answered)(void *userdata);
 	/** Once, when the watch breaks. */
 	void (*ended)(void *userdata, int error);
 	void *userdata;
