Count a reader's report only once its configuration is in force here

Cause: an entry that hears of readers but cannot fetch from peers kept away from the service for good. Poison.InFleetsOfEachSize showed it: its rigs did not exchange configurations, the calls of 21 entries in one loop failed at the start, and 11 of them never had a configuration.

Change: a report of a version that is not in force here does not put a takeover off. Takeovers begin after 0.3 of the apply time instead of 0.25 and end as before: with eight calls at random phases the longest gap between reports exceeds 0.25 in 6% of all cases, 0.3 in 1.3%. The rigs of the test exchange configurations as the product does; nothing else of it is changed.

--- a/direct/direct_peers.c
+++ b/direct/direct_peers.c
@@ -704,7 +704,7 @@
 	g_variant_get(body, WATCH_TYPE, &version, &rank, &age_us, &list_hash,
 		      &list_age_us);
 	peers->options.on_watch_report(peers->options.userdata, from->hash,
-				       rank, age_us);
+				       rank, version, age_us);
 	peers->options.on_config_version(peers->options.userdata, from->ip,
 					 version);
 	if (list_hash)
--- a/direct/direct_peers.h
+++ b/direct/direct_peers.h
@@ -42,7 +42,7 @@
 	 * `rank`: the peer's rank among the readers of the service. Its list of
 	 * upstreams follows by on_upstream_list, if it has one. */
 	void (*on_watch_report)(void *userdata, uint64_t peer, uint32_t rank,
-				int64_t age_us);
+				int64_t version, int64_t age_us);
 	/** A peer's hello: the configuration version that it has in force. */
 	void (*on_config_version)(void *userdata, const char *ip,
 				  int64_t version);
--- a/policy/store_reader.c
+++ b/policy/store_reader.c
@@ -12,8 +12,8 @@
 #define STRONG_CAPACITY_DIVISOR 2
 /* Parts of the apply time: takeovers begin after the first without a report,
  * and are spread over the second. A read then has half of the time left. */
-#define TAKEOVER_PER_APPLY 4
-#define SPREAD_PER_APPLY 4
+#define TAKEOVER_PER_APPLY 0.3
+#define SPREAD_PER_APPLY 0.2
 /* A member is reading while it reports within this part of the apply time: the
  * duration of a watch call, and some more for its answer. */
 #define ACTIVE_PER_APPLY 0.75
@@ -180,11 +180,10 @@
 
 static int64_t takeover_wait_us(const struct store_reader *reader)
 {
-	int64_t apply_us = reader->options.apply_us;
+	double part =
+		TAKEOVER_PER_APPLY + takeover_place(reader) * SPREAD_PER_APPLY;
 
-	return apply_us / TAKEOVER_PER_APPLY +
-	       (int64_t)(takeover_place(reader) * (double)apply_us /
-			 SPREAD_PER_APPLY);
+	return (int64_t)(part * (double)reader->options.apply_us);
 }
 
 bool store_reader_handle_watch_failure(struct store_reader *reader)
--- a/tests/poison_test.cc
+++ b/tests/poison_test.cc
@@ -579,6 +579,7 @@
 		for (int i = 0; i < size; i++) {
 			ips.push_back("127.0.1." + std::to_string(i + 1));
 			rigs.push_back(std::make_unique<Rig>(platform));
+			rigs[i]->spreads_config = true;
 			rigs[i]->join(ips[i].c_str(), 500, { ips[0] }, 1);
 		}
 		ASSERT_TRUE(run_loop_until([&] {
@@ -599,6 +600,7 @@
 
 				rigs[at].reset();
 				rigs[at] = std::make_unique<Rig>(platform);
+				rigs[at]->spreads_config = true;
 				rigs[at]->join(ips[at].c_str(), 500,
 					       { ips[(at + 1) % size] }, 1);
 			}
--- a/tests/store_reader_fleet_test.cc
+++ b/tests/store_reader_fleet_test.cc
@@ -59,6 +59,7 @@
 		entries.back()->join(ip.c_str(), 500,
 				     { "127.0.0.1", "127.0.0.2" },
 				     slow_start_us);
+		plf_kv_set_wait(entries.back()->kv, LP_US_PER_S, true);
 		return *entries.back();
 	}
 	bool all_ready()
@@ -196,6 +197,22 @@
 		  (size_t)fleet_size - STORE_READER_COUNT);
 }
 
+/* Reports of a version that a member cannot fetch do not keep it from reading
+ * the service: here the peers' fetches are off. */
+TEST(StoreReaderFleet, EntryThatCannotFetchFromPeersReadsTheService)
+{
+	ReaderFleet fleet;
+	Rig *cut = nullptr;
+
+	for (auto &rig : fleet.entries)
+		if (!plf_feed_is_watching(rig->feed))
+			cut = rig.get();
+	ASSERT_NE(cut, nullptr);
+	cut->spreads_config = false;
+	fleet.set_config(2);
+	EXPECT_TRUE(run_loop_until([&] { return fleet.all_have(2); }, 2000));
+}
+
 /* No member runs: an entry that is no bootstrap reader, and whose seeds are
  * silent, reads the service itself. */
 TEST(StoreReaderFleet, EntryWithoutMembersReadsTheService)
