Periodic hellos name new peers instead of forty

Cause: each entry sends each other one hello a second, and each named forty peers that nearly all knew.

Change: a periodic hello names each peer that was discovered lately, twice, and two others in turn in case hellos were lost. A hello to a single new peer names forty as before, from a random one on.

Measured: Relay.HellosAtRestNameFewPeers (60 peers) is red before, 500 bytes a hello of 60 peers; now below 100. Relay.HellosOfLargeFleetNameAllPeersInTurn holds unchanged.

--- a/direct/direct_peers.c
+++ b/direct/direct_peers.c
@@ -17,8 +17,13 @@
 #define LIVENESS_TIMEOUT_US (3500 * LP_US_PER_MS)
 /* Enough for work with many inputs or results; larger bodies are not sent. */
 #define DATAGRAM_MAX 8192
-/* Peers named in one hello; the next hello names those after them. */
+/* Peers named in a hello to one peer; the next such hello names those after
+ * them. */
 #define NAMES_PER_HELLO 40
+/* Periodic hellos name each newly discovered peer so often, ... */
+#define NAMINGS 2
+/* ... and so many others in turn, in case hellos that named them were lost. */
+#define NAMES_IN_TURN 2
 #define DATAGRAMS_PER_ITERATION 32
 /* Peers that get a hello at once when this entry got a configuration from a
  * peer: enough for each version to spread in a few rounds. */
@@ -66,8 +71,9 @@
 	int64_t received_us; /* last datagram of any kind from it */
 	int64_t probed_us;   /* last liveness probe sent to it */
 	int64_t suspect_until_us;
-	uint32_t capacity; /* in thousandths of a core */
-	uint64_t start_id; /* random, changes with each start */
+	uint32_t capacity;     /* in thousandths of a core */
+	uint64_t start_id;     /* random, changes with each start */
+	uint32_t namings_left; /* in periodic hellos */
 };
 
 /* Handler of the datagrams of a kind. */
@@ -94,7 +100,7 @@
 	guint hello_timer;
 	guint initial_timer; /* 0: the initial hellos have been sent */
 	uint32_t initial_hellos;
-	uint32_t next_name;  /* first peer that the next hello names */
+	uint32_t next_name;  /* first peer that the next hello names in turn */
 	GHashTable *peers;   /* ip -> struct peer */
 	GHashTable *by_hash; /* hash -> struct peer */
 	GHashTable *known; /* ip -> int64_t: last hello, or when first named */
@@ -195,36 +201,82 @@
 		       : capacity;
 }
 
-/* IPs of the live peers, borrowed. */
-static GPtrArray *live_ips(const struct direct_peers *peers)
+static GPtrArray *live_peers(const struct direct_peers *peers)
 {
-	GPtrArray *ips = g_ptr_array_new();
+	GPtrArray *live = g_ptr_array_new();
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, peers->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		if (is_alive(peers, value))
-			g_ptr_array_add(ips, ((struct peer *)value)->ip);
-	return ips;
+			g_ptr_array_add(live, value);
+	return live;
+}
+
+static GVariant *write_hello(const struct direct_peers *peers,
+			     GVariantBuilder *names)
+{
+	return g_variant_ref_sink(
+		g_variant_new(HELLO_TYPE, (gint64)peers->config_version, names,
+			      own_capacity(peers), (guint64)peers->start_id));
 }
 
-/* The periodic hello begins to name peers where the one before ended, so that
- * all are named in turn, however many there are. */
-static GVariant *write_hello(struct direct_peers *peers)
+/* Names up to `max` live peers, beginning with the one at `first`. */
+static void name_in_turn(const GPtrArray *live, uint32_t first, uint32_t max,
+			 GVariantBuilder *names)
 {
-	g_autoptr(GPtrArray) ips = live_ips(peers);
-	uint32_t count = MIN(ips->len, NAMES_PER_HELLO);
+	for (uint32_t i = 0; i < MIN(live->len, max); i++) {
+		const struct peer *peer =
+			g_ptr_array_index(live, (first + i) % live->len);
+
+		g_variant_builder_add(names, "s", peer->ip);
+	}
+}
+
+/* A hello for a peer that may know few others. It names peers from a random one
+ * on, as the order is much the same at all entries. */
+static GVariant *write_full_hello(const struct direct_peers *peers)
+{
+	g_autoptr(GPtrArray) live = live_peers(peers);
 	GVariantBuilder names;
 
 	g_variant_builder_init(&names, G_VARIANT_TYPE("as"));
-	for (uint32_t i = 0; i < count; i++)
-		g_variant_builder_add(&names, "s",
-				      g_ptr_array_index(ips, (peers->next_name +
-							      i) % ips->len));
-	return g_variant_ref_sink(
-		g_variant_new(HELLO_TYPE, (gint64)peers->config_version, &names,
-			      own_capacity(peers), (guint64)peers->start_id));
+	name_in_turn(live, g_random_int(), NAMES_PER_HELLO, &names);
+	return write_hello(peers, &names);
+}
+
+/* Names live peers with this many namings left. Returns how many. */
+static uint32_t name_new(const GPtrArray *live, uint32_t namings_left,
+			 uint32_t max, GVariantBuilder *names)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < live->len && count < max; i++) {
+		struct peer *peer = g_ptr_array_index(live, i);
+
+		if (peer->namings_left != namings_left)
+			continue;
+		peer->namings_left--;
+		g_variant_builder_add(names, "s", peer->ip);
+		count++;
+	}
+	return count;
+}
+
+/* A hello for all peers. They know almost all others: it names those that were
+ * discovered lately, beginning with those that were named the least. */
+static GVariant *write_periodic_hello(const struct direct_peers *peers)
+{
+	g_autoptr(GPtrArray) live = live_peers(peers);
+	uint32_t left = NAMES_PER_HELLO - NAMES_IN_TURN;
+	GVariantBuilder names;
+
+	g_variant_builder_init(&names, G_VARIANT_TYPE("as"));
+	for (uint32_t namings_left = NAMINGS; namings_left; namings_left--)
+		left -= name_new(live, namings_left, left, &names);
+	name_in_turn(live, peers->next_name, NAMES_IN_TURN, &names);
+	return write_hello(peers, &names);
 }
 
 static void add_seeds(struct direct_peers *peers)
@@ -261,7 +313,7 @@
 
 static void send_hellos(struct direct_peers *peers)
 {
-	g_autoptr(GVariant) hello = write_hello(peers);
+	g_autoptr(GVariant) hello = write_periodic_hello(peers);
 	GHashTableIter iter;
 	gpointer value;
 
@@ -273,7 +325,7 @@
 static gboolean on_initial_timer(gpointer userdata)
 {
 	struct direct_peers *peers = userdata;
-	g_autoptr(GVariant) hello = write_hello(peers);
+	g_autoptr(GVariant) hello = write_full_hello(peers);
 	GHashTableIter iter;
 	gpointer value;
 
@@ -311,7 +363,7 @@
 {
 	struct direct_peers *peers = userdata;
 
-	peers->next_name += NAMES_PER_HELLO;
+	peers->next_name += NAMES_IN_TURN;
 	remove_silent(peers);
 	add_seeds(peers);
 	expire_known(peers);
@@ -319,24 +371,11 @@
 	return G_SOURCE_CONTINUE;
 }
 
-static GPtrArray *live_peers(const struct direct_peers *peers)
-{
-	GPtrArray *live = g_ptr_array_new();
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, peers->peers);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		if (is_alive(peers, value))
-			g_ptr_array_add(live, value);
-	return live;
-}
-
 /* Sends hellos to live peers chosen at random, some possibly twice. */
 static void send_hello_sample(struct direct_peers *peers)
 {
 	g_autoptr(GPtrArray) live = live_peers(peers);
-	g_autoptr(GVariant) hello = write_hello(peers);
+	g_autoptr(GVariant) hello = write_full_hello(peers);
 
 	for (uint32_t i = 0; i < MIN(live->len, HELLO_SAMPLE); i++) {
 		guint at = live->len <= HELLO_SAMPLE
@@ -613,7 +652,7 @@
  * dispatch by itself. */
 static void send_hello(struct direct_peers *peers, const struct peer *peer)
 {
-	g_autoptr(GVariant) hello = write_hello(peers);
+	g_autoptr(GVariant) hello = write_full_hello(peers);
 
 	send_datagram(peers, peer, KIND_HELLO, hello);
 }
@@ -646,6 +685,7 @@
 		      &start_id);
 	is_new = !was_alive || from->start_id != start_id;
 	if (!was_alive) {
+		from->namings_left = NAMINGS;
 		peers->discovered_us = from->hello_us;
 		log_discovered(peers, from);
 	}
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -761,6 +761,42 @@
 	EXPECT_EQ(members[0]->named_ips.size(), (size_t)count);
 }
 
+/* Hellos made up nearly all of the traffic between 385 entries, 285 KB a second
+ * for each, as every hello named forty peers that everyone knew. */
+TEST(Relay, HellosAtRestNameFewPeers)
+{
+	const int count = 60;
+	const int64_t bytes_per_hello = 100;
+	Rig rig;
+	std::vector<std::unique_ptr<FakePeer>> members;
+	auto sent = [&](const char *name) {
+		return *lp_counter(rig.counters, name,
+				   "direction=\"sent\",kind=\"H\"");
+	};
+	int64_t datagrams = 0;
+	int64_t bytes = 0;
+
+	rig.join(first_ip, 500, { fake_ip });
+	for (int i = 0; i < count; i++) {
+		std::string ip = "127.0.3." + std::to_string(i + 1);
+
+		members.push_back(std::make_unique<FakePeer>(ip.c_str()));
+	}
+	for (int second = 0; second < 7; second++) {
+		for (auto &member : members)
+			member->send_hello(100);
+		run_loop_until([] { return false; }, 1000);
+		if (second == 4) {
+			datagrams = sent("linepier_peer_datagrams_total");
+			bytes = sent("linepier_peer_datagram_bytes_total");
+		}
+	}
+	datagrams = sent("linepier_peer_datagrams_total") - datagrams;
+	bytes = sent("linepier_peer_datagram_bytes_total") - bytes;
+	EXPECT_GE(datagrams, count);
+	EXPECT_LE(bytes, bytes_per_hello * datagrams);
+}
+
 /* Traffic between entries is counted by kind, malformed datagrams apart. */
 TEST(Relay, DatagramsAreCountedByKind)
 {
