Announce changes of the upstream list instead of having each entry fetch it

Cause: an entry that had read a changed list announced its hash, and each other entry fetched the whole list from it, uncompressed and serialized anew for each. Where the list had changed again before a fetch, or the fetch failed, the entry polled the service itself.

Change: the poll's result is compared with the list before, and the changes are sent with the announcement, up to 4 KB (platform/plf_list_changes). They name the hash that they apply to and are verified by that of the result.

--- a/direct/direct_peers.c
+++ b/direct/direct_peers.c
@@ -52,8 +52,11 @@
 #define KIND_PROBE 'S' /* liveness probe; answered by a hello */
 #define KIND_UNREACHABLE 'U'
 #define KIND_UPSTREAM_LIST 'L'
+#define KIND_LIST_CHANGES 'J'
 #define KIND_WATCH 'Y'		  /* the sender reads the key-value service */
 #define UPSTREAM_LIST_TYPE "(tx)" /* hash, us since the list was requested */
+/* hash before, hash, us since the list was requested, changes */
+#define LIST_CHANGES_TYPE "(ttxs)"
 /* configuration version, IPs of live peers, capacity, start id */
 #define HELLO_TYPE "(xasut)"
 #define PROBE_TYPE "(t)"
@@ -441,6 +444,16 @@
 					    (gint64)age_us));
 }
 
+void direct_peers_report_list_changes(struct direct_peers *peers,
+				      uint64_t previous_hash, uint64_t hash,
+				      int64_t age_us, const char *changes)
+{
+	direct_peers_send_all(
+		peers, KIND_LIST_CHANGES,
+		g_variant_new(LIST_CHANGES_TYPE, (guint64)previous_hash,
+			      (guint64)hash, (gint64)age_us, changes));
+}
+
 void direct_peers_report_watch(struct direct_peers *peers,
 			       const struct direct_peers_watch_report *report)
 {
@@ -732,6 +745,19 @@
 					age_us);
 }
 
+static void handle_list_changes(struct direct_peers *peers, GVariant *body)
+{
+	guint64 previous_hash;
+	guint64 hash;
+	gint64 age_us;
+	const char *changes;
+
+	g_variant_get(body, "(ttx&s)", &previous_hash, &hash, &age_us,
+		      &changes);
+	peers->options.on_list_changes(peers->options.userdata, previous_hash,
+				       hash, age_us, changes);
+}
+
 static void handle_watch(struct direct_peers *peers, const struct peer *from,
 			 GVariant *body)
 {
@@ -780,6 +806,8 @@
 		return UNREACHABLE_TYPE;
 	case KIND_UPSTREAM_LIST:
 		return UPSTREAM_LIST_TYPE;
+	case KIND_LIST_CHANGES:
+		return LIST_CHANGES_TYPE;
 	case KIND_WATCH:
 		return WATCH_TYPE;
 	default:
@@ -836,6 +864,8 @@
 		handle_unreachable(peers, body);
 	else if (kind == KIND_UPSTREAM_LIST)
 		handle_upstream_list(peers, peer, body);
+	else if (kind == KIND_LIST_CHANGES)
+		handle_list_changes(peers, body);
 	else if (kind == KIND_WATCH)
 		handle_watch(peers, peer, body);
 	else
--- a/direct/direct_peers.h
+++ b/direct/direct_peers.h
@@ -38,6 +38,11 @@
 	 * list. */
 	void (*on_upstream_list)(void *userdata, const char *ip, uint64_t hash,
 				 int64_t age_us);
+	/** A peer has read the list of upstreams `age_us` ago, and these are
+	 * the changes since the list with the previous hash. */
+	void (*on_list_changes)(void *userdata, uint64_t previous_hash,
+				uint64_t hash, int64_t age_us,
+				const char *changes);
 	/** A peer reports that the key-value service has answered its watch;
 	 * `rank`: the peer's rank among the readers of the service. Its list of
 	 * upstreams follows by on_upstream_list, if it has one. */
@@ -70,6 +75,12 @@
  * ago; `hash`: of the list. */
 void direct_peers_report_upstream_list(struct direct_peers *peers,
 				       uint64_t hash, int64_t age_us);
+/** Report to live peers how the list of upstreams has changed since the one
+ * with the previous hash; peers that miss it are left to the report of the
+ * list. */
+void direct_peers_report_list_changes(struct direct_peers *peers,
+				      uint64_t previous_hash, uint64_t hash,
+				      int64_t age_us, const char *changes);
 /** What a reader of the key-value service reports. */
 struct direct_peers_watch_report {
 	uint32_t rank;	     /**< this entry's, among the readers */
--- a/tests/cwrap.h
+++ b/tests/cwrap.h
@@ -35,6 +35,7 @@
 #include "platform/plf_feed.h"
 #include "platform/plf_json.h"
 #include "platform/plf_kv.h"
+#include "platform/plf_list_changes.h"
 #include "platform/plf_peer_sync.h"
 #include "platform/plf_quarantine.h"
 #include "platform/plf_records.h"
--- a/tests/direct_rig.h
+++ b/tests/direct_rig.h
@@ -290,14 +290,7 @@
 		};
 		options.watch_answered = on_watch_answered;
 		options.config_taken = on_config_taken;
-		options.list_read = [](void *self, uint64_t hash,
-				       int64_t age_us) {
-			auto *rig = static_cast<Rig *>(self);
-
-			if (rig->peers)
-				direct_peers_report_upstream_list(rig->peers,
-								  hash, age_us);
-		};
+		options.list_read = on_list_read;
 		options.userdata = this;
 		start_quarantine();
 		feed = plf_feed_create(&options);
@@ -328,6 +321,19 @@
 			direct_peers_set_config_version(rig->peers, version,
 							!is_from_peer);
 	}
+	static void on_list_read(void *self, const plf_feed_list *list)
+	{
+		auto *rig = static_cast<Rig *>(self);
+
+		if (!rig->peers)
+			return;
+		if (list->changes)
+			direct_peers_report_list_changes(
+				rig->peers, list->previous_hash, list->hash,
+				list->age_us, list->changes);
+		direct_peers_report_upstream_list(rig->peers, list->hash,
+						  list->age_us);
+	}
 	static void on_watch_answered(void *self)
 	{
 		auto *rig = static_cast<Rig *>(self);
@@ -394,6 +400,15 @@
 				static_cast<Rig *>(self)->peer_sync, from, hash,
 				age_us);
 		};
+		options.on_list_changes = [](void *self, uint64_t previous_hash,
+					     uint64_t hash, int64_t age_us,
+					     const char *changes) {
+			const plf_feed_list list = { hash, age_us,
+						     previous_hash, changes };
+
+			plf_feed_offer_list_changes(
+				static_cast<Rig *>(self)->feed, &list);
+		};
 		options.userdata = this;
 		options.on_config_version = [](void *self, const char *from,
 					       int64_t version) {
--- a/tests/feed_test.cc
+++ b/tests/feed_test.cc
@@ -108,7 +108,7 @@
 		options.direct = rig.entry;
 		options.drain_us = 800000;
 		options.config_taken = [](void *, int64_t, bool) {};
-		options.list_read = [](void *, uint64_t, int64_t) {};
+		options.list_read = [](void *, const plf_feed_list *) {};
 		feed = plf_feed_create(&options);
 	}
 	~ScriptedFeed()
--- a/tests/store_reader_fleet_test.cc
+++ b/tests/store_reader_fleet_test.cc
@@ -159,6 +159,41 @@
 	}
 }
 
+/* Changes of the list are announced with it: each entry fetched a list of a
+ * hundred kilobytes from the one that had polled it, at each change. */
+TEST(StoreReaderFleet, ListChangesAreNotFetched)
+{
+	ReaderFleet fleet;
+	const char labels[] = "target=\"/upstreams/3\",outcome=\"ok\"";
+	auto fetches = [&] {
+		int64_t sum = 0;
+
+		for (auto &rig : fleet.entries)
+			sum += *lp_counter(rig->counters,
+					   "linepier_peer_fetches_total",
+					   labels);
+		return sum;
+	};
+	int64_t before;
+
+	wait_ms(700);
+	before = fetches();
+	for (int i = 0; i < 3; i++) {
+		pe_upstream *added =
+			pe_add(fleet.platform.get(), PE_PLAIN, "plain", "b");
+		const std::string id = pe_name(added);
+
+		EXPECT_TRUE(run_loop_until(
+			[&] { return fleet.all_list(id.c_str(), true); },
+			1000));
+		pe_remove(added);
+		EXPECT_TRUE(run_loop_until(
+			[&] { return fleet.all_list(id.c_str(), false); },
+			1000));
+	}
+	EXPECT_LE(fetches() - before, 3);
+}
+
 /* An entry that starts takes configuration, list and closed domains from a
  * member, and serves at once. */
 TEST(StoreReaderFleet, StartingEntryGetsAllFromMembers)
--- a/tests/upstream_test.cc
+++ b/tests/upstream_test.cc
@@ -281,6 +281,78 @@
 	g_free(text);
 }
 
+/* Changes between lists are small, and lead to the same list. */
+TEST(UpstreamList, ChangesLeadFromOneListToAnother)
+{
+	const std::string head = "linepier-upstreams 3\n";
+	const std::string kept = "i-1 s 10.0.0.1:80 a 6 0 5 0\n";
+	plf_upstream_list *from = plf_upstream_list_parse(
+		(head + kept + "i-2 s 10.0.0.2:80 a 6 0 5 0\n" +
+		 "i%203 s 10.0.0.3:80 a 6 0 5 0\n")
+			.c_str());
+	plf_upstream_list *to = plf_upstream_list_parse(
+		(head + kept + "i-2 s 10.0.0.2:80 a 6 1 5 0\n" +
+		 "i-4 s 10.0.0.4:80 a 6 0 5 0\n")
+			.c_str());
+	plf_upstream_list *other = plf_upstream_list_parse(
+		(head + "i-1 s 10.0.0.1:80 a 7 0 5 0\n").c_str());
+	uint64_t hash = plf_upstream_list_hash(to);
+	char *text;
+
+	ASSERT_TRUE(from && to && other);
+	text = plf_list_changes_write(from, to, 4096);
+	ASSERT_NE(text, nullptr);
+	EXPECT_EQ(strstr(text, "i-1"), nullptr);
+	EXPECT_EQ(plf_list_changes_write(from, to, strlen(text) - 1), nullptr);
+	/* They do not apply to another list, nor to another result. */
+	EXPECT_FALSE(plf_list_changes_apply(other, text, hash));
+	EXPECT_FALSE(plf_list_changes_apply(from, text, hash + 1));
+	EXPECT_EQ(plf_upstream_list_size(from), 3u);
+	EXPECT_TRUE(plf_list_changes_apply(from, text, hash));
+	EXPECT_EQ(plf_upstream_list_hash(from), hash);
+	EXPECT_EQ(plf_upstream_list_size(from), 3u);
+	EXPECT_EQ(plf_upstream_list_find(from, "i 3"), nullptr);
+	EXPECT_TRUE(plf_upstream_list_find(from, "i-2")->draining);
+	plf_upstream_list_destroy(other);
+	plf_upstream_list_destroy(from);
+	plf_upstream_list_destroy(to);
+	g_free(text);
+}
+
+TEST(UpstreamList, RejectsInvalidChanges)
+{
+	const char *const rows[] = {
+		"",
+		"linepier-upstream-changes 1",
+		"linepier-upstream-changes 2\n",
+		"linepier-upstream-changes 1\ni-1\n",
+		"linepier-upstream-changes 1\n+i-1\n",
+		"linepier-upstream-changes 1\n-i-1",
+		"linepier-upstream-changes 1\n-%zz\n",
+		"linepier-upstream-changes 1\n-i-1\n-i-1\n",
+		"linepier-upstream-changes 1\n-i-1\n\n-i-2\n",
+	};
+	plf_upstream_list *list = plf_upstream_list_parse(
+		"linepier-upstreams 3\ni-1 s 10.0.0.1:80 a 6 0 5 0\n");
+	plf_upstream_list *empty =
+		plf_upstream_list_parse("linepier-upstreams 3\n");
+
+	for (const char *row : rows) {
+		EXPECT_FALSE(plf_list_changes_apply(
+			list, row, plf_upstream_list_hash(list)))
+			<< row;
+		EXPECT_FALSE(plf_list_changes_apply(
+			list, row, plf_upstream_list_hash(empty)))
+			<< row;
+	}
+	EXPECT_EQ(plf_upstream_list_size(list), 1u);
+	EXPECT_TRUE(plf_list_changes_apply(
+		list, "linepier-upstream-changes 1\n-i-1\n",
+		plf_upstream_list_hash(empty)));
+	plf_upstream_list_destroy(list);
+	plf_upstream_list_destroy(empty);
+}
+
 /* Text of another format version, or truncated text, is rejected as a
  * whole. */
 TEST(UpstreamList, RejectsInvalidPeerText)
