Readers repeat their report in long pauses

Cause: eight readers' calls last half of the apply time each, and at rest keep their phases. Where these happen to fall into one part of the round, the pause until the next answer exceeds the time after which another entry takes over; it reads, hears the eight again, stops, and so on in each round.

Change: a reader whose watch was answered within 0.3 of the apply time reports again when no reader has reported for 0.2 of it. A reader that is killed or turned away stops reporting as before.

Measured: StoreReader.ReportsAreRepeatedInLongPauses.

--- a/policy/store_reader.c
+++ b/policy/store_reader.c
@@ -17,6 +17,10 @@
 /* A member is reading while it reports within this part of the apply time: the
  * duration of a watch call, and some more for its answer. */
 #define ACTIVE_PER_APPLY 0.75
+/* Parts of the apply time: a report is repeated after the first without any,
+ * for as long as the own watch was answered within the second. */
+#define REPEAT_PER_APPLY 0.2
+#define REPEAT_MAX_PER_APPLY 0.3
 /* Ages of the list, in poll intervals, at which the elected readers poll in the
  * order of their ranks. The first one gets time to announce its result. */
 #define FIRST_READER_AGE 1.1
@@ -158,6 +162,30 @@
 	return count;
 }
 
+void store_reader_handle_answer(struct store_reader *reader)
+{
+	reader->answered_us = now_us(reader);
+	reader->reported_us = reader->answered_us;
+}
+
+static bool is_older(int64_t age_us, double part,
+		     const struct store_reader *reader)
+{
+	return (double)age_us > part * (double)reader->options.apply_us;
+}
+
+bool store_reader_should_repeat_report(struct store_reader *reader)
+{
+	int64_t now = now_us(reader);
+
+	if (!reader->is_watching || !reader->answered_us ||
+	    is_older(now - reader->answered_us, REPEAT_MAX_PER_APPLY, reader) ||
+	    !is_older(now - reader->reported_us, REPEAT_PER_APPLY, reader))
+		return false;
+	reader->reported_us = now;
+	return true;
+}
+
 /* ---- decisions ---- */
 
 /*
--- a/policy/store_reader.h
+++ b/policy/store_reader.h
@@ -22,6 +22,10 @@
  * elect a few readers too many, or take over from each other; none of them is
  * left without news for longer than the takeover time.
  *
+ * The readers' calls may happen to be answered one soon after the other, with a
+ * long pause until the next round. So a reader whose watch was answered lately
+ * reports again when no reader has reported for a while.
+ *
  * Pure: events and the clock in, decisions out. Times are in microseconds.
  */
 #ifndef STORE_READER_H
@@ -71,7 +75,8 @@
 	struct store_reader_options options;
 	struct store_reader_standing standing;
 	struct store_reader_report reports[STORE_READER_REPORTS];
-	int64_t reported_us; /**< latest answer reported, or the start */
+	int64_t reported_us; /**< latest report of any reader, or the start */
+	int64_t answered_us; /**< last answer to the own watch; 0: none */
 	int64_t retry_us;    /**< no takeover before */
 	bool is_watching;
 };
@@ -90,6 +95,10 @@
  * too.
  */
 bool store_reader_handle_watch_failure(struct store_reader *reader);
+/** The own watch was answered, which is reported to all members. */
+void store_reader_handle_answer(struct store_reader *reader);
+/** Whether to report to all members again, although nothing was answered. */
+bool store_reader_should_repeat_report(struct store_reader *reader);
 /** Whether this entry is to watch now. */
 bool store_reader_should_watch(struct store_reader *reader);
 /**
--- a/tests/direct_rig.h
+++ b/tests/direct_rig.h
@@ -288,7 +288,7 @@
 			plf_quarantine_read(
 				static_cast<Rig *>(self)->quarantine);
 		};
-		options.watch_answered = on_watch_answered;
+		options.report_watch = report_watch;
 		options.config_taken = on_config_taken;
 		options.list_read = on_list_read;
 		options.userdata = this;
@@ -334,7 +334,7 @@
 		direct_peers_report_upstream_list(rig->peers, list->hash,
 						  list->age_us);
 	}
-	static void on_watch_answered(void *self)
+	static void report_watch(void *self)
 	{
 		auto *rig = static_cast<Rig *>(self);
 		store_reader_standing standing = {};
--- a/tests/store_reader_test.cc
+++ b/tests/store_reader_test.cc
@@ -187,6 +187,46 @@
 	EXPECT_TRUE(one.should_watch());
 }
 
+/* Guards against takeovers at rest: the calls of eight readers were answered in
+ * one half of each round, and in the other half an entry took over each time.
+ */
+TEST(StoreReader, ReportsAreRepeatedInLongPauses)
+{
+	One reader(3, 100);
+	One other(8, 100);
+	int64_t silent_us = 0;
+
+	EXPECT_TRUE(reader.should_watch());
+	store_reader_handle_answer(&reader.reader);
+	other.report(1, 3);
+	for (; silent_us < apply_us / 2; silent_us += 50000) {
+		EXPECT_FALSE(other.should_watch()) << silent_us;
+		reader.pass(50000);
+		other.pass(50000);
+		if (store_reader_should_repeat_report(&reader.reader))
+			other.report(1, 3);
+	}
+	/* It has had no answer for too long to report again. */
+	reader.pass(apply_us);
+	EXPECT_FALSE(store_reader_should_repeat_report(&reader.reader));
+}
+
+/* An entry that does not watch, or hears others report, does not repeat. */
+TEST(StoreReader, ReportsAreNotRepeatedNeedlessly)
+{
+	One one(20, 100);
+	One reader(3, 100);
+
+	one.pass(apply_us / 4);
+	EXPECT_FALSE(store_reader_should_repeat_report(&one.reader));
+	EXPECT_TRUE(reader.should_watch());
+	store_reader_handle_answer(&reader.reader);
+	reader.pass(apply_us / 8);
+	reader.report(1, 0);
+	reader.pass(apply_us / 8);
+	EXPECT_FALSE(store_reader_should_repeat_report(&reader.reader));
+}
+
 /* Refused calls cost money, too. */
 TEST(StoreReader, FailedTakeoverIsNotRepeatedAtOnce)
 {
@@ -396,6 +436,9 @@
 			entry.is_watching = false;
 			entry.watch++;
 		}
+		if (entry.is_watching &&
+		    store_reader_should_repeat_report(&entry.reader))
+			report(i);
 		after(check_us, [this, i] { check(i); });
 	}
 	bool is_served(const Entry &entry) const
@@ -437,24 +480,35 @@
 	void handle_watch_answer(uint32_t i, int watch)
 	{
 		Entry &entry = entries[i];
-		uint32_t rank = ranks[i];
 		int64_t version = store_version;
-		uint64_t hash = entry.hash;
-		int64_t list_us = entry.list_us;
+
+		bool had_change = version > entry.watched_version;
+		double part = had_change ? 0.05 + 0.95 * drawn() : 1;
 
 		entry.watched_version = version;
 		take(entry, version);
-		send_all(i,
-			 [this, i, hash, rank, version, list_us](uint32_t to) {
-				 take_list(to, list_us);
-				 store_reader_handle_report(&entries[to].reader,
-							    hash, rank, 0);
-				 fetch(to, i, version);
-			 });
+		store_reader_handle_answer(&entry.reader);
+		report(i);
 		calls++;
-		after((int64_t)((0.05 + 0.95 * drawn()) * (double)wait_us),
+		after((int64_t)(part * (double)wait_us),
 		      [this, i, watch] { end_watch_call(i, watch); });
 	}
+	void report(uint32_t i)
+	{
+		uint64_t hash = entries[i].hash;
+		uint32_t rank = ranks[i];
+		int64_t version = entries[i].version;
+		int64_t list_us = entries[i].list_us;
+
+		send_all(i, [this, i, hash, rank, version,
+			     list_us](uint32_t to) {
+			take_list(to, list_us);
+			if (version <= entries[to].version)
+				store_reader_handle_report(&entries[to].reader,
+							   hash, rank, 0);
+			fetch(to, i, version);
+		});
+	}
 	void end_watch_call(uint32_t i, int watch)
 	{
 		Entry &entry = entries[i];
