--- a/tests/slow_link_test.cc
+++ b/tests/slow_link_test.cc
@@ -203,13 +203,17 @@
 	int error = LP_OK;
 	size_t size = 0;
 
-	Fetch(const char *address, const char *target)
+	Fetch(const char *address, const char *target,
+	      const char *accept_encoding = nullptr)
 	{
 		http_fetch_options options = {};
 		http_fields fields;
 
 		http_fields_init(&fields);
 		http_fields_add(&fields, "Host", address);
+		if (accept_encoding)
+			http_fields_add(&fields, "Accept-Encoding",
+					accept_encoding);
 		options.address = address;
 		options.method = "GET";
 		options.target = target;
@@ -284,4 +288,28 @@
 	EXPECT_LT(fetch.size, large_config(2).size() / 10);
 }
 
+/* Each entry of a fleet that starts fetches the list. It is compressed for
+ * those that accept it; entries of an older release do not ask for it. */
+TEST(SlowLink, PeerServesCompressedListIfItIsAccepted)
+{
+	const std::string peer =
+		"127.0.0.1:" + std::to_string(peers_port() + 60);
+	const char target[] = "/upstreams/3";
+	Rig rig;
+
+	for (int i = 0; i < 40; i++)
+		rig.add(PE_PLAIN, "plain");
+	rig.settle();
+	rig.share_with("127.0.0.1");
+	Fetch plain(peer.c_str(), target);
+	Fetch compressed(peer.c_str(), target, "gzip");
+
+	ASSERT_TRUE(run_loop_until(
+		[&] { return plain.done && compressed.done; }, 5000));
+	EXPECT_EQ(plain.error, LP_OK);
+	EXPECT_EQ(compressed.error, LP_OK);
+	EXPECT_GT(plain.size, 40u * 30u);
+	EXPECT_LT(compressed.size, plain.size / 2);
+}
+
 } // namespace
