--- a/tests/store_reader_fleet_test.cc
+++ b/tests/store_reader_fleet_test.cc
@@ -17,18 +17,36 @@
 	std::unique_ptr<pe, void (*)(pe *)> platform{ pe_create(), pe_destroy };
 	std::vector<std::unique_ptr<Rig>> entries;
 
-	ReaderFleet()
+	explicit ReaderFleet(enum pe_store_fault fault = PE_STORE_FINE)
 	{
 		set_config(1);
 		add_upstreams();
+		pe_store_fault(platform.get(), fault);
+		start_all();
+		if (fault == PE_STORE_FINE)
+			settle();
+	}
+	void start_all()
+	{
 		for (int i = 0; i < fleet_size; i++)
 			start(i, i < 2);
+	}
+	void settle()
+	{
 		EXPECT_TRUE(run_loop_until([&] { return all_ready(); }));
 		EXPECT_TRUE(run_loop_until([&] {
 			return all_know(fleet_size) &&
 			       watchers().size() == STORE_READER_COUNT;
 		}));
 	}
+	int64_t calls()
+	{
+		int64_t sum = 0;
+
+		for (auto &rig : entries)
+			sum += calls_of(*rig);
+		return sum;
+	}
 	~ReaderFleet()
 	{
 		const GPtrArray *breaches = pe_breaches(platform.get());
@@ -266,4 +284,63 @@
 		run_loop_until([&] { return direct_ready(rig.entry); }, 1500));
 }
 
+/* ---- faults of the service ---- */
+
+/* The service is away while all entries start. */
+TEST(StoreReaderFleet, AllServeSoonAfterAnOutageInWhichTheyStarted)
+{
+	ReaderFleet fleet(PE_STORE_BUSY);
+
+	wait_ms(3000);
+	pe_store_fault(fleet.platform.get(), PE_STORE_FINE);
+	EXPECT_TRUE(run_loop_until([&] { return fleet.all_ready(); }, 2500));
+}
+
+/* All entries end at once and start again: each has all it needs soon, and the
+ * service gets no more calls than those of the bootstrap readers and of the
+ * elected ones. */
+TEST(StoreReaderFleet, AllServeSoonAfterAllHaveEnded)
+{
+	ReaderFleet fleet;
+
+	fleet.entries.clear();
+	fleet.start_all();
+	EXPECT_TRUE(run_loop_until([&] { return fleet.all_ready(); }, 1000));
+	EXPECT_LE(fleet.calls(), 4 * (STORE_READER_COUNT + 2));
+}
+
+/* The service refuses all for a while, and changes meanwhile. */
+TEST(StoreReaderFleet, ChangeDuringAnOutageIsInForceSoonAfterIt)
+{
+	ReaderFleet fleet;
+
+	pe_store_fault(fleet.platform.get(), PE_STORE_BUSY);
+	wait_ms(2500);
+	fleet.set_config(2);
+	pe_store_fault(fleet.platform.get(), PE_STORE_FINE);
+	EXPECT_TRUE(run_loop_until([&] { return fleet.all_have(2); }, 2000));
+}
+
+/* The service has forgotten all watches: it answers none of them. */
+TEST(StoreReaderFleet, ChangeIsInForceInTimeThoughAllWatchesAreForgotten)
+{
+	ReaderFleet fleet;
+
+	pe_store_fault(fleet.platform.get(), PE_STORE_DEAF_WATCHES);
+	fleet.set_config(2);
+	wait_ms(100);
+	pe_store_fault(fleet.platform.get(), PE_STORE_FINE);
+	EXPECT_TRUE(run_loop_until([&] { return fleet.all_have(2); }, 2000));
+}
+
+/* All open connections to the service go silent for good. */
+TEST(StoreReaderFleet, ChangeIsInForceInTimeThoughAllConnectionsAreSilent)
+{
+	ReaderFleet fleet;
+
+	pe_store_silence(fleet.platform.get());
+	fleet.set_config(2);
+	EXPECT_TRUE(run_loop_until([&] { return fleet.all_have(2); }, 2500));
+}
+
 } // namespace
