Bound the initial hellos to peers that have not answered

Cause: in its first second an entry sends each peer that has not answered a hello of forty names each 100 ms. In a fleet that starts at once nobody can answer for them: each entry sends n hellos ten times and gets as many.

Change: 32 silent peers in turn get one each time; fleets of up to 33 start as before.

--- a/direct/direct_peers.c
+++ b/direct/direct_peers.c
@@ -14,6 +14,9 @@
  * they may have started a little later. */
 #define INITIAL_HELLO_INTERVAL_MS 100
 #define INITIAL_HELLOS 10
+/* Peers that get a hello at each of these times, in turn: in a fleet that
+ * starts at once, hellos to all of them would delay the answers of all. */
+#define INITIAL_HELLO_PEERS 32
 #define LIVENESS_TIMEOUT_US (3500 * LP_US_PER_MS)
 /* Enough for work with many inputs or results; larger bodies are not sent. */
 #define DATAGRAM_MAX 8192
@@ -325,17 +328,32 @@
 		send_datagram(peers, value, KIND_HELLO, hello);
 }
 
-static gboolean on_initial_timer(gpointer userdata)
+/* Peers that have not sent a hello yet. */
+static GPtrArray *silent_peers(const struct direct_peers *peers)
 {
-	struct direct_peers *peers = userdata;
-	g_autoptr(GVariant) hello = write_full_hello(peers);
+	GPtrArray *silent = g_ptr_array_new();
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, peers->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		if (!((struct peer *)value)->hello_us)
-			send_datagram(peers, value, KIND_HELLO, hello);
+		if (!((const struct peer *)value)->hello_us)
+			g_ptr_array_add(silent, value);
+	return silent;
+}
+
+static gboolean on_initial_timer(gpointer userdata)
+{
+	struct direct_peers *peers = userdata;
+	g_autoptr(GVariant) hello = write_full_hello(peers);
+	g_autoptr(GPtrArray) silent = silent_peers(peers);
+	uint32_t first = peers->initial_hellos * INITIAL_HELLO_PEERS;
+
+	for (uint32_t i = 0; i < MIN(silent->len, INITIAL_HELLO_PEERS); i++)
+		send_datagram(
+			peers,
+			g_ptr_array_index(silent, (first + i) % silent->len),
+			KIND_HELLO, hello);
 	if (++peers->initial_hellos < INITIAL_HELLOS)
 		return G_SOURCE_CONTINUE;
 	peers->initial_timer = 0;
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -797,6 +797,31 @@
 	EXPECT_LE(bytes, bytes_per_hello * datagrams);
 }
 
+/* In a fleet of 385 that started at once each entry sent all others that had
+ * not answered yet a hello ten times in a second, and none of them could
+ * answer. */
+TEST(Relay, InitialHellosToManySilentPeersAreBounded)
+{
+	const int count = 200;
+	Rig rig;
+	FakePeer fake;
+	int64_t hellos;
+
+	rig.join(first_ip, 500, { fake_ip });
+	for (int i = 0; i < count; i++) {
+		std::string ip = "127.0.9." + std::to_string(i + 1);
+
+		fake.send_hello(50, ip.c_str());
+	}
+	run_loop_until([] { return false; }, 700);
+	hellos = *lp_counter(rig.counters, "linepier_peer_datagrams_total",
+			     "direction=\"sent\",kind=\"H\"");
+	/* One when each is named, one when this entry is ready, and those of
+	 * ten times. */
+	EXPECT_GE(hellos, count);
+	EXPECT_LE(hellos, 2 * count + 10 * 32);
+}
+
 /* Traffic between entries is counted by kind, malformed datagrams apart. */
 TEST(Relay, DatagramsAreCountedByKind)
 {
