Spread periodic hellos over their interval; name a start once

Cause: an entry sent its hellos to all 384 peers in one burst, always in the same order, and a narrow link dropped the tail of it.

Change: a round of hellos is sent in bursts of 32, spread over the second. A peer is named when its start was not known, not when it returns from a silence; the record of known entries keeps the start for a minute.

Measured: Relay.PeriodicHellosAreSpreadOverTheInterval: the largest burst to 161 peers was 161; Relay.PeersThatReturnAreNotNamedAgain: red where each hello's sender is named again. Both red with the two changes undone.

--- a/direct/direct_peers.c
+++ b/direct/direct_peers.c
@@ -10,6 +10,9 @@
 /* A hello costs one datagram for each peer. A peer that misses three of them is
  * taken as gone: LIVENESS_TIMEOUT_US. */
 #define HELLO_INTERVAL_MS 1000
+/* Periodic hellos are sent in bursts of so many, spread over the interval: a
+ * narrow link drops what exceeds its queue. */
+#define HELLOS_PER_BURST 32
 /* After the start, peers that have not sent a hello yet get ours more often:
  * they may have started a little later. */
 #define INITIAL_HELLO_INTERVAL_MS 100
@@ -82,6 +85,12 @@
 	uint32_t namings_left; /* in periodic hellos */
 };
 
+/* An entry that may be running, also if it is no peer at present. */
+struct known {
+	int64_t at_us;	   /* last hello, or when it was first named */
+	uint64_t start_id; /* of its last hello; 0: none */
+};
+
 /* Handler of the datagrams of a kind. */
 struct listener {
 	char kind;
@@ -104,13 +113,17 @@
 	GSocket *socket;
 	GSource *source;
 	guint hello_timer;
-	guint initial_timer; /* 0: the initial hellos have been sent */
+	GArray *round;	       /* hashes of the peers of this round of hellos */
+	guint round_next;      /* the first of them that got none yet */
+	GVariant *round_hello; /* or NULL */
+	guint burst_timer;     /* 0: the round is complete */
+	guint initial_timer;   /* 0: the initial hellos have been sent */
 	uint32_t initial_hellos;
 	uint32_t next_name;  /* first peer that the next hello names in turn */
 	GHashTable *peers;   /* ip -> struct peer */
 	GHashTable *by_hash; /* hash -> struct peer */
-	GHashTable *known; /* ip -> int64_t: last hello, or when first named */
-	GArray *listeners; /* of struct listener */
+	GHashTable *known;   /* ip -> struct known */
+	GArray *listeners;   /* of struct listener */
 	void (*on_restarted)(void *userdata, uint64_t peer);
 	void *on_restarted_userdata;
 	GArray *discovery_listeners; /* of struct discovery_listener */
@@ -131,12 +144,17 @@
 	g_free(peer);
 }
 
-static void record_known(struct direct_peers *peers, const char *ip)
+/* Returns the record of an entry that is known from now on. */
+static struct known *record_known(struct direct_peers *peers, const char *ip)
 {
-	int64_t now_us = lp_now_us(peers->options.clock);
+	struct known *known = g_hash_table_lookup(peers->known, ip);
 
-	g_hash_table_replace(peers->known, g_strdup(ip),
-			     g_memdup2(&now_us, sizeof(now_us)));
+	if (!known) {
+		known = g_new0(struct known, 1);
+		g_hash_table_insert(peers->known, g_strdup(ip), known);
+	}
+	known->at_us = lp_now_us(peers->options.clock);
+	return known;
 }
 
 static struct peer *get_or_add_peer(struct direct_peers *peers, const char *ip)
@@ -317,6 +335,7 @@
 	}
 }
 
+/* Sends a hello to all peers at once. */
 static void send_hellos(struct direct_peers *peers)
 {
 	g_autoptr(GVariant) hello = write_periodic_hello(peers);
@@ -328,6 +347,69 @@
 		send_datagram(peers, value, KIND_HELLO, hello);
 }
 
+/* ---- rounds of periodic hellos ---- */
+
+static bool is_round_complete(const struct direct_peers *peers)
+{
+	return peers->round_next >= peers->round->len;
+}
+
+/* Sends hellos to the next peers of the round; some may be gone. */
+static void send_burst(struct direct_peers *peers, guint count)
+{
+	for (; count && !is_round_complete(peers); count--) {
+		uint64_t hash = g_array_index(peers->round, uint64_t,
+					      peers->round_next++);
+		const struct peer *peer =
+			g_hash_table_lookup(peers->by_hash, &hash);
+
+		if (peer)
+			send_datagram(peers, peer, KIND_HELLO,
+				      peers->round_hello);
+	}
+}
+
+static gboolean on_burst_timer(gpointer userdata)
+{
+	struct direct_peers *peers = userdata;
+
+	send_burst(peers, HELLOS_PER_BURST);
+	if (!is_round_complete(peers))
+		return G_SOURCE_CONTINUE;
+	peers->burst_timer = 0;
+	return G_SOURCE_REMOVE;
+}
+
+/* A late timer may leave peers of the round before without a hello. */
+static void finish_round(struct direct_peers *peers)
+{
+	if (peers->burst_timer)
+		g_source_remove(peers->burst_timer);
+	peers->burst_timer = 0;
+	send_burst(peers, peers->round->len);
+}
+
+static void begin_round(struct direct_peers *peers)
+{
+	GHashTableIter iter;
+	gpointer value;
+	guint bursts;
+
+	finish_round(peers);
+	g_clear_pointer(&peers->round_hello, g_variant_unref);
+	peers->round_hello = write_periodic_hello(peers);
+	g_array_set_size(peers->round, 0);
+	peers->round_next = 0;
+	g_hash_table_iter_init(&iter, peers->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_array_append_val(peers->round, ((struct peer *)value)->hash);
+	bursts = (peers->round->len + HELLOS_PER_BURST - 1) / HELLOS_PER_BURST;
+	send_burst(peers, HELLOS_PER_BURST);
+	if (bursts > 1)
+		peers->burst_timer = lp_timer_add(HELLO_INTERVAL_MS / bursts,
+						  on_burst_timer, peers);
+}
+
 /* Peers that have not sent a hello yet. */
 static GPtrArray *silent_peers(const struct direct_peers *peers)
 {
@@ -360,9 +442,11 @@
 	return G_SOURCE_REMOVE;
 }
 
-static bool is_known(const struct direct_peers *peers, const int64_t *at_us)
+static bool is_known(const struct direct_peers *peers,
+		     const struct known *known)
 {
-	return lp_now_us(peers->options.clock) - *at_us < KNOWN_RETENTION_US;
+	return lp_now_us(peers->options.clock) - known->at_us <
+	       KNOWN_RETENTION_US;
 }
 
 /* Entries that are still listed as peers are kept. Seeds are added with each
@@ -371,11 +455,11 @@
 {
 	GHashTableIter iter;
 	gpointer ip;
-	gpointer at_us;
+	gpointer known;
 
 	g_hash_table_iter_init(&iter, peers->known);
-	while (g_hash_table_iter_next(&iter, &ip, &at_us))
-		if (!is_known(peers, at_us) &&
+	while (g_hash_table_iter_next(&iter, &ip, &known))
+		if (!is_known(peers, known) &&
 		    !g_hash_table_contains(peers->peers, ip))
 			g_hash_table_iter_remove(&iter);
 }
@@ -388,7 +472,7 @@
 	remove_silent(peers);
 	add_seeds(peers);
 	expire_known(peers);
-	send_hellos(peers);
+	begin_round(peers);
 	return G_SOURCE_CONTINUE;
 }
 
@@ -642,12 +726,12 @@
 uint32_t direct_peers_known_count(const struct direct_peers *peers)
 {
 	GHashTableIter iter;
-	gpointer at_us;
+	gpointer known;
 	uint32_t count = 1;
 
 	g_hash_table_iter_init(&iter, peers->known);
-	while (g_hash_table_iter_next(&iter, NULL, &at_us))
-		count += is_known(peers, at_us);
+	while (g_hash_table_iter_next(&iter, NULL, &known))
+		count += is_known(peers, known);
 	return count;
 }
 
@@ -700,6 +784,18 @@
 		send_hello(peers, peer);
 }
 
+/* A start that was not known is named to the other peers. A peer that was only
+ * silent for a while is known to them. */
+static void note_start(struct direct_peers *peers, struct peer *from,
+		       uint64_t start_id)
+{
+	struct known *known = record_known(peers, from->ip);
+
+	if (known->start_id != start_id)
+		from->namings_left = NAMINGS;
+	known->start_id = start_id;
+}
+
 static void handle_hello(struct direct_peers *peers, struct peer *from,
 			 GVariant *body)
 {
@@ -711,12 +807,11 @@
 	bool is_new;
 
 	from->hello_us = lp_now_us(peers->options.clock);
-	record_known(peers, from->ip);
 	g_variant_get(body, HELLO_TYPE, &version, &names, &from->capacity,
 		      &start_id);
 	is_new = !was_alive || from->start_id != start_id;
+	note_start(peers, from, start_id);
 	if (!was_alive) {
-		from->namings_left = NAMINGS;
 		peers->discovered_us = from->hello_us;
 		log_discovered(peers, from);
 	}
@@ -947,6 +1042,7 @@
 	peers->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
 	peers->known =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	peers->round = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	peers->listeners = g_array_new(FALSE, FALSE, sizeof(struct listener));
 	peers->discovery_listeners =
 		g_array_new(FALSE, FALSE, sizeof(struct discovery_listener));
@@ -974,6 +1070,10 @@
 	g_source_remove(peers->hello_timer);
 	if (peers->initial_timer)
 		g_source_remove(peers->initial_timer);
+	if (peers->burst_timer)
+		g_source_remove(peers->burst_timer);
+	g_clear_pointer(&peers->round_hello, g_variant_unref);
+	g_array_unref(peers->round);
 	g_source_destroy(peers->source);
 	g_source_unref(peers->source);
 	g_object_unref(peers->socket);
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -25,6 +25,7 @@
 	GVariant *last_query = nullptr;	  /* of a placement */
 	uint32_t capacity = 0;		  /* of the last hello */
 	std::set<std::string> named_ips;  /* in any hello */
+	gsize most_names = 0;		  /* in one hello */
 
 	explicit FakePeer(const char *ip = fake_ip)
 	{
@@ -121,6 +122,7 @@
 
 		GVariant *names = g_variant_get_child_value(hello, 1);
 
+		most_names = std::max(most_names, g_variant_n_children(names));
 		for (gsize i = 0; i < g_variant_n_children(names); i++) {
 			const char *name;
 
@@ -822,6 +824,71 @@
 	EXPECT_LE(hellos, 2 * count + 10 * 32);
 }
 
+/* Guards against members that were lost and found every four seconds: the
+ * hellos of a round were sent at once, and the link dropped those to the same
+ * peers each time. */
+TEST(Relay, PeriodicHellosAreSpreadOverTheInterval)
+{
+	const int count = 160;
+	Rig rig;
+	std::vector<std::unique_ptr<FakePeer>> members;
+	auto sent = [&] {
+		return *lp_counter(rig.counters,
+				   "linepier_peer_datagrams_total",
+				   "direction=\"sent\",kind=\"H\"");
+	};
+	int64_t largest_burst = 0;
+	int64_t before;
+	int64_t begin;
+
+	rig.join(first_ip, 500, { fake_ip });
+	for (int i = 0; i < count; i++) {
+		std::string ip = "127.0.3." + std::to_string(i + 1);
+
+		members.push_back(std::make_unique<FakePeer>(ip.c_str()));
+		members[i]->send_hello(100);
+	}
+	run_loop_until([] { return false; }, 1200);
+	begin = before = sent();
+	for (int i = 0; i < 200; i++) {
+		run_loop_until([] { return false; }, 10);
+		largest_burst = std::max(largest_burst, sent() - before);
+		before = sent();
+	}
+	EXPECT_GE(before - begin, count);
+	EXPECT_LE(largest_burst, count / 2);
+}
+
+/* A peer that was silent for a while, and has not restarted, is not named
+ * again: the others know it, and long hellos made more peers seem lost. */
+TEST(Relay, PeersThatReturnAreNotNamedAgain)
+{
+	const int count = 20;
+	Rig rig;
+	FakePeer fake;
+	std::vector<std::unique_ptr<FakePeer>> others;
+
+	rig.join(first_ip, 100, { fake_ip });
+	for (int i = 0; i < count; i++) {
+		std::string ip = "127.0.3." + std::to_string(i + 1);
+
+		others.push_back(std::make_unique<FakePeer>(ip.c_str()));
+	}
+	for (int second = 0; second < 12; second++) {
+		for (auto &other : others)
+			other->send_hello(50);
+		/* Silent for longer than the liveness timeout. */
+		if (second < 2 || second > 7)
+			fake.send_hello(50);
+		run_loop_until([] { return false; }, 1000);
+		others[0]->receive();
+		if (second == 5)
+			others[0]->most_names = 0;
+	}
+	EXPECT_EQ(direct_peers_count(rig.peers), (uint32_t)count + 2);
+	EXPECT_EQ(others[0]->most_names, 2u); /* named in turn */
+}
+
 /* Traffic between entries is counted by kind, malformed datagrams apart. */
 TEST(Relay, DatagramsAreCountedByKind)
 {
