Tell the end of slow start at once, and nothing outdated after it

Cause: since hellos are spread over a second, others learn up to a second late that an entry has left slow start. Also, a round under way went on with the hello written before a change and undid it at those that had just been told.

Change: a hello goes to all when slow start ends. Such hellos to all name two peers only, so that the burst passes a narrow link, and end the round under way.

--- a/direct/direct_peers.c
+++ b/direct/direct_peers.c
@@ -116,8 +116,9 @@
 	GArray *round;	       /* hashes of the peers of this round of hellos */
 	guint round_next;      /* the first of them that got none yet */
 	GVariant *round_hello; /* or NULL */
-	guint burst_timer;     /* 0: the round is complete */
-	guint initial_timer;   /* 0: the initial hellos have been sent */
+	guint slow_start_timer; /* 0: slow start is over */
+	guint burst_timer;	/* 0: the round is complete */
+	guint initial_timer;	/* 0: the initial hellos have been sent */
 	uint32_t initial_hellos;
 	uint32_t next_name;  /* first peer that the next hello names in turn */
 	GHashTable *peers;   /* ip -> struct peer */
@@ -288,6 +289,17 @@
 	return count;
 }
 
+/* A hello that says what has changed here, and names few peers. */
+static GVariant *write_short_hello(const struct direct_peers *peers)
+{
+	g_autoptr(GPtrArray) live = live_peers(peers);
+	GVariantBuilder names;
+
+	g_variant_builder_init(&names, G_VARIANT_TYPE("as"));
+	name_in_turn(live, peers->next_name, NAMES_IN_TURN, &names);
+	return write_hello(peers, &names);
+}
+
 /* A hello for all peers. They know almost all others: it names those that were
  * discovered lately, beginning with those that were named the least. */
 static GVariant *write_periodic_hello(const struct direct_peers *peers)
@@ -335,18 +347,41 @@
 	}
 }
 
-/* Sends a hello to all peers at once. */
+/* Ends the round of periodic hellos under way, whose hello is outdated now. */
+static void cancel_round(struct direct_peers *peers)
+{
+	if (peers->burst_timer)
+		g_source_remove(peers->burst_timer);
+	peers->burst_timer = 0;
+	g_array_set_size(peers->round, 0);
+}
+
+/* Sends a hello to all peers at once, short enough for the burst to pass a
+ * narrow link. */
 static void send_hellos(struct direct_peers *peers)
 {
-	g_autoptr(GVariant) hello = write_periodic_hello(peers);
+	g_autoptr(GVariant) hello = write_short_hello(peers);
 	GHashTableIter iter;
 	gpointer value;
 
+	cancel_round(peers);
 	g_hash_table_iter_init(&iter, peers->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		send_datagram(peers, value, KIND_HELLO, hello);
 }
 
+/* All entries of a fleet that started at once leave slow start at about the
+ * same time. Each tells it at once: whoever seems to be the only strong member
+ * takes over all work. */
+static gboolean on_slow_start_end(gpointer userdata)
+{
+	struct direct_peers *peers = userdata;
+
+	peers->slow_start_timer = 0;
+	send_hellos(peers);
+	return G_SOURCE_REMOVE;
+}
+
 /* ---- rounds of periodic hellos ---- */
 
 static bool is_round_complete(const struct direct_peers *peers)
@@ -1058,6 +1093,9 @@
 	send_hellos(peers);
 	peers->hello_timer =
 		lp_timer_add(HELLO_INTERVAL_MS, on_hello_timer, peers);
+	peers->slow_start_timer = lp_timer_add(
+		(guint)(peers->options.slow_start_us / LP_US_PER_MS) + 1,
+		on_slow_start_end, peers);
 	peers->initial_timer = lp_timer_add(INITIAL_HELLO_INTERVAL_MS,
 					    on_initial_timer, peers);
 	return peers;
@@ -1070,6 +1108,8 @@
 	g_source_remove(peers->hello_timer);
 	if (peers->initial_timer)
 		g_source_remove(peers->initial_timer);
+	if (peers->slow_start_timer)
+		g_source_remove(peers->slow_start_timer);
 	if (peers->burst_timer)
 		g_source_remove(peers->burst_timer);
 	g_clear_pointer(&peers->round_hello, g_variant_unref);
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -859,6 +859,34 @@
 	EXPECT_LE(largest_burst, count / 2);
 }
 
+/* The end of slow start is told at once. Otherwise each entry of a fleet that
+ * started at once seems to itself the only strong one for up to a second, and
+ * takes over all work: 385 entries queried all engines. */
+TEST(Relay, EndOfSlowStartIsToldAtOnce)
+{
+	const int count = 120;
+	Rig rig;
+	std::vector<std::unique_ptr<FakePeer>> members;
+
+	rig.join(first_ip, 400, { fake_ip }, 1500 * LP_US_PER_MS);
+	for (int i = 0; i < count; i++) {
+		std::string ip = "127.0.3." + std::to_string(i + 1);
+
+		members.push_back(std::make_unique<FakePeer>(ip.c_str()));
+		members[i]->send_hello(100);
+	}
+	run_loop_until([] { return false; }, 1400);
+	for (auto &member : members) {
+		member->receive();
+		EXPECT_EQ(member->capacity, 100u);
+	}
+	run_loop_until([] { return false; }, 200);
+	for (auto &member : members) {
+		member->receive();
+		EXPECT_EQ(member->capacity, 400u);
+	}
+}
+
 /* A peer that was silent for a while, and has not restarted, is not named
  * again: the others know it, and long hellos made more peers seem lost. */
 TEST(Relay, PeersThatReturnAreNotNamedAgain)
