--- a/direct/direct_peers.c
+++ b/direct/direct_peers.c
@@ -54,6 +54,10 @@
  * running although no hello arrives. */
 #define KNOWN_RETENTION_US (60 * LP_US_PER_S)
 
+/* A peer whose datagrams pause for longer than this may have been cut off:
+ * hellos come each second, and one of them may be delayed. */
+#define CONTACT_SILENCE_US (1500 * LP_US_PER_MS)
+
 #define KIND_HELLO 'H'
 #define KIND_PROBE 'S' /* liveness probe; answered by a hello */
 #define KIND_UNREACHABLE 'U'
@@ -77,8 +81,9 @@
 	GSocketAddress *address;
 	int64_t added_us; /* when it was seeded, named or first received from */
 	int64_t hello_us; /* last hello from it; 0: none yet */
-	int64_t received_us; /* last datagram of any kind from it */
-	int64_t probed_us;   /* last liveness probe sent to it */
+	int64_t received_us;	  /* last datagram of any kind from it */
+	int64_t contact_since_us; /* no silence of it since then */
+	int64_t probed_us;	  /* last liveness probe sent to it */
 	int64_t suspect_until_us;
 	uint32_t capacity;     /* in thousandths of a core */
 	uint64_t start_id;     /* random, changes with each start */
@@ -770,6 +775,28 @@
 	return count;
 }
 
+bool direct_peers_had_contact_since(const struct direct_peers *peers,
+				    int64_t since_us)
+{
+	int64_t now_us = lp_now_us(peers->options.clock);
+	uint32_t known = direct_peers_known_count(peers);
+	uint32_t in_contact = 1;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (known == 1)
+		return !peers->discovered_us;
+	g_hash_table_iter_init(&iter, peers->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct peer *peer = value;
+
+		if (peer->received_us && peer->contact_since_us <= since_us &&
+		    now_us - peer->received_us <= CONTACT_SILENCE_US)
+			in_contact++;
+	}
+	return 2 * in_contact >= known && in_contact > 1;
+}
+
 uint64_t direct_peers_own_hash(const struct direct_peers *peers)
 {
 	return lp_hash_str(peers->ip);
@@ -983,6 +1010,15 @@
 		listener->handler(listener->userdata, from->hash, body);
 }
 
+static void note_received(struct direct_peers *peers, struct peer *peer)
+{
+	int64_t now_us = lp_now_us(peers->options.clock);
+
+	if (now_us - peer->received_us > CONTACT_SILENCE_US)
+		peer->contact_since_us = now_us;
+	peer->received_us = now_us;
+}
+
 static void handle_datagram(struct direct_peers *peers, GSocketAddress *source,
 			    const char *bytes, gsize size)
 {
@@ -1003,7 +1039,7 @@
 			g_variant_unref(body);
 		return;
 	}
-	peer->received_us = lp_now_us(peers->options.clock);
+	note_received(peers, peer);
 	if (kind == KIND_HELLO)
 		handle_hello(peers, peer, body);
 	else if (kind == KIND_PROBE)
--- a/direct/direct_peers.h
+++ b/direct/direct_peers.h
@@ -141,6 +141,13 @@
 /** Number of members that may be running although they are silent: all that
  * sent a hello or were first named in the last minute, this entry included. */
 uint32_t direct_peers_known_count(const struct direct_peers *peers);
+/**
+ * Whether this entry and peers that make up at least half of the known entries
+ * have received each other's datagrams without a long pause since then. True if
+ * no other entry was ever known.
+ */
+bool direct_peers_had_contact_since(const struct direct_peers *peers,
+				    int64_t since_us);
 /** Hash of this entry's IP, which names it among the members. */
 uint64_t direct_peers_own_hash(const struct direct_peers *peers);
 
