Retry-After follows the duration of an outage

Callers retry once. The wait is now about as long as the outage has lasted so far, from 0.1 to 2.5 s and spread by half, for entries without a configuration and for services of which no upstream is listed.

--- a/direct/direct.c
+++ b/direct/direct.c
@@ -114,6 +114,7 @@
 		return NULL;
 	}
 	direct->options = *options;
+	direct->started_us = lp_now_us(options->clock);
 	direct->domain = g_strdup(options->domain);
 	direct->pool = pool_create(options->clock, options->domain);
 	pool_set_restart_callback(direct->pool, on_upstream_restarted, direct);
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -51,6 +51,7 @@
 	struct pool *pool;
 	bool has_upstreams;
 	int64_t upstreams_updated_us; /* time of the last list */
+	int64_t started_us;
 	int64_t shutdown_us;	      /* planned termination; 0: none */
 	struct retry_budget *retry_budget;
 	struct direct_closed_domains *closed_domains;
--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -5,6 +5,7 @@
 #include "base/lp_id.h"
 #include "base/lp_timer.h"
 #include "policy/admission.h"
+#include "policy/outage_wait.h"
 
 #include <string.h>
 
@@ -132,6 +133,13 @@
 		direct_request_reply_locally(request, 503, retry_after_us, why);
 }
 
+int64_t direct_request_recovery_wait_us(const struct direct_request *request)
+{
+	return outage_wait_us(direct_request_now_us(request) -
+				      request->direct->started_us,
+			      lp_hash_str(request->id));
+}
+
 void direct_request_abort(struct direct_request *request, const char *why)
 {
 	direct_sending_end(request, POOL_UNDETERMINED);
@@ -462,7 +470,8 @@
 
 	request->id = g_strdup(request->info.id ? request->info.id : "");
 	if (!direct_ready(direct))
-		direct_request_refuse(request, DIRECT_RETRY_AFTER_STARTING_US,
+		direct_request_refuse(request,
+				      direct_request_recovery_wait_us(request),
 				      "not_configured");
 	else if (!readable)
 		direct_request_reply_locally(request, 400, 0, "unreadable");
--- a/direct/direct_request.h
+++ b/direct/direct_request.h
@@ -16,9 +16,6 @@
 /** Retry-After of an entry that shuts down: another entry can admit the request
  * at once. */
 #define DIRECT_RETRY_AFTER_DRAINING_US (20 * LP_US_PER_MS)
-/** Retry-After of an entry that has just started: it is configured within about
- * 100 ms. */
-#define DIRECT_RETRY_AFTER_STARTING_US (100 * LP_US_PER_MS)
 /** Retry-After where no upstream has capacity: a full queue drains within about
  * one call. */
 #define DIRECT_RETRY_AFTER_FULL_US (250 * LP_US_PER_MS)
@@ -111,6 +108,9 @@
  * sendings may have run. Frees it. */
 void direct_request_refuse(struct direct_request *request,
 			   int64_t retry_after_us, const char *why);
+/** Retry-After of a request that this entry cannot serve since it has started:
+ * it is not configured, or knows no upstream of a service. */
+int64_t direct_request_recovery_wait_us(const struct direct_request *request);
 /** Abort an answer that has begun, so that the caller sees it to be incomplete.
  * Frees the request. */
 void direct_request_abort(struct direct_request *request, const char *why);
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -632,6 +632,18 @@
 	http_fields_clear(&fields);
 }
 
+/* Time until an upstream can be expected where none can take the request. If
+ * none is listed, those of the service have not registered yet since the entry
+ * has started, or again after an outage. */
+static int64_t unplaced_wait_us(const struct direct_request *request)
+{
+	const GPtrArray *listed =
+		pool_service_upstreams(request->direct->pool, request->service);
+
+	return listed && listed->len ? DIRECT_RETRY_AFTER_FULL_US
+				     : direct_request_recovery_wait_us(request);
+}
+
 /* Refuses a request that no upstream can take. `wait_us`: time until one can;
  * 0: unknown. */
 static void refuse_unplaced(struct direct_request *request, int64_t wait_us)
@@ -642,7 +654,7 @@
 		direct_request_abort(request, why);
 	else
 		direct_request_refuse(
-			request, wait_us ? wait_us : DIRECT_RETRY_AFTER_FULL_US,
+			request, wait_us ? wait_us : unplaced_wait_us(request),
 			why);
 }
 
--- a/tests/cwrap.h
+++ b/tests/cwrap.h
@@ -59,6 +59,7 @@
 #include "policy/incarnations.h"
 #include "policy/lost_requests.h"
 #include "policy/order.h"
+#include "policy/outage_wait.h"
 #include "policy/pieces.h"
 #include "policy/pool.h"
 #include "policy/quantile.h"
--- a/tests/direct_policy_test.cc
+++ b/tests/direct_policy_test.cc
@@ -944,6 +944,31 @@
 	rig.end_call(call);
 }
 
+/* ---- waits for the end of an outage ---- */
+
+/* The key-value service answers again 1.3 s after all entries have started.
+ * With a wait of 100 ms every caller of that time spent its only retry before
+ * the end. */
+TEST(OutageWait, MostCallersOfAnOutageReturnAfterItsEnd)
+{
+	const int64_t outage_us = 1300000;
+	uint32_t returned_in_time = 0;
+
+	for (int64_t at_us = 0; at_us < outage_us; at_us += 1000)
+		returned_in_time +=
+			at_us + outage_wait_us(at_us, lp_hash_pair(1, at_us)) >=
+			outage_us;
+	EXPECT_GE(returned_in_time, 1300u / 2);
+}
+
+TEST(OutageWait, IsShortAtFirstAndBounded)
+{
+	EXPECT_EQ(outage_wait_us(0, 0), 100000);
+	EXPECT_EQ(outage_wait_us(800000, 0), 800000);
+	EXPECT_LT(outage_wait_us(800000, G_MAXUINT64), 1200000);
+	EXPECT_EQ(outage_wait_us(G_MAXINT64, 0), 2500000);
+}
+
 /* ---- backoff ---- */
 
 TEST(Backoff, DelayGrowsWithFailuresUpToABound)
