--- a/tests/list_retention_test.cc
+++ b/tests/list_retention_test.cc
@@ -97,6 +97,37 @@
 	EXPECT_EQ(feed.retained(), 0);
 }
 
+/* Entries that started during the outage know only the upstreams that have
+ * registered since: with a poll each second half of the fleet's upstreams were
+ * unused for a second longer than they had to be. */
+TEST(ListRetention, ReadersPollMoreOftenWhileUpstreamsRegisterAgain)
+{
+	ScriptedFeed feed;
+	const auto polls_within_a_second = [&] {
+		int polls = 0;
+
+		run_loop_until(
+			[&] {
+				if (feed.store.poll_pending()) {
+					polls++;
+					feed.store.finish_poll(
+						std::vector<std::string>());
+				}
+				return false;
+			},
+			1000);
+		return polls;
+	};
+
+	/* The first poll after the start comes at once. */
+	const int usual = polls_within_a_second();
+
+	feed.fail_poll();
+	EXPECT_GE(polls_within_a_second(), 2 * usual);
+	run_loop_until([] { return false; }, 1300);
+	EXPECT_LE(polls_within_a_second(), usual);
+}
+
 /* Lists of peers are compared by the time at which they were read: an older one
  * would bring back what this entry has seen leave. */
 TEST(ListRetention, AnOlderListOfAPeerReplacesNoNewerOne)
