--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -149,14 +149,18 @@
 }
 
 /*
- * Stages that have begun are finished first, as their results occupy memory
- * until then: the rest of a started group goes before all other pieces, and
- * lateness puts back only pieces whose inputs occupy no scarce memory.
+ * The caller of a stream that was cut leaves after a pause, so pieces that it
+ * needs to go on precede all others. Stages that have begun are finished next,
+ * as their results occupy memory until then: the rest of a started group goes
+ * before all other pieces, and lateness puts back only pieces whose inputs
+ * occupy no scarce memory.
  */
 static int64_t rank_us(const struct piece *piece, int64_t lateness_cutoff_us)
 {
 	int64_t rank = piece->due_us + piece->priority * PRIORITY_RANK_US;
 
+	if (piece->resumes)
+		return rank - 2 * LATE_RANK_US;
 	if (piece->group_started)
 		return rank - LATE_RANK_US;
 	if (piece->holds_memory || piece->due_us >= lateness_cutoff_us)
--- a/policy/pieces.h
+++ b/policy/pieces.h
@@ -32,6 +32,7 @@
 	bool holds_memory;  /**< its inputs occupy scarce result memory */
 	bool exclusive;	    /**< shares a call with its own request only */
 	bool group_started; /**< others of its stage and request were sent */
+	bool resumes; /**< of a stream that has begun and lost its upstream */
 	const char *preferred_domain; /**< of its inputs, or of the consumer of
 			     its result; NULL: any. Interned. */
 	int64_t preferred_bytes;      /**< transferred between domains if it
