Let resumed streams go first, within their callers' patience

Cause: a resumable stream that is cut after its first event needs its stages' results again, as these were freed at the first event. Its pieces were late and waited behind all on-time work until the caller left. A refusal while they waited (closed domains, a late piece, too many recomputations, quarantine, draining) wrote a second answer into the stream, or left it open.

- policy/stream_resume: the time by which a stream must go on, counted from its last event, and whether it still can.
- Pieces of a resumed stream carry 'resumes', also to other dispatchers (a further bit of the flags of kind A, which older releases ignore).
Its request to an engine has the next urgency above all priorities, and it looks for an engine again every 20 ms while all of them are limited.
- A timer aborts the answer at the limit; it is aborted earlier where the stages and the engine cannot take less than the time left.
- Once an answer has begun, a refusal aborts it, on every path.
- Log line 'resume', counter linepier_stream_resumes_total{outcome}.

--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -110,7 +110,8 @@
 /** Refuse a request whose stages are in progress if closed domains leave no
  * upstream for a service that it still needs. */
 void direct_request_refuse_if_closed(struct direct_request *request);
-/** Refuse a request that has not been sent, because the entry terminates. */
+/** Refuse a request that has not been sent, or abort a stream that waits to be
+ * resumed, because the entry terminates. */
 void direct_request_refuse_unsent(struct direct_request *request);
 /** Refuse a request because a piece of it cannot be completed in time. */
 void direct_request_refuse_late(struct direct_request *request);
--- a/direct/direct_relay.c
+++ b/direct/direct_relay.c
@@ -30,6 +30,8 @@
 #define FLAG_HOLDS_MEMORY 2
 #define FLAG_SPLIT 4
 #define FLAG_ALONE 8
+/* Older releases ignore it, and queue the pieces by their due time. */
+#define FLAG_RESUMES 16
 
 /* Twenty round trips: a datagram that is not confirmed by then was lost, or its
  * receiver is busy. */
@@ -284,7 +286,8 @@
 	uint32_t flags = (piece->has_inputs ? FLAG_HAS_INPUTS : 0) |
 			 (piece->holds_memory ? FLAG_HOLDS_MEMORY : 0) |
 			 (piece->group_started ? FLAG_SPLIT : 0) |
-			 (piece->exclusive ? FLAG_ALONE : 0);
+			 (piece->exclusive ? FLAG_ALONE : 0) |
+			 (piece->resumes ? FLAG_RESUMES : 0);
 
 	return g_variant_ref_sink(g_variant_new(
 		"(tsssu@au@asxxixusxs)", (guint64)number, work->service,
@@ -553,6 +556,7 @@
 	piece->holds_memory = flags & FLAG_HOLDS_MEMORY;
 	piece->group_started = flags & FLAG_SPLIT;
 	piece->exclusive = flags & FLAG_ALONE;
+	piece->resumes = flags & FLAG_RESUMES;
 	/* Interned strings are never freed, but there are few domains. */
 	piece->preferred_domain =
 		*preferred ? g_intern_string(preferred) : NULL;
--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -18,6 +18,7 @@
 {
 	direct_sending_end(request, POOL_UNDETERMINED);
 	direct_clear_timer(&request->deadline_timer);
+	direct_clear_timer(&request->resume_timer);
 	direct_quarantine_request_ended(request->direct->quarantine, request);
 	if (request->graph)
 		direct_stages_cancel(request->direct->stages, request);
@@ -110,6 +111,11 @@
 {
 	struct http_fields fields;
 
+	/* The caller would take a second answer for a part of the first. */
+	if (request->answer_begun) {
+		direct_request_abort(request, why);
+		return;
+	}
 	direct_sending_end(request, POOL_UNDETERMINED);
 	direct_request_log_end(request, status == 503 ? "refused" : "failed",
 			       status, why);
@@ -135,6 +141,7 @@
 void direct_request_abort(struct direct_request *request, const char *why)
 {
 	direct_sending_end(request, POOL_UNDETERMINED);
+	direct_stream_resume_end(request, "failed", why);
 	direct_request_log_end(request, "cut", request->status, why);
 	http_call_abort(request->call);
 	direct_request_free(request);
@@ -160,6 +167,7 @@
 {
 	struct direct_request *request = userdata;
 
+	direct_stream_resume_end(request, "caller_gone", NULL);
 	direct_request_log_end(request, "caller_gone", 0, NULL);
 	direct_request_free(request);
 }
@@ -200,10 +208,7 @@
 
 	if (direct_quarantine_admit(quarantine, request, &wait_us))
 		return true;
-	if (request->answer_begun)
-		direct_request_abort(request, "kept_out");
-	else
-		direct_request_refuse(request, wait_us, "kept_out");
+	direct_request_refuse(request, wait_us, "kept_out");
 	return false;
 }
 
@@ -325,7 +330,7 @@
 
 void direct_request_refuse_unsent(struct direct_request *request)
 {
-	if (request->state != DIRECT_STATE_SENT && !request->answer_begun)
+	if (request->state != DIRECT_STATE_SENT)
 		direct_request_refuse(request, DIRECT_RETRY_AFTER_DRAINING_US,
 				      "draining");
 }
--- a/direct/direct_request.h
+++ b/direct/direct_request.h
@@ -1,7 +1,8 @@
 /**
  * One request of a caller, shared by the files that process it:
  * direct_request.c (admission, deadline, local replies), direct_stage_plan.c
- * (its stages), direct_sending.c (sending it to upstreams).
+ * (its stages), direct_sending.c (sending it to upstreams),
+ * direct_stream_resume.c (streams that have begun and lost their upstream).
  *
  * A request is owned by the entry's table of requests from
  * direct_request_begin() on and freed by direct_request_free(). Functions that
@@ -51,6 +52,7 @@
 	bool was_trial;	 /* it is or was a trial, also after it was lost */
 	guint deadline_timer;
 	guint stall_timer;
+	guint placement_timer; /* a resumed stream waits for an engine */
 	enum direct_state state;
 	/* stages */
 	struct graph *graph; /* NULL: the route has no stages */
@@ -86,6 +88,10 @@
 	bool may_have_run;
 	bool answer_begun;
 	char *last_event_id;
+	int64_t last_event_us; /* when it was sent to the caller; 0: none yet */
+	/* a stream that has begun and lost its upstream */
+	int64_t resume_began_us; /* 0: it has not, or has continued since */
+	guint resume_timer;	 /* ends at the time limit */
 };
 
 static inline int64_t
@@ -102,13 +108,14 @@
 /** Log and count the outcome of a request. `why`: the reason; may be NULL. */
 void direct_request_log_end(struct direct_request *request, const char *outcome,
 			    uint32_t status, const char *why);
-/** Answer with a status of this entry's own, and free the request.
- * `retry_after_us`: Retry-After; 0: none. */
+/** Answer with a status of this entry's own, and free the request. An answer
+ * that has begun is aborted instead. `retry_after_us`: Retry-After; 0: none. */
 void direct_request_reply_locally(struct direct_request *request,
 				  uint32_t status, int64_t retry_after_us,
 				  const char *why);
 /** Refuse a request as "not run" (503), or as failed (502) if one of its
- * sendings may have run. Frees it. */
+ * sendings may have run. An answer that has begun is aborted instead. Frees it.
+ */
 void direct_request_refuse(struct direct_request *request,
 			   int64_t retry_after_us, const char *why);
 /** Abort an answer that has begun, so that the caller sees it to be incomplete.
@@ -148,6 +155,26 @@
  * each of its stages. */
 void direct_stage_plan_learn(struct direct_request *request);
 
+/** Least time that the stages whose results the request lacks take without
+ * any load. */
+int64_t direct_stage_plan_least_us(const struct direct_request *request);
+
+/* ---- direct_stream_resume.c ---- */
+
+/** Start the time limit of a stream that has begun and lost its upstream. */
+void direct_stream_resume_begin(struct direct_request *request);
+/** A resumed stream has continued, or ends. No effect on other requests.
+ * `why`: of an outcome other than "continued"; may be NULL. */
+void direct_stream_resume_end(struct direct_request *request,
+			      const char *outcome, const char *why);
+/** The time by which the next event of a stream that has begun must be sent. */
+int64_t direct_stream_resume_limit_us(const struct direct_request *request);
+/** Whether a stream that has begun can continue within its time limit. */
+bool direct_stream_resume_is_possible(const struct direct_request *request);
+/** Whether a request is not a resumed stream, or can still continue in time.
+ * If not, its answer is aborted and it is freed. */
+bool direct_stream_resume_check(struct direct_request *request);
+
 /* ---- direct_sending.c ---- */
 
 /** Send a request to the best upstream. Handles retries, resumption and the
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -18,6 +18,11 @@
 #define STALL_GAP_MULTIPLE 3
 #define STALL_FIRST_MIN_US (1000 * LP_US_PER_MS)
 #define STALL_EXPECTED_MULTIPLE 4
+/* Interval at which a resumed stream looks for an engine while all of them are
+ * limited. */
+#define PLACEMENT_RETRY_MS 20
+/* Urgency of a resumed stream at its engine: before all priorities. */
+#define RESUMED_PRIORITY (-1)
 /* Bytes of an answer, or of an incomplete event, that are buffered at most. */
 #define BUFFERED_ANSWER_MAX (8 << 20)
 /* Bytes that a caller may leave unread before its answer is aborted. */
@@ -36,6 +41,7 @@
 	struct pool_upstream *upstream = request->upstream;
 
 	direct_clear_timer(&request->stall_timer);
+	direct_clear_timer(&request->placement_timer);
 	if (request->placement_query)
 		direct_placement_cancel(request->direct->placement,
 					request->placement_query);
@@ -67,6 +73,14 @@
 	return upstream ? upstream->info.domain : NULL;
 }
 
+/* The latest time at which the next event of a request is on time. */
+static int64_t event_due_us(const struct direct_request *request)
+{
+	return request->resume_began_us
+		       ? direct_stream_resume_limit_us(request)
+		       : request->arrived_us + request->route->target_us;
+}
+
 static void fill_pick_args(const struct direct_request *request,
 			   struct pool_pick_args *pick_args)
 {
@@ -78,8 +92,8 @@
 		.blocks_count = request->info.prefix_blocks->len,
 		.tried = (const char *const *)request->tried_upstreams->pdata,
 		.tried_count = request->tried_upstreams->len,
-		.target_us = request->arrived_us + request->route->target_us -
-			     direct_request_now_us(request),
+		.target_us =
+			event_due_us(request) - direct_request_now_us(request),
 	};
 	direct_stages_set_shard(request->direct->stages, pick_args);
 	if (request->graph)
@@ -153,6 +167,8 @@
 	}
 	direct_stages_recompute_inputs(request->direct->stages, request,
 				       request->route->stages_count);
+	if (!direct_stream_resume_check(request))
+		return;
 	request->state = DIRECT_STATE_STAGES;
 	direct_request_advance(request);
 }
@@ -178,6 +194,15 @@
 		request, wait_us ? wait_us : DIRECT_RETRY_AFTER_FULL_US, why);
 }
 
+/* Whether enough time is left for a further sending. */
+static bool has_time_to_retry(const struct direct_request *request)
+{
+	if (request->answer_begun && !direct_stream_resume_is_possible(request))
+		return false;
+	return direct_request_now_us(request) + RETRY_TIME_MIN_US <
+	       request->deadline_us;
+}
+
 /* Decides and performs the step that follows a sending (policy/retry.h). To
  * be called after direct_sending_end(). May free the request. */
 static void handle_sending_end(struct direct_request *request,
@@ -194,8 +219,7 @@
 		.executions = request->possible_runs + 1,
 		.executions_max = MAX(request->route->attempts_max, 1),
 		.attempts = request->sendings,
-		.has_time = direct_request_now_us(request) + RETRY_TIME_MIN_US <
-			    request->deadline_us,
+		.has_time = has_time_to_retry(request),
 	};
 	enum retry_step step =
 		retry_next_step(&state, event, take_from_retry_budget, request);
@@ -205,6 +229,10 @@
 		request->possible_runs++;
 	}
 	log_sending_end(request, event, step, why);
+	if (request->answer_begun && request->route->is_resumable)
+		direct_stream_resume_begin(request);
+	if (step == RETRY_STEP_ABORT && !state.has_time)
+		direct_stream_resume_end(request, "late", why);
 	switch (step) {
 	case RETRY_STEP_FORWARD:
 		forward_answer(request);
@@ -349,7 +377,9 @@
 		return;
 	record_first_response(request);
 	begin_answer(request);
+	direct_stream_resume_end(request, "continued", NULL);
 	http_call_write(request->call, request->body->str, size);
+	request->last_event_us = direct_request_now_us(request);
 	g_string_erase(request->body, 0, (gssize)size);
 	direct_quarantine_request_progressed(request->direct->quarantine,
 					     request);
@@ -365,11 +395,7 @@
 		forward_events(request);
 	if (request->body->len > BUFFERED_ANSWER_MAX ||
 	    http_call_unsent_bytes(request->call) > UNSENT_ANSWER_MAX) {
-		if (request->answer_begun)
-			direct_request_abort(request, "too_large");
-		else
-			direct_request_reply_locally(request, 502, 0,
-						     "too_large");
+		direct_request_reply_locally(request, 502, 0, "too_large");
 	}
 }
 
@@ -387,6 +413,7 @@
 		return;
 	}
 	direct_quarantine_request_served(request->direct->quarantine, request);
+	direct_stream_resume_end(request, "continued", NULL);
 	begin_answer(request);
 	http_call_write(request->call, request->body->str, request->body->len);
 	direct_request_log_end(request, "answered", request->status, NULL);
@@ -480,7 +507,8 @@
 					: NULL,
 		.time_left_us =
 			request->deadline_us - direct_request_now_us(request),
-		.priority = request->priority,
+		.priority = request->resume_began_us ? RESUMED_PRIORITY
+						     : request->priority,
 		.last_event_id = request->last_event_id
 					 ? request->last_event_id
 					 : request->info.last_event_id,
@@ -632,18 +660,29 @@
 	http_fields_clear(&fields);
 }
 
-/* Refuses a request that no upstream can take. `wait_us`: time until one can;
- * 0: unknown. */
+static gboolean on_placement_timer(gpointer userdata)
+{
+	struct direct_request *request = userdata;
+
+	request->placement_timer = 0;
+	direct_sending_start(request);
+	return G_SOURCE_REMOVE;
+}
+
+/* Refuses a request that no upstream can take, or lets a resumed stream wait
+ * within its time limit. `wait_us`: time until one can; 0: unknown. */
 static void refuse_unplaced(struct direct_request *request, int64_t wait_us)
 {
 	const char *why = wait_us ? "limited" : "no_upstream";
 
-	if (request->answer_begun)
-		direct_request_abort(request, why);
-	else
-		direct_request_refuse(
-			request, wait_us ? wait_us : DIRECT_RETRY_AFTER_FULL_US,
-			why);
+	if (request->resume_began_us && wait_us) {
+		request->state = DIRECT_STATE_PLACING;
+		request->placement_timer = lp_timer_add(
+			PLACEMENT_RETRY_MS, on_placement_timer, request);
+		return;
+	}
+	direct_request_refuse(
+		request, wait_us ? wait_us : DIRECT_RETRY_AFTER_FULL_US, why);
 }
 
 static void send_to_upstream(struct direct_request *request,
@@ -724,7 +763,8 @@
 {
 	struct pool_pick_args pick_args;
 
-	if (!direct_request_check_quarantine(request))
+	if (!direct_request_check_quarantine(request) ||
+	    !direct_stream_resume_check(request))
 		return;
 	if (request->graph &&
 	    !graph_inputs_available(request->graph,
--- a/direct/direct_stage_plan.c
+++ b/direct/direct_stage_plan.c
@@ -51,6 +51,41 @@
 	return longest_us;
 }
 
+/* The same where each call carries one piece only. */
+static int64_t least_stage_time_us(const struct direct_request *request,
+				   uint32_t stage)
+{
+	const struct direct_service *service = direct_config_service(
+		request->config, request->route->stages[stage].service);
+
+	return service ? service->call_us + service->piece_us : 0;
+}
+
+static bool lacks_results(const struct direct_request *request, uint32_t stage)
+{
+	return graph_piece_count(request->graph, stage) &&
+	       !graph_stage_completed(request->graph, stage);
+}
+
+int64_t direct_stage_plan_least_us(const struct direct_request *request)
+{
+	const struct direct_route *route = request->route;
+	g_autofree int64_t *done_us = g_new0(int64_t, route->stages_count);
+	int64_t longest_us = 0;
+
+	for (uint32_t i = 0; i < route->stages_count; i++) {
+		for (uint32_t j = 0; j < route->stages[i].input_stages_count;
+		     j++)
+			done_us[i] =
+				MAX(done_us[i],
+				    done_us[route->stages[i].input_stages[j]]);
+		if (lacks_results(request, i))
+			done_us[i] += least_stage_time_us(request, i);
+		longest_us = MAX(longest_us, done_us[i]);
+	}
+	return longest_us;
+}
+
 int64_t direct_stage_plan_engine_us(const struct direct_request *request)
 {
 	return DIRECT_ENGINE_FIRST_EVENT_US +
@@ -248,6 +283,11 @@
 	const struct direct_service *service =
 		direct_config_service(request->config, stage_config->service);
 	int64_t call_us = service ? service->call_us + service->piece_us : 0;
+	bool resumes = request->resume_began_us != 0;
+	int64_t event_due_us = resumes ? direct_stream_resume_limit_us(request)
+				       : request->arrived_us -
+						 request->client_waited_us +
+						 request->route->target_us;
 	struct direct_work work = {
 		.id = g_strdup(request->id),
 		.service = g_strdup(stage_config->service),
@@ -255,10 +295,9 @@
 		.inputs = copy_inputs(request->graph, stage),
 		.piece = {
 			.stage = stage,
-			.due_us = request->arrived_us - request->client_waited_us +
-				  request->route->target_us -
+			.due_us = event_due_us -
 				  budgeted_remaining_us(request, stage) - call_us,
-			.expires_us = request->deadline_us,
+			.expires_us = resumes ? event_due_us : request->deadline_us,
 			.priority = request->priority,
 			.result_bytes = stage_config->bytes,
 			.allowed_regions = request->allowed_regions,
@@ -266,6 +305,7 @@
 			.holds_memory = occupies_result_memory(request, stage),
 			.exclusive = request->is_trial,
 			.group_started = has_started_piece(request->graph, stage),
+			.resumes = resumes,
 		},
 	};
 
@@ -350,7 +390,8 @@
 		direct_sending_start(request);
 		return;
 	}
-	if (!direct_request_check_quarantine(request))
+	if (!direct_request_check_quarantine(request) ||
+	    !direct_stream_resume_check(request))
 		return;
 	request_ready_stages(request);
 	if (request->recomputations > RECOMPUTATIONS_MAX) {
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -23,6 +23,8 @@
 	std::map<char, int> received;
 	GVariant *last_results = nullptr; /* of results */
 	GVariant *last_query = nullptr;	  /* of a placement */
+	guint64 last_work = 0;		  /* number of the last submission */
+	guint32 work_flags = 0;		  /* its flags */
 	uint32_t capacity = 0;		  /* of the last hello */
 	std::set<std::string> named_ips;  /* in any hello */
 	gsize most_names = 0;		  /* in one hello */
@@ -98,6 +100,8 @@
 			received[bytes[size - 1]]++;
 			if (bytes[size - 1] == 'R')
 				keep_results(bytes, size - 1);
+			if (bytes[size - 1] == 'A')
+				read_work(bytes, size - 1);
 			if (bytes[size - 1] == 'H')
 				read_hello(bytes, size - 1);
 			if (bytes[size - 1] == 'P')
@@ -114,6 +118,16 @@
 			G_VARIANT_TYPE("(tsa(tx)atsxxs)"), copy, FALSE));
 		g_bytes_unref(copy);
 	}
+	void read_work(const char *bytes, gsize size)
+	{
+		GVariant *work = g_variant_ref_sink(g_variant_new_from_data(
+			G_VARIANT_TYPE("(tsssuauasxxixusxs)"), bytes, size,
+			FALSE, nullptr, nullptr));
+
+		g_variant_get_child(work, 0, "t", &last_work);
+		g_variant_get_child(work, 11, "u", &work_flags);
+		g_variant_unref(work);
+	}
 	void read_hello(const char *bytes, gsize size)
 	{
 		GVariant *hello = g_variant_ref_sink(g_variant_new_from_data(
@@ -417,12 +431,12 @@
 struct EntryWithFakePeer {
 	Rig rig;
 	pe_upstream *stage = rig.add(PE_STAGE, "first");
+	pe_upstream *engine = rig.add(PE_ENGINE, "engine");
 	FakePeer fake;
 
 	EntryWithFakePeer()
 	{
 		rig.add(PE_STAGE, "second");
-		rig.add(PE_ENGINE, "engine");
 		rig.join(first_ip, 100, { fake_ip });
 		rig.settle();
 	}
@@ -474,6 +488,45 @@
 	EXPECT_LT(request.took_us, 2 * LP_US_PER_S);
 }
 
+/* Engine and dispatcher of a stream are lost at the same time. Guards against
+ * the stream's pieces losing their precedence on the way to a dispatcher, or
+ * the stream being aborted although it can go on in time. */
+TEST(Relay, StreamContinuesAfterLossOfEngineAndDispatcher)
+{
+	const guint32 resumes_flag = 16;
+	EntryWithFakePeer setup;
+	pe_upstream *engines[2] = { setup.engine,
+				    setup.rig.add(PE_ENGINE, "engine") };
+
+	setup.rig.settle();
+	for (pe_upstream *engine : engines) {
+		pe_fault(engine, PE_FAULT_CUT);
+		pe_set_work_ms(engine, 500);
+	}
+	CallerRequest request(
+		setup.rig.address, "a1", "/restaged/x",
+		{ { "X-Pieces", "1,1" }, { "X-Piece-Key", "k" } });
+
+	ASSERT_TRUE(run_loop_until(
+		[&] { return pe_runs(setup.rig.platform, "a1") == 1; }));
+	setup.fake.receive();
+	EXPECT_EQ(setup.fake.received['A'], 0);
+	setup.fake.send_hello(9000);
+	for (pe_upstream *engine : engines)
+		if (!pe_arrivals(engine))
+			pe_fault(engine, PE_FAULT_NONE);
+	ASSERT_TRUE(run_loop_until([&] {
+		setup.fake.receive();
+		return setup.fake.received['A'] > 0;
+	}));
+	EXPECT_EQ(setup.fake.work_flags & resumes_flag, resumes_flag);
+	EXPECT_EQ(request.wait().body, complete_stream);
+	EXPECT_EQ(*lp_counter(setup.rig.counters,
+			      "linepier_stream_resumes_total",
+			      "outcome=\"continued\""),
+		  1);
+}
+
 /* Lost datagrams: results are resent until they are confirmed, and work that is
  * received twice runs once. */
 TEST(Relay, ResultsAreResentUntilConfirmedAndDuplicateWorkRunsOnce)
