Decide admission over the whole path of a request

Cause: admission took each stage by its present queue, one notice for all shards of a service, and refused each request that would not be on time. Requests that could be served late were refused, refusing began and ended at the same estimate, and a notice older than 500 ms counted as an empty queue.

Change: the last notice of each shard's dispatcher is kept with its age and the rate at which its waits change. The stages are estimated in order, each for the time at which the request gets there. A request is admitted if it will be on time, or as late if it would have its first event within three quarters of the time left; otherwise it is refused at once. A refusal lowers the limits to 7/8 for 500 ms, for its rank and less urgent ones at its bottleneck. The waits of old notices halve in each 500 ms, and one in eight requests is admitted against them. Retry-After is the time until the request could be served as late work, spread, and at most a third of the time left. Returning callers have a higher limit for a fifth of the admissions. No dispatcher reports late work yet: until then requests that cannot be on time are refused as before.

The line `admission` has the estimate by stage with the age of its notice; linepier_admissions_total{outcome} is new.

--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -14,6 +14,7 @@
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "http/http_sock.h"
+#include "policy/admission.h"
 #include "policy/client_wait.h"
 #include "policy/graph.h"
 #include "policy/pieces.h"
@@ -39,6 +40,7 @@
  * removes the route. */
 struct direct_route_estimates {
 	struct client_wait client_wait;
+	struct admission_return_share return_share;
 	struct remaining_latency
 		remaining[DIRECT_ESTIMATED_STAGES_MAX]; /* per stage */
 };
@@ -165,9 +167,15 @@
 void direct_stages_recompute_inputs(struct direct_stages *stages,
 				    struct direct_request *request,
 				    uint32_t stage);
-/** Estimated time until a piece submitted now to this service is completed. */
-int64_t direct_stages_estimate_us(struct direct_stages *stages,
-				  const char *service, int32_t priority);
+/** Fill in what is known of the queue to which this service's pieces of a
+ * request would go: waits, their age, and measured times. `id`: of the request.
+ */
+void direct_stages_estimate(struct direct_stages *stages, const char *service,
+			    const char *id, int32_t priority,
+			    struct admission_stage *out);
+/** Recent refusals because of this service. */
+struct admission_pressure *direct_stages_pressure(struct direct_stages *stages,
+						  const char *service);
 /** Record how long the pieces of a stage took that were submitted before their
  * request's target time. */
 void direct_stages_record_latency(struct direct_stages *stages,
--- a/direct/direct_relay.c
+++ b/direct/direct_relay.c
@@ -334,7 +334,8 @@
 	g_hash_table_remove(relay->outgoing, &number);
 }
 
-static void report_queue_waits(struct direct_relay *relay, uint64_t number,
+static void report_queue_waits(struct direct_relay *relay,
+			       const struct outgoing_work *outgoing,
 			       GVariant *list)
 {
 	gsize count;
@@ -342,7 +343,8 @@
 		g_variant_get_fixed_array(list, &count, sizeof(int64_t));
 
 	if (count == DIRECT_PRIORITY_RANKS)
-		relay->events.on_queue_waits(relay->events.userdata, number,
+		relay->events.on_queue_waits(relay->events.userdata,
+					     outgoing->number, outgoing->peer,
 					     waits_us);
 }
 
@@ -358,7 +360,7 @@
 	if (!outgoing || outgoing->peer != peer)
 		return;
 	outgoing->is_accepted = true;
-	report_queue_waits(relay, number, waits);
+	report_queue_waits(relay, outgoing, waits);
 }
 
 /* False: the same results were received before. */
@@ -432,7 +434,7 @@
 	outgoing = g_hash_table_lookup(relay->outgoing, &number);
 	if (outgoing && outgoing->peer == peer) {
 		outgoing->is_accepted = true;
-		report_queue_waits(relay, number, waits);
+		report_queue_waits(relay, outgoing, waits);
 		relay->events.on_results(relay->events.userdata, number,
 					 (struct direct_result *)results->data,
 					 results->len);
--- a/direct/direct_relay.h
+++ b/direct/direct_relay.h
@@ -12,19 +12,20 @@
 
 #include "direct/direct_calls.h"
 #include "direct/direct_peers.h"
+#include "policy/admission.h"
 
 struct direct;
 struct direct_relay;
 
 /** Priority ranks with a queue wait of their own; the last covers the rest. */
-#define DIRECT_PRIORITY_RANKS 4
+#define DIRECT_PRIORITY_RANKS ADMISSION_RANKS
 
 struct direct_relay_events {
 	/** Results of submitted work; handles may be taken. */
 	void (*on_results)(void *userdata, uint64_t number,
 			   struct direct_result *results, uint32_t count);
-	/** Queue waits of each rank at the dispatcher of this work. */
-	void (*on_queue_waits)(void *userdata, uint64_t number,
+	/** Queue waits of each rank at the dispatcher of this work: `peer`. */
+	void (*on_queue_waits)(void *userdata, uint64_t number, uint64_t peer,
 			       const int64_t waits_us[DIRECT_PRIORITY_RANKS]);
 	/** The dispatcher has restarted, is gone, or does not accept the work.
 	 */
--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -229,62 +229,213 @@
 
 /* ---- admission ---- */
 
-/* Estimated time until the first event if the request were admitted now. */
-static int64_t estimate_first_event_us(struct direct_request *request)
+/* What is known of the stages of a request; NULL: it has none. */
+static struct admission_stage *read_stages(struct direct_request *request)
 {
 	const struct direct_route *route = request->route;
-	int64_t *done_us = g_new0(int64_t, route->stages_count);
-	int64_t longest_us = 0;
+	struct admission_stage *stages;
 
+	if (!request->graph)
+		return NULL;
+	stages = g_new0(struct admission_stage, route->stages_count);
 	for (uint32_t i = 0; i < route->stages_count; i++) {
-		for (uint32_t j = 0; j < route->stages[i].input_stages_count;
-		     j++)
-			done_us[i] =
-				MAX(done_us[i],
-				    done_us[route->stages[i].input_stages[j]]);
-		if (graph_piece_count(request->graph, i))
-			done_us[i] += direct_stages_estimate_us(
-				request->direct->stages,
-				route->stages[i].service, request->priority);
-		longest_us = MAX(longest_us, done_us[i]);
+		struct admission_stage *stage = &stages[i];
+
+		stage->inputs = route->stages[i].input_stages;
+		stage->inputs_count = route->stages[i].input_stages_count;
+		stage->is_skipped = !graph_piece_count(request->graph, i);
+		if (stage->is_skipped)
+			continue;
+		direct_stages_estimate(request->direct->stages,
+				       route->stages[i].service, request->id,
+				       request->priority, stage);
+		stage->alone_us = direct_stage_plan_stage_us(request, i);
+	}
+	return stages;
+}
+
+/* Time until an upstream of the request's own service takes requests: all are
+ * in pushback or at their rate limits until then. 0: now, or unknown. */
+static int64_t upstream_wait_us(const struct direct_request *request)
+{
+	const struct pool *pool = request->direct->pool;
+	const GPtrArray *list = pool_service_upstreams(pool, request->service);
+	int64_t now_us = direct_request_now_us(request);
+	int64_t shortest_us = -1;
+
+	for (guint i = 0; list && i < list->len; i++) {
+		const struct pool_upstream *upstream =
+			g_ptr_array_index(list, i);
+		int64_t wait_us = MAX(upstream->pushback_until_us - now_us,
+				      pool_rate_limit_wait_us(pool, upstream));
+
+		if (!pool_is_eligible(upstream))
+			continue;
+		if (wait_us <= 0)
+			return 0;
+		if (shortest_us < 0 || wait_us < shortest_us)
+			shortest_us = wait_us;
 	}
-	g_free(done_us);
-	return longest_us + direct_stage_plan_engine_us(request);
+	return MAX(shortest_us, 0);
+}
+
+/* Information used for a decision. */
+struct admission_basis {
+	struct admission_stage *stages; /* NULL: none */
+	int64_t *done_us;		/* per stage, from now on */
+	uint32_t count;
+	int64_t upstream_wait_us;
+	struct admission_path path;
+};
+
+static void estimate(struct direct_request *request,
+		     struct admission_basis *basis)
+{
+	basis->count = request->graph ? request->route->stages_count : 0;
+	basis->done_us = g_new0(int64_t, basis->count);
+	basis->stages = read_stages(request);
+	basis->upstream_wait_us = upstream_wait_us(request);
+	basis->path = admission_estimate_path(
+		basis->stages, basis->count, basis->upstream_wait_us,
+		direct_stage_plan_engine_us(request),
+		direct_request_now_us(request), basis->done_us);
+}
+
+static void clear_basis(struct admission_basis *basis)
+{
+	g_free(basis->stages);
+	g_free(basis->done_us);
 }
 
-static void log_overload(struct direct_request *request,
-			 const struct admission_request *admission)
+/* Adds "stage:done@age" for each stage: in how many ms it would be completed,
+ * and the age in ms of the notice of its dispatcher (-1: none). */
+static void add_stage_estimates(struct lp_event_log *log,
+				const struct admission_basis *basis)
+{
+	g_autoptr(GString) text = g_string_new(NULL);
+
+	for (uint32_t i = 0; i < basis->count; i++) {
+		const struct admission_stage *stage = &basis->stages[i];
+
+		if (stage->is_skipped)
+			continue;
+		g_string_append_printf(
+			text, "%s%u:%" G_GINT64_FORMAT "@%" G_GINT64_FORMAT,
+			text->len ? " " : "", i,
+			(gint64)(basis->done_us[i] / LP_US_PER_MS),
+			(gint64)(stage->age_us < 0
+					 ? -1
+					 : stage->age_us / LP_US_PER_MS));
+	}
+	lp_event_text(log, "estimates_ms", text->str);
+}
+
+static void log_admission(struct direct_request *request,
+			  const struct admission_request *admission,
+			  const struct admission_basis *basis,
+			  const struct admission_decision *decision)
 {
 	struct lp_event_log *log = request->direct->options.log;
 
 	if (!lp_event_begin(log, "admission", request->id))
 		return;
-	lp_event_text(log, "outcome", "refused");
+	lp_event_text(log, "outcome",
+		      admission_outcome_name(decision->outcome));
+	lp_event_text(log, "route", request->route->name);
 	lp_event_int(log, "estimate_us", admission->estimate_us);
+	lp_event_int(log, "late_us", admission->late_us);
 	lp_event_int(log, "within_us", admission->target_us);
+	lp_event_int(log, "waited_us", admission->waited_us);
+	lp_event_int(log, "left_us", admission->left_us);
 	lp_event_int(log, "priority", request->priority);
+	lp_event_int(log, "upstream_wait_us", basis->upstream_wait_us);
+	add_stage_estimates(log, basis);
+	lp_event_int(log, "pressure", admission->is_under_pressure);
+	lp_event_int(log, "preferred", decision->is_preferred);
+	lp_event_int(log, "probe", decision->is_probe);
+	lp_event_int(log, "retry_after_us", decision->retry_after_us);
 	lp_event_int(log, "config", request->config->version);
 	lp_event_end(log);
 }
 
-/* Returns whether the request is admitted; otherwise it is refused and freed.
- */
-static bool admit(struct direct_request *request)
+/* Whether the service of any of its stages refuses at present. */
+static bool is_under_pressure(struct direct_request *request,
+			      const struct admission_basis *basis)
 {
-	struct admission_request admission = {
+	for (uint32_t i = 0; i < basis->count; i++)
+		if (!basis->stages[i].is_skipped &&
+		    admission_is_under_pressure(
+			    direct_stages_pressure(
+				    request->direct->stages,
+				    request->route->stages[i].service),
+			    request->priority, direct_request_now_us(request)))
+			return true;
+	return false;
+}
+
+static void record_decision(struct direct_request *request,
+			    const struct admission_basis *basis,
+			    const struct admission_decision *decision)
+{
+	struct direct *direct = request->direct;
+	const char *outcome = admission_outcome_name(decision->outcome);
+	g_autofree char *labels = g_strdup_printf("outcome=\"%s\"", outcome);
+
+	*direct_counter(direct, "linepier_admissions_total", labels) += 1;
+	if (decision->outcome != ADMISSION_REFUSED)
+		admission_record_admission(
+			&direct_request_estimates(request)->return_share,
+			decision->is_preferred, direct_request_now_us(request));
+	if (basis->count)
+		admission_record_decision(
+			direct_stages_pressure(
+				direct->stages,
+				request->route->stages[basis->path.bottleneck]
+					.service),
+			request->priority, decision,
+			direct_request_now_us(request));
+}
+
+static struct admission_decision decide(struct direct_request *request,
+					const struct admission_basis *basis)
+{
+	int64_t now_us = direct_request_now_us(request);
+	const struct admission_request admission = {
+		.estimate_us = basis->path.first_event_us,
+		.late_us = basis->path.late_us,
+		.age_us = basis->path.age_us,
 		.target_us = request->route->target_us,
+		.waited_us = request->client_waited_us,
+		.left_us = MAX(request->deadline_us - now_us, 0),
 		.hash = lp_hash_str(request->id),
+		.is_under_pressure = is_under_pressure(request, basis),
+		.has_return_share = admission_has_return_share(
+			&direct_request_estimates(request)->return_share,
+			now_us),
 	};
-	int64_t wait_us;
+	struct admission_decision decision = admission_decide(&admission);
 
-	if (!request->graph)
-		return true;
-	admission.estimate_us = estimate_first_event_us(request);
-	wait_us = admission_retry_after_us(&admission);
-	if (!wait_us)
+	record_decision(request, basis, &decision);
+	if (decision.outcome != ADMISSION_ON_TIME)
+		log_admission(request, &admission, basis, &decision);
+	return decision;
+}
+
+/* Returns whether the request is admitted; otherwise it is refused and freed.
+ * Without stages, and with nothing known of its upstreams' load, it is
+ * admitted: sending decides. */
+static bool admit(struct direct_request *request)
+{
+	struct admission_basis basis = { 0 };
+	struct admission_decision decision = { .outcome = ADMISSION_ON_TIME };
+
+	estimate(request, &basis);
+	if (basis.count || basis.upstream_wait_us)
+		decision = decide(request, &basis);
+	clear_basis(&basis);
+	if (decision.outcome != ADMISSION_REFUSED)
 		return true;
-	log_overload(request, &admission);
-	direct_request_refuse(request, wait_us, "overload");
+	direct_request_refuse(request, decision.retry_after_us, "overload");
 	return false;
 }
 
--- a/direct/direct_request.h
+++ b/direct/direct_request.h
@@ -142,6 +142,9 @@
 
 /** Create the graph of the pieces that the stages of a request compute. */
 void direct_stage_plan_create(struct direct_request *request);
+/** Estimated time of a stage of a request by itself. */
+int64_t direct_stage_plan_stage_us(const struct direct_request *request,
+				   uint32_t stage);
 /** Estimated time from sending a request to an engine until its first event. */
 int64_t direct_stage_plan_engine_us(const struct direct_request *request);
 /** Record, at the first event of a request, the time since the completion of
--- a/direct/direct_stage_plan.c
+++ b/direct/direct_stage_plan.c
@@ -17,8 +17,8 @@
 
 /* ---- stages ---- */
 
-/* Estimated time of a stage by itself. */
-static int64_t stage_time_us(struct direct_request *request, uint32_t stage)
+int64_t direct_stage_plan_stage_us(const struct direct_request *request,
+				   uint32_t stage)
 {
 	const struct direct_service *service = direct_config_service(
 		request->config, request->route->stages[stage].service);
@@ -43,7 +43,7 @@
 
 			if (route->stages[i].input_stages[j] != stage)
 				continue;
-			estimate_us = stage_time_us(request, i) +
+			estimate_us = direct_stage_plan_stage_us(request, i) +
 				      time_after_stage_us(request, i);
 			longest_us = MAX(longest_us, estimate_us);
 		}
@@ -284,15 +284,15 @@
  * the longest path. */
 static bool should_wait(struct direct_request *request, uint32_t stage)
 {
-	int64_t own_us = stage_time_us(request, stage) +
+	int64_t own_us = direct_stage_plan_stage_us(request, stage) +
 			 time_after_stage_us(request, stage);
 
 	for (uint32_t i = 0; i < request->route->stages_count; i++) {
 		if (!has_missing_piece(request->graph, i))
 			continue;
-		if (stage_time_us(request, i) +
+		if (direct_stage_plan_stage_us(request, i) +
 			    time_after_stage_us(request, i) >
-		    own_us + stage_time_us(request, stage))
+		    own_us + direct_stage_plan_stage_us(request, stage))
 			return true;
 	}
 	return false;
--- a/direct/direct_stages.c
+++ b/direct/direct_stages.c
@@ -16,8 +16,6 @@
 
 #include <string.h>
 
-/* How long the queue waits that a dispatcher reported are used. */
-#define DISPATCHER_WAITS_VALID_US (500 * LP_US_PER_MS)
 /* Interval at which dispatchers are assigned again. Members and upstreams
  * change more slowly. */
 #define ASSIGNMENT_INTERVAL_MS 200
@@ -38,8 +36,9 @@
 	uint64_t dispatchers[SHARDS_MAX]; /* member hash of each shard */
 	int64_t acquired_us; /* when this entry last took over a shard */
 	struct admission_piece_time latencies[DIRECT_PRIORITY_RANKS];
-	int64_t queue_waits_us[DIRECT_PRIORITY_RANKS]; /* at dispatcher */
-	int64_t queue_waits_received_us;
+	/* of the dispatcher of each shard */
+	struct admission_notice notices[SHARDS_MAX];
+	struct admission_pressure pressure;
 };
 
 /* Pieces of one stage of a request that were submitted together. */
@@ -133,6 +132,8 @@
 	if (service->dispatchers[shard] == dispatcher)
 		return;
 	service->dispatchers[shard] = dispatcher;
+	/* The queue of another dispatcher is not this one's. */
+	service->notices[shard] = (struct admission_notice){ 0 };
 	if (dispatcher == own_hash(stages))
 		service->acquired_us = time_now_us(stages);
 	log_dispatcher(stages, service, shard, dispatcher, members);
@@ -560,18 +561,30 @@
 	deliver_results(submission, results, count, left);
 }
 
-static void on_relay_waits(void *userdata, uint64_t number,
+/* The shard whose dispatcher gets the pieces of a request. */
+static uint32_t shard_of_request(const struct stage_service *service,
+				 const char *id)
+{
+	return (uint32_t)(lp_hash_str(id) % service->shards);
+}
+
+static void on_relay_waits(void *userdata, uint64_t number, uint64_t peer,
 			   const int64_t queue_waits_us[DIRECT_PRIORITY_RANKS])
 {
 	struct direct_stages *stages = userdata;
 	struct submission *submission =
 		g_hash_table_lookup(stages->submissions, &number);
+	struct stage_service *service;
 
 	if (!submission)
 		return;
-	memcpy(submission->service->queue_waits_us, queue_waits_us,
-	       sizeof(submission->service->queue_waits_us));
-	submission->service->queue_waits_received_us = time_now_us(stages);
+	service = submission->service;
+	/* A dispatcher has one queue for all of its shards of a service. */
+	for (uint32_t i = 0; i < service->shards; i++)
+		if (service->dispatchers[i] == peer)
+			admission_record_notice(
+				&service->notices[i], queue_waits_us,
+				ADMISSION_UNKNOWN_US, time_now_us(stages));
 }
 
 /* Sends a submission to the dispatcher of its shard, or adds it to our own
@@ -580,9 +593,8 @@
 		     struct submission *submission)
 {
 	const struct stage_service *service = submission->service;
-	uint32_t shard =
-		(uint32_t)(lp_hash_str(submission->work.id) % service->shards);
-	uint64_t dispatcher = service->dispatchers[shard];
+	uint64_t dispatcher = service->dispatchers[shard_of_request(
+		service, submission->work.id)];
 
 	if (stages->direct->relay && dispatcher != own_hash(stages) &&
 	    direct_relay_submit(stages->direct->relay, dispatcher,
@@ -739,27 +751,35 @@
 
 /* ---- estimates ---- */
 
-static int64_t queue_wait_us(struct direct_stages *stages,
-			     const struct stage_service *service,
-			     int32_t priority)
+/* Our own queue is read for each estimate, as a notice of no age. */
+static void read_own_queue(struct direct_stages *stages,
+			   struct stage_service *service, uint32_t shard)
 {
-	if (service->dispatchers[0] == own_hash(stages))
-		return direct_calls_estimate_us(stages->direct->calls,
-						service->name, priority);
-	if (time_now_us(stages) - service->queue_waits_received_us >
-	    DISPATCHER_WAITS_VALID_US)
-		return 0;
-	return service->queue_waits_us[rank_of_priority(priority)];
+	int64_t waits_us[DIRECT_PRIORITY_RANKS];
+
+	direct_calls_estimate_each_us(stages->direct->calls, service->name,
+				      waits_us, DIRECT_PRIORITY_RANKS);
+	admission_record_notice(&service->notices[shard], waits_us,
+				ADMISSION_UNKNOWN_US, time_now_us(stages));
 }
 
-int64_t direct_stages_estimate_us(struct direct_stages *stages,
-				  const char *name, int32_t priority)
+void direct_stages_estimate(struct direct_stages *stages, const char *name,
+			    const char *id, int32_t priority,
+			    struct admission_stage *out)
 {
 	struct stage_service *service = get_or_create_service(stages, name);
+	uint32_t shard = shard_of_request(service, id);
 
-	return admission_estimate_stage_us(
-		&service->latencies[rank_of_priority(priority)],
-		queue_wait_us(stages, service, priority), time_now_us(stages));
+	if (service->dispatchers[shard] == own_hash(stages))
+		read_own_queue(stages, service, shard);
+	admission_read_notice(&service->notices[shard], service->latencies,
+			      priority, time_now_us(stages), out);
+}
+
+struct admission_pressure *direct_stages_pressure(struct direct_stages *stages,
+						  const char *name)
+{
+	return &get_or_create_service(stages, name)->pressure;
 }
 
 void direct_stages_record_latency(struct direct_stages *stages,
