--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -29,6 +29,9 @@
  * until five round trips have passed. */
 #define MEMORY_QUERY_TIMEOUT_US (25 * LP_US_PER_MS)
 
+/* Ranks of committed work that are kept. */
+#define PIECES_COMMITTED_RANKS 4
+
 struct pieces {
 	struct pieces_options options;
 	char *service;
@@ -36,6 +39,7 @@
 	GPtrArray *calls;    /* in flight; owned by the caller */
 	uint32_t shards;     /* of the service */
 	uint64_t own_shards; /* bitmask of the shards of this queue */
+	uint32_t committed[PIECES_COMMITTED_RANKS];
 };
 
 struct pieces *pieces_create(const struct pieces_options *options)
@@ -731,3 +735,15 @@
 	for (int32_t priority = 0; priority < count; priority++)
 		out[priority] = estimate_us(pieces, &capacity, priority);
 }
+
+void pieces_set_committed(struct pieces *pieces, const uint32_t *by_rank,
+			  uint32_t ranks)
+{
+	for (uint32_t i = 0; i < PIECES_COMMITTED_RANKS; i++)
+		pieces->committed[i] = i < ranks ? by_rank[i] : 0;
+}
+
+int64_t pieces_late_wait_us(const struct pieces *pieces)
+{
+	return pieces_estimate_us(pieces, PIECES_COMMITTED_RANKS - 1);
+}
--- a/policy/pieces.h
+++ b/policy/pieces.h
@@ -111,7 +111,14 @@
 /** Time until a piece of this priority would be completed if added now. */
 int64_t pieces_estimate_us(const struct pieces *pieces, int32_t priority);
 /** The same for each of the priorities 0 to count - 1. */
+/** Sets how many pieces of each rank entries will still submit for requests
+ * that they have admitted. */
+void pieces_set_committed(struct pieces *pieces, const uint32_t *by_rank,
+			  uint32_t ranks);
 void pieces_estimate_by_priority_us(const struct pieces *pieces, int64_t *out,
 				    int32_t count);
+/** Time until a piece that is late on arrival would be completed; INT64_MAX:
+ * not within a minute. */
+int64_t pieces_late_wait_us(const struct pieces *pieces);
 
 #endif
