--- a/direct/direct_relay.h
+++ b/direct/direct_relay.h
@@ -12,20 +12,23 @@
 
 #include "direct/direct_calls.h"
 #include "direct/direct_peers.h"
+#include "policy/admission.h"
 
 struct direct;
 struct direct_relay;
 
 /** Priority ranks with a queue wait of their own; the last covers the rest. */
-#define DIRECT_PRIORITY_RANKS 4
+#define DIRECT_PRIORITY_RANKS ADMISSION_RANKS
 
 struct direct_relay_events {
 	/** Results of submitted work; handles may be taken. */
 	void (*on_results)(void *userdata, uint64_t number,
 			   struct direct_result *results, uint32_t count);
-	/** Queue waits of each rank at the dispatcher of this work. */
-	void (*on_queue_waits)(void *userdata, uint64_t number,
-			       const int64_t waits_us[DIRECT_PRIORITY_RANKS]);
+	/** Queue waits of each rank at the dispatcher of this work: `peer`.
+	 * `late_wait_us`: of late work, or ADMISSION_UNKNOWN_US. */
+	void (*on_queue_waits)(void *userdata, uint64_t number, uint64_t peer,
+			       const int64_t waits_us[DIRECT_PRIORITY_RANKS],
+			       int64_t late_wait_us);
 	/** The dispatcher has restarted, is gone, or does not accept the work.
 	 */
 	void (*on_lost)(void *userdata, uint64_t number);
--- a/direct/direct_stages.c
+++ b/direct/direct_stages.c
@@ -7,6 +7,7 @@
  * entries: dispatchers.h. Pieces of a shard that this entry dispatches go to
  * its own queue (direct_calls.h), others to the dispatcher by direct_relay.h.
  */
+#include "direct/direct_commitments.h"
 #include "direct/direct_relay.h"
 #include "direct/direct_request.h"
 
@@ -16,8 +17,6 @@
 
 #include <string.h>
 
-/* How long the queue waits that a dispatcher reported are used. */
-#define DISPATCHER_WAITS_VALID_US (500 * LP_US_PER_MS)
 /* Interval at which dispatchers are assigned again. Members and upstreams
  * change more slowly. */
 #define ASSIGNMENT_INTERVAL_MS 200
@@ -38,8 +37,9 @@
 	uint64_t dispatchers[SHARDS_MAX]; /* member hash of each shard */
 	int64_t acquired_us; /* when this entry last took over a shard */
 	struct admission_piece_time latencies[DIRECT_PRIORITY_RANKS];
-	int64_t queue_waits_us[DIRECT_PRIORITY_RANKS]; /* at dispatcher */
-	int64_t queue_waits_received_us;
+	/* of the dispatcher of each shard */
+	struct admission_notice notices[SHARDS_MAX];
+	struct admission_pressure pressure;
 };
 
 /* Pieces of one stage of a request that were submitted together. */
@@ -59,6 +59,7 @@
 	struct direct *direct;
 	GHashTable *services;	 /* name -> struct stage_service */
 	GHashTable *submissions; /* number -> struct submission */
+	struct direct_commitments *commitments;
 	uint64_t next_number;
 	double phase; /* random per entry: warmup.h, rate_limit.h */
 	guint assignment_timer;
@@ -132,6 +133,8 @@
 {
 	if (service->dispatchers[shard] == dispatcher)
 		return;
+	/* The last notice stays: the entries submit what the earlier dispatcher
+	 * had in its queue to this one. */
 	service->dispatchers[shard] = dispatcher;
 	if (dispatcher == own_hash(stages))
 		service->acquired_us = time_now_us(stages);
@@ -347,6 +350,7 @@
 	}
 	set_warmup_shares(stages, direct_peers_count(stages->direct->peers));
 	set_rate_limit_shares(stages);
+	direct_commitments_reassign(stages->commitments);
 }
 
 /* A new placer queries the engines' prefix caches. */
@@ -560,18 +564,31 @@
 	deliver_results(submission, results, count, left);
 }
 
-static void on_relay_waits(void *userdata, uint64_t number,
-			   const int64_t queue_waits_us[DIRECT_PRIORITY_RANKS])
+/* The shard whose dispatcher gets the pieces of a request. */
+static uint32_t shard_of_request(const struct stage_service *service,
+				 const char *id)
+{
+	return (uint32_t)(lp_hash_str(id) % service->shards);
+}
+
+static void on_relay_waits(void *userdata, uint64_t number, uint64_t peer,
+			   const int64_t queue_waits_us[DIRECT_PRIORITY_RANKS],
+			   int64_t late_wait_us)
 {
 	struct direct_stages *stages = userdata;
 	struct submission *submission =
 		g_hash_table_lookup(stages->submissions, &number);
+	struct stage_service *service;
 
 	if (!submission)
 		return;
-	memcpy(submission->service->queue_waits_us, queue_waits_us,
-	       sizeof(submission->service->queue_waits_us));
-	submission->service->queue_waits_received_us = time_now_us(stages);
+	service = submission->service;
+	/* A dispatcher has one queue for all of its shards of a service. */
+	for (uint32_t i = 0; i < service->shards; i++)
+		if (service->dispatchers[i] == peer)
+			admission_record_notice(&service->notices[i],
+						queue_waits_us, late_wait_us,
+						time_now_us(stages));
 }
 
 /* Sends a submission to the dispatcher of its shard, or adds it to our own
@@ -580,9 +597,8 @@
 		     struct submission *submission)
 {
 	const struct stage_service *service = submission->service;
-	uint32_t shard =
-		(uint32_t)(lp_hash_str(submission->work.id) % service->shards);
-	uint64_t dispatcher = service->dispatchers[shard];
+	uint64_t dispatcher = service->dispatchers[shard_of_request(
+		service, submission->work.id)];
 
 	if (stages->direct->relay && dispatcher != own_hash(stages) &&
 	    direct_relay_submit(stages->direct->relay, dispatcher,
@@ -647,6 +663,9 @@
 	submission->service = get_or_create_service(stages, work->service);
 	submission->work = *work;
 	memset(work, 0, sizeof(*work));
+	direct_commitments_submitted(stages->commitments, request,
+				     submission->stage,
+				     submission->work.indices->len);
 	g_hash_table_insert(stages->submissions, &submission->number,
 			    submission);
 	if (!stages->discovery_timer)
@@ -733,33 +752,44 @@
 void direct_stages_cancel(struct direct_stages *stages,
 			  struct direct_request *request)
 {
+	direct_commitments_end(stages->commitments, request);
 	cancel_submissions(stages, request, NULL);
 	direct_stages_free_results(stages, request, true);
 }
 
 /* ---- estimates ---- */
 
-static int64_t queue_wait_us(struct direct_stages *stages,
-			     const struct stage_service *service,
-			     int32_t priority)
+/* Our own queue is read for each estimate, as a notice of no age. */
+static void read_own_queue(struct direct_stages *stages,
+			   struct stage_service *service, uint32_t shard)
 {
-	if (service->dispatchers[0] == own_hash(stages))
-		return direct_calls_estimate_us(stages->direct->calls,
-						service->name, priority);
-	if (time_now_us(stages) - service->queue_waits_received_us >
-	    DISPATCHER_WAITS_VALID_US)
-		return 0;
-	return service->queue_waits_us[rank_of_priority(priority)];
+	int64_t waits_us[DIRECT_PRIORITY_RANKS];
+
+	direct_calls_estimate_each_us(stages->direct->calls, service->name,
+				      waits_us, DIRECT_PRIORITY_RANKS);
+	admission_record_notice(
+		&service->notices[shard], waits_us,
+		direct_calls_late_wait_us(stages->direct->calls, service->name),
+		time_now_us(stages));
 }
 
-int64_t direct_stages_estimate_us(struct direct_stages *stages,
-				  const char *name, int32_t priority)
+void direct_stages_estimate(struct direct_stages *stages, const char *name,
+			    const char *id, int32_t priority,
+			    struct admission_stage *out)
 {
 	struct stage_service *service = get_or_create_service(stages, name);
+	uint32_t shard = shard_of_request(service, id);
+
+	if (service->dispatchers[shard] == own_hash(stages))
+		read_own_queue(stages, service, shard);
+	admission_read_notice(&service->notices[shard], service->latencies,
+			      priority, time_now_us(stages), out);
+}
 
-	return admission_estimate_stage_us(
-		&service->latencies[rank_of_priority(priority)],
-		queue_wait_us(stages, service, priority), time_now_us(stages));
+struct admission_pressure *direct_stages_pressure(struct direct_stages *stages,
+						  const char *name)
+{
+	return &get_or_create_service(stages, name)->pressure;
 }
 
 void direct_stages_record_latency(struct direct_stages *stages,
@@ -773,6 +803,107 @@
 		time_now_us(stages));
 }
 
+/* ---- commitments ---- */
+
+/* Late work is committed at the last rank: it does not go before the on-time
+ * work of its own rank. */
+void direct_stages_commit(struct direct_stages *stages,
+			  struct direct_request *request, bool is_late)
+{
+	uint64_t hash = lp_hash_str(request->id);
+
+	for (uint32_t i = 0; i < request->route->stages_count; i++)
+		direct_commitments_add(stages->commitments, request, hash,
+				       request->route->stages[i].service, i,
+				       is_late ? DIRECT_PRIORITY_RANKS - 1
+					       : request->priority,
+				       graph_piece_count(request->graph, i));
+}
+
+static uint32_t get_shard_count(void *userdata, const char *service)
+{
+	return get_or_create_service(userdata, service)->shards;
+}
+
+static uint64_t get_dispatcher(void *userdata, const char *name, uint32_t shard)
+{
+	struct direct_stages *stages = userdata;
+	const struct stage_service *service =
+		get_or_create_service(stages, name);
+	uint64_t dispatcher = service->dispatchers[shard];
+
+	return !stages->direct->relay || dispatcher == own_hash(stages)
+		       ? 0
+		       : dispatcher;
+}
+
+static uint32_t count_members(void *userdata)
+{
+	struct direct_stages *stages = userdata;
+
+	return stages->direct->relay ? direct_peers_count(stages->direct->peers)
+				     : 1;
+}
+
+static bool is_stage_service(void *userdata, const char *name)
+{
+	struct direct_stages *stages = userdata;
+	const struct direct_service *service =
+		direct_config_service(stages->direct->config, name);
+
+	return service && service->serves_pieces;
+}
+
+static void send_commitments(void *userdata, uint64_t peer, GVariant *body)
+{
+	struct direct_stages *stages = userdata;
+
+	direct_peers_send(stages->direct->peers, peer, DIRECT_COMMITMENTS_KIND,
+			  body);
+}
+
+static void on_commitments_changed(void *userdata, const char *service,
+				   const uint32_t by_rank[ADMISSION_RANKS])
+{
+	struct direct_stages *stages = userdata;
+
+	direct_calls_set_committed(stages->direct->calls, service, by_rank,
+				   ADMISSION_RANKS);
+}
+
+static void on_commitments(void *userdata, uint64_t peer, GVariant *body)
+{
+	struct direct_stages *stages = userdata;
+
+	if (direct_ready(stages->direct))
+		direct_commitments_receive(stages->commitments, peer, body);
+}
+
+/* A peer that was not live, or has restarted. */
+static void on_peer_discovered(void *userdata, uint64_t peer)
+{
+	struct direct_stages *stages = userdata;
+
+	direct_commitments_peer_restarted(stages->commitments, peer);
+}
+
+static struct direct_commitments *
+create_commitments(struct direct_stages *stages)
+{
+	const struct direct_commitments_options options = {
+		.clock = stages->direct->options.clock,
+		.shard_count = get_shard_count,
+		.dispatcher = get_dispatcher,
+		.members = count_members,
+		.is_dispatched = is_stage_service,
+		.send = send_commitments,
+		.on_changed = on_commitments_changed,
+		.userdata = stages,
+	};
+
+	return direct_commitments_create(&options);
+}
+
 /* ---- start and end ---- */
 
 void direct_stages_set_peers(struct direct_stages *stages,
@@ -789,6 +920,9 @@
 		return;
 	stages->direct->relay =
 		direct_relay_create(stages->direct, peers, &events);
+	direct_peers_listen(peers, DIRECT_COMMITMENTS_KIND,
+			    DIRECT_COMMITMENTS_TYPE, on_commitments, stages);
+	direct_peers_on_discovered(peers, on_peer_discovered, stages);
 	stages->discovery_timer =
 		lp_timer_add(DISCOVERY_POLL_MS, on_discovery_timer, stages);
 	assign_dispatchers(stages);
@@ -803,6 +937,7 @@
 						 free_service);
 	stages->submissions = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						    NULL, free_submission);
+	stages->commitments = create_commitments(stages);
 	/* Random, to differ from those of an earlier start. */
 	stages->next_number = lp_random_u64();
 	stages->phase = g_random_double();
@@ -816,6 +951,7 @@
 	g_source_remove(stages->assignment_timer);
 	if (stages->discovery_timer)
 		g_source_remove(stages->discovery_timer);
+	direct_commitments_destroy(stages->commitments);
 	g_hash_table_unref(stages->submissions);
 	g_hash_table_unref(stages->services);
 	g_free(stages);
