Check that every open request waits for something with a timer

Cause: two paths left a request with nothing to wait for but its deadline. Results of other pieces, or a second result of the same piece, ended a submission whose pieces were outstanding. And a dispatcher that lives but has given up sending its results (none confirmed in half a second) was waited for without end.

- Results count only for pieces that have none yet.
- Accepted work is sent again every second until it expires.
A dispatcher that has it confirms it; one that has not computes it again.
- direct_stuck_requests() counts requests that wait for nothing but their deadline, in one pass over the submissions and the requests.

Relay.SurplusResultsDoNotEndSubmission and Relay.AcceptedWorkIsConfirmedAgain are red without the two mends and green with them.

--- a/direct/direct.c
+++ b/direct/direct.c
@@ -391,6 +391,20 @@
 	http_server_stop_listening(direct->server);
 }
 
+uint32_t direct_stuck_requests(struct direct *direct)
+{
+	GHashTableIter iter;
+	gpointer key;
+	uint32_t stuck = 0;
+
+	for_each_request(direct, direct_request_clear_waiting);
+	direct_stages_mark_waiting(direct->stages);
+	g_hash_table_iter_init(&iter, direct->requests);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		stuck += !direct_request_is_waiting(key);
+	return stuck;
+}
+
 uint32_t direct_open_requests(const struct direct *direct)
 {
 	return http_server_busy_count(direct->server);
--- a/direct/direct.h
+++ b/direct/direct.h
@@ -132,6 +132,9 @@
 void direct_refuse_unsent(struct direct *direct);
 /** Accept pending connections, then close the listening socket. */
 void direct_stop_listening(struct direct *direct);
+/** Number of requests that wait for nothing but their deadline, which is a
+ * fault. The cost grows with the number of requests and submitted stages. */
+uint32_t direct_stuck_requests(struct direct *direct);
 /** Number of requests that are being read or served, or whose answer is not yet
  * sent completely. */
 uint32_t direct_open_requests(const struct direct *direct);
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -116,6 +116,16 @@
 /** Refuse a request because a piece of it cannot be completed in time. */
 void direct_request_refuse_late(struct direct_request *request);
 
+/** Begin a check of what this request waits for. */
+void direct_request_clear_waiting(struct direct_request *request);
+/** A stage of this request waits for its pieces. */
+void direct_request_mark_waiting(struct direct_request *request,
+				 uint32_t stage);
+/** Whether a request waits for something that has a timer other than its
+ * deadline: submitted pieces, a query to a placer, or an exchange with an
+ * upstream. Valid after its stages have been marked. */
+bool direct_request_is_waiting(const struct direct_request *request);
+
 /* ---- direct_results.c: freeing results that nobody needs any more ---- */
 
 struct direct_results *direct_results_create(struct direct *direct);
@@ -158,6 +168,9 @@
 /** A request has ended: cancel its pieces and free its results. */
 void direct_stages_cancel(struct direct_stages *stages,
 			  struct direct_request *request);
+/** Mark each stage of a request whose pieces wait in a queue here, at a
+ * dispatcher, or for the discovery of members. */
+void direct_stages_mark_waiting(struct direct_stages *stages);
 /** Free the results that a request does not need any more; `all`: every one. */
 void direct_stages_free_results(struct direct_stages *stages,
 				struct direct_request *request, bool all);
--- a/direct/direct_relay.c
+++ b/direct/direct_relay.c
@@ -37,6 +37,11 @@
  * receiver is busy. */
 #define RESEND_US (60 * LP_US_PER_MS)
 #define TIMER_MS 20
+/* Accepted work is sent again at this interval. A dispatcher that has it
+ * confirms it again. One that has given up sending its results, because none
+ * was confirmed for half a second, computes them again; the request waited for
+ * its deadline otherwise. */
+#define RECONFIRM_US (1 * LP_US_PER_S)
 /* A dispatcher with work of this entry gets a liveness probe after the first
  * period of silence. After the second it counts as gone; it may be on a slow
  * host, so the period is long. */
@@ -58,6 +63,7 @@
 	GVariant *body;
 	int64_t first_sent_us;
 	int64_t sent_us;
+	int64_t expires_us; /* useless after it */
 	bool is_accepted;
 };
 
@@ -165,7 +171,9 @@
 
 	if (is_dispatcher_gone(relay, outgoing))
 		return true;
-	if (!outgoing->is_accepted && now_us - outgoing->sent_us >= RESEND_US)
+	if (now_us - outgoing->sent_us >=
+		    (outgoing->is_accepted ? RECONFIRM_US : RESEND_US) &&
+	    (!outgoing->is_accepted || now_us < outgoing->expires_us))
 		resend_work(relay, outgoing);
 	else if (outgoing->is_accepted &&
 		 now_us - MAX(received_us, outgoing->sent_us) >= PROBE_AFTER_US)
@@ -319,6 +327,7 @@
 	outgoing->body = body;
 	outgoing->first_sent_us = time_now_us(relay);
 	outgoing->sent_us = outgoing->first_sent_us;
+	outgoing->expires_us = work->piece.expires_us;
 	g_hash_table_insert(relay->outgoing, &outgoing->number, outgoing);
 	start_timer(relay);
 	return true;
@@ -337,6 +346,11 @@
 	g_hash_table_remove(relay->outgoing, &number);
 }
 
+bool direct_relay_has_work(const struct direct_relay *relay, uint64_t number)
+{
+	return g_hash_table_contains(relay->outgoing, &number);
+}
+
 static void report_queue_waits(struct direct_relay *relay, uint64_t number,
 			       GVariant *list)
 {
--- a/direct/direct_relay.h
+++ b/direct/direct_relay.h
@@ -43,6 +43,9 @@
 /** Forget submitted work; with `notify`, have its dispatcher cancel it. */
 void direct_relay_cancel(struct direct_relay *relay, uint64_t number,
 			 bool notify);
+/** Whether submitted work has neither all its results nor been cancelled or
+ * reported as lost. */
+bool direct_relay_has_work(const struct direct_relay *relay, uint64_t number);
 /** Have a dispatcher free results at their producer. The datagram may be lost.
  * `bytes`: size of all results. */
 void direct_relay_free_results(struct direct_relay *relay, uint64_t peer,
--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -335,6 +335,59 @@
 				      "draining");
 }
 
+/* ---- what a request waits for ---- */
+
+/* Stages from this one on share a bit of the mask. */
+#define WAITING_STAGE_MAX 63
+
+static uint64_t stage_bit(uint32_t stage)
+{
+	return UINT64_C(1) << MIN(stage, WAITING_STAGE_MAX);
+}
+
+void direct_request_clear_waiting(struct direct_request *request)
+{
+	request->waiting_stages = 0;
+}
+
+void direct_request_mark_waiting(struct direct_request *request, uint32_t stage)
+{
+	request->waiting_stages |= stage_bit(stage);
+}
+
+static bool has_requested_piece(const struct graph *graph, uint32_t stage)
+{
+	for (uint32_t i = 0; i < graph_piece_count(graph, stage); i++)
+		if (graph_get_piece_state(graph, stage, i) ==
+		    GRAPH_PIECE_REQUESTED)
+			return true;
+	return false;
+}
+
+static bool waits_for_stages(const struct direct_request *request)
+{
+	if (!request->graph)
+		return false;
+	for (uint32_t i = 0; i < request->route->stages_count; i++)
+		if (has_requested_piece(request->graph, i) &&
+		    !(request->waiting_stages & stage_bit(i)))
+			return false;
+	return request->waiting_stages != 0;
+}
+
+bool direct_request_is_waiting(const struct direct_request *request)
+{
+	switch (request->state) {
+	case DIRECT_STATE_STAGES:
+		return waits_for_stages(request);
+	case DIRECT_STATE_PLACING:
+		return request->placement_query || request->placement_timer;
+	case DIRECT_STATE_SENT:
+		return request->exchange;
+	}
+	return false;
+}
+
 /* ---- arrival ---- */
 
 static const struct direct_organisation *
--- a/direct/direct_request.h
+++ b/direct/direct_request.h
@@ -57,8 +57,9 @@
 	/* stages */
 	struct graph *graph; /* NULL: the route has no stages */
 	uint32_t recomputations;
-	int64_t *requested_us; /* per stage: first request for its pieces */
-	int64_t *completed_us; /* per stage: completion of its last piece */
+	uint64_t waiting_stages; /* direct_request_mark_waiting(): bit mask */
+	int64_t *requested_us;	 /* per stage: first request for its pieces */
+	int64_t *completed_us;	 /* per stage: completion of its last piece */
 	/* the sending in progress */
 	uint64_t placement_query; /* query to its placer; 0: none */
 	struct direct_placement_result placement;
--- a/direct/direct_stages.c
+++ b/direct/direct_stages.c
@@ -469,14 +469,16 @@
 		graph_reset_piece(graph, submission->stage, result->index);
 }
 
-static void remove_index(GArray *indices, uint32_t index)
+/* Returns whether the index was there. */
+static bool remove_index(GArray *indices, uint32_t index)
 {
 	for (guint i = 0; indices && i < indices->len; i++) {
 		if (g_array_index(indices, uint32_t, i) != index)
 			continue;
 		g_array_remove_index_fast(indices, i);
-		return;
+		return true;
 	}
+	return false;
 }
 
 static bool any_has_outcome(const struct direct_result *results, uint32_t count,
@@ -543,6 +545,25 @@
 	deliver_results(userdata, results, count, left);
 }
 
+/* Moves the first result of each piece that has none yet to the front, and
+ * returns their number. Other results must not count: a submission that ended
+ * with pieces outstanding left its request waiting for nothing. */
+static uint32_t take_outstanding(struct submission *submission,
+				 struct direct_result *results, uint32_t count)
+{
+	uint32_t taken = 0;
+
+	for (uint32_t i = 0; i < count; i++) {
+		struct direct_result result = results[i];
+
+		if (!remove_index(submission->work.indices, result.index))
+			continue;
+		results[i] = results[taken];
+		results[taken++] = result;
+	}
+	return taken;
+}
+
 static void on_relay_results(void *userdata, uint64_t number,
 			     struct direct_result *results, uint32_t count)
 {
@@ -553,8 +574,10 @@
 
 	if (!submission)
 		return;
-	left = submission->work.indices->len -
-	       MIN(count, submission->work.indices->len);
+	count = take_outstanding(submission, results, count);
+	if (!count)
+		return;
+	left = submission->work.indices->len;
 	if (!left)
 		direct_relay_cancel(stages->direct->relay, number, false);
 	deliver_results(submission, results, count, left);
@@ -680,6 +703,24 @@
 	}
 }
 
+void direct_stages_mark_waiting(struct direct_stages *stages)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, stages->submissions);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct submission *submission = value;
+
+		if (submission->job || stages->discovery_timer ||
+		    (stages->direct->relay &&
+		     direct_relay_has_work(stages->direct->relay,
+					   submission->number)))
+			direct_request_mark_waiting(submission->request,
+						    submission->stage);
+	}
+}
+
 /* ---- freeing results ---- */
 
 static void free_results(struct direct_stages *stages, const GArray *results)
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -488,6 +488,79 @@
 	EXPECT_LT(request.took_us, 2 * LP_US_PER_S);
 }
 
+/* Guards against requests that wait for nothing but their deadline: a result
+ * of another piece, or a second one of the same, ended the submission. */
+TEST(Relay, SurplusResultsDoNotEndSubmission)
+{
+	const gint64 waits_us[4] = {};
+	const guint32 failed = 4;
+	EntryWithFakePeer setup;
+
+	setup.fake.send_hello(9000);
+	run_loop_until([] { return false; }, 300);
+	CallerRequest request(
+		setup.rig.address, "a1", "/staged/x",
+		{ { "X-Pieces", "2,1" }, { "X-Piece-Key", "k" } });
+
+	ASSERT_TRUE(run_loop_until([&] {
+		setup.fake.receive();
+		return setup.fake.received['A'] > 0;
+	}));
+	for (guint64 serial = 1; serial < 3; serial++) {
+		GVariantBuilder list;
+
+		g_variant_builder_init(&list, G_VARIANT_TYPE("a(uuts)"));
+		for (guint32 index = 2; index < 5; index++)
+			g_variant_builder_add(&list, "(uuts)", index, failed,
+					      (guint64)0, "");
+		setup.fake.send(
+			'R',
+			g_variant_new("(tta(uuts)@ax)", setup.fake.last_work,
+				      serial, &list,
+				      g_variant_new_fixed_array(
+					      G_VARIANT_TYPE_INT64, waits_us, 4,
+					      sizeof(gint64))));
+		run_loop_until([] { return false; }, 30);
+		EXPECT_EQ(direct_stuck_requests(setup.rig.entry), 0u);
+	}
+	EXPECT_EQ(request.wait().body, complete_stream);
+}
+
+/* Guards against requests that wait for nothing but their deadline: the
+ * dispatcher has accepted the work and lives, but its results were lost. */
+TEST(Relay, AcceptedWorkIsConfirmedAgain)
+{
+	const gint64 waits_us[4] = {};
+	EntryWithFakePeer setup;
+	int sent = 0;
+
+	setup.fake.send_hello(9000);
+	run_loop_until([] { return false; }, 300);
+	CallerRequest request(
+		setup.rig.address, "a1", "/staged/x",
+		{ { "X-Pieces", "1,1" }, { "X-Piece-Key", "k" } });
+
+	EXPECT_TRUE(run_loop_until(
+		[&] {
+			setup.fake.receive();
+			if (setup.fake.received['A'] > sent)
+				setup.fake.send(
+					'K',
+					g_variant_new(
+						"(t@ax)", setup.fake.last_work,
+						g_variant_new_fixed_array(
+							G_VARIANT_TYPE_INT64,
+							waits_us, 4,
+							sizeof(gint64))));
+			else if (sent)
+				setup.fake.send_hello(9000);
+			sent = setup.fake.received['A'];
+			return sent > 1;
+		},
+		1500));
+	EXPECT_EQ(direct_stuck_requests(setup.rig.entry), 0u);
+}
+
 /* Engine and dispatcher of a stream are lost at the same time. Guards against
  * the stream's pieces losing their precedence on the way to a dispatcher, or
  * the stream being aborted although it can go on in time. */
--- a/tests/stream_resume_test.cc
+++ b/tests/stream_resume_test.cc
@@ -94,6 +94,7 @@
 			[&] { return stream->body == first_events; }));
 		run_loop_until([] { return false; }, 60);
 		ASSERT_FALSE(stream->done);
+		EXPECT_EQ(direct_stuck_requests(rig.entry), 0u);
 	}
 	int64_t resumes(const char *outcome)
 	{
@@ -202,6 +203,32 @@
 	EXPECT_EQ(pe_pieces_made(broken.rig.platform), 12u);
 }
 
+/* Guards against requests that wait for nothing but their deadline, while calls
+ * of pieces fail, results are lost and engines refuse. */
+TEST(StreamResume, EveryOpenRequestWaitsForSomething)
+{
+	const enum pe_fault faults[] = { PE_FAULT_RESET, PE_FAULT_FORGET,
+					 PE_FAULT_FULL, PE_FAULT_GARBLED,
+					 PE_FAULT_NONE };
+	BrokenStream broken;
+
+	broken.queue_burst(10, 30);
+	broken.wait_for_cut();
+	for (enum pe_fault fault : faults) {
+		pe_fault(broken.first, fault);
+		pe_fault(broken.engines[0], fault);
+		for (int i = 0; i < 30; i++) {
+			run_loop_until([] { return false; }, 10);
+			EXPECT_EQ(direct_stuck_requests(broken.rig.entry), 0u)
+				<< fault;
+		}
+	}
+	broken.stream->wait();
+	for (auto &request : broken.burst)
+		request->wait();
+	EXPECT_EQ(direct_open_requests(broken.rig.entry), 0u);
+}
+
 /* Guards against streams that cannot continue and are not aborted: the
  * only other engine is lost as well. */
 TEST(StreamResume, AnswerIsAbortedWhenEnginesAreLost)
