policy/pieces: late pieces go last where inputs occupy memory, and are shed

Late pieces were put behind on-time ones only if their inputs occupied no scarce result memory. In the last stage of a route all inputs do, so under overload late pieces went first and each piece started when it was already too late. The estimate did not count them either.

On-time pieces go before late ones now, and the estimate counts what goes ahead by the same rule. So that late groups do not fill the memory of the stage before, they are shed (DIRECT_ITEM_LATE: their owner refuses the request and frees its results) if on-time work takes all the capacity and they would wait for more than two calls, and in any stage if they cannot be completed before they expire. Groups in a running call are not shed, on-time ones neither. Log line `shed`, counter linepier_pieces_shed_total.

pieces.c is split: order, forecast and shedding are files of their own.

--- a/direct/direct_calls.c
+++ b/direct/direct_calls.c
@@ -15,12 +15,16 @@
 /* Peers that receive the report of an unreachable upstream eject it for this
  * long: about as long as it would take them to find out. */
 #define PEER_EJECTION_US (1 * LP_US_PER_S)
+/* Shedding visits the whole queue, which may have 2,000 pieces. Entries may
+ * have a fifteenth of a processor. */
+#define SHEDDING_INTERVAL_US (20 * LP_US_PER_MS)
 
 struct call_queue {
 	struct direct_calls *calls;
 	struct pieces *pieces;
 	char *name;
 	guint wake_timer;
+	int64_t shed_us; /* when pieces were last shed */
 };
 
 struct direct_job {
@@ -595,6 +599,74 @@
 			     on_wake_timer, queue);
 }
 
+/* ---- shedding ---- */
+
+static void log_shed(struct call_queue *queue, const struct piece *piece,
+		     uint32_t count)
+{
+	const struct direct_job *job = piece->request;
+	struct direct *direct = queue->calls->direct;
+	struct lp_event_log *log = direct->options.log;
+	int64_t now_us = lp_now_us(direct->options.clock);
+	const char *why = load_shedding_reason_name(piece->shed_reason);
+	g_autofree char *label = g_strdup_printf("why=\"%s\"", why);
+
+	*direct_counter(direct, "linepier_pieces_shed_total", label) += count;
+	if (!lp_event_begin(log, "shed", job->work.id))
+		return;
+	lp_event_text(log, "service", queue->name);
+	lp_event_text(log, "why", why);
+	lp_event_int(log, "stage", piece->stage);
+	lp_event_int(log, "pieces", count);
+	lp_event_int(log, "rank", piece->priority);
+	lp_event_int(log, "waited_us", now_us - piece->added_us);
+	lp_event_int(log, "wait_us", piece->shed_wait_us);
+	lp_event_int(log, "late_us", now_us - piece->due_us);
+	lp_event_int(log, "left_us", piece->expires_us - now_us);
+	lp_event_end(log);
+}
+
+/* Reports `count` shed pieces of one job to its owner, who refuses the
+ * request. */
+static void report_shed(struct call_queue *queue, const struct piece *pieces,
+			uint32_t count)
+{
+	struct direct_result *results = g_new0(struct direct_result, count);
+
+	log_shed(queue, pieces, count);
+	for (uint32_t i = 0; i < count; i++) {
+		results[i].index = pieces[i].index;
+		results[i].outcome = DIRECT_ITEM_LATE;
+	}
+	notify_job(pieces->request, results, count);
+	g_free(results);
+}
+
+/* A job that is cancelled while others are reported still has open pieces
+ * here, so it is not freed before its turn. */
+static void shed_pieces(struct call_queue *queue)
+{
+	int64_t now_us = lp_now_us(queue->calls->direct->options.clock);
+	g_autoptr(GArray) shed = NULL;
+	guint end;
+
+	if (now_us - queue->shed_us < SHEDDING_INTERVAL_US)
+		return;
+	queue->shed_us = now_us;
+	shed = g_array_new(FALSE, FALSE, sizeof(struct piece));
+	pieces_shed(queue->pieces, shed);
+	for (guint start = 0; start < shed->len; start = end) {
+		const struct piece *first =
+			&g_array_index(shed, struct piece, start);
+
+		for (end = start + 1; end < shed->len; end++)
+			if (g_array_index(shed, struct piece, end).request !=
+			    first->request)
+				break;
+		report_shed(queue, first, end - start);
+	}
+}
+
 void direct_calls_run(struct direct_calls *calls)
 {
 	g_autoptr(GList) queues = g_hash_table_get_values(calls->queues);
@@ -604,6 +676,7 @@
 		struct pool_upstream *upstream;
 		struct pieces_call *batch;
 
+		shed_pieces(queue);
 		while ((upstream = pieces_next_memory_query(queue->pieces)))
 			query_memory(queue, upstream);
 		while ((batch = pieces_start_call(queue->pieces)))
--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -1,4 +1,4 @@
-#include "policy/pieces.h"
+#include "policy/pieces_private.h"
 
 #include <string.h>
 
@@ -13,11 +13,6 @@
 #define DOMAIN_WAIT_MAX_US (400 * LP_US_PER_MS)
 /* Longest time until the queue is checked again while pieces wait. */
 #define RECHECK_INTERVAL_US (10 * LP_US_PER_MS)
-/* Among pieces that can be on time, a step of priority outweighs any due time:
- * less urgent pieces must not be served more often. */
-#define PRIORITY_RANK_US (20 * LP_US_PER_S)
-/* Late pieces are ordered behind all that can still be on time. */
-#define LATE_RANK_US (1000 * LP_US_PER_S)
 /* An idle upstream stays idle if a busy one would finish the same call sooner
  * by this factor. */
 #define SLOW_CALL_FACTOR 1.5
@@ -29,15 +24,6 @@
  * until five round trips have passed. */
 #define MEMORY_QUERY_TIMEOUT_US (25 * LP_US_PER_MS)
 
-struct pieces {
-	struct pieces_options options;
-	char *service;
-	GArray *waiting;     /* of struct piece */
-	GPtrArray *calls;    /* in flight; owned by the caller */
-	uint32_t shards;     /* of the service */
-	uint64_t own_shards; /* bitmask of the shards of this queue */
-};
-
 struct pieces *pieces_create(const struct pieces_options *options)
 {
 	struct pieces *pieces = g_new0(struct pieces, 1);
@@ -70,24 +56,10 @@
 	pieces->options.result_ttl_us = options->result_ttl_us;
 }
 
-static int64_t now(const struct pieces *pieces)
-{
-	return lp_now_us(pieces->options.clock);
-}
-
-static const GPtrArray *upstreams_of(const struct pieces *pieces)
-{
-	static const GPtrArray none;
-	const GPtrArray *list =
-		pool_service_upstreams(pieces->options.pool, pieces->service);
-
-	return list ? list : &none;
-}
-
 /* The previous dispatcher of a shard may have left results at any upstream. */
 static void invalidate_memory_reports(struct pieces *pieces)
 {
-	const GPtrArray *list = upstreams_of(pieces);
+	const GPtrArray *list = pieces_upstreams(pieces);
 
 	for (guint i = 0; i < list->len; i++) {
 		struct pool_upstream *upstream = g_ptr_array_index(list, i);
@@ -107,15 +79,11 @@
 	invalidate_memory_reports(pieces);
 }
 
-static struct piece *waiting_piece(const struct pieces *pieces, guint i)
-{
-	return &g_array_index(pieces->waiting, struct piece, i);
-}
-
 void pieces_add(struct pieces *pieces, const struct piece *piece)
 {
 	g_array_append_vals(pieces->waiting, piece, 1);
-	waiting_piece(pieces, pieces->waiting->len - 1)->added_us = now(pieces);
+	pieces_waiting(pieces, pieces->waiting->len - 1)->added_us =
+		pieces_now_us(pieces);
 }
 
 uint32_t pieces_drop_request(struct pieces *pieces, const void *request)
@@ -123,7 +91,7 @@
 	uint32_t dropped = 0;
 
 	for (guint i = pieces->waiting->len; i-- > 0;) {
-		if (waiting_piece(pieces, i)->request != request)
+		if (pieces_waiting(pieces, i)->request != request)
 			continue;
 		g_array_remove_index(pieces->waiting, i);
 		dropped++;
@@ -131,76 +99,25 @@
 	return dropped;
 }
 
-static int64_t call_time_us(const struct pieces *pieces, uint32_t count)
-{
-	return pieces->options.call_us + count * pieces->options.piece_us;
-}
-
-/* ---- order ---- */
-
-/* A piece that is due before this time is late: the next call carries as much
- * of the queue as fits, and each further piece makes the call longer. */
-static int64_t lateness_cutoff_us(const struct pieces *pieces)
-{
-	uint32_t others =
-		MIN(pieces->waiting->len, pieces->options.batch_max) - 1;
-
-	return now(pieces) + others * pieces->options.piece_us;
-}
-
-/*
- * Stages that have begun are finished first, as their results occupy memory
- * until then: the rest of a started group goes before all other pieces, and
- * lateness puts back only pieces whose inputs occupy no scarce memory.
- */
-static int64_t rank_us(const struct piece *piece, int64_t lateness_cutoff_us)
-{
-	int64_t rank = piece->due_us + piece->priority * PRIORITY_RANK_US;
-
-	if (piece->group_started)
-		return rank - LATE_RANK_US;
-	if (piece->holds_memory || piece->due_us >= lateness_cutoff_us)
-		return rank;
-	return rank + LATE_RANK_US;
-}
-
-static int compare_rank(gconstpointer a, gconstpointer b, gpointer userdata)
-{
-	const int64_t *cutoff_us = userdata;
-	const struct piece *first = a;
-	const struct piece *second = b;
-	int64_t one = rank_us(first, *cutoff_us);
-	int64_t two = rank_us(second, *cutoff_us);
-
-	if (one != two)
-		return one < two ? -1 : 1;
-	/* Pieces of one request stay adjacent. */
-	if (first->request != second->request)
-		return first->request < second->request ? -1 : 1;
-	return first->stage < second->stage ? -1 : first->stage > second->stage;
-}
-
 /* ---- upstreams ---- */
 
-static bool is_in_own_shard(const struct pieces *pieces,
+bool pieces_is_own_upstream(const struct pieces *pieces,
 			    const struct pool_upstream *upstream)
 {
 	return pieces->own_shards >> (upstream->hash % pieces->shards) & 1;
 }
 
-static bool is_usable(const struct pieces *pieces,
+bool pieces_is_usable(const struct pieces *pieces,
 		      const struct pool_upstream *upstream)
 {
-	return is_in_own_shard(pieces, upstream) &&
+	return pieces_is_own_upstream(pieces, upstream) &&
 	       pool_is_available(pieces->options.pool, upstream);
 }
 
-/* Time until the upstream has finished calls of this queue and of others; 0:
- * it is idle. */
-static int64_t time_until_idle_us(const struct pieces *pieces,
+int64_t pieces_time_until_idle_us(const struct pieces *pieces,
 				  const struct pool_upstream *upstream)
 {
-	int64_t now_us = now(pieces);
+	int64_t now_us = pieces_now_us(pieces);
 	int64_t left_us = MAX(upstream->busy_until_us - now_us, 0);
 
 	for (guint i = 0; i < pieces->calls->len; i++) {
@@ -221,12 +138,11 @@
 			       const struct pool_upstream *upstream,
 			       uint32_t count)
 {
-	return (double)call_time_us(pieces, count) * upstream->slowness *
+	return (double)pieces_call_time_us(pieces, count) * upstream->slowness *
 	       (1.0 + 2.0 * upstream->error_rate);
 }
 
-/* Result memory of the upstream that is free, as far as is known. */
-static int64_t free_memory_bytes(const struct pieces *pieces,
+int64_t pieces_free_memory_bytes(const struct pieces *pieces,
 				 const struct pool_upstream *upstream)
 {
 	if (!pieces->options.result_memory_bytes)
@@ -243,26 +159,12 @@
 	       !upstream->result_memory_reported_us &&
 	       !upstream->rate_limit.advertised &&
 	       (!upstream->result_memory_queried_us ||
-		now(pieces) - upstream->result_memory_queried_us <
+		pieces_now_us(pieces) - upstream->result_memory_queried_us <
 			MEMORY_QUERY_TIMEOUT_US);
 }
 
 /* ---- groups ---- */
 
-/* End of the group that begins at `start`. A group is the pieces of one stage
- * of one request, which are adjacent in the order. */
-static guint group_end(const struct pieces *pieces, guint start)
-{
-	const struct piece *first = waiting_piece(pieces, start);
-	guint end = start + 1;
-
-	while (end < pieces->waiting->len &&
-	       waiting_piece(pieces, end)->request == first->request &&
-	       waiting_piece(pieces, end)->stage == first->stage)
-		end++;
-	return end;
-}
-
 /* Whether the results of a whole group fit: results of an incomplete group
  * would occupy memory while they wait for the rest. A group that is larger than
  * the whole memory may be started in part. */
@@ -272,7 +174,7 @@
 	int64_t bytes = 0;
 
 	for (guint i = start; i < end; i++)
-		bytes += waiting_piece(pieces, i)->result_bytes;
+		bytes += pieces_waiting(pieces, i)->result_bytes;
 	return bytes <= free_bytes ||
 	       bytes > pieces->options.result_memory_bytes;
 }
@@ -292,14 +194,14 @@
 static bool any_usable_in_domain(const struct pieces *pieces,
 				 const char *domain)
 {
-	const GPtrArray *list = upstreams_of(pieces);
+	const GPtrArray *list = pieces_upstreams(pieces);
 
 	for (guint i = 0; i < list->len; i++) {
 		const struct pool_upstream *upstream =
 			g_ptr_array_index(list, i);
 
 		if (!strcmp(upstream->info.domain, domain) &&
-		    is_usable(pieces, upstream))
+		    pieces_is_usable(pieces, upstream))
 			return true;
 	}
 	return false;
@@ -309,7 +211,7 @@
  * when it was added is never due. */
 static bool is_due_now(const struct pieces *pieces, const struct piece *piece)
 {
-	return lateness_cutoff_us(pieces) >= piece->due_us &&
+	return pieces_lateness_cutoff_us(pieces) >= piece->due_us &&
 	       piece->due_us > piece->added_us;
 }
 
@@ -319,8 +221,8 @@
 static bool may_use_upstream(const struct pieces *pieces, guint start,
 			     guint end, const struct pool_upstream *upstream)
 {
-	const struct piece *first = waiting_piece(pieces, start);
-	int64_t now_us = now(pieces);
+	const struct piece *first = pieces_waiting(pieces, start);
+	int64_t now_us = pieces_now_us(pieces);
 	int64_t fetch_cost_us;
 
 	if (!first->preferred_domain ||
@@ -343,17 +245,17 @@
 static uint32_t plan_call(const struct pieces *pieces,
 			  const struct pool_upstream *upstream, bool *selected)
 {
-	int64_t free_bytes = free_memory_bytes(pieces, upstream);
+	int64_t free_bytes = pieces_free_memory_bytes(pieces, upstream);
 	uint32_t count = 0;
 	guint start = 0;
 
 	while (start < pieces->waiting->len &&
 	       count < pieces->options.batch_max) {
-		guint end = group_end(pieces, start);
-		bool exclusive = waiting_piece(pieces, start)->exclusive;
+		guint end = pieces_group_end(pieces, start);
+		bool exclusive = pieces_waiting(pieces, start)->exclusive;
 		bool fits =
 			allowed_regions_contain(
-				waiting_piece(pieces, start)->allowed_regions,
+				pieces_waiting(pieces, start)->allowed_regions,
 				upstream->region) &&
 			(!exclusive || !count) &&
 			group_fits(pieces, start, end, free_bytes) &&
@@ -363,9 +265,10 @@
 		for (guint i = start;
 		     fits && i < end && count < pieces->options.batch_max;
 		     i++) {
-			if (waiting_piece(pieces, i)->result_bytes > free_bytes)
+			if (pieces_waiting(pieces, i)->result_bytes >
+			    free_bytes)
 				break;
-			free_bytes -= waiting_piece(pieces, i)->result_bytes;
+			free_bytes -= pieces_waiting(pieces, i)->result_bytes;
 			count++;
 			if (selected)
 				selected[i] = true;
@@ -384,7 +287,7 @@
 static bool is_too_slow(const struct pieces *pieces,
 			const struct pool_upstream *slow, uint32_t count)
 {
-	const GPtrArray *list = upstreams_of(pieces);
+	const GPtrArray *list = pieces_upstreams(pieces);
 	double own_us = expected_call_us(pieces, slow, count);
 	uint32_t usable_count = 0;
 	bool any_sooner = false;
@@ -393,11 +296,12 @@
 		const struct pool_upstream *upstream =
 			g_ptr_array_index(list, i);
 
-		if (!is_usable(pieces, upstream))
+		if (!pieces_is_usable(pieces, upstream))
 			continue;
 		usable_count++;
 		if (SLOW_CALL_FACTOR *
-			    ((double)time_until_idle_us(pieces, upstream) +
+			    ((double)pieces_time_until_idle_us(pieces,
+							       upstream) +
 			     expected_call_us(pieces, upstream, count)) <
 		    own_us)
 			any_sooner = true;
@@ -410,7 +314,7 @@
  * wait. */
 static struct pool_upstream *choose_upstream(const struct pieces *pieces)
 {
-	const GPtrArray *list = upstreams_of(pieces);
+	const GPtrArray *list = pieces_upstreams(pieces);
 	struct pool_upstream *best = NULL;
 	uint32_t best_count = 0;
 	double best_us = 0;
@@ -420,8 +324,8 @@
 		uint32_t count;
 		double us;
 
-		if (!is_usable(pieces, upstream) ||
-		    time_until_idle_us(pieces, upstream) ||
+		if (!pieces_is_usable(pieces, upstream) ||
+		    pieces_time_until_idle_us(pieces, upstream) ||
 		    awaits_memory_report(pieces, upstream))
 			continue;
 		count = plan_call(pieces, upstream, NULL);
@@ -439,14 +343,14 @@
 
 static bool any_upstream_idle(const struct pieces *pieces)
 {
-	const GPtrArray *list = upstreams_of(pieces);
+	const GPtrArray *list = pieces_upstreams(pieces);
 
 	for (guint i = 0; i < list->len; i++) {
 		const struct pool_upstream *upstream =
 			g_ptr_array_index(list, i);
 
-		if (is_usable(pieces, upstream) &&
-		    !time_until_idle_us(pieces, upstream))
+		if (pieces_is_usable(pieces, upstream) &&
+		    !pieces_time_until_idle_us(pieces, upstream))
 			return true;
 	}
 	return false;
@@ -475,14 +379,14 @@
 		if (!selected[i])
 			continue;
 		result_memory_reserve(upstream->result_memory,
-				      waiting_piece(pieces, i)->result_bytes);
-		g_array_append_val(out, *waiting_piece(pieces, i));
+				      pieces_waiting(pieces, i)->result_bytes);
+		g_array_append_val(out, *pieces_waiting(pieces, i));
 	}
 	for (guint i = pieces->waiting->len; i-- > 0;) {
 		if (selected[i])
 			g_array_remove_index(pieces->waiting, i);
-		else if (has_piece_of_group(out, waiting_piece(pieces, i)))
-			waiting_piece(pieces, i)->group_started = true;
+		else if (has_piece_of_group(out, pieces_waiting(pieces, i)))
+			pieces_waiting(pieces, i)->group_started = true;
 	}
 	g_free(selected);
 }
@@ -499,10 +403,10 @@
 			      pieces->options.result_ttl_us);
 	call->own_bytes = result_memory_tracked_bytes(upstream->result_memory);
 	dequeue_planned(pieces, upstream, call->pieces);
-	call->started_us = now(pieces);
-	call->expected_us =
-		(int64_t)((double)call_time_us(pieces, call->pieces->len) *
-			  upstream->slowness);
+	call->started_us = pieces_now_us(pieces);
+	call->expected_us = (int64_t)((double)pieces_call_time_us(
+					      pieces, call->pieces->len) *
+				      upstream->slowness);
 	upstream->in_flight++;
 	g_ptr_array_add(pieces->calls, call);
 	return call;
@@ -511,12 +415,10 @@
 struct pieces_call *pieces_start_call(struct pieces *pieces)
 {
 	struct pool_upstream *upstream;
-	int64_t cutoff_us;
 
 	if (!pieces->waiting->len || !any_upstream_idle(pieces))
 		return NULL;
-	cutoff_us = lateness_cutoff_us(pieces);
-	g_array_sort_with_data(pieces->waiting, compare_rank, &cutoff_us);
+	pieces_sort(pieces);
 	upstream = choose_upstream(pieces);
 	if (!upstream)
 		return NULL;
@@ -525,19 +427,23 @@
 
 int64_t pieces_next_check_us(const struct pieces *pieces)
 {
-	return pieces->waiting->len ? now(pieces) + RECHECK_INTERVAL_US : 0;
+	return pieces->waiting->len
+		       ? pieces_now_us(pieces) + RECHECK_INTERVAL_US
+		       : 0;
 }
 
 /* Records the calls of other dispatchers that the upstream has reported. */
 static void record_load(struct pieces *pieces, struct pool_upstream *upstream,
 			int32_t running, int32_t waiting)
 {
-	int64_t one_us = call_time_us(pieces, pieces->options.batch_max / 3);
+	int64_t one_us =
+		pieces_call_time_us(pieces, pieces->options.batch_max / 3);
 
 	if (running < 0 || waiting < 0)
 		return;
 	pool_note_busy(pieces->options.pool, upstream,
-		       now(pieces) + running * one_us / 2 + waiting * one_us);
+		       pieces_now_us(pieces) + running * one_us / 2 +
+			       waiting * one_us);
 }
 
 void pieces_piece_completed(struct pieces *pieces, struct pieces_call *call,
@@ -563,7 +469,7 @@
 	result_memory_note_call(
 		upstream->result_memory, pieces->options.result_memory_bytes,
 		call->own_bytes, call->completed_bytes, call->memory_exhausted);
-	upstream->result_memory_reported_us = now(pieces);
+	upstream->result_memory_reported_us = pieces_now_us(pieces);
 }
 
 void pieces_end_call(struct pieces *pieces, struct pieces_call *call,
@@ -571,7 +477,7 @@
 		     int32_t waiting)
 {
 	struct pool_upstream *upstream = call->upstream;
-	int64_t now_us = now(pieces);
+	int64_t now_us = pieces_now_us(pieces);
 	/* Calls of others would distort the measured time. */
 	bool timed = outcome == POOL_SERVED && !running && !waiting;
 
@@ -579,7 +485,7 @@
 		pieces->options.pool, upstream, outcome,
 		timed || outcome == POOL_UNREACHABLE ? now_us - call->started_us
 						     : 0,
-		timed ? call_time_us(pieces, call->pieces->len) : 0);
+		timed ? pieces_call_time_us(pieces, call->pieces->len) : 0);
 	record_load(pieces, upstream, running, waiting);
 	if (outcome == POOL_SERVED)
 		record_memory(pieces, call);
@@ -599,18 +505,19 @@
 static bool needs_memory_query(const struct pieces *pieces,
 			       const struct pool_upstream *upstream)
 {
-	if (!is_usable(pieces, upstream) || upstream->rate_limit.advertised)
+	if (!pieces_is_usable(pieces, upstream) ||
+	    upstream->rate_limit.advertised)
 		return false;
 	if (!upstream->result_memory_queried_us)
 		return true;
 	return result_memory_untracked_bytes(upstream->result_memory) &&
-	       now(pieces) - upstream->result_memory_queried_us >=
+	       pieces_now_us(pieces) - upstream->result_memory_queried_us >=
 		       MEMORY_QUERY_INTERVAL_US;
 }
 
 struct pool_upstream *pieces_next_memory_query(struct pieces *pieces)
 {
-	const GPtrArray *list = upstreams_of(pieces);
+	const GPtrArray *list = pieces_upstreams(pieces);
 
 	if (!pieces->options.result_memory_bytes || !pieces->waiting->len)
 		return NULL;
@@ -619,7 +526,7 @@
 
 		if (!needs_memory_query(pieces, upstream))
 			continue;
-		upstream->result_memory_queried_us = now(pieces);
+		upstream->result_memory_queried_us = pieces_now_us(pieces);
 		return upstream;
 	}
 	return NULL;
@@ -632,102 +539,5 @@
 	result_memory_note_report(upstream->result_memory,
 				  pieces->options.result_memory_bytes,
 				  own_bytes, min_bytes, max_bytes);
-	upstream->result_memory_reported_us = now(pieces);
-}
-
-/* ---- estimates ---- */
-
-static uint32_t count_ahead(const struct pieces *pieces, int32_t priority)
-{
-	uint32_t count = 0;
-	int64_t now_us = now(pieces);
-
-	for (guint i = 0; i < pieces->waiting->len; i++) {
-		const struct piece *piece = waiting_piece(pieces, i);
-
-		if (piece->priority <= priority && piece->due_us >= now_us)
-			count++;
-	}
-	return count;
-}
-
-/* Capacity of the upstreams that this queue may call. */
-struct capacity {
-	double total_speed; /* in upstreams of normal speed */
-	int64_t idle_in_us; /* time until the first is idle */
-};
-
-/* Whether only its advertised rate limit keeps the upstream from a call. */
-static bool awaits_rate_limit(const struct pieces *pieces,
-			      const struct pool_upstream *upstream)
-{
-	return is_in_own_shard(pieces, upstream) &&
-	       pool_is_eligible(upstream) &&
-	       pool_rate_limit_wait_us(pieces->options.pool, upstream);
-}
-
-/* Calls that the upstream completes in the time of one at normal speed. */
-static double relative_speed(const struct pieces *pieces,
-			     const struct pool_upstream *upstream)
-{
-	double speed = 1.0 / MAX(upstream->slowness, 0.1);
-	int64_t call_us = call_time_us(pieces, pieces->options.batch_max);
-
-	if (!upstream->rate_limit.advertised)
-		return speed;
-	return MIN(speed,
-		   pool_rate_limit_per_s(pieces->options.pool, upstream) *
-			   (double)call_us / LP_US_PER_S);
-}
-
-static struct capacity measure_capacity(const struct pieces *pieces)
-{
-	const GPtrArray *list = upstreams_of(pieces);
-	struct capacity capacity = { .idle_in_us = G_MAXINT64 };
-
-	for (guint i = 0; i < list->len; i++) {
-		const struct pool_upstream *upstream =
-			g_ptr_array_index(list, i);
-
-		if (!is_usable(pieces, upstream) &&
-		    !awaits_rate_limit(pieces, upstream))
-			continue;
-		capacity.total_speed += relative_speed(pieces, upstream);
-		capacity.idle_in_us =
-			MIN(capacity.idle_in_us,
-			    MAX(time_until_idle_us(pieces, upstream),
-				pool_rate_limit_wait_us(pieces->options.pool,
-							upstream)));
-	}
-	if (capacity.total_speed > 0)
-		return capacity;
-	return (struct capacity){ 1.0, call_time_us(pieces, 1) };
-}
-
-static int64_t estimate_us(const struct pieces *pieces,
-			   const struct capacity *capacity, int32_t priority)
-{
-	uint32_t ahead = count_ahead(pieces, priority);
-	uint32_t batch = MAX(pieces->options.batch_max, 1);
-	double queue_us = (double)ahead * (double)call_time_us(pieces, batch) /
-			  (batch * capacity->total_speed);
-
-	return capacity->idle_in_us + (int64_t)queue_us +
-	       call_time_us(pieces, MIN(ahead + 1, batch));
-}
-
-int64_t pieces_estimate_us(const struct pieces *pieces, int32_t priority)
-{
-	struct capacity capacity = measure_capacity(pieces);
-
-	return estimate_us(pieces, &capacity, priority);
-}
-
-void pieces_estimate_by_priority_us(const struct pieces *pieces, int64_t *out,
-				    int32_t count)
-{
-	struct capacity capacity = measure_capacity(pieces);
-
-	for (int32_t priority = 0; priority < count; priority++)
-		out[priority] = estimate_us(pieces, &capacity, priority);
+	upstream->result_memory_reported_us = pieces_now_us(pieces);
 }
--- a/policy/pieces.h
+++ b/policy/pieces.h
@@ -15,6 +15,7 @@
 #ifndef PIECES_H
 #define PIECES_H
 
+#include "policy/load_shedding.h"
 #include "policy/pool.h"
 
 struct pieces;
@@ -38,6 +39,9 @@
 					 runs in another one */
 	const char *allowed_regions;  /**< see allowed_regions.h */
 	int64_t added_us;	      /**< set by pieces_add() */
+	enum load_shedding_reason shed_reason; /**< set by pieces_shed() */
+	int64_t shed_wait_us; /**< set by pieces_shed(): time until it would
+				 have been completed, at least */
 };
 
 struct pieces_options {
@@ -113,5 +117,11 @@
 /** The same for each of the priorities 0 to count - 1. */
 void pieces_estimate_by_priority_us(const struct pieces *pieces, int64_t *out,
 				    int32_t count);
+/**
+ * Sheds waiting groups (load_shedding.h): moves their pieces to `out` (of
+ * struct piece) and returns the number of groups. The pieces of a group are
+ * adjacent there.
+ */
+uint32_t pieces_shed(struct pieces *pieces, GArray *out);
 
 #endif
