policy/queue_forecast: waiting times with arrivals, committed work and memory

The estimate of a queue counted its length only. A queue behind more urgent work that arrives at 90% of the capacity drains at a tenth of it; requests that were admitted reach later stages 0.3 to 0.9 s later; and where result memory limits an upstream, calls are not full.

The forecast takes the rates of arrivals by rank (of the last half second, and beyond three seconds of the last ten), committed work (pieces_set_committed()), and, if half of the upstreams lack memory for a full call, the rate at which pieces were completed. It gives the estimates by priority (at most 60 s) and pieces_late_wait_us().

- struct piece has `resumes`: such pieces go first and are not shed.
- expires_us of pieces is the deadline less the expected time of what follows the stage.
A dispatcher used to drop pieces of peers silently at that time; it sheds them now, so that their owner is told, and cancels what is in a call 2 s later.
- A request whose answer has begun is aborted, not answered again, when a piece of it is late.
- Gauge linepier_queue_wait_us by service and rank.

--- a/direct/direct_calls.c
+++ b/direct/direct_calls.c
@@ -4,6 +4,7 @@
 #include "base/lp_timer.h"
 
 #include "direct/direct_private.h"
+#include "direct/direct_relay.h"
 
 #include <string.h>
 
@@ -18,13 +19,18 @@
 /* Shedding visits the whole queue, which may have 2,000 pieces. Entries may
  * have a fifteenth of a processor. */
 #define SHEDDING_INTERVAL_US (20 * LP_US_PER_MS)
+#define GAUGES_INTERVAL_US (200 * LP_US_PER_MS)
 
 struct call_queue {
 	struct direct_calls *calls;
 	struct pieces *pieces;
 	char *name;
 	guint wake_timer;
-	int64_t shed_us; /* when pieces were last shed */
+	int64_t shed_us;   /* when pieces were last shed */
+	int64_t gauges_us; /* when the gauges were last set */
+	bool gauges_show_empty;
+	int64_t *wait_gauges[DIRECT_PRIORITY_RANKS]; /* by rank */
+	int64_t *late_wait_gauge;
 };
 
 struct direct_job {
@@ -99,6 +105,53 @@
 	options->result_ttl_us = service_config->result_ttl_us;
 }
 
+static int64_t *wait_gauge(struct direct *direct, const char *service,
+			   const char *rank)
+{
+	g_autofree char *labels =
+		g_strdup_printf("service=\"%s\",rank=\"%s\"", service, rank);
+
+	return direct_counter(direct, "linepier_queue_wait_us", labels);
+}
+
+static void create_wait_gauges(struct call_queue *queue)
+{
+	struct direct *direct = queue->calls->direct;
+	char rank[12];
+
+	for (int i = 0; i < DIRECT_PRIORITY_RANKS; i++) {
+		g_snprintf(rank, sizeof(rank), "%d", i);
+		queue->wait_gauges[i] = wait_gauge(direct, queue->name, rank);
+	}
+	queue->late_wait_gauge = wait_gauge(direct, queue->name, "late");
+}
+
+static void set_wait_gauges(struct call_queue *queue)
+{
+	int64_t waits_us[DIRECT_PRIORITY_RANKS];
+	int64_t late_us = pieces_late_wait_us(queue->pieces);
+
+	pieces_estimate_by_priority_us(queue->pieces, waits_us,
+				       DIRECT_PRIORITY_RANKS);
+	for (int i = 0; i < DIRECT_PRIORITY_RANKS; i++)
+		*queue->wait_gauges[i] = waits_us[i];
+	*queue->late_wait_gauge = late_us == INT64_MAX ? -1 : late_us;
+}
+
+/* Without pieces the gauges are set once. */
+static void update_wait_gauges(struct call_queue *queue)
+{
+	int64_t now_us = lp_now_us(queue->calls->direct->options.clock);
+	bool is_empty = !pieces_next_check_us(queue->pieces);
+
+	if (is_empty ? queue->gauges_show_empty
+		     : now_us - queue->gauges_us < GAUGES_INTERVAL_US)
+		return;
+	queue->gauges_us = now_us;
+	queue->gauges_show_empty = is_empty;
+	set_wait_gauges(queue);
+}
+
 static struct call_queue *get_or_create_queue(struct direct_calls *calls,
 					      const char *name)
 {
@@ -119,6 +172,7 @@
 	queue->calls = calls;
 	queue->name = g_strdup(name);
 	queue->pieces = pieces_create(&options);
+	create_wait_gauges(queue);
 	g_hash_table_insert(calls->queues, queue->name, queue);
 	return queue;
 }
@@ -650,7 +704,8 @@
 	g_autoptr(GArray) shed = NULL;
 	guint end;
 
-	if (now_us - queue->shed_us < SHEDDING_INTERVAL_US)
+	if (!pieces_next_check_us(queue->pieces) ||
+	    now_us - queue->shed_us < SHEDDING_INTERVAL_US)
 		return;
 	queue->shed_us = now_us;
 	shed = g_array_new(FALSE, FALSE, sizeof(struct piece));
@@ -681,6 +736,7 @@
 			query_memory(queue, upstream);
 		while ((batch = pieces_start_call(queue->pieces)))
 			start_call(queue, batch);
+		update_wait_gauges(queue);
 		set_wake_timer(queue);
 	}
 }
@@ -718,6 +774,19 @@
 		get_or_create_queue(calls, service)->pieces, out, count);
 }
 
+int64_t direct_calls_late_wait_us(struct direct_calls *calls,
+				  const char *service)
+{
+	return pieces_late_wait_us(get_or_create_queue(calls, service)->pieces);
+}
+
+void direct_calls_set_committed(struct direct_calls *calls, const char *service,
+				const uint32_t *by_rank, uint32_t ranks)
+{
+	pieces_set_committed(get_or_create_queue(calls, service)->pieces,
+			     by_rank, ranks);
+}
+
 struct direct_calls *direct_calls_create(struct direct *direct)
 {
 	struct direct_calls *calls = g_new0(struct direct_calls, 1);
--- a/direct/direct_calls.h
+++ b/direct/direct_calls.h
@@ -67,6 +67,14 @@
 void direct_calls_estimate_each_us(struct direct_calls *calls,
 				   const char *service, int64_t *out,
 				   int32_t count);
+/** The same for work that is late on arrival; INT64_MAX: not within a minute.
+ */
+int64_t direct_calls_late_wait_us(struct direct_calls *calls,
+				  const char *service);
+/** Set the pieces of this service that admitted requests will still submit to
+ * this entry, by rank. */
+void direct_calls_set_committed(struct direct_calls *calls, const char *service,
+				const uint32_t *by_rank, uint32_t ranks);
 /** Make the calls and queries that can be made now. */
 void direct_calls_run(struct direct_calls *calls);
 
--- a/direct/direct_relay.c
+++ b/direct/direct_relay.c
@@ -46,6 +46,9 @@
 #define SERIAL_RETENTION_US (2 * LP_US_PER_S)
 /* About 4 KB. */
 #define RESULTS_PER_DATAGRAM 96
+/* Work that is useless is shed, and its owner is told. Pieces that are in a
+ * call then, or are not shed, are cancelled after this time. */
+#define EXPIRY_GRACE_US (2 * LP_US_PER_S)
 /* Times until due or useless that peers send are clamped to this. */
 #define DUE_TIME_MAX_US (600 * LP_US_PER_S)
 
@@ -66,7 +69,7 @@
 	uint64_t peer;
 	uint64_t number;
 	char *service;
-	int64_t until_us; /* useless after it */
+	int64_t until_us; /* cancelled after it */
 	struct direct_job *job;
 };
 
@@ -599,7 +602,7 @@
 	incoming->peer = peer;
 	incoming->number = number;
 	incoming->service = g_strdup(work.service);
-	incoming->until_us = work.piece.expires_us;
+	incoming->until_us = work.piece.expires_us + EXPIRY_GRACE_US;
 	g_hash_table_insert(relay->incoming, &incoming->key, incoming);
 	incoming->job = direct_calls_add(relay->direct->calls, &work,
 					 on_job_results, incoming);
--- a/direct/direct_stage_plan.c
+++ b/direct/direct_stage_plan.c
@@ -258,7 +258,8 @@
 			.due_us = request->arrived_us - request->client_waited_us +
 				  request->route->target_us -
 				  budgeted_remaining_us(request, stage) - call_us,
-			.expires_us = request->deadline_us,
+			.expires_us = request->deadline_us -
+				      expected_remaining_us(request, stage),
 			.priority = request->priority,
 			.result_bytes = stage_config->bytes,
 			.allowed_regions = request->allowed_regions,
@@ -363,8 +364,12 @@
 
 void direct_request_refuse_late(struct direct_request *request)
 {
-	direct_request_refuse(request, DIRECT_RETRY_AFTER_FULL_US,
-			      "stages_late");
+	/* An answer that has begun cannot be refused. */
+	if (request->answer_begun)
+		direct_request_abort(request, "stages_late");
+	else
+		direct_request_refuse(request, DIRECT_RETRY_AFTER_FULL_US,
+				      "stages_late");
 }
 
 void direct_stage_plan_create(struct direct_request *request)
--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -32,6 +32,7 @@
 	pieces->service = g_strdup(options->service);
 	pieces->waiting = g_array_new(FALSE, FALSE, sizeof(struct piece));
 	pieces->calls = g_ptr_array_new();
+	queue_forecast_init(&pieces->forecast, pieces_now_us(pieces));
 	pieces_set_shards(pieces, 1, 1);
 	return pieces;
 }
@@ -81,9 +82,13 @@
 
 void pieces_add(struct pieces *pieces, const struct piece *piece)
 {
+	int64_t now_us = pieces_now_us(pieces);
+
 	g_array_append_vals(pieces->waiting, piece, 1);
-	pieces_waiting(pieces, pieces->waiting->len - 1)->added_us =
-		pieces_now_us(pieces);
+	pieces_waiting(pieces, pieces->waiting->len - 1)->added_us = now_us;
+	if (piece->due_us >= now_us)
+		queue_forecast_note_arrival(&pieces->forecast, piece->priority,
+					    now_us);
 }
 
 uint32_t pieces_drop_request(struct pieces *pieces, const void *request)
@@ -412,10 +417,20 @@
 	return call;
 }
 
+/* Records whether a full call is waiting. */
+static void note_backlog(struct pieces *pieces)
+{
+	if (pieces->waiting->len < pieces->options.batch_max)
+		pieces->backlog_since_us = 0;
+	else if (!pieces->backlog_since_us)
+		pieces->backlog_since_us = pieces_now_us(pieces);
+}
+
 struct pieces_call *pieces_start_call(struct pieces *pieces)
 {
 	struct pool_upstream *upstream;
 
+	note_backlog(pieces);
 	if (!pieces->waiting->len || !any_upstream_idle(pieces))
 		return NULL;
 	pieces_sort(pieces);
@@ -452,6 +467,7 @@
 	result_memory_commit(call->upstream->result_memory, handle,
 			     piece->result_bytes);
 	call->completed_bytes += piece->result_bytes;
+	queue_forecast_note_completed(&pieces->forecast, pieces_now_us(pieces));
 }
 
 void pieces_piece_failed(struct pieces *pieces, struct pieces_call *call,
--- a/policy/pieces.h
+++ b/policy/pieces.h
@@ -33,6 +33,8 @@
 	bool holds_memory;  /**< its inputs occupy scarce result memory */
 	bool exclusive;	    /**< shares a call with its own request only */
 	bool group_started; /**< others of its stage and request were sent */
+	bool resumes;	    /**< of a stream that broke after its first event:
+			       goes first and is not shed */
 	const char *preferred_domain; /**< of its inputs, or of the consumer of
 			     its result; NULL: any. Interned. */
 	int64_t preferred_bytes;      /**< transferred between domains if it
@@ -112,11 +114,19 @@
 void pieces_memory_reported(struct pieces *pieces,
 			    struct pool_upstream *upstream, int64_t own_bytes,
 			    int64_t min_bytes, int64_t max_bytes);
-/** Time until a piece of this priority would be completed if added now. */
+/** Pieces that admitted requests will still add, by priority. */
+void pieces_set_committed(struct pieces *pieces, const uint32_t *by_rank,
+			  uint32_t ranks);
+/** Time until a piece of this priority, which can be on time, would be
+ * completed if added now; at most about a minute. Includes committed work and
+ * more urgent work that is expected to arrive meanwhile (queue_forecast.h). */
 int64_t pieces_estimate_us(const struct pieces *pieces, int32_t priority);
 /** The same for each of the priorities 0 to count - 1. */
 void pieces_estimate_by_priority_us(const struct pieces *pieces, int64_t *out,
 				    int32_t count);
+/** The same for a piece that is late when it is added, behind all other late
+ * ones; INT64_MAX: not within a minute. */
+int64_t pieces_late_wait_us(const struct pieces *pieces);
 /**
  * Sheds waiting groups (load_shedding.h): moves their pieces to `out` (of
  * struct piece) and returns the number of groups. The pieces of a group are
--- a/policy/pieces_forecast.c
+++ b/policy/pieces_forecast.c
@@ -1,20 +1,58 @@
-/** Forecast of a queue of pieces: waiting times, and which pieces are shed. */
+/** Forecast of the waiting times in a queue of pieces. */
 #include "policy/pieces_private.h"
 
-/* Error of the forecast that shedding allows for: the queue may drain faster
- * by this factor, as calls are shorter than expected or other work is dropped.
- */
-#define FORECAST_ERROR 1.25
+/* Estimates are added up along a route's stages, so they are bounded. */
+#define ESTIMATE_MAX_US (60 * LP_US_PER_S)
+/* The measured rate varies by whole calls, so it counts only down to this part
+ * of the capacity. */
+#define MEASURED_CAPACITY_MIN 0.2
 
-/* ---- capacity ---- */
+/* ---- contents ---- */
 
-/* Capacity of the upstreams that this queue may call. */
-struct capacity {
-	double total_speed; /* in upstreams of normal speed */
-	int64_t idle_in_us; /* time until the first is idle */
-	bool known;	    /* there are upstreams */
+/* Numbers of the waiting pieces. */
+struct contents {
+	uint32_t first; /* before all others: resumed, rest of a group */
+	uint32_t on_time[QUEUE_FORECAST_RANKS];
+	int64_t result_bytes; /* of all, also late ones */
 };
 
+/* Whether a waiting piece goes before all others. */
+static bool goes_first(const struct piece *piece)
+{
+	return piece->resumes || piece->group_started;
+}
+
+static struct contents count_contents(const struct pieces *pieces)
+{
+	int64_t cutoff_us = pieces_lateness_cutoff_us(pieces);
+	struct contents contents = { 0 };
+
+	for (guint i = 0; i < pieces->waiting->len; i++) {
+		const struct piece *piece = pieces_waiting(pieces, i);
+
+		contents.result_bytes += piece->result_bytes;
+		if (goes_first(piece))
+			contents.first++;
+		else if (piece->due_us >= cutoff_us)
+			contents.on_time[CLAMP(piece->priority, 0,
+					       QUEUE_FORECAST_RANKS - 1)]++;
+	}
+	return contents;
+}
+
+/* Pieces that go ahead of one that can be on time and is of rank `ranks` - 1.
+ */
+static uint32_t count_on_time(const struct contents *contents, int32_t ranks)
+{
+	uint32_t count = contents->first;
+
+	for (int32_t i = 0; i < MIN(ranks, QUEUE_FORECAST_RANKS); i++)
+		count += contents->on_time[i];
+	return count;
+}
+
+/* ---- capacity ---- */
+
 /* Whether only its advertised rate limit keeps the upstream from a call. */
 static bool awaits_rate_limit(const struct pieces *pieces,
 			      const struct pool_upstream *upstream)
@@ -39,10 +77,49 @@
 			   (double)call_us / LP_US_PER_S);
 }
 
-static struct capacity measure_capacity(const struct pieces *pieces)
+/* Whether a full call does not fit into the upstream's memory now. */
+static bool lacks_memory(const struct pieces *pieces,
+			 const struct pool_upstream *upstream,
+			 const struct contents *contents)
+{
+	uint32_t count = pieces->waiting->len;
+
+	return pieces->options.result_memory_bytes && count &&
+	       pieces_free_memory_bytes(pieces, upstream) <
+		       contents->result_bytes / count *
+			       (int64_t)MIN(count, pieces->options.batch_max);
+}
+
+static double full_call_rate(const struct pieces *pieces, double total_speed)
+{
+	uint32_t batch = MAX(pieces->options.batch_max, 1);
+
+	return batch * total_speed /
+	       (double)MAX(pieces_call_time_us(pieces, batch), 1);
+}
+
+/* Rate at which pieces are processed where memory limits it. */
+static double memory_limited_rate(const struct pieces *pieces, double rate)
+{
+	double measured;
+
+	if (!pieces->backlog_since_us)
+		return rate;
+	measured = queue_forecast_completions(&pieces->forecast,
+					      pieces->backlog_since_us,
+					      pieces_now_us(pieces));
+	if (measured <= 0)
+		return rate;
+	return CLAMP(measured, MEASURED_CAPACITY_MIN * rate, rate);
+}
+
+static struct pieces_capacity measure_capacity(const struct pieces *pieces,
+					       const struct contents *contents)
 {
 	const GPtrArray *list = pieces_upstreams(pieces);
-	struct capacity capacity = { .idle_in_us = G_MAXINT64 };
+	struct pieces_capacity capacity = { .idle_in_us = G_MAXINT64 };
+	uint32_t usable_count = 0;
+	uint32_t short_count = 0;
 
 	for (guint i = 0; i < list->len; i++) {
 		const struct pool_upstream *upstream =
@@ -51,7 +128,8 @@
 		if (!pieces_is_usable(pieces, upstream) &&
 		    !awaits_rate_limit(pieces, upstream))
 			continue;
-		capacity.known = true;
+		usable_count++;
+		short_count += lacks_memory(pieces, upstream, contents);
 		capacity.total_speed += relative_speed(pieces, upstream);
 		capacity.idle_in_us =
 			MIN(capacity.idle_in_us,
@@ -59,240 +137,111 @@
 				pool_rate_limit_wait_us(pieces->options.pool,
 							upstream)));
 	}
-	if (capacity.total_speed > 0)
-		return capacity;
-	return (struct capacity){
-		.total_speed = 1.0,
-		.idle_in_us = pieces_call_time_us(pieces, 1),
-	};
+	capacity.known = capacity.total_speed > 0;
+	if (!capacity.known) {
+		capacity.total_speed = 1.0;
+		capacity.idle_in_us = pieces_call_time_us(pieces, 1);
+	}
+	capacity.pieces_per_us = full_call_rate(pieces, capacity.total_speed);
+	if (short_count && 2 * short_count >= usable_count)
+		capacity.pieces_per_us =
+			memory_limited_rate(pieces, capacity.pieces_per_us);
+	return capacity;
 }
 
-/* Time in which full calls process so many pieces. */
-static double queue_time_us(const struct pieces *pieces,
-			    const struct capacity *capacity, double count)
+struct pieces_capacity pieces_measure_capacity(const struct pieces *pieces)
 {
-	uint32_t batch = MAX(pieces->options.batch_max, 1);
+	struct contents contents = count_contents(pieces);
 
-	return count * (double)pieces_call_time_us(pieces, batch) /
-	       (batch * capacity->total_speed);
+	return measure_capacity(pieces, &contents);
 }
 
 /* ---- estimates ---- */
 
-/* Whether a waiting piece goes behind those that can be on time. */
-static bool is_late(const struct piece *piece, int64_t cutoff_us)
+void pieces_set_committed(struct pieces *pieces, const uint32_t *by_rank,
+			  uint32_t ranks)
 {
-	return !piece->group_started && piece->due_us < cutoff_us;
+	queue_forecast_set_committed(&pieces->forecast, by_rank, ranks);
 }
 
-/* Pieces that go ahead of one of this priority that is added now and can be on
- * time. Late ones do not. */
-static uint32_t count_ahead(const struct pieces *pieces, int32_t priority)
+/* Committed pieces of the ranks 0 to ranks - 1 that the rate of arrivals does
+ * not predict for the next second anyway. */
+static double unpredicted_committed(const struct pieces *pieces, int32_t ranks,
+				    const struct queue_forecast_rates *arrivals)
 {
-	int64_t cutoff_us = pieces_lateness_cutoff_us(pieces);
-	uint32_t count = 0;
+	return MAX(queue_forecast_committed(&pieces->forecast, ranks) -
+			   arrivals->recent * LP_US_PER_S,
+		   0);
+}
 
-	for (guint i = 0; i < pieces->waiting->len; i++) {
-		const struct piece *piece = pieces_waiting(pieces, i);
+/* Time until a piece is completed that waits for `load`. */
+static int64_t completion_us(const struct pieces *pieces,
+			     const struct pieces_capacity *capacity,
+			     const struct queue_forecast_load *load)
+{
+	int64_t wait_us = queue_forecast_wait_us(load);
+	uint32_t batch = MAX(pieces->options.batch_max, 1);
+	uint32_t count = (uint32_t)MIN(load->ahead + 1, batch);
 
-		if (is_late(piece, cutoff_us))
-			continue;
-		count += piece->group_started || piece->priority <= priority;
-	}
-	return count;
+	if (wait_us == INT64_MAX)
+		return INT64_MAX;
+	return capacity->idle_in_us + wait_us +
+	       pieces_call_time_us(pieces, count);
 }
 
+/* Committed work of the same rank is ahead of a piece that is promised now. */
 static int64_t estimate_us(const struct pieces *pieces,
-			   const struct capacity *capacity, int32_t priority)
-{
-	uint32_t ahead = count_ahead(pieces, priority);
-	uint32_t batch = MAX(pieces->options.batch_max, 1);
+			   const struct contents *contents,
+			   const struct pieces_capacity *capacity, int32_t rank)
+{
+	const struct queue_forecast *forecast = &pieces->forecast;
+	struct queue_forecast_load load = {
+		.arrivals = queue_forecast_arrivals(forecast, rank,
+						    pieces_now_us(pieces)),
+		.capacity = capacity->pieces_per_us,
+	};
+	int64_t time_us;
 
-	return capacity->idle_in_us +
-	       (int64_t)queue_time_us(pieces, capacity, ahead) +
-	       pieces_call_time_us(pieces, MIN(ahead + 1, batch));
+	load.ahead = count_on_time(contents, rank + 1) +
+		     queue_forecast_committed(forecast, rank + 1) -
+		     queue_forecast_committed(forecast, rank) +
+		     unpredicted_committed(pieces, rank, &load.arrivals);
+	time_us = completion_us(pieces, capacity, &load);
+	return MIN(time_us, ESTIMATE_MAX_US);
 }
 
 int64_t pieces_estimate_us(const struct pieces *pieces, int32_t priority)
 {
-	struct capacity capacity = measure_capacity(pieces);
+	struct contents contents = count_contents(pieces);
+	struct pieces_capacity capacity = measure_capacity(pieces, &contents);
 
-	return estimate_us(pieces, &capacity, priority);
+	return estimate_us(pieces, &contents, &capacity,
+			   CLAMP(priority, 0, QUEUE_FORECAST_RANKS - 1));
 }
 
 void pieces_estimate_by_priority_us(const struct pieces *pieces, int64_t *out,
 				    int32_t count)
 {
-	struct capacity capacity = measure_capacity(pieces);
-
-	for (int32_t priority = 0; priority < count; priority++)
-		out[priority] = estimate_us(pieces, &capacity, priority);
-}
-
-/* ---- shedding ---- */
-
-/* A late group in the queue. */
-struct late_group {
-	int64_t rank_us;
-	guint start;
-	guint end;
-	enum load_shedding_reason reason;
-	int64_t wait_us;
-};
-
-static gint compare_late_groups(gconstpointer a, gconstpointer b)
-{
-	const struct late_group *first = a;
-	const struct late_group *second = b;
-
-	if (first->rank_us != second->rank_us)
-		return first->rank_us < second->rank_us ? -1 : 1;
-	return first->start < second->start ? -1 : first->start > second->start;
-}
-
-static gint compare_starts(gconstpointer a, gconstpointer b)
-{
-	const struct late_group *first = a;
-	const struct late_group *second = b;
-
-	return first->start < second->start ? -1 : first->start > second->start;
-}
-
-/* The late groups in their order. `others`: number of the other pieces. */
-static GArray *list_late_groups(const struct pieces *pieces, uint32_t *others)
-{
-	GArray *groups = g_array_new(FALSE, TRUE, sizeof(struct late_group));
-	int64_t cutoff_us = pieces_lateness_cutoff_us(pieces);
-	int64_t now_us = pieces_now_us(pieces);
-	guint end;
-
-	*others = 0;
-	for (guint start = 0; start < pieces->waiting->len; start = end) {
-		const struct piece *first = pieces_waiting(pieces, start);
-		struct late_group group = { .start = start };
-
-		end = pieces_group_end(pieces, start);
-		group.end = end;
-		group.rank_us = pieces_rank_us(first, cutoff_us);
-		if (first->due_us < cutoff_us || first->expires_us <= now_us)
-			g_array_append_val(groups, group);
-		else
-			*others += end - start;
-	}
-	g_array_sort(groups, compare_late_groups);
-	return groups;
-}
+	struct contents contents = count_contents(pieces);
+	struct pieces_capacity capacity = measure_capacity(pieces, &contents);
 
-static bool is_in_progress(const struct pieces *pieces,
-			   const struct piece *piece)
-{
-	for (guint i = 0; i < pieces->calls->len; i++) {
-		const struct pieces_call *call =
-			g_ptr_array_index(pieces->calls, i);
-
-		for (guint j = 0; j < call->pieces->len; j++) {
-			const struct piece *other =
-				&g_array_index(call->pieces, struct piece, j);
-
-			if (other->request == piece->request &&
-			    other->stage == piece->stage)
-				return true;
-		}
-	}
-	return false;
+	for (int32_t i = 0; i < count; i++)
+		out[i] = estimate_us(pieces, &contents, &capacity,
+				     MIN(i, QUEUE_FORECAST_RANKS - 1));
 }
 
-static void decide_group(const struct pieces *pieces,
-			 const struct capacity *capacity,
-			 const struct load_shedding_queue *queue,
-			 uint32_t ahead, struct late_group *group)
+int64_t pieces_late_wait_us(const struct pieces *pieces)
 {
-	const struct piece *first = pieces_waiting(pieces, group->start);
-	bool waits = !first->group_started; /* behind on-time work */
-	uint32_t count = group->end - group->start;
-	struct load_shedding_group decided = {
-		.late = true,
-		.holds_memory = first->holds_memory && waits,
-		.expires_us = first->expires_us,
+	struct pieces_capacity capacity = pieces_measure_capacity(pieces);
+	struct queue_forecast_load load = {
+		.arrivals = queue_forecast_arrivals(&pieces->forecast,
+						    QUEUE_FORECAST_RANKS,
+						    pieces_now_us(pieces)),
+		.capacity = capacity.pieces_per_us,
 	};
 
-	group->wait_us = pieces_call_time_us(
-		pieces, MIN(count, pieces->options.batch_max));
-	if (capacity->known && waits)
-		group->wait_us +=
-			capacity->idle_in_us +
-			(int64_t)(queue_time_us(pieces, capacity, ahead) /
-				  FORECAST_ERROR);
-	decided.wait_us = group->wait_us;
-	group->reason = load_shedding_decide(queue, &decided);
-	if (group->reason && is_in_progress(pieces, first))
-		group->reason = LOAD_SHEDDING_NONE;
-}
-
-/* Decides on each late group in their order. A group that is shed does not
- * delay those behind it. Returns whether any is shed. */
-static bool decide_groups(const struct pieces *pieces, GArray *groups,
-			  uint32_t others)
-{
-	struct capacity capacity = measure_capacity(pieces);
-	const struct load_shedding_queue queue = {
-		.now_us = pieces_now_us(pieces),
-		.call_us =
-			pieces_call_time_us(pieces, pieces->options.batch_max),
-		.on_time_us = queue_time_us(pieces, &capacity, others),
-	};
-	uint32_t ahead = others;
-	bool any = false;
-
-	for (guint i = 0; i < groups->len; i++) {
-		struct late_group *group =
-			&g_array_index(groups, struct late_group, i);
-
-		decide_group(pieces, &capacity, &queue, ahead, group);
-		if (group->reason)
-			any = true;
-		else
-			ahead += group->end - group->start;
-	}
-	return any;
-}
-
-/* Moves a group to `out`. */
-static void take_group(struct pieces *pieces, const struct late_group *group,
-		       GArray *out)
-{
-	for (guint i = group->start; i < group->end; i++) {
-		struct piece *piece = pieces_waiting(pieces, i);
-
-		piece->shed_reason = group->reason;
-		piece->shed_wait_us = group->wait_us;
-		g_array_append_val(out, *piece);
-	}
-	g_array_remove_range(pieces->waiting, group->start,
-			     group->end - group->start);
-}
-
-uint32_t pieces_shed(struct pieces *pieces, GArray *out)
-{
-	g_autoptr(GArray) groups = NULL;
-	uint32_t shed = 0;
-	uint32_t others;
-
-	if (!pieces->waiting->len)
-		return 0;
-	groups = list_late_groups(pieces, &others);
-	if (!groups->len || !decide_groups(pieces, groups, others))
-		return 0;
-	/* From the back, so that the positions of the others stay valid. */
-	g_array_sort(groups, compare_starts);
-	for (guint i = groups->len; i-- > 0;) {
-		const struct late_group *group =
-			&g_array_index(groups, struct late_group, i);
-
-		if (!group->reason)
-			continue;
-		take_group(pieces, group, out);
-		shed++;
-	}
-	return shed;
+	load.ahead = pieces->waiting->len +
+		     unpredicted_committed(pieces, QUEUE_FORECAST_RANKS,
+					   &load.arrivals);
+	return completion_us(pieces, &capacity, &load);
 }
--- a/policy/pieces_order.c
+++ b/policy/pieces_order.c
@@ -17,16 +17,19 @@
 }
 
 /*
- * The rest of a started group goes before all other pieces, as the results of
- * its other pieces occupy memory until then. Late pieces go last, also where
- * their inputs occupy scarce memory: if they went first, each piece of an
- * overloaded stage would start when it is already too late. Shedding frees the
- * memory of those that have no prospect (load_shedding.h).
+ * Pieces of resumed streams go first: their callers wait only a short time for
+ * the next event. The rest of a started group goes before other pieces, as the
+ * results of its other pieces occupy memory until then. Late pieces go last,
+ * also where their inputs occupy scarce memory: if they went first, each piece
+ * of an overloaded stage would start when it is already too late. Shedding
+ * frees the memory of those that have no prospect (load_shedding.h).
  */
 int64_t pieces_rank_us(const struct piece *piece, int64_t lateness_cutoff_us)
 {
 	int64_t rank = piece->due_us + piece->priority * PRIORITY_RANK_US;
 
+	if (piece->resumes)
+		return rank - 2 * LATE_RANK_US;
 	if (piece->group_started)
 		return rank - LATE_RANK_US;
 	return piece->due_us >= lateness_cutoff_us ? rank : rank + LATE_RANK_US;
--- a/policy/pieces_private.h
+++ b/policy/pieces_private.h
@@ -3,6 +3,7 @@
 #define PIECES_PRIVATE_H
 
 #include "policy/pieces.h"
+#include "policy/queue_forecast.h"
 
 struct pieces {
 	struct pieces_options options;
@@ -11,6 +12,8 @@
 	GPtrArray *calls;    /* in flight; owned by the caller */
 	uint32_t shards;     /* of the service */
 	uint64_t own_shards; /* bitmask of the shards of this queue */
+	struct queue_forecast forecast;
+	int64_t backlog_since_us; /* a full call is waiting since; 0: is not */
 };
 
 static inline int64_t pieces_now_us(const struct pieces *pieces)
@@ -68,4 +71,16 @@
  * of one request, which are adjacent in the order. */
 guint pieces_group_end(const struct pieces *pieces, guint start);
 
+/* ---- pieces_forecast.c ---- */
+
+/** Capacity of the upstreams that this queue may call. */
+struct pieces_capacity {
+	double total_speed;   /**< in upstreams of normal speed */
+	double pieces_per_us; /**< in full calls, as far as memory permits */
+	int64_t idle_in_us;   /**< time until the first is idle */
+	bool known;	      /**< there are upstreams */
+};
+
+struct pieces_capacity pieces_measure_capacity(const struct pieces *pieces);
+
 #endif
