--- a/direct/direct_stage_plan.c
+++ b/direct/direct_stage_plan.c
@@ -297,7 +297,10 @@
 			.stage = stage,
 			.due_us = event_due_us -
 				  budgeted_remaining_us(request, stage) - call_us,
-			.expires_us = resumes ? event_due_us : request->deadline_us,
+			.expires_us = resumes ? event_due_us
+					      : request->deadline_us -
+							expected_remaining_us(
+								request, stage),
 			.priority = request->priority,
 			.result_bytes = stage_config->bytes,
 			.allowed_regions = request->allowed_regions,
