--- a/direct/direct_commitments.c
+++ b/direct/direct_commitments.c
@@ -138,6 +138,16 @@
 	return service;
 }
 
+/* Number of ranks up to the last one with pieces. */
+static uint32_t used_ranks(const struct counts *counts)
+{
+	uint32_t ranks = ADMISSION_RANKS;
+
+	while (ranks && !counts->by_rank[ranks - 1])
+		ranks--;
+	return ranks;
+}
+
 static bool is_empty(const struct counts *counts)
 {
 	for (uint32_t i = 0; i < ADMISSION_RANKS; i++)
@@ -370,7 +380,7 @@
 				&list, "(s@au)", service->name,
 				g_variant_new_fixed_array(
 					G_VARIANT_TYPE_UINT32, counts.by_rank,
-					ADMISSION_RANKS, sizeof(uint32_t)));
+					used_ranks(&counts), sizeof(uint32_t)));
 	}
 	return g_variant_ref_sink(g_variant_builder_end(&list));
 }
--- a/direct/direct_relay.c
+++ b/direct/direct_relay.c
@@ -360,15 +360,19 @@
 			       const struct outgoing_work *outgoing,
 			       GVariant *list)
 {
+	int64_t by_rank[DIRECT_PRIORITY_RANKS];
 	gsize count;
 	const int64_t *waits_us =
 		g_variant_get_fixed_array(list, &count, sizeof(int64_t));
 
-	/* Entries of an older release do not append the wait of late work. */
-	if (count != DIRECT_PRIORITY_RANKS && count != WAITS_COUNT)
+	/* Entries of an older release report fewer ranks, of which the last
+	 * covers the rest, and do not append the wait of late work. */
+	if (!count || count > WAITS_COUNT)
 		return;
+	for (gsize i = 0; i < DIRECT_PRIORITY_RANKS; i++)
+		by_rank[i] = waits_us[MIN(i, count - 1)];
 	relay->events.on_queue_waits(relay->events.userdata, outgoing->number,
-				     outgoing->peer, waits_us,
+				     outgoing->peer, by_rank,
 				     count == WAITS_COUNT
 					     ? waits_us[DIRECT_PRIORITY_RANKS]
 					     : ADMISSION_UNKNOWN_US);
--- a/policy/admission.c
+++ b/policy/admission.c
@@ -143,8 +143,14 @@
 			      NOTICE_HALF_LIFE_US));
 }
 
+/* A dispatcher that reports the wait of late work counts committed pieces and
+ * more urgent arrivals in its waits. All that is ahead of a request is in the
+ * wait then, and is processed while the request is on its way. Others count
+ * what waits there, so their queues drain as far as they were seen to. */
 static double drain_of(const struct admission_notice *notice, uint32_t rank)
 {
+	if (notice->waits_us[ADMISSION_RANKS] >= 0)
+		return 1;
 	return CLAMP(-notice->growth[rank], 0.0, 1.0);
 }
 
--- a/tests/commitments_test.cc
+++ b/tests/commitments_test.cc
@@ -353,18 +353,21 @@
  * numbers are bounded, and unknown services are not kept. */
 TEST(Commitments, ForeignNumbersAreBounded)
 {
+	const int last_rank = ADMISSION_RANKS - 1;
 	Entry dispatcher;
 
-	deliver(dispatcher, 1, 1, "first", { 1, 2, 3, 4, 5 });
+	deliver(dispatcher, 1, 1, "first",
+		{ 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 4, 5 });
 	EXPECT_EQ(dispatcher.queued("first", 0), 1u);
-	EXPECT_EQ(dispatcher.queued("first", 3), 9u);
+	EXPECT_EQ(dispatcher.queued("first", last_rank), 9u);
 	deliver(dispatcher, 1, 2, "first", { 1, 2 });
 	EXPECT_EQ(dispatcher.queued("first", 1), 2u);
-	EXPECT_EQ(dispatcher.queued("first", 3), 0u);
+	EXPECT_EQ(dispatcher.queued("first", last_rank), 0u);
 	deliver(dispatcher, 1, 3, "first",
-		{ UINT32_MAX, 0, 0, UINT32_MAX, UINT32_MAX });
+		{ UINT32_MAX, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, UINT32_MAX,
+		  UINT32_MAX });
 	EXPECT_EQ(dispatcher.queued("first", 0), 1000000u);
-	EXPECT_EQ(dispatcher.queued("first", 3), 1000000u);
+	EXPECT_EQ(dispatcher.queued("first", last_rank), 1000000u);
 	deliver(dispatcher, 1, 4, "unknown", { 1, 0, 0, 0 });
 	EXPECT_EQ(dispatcher.queue.count("unknown"), 0u);
 	EXPECT_EQ(dispatcher.queued("first", 0), 0u);
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -647,7 +647,7 @@
 		return setup.fake.received['A'] > 0;
 	}));
 	EXPECT_EQ(admissions("outcome=\"on_time\""), 1);
-	setup.fake.accept({ wait_us, wait_us, wait_us, wait_us, wait_us });
+	setup.fake.accept(std::vector<gint64>(ADMISSION_RANKS + 1, wait_us));
 	run_loop_until([] { return false; }, 30);
 	CallerRequest second(setup.rig.address, "a2", "/staged/x", pieces);
 
