Use the load that upstreams report for their hosts

Some upstreams share their machine, and report in a fourth figure of X-Server-Load how long work takes there at the moment, in per cent of the usual time. Expected times left this out.

The figure is read into struct direct_reply, smoothed per upstream over half a second (policy/host_load), and multiplies the learnt slowness in pool_upstream_time_factor(), which expected call times, choices and speeds use now. One report moves the estimate by a third at most, as the figure changes many times a second and a call lasts several times longer. The slowness is learnt from measured times divided by the load in force, so the load does not count twice, and false reports are corrected by measured times. Without the figure nothing changes.

--- a/direct/direct_codec.h
+++ b/direct/direct_codec.h
@@ -67,7 +67,10 @@
 			  */
 	int32_t waiting; /**< requests or calls queued there; negative: unknown
 			  */
-	bool draining;	 /**< drain notice: send nothing new to the upstream */
+	int32_t work_time_percent; /**< how long work takes there at present, in
+				      per cent of the usual time; 0: not given
+				    */
+	bool draining; /**< drain notice: send nothing new to the upstream */
 	int64_t pushback_us; /**< pushback (Retry-After): a refusal asks this
 				entry to send nothing for this time; 0: none */
 	enum direct_limit_notice limit;
--- a/direct/direct_notices.c
+++ b/direct/direct_notices.c
@@ -234,6 +234,9 @@
 	if (reply->other_process || !reply->matches_request)
 		return;
 	receive_limit(notices, upstream, reply);
+	if (reply->work_time_percent)
+		pool_note_host_load(notices->options.pool, upstream,
+				    reply->work_time_percent);
 	if (reply->draining)
 		receive_draining(notices, upstream);
 	if (reply->pushback_us)
--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -221,7 +221,8 @@
 			       const struct pool_upstream *upstream,
 			       uint32_t count)
 {
-	return (double)call_time_us(pieces, count) * upstream->slowness *
+	return (double)call_time_us(pieces, count) *
+	       pool_upstream_time_factor(pieces->options.pool, upstream) *
 	       (1.0 + 2.0 * upstream->error_rate);
 }
 
@@ -502,7 +503,8 @@
 	call->started_us = now(pieces);
 	call->expected_us =
 		(int64_t)((double)call_time_us(pieces, call->pieces->len) *
-			  upstream->slowness);
+			  pool_upstream_time_factor(pieces->options.pool,
+						    upstream));
 	upstream->in_flight++;
 	g_ptr_array_add(pieces->calls, call);
 	return call;
@@ -670,7 +672,9 @@
 static double relative_speed(const struct pieces *pieces,
 			     const struct pool_upstream *upstream)
 {
-	double speed = 1.0 / MAX(upstream->slowness, 0.1);
+	double speed = 1.0 / MAX(pool_upstream_time_factor(pieces->options.pool,
+							   upstream),
+				 0.1);
 	int64_t call_us = call_time_us(pieces, pieces->options.batch_max);
 
 	if (!upstream->rate_limit.advertised)
--- a/policy/pieces.h
+++ b/policy/pieces.h
@@ -56,7 +56,8 @@
 	struct pool_upstream *upstream; /**< the call holds a reference */
 	GArray *pieces;			/**< of struct piece */
 	int64_t started_us;
-	int64_t expected_us; /**< duration, given the upstream's slowness */
+	int64_t expected_us; /**< duration, given the upstream's present speed
+			      */
 	int64_t own_bytes;   /**< of results counted there before the call */
 	int64_t completed_bytes; /**< of the call's results */
 	bool memory_exhausted;	 /**< a piece failed for want of memory */
--- a/policy/pool.h
+++ b/policy/pool.h
@@ -20,6 +20,7 @@
 #include "base/lp_clock.h"
 #include "policy/allowed_regions.h"
 #include "policy/closed_domains.h"
+#include "policy/host_load.h"
 #include "policy/rate_limit.h"
 #include "policy/result_memory.h"
 #include "policy/warmup.h"
@@ -65,9 +66,11 @@
 	int64_t ejected_until_us; /**< selected before this time only if no
 				     other is available */
 	uint32_t consecutive_failures;
-	double error_rate;     /**< fading mean of recent outcomes, 0 to 1 */
-	double slowness;       /**< fading mean of time taken / time expected */
-	int64_t busy_until_us; /**< with calls of other entries */
+	double error_rate; /**< fading mean of recent outcomes, 0 to 1 */
+	double slowness; /**< fading mean of time taken / time expected, without
+			    the effect of host_load */
+	struct host_load host_load;	     /**< that it reports */
+	int64_t busy_until_us;		     /**< with calls of other entries */
 	struct result_memory *result_memory; /**< of a stage */
 	int64_t result_memory_queried_us;    /**< last query; 0: never */
 	int64_t result_memory_reported_us;   /**< last report; 0: never */
@@ -270,6 +273,14 @@
 void pool_record_outcome(struct pool *pool, struct pool_upstream *upstream,
 			 enum pool_outcome outcome, int64_t took_us,
 			 int64_t expected_us);
+/** Record the load that an upstream reports for its host: how long work takes
+ * there, in per cent of the usual time. */
+void pool_note_host_load(struct pool *pool, struct pool_upstream *upstream,
+			 int32_t percent);
+/** Expected time of work at this upstream, as a multiple of the time expected
+ * of the service: the learnt slowness, and the present load of its host. */
+double pool_upstream_time_factor(const struct pool *pool,
+				 const struct pool_upstream *upstream);
 /** Record until when calls of other entries keep the upstream busy; a time in
  * the past: it is idle. */
 void pool_note_busy(struct pool *pool, struct pool_upstream *upstream,
--- a/policy/pool_choice.c
+++ b/policy/pool_choice.c
@@ -105,7 +105,8 @@
 }
 
 /* Estimated time to the first event, plus other costs expressed as time. */
-static double prompt_cost_us(const struct selection *selection,
+static double prompt_cost_us(const struct pool *pool,
+			     const struct selection *selection,
 			     const struct pool_upstream *upstream)
 {
 	const struct pool_pick_args *args = selection->args;
@@ -120,7 +121,8 @@
 		(double)pool_copy_time_us(copying, copy.copied_tokens);
 
 	if (args->target_us &&
-	    cost * upstream->slowness > (double)args->target_us)
+	    cost * pool_upstream_time_factor(pool, upstream) >
+		    (double)args->target_us)
 		cost += LATE_COST_US;
 	cost += (double)pool_copy_cost_us(copying, copy.copied_tokens);
 	if (selection->affinity_upstream &&
@@ -147,10 +149,12 @@
 		      const struct pool_upstream *upstream)
 {
 	const struct pool_pick_args *args = selection->args;
-	double cost = args->blocks_count ? prompt_cost_us(selection, upstream)
-					 : plain_cost_us(upstream);
+	double cost = args->blocks_count
+			      ? prompt_cost_us(pool, selection, upstream)
+			      : plain_cost_us(upstream);
 
-	cost *= upstream->slowness * (1.0 + 4.0 * upstream->error_rate);
+	cost *= pool_upstream_time_factor(pool, upstream) *
+		(1.0 + 4.0 * upstream->error_rate);
 	if (strcmp(upstream->info.domain, pool->domain) != 0)
 		cost += OTHER_DOMAIN_COST_US;
 	if (args->preferred_domain &&
--- a/policy/pool_estimates.c
+++ b/policy/pool_estimates.c
@@ -72,11 +72,31 @@
 		double ratio = CLAMP((double)took_us / (double)expected_us, 0.5,
 				     SLOWNESS_MAX);
 
+		/* The reported load is part of the expected time already. As
+		 * the slowness is learnt relative to it, measured times correct
+		 * an upstream that constantly reports a wrong load. */
+		ratio /= host_load_factor(&upstream->host_load, now_us);
+
 		upstream->slowness +=
 			OUTCOME_WEIGHT * (ratio - upstream->slowness);
 	}
 }
 
+void pool_note_host_load(struct pool *pool, struct pool_upstream *upstream,
+			 int32_t percent)
+{
+	host_load_record(&upstream->host_load, percent, lp_now_us(pool->clock));
+}
+
+double pool_upstream_time_factor(const struct pool *pool,
+				 const struct pool_upstream *upstream)
+{
+	if (!upstream->host_load.updated_us)
+		return upstream->slowness;
+	return upstream->slowness *
+	       host_load_factor(&upstream->host_load, lp_now_us(pool->clock));
+}
+
 void pool_note_busy(struct pool *pool, struct pool_upstream *upstream,
 		    int64_t until_us)
 {
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -363,6 +363,44 @@
 	}
 }
 
+/* Guards against a malformed fourth figure that hides the others, and against
+ * load that is assumed where none is reported. */
+TEST(PlfCodec, ReadsLoadOfThreeOrFourFigures)
+{
+	const struct {
+		const char *value;
+		int32_t running, waiting, percent;
+	} cases[] = {
+		{ "3,1,96", 3, 1, 0 },
+		{ "3,1,96,130", 3, 1, 130 },
+		{ " 3 , 1 , 96 , 80 ", 3, 1, 80 },
+		{ "3,1,96,0", 3, 1, 0 },
+		{ "3,1,96,", 3, 1, 0 },
+		{ "3,1,96,-5", 3, 1, 0 },
+		{ "3,1,96,1.3", 3, 1, 0 },
+		{ "3,1,96,130%", 3, 1, 0 },
+		{ "3,1,96,99999999999", 3, 1, 0 },
+		{ "3,1,x,130", 3, 1, 0 },
+		{ "3,1,96,130,7", 3, 1, 0 },
+		{ "3,1", 3, 1, 0 },
+		{ "3", -1, -1, 0 },
+		{ "x,1,96,130", -1, -1, 0 },
+		{ "", -1, -1, 0 },
+	};
+
+	for (const auto &row : cases) {
+		const std::vector<std::pair<const char *, const char *>>
+			field = { { "X-Server-Load", row.value } };
+		Fields fields(field);
+		direct_reply reply = {};
+
+		plf_codec()->read_reply(200, &fields.list, "a", &reply);
+		EXPECT_EQ(reply.running, row.running) << row.value;
+		EXPECT_EQ(reply.waiting, row.waiting) << row.value;
+		EXPECT_EQ(reply.work_time_percent, row.percent) << row.value;
+	}
+}
+
 TEST(PlfCodec, ReadsPushbackOfRefusals)
 {
 	const struct {
--- /dev/null
+++ b/tests/uneven_upstreams_test.cc
@@ -0,0 +1,219 @@
+/*
+ * Upstreams of one service that are not equally fast: hosts shared with other
+ * programs, and machines of different speed.
+ */
+#include "pool_rig.h"
+
+#include <gtest/gtest.h>
+
+namespace
+{
+
+/* ---- reported load of the host ---- */
+
+/* A figure that changes every 100 ms and is 150 ms old on arrival. */
+struct ChangingLoad {
+	host_load load = {};
+	int64_t now_us = LP_US_PER_S;
+	uint32_t random = 1;
+	std::vector<int32_t> figures;
+
+	/* Next 100 ms; returns the factor after them. */
+	double step(int32_t figure)
+	{
+		figures.push_back(figure);
+		now_us += 100 * LP_US_PER_MS;
+		if (figures.size() > 1)
+			host_load_record(&load, figures[figures.size() - 2],
+					 now_us + 50 * LP_US_PER_MS);
+		return host_load_factor(&load, now_us + 50 * LP_US_PER_MS);
+	}
+	int32_t random_figure(int32_t min, int32_t max)
+	{
+		random = random * 1664525 + 1013904223;
+		return min + (int32_t)((random >> 8) % (max - min + 1));
+	}
+};
+
+/* Guards against a choice that follows each figure: 50 and 150 in turn mean
+ * 100, and the figure at hand is that of the past. */
+TEST(HostLoad, FigureThatChangesEvery100MsIsAveraged)
+{
+	ChangingLoad changing;
+
+	for (int i = 0; i < 100; i++) {
+		double factor = changing.step(i % 2 ? 150 : 50);
+
+		EXPECT_GT(factor, 0.8);
+		EXPECT_LT(factor, 1.2);
+	}
+}
+
+TEST(HostLoad, RandomFiguresSwingTheEstimateByLessThanAThird)
+{
+	ChangingLoad changing;
+
+	for (int i = 0; i < 200; i++) {
+		double factor = changing.step(changing.random_figure(60, 180));
+
+		if (i > 10) {
+			EXPECT_NEAR(factor, 1.2, 0.35) << i;
+		}
+	}
+}
+
+/* Load that lasts for seconds, reported with each call of 400 ms. */
+TEST(HostLoad, LastingLoadIsRecognisedAndForgotten)
+{
+	host_load load = {};
+	int64_t now_us = LP_US_PER_S;
+
+	for (int i = 0; i < 5; i++, now_us += 400 * LP_US_PER_MS)
+		host_load_record(&load, 300, now_us);
+	EXPECT_GT(host_load_factor(&load, now_us), 2.6);
+	EXPECT_LE(host_load_factor(&load, now_us), 3);
+	now_us += 2 * LP_US_PER_S;
+	EXPECT_LT(host_load_factor(&load, now_us), 1.1);
+	EXPECT_GE(host_load_factor(&load, now_us), 1);
+}
+
+TEST(HostLoad, ExtremeFiguresAreBounded)
+{
+	for (int32_t figure : { 0, 1, INT32_MAX }) {
+		host_load load = {};
+
+		for (int64_t ms = 1; ms < 5000; ms += 100)
+			host_load_record(&load, figure, ms * LP_US_PER_MS);
+		double factor = host_load_factor(&load, 5000 * LP_US_PER_MS);
+
+		EXPECT_GE(factor, 0.25) << figure;
+		EXPECT_LE(factor, 10) << figure;
+	}
+	host_load none = {};
+
+	EXPECT_EQ(host_load_factor(&none, LP_US_PER_S), 1);
+}
+
+struct UnevenPool : Pool {
+	UnevenPool()
+	{
+		for (const char *id : { "one", "two", "three", "four" })
+			add(id, "a");
+		clock.now_us += LP_US_PER_S;
+	}
+	pool_upstream *at(const char *id)
+	{
+		return pool_find(c_pool, id);
+	}
+	double factor(const char *id)
+	{
+		return pool_upstream_time_factor(c_pool, at(id));
+	}
+	void advance_ms(int64_t ms)
+	{
+		clock.now_us += ms * LP_US_PER_MS;
+	}
+	/* So many calls that take `times` the expected time of 100 ms. */
+	void calls(const char *id, int count, double times,
+		   int32_t load_percent = 0)
+	{
+		for (int i = 0; i < count; i++) {
+			int64_t took_us = (int64_t)(times * 100000);
+
+			clock.now_us += took_us;
+			if (load_percent)
+				pool_note_host_load(c_pool, at(id),
+						    load_percent);
+			pool_record_outcome(c_pool, at(id), POOL_SERVED,
+					    took_us, 100000);
+		}
+	}
+};
+
+/* Guards against load that counts twice: calls that take twice as long because
+ * of the reported load say nothing about the upstream itself. */
+TEST(UnevenUpstreams, ReportedLoadIsNotLearntAsSlowness)
+{
+	UnevenPool pool;
+
+	pool.calls("one", 20, 2, 200);
+	EXPECT_NEAR(pool.factor("one"), 2, 0.1);
+	EXPECT_NEAR(pool.at("one")->slowness, 1, 0.25);
+	pool.advance_ms(3000);
+	EXPECT_LT(pool.factor("one"), 1.25);
+}
+
+/* An upstream that always reports a false load is judged by its measured times.
+ */
+TEST(UnevenUpstreams, FalseReportsAreCorrectedByMeasuredTimes)
+{
+	for (int32_t load : { 25, 1000 }) {
+		UnevenPool pool;
+
+		pool.calls("one", 30, 1, load);
+		EXPECT_NEAR(pool.factor("one"), 1, 0.1) << load;
+	}
+}
+
+/* Steady prompts with a shared prefix, engines on shared hosts: they stay at
+ * their engine while its load changes every 100 ms, and leave it while the load
+ * is high for a second. */
+TEST(UnevenUpstreams, ChangingLoadDoesNotMovePromptsLastingLoadDoes)
+{
+	UnevenPool pool;
+	const std::vector<pool_prefix_block> prompt = { { 7, 6300 },
+							{ 8, 500 } };
+	pool_upstream *engine = pool.pick(prompt);
+
+	pool_note_cached_blocks(pool.c_pool, engine, prompt.data(), 1, 0);
+	pool_set_cache_copying(pool.c_pool, "s", 163840, 137500);
+	for (int i = 0; i < 100; i++) {
+		pool.advance_ms(100);
+		pool_note_host_load(pool.c_pool, engine, i % 2 ? 40 : 200);
+		EXPECT_EQ(pool.pick(prompt), engine) << i;
+	}
+	engine->pending_prefill_tokens = 2000;
+	EXPECT_EQ(pool.pick(prompt), engine);
+	for (int i = 0; i < 20; i++) {
+		pool.advance_ms(100);
+		pool_note_host_load(pool.c_pool, engine, 1000);
+	}
+	EXPECT_NE(pool.pick(prompt), engine);
+}
+
+/* Stage calls under load: the expected time includes the reported load. */
+TEST(UnevenUpstreams, ReportedLoadLengthensExpectedCallTimes)
+{
+	UnevenPool pool;
+	int request;
+	pieces_options options = {};
+	piece work = {};
+
+	for (int i = 0; i < 20; i++) {
+		pool.advance_ms(100);
+		for (const char *id : { "one", "two", "three", "four" })
+			pool_note_host_load(pool.c_pool, pool.at(id), 200);
+	}
+	options.clock = &pool.clock.clock;
+	options.pool = pool.c_pool;
+	options.service = "s";
+	options.batch_max = 8;
+	options.call_us = 150000;
+	options.piece_us = 10000;
+	pieces *queue = pieces_create(&options);
+
+	work.request = &request;
+	work.due_us = pool.clock.now_us + LP_US_PER_S;
+	work.expires_us = work.due_us + LP_US_PER_S;
+	pieces_add(queue, &work);
+	pieces_call *call = pieces_start_call(queue);
+
+	ASSERT_NE(call, nullptr);
+	EXPECT_GT(call->expected_us, 160000 * 3 / 2);
+	int results = 0;
+
+	complete_call(queue, call, &results);
+	pieces_destroy(queue);
+}
+
+} // namespace
