--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -143,7 +143,8 @@
 			       const struct pool_upstream *upstream,
 			       uint32_t count)
 {
-	return (double)pieces_call_time_us(pieces, count) * upstream->slowness *
+	return (double)pieces_call_time_us(pieces, count) *
+	       pool_upstream_time_factor(pieces->options.pool, upstream) *
 	       (1.0 + 2.0 * upstream->error_rate);
 }
 
@@ -411,7 +412,8 @@
 	call->started_us = pieces_now_us(pieces);
 	call->expected_us = (int64_t)((double)pieces_call_time_us(
 					      pieces, call->pieces->len) *
-				      upstream->slowness);
+				      pool_upstream_time_factor(
+					      pieces->options.pool, upstream));
 	upstream->in_flight++;
 	g_ptr_array_add(pieces->calls, call);
 	return call;
--- a/policy/pieces_forecast.c
+++ b/policy/pieces_forecast.c
@@ -66,7 +66,9 @@
 static double relative_speed(const struct pieces *pieces,
 			     const struct pool_upstream *upstream)
 {
-	double speed = 1.0 / MAX(upstream->slowness, 0.1);
+	double speed = 1.0 / MAX(pool_upstream_time_factor(pieces->options.pool,
+							   upstream),
+				 0.1);
 	int64_t call_us =
 		pieces_call_time_us(pieces, pieces->options.batch_max);
 
