bench: load beyond the capacity of the stages

Overload of stages could only be measured on the deployments' own bench.

The emulator's stage upstreams can have calls that cost a fixed time and a time per piece, one after the other, and a limited result memory (pe_set_stage_cost()); without it they behave as before.

--- a/bench/bench.h
+++ b/bench/bench.h
@@ -16,6 +16,8 @@
 	char *deployment; /**< "kwaebibirem" or "brennan" */
 	int64_t seeds;	  /**< runs per point; the median is reported */
 	int64_t requests; /**< of bench faults */
+	char *plot;	  /**< surge: SVG to write; empty: none */
+	int64_t report_only;
 };
 
 int bench_hop(const struct bench_settings *settings);
@@ -28,6 +30,7 @@
 int bench_decide(const struct bench_settings *settings);
 int bench_config(const struct bench_settings *settings);
 int bench_slopes(const struct bench_settings *settings);
+int bench_surge(const struct bench_settings *settings);
 
 /* ---- shared: bench_common.c ---- */
 
--- a/bench/bench_main.c
+++ b/bench/bench_main.c
@@ -19,6 +19,10 @@
 	  "runs per point" },
 	{ "requests", LP_SETTING_INT, FIELD(requests), "20000", 100, 1000000,
 	  NULL, "faults: requests" },
+	{ "plot", LP_SETTING_STRING, FIELD(plot), "", 0, 0, NULL,
+	  "surge: SVG file to write" },
+	{ "report-only", LP_SETTING_BOOL, FIELD(report_only), "no", 0, 0, NULL,
+	  "surge: end with 0 also if a target is missed" },
 };
 
 struct bench {
@@ -32,6 +36,7 @@
 	{ "fair", bench_fair },	    { "faults", bench_faults },
 	{ "claims", bench_claims }, { "decide", bench_decide },
 	{ "config", bench_config }, { "slopes", bench_slopes },
+	{ "surge", bench_surge },
 };
 
 static int run(const struct bench_settings *settings, const char *name)
--- a/tools/pe.c
+++ b/tools/pe.c
@@ -418,6 +418,12 @@
 	upstream->work_ms = work_ms;
 }
 
+void pe_set_stage_cost(struct pe_upstream *upstream,
+		       const struct pe_stage_cost *cost)
+{
+	upstream->cost = *cost;
+}
+
 void pe_drain(struct pe_upstream *upstream)
 {
 	upstream->draining = true;
@@ -452,6 +458,7 @@
 	g_hash_table_remove_all(upstream->memory);
 	pe_notices_clear(upstream);
 	upstream->at_work = 0;
+	upstream->busy_until_us = 0;
 	upstream->draining = false;
 	upstream->born_ms =
 		MAX(upstream->born_ms + 1, g_get_real_time() / 1000);
--- a/tools/pe.h
+++ b/tools/pe.h
@@ -73,6 +73,20 @@
 void pe_fault(struct pe_upstream *upstream, enum pe_fault fault);
 /** How long a request or call takes. */
 void pe_set_work_ms(struct pe_upstream *upstream, uint32_t work_ms);
+
+/** What calls of pieces cost a stage upstream, and what its results occupy. */
+struct pe_stage_cost {
+	double call_ms;	 /**< fixed time of a call ... */
+	double piece_ms; /**< ... and time of each piece in it */
+	int64_t result_bytes;
+	int64_t memory_bytes; /**< for results */
+	int64_t kept_ms;      /**< results that nobody frees expire after it */
+};
+
+/** Calls run one after the other from now on and take this long, in place of
+ * pe_set_work_ms(); pieces whose result finds no memory are not completed. */
+void pe_set_stage_cost(struct pe_upstream *upstream,
+		       const struct pe_stage_cost *cost);
 /** Write that it is cold for so long yet; 0: it is not. */
 void pe_set_cold(struct pe_upstream *upstream, uint32_t cold_ms);
 /** Name a limit in its answers: requests a second that it takes of all entries;
--- a/tools/pe_private.h
+++ b/tools/pe_private.h
@@ -63,6 +63,8 @@
 	char *service;
 	char *domain;
 	uint32_t work_ms;
+	struct pe_stage_cost cost; /**< all zero: work_ms counts */
+	int64_t busy_until_us;	   /**< end of the last call, by cost */
 	uint32_t arrivals;
 	uint32_t calls;		   /* of pieces */
 	uint32_t at_work;	   /**< calls of pieces */
@@ -78,6 +80,7 @@
 	char *request;
 	uint32_t stage;
 	uint32_t piece;
+	int64_t made_us;
 };
 
 struct pe {
--- a/tools/pe_stage.c
+++ b/tools/pe_stage.c
@@ -10,6 +10,7 @@
 #define REPORT_TARGET "/linepier/report"
 /* Calls that may wait behind the one at work. */
 #define QUEUE_MAX 2
+#define BYTES_PER_MB 1000000
 
 void pe_result_free(gpointer data)
 {
@@ -63,6 +64,32 @@
 	return true;
 }
 
+/* ---- result memory ---- */
+
+static gboolean has_expired(gpointer handle, gpointer data, gpointer userdata)
+{
+	const struct pe_result *result = data;
+	const struct pe_upstream *upstream = userdata;
+
+	return g_get_monotonic_time() - result->made_us >
+	       upstream->cost.kept_ms * LP_US_PER_MS;
+}
+
+/* Of results that exist: those of a call in progress are not counted yet. */
+static int64_t free_bytes(struct pe_upstream *upstream)
+{
+	g_hash_table_foreach_remove(upstream->results, has_expired, upstream);
+	return upstream->cost.memory_bytes -
+	       upstream->cost.result_bytes *
+		       (int64_t)g_hash_table_size(upstream->results);
+}
+
+static bool has_room(struct pe_upstream *upstream)
+{
+	return !upstream->cost.memory_bytes ||
+	       free_bytes(upstream) >= upstream->cost.result_bytes;
+}
+
 static char *make_result(struct pe_upstream *upstream, JsonObject *item)
 {
 	struct pe_result *result = g_new0(struct pe_result, 1);
@@ -75,6 +102,7 @@
 		item, "stage", 0);
 	result->piece = (uint32_t)json_object_get_int_member_with_default(
 		item, "piece", 0);
+	result->made_us = g_get_monotonic_time();
 	upstream->pe->made++;
 	if (upstream->fault == PE_FAULT_FORGET)
 		pe_result_free(result);
@@ -99,6 +127,8 @@
 		pe_breach(upstream->pe, "a later stage without its inputs");
 	if (has_inputs && !inputs_are_there(upstream->pe, item)) {
 		lp_json_text(builder, "reason", "gone");
+	} else if (!has_room(upstream)) {
+		lp_json_text(builder, "reason", "room");
 	} else {
 		handle = make_result(upstream, item);
 		lp_json_text(builder, "handle", handle);
@@ -210,18 +240,51 @@
 	pe_answer(upstream, conn, 200, "", "{}");
 }
 
-/* Its room is never short here. */
+/* Without a limit of its memory, it always has a megabyte. */
+static int64_t free_mb(struct pe_upstream *upstream)
+{
+	return upstream->cost.memory_bytes ? free_bytes(upstream) / BYTES_PER_MB
+					   : 1;
+}
+
 static void report(struct pe_upstream *upstream, struct pe_conn *conn)
 {
 	g_autofree char *born = g_strdup_printf(
 		"\"born\":%" G_GINT64_FORMAT ",", (gint64)upstream->born_ms);
 	g_autofree char *text = g_strdup_printf(
-		"{%s\"waiting\":0,\"busy\":%d,\"free_mb\":1}",
-		upstream->pe->no_start ? "" : born, upstream->at_work > 0);
+		"{%s\"waiting\":0,\"busy\":%d,\"free_mb\":%" G_GINT64_FORMAT
+		"}",
+		upstream->pe->no_start ? "" : born, upstream->at_work > 0,
+		(gint64)free_mb(upstream));
 
 	pe_answer(upstream, conn, 200, "", text);
 }
 
+static guint count_items(const struct pe_conn *conn)
+{
+	g_autoptr(JsonParser) parser = json_parser_new();
+	JsonObject *root = lp_json_read(parser, conn->body->str);
+
+	return root ? json_array_get_length(
+			      json_object_get_array_member(root, "items"))
+		    : 0;
+}
+
+/* The time until a call that has just come is over. */
+static guint call_ms(struct pe_upstream *upstream, const struct pe_conn *conn)
+{
+	const struct pe_stage_cost *cost = &upstream->cost;
+	int64_t now_us = g_get_monotonic_time();
+	double took_ms;
+
+	if (cost->call_ms <= 0)
+		return upstream->work_ms * upstream->at_work;
+	took_ms = cost->call_ms + cost->piece_ms * count_items(conn);
+	upstream->busy_until_us = MAX(upstream->busy_until_us, now_us) +
+				  (int64_t)(took_ms * LP_US_PER_MS);
+	return (guint)((upstream->busy_until_us - now_us) / LP_US_PER_MS);
+}
+
 void pe_stage_request(struct pe_upstream *upstream, struct pe_conn *conn)
 {
 	const char *target = conn->parse.target->str;
@@ -248,6 +311,6 @@
 	upstream->at_work++;
 	if (begin_poison(upstream, conn))
 		return;
-	conn->timer = g_timeout_add(upstream->work_ms * upstream->at_work,
-				    on_call_over, conn);
+	conn->timer =
+		g_timeout_add(call_ms(upstream, conn), on_call_over, conn);
 }
