--- a/tools/soak_main.c
+++ b/tools/soak_main.c
@@ -12,6 +12,7 @@
 #include "tools/pe.h"
 #include "tools/soak_balancer.h"
 #include "tools/soak_config.h"
+#include "tools/soak_cut.h"
 #include "tools/soak_evacuation.h"
 #include "tools/soak_notices.h"
 #include "tools/soak_poison.h"
@@ -28,6 +29,8 @@
 #include <unistd.h>
 
 #define ENTRIES 2
+/* With --cut; takes the ports of two seeds. */
+#define ENTRIES_CUT 3
 #define READY_LIMIT_US (15 * LP_US_PER_S)
 #define ASK_EVERY_MS 20
 /* Once the faults are over, to see what comes of what they left. */
@@ -63,6 +66,7 @@
 	int64_t evacuate;
 	int64_t notices;
 	int64_t balancer;
+	int64_t cut;
 	char *env;
 	char *logs;
 };
@@ -87,6 +91,9 @@
 	  "upstreams say in their answers what they take" },
 	{ "balancer", LP_SETTING_BOOL, FIELD(balancer), "no", 0, 0, NULL,
 	  "callers go where a balancer sends them, which may stand still" },
+	{ "cut", LP_SETTING_BOOL, FIELD(cut), "no", 0, 0, NULL,
+	  "cut off one of three entries while upstreams leave; by what env "
+	  "loads" },
 	{ "env", LP_SETTING_STRING, FIELD(env), "", 0, 0, NULL,
 	  "NAME=VALUE,... for the program under test" },
 	{ "logs", LP_SETTING_STRING, FIELD(logs), "", 0, 0, NULL,
@@ -125,10 +132,12 @@
 	struct soak_evacuation *evacuation; /* NULL: likewise */
 	struct soak_notices *notices;	    /* NULL: likewise */
 	struct soak_balancer *balancer;	    /* NULL: likewise */
+	struct soak_cut *cut;		    /* NULL: likewise */
 	GPtrArray *upstreams;
-	struct entry entries[ENTRIES];
-	const char *addresses[ENTRIES + 1]; /* of entries, for callers */
-	const char *ready[ENTRIES];	    /* and for the balancer */
+	struct entry entries[ENTRIES_CUT];
+	uint32_t count;				/* of entries */
+	const char *addresses[ENTRIES_CUT + 1]; /* of entries, for callers */
+	const char *ready[ENTRIES_CUT];		/* and for the balancer */
 	char *folder;
 	GRand *random;
 	GMainLoop *loop;
@@ -210,6 +219,10 @@
 		env = g_environ_setenv(
 			env, "LP_SUSPENDED",
 			soak_suspend_path(soak->suspend, entry->number), TRUE);
+	if (soak->cut)
+		env = g_environ_setenv(env, "LP_CUT",
+				       soak_cut_path(soak->cut, entry->number),
+				       TRUE);
 	return env;
 }
 
@@ -299,7 +312,7 @@
 {
 	int64_t end_us = g_get_monotonic_time() + READY_LIMIT_US;
 
-	for (uint32_t i = 0; i < ENTRIES;) {
+	for (uint32_t i = 0; i < soak->count;) {
 		while (g_main_context_iteration(NULL, FALSE))
 			;
 		if (is_ready(&soak->entries[i]))
@@ -496,10 +509,13 @@
 static gboolean on_ask_timer(gpointer userdata)
 {
 	struct soak *soak = userdata;
-	uint32_t drawn = (uint32_t)g_rand_int_range(soak->random, 0, ENTRIES);
+	uint32_t drawn = (uint32_t)g_rand_int_range(soak->random, 0,
+						    (gint32)soak->count);
 	uint32_t entry = soak_balancer_choose(soak->balancer, drawn);
 	struct ask *ask = g_new0(struct ask, 1);
 
+	if (soak_cut_keeps_from(soak->cut, entry))
+		entry = (entry + 1) % soak->count;
 	ask->soak = soak;
 	ask->entry = entry;
 	ask->stops = soak->entries[entry].stops;
@@ -548,8 +564,8 @@
 
 static void fault_entry(struct soak *soak, uint32_t what)
 {
-	struct entry *entry =
-		&soak->entries[g_rand_int_range(soak->random, 0, ENTRIES)];
+	struct entry *entry = &soak->entries[g_rand_int_range(
+		soak->random, 0, (gint32)soak->count)];
 
 	soak_poison_excuse(soak->poison);
 	pe_excuse_entry(soak->platform);
@@ -592,7 +608,7 @@
 /* An entry that ended without being told to is a fault of its own. */
 static void look_for_ended(struct soak *soak)
 {
-	for (uint32_t i = 0; i < ENTRIES; i++) {
+	for (uint32_t i = 0; i < soak->count; i++) {
 		struct entry *entry = &soak->entries[i];
 
 		if (entry->leaving || waitpid(entry->pid, NULL, WNOHANG) <= 0)
@@ -695,7 +711,7 @@
 		return;
 	soak->suspend = soak_suspend_create(&(struct soak_suspend_options){
 		.folder = soak->folder,
-		.entries = ENTRIES,
+		.entries = soak->count,
 		.seed = (uint32_t)soak->settings.seed,
 		.pid = running_pid,
 		.resumed = on_resumed,
@@ -735,7 +751,7 @@
 		.platform = soak->platform,
 		.upstreams = soak->upstreams,
 		.seed = (uint32_t)soak->settings.seed,
-		.entries = ENTRIES,
+		.entries = soak->count,
 		.ask = ask_after_faults,
 		.breach = on_breach,
 		.userdata = soak,
@@ -748,13 +764,28 @@
 		return;
 	soak->balancer = soak_balancer_create(&(struct soak_balancer_options){
 		.ready = soak->ready,
-		.entries = ENTRIES,
+		.entries = soak->count,
 		.seed = (uint32_t)soak->settings.seed,
 	});
 }
 
+static void start_cut(struct soak *soak)
+{
+	if (!soak->settings.cut)
+		return;
+	soak->cut = soak_cut_create(&(struct soak_cut_options){
+		.platform = soak->platform,
+		.upstreams = soak->upstreams,
+		.folder = soak->folder,
+		.seed = (uint32_t)soak->settings.seed,
+		.breach = on_breach,
+		.userdata = soak,
+	});
+}
+
 static void start(struct soak *soak)
 {
+	soak->count = soak->settings.cut ? ENTRIES_CUT : ENTRIES;
 	soak->random = g_rand_new_with_seed((guint32)soak->settings.seed);
 	soak->folder = g_dir_make_tmp("linepier-soak-XXXXXX", NULL);
 	soak->platform = pe_create();
@@ -767,7 +798,8 @@
 	start_suspend(soak);
 	start_evacuation(soak);
 	start_notices(soak);
-	for (uint32_t i = 0; i < ENTRIES; i++) {
+	start_cut(soak);
+	for (uint32_t i = 0; i < soak->count; i++) {
 		soak->entries[i].number = i;
 		soak->entries[i].pauses =
 			g_array_new(FALSE, FALSE, sizeof(struct pause));
@@ -782,7 +814,7 @@
 static void stop(struct soak *soak)
 {
 	soak_balancer_destroy(soak->balancer);
-	for (uint32_t i = 0; i < ENTRIES; i++) {
+	for (uint32_t i = 0; i < soak->count; i++) {
 		struct entry *entry = &soak->entries[i];
 
 		end_entry(entry, SIGKILL);
@@ -793,6 +825,7 @@
 		g_free(entry->ready);
 	}
 	soak_suspend_destroy(soak->suspend);
+	soak_cut_destroy(soak->cut);
 	g_rmdir(soak->folder);
 	g_free(soak->folder);
 	g_ptr_array_unref(soak->upstreams);
@@ -814,7 +847,7 @@
 	soak_suspend_end(soak->suspend);
 	for (guint i = 0; i < soak->upstreams->len; i++)
 		pe_fault(g_ptr_array_index(soak->upstreams, i), PE_FAULT_NONE);
-	for (uint32_t i = 0; i < ENTRIES; i++) {
+	for (uint32_t i = 0; i < soak->count; i++) {
 		struct entry *entry = &soak->entries[i];
 
 		if (entry->paused)
@@ -855,11 +888,13 @@
 		return 1;
 	}
 	g_timeout_add(ASK_EVERY_MS, on_ask_timer, soak);
+	soak_cut_begin(soak->cut);
 	if (soak->settings.faults)
 		faults = g_timeout_add(FAULT_EVERY_MS, on_fault_timer, soak);
 	g_main_loop_run(soak->loop);
 	if (faults)
 		g_source_remove(faults);
+	soak_cut_settle(soak->cut);
 	end_faults(soak);
 	soak_notices_end(soak->notices);
 	soak_writer_settle(soak->writer);
