--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -411,7 +411,7 @@
 	const struct admission_request admission = {
 		.estimate_us = admission_correct_us(
 			&direct_request_estimates(request)->admission_error,
-			basis->path.first_event_us),
+			basis->path.first_event_us, now_us),
 		.late_us = basis->path.late_us,
 		.age_us = basis->path.age_us,
 		.target_us = request->route->target_us,
@@ -452,8 +452,9 @@
 				      "overload");
 		return false;
 	}
+	request->is_admitted_late = decision.outcome == ADMISSION_LATE;
 	direct_stages_commit(request->direct->stages, request,
-			     decision.outcome == ADMISSION_LATE);
+			     request->is_admitted_late);
 	return true;
 }
 
--- a/direct/direct_request.h
+++ b/direct/direct_request.h
@@ -43,8 +43,9 @@
 	int64_t arrived_us;
 	int64_t client_waited_us; /* estimate: in caller's earlier attempts */
 	int64_t deadline_us;
-	int64_t estimated_us; /* to its first event, at admission, not
-				 corrected; 0: not admitted by an estimate */
+	bool is_admitted_late; /* behind all that can be on time */
+	int64_t estimated_us;  /* to its first event, at admission, not
+				  corrected; 0: not admitted by an estimate */
 	int32_t priority;
 	uint64_t digest; /* direct_request_digest(); 0: not computed yet */
 	bool is_trial;	 /* the single run that the quarantine allows */
--- a/direct/direct_stage_plan.c
+++ b/direct/direct_stage_plan.c
@@ -1,6 +1,8 @@
 /** Plans the stages of one request: which pieces are requested, and when. */
 #include "direct/direct_request.h"
 
+#include "base/lp_id.h"
+
 /* On average an engine has to read one in this many tokens of a prompt; the
  * rest is in its prefix cache. */
 #define COLD_PROMPT_DIVISOR 4
@@ -162,7 +164,8 @@
 	if (request->estimated_us)
 		admission_record_error(
 			&estimates->admission_error, request->estimated_us,
-			request->first_event_us - request->arrived_us);
+			request->first_event_us - request->arrived_us,
+			request->first_event_us);
 	for (uint32_t i = 0; i < count; i++)
 		if (continued_at_once(request, i))
 			remaining_latency_record(
@@ -299,7 +302,9 @@
 		.inputs = copy_inputs(request->graph, stage),
 		.piece = {
 			.stage = stage,
-			.due_us = event_due_us -
+			.due_us = request->is_admitted_late && !resumes
+				  ? direct_request_now_us(request) - 1
+				  : event_due_us -
 				  budgeted_remaining_us(request, stage) - call_us,
 			.expires_us = resumes ? event_due_us
 					      : request->deadline_us -
@@ -411,7 +416,15 @@
 
 void direct_request_refuse_late(struct direct_request *request)
 {
-	direct_request_refuse(request, DIRECT_RETRY_AFTER_FULL_US,
+	const struct admission_request admission = {
+		.late_us = ADMISSION_UNKNOWN_US,
+		.left_us = MAX(request->deadline_us -
+				       direct_request_now_us(request),
+			       0),
+		.hash = lp_hash_str(request->id),
+	};
+
+	direct_request_refuse(request, admission_retry_after_us(&admission),
 			      "stages_late");
 }
 
--- a/policy/admission.c
+++ b/policy/admission.c
@@ -29,6 +29,10 @@
 /* A correction beyond this part of the estimate would follow the error of a
  * time that has passed: queues grow and shrink within seconds. */
 #define ERROR_MAX 0.4
+/* Without new observations the error is forgotten: only requests that are
+ * admitted as on time are observed, so that an error by which all are refused
+ * would stay. */
+#define ERROR_HALF_LIFE_US (4.0 * LP_US_PER_S)
 
 /* A full queue is emptied within about one call. */
 #define RETRY_AFTER_MIN_US (250 * LP_US_PER_MS)
@@ -185,19 +189,30 @@
 
 /* ---- error of estimates ---- */
 
+static int64_t mean_error_us(const struct admission_error *error,
+			     int64_t now_us)
+{
+	return (int64_t)((double)error->mean_us *
+			 exp2(-(double)(now_us - error->updated_us) /
+			      ERROR_HALF_LIFE_US));
+}
+
 void admission_record_error(struct admission_error *error, int64_t estimate_us,
-			    int64_t took_us)
+			    int64_t took_us, int64_t now_us)
 {
+	error->mean_us = mean_error_us(error, now_us);
 	error->mean_us +=
 		(took_us - estimate_us - error->mean_us) / ERROR_DIVISOR;
+	error->updated_us = now_us;
 }
 
 int64_t admission_correct_us(const struct admission_error *error,
-			     int64_t estimate_us)
+			     int64_t estimate_us, int64_t now_us)
 {
 	int64_t bound_us = (int64_t)(ERROR_MAX * (double)estimate_us);
 
-	return estimate_us + CLAMP(error->mean_us, -bound_us, bound_us);
+	return estimate_us +
+	       CLAMP(mean_error_us(error, now_us), -bound_us, bound_us);
 }
 
 /* ---- estimate of the path ---- */
@@ -224,14 +239,19 @@
 static int64_t stage_us(const struct admission_stage *stage, bool is_late,
 			int64_t after_us, int64_t now_us)
 {
+	int64_t wait_us;
+
 	if (is_late && stage->late_wait_us >= 0)
 		return wait_then_us(stage->late_wait_us, stage->late_drain,
 				    stage->alone_us, after_us);
-	return admission_estimate_stage_us(
-		&stage->measured,
-		wait_then_us(stage->wait_us, stage->drain, stage->alone_us,
-			     after_us),
-		now_us);
+	wait_us = wait_then_us(stage->wait_us, stage->drain, stage->alone_us,
+			       after_us);
+	/* Nothing bounds the measured time where no recent notice does. */
+	if (stage->age_us < 0 || stage->age_us > NOTICE_VALID_US)
+		return is_fresh(&stage->measured, now_us)
+			       ? MAX(wait_us, stage->measured.mean_us)
+			       : wait_us;
+	return admission_estimate_stage_us(&stage->measured, wait_us, now_us);
 }
 
 /* Time until the engine begins. `longest_stage`: the stage that takes longest;
@@ -379,7 +399,7 @@
 	return MAX((int64_t)(excess_us / (1 - LATE_LIMIT)), RETRY_AFTER_MIN_US);
 }
 
-static int64_t retry_after_us(const struct admission_request *request)
+int64_t admission_retry_after_us(const struct admission_request *request)
 {
 	int64_t max_us =
 		MAX(request->left_us / RETRY_AFTER_LEFT_DIVISOR, LP_US_PER_MS);
@@ -421,7 +441,7 @@
 	decision.is_refused_by_full_limits =
 		!is_on_time(request, 1.0) &&
 		!is_served_late(request, LATE_LIMIT);
-	decision.retry_after_us = retry_after_us(request);
+	decision.retry_after_us = admission_retry_after_us(request);
 	return decision;
 }
 
--- a/policy/admission.h
+++ b/policy/admission.h
@@ -102,15 +102,16 @@
  */
 struct admission_error {
 	int64_t mean_us; /**< moving average of actual less estimated time */
+	int64_t updated_us;
 };
 
 /** Records that a request had its first event after `took_us`, where the
  * uncorrected estimate was `estimate_us`. */
 void admission_record_error(struct admission_error *error, int64_t estimate_us,
-			    int64_t took_us);
+			    int64_t took_us, int64_t now_us);
 /** The estimate, corrected by at most two fifths of it. */
 int64_t admission_correct_us(const struct admission_error *error,
-			     int64_t estimate_us);
+			     int64_t estimate_us, int64_t now_us);
 
 /** Estimate of the whole path of a request, from now on. */
 struct admission_path {
@@ -193,6 +194,10 @@
 struct admission_decision
 admission_decide(const struct admission_request *request);
 
+/** The time after which the caller of a request that is not served is to
+ * retry: a slot for late work is expected then. At most a third of its time
+ * left, and spread by the hash. */
+int64_t admission_retry_after_us(const struct admission_request *request);
 /** Records the outcome of a decision at its bottleneck. */
 void admission_record_decision(struct admission_pressure *pressure,
 			       int32_t priority,
--- a/tests/admission_test.cc
+++ b/tests/admission_test.cc
@@ -438,15 +438,17 @@
 {
 	admission_error error = {};
 
-	EXPECT_EQ(admission_correct_us(&error, 1500 * ms), 1500 * ms);
+	EXPECT_EQ(admission_correct_us(&error, 1500 * ms, s), 1500 * ms);
 	for (int i = 0; i < 40; i++)
-		admission_record_error(&error, 1500 * ms, 1000 * ms);
-	EXPECT_NEAR((double)admission_correct_us(&error, 1500 * ms),
+		admission_record_error(&error, 1500 * ms, 1000 * ms, s);
+	EXPECT_NEAR((double)admission_correct_us(&error, 1500 * ms, s),
 		    1000.0 * ms, 20.0 * ms);
-	EXPECT_EQ(admission_correct_us(&error, 500 * ms), 300 * ms);
+	EXPECT_EQ(admission_correct_us(&error, 500 * ms, s), 300 * ms);
 	for (int i = 0; i < 40; i++)
-		admission_record_error(&error, 1000 * ms, 9000 * ms);
-	EXPECT_EQ(admission_correct_us(&error, 1000 * ms), 1400 * ms);
+		admission_record_error(&error, 1000 * ms, 9000 * ms, s);
+	EXPECT_EQ(admission_correct_us(&error, 1000 * ms, s), 1400 * ms);
+	/* Forgotten without observations, or refusals would keep it. */
+	EXPECT_LT(admission_correct_us(&error, 1000 * ms, 30 * s), 1100 * ms);
 }
 
 /* A graph with a stage that is skipped and two parallel ones: the longest path
