--- a/tests/list_retention_test.cc
+++ b/tests/list_retention_test.cc
@@ -129,6 +129,41 @@
 	EXPECT_LE(2 * polls_within_a_second(), recovering);
 }
 
+/* Guards against slow answers being taken for an outage, after which what has
+ * left would be retained. */
+TEST(ListRetention, SlowAnswersAreNoOutage)
+{
+	ScriptedFeed feed(true);
+
+	feed.has_contact = true;
+	for (int i = 0; i < 3; i++) {
+		ASSERT_TRUE(run_loop_until(
+			[&] { return feed.store.poll_pending(); }));
+		feed.clock.now_us += 2 * second_us;
+		feed.store.finish_poll(std::vector<std::string>(
+			i < 2 ? std::vector<std::string>{ "i-1 ready",
+							  "i-2 ready" }
+			      : std::vector<std::string>{ "i-1 ready" }));
+	}
+	EXPECT_EQ(feed.retained(), 0);
+}
+
+/* A peer announces a list that this entry could not fetch, and an upstream has
+ * left in it: reads of others count also if their lists are not applied. */
+TEST(ListRetention, AnnouncedReadsOfOtherListsAreNoOutage)
+{
+	ScriptedFeed feed(true);
+
+	feed.has_contact = true;
+	feed.answer_poll({ "i-1 ready", "i-2 ready" });
+	for (int i = 0; i < 6; i++) {
+		feed.clock.now_us += second_us / 2;
+		plf_feed_handle_peer_hash(feed.feed, 7, 0);
+	}
+	feed.answer_poll({ "i-1 ready" });
+	EXPECT_EQ(feed.retained(), 0);
+}
+
 /* Lists of peers are compared by the time at which they were read: an older one
  * would bring back what this entry has seen leave. */
 TEST(ListRetention, AnOlderListOfAPeerReplacesNoNewerOne)
