--- a/direct/direct_calls.c
+++ b/direct/direct_calls.c
@@ -4,6 +4,7 @@
 #include "base/lp_timer.h"
 
 #include "direct/direct_private.h"
+#include "direct/direct_relay.h"
 
 #include <string.h>
 
@@ -15,12 +16,21 @@
 /* Peers that receive the report of an unreachable upstream eject it for this
  * long: about as long as it would take them to find out. */
 #define PEER_EJECTION_US (1 * LP_US_PER_S)
+/* Shedding visits the whole queue, which may have 2,000 pieces. Entries may
+ * have a fifteenth of a processor. */
+#define SHEDDING_INTERVAL_US (20 * LP_US_PER_MS)
+#define GAUGES_INTERVAL_US (200 * LP_US_PER_MS)
 
 struct call_queue {
 	struct direct_calls *calls;
 	struct pieces *pieces;
 	char *name;
 	guint wake_timer;
+	int64_t shed_us;   /* when pieces were last shed */
+	int64_t gauges_us; /* when the gauges were last set */
+	bool gauges_show_empty;
+	int64_t *wait_gauges[DIRECT_PRIORITY_RANKS]; /* by rank */
+	int64_t *late_wait_gauge;
 };
 
 struct direct_job {
@@ -95,6 +105,53 @@
 	options->result_ttl_us = service_config->result_ttl_us;
 }
 
+static int64_t *wait_gauge(struct direct *direct, const char *service,
+			   const char *rank)
+{
+	g_autofree char *labels =
+		g_strdup_printf("service=\"%s\",rank=\"%s\"", service, rank);
+
+	return direct_counter(direct, "linepier_queue_wait_us", labels);
+}
+
+static void create_wait_gauges(struct call_queue *queue)
+{
+	struct direct *direct = queue->calls->direct;
+	char rank[12];
+
+	for (int i = 0; i < DIRECT_PRIORITY_RANKS; i++) {
+		g_snprintf(rank, sizeof(rank), "%d", i);
+		queue->wait_gauges[i] = wait_gauge(direct, queue->name, rank);
+	}
+	queue->late_wait_gauge = wait_gauge(direct, queue->name, "late");
+}
+
+static void set_wait_gauges(struct call_queue *queue)
+{
+	int64_t waits_us[DIRECT_PRIORITY_RANKS];
+	int64_t late_us = pieces_late_wait_us(queue->pieces);
+
+	pieces_estimate_by_priority_us(queue->pieces, waits_us,
+				       DIRECT_PRIORITY_RANKS);
+	for (int i = 0; i < DIRECT_PRIORITY_RANKS; i++)
+		*queue->wait_gauges[i] = waits_us[i];
+	*queue->late_wait_gauge = late_us == INT64_MAX ? -1 : late_us;
+}
+
+/* Without pieces the gauges are set once. */
+static void update_wait_gauges(struct call_queue *queue)
+{
+	int64_t now_us = lp_now_us(queue->calls->direct->options.clock);
+	bool is_empty = !pieces_next_check_us(queue->pieces);
+
+	if (is_empty ? queue->gauges_show_empty
+		     : now_us - queue->gauges_us < GAUGES_INTERVAL_US)
+		return;
+	queue->gauges_us = now_us;
+	queue->gauges_show_empty = is_empty;
+	set_wait_gauges(queue);
+}
+
 static struct call_queue *get_or_create_queue(struct direct_calls *calls,
 					      const char *name)
 {
@@ -115,6 +172,7 @@
 	queue->calls = calls;
 	queue->name = g_strdup(name);
 	queue->pieces = pieces_create(&options);
+	create_wait_gauges(queue);
 	g_hash_table_insert(calls->queues, queue->name, queue);
 	return queue;
 }
@@ -595,6 +653,75 @@
 			     on_wake_timer, queue);
 }
 
+/* ---- shedding ---- */
+
+static void log_shed(struct call_queue *queue, const struct piece *piece,
+		     uint32_t count)
+{
+	const struct direct_job *job = piece->request;
+	struct direct *direct = queue->calls->direct;
+	struct lp_event_log *log = direct->options.log;
+	int64_t now_us = lp_now_us(direct->options.clock);
+	const char *why = load_shedding_reason_name(piece->shed_reason);
+	g_autofree char *label = g_strdup_printf("why=\"%s\"", why);
+
+	*direct_counter(direct, "linepier_pieces_shed_total", label) += count;
+	if (!lp_event_begin(log, "shed", job->work.id))
+		return;
+	lp_event_text(log, "service", queue->name);
+	lp_event_text(log, "why", why);
+	lp_event_int(log, "stage", piece->stage);
+	lp_event_int(log, "pieces", count);
+	lp_event_int(log, "rank", piece->priority);
+	lp_event_int(log, "waited_us", now_us - piece->added_us);
+	lp_event_int(log, "wait_us", piece->shed_wait_us);
+	lp_event_int(log, "late_us", now_us - piece->due_us);
+	lp_event_int(log, "left_us", piece->expires_us - now_us);
+	lp_event_end(log);
+}
+
+/* Reports `count` shed pieces of one job to its owner, who refuses the
+ * request. */
+static void report_shed(struct call_queue *queue, const struct piece *pieces,
+			uint32_t count)
+{
+	struct direct_result *results = g_new0(struct direct_result, count);
+
+	log_shed(queue, pieces, count);
+	for (uint32_t i = 0; i < count; i++) {
+		results[i].index = pieces[i].index;
+		results[i].outcome = DIRECT_ITEM_LATE;
+	}
+	notify_job(pieces->request, results, count);
+	g_free(results);
+}
+
+/* A job that is cancelled while others are reported still has open pieces
+ * here, so it is not freed before its turn. */
+static void shed_pieces(struct call_queue *queue)
+{
+	int64_t now_us = lp_now_us(queue->calls->direct->options.clock);
+	g_autoptr(GArray) shed = NULL;
+	guint end;
+
+	if (!pieces_next_check_us(queue->pieces) ||
+	    now_us - queue->shed_us < SHEDDING_INTERVAL_US)
+		return;
+	queue->shed_us = now_us;
+	shed = g_array_new(FALSE, FALSE, sizeof(struct piece));
+	pieces_shed(queue->pieces, shed);
+	for (guint start = 0; start < shed->len; start = end) {
+		const struct piece *first =
+			&g_array_index(shed, struct piece, start);
+
+		for (end = start + 1; end < shed->len; end++)
+			if (g_array_index(shed, struct piece, end).request !=
+			    first->request)
+				break;
+		report_shed(queue, first, end - start);
+	}
+}
+
 void direct_calls_run(struct direct_calls *calls)
 {
 	g_autoptr(GList) queues = g_hash_table_get_values(calls->queues);
@@ -604,10 +731,12 @@
 		struct pool_upstream *upstream;
 		struct pieces_call *batch;
 
+		shed_pieces(queue);
 		while ((upstream = pieces_next_memory_query(queue->pieces)))
 			query_memory(queue, upstream);
 		while ((batch = pieces_start_call(queue->pieces)))
 			start_call(queue, batch);
+		update_wait_gauges(queue);
 		set_wake_timer(queue);
 	}
 }
@@ -645,6 +774,19 @@
 		get_or_create_queue(calls, service)->pieces, out, count);
 }
 
+int64_t direct_calls_late_wait_us(struct direct_calls *calls,
+				  const char *service)
+{
+	return pieces_late_wait_us(get_or_create_queue(calls, service)->pieces);
+}
+
+void direct_calls_set_committed(struct direct_calls *calls, const char *service,
+				const uint32_t *by_rank, uint32_t ranks)
+{
+	pieces_set_committed(get_or_create_queue(calls, service)->pieces,
+			     by_rank, ranks);
+}
+
 struct direct_calls *direct_calls_create(struct direct *direct)
 {
 	struct direct_calls *calls = g_new0(struct direct_calls, 1);
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -14,6 +14,7 @@
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "http/http_sock.h"
+#include "policy/admission.h"
 #include "policy/client_wait.h"
 #include "policy/graph.h"
 #include "policy/pieces.h"
@@ -38,7 +39,9 @@
 /** Estimates learnt from the requests of one route, kept until a configuration
  * removes the route. */
 struct direct_route_estimates {
+	struct admission_error admission_error;
 	struct client_wait client_wait;
+	struct admission_return_share return_share;
 	struct remaining_latency
 		remaining[DIRECT_ESTIMATED_STAGES_MAX]; /* per stage */
 };
@@ -52,7 +55,7 @@
 	bool has_upstreams;
 	int64_t upstreams_updated_us; /* time of the last list */
 	int64_t started_us;
-	int64_t shutdown_us;	      /* planned termination; 0: none */
+	int64_t shutdown_us; /* planned termination; 0: none */
 	struct retry_budget *retry_budget;
 	struct direct_closed_domains *closed_domains;
 	struct direct_notices *notices;
@@ -111,11 +114,22 @@
 /** Refuse a request whose stages are in progress if closed domains leave no
  * upstream for a service that it still needs. */
 void direct_request_refuse_if_closed(struct direct_request *request);
-/** Refuse a request that has not been sent, because the entry terminates. */
+/** Refuse a request that has not been sent, or abort a stream that waits to be
+ * resumed, because the entry terminates. */
 void direct_request_refuse_unsent(struct direct_request *request);
 /** Refuse a request because a piece of it cannot be completed in time. */
 void direct_request_refuse_late(struct direct_request *request);
 
+/** Begin a check of what this request waits for. */
+void direct_request_clear_waiting(struct direct_request *request);
+/** A stage of this request waits for its pieces. */
+void direct_request_mark_waiting(struct direct_request *request,
+				 uint32_t stage);
+/** Whether a request waits for something that has a timer other than its
+ * deadline: submitted pieces, a query to a placer, or an exchange with an
+ * upstream. Valid after its stages have been marked. */
+bool direct_request_is_waiting(const struct direct_request *request);
+
 /* ---- direct_results.c: freeing results that nobody needs any more ---- */
 
 struct direct_results *direct_results_create(struct direct *direct);
@@ -155,9 +169,16 @@
 void direct_stages_submit(struct direct_stages *stages,
 			  struct direct_request *request,
 			  struct direct_work *work);
+/** A request was admitted: tell the dispatchers of its stages how many pieces
+ * will come. */
+void direct_stages_commit(struct direct_stages *stages,
+			  struct direct_request *request, bool is_late);
 /** A request has ended: cancel its pieces and free its results. */
 void direct_stages_cancel(struct direct_stages *stages,
 			  struct direct_request *request);
+/** Mark each stage of a request whose pieces wait in a queue here, at a
+ * dispatcher, or for the discovery of members. */
+void direct_stages_mark_waiting(struct direct_stages *stages);
 /** Free the results that a request does not need any more; `all`: every one. */
 void direct_stages_free_results(struct direct_stages *stages,
 				struct direct_request *request, bool all);
@@ -166,9 +187,15 @@
 void direct_stages_recompute_inputs(struct direct_stages *stages,
 				    struct direct_request *request,
 				    uint32_t stage);
-/** Estimated time until a piece submitted now to this service is completed. */
-int64_t direct_stages_estimate_us(struct direct_stages *stages,
-				  const char *service, int32_t priority);
+/** Fill in what is known of the queue to which this service's pieces of a
+ * request would go: waits, their age, and measured times. `id`: of the request.
+ */
+void direct_stages_estimate(struct direct_stages *stages, const char *service,
+			    const char *id, int32_t priority,
+			    struct admission_stage *out);
+/** Recent refusals because of this service. */
+struct admission_pressure *direct_stages_pressure(struct direct_stages *stages,
+						  const char *service);
 /** Record how long the pieces of a stage took that were submitted before their
  * request's target time. */
 void direct_stages_record_latency(struct direct_stages *stages,
--- a/direct/direct_relay.c
+++ b/direct/direct_relay.c
@@ -18,23 +18,32 @@
  * useless, priority, bytes, flags, preferred domain, bytes that would cross
  * domains elsewhere, allowed regions */
 #define SUBMIT_TYPE "(tsssuauasxxixusxs)"
-#define ACCEPTED_TYPE "(tax)" /* number, queue wait of each rank */
+#define ACCEPTED_TYPE "(tax)" /* number, queue waits */
 #define CANCEL_TYPE "(t)"     /* number */
-/* number, serial, results (piece, outcome, producer, handle), queue wait of
- * each rank */
+/* number, serial, results (piece, outcome, producer, handle), queue waits */
 #define RESULTS_TYPE "(tta(uuts)ax)"
 #define RESULTS_ACK_TYPE "(t)" /* serial */
 #define FREE_TYPE "(txas)"     /* producer, bytes, handles */
 
+/* Queue waits: of each rank, then of late work. */
+#define WAITS_COUNT (DIRECT_PRIORITY_RANKS + 1)
+
 #define FLAG_HAS_INPUTS 1
 #define FLAG_HOLDS_MEMORY 2
 #define FLAG_SPLIT 4
 #define FLAG_ALONE 8
+/* Older releases ignore it, and queue the pieces by their due time. */
+#define FLAG_RESUMES 16
 
 /* Twenty round trips: a datagram that is not confirmed by then was lost, or its
  * receiver is busy. */
 #define RESEND_US (60 * LP_US_PER_MS)
 #define TIMER_MS 20
+/* Accepted work is sent again at this interval. A dispatcher that has it
+ * confirms it again. One that has given up sending its results, because none
+ * was confirmed for half a second, computes them again; the request waited for
+ * its deadline otherwise. */
+#define RECONFIRM_US (1 * LP_US_PER_S)
 /* A dispatcher with work of this entry gets a liveness probe after the first
  * period of silence. After the second it counts as gone; it may be on a slow
  * host, so the period is long. */
@@ -46,6 +55,9 @@
 #define SERIAL_RETENTION_US (2 * LP_US_PER_S)
 /* About 4 KB. */
 #define RESULTS_PER_DATAGRAM 96
+/* Work that is useless is shed, and its owner is told. Pieces that are in a
+ * call then, or are not shed, are cancelled after this time. */
+#define EXPIRY_GRACE_US (2 * LP_US_PER_S)
 /* Times until due or useless that peers send are clamped to this. */
 #define DUE_TIME_MAX_US (600 * LP_US_PER_S)
 
@@ -56,6 +68,7 @@
 	GVariant *body;
 	int64_t first_sent_us;
 	int64_t sent_us;
+	int64_t expires_us; /* useless after it */
 	bool is_accepted;
 };
 
@@ -66,7 +79,7 @@
 	uint64_t peer;
 	uint64_t number;
 	char *service;
-	int64_t until_us; /* useless after it */
+	int64_t until_us; /* cancelled after it */
 	struct direct_job *job;
 };
 
@@ -163,7 +176,9 @@
 
 	if (is_dispatcher_gone(relay, outgoing))
 		return true;
-	if (!outgoing->is_accepted && now_us - outgoing->sent_us >= RESEND_US)
+	if (now_us - outgoing->sent_us >=
+		    (outgoing->is_accepted ? RECONFIRM_US : RESEND_US) &&
+	    (!outgoing->is_accepted || now_us < outgoing->expires_us))
 		resend_work(relay, outgoing);
 	else if (outgoing->is_accepted &&
 		 now_us - MAX(received_us, outgoing->sent_us) >= PROBE_AFTER_US)
@@ -284,7 +299,8 @@
 	uint32_t flags = (piece->has_inputs ? FLAG_HAS_INPUTS : 0) |
 			 (piece->holds_memory ? FLAG_HOLDS_MEMORY : 0) |
 			 (piece->group_started ? FLAG_SPLIT : 0) |
-			 (piece->exclusive ? FLAG_ALONE : 0);
+			 (piece->exclusive ? FLAG_ALONE : 0) |
+			 (piece->resumes ? FLAG_RESUMES : 0);
 
 	return g_variant_ref_sink(g_variant_new(
 		"(tsssu@au@asxxixusxs)", (guint64)number, work->service,
@@ -316,6 +332,7 @@
 	outgoing->body = body;
 	outgoing->first_sent_us = time_now_us(relay);
 	outgoing->sent_us = outgoing->first_sent_us;
+	outgoing->expires_us = work->piece.expires_us;
 	g_hash_table_insert(relay->outgoing, &outgoing->number, outgoing);
 	start_timer(relay);
 	return true;
@@ -334,16 +351,31 @@
 	g_hash_table_remove(relay->outgoing, &number);
 }
 
-static void report_queue_waits(struct direct_relay *relay, uint64_t number,
+bool direct_relay_has_work(const struct direct_relay *relay, uint64_t number)
+{
+	return g_hash_table_contains(relay->outgoing, &number);
+}
+
+static void report_queue_waits(struct direct_relay *relay,
+			       const struct outgoing_work *outgoing,
 			       GVariant *list)
 {
+	int64_t by_rank[DIRECT_PRIORITY_RANKS];
 	gsize count;
 	const int64_t *waits_us =
 		g_variant_get_fixed_array(list, &count, sizeof(int64_t));
 
-	if (count == DIRECT_PRIORITY_RANKS)
-		relay->events.on_queue_waits(relay->events.userdata, number,
-					     waits_us);
+	/* Entries of an older release report fewer ranks, of which the last
+	 * covers the rest, and do not append the wait of late work. */
+	if (!count || count > WAITS_COUNT)
+		return;
+	for (gsize i = 0; i < DIRECT_PRIORITY_RANKS; i++)
+		by_rank[i] = waits_us[MIN(i, count - 1)];
+	relay->events.on_queue_waits(relay->events.userdata, outgoing->number,
+				     outgoing->peer, by_rank,
+				     count == WAITS_COUNT
+					     ? waits_us[DIRECT_PRIORITY_RANKS]
+					     : ADMISSION_UNKNOWN_US);
 }
 
 static void on_accepted(void *userdata, uint64_t peer, GVariant *body)
@@ -358,7 +390,7 @@
 	if (!outgoing || outgoing->peer != peer)
 		return;
 	outgoing->is_accepted = true;
-	report_queue_waits(relay, number, waits);
+	report_queue_waits(relay, outgoing, waits);
 }
 
 /* False: the same results were received before. */
@@ -432,7 +464,7 @@
 	outgoing = g_hash_table_lookup(relay->outgoing, &number);
 	if (outgoing && outgoing->peer == peer) {
 		outgoing->is_accepted = true;
-		report_queue_waits(relay, number, waits);
+		report_queue_waits(relay, outgoing, waits);
 		relay->events.on_results(relay->events.userdata, number,
 					 (struct direct_result *)results->data,
 					 results->len);
@@ -459,13 +491,14 @@
 
 static GVariant *write_waits(struct direct_relay *relay, const char *service)
 {
-	int64_t waits_us[DIRECT_PRIORITY_RANKS];
+	int64_t waits_us[WAITS_COUNT];
 
 	direct_calls_estimate_each_us(relay->direct->calls, service, waits_us,
 				      DIRECT_PRIORITY_RANKS);
+	waits_us[DIRECT_PRIORITY_RANKS] =
+		direct_calls_late_wait_us(relay->direct->calls, service);
 	return g_variant_new_fixed_array(G_VARIANT_TYPE_INT64, waits_us,
-					 DIRECT_PRIORITY_RANKS,
-					 sizeof(int64_t));
+					 WAITS_COUNT, sizeof(int64_t));
 }
 
 static void send_results(struct direct_relay *relay,
@@ -553,6 +586,7 @@
 	piece->holds_memory = flags & FLAG_HOLDS_MEMORY;
 	piece->group_started = flags & FLAG_SPLIT;
 	piece->exclusive = flags & FLAG_ALONE;
+	piece->resumes = flags & FLAG_RESUMES;
 	/* Interned strings are never freed, but there are few domains. */
 	piece->preferred_domain =
 		*preferred ? g_intern_string(preferred) : NULL;
@@ -599,7 +633,7 @@
 	incoming->peer = peer;
 	incoming->number = number;
 	incoming->service = g_strdup(work.service);
-	incoming->until_us = work.piece.expires_us;
+	incoming->until_us = work.piece.expires_us + EXPIRY_GRACE_US;
 	g_hash_table_insert(relay->incoming, &incoming->key, incoming);
 	incoming->job = direct_calls_add(relay->direct->calls, &work,
 					 on_job_results, incoming);
--- a/direct/direct_stage_plan.c
+++ b/direct/direct_stage_plan.c
@@ -1,6 +1,8 @@
 /** Plans the stages of one request: which pieces are requested, and when. */
 #include "direct/direct_request.h"
 
+#include "base/lp_id.h"
+
 /* On average an engine has to read one in this many tokens of a prompt; the
  * rest is in its prefix cache. */
 #define COLD_PROMPT_DIVISOR 4
@@ -17,8 +19,8 @@
 
 /* ---- stages ---- */
 
-/* Estimated time of a stage by itself. */
-static int64_t stage_time_us(struct direct_request *request, uint32_t stage)
+int64_t direct_stage_plan_stage_us(const struct direct_request *request,
+				   uint32_t stage)
 {
 	const struct direct_service *service = direct_config_service(
 		request->config, request->route->stages[stage].service);
@@ -43,7 +45,7 @@
 
 			if (route->stages[i].input_stages[j] != stage)
 				continue;
-			estimate_us = stage_time_us(request, i) +
+			estimate_us = direct_stage_plan_stage_us(request, i) +
 				      time_after_stage_us(request, i);
 			longest_us = MAX(longest_us, estimate_us);
 		}
@@ -51,6 +53,41 @@
 	return longest_us;
 }
 
+/* The same where each call carries one piece only. */
+static int64_t least_stage_time_us(const struct direct_request *request,
+				   uint32_t stage)
+{
+	const struct direct_service *service = direct_config_service(
+		request->config, request->route->stages[stage].service);
+
+	return service ? service->call_us + service->piece_us : 0;
+}
+
+static bool lacks_results(const struct direct_request *request, uint32_t stage)
+{
+	return graph_piece_count(request->graph, stage) &&
+	       !graph_stage_completed(request->graph, stage);
+}
+
+int64_t direct_stage_plan_least_us(const struct direct_request *request)
+{
+	const struct direct_route *route = request->route;
+	g_autofree int64_t *done_us = g_new0(int64_t, route->stages_count);
+	int64_t longest_us = 0;
+
+	for (uint32_t i = 0; i < route->stages_count; i++) {
+		for (uint32_t j = 0; j < route->stages[i].input_stages_count;
+		     j++)
+			done_us[i] =
+				MAX(done_us[i],
+				    done_us[route->stages[i].input_stages[j]]);
+		if (lacks_results(request, i))
+			done_us[i] += least_stage_time_us(request, i);
+		longest_us = MAX(longest_us, done_us[i]);
+	}
+	return longest_us;
+}
+
 int64_t direct_stage_plan_engine_us(const struct direct_request *request)
 {
 	return DIRECT_ENGINE_FIRST_EVENT_US +
@@ -124,6 +161,11 @@
 	    request->sendings != 1)
 		return;
 	estimates = direct_request_estimates(request);
+	if (request->estimated_us)
+		admission_record_error(
+			&estimates->admission_error, request->estimated_us,
+			request->first_event_us - request->arrived_us,
+			request->first_event_us);
 	for (uint32_t i = 0; i < count; i++)
 		if (continued_at_once(request, i))
 			remaining_latency_record(
@@ -248,6 +290,11 @@
 	const struct direct_service *service =
 		direct_config_service(request->config, stage_config->service);
 	int64_t call_us = service ? service->call_us + service->piece_us : 0;
+	bool resumes = request->resume_began_us != 0;
+	int64_t event_due_us = resumes ? direct_stream_resume_limit_us(request)
+				       : request->arrived_us -
+						 request->client_waited_us +
+						 request->route->target_us;
 	struct direct_work work = {
 		.id = g_strdup(request->id),
 		.service = g_strdup(stage_config->service),
@@ -255,10 +302,14 @@
 		.inputs = copy_inputs(request->graph, stage),
 		.piece = {
 			.stage = stage,
-			.due_us = request->arrived_us - request->client_waited_us +
-				  request->route->target_us -
+			.due_us = request->is_admitted_late && !resumes
+				  ? direct_request_now_us(request) - 1
+				  : event_due_us -
 				  budgeted_remaining_us(request, stage) - call_us,
-			.expires_us = request->deadline_us,
+			.expires_us = resumes ? event_due_us
+					      : request->deadline_us -
+							expected_remaining_us(
+								request, stage),
 			.priority = request->priority,
 			.result_bytes = stage_config->bytes,
 			.allowed_regions = request->allowed_regions,
@@ -266,6 +317,7 @@
 			.holds_memory = occupies_result_memory(request, stage),
 			.exclusive = request->is_trial,
 			.group_started = has_started_piece(request->graph, stage),
+			.resumes = resumes,
 		},
 	};
 
@@ -284,15 +336,15 @@
  * the longest path. */
 static bool should_wait(struct direct_request *request, uint32_t stage)
 {
-	int64_t own_us = stage_time_us(request, stage) +
+	int64_t own_us = direct_stage_plan_stage_us(request, stage) +
 			 time_after_stage_us(request, stage);
 
 	for (uint32_t i = 0; i < request->route->stages_count; i++) {
 		if (!has_missing_piece(request->graph, i))
 			continue;
-		if (stage_time_us(request, i) +
+		if (direct_stage_plan_stage_us(request, i) +
 			    time_after_stage_us(request, i) >
-		    own_us + stage_time_us(request, stage))
+		    own_us + direct_stage_plan_stage_us(request, stage))
 			return true;
 	}
 	return false;
@@ -350,7 +402,8 @@
 		direct_sending_start(request);
 		return;
 	}
-	if (!direct_request_check_quarantine(request))
+	if (!direct_request_check_quarantine(request) ||
+	    !direct_stream_resume_check(request))
 		return;
 	request_ready_stages(request);
 	if (request->recomputations > RECOMPUTATIONS_MAX) {
@@ -363,7 +416,15 @@
 
 void direct_request_refuse_late(struct direct_request *request)
 {
-	direct_request_refuse(request, DIRECT_RETRY_AFTER_FULL_US,
+	const struct admission_request admission = {
+		.late_us = ADMISSION_UNKNOWN_US,
+		.left_us = MAX(request->deadline_us -
+				       direct_request_now_us(request),
+			       0),
+		.hash = lp_hash_str(request->id),
+	};
+
+	direct_request_refuse(request, admission_retry_after_us(&admission),
 			      "stages_late");
 }
 
