--- a/direct/direct_stage_plan.c
+++ b/direct/direct_stage_plan.c
@@ -72,7 +72,7 @@
 int64_t direct_stage_plan_least_us(const struct direct_request *request)
 {
 	const struct direct_route *route = request->route;
-	g_autofree int64_t *done_us = g_new0(int64_t, route->stages_count);
+	int64_t *done_us = g_new0(int64_t, route->stages_count);
 	int64_t longest_us = 0;
 
 	for (uint32_t i = 0; i < route->stages_count; i++) {
@@ -85,6 +85,7 @@
 			done_us[i] += least_stage_time_us(request, i);
 		longest_us = MAX(longest_us, done_us[i]);
 	}
+	g_free(done_us);
 	return longest_us;
 }
 
