Keep learnt speed through calm periods

The slowness of an upstream faded to 1 within seconds without outcomes, so each burst began with slower machines taken for equal, and a new incarnation counted as faster than upstreams that were measured. A stage's upstreams did not fade at all while they had no calls, as only pool_pick() did that.

Each upstream now has a usual slowness, learnt over some twenty outcomes and at most twice the service's mean for each. The recent slowness returns to it with the half-life that it had, so that a disturbed upstream is found well again without trial requests. What exceeds the mean fades with a half-life of 90 s. Upstreams without outcomes begin at the mean of their service. All upstreams of a service fade with each outcome and each selection.

--- a/policy/pool.c
+++ b/policy/pool.c
@@ -443,7 +443,6 @@
 			: upstream->hash;
 	upstream->listed = true;
 	upstream->refs = 1;
-	upstream->slowness = 1.0;
 	upstream->result_memory = result_memory_create(&options);
 	upstream->cached_blocks = g_hash_table_new_full(
 		g_int64_hash, g_int64_equal, g_free, g_free);
@@ -488,8 +487,9 @@
 	return upstream;
 }
 
-/* Replaces an incarnation; no estimate is carried over. Holders of the previous
- * one end their work in progress there. */
+/* Replaces an incarnation; no estimate is carried over, as it may run on
+ * another host. Holders of the previous one end their work in progress there.
+ */
 static struct pool_upstream *
 replace_incarnation(struct pool *pool, struct pool_upstream *listed,
 		    const struct pool_upstream_info *info)
@@ -580,6 +580,9 @@
 		g_hash_table_insert(pool->by_incarnation,
 				    &upstream->incarnation, upstream);
 	}
+	g_hash_table_iter_init(&iter, pool->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		pool_begin_estimates(value);
 }
 
 uint32_t pool_update(struct pool *pool, const struct pool_upstream_info *infos,
--- a/policy/pool.h
+++ b/policy/pool.h
@@ -69,8 +69,10 @@
 	double error_rate; /**< fading mean of recent outcomes, 0 to 1 */
 	double slowness; /**< fading mean of time taken / time expected, without
 			    the effect of host_load */
-	struct host_load host_load;	     /**< that it reports */
-	int64_t busy_until_us;		     /**< with calls of other entries */
+	double usual_slowness;	    /**< the same over tens of outcomes; 0: not
+				       known yet */
+	struct host_load host_load; /**< that it reports */
+	int64_t busy_until_us;	    /**< with calls of other entries */
 	struct result_memory *result_memory; /**< of a stage */
 	int64_t result_memory_queried_us;    /**< last query; 0: never */
 	int64_t result_memory_reported_us;   /**< last report; 0: never */
--- a/policy/pool_choice.c
+++ b/policy/pool_choice.c
@@ -171,10 +171,10 @@
 	struct pool_upstream *best = NULL;
 	double best_cost = 0;
 	bool best_available = false;
-	int64_t now_us = lp_now_us(pool->clock);
 
 	if (!list)
 		return NULL;
+	pool_decay_estimates(list, lp_now_us(pool->clock));
 	selection = (struct selection){
 		.args = args,
 		.affinity_upstream = find_affinity_upstream(args, list),
@@ -191,7 +191,6 @@
 					     upstream->region) ||
 		    was_tried(args, upstream->info.id))
 			continue;
-		pool_decay_estimates(upstream, now_us);
 		cost = cost_us(pool, &selection, upstream);
 		/* An ejected upstream is better than none. */
 		if (best &&
--- a/policy/pool_estimates.c
+++ b/policy/pool_estimates.c
@@ -1,6 +1,8 @@
 /** Estimates of upstreams from the outcomes of requests and calls. */
 #include "policy/pool_private.h"
 
+#include <math.h>
+
 /* Ejection time after a failure; doubles with each consecutive one. */
 #define EJECTION_BASE_US (250 * LP_US_PER_MS)
 #define EJECTION_DOUBLINGS_MAX 4
@@ -11,25 +13,96 @@
 #define OVERLOAD_EJECTION_US (60 * LP_US_PER_MS)
 /* Weight of the newest outcome in an exponential moving average. */
 #define OUTCOME_WEIGHT 0.3
-/* Half-life of the slowness and error rate estimates without outcomes, so that
- * an upstream that has recovered is selected again. */
+/* Half-life of the recent slowness and of the error rate without outcomes, so
+ * that an upstream that has recovered is selected again. */
 #define ESTIMATE_HALF_LIFE_US (2 * LP_US_PER_S)
+/* Weight of the newest outcome in the usual slowness: a machine that is always
+ * slower is known after some twenty calls. */
+#define USUAL_WEIGHT 0.05
+/* An outcome counts in the usual slowness as at most this multiple of the
+ * service's mean. So the few calls of a disturbance hardly change it, and an
+ * upstream that counts as slower by no more than this still gets work under
+ * load, whose outcomes correct the estimate. */
+#define USUAL_MAX_MULTIPLE 2.0
+/* Half-life of usual slowness beyond the service's mean without outcomes: it
+ * lasts through calm periods, but a slow upstream that gets no work at all is
+ * tried again at some time. */
+#define USUAL_HALF_LIFE_US (90 * LP_US_PER_S)
 #define SLOWNESS_MAX 20.0
 
-void pool_decay_estimates(struct pool_upstream *upstream, int64_t now_us)
+/* Mean of the usual slowness; 1 if it is not known of any upstream. */
+static double mean_slowness(const GPtrArray *upstreams)
 {
-	int64_t quiet_us = now_us - upstream->last_outcome_us;
-
-	for (; quiet_us > ESTIMATE_HALF_LIFE_US;
-	     quiet_us -= ESTIMATE_HALF_LIFE_US) {
-		upstream->slowness = 1.0 + (upstream->slowness - 1.0) / 2;
-		upstream->error_rate /= 2;
-		upstream->last_outcome_us += ESTIMATE_HALF_LIFE_US;
-		if (upstream->slowness < 1.05 && upstream->error_rate < 0.02) {
-			upstream->last_outcome_us = now_us;
-			return;
-		}
+	double sum = 0;
+	uint32_t count = 0;
+
+	for (guint i = 0; i < upstreams->len; i++) {
+		const struct pool_upstream *upstream =
+			g_ptr_array_index(upstreams, i);
+
+		sum += upstream->usual_slowness;
+		count += upstream->usual_slowness > 0;
 	}
+	return count ? sum / count : 1.0;
+}
+
+/* An upstream without outcomes that counted as faster than the others would get
+ * most of the work until it is measured. */
+void pool_begin_estimates(const GPtrArray *upstreams)
+{
+	double mean = mean_slowness(upstreams);
+
+	for (guint i = 0; i < upstreams->len; i++) {
+		struct pool_upstream *upstream =
+			g_ptr_array_index(upstreams, i);
+
+		if (upstream->usual_slowness > 0)
+			continue;
+		upstream->slowness = mean;
+		upstream->usual_slowness = mean;
+	}
+}
+
+/* The recent slowness returns to the usual one. Without this an upstream that
+ * was disturbed for a while would not be found well again: while it counts as
+ * slow it gets little or no work, and to try it sooner would delay requests. */
+static void decay_upstream(struct pool_upstream *upstream, double mean,
+			   int64_t now_us)
+{
+	int64_t half_lives =
+		(now_us - upstream->last_outcome_us) / ESTIMATE_HALF_LIFE_US;
+	int64_t faded_us = half_lives * ESTIMATE_HALF_LIFE_US;
+	double rest = exp2(-(double)half_lives);
+
+	if (half_lives <= 0)
+		return;
+	if (upstream->usual_slowness > mean)
+		upstream->usual_slowness =
+			mean +
+			(upstream->usual_slowness - mean) *
+				exp2(-(double)faded_us / USUAL_HALF_LIFE_US);
+	upstream->slowness =
+		upstream->usual_slowness +
+		(upstream->slowness - upstream->usual_slowness) * rest;
+	upstream->error_rate *= rest;
+	upstream->last_outcome_us += faded_us;
+}
+
+void pool_decay_estimates(const GPtrArray *upstreams, int64_t now_us)
+{
+	double mean = mean_slowness(upstreams);
+
+	for (guint i = 0; i < upstreams->len; i++)
+		decay_upstream(g_ptr_array_index(upstreams, i), mean, now_us);
+}
+
+static void record_time(struct pool_upstream *upstream, double mean,
+			double ratio)
+{
+	upstream->slowness += OUTCOME_WEIGHT * (ratio - upstream->slowness);
+	upstream->usual_slowness +=
+		USUAL_WEIGHT * (MIN(ratio, USUAL_MAX_MULTIPLE * mean) -
+				upstream->usual_slowness);
 }
 
 static void eject(struct pool_upstream *upstream, int64_t now_us,
@@ -43,6 +116,10 @@
 			 enum pool_outcome outcome, int64_t took_us,
 			 int64_t expected_us)
 {
+	static const GPtrArray none;
+	const GPtrArray *listed =
+		pool_service_upstreams(pool, upstream->info.service);
+	const GPtrArray *others = listed ? listed : &none;
 	int64_t now_us = lp_now_us(pool->clock);
 	bool failed =
 		outcome == POOL_UNREACHABLE || outcome == POOL_WRONG_PROCESS;
@@ -51,7 +128,9 @@
 
 	if (outcome == POOL_UNDETERMINED)
 		return;
-	pool_decay_estimates(upstream, now_us);
+	/* Also of the others: a stage's upstreams are not selected by
+	 * pool_pick(). */
+	pool_decay_estimates(others, now_us);
 	upstream->last_outcome_us = now_us;
 	if (failed) {
 		eject(upstream, now_us,
@@ -77,8 +156,7 @@
 		 * an upstream that constantly reports a wrong load. */
 		ratio /= host_load_factor(&upstream->host_load, now_us);
 
-		upstream->slowness +=
-			OUTCOME_WEIGHT * (ratio - upstream->slowness);
+		record_time(upstream, mean_slowness(others), ratio);
 	}
 }
 
--- a/policy/pool_private.h
+++ b/policy/pool_private.h
@@ -49,8 +49,11 @@
 /** Time left of its pushback; 0: none. */
 int64_t pool_pushback_left_us(const struct pool *pool,
 			      const struct pool_upstream *upstream);
-/** Let the estimates fade for the time without outcomes. */
-void pool_decay_estimates(struct pool_upstream *upstream, int64_t now_us);
+/** Begin the estimates of a service's upstreams that have none yet. */
+void pool_begin_estimates(const GPtrArray *upstreams);
+/** Let the estimates of a service's upstreams fade for the time without
+ * outcomes. */
+void pool_decay_estimates(const GPtrArray *upstreams, int64_t now_us);
 /** The engine from which the prompt's prefix cache can be copied. */
 struct copy_source pool_find_copy_source(const struct pool *pool,
 					 const GPtrArray *list,
--- a/tests/uneven_upstreams_test.cc
+++ b/tests/uneven_upstreams_test.cc
@@ -216,4 +216,90 @@
 	pieces_destroy(queue);
 }
 
+/* ---- learnt speed ---- */
+
+/* Bursts with calm between them, on engines of which each third takes 1.3 times
+ * as long. Guards against a burst that begins with all upstreams taken for
+ * equal: the slower ones then get as much work as the others. */
+TEST(UnevenUpstreams, LearntSpeedOutlastsCalm)
+{
+	UnevenPool pool;
+
+	for (const char *id : { "one", "two", "three" })
+		pool.calls(id, 40, 1);
+	pool.calls("four", 40, 1.3);
+	pool.advance_ms(30000);
+	pool.pick();
+	EXPECT_NEAR(pool.factor("four") / pool.factor("one"), 1.3, 0.1);
+}
+
+/* Only the error rate ends with time. */
+TEST(UnevenUpstreams, ErrorRateFadesInCalm)
+{
+	UnevenPool pool;
+
+	for (int i = 0; i < 5; i++)
+		pool_record_outcome(pool.c_pool, pool.at("one"),
+				    POOL_ERROR_ANSWER, 0, 0);
+	EXPECT_GT(pool.at("one")->error_rate, 0.5);
+	pool.advance_ms(20000);
+	pool.pick();
+	EXPECT_LT(pool.at("one")->error_rate, 0.01);
+}
+
+/* An upstream is 5 times slower for some seconds, and gets no work afterwards.
+ * Guards against an upstream that stays unused after it has recovered. */
+TEST(UnevenUpstreams, DisturbedUpstreamIsFoundWellAgain)
+{
+	UnevenPool pool;
+
+	for (const char *id : { "one", "two", "three", "four" })
+		pool.calls(id, 40, 1);
+	pool.calls("one", 10, 5);
+	EXPECT_GT(pool.factor("one"), 4);
+	/* Others keep working: their outcomes let the estimate fade, as a
+	 * stage's upstreams are not selected by pool_pick(). */
+	for (int i = 0; i < 100; i++)
+		for (const char *id : { "two", "three", "four" })
+			pool.calls(id, 1, 1);
+	EXPECT_LT(pool.factor("one"), 1.5);
+	pool.calls("one", 30, 1);
+	EXPECT_NEAR(pool.factor("one"), 1, 0.15);
+}
+
+/* An upstream that is always much slower does not lose all prospect of work. */
+TEST(UnevenUpstreams, UsualSlownessIsBoundedAndFadesSlowly)
+{
+	UnevenPool pool;
+
+	for (const char *id : { "two", "three", "four" })
+		pool.calls(id, 40, 1);
+	pool.calls("one", 200, 15);
+	pool.advance_ms(30000);
+	pool.pick();
+	EXPECT_LT(pool.factor("one"), 3.5);
+	EXPECT_GT(pool.factor("one"), 1.8);
+	pool.advance_ms(600000);
+	pool.pick();
+	EXPECT_LT(pool.factor("one"), 2);
+}
+
+/* A burst during which upstreams restart, at a service that takes 1.6 times as
+ * long as configured. Guards against new incarnations that count as the fastest
+ * and get all the work. */
+TEST(UnevenUpstreams, NewUpstreamBeginsAtTheMeanOfItsService)
+{
+	UnevenPool pool;
+
+	for (const char *id : { "one", "two", "three", "four" })
+		pool.calls(id, 60, 1.6);
+	pool.add("new", "a");
+	EXPECT_NEAR(pool.factor("new"), 1.6, 0.15);
+	pool.infos[0].born_ms = 5000;
+	pool_update(pool.c_pool, pool.infos.data(), pool.infos.size());
+	EXPECT_NEAR(pool.factor("one"), 1.6, 0.15);
+	pool.add("other", "a", "t");
+	EXPECT_EQ(pool.factor("other"), 1);
+}
+
 } // namespace
