Learn the prefill rate of engines from first events

60 tokens per ms were assumed for all engines; those of two deployments read 41.4 and 32.4. Expected times, and copies of prefix caches, were compared with reading that was thought to be faster than it is.

The rate is learnt per service from streams whose engine had nothing ahead and 3,000 or more tokens to read (policy/prefill_rate): the mean of about 16 prompts, each counted at most twice as fast or slow as the mean, between 10 and 200 tokens per ms, at usual load of the host. It begins with 60. It is used for times; what repeated reading costs in placement is a price of tokens and stays.

--- a/direct/direct_request.h
+++ b/direct/direct_request.h
@@ -68,6 +68,7 @@
 	uint32_t quarantine_round; /* as of sent_us */
 	int64_t expected_us; /* estimate: from sent_us to the first response */
 	int64_t cold_tokens; /* prompt tokens that the engine has to read */
+	bool is_read_alone;   /* nothing is read before it, or copied */
 	bool upstream_responded; /* with an event or a complete answer */
 	int64_t first_event_us;	 /* first response of all sendings; 0: none yet
 				  */
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -286,6 +286,9 @@
 		direct_stage_plan_learn(request);
 	}
 	request->upstream->pending_prefill_tokens -= request->cold_tokens;
+	if (request->is_read_alone && request->route->kind == DIRECT_STREAM)
+		pool_record_prefill(direct->pool, request->upstream,
+				    request->cold_tokens, took_us);
 	pool_record_outcome(direct->pool, request->upstream, POOL_SERVED,
 			    took_us, request->expected_us);
 	if (request->placement.placer)
@@ -537,10 +540,11 @@
 
 	request->copy_from = copy.source;
 	request->cold_tokens = copy.prefill_tokens;
+	request->is_read_alone = !ahead && !copy.copied_tokens;
 	request->expected_us =
 		DIRECT_ENGINE_FIRST_EVENT_US / 4 +
-		(ahead + request->cold_tokens) * LP_US_PER_MS /
-			POOL_PREFILL_TOKENS_PER_MS +
+		pool_prefill_us(request->direct->pool, request->service,
+				ahead + request->cold_tokens) +
 		pool_cache_copy_us(request->direct->pool, request->service,
 				   copy.copied_tokens);
 	*direct_counter(request->direct, "linepier_prompt_tokens_total",
@@ -561,6 +565,7 @@
 	memset(&request->reply, 0, sizeof(request->reply));
 	g_string_truncate(request->body, 0);
 	request->cold_tokens = 0;
+	request->is_read_alone = false;
 	request->expected_us = 0;
 	request->copy_from = NULL;
 	if (blocks->len) {
--- a/direct/direct_stage_plan.c
+++ b/direct/direct_stage_plan.c
@@ -54,8 +54,8 @@
 int64_t direct_stage_plan_engine_us(const struct direct_request *request)
 {
 	return DIRECT_ENGINE_FIRST_EVENT_US +
-	       request->info.tokens_in * LP_US_PER_MS /
-		       (COLD_PROMPT_DIVISOR * POOL_PREFILL_TOKENS_PER_MS);
+	       pool_prefill_us(request->direct->pool, request->service,
+			       request->info.tokens_in / COLD_PROMPT_DIVISOR);
 }
 
 /* Estimated time from the completion of a stage to the first event. */
--- a/policy/pool.c
+++ b/policy/pool.c
@@ -72,6 +72,8 @@
 				      (GDestroyNotify)g_ptr_array_unref);
 	pool->warmup_limits =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	pool->prefill_rates =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	pool->cache_copying =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	pool->rate_limit_shares =
@@ -96,6 +98,7 @@
 		return;
 	g_hash_table_unref(pool->services);
 	g_hash_table_unref(pool->warmup_limits);
+	g_hash_table_unref(pool->prefill_rates);
 	g_hash_table_unref(pool->cache_copying);
 	g_hash_table_unref(pool->rate_limit_shares);
 	g_hash_table_unref(pool->retry_schedules);
--- a/policy/pool.h
+++ b/policy/pool.h
@@ -30,10 +30,6 @@
 
 struct pool;
 
-/** Assumed prefill rate of an engine. Deviations of a particular engine are
- * captured by pool_upstream.slowness. */
-#define POOL_PREFILL_TOKENS_PER_MS INT64_C(60)
-
 /** An upstream as described by the list. */
 struct pool_upstream_info {
 	char *id; /**< stable across restarts */
@@ -283,6 +279,15 @@
  * of the service: the learnt slowness, and the present load of its host. */
 double pool_upstream_time_factor(const struct pool *pool,
 				 const struct pool_upstream *upstream);
+/** Record a prompt that had nothing ahead of it at its engine, of which
+ * `tokens` were read, and whose first event came after `took_us`. */
+void pool_record_prefill(struct pool *pool,
+			 const struct pool_upstream *upstream, int64_t tokens,
+			 int64_t took_us);
+/** Estimated time in which an engine of the service reads so many tokens of
+ * prompts. Deviations of a particular engine are in its time factor. */
+int64_t pool_prefill_us(const struct pool *pool, const char *service,
+			int64_t tokens);
 /** Record until when calls of other entries keep the upstream busy; a time in
  * the past: it is idle. */
 void pool_note_busy(struct pool *pool, struct pool_upstream *upstream,
--- a/policy/pool_choice.c
+++ b/policy/pool_choice.c
@@ -18,6 +18,8 @@
  * duration, by the prices of the sites (a thousand tokens cost as much as 3 MB
  * fetched across domains). */
 #define REPEATED_PREFILL_WEIGHT 5
+/* The prices are of tokens: at this rate they are turned into times. */
+#define PRICED_TOKENS_PER_MS 60
 /* Missing the latency target costs as much as repeating the prefill of some
  * 25,000 tokens: six sevenths of a request's value, by the sites' prices. */
 #define LATE_COST_US (2000 * LP_US_PER_MS)
@@ -117,7 +119,7 @@
 	double cost =
 		FIRST_DECODE_STEP_US +
 		(double)STEP_SLOWDOWN_PER_REQUEST_US * upstream->in_flight +
-		(double)tokens * LP_US_PER_MS / POOL_PREFILL_TOKENS_PER_MS +
+		(double)pool_prefill_us(pool, args->service, tokens) +
 		(double)pool_copy_time_us(copying, copy.copied_tokens);
 
 	if (args->target_us &&
@@ -132,7 +134,7 @@
 					    copy.copied_tokens,
 				    0) *
 				REPEATED_PREFILL_WEIGHT * LP_US_PER_MS /
-				POOL_PREFILL_TOKENS_PER_MS;
+				PRICED_TOKENS_PER_MS;
 	return cost;
 }
 
--- a/policy/pool_estimates.c
+++ b/policy/pool_estimates.c
@@ -175,6 +175,38 @@
 	       host_load_factor(&upstream->host_load, lp_now_us(pool->clock));
 }
 
+static const struct prefill_rate *prefill_rate_of(const struct pool *pool,
+						  const char *service)
+{
+	return g_hash_table_lookup(pool->prefill_rates, service);
+}
+
+void pool_record_prefill(struct pool *pool,
+			 const struct pool_upstream *upstream, int64_t tokens,
+			 int64_t took_us)
+{
+	const char *service = upstream->info.service;
+	const struct prefill_rate *known = prefill_rate_of(pool, service);
+	struct prefill_rate rate = known ? *known : prefill_rate_initial();
+	/* The rate is that of engines on hosts of usual load. */
+	double usual_us =
+		(double)took_us /
+		host_load_factor(&upstream->host_load, lp_now_us(pool->clock));
+
+	prefill_rate_record(&rate, tokens, (int64_t)usual_us);
+	g_hash_table_replace(pool->prefill_rates, g_strdup(service),
+			     g_memdup2(&rate, sizeof(rate)));
+}
+
+int64_t pool_prefill_us(const struct pool *pool, const char *service,
+			int64_t tokens)
+{
+	const struct prefill_rate *known = prefill_rate_of(pool, service);
+	const struct prefill_rate initial = prefill_rate_initial();
+
+	return prefill_rate_us(known ? known : &initial, tokens);
+}
+
 void pool_note_busy(struct pool *pool, struct pool_upstream *upstream,
 		    int64_t until_us)
 {
--- a/policy/pool_prefix_cache.c
+++ b/policy/pool_prefix_cache.c
@@ -30,14 +30,15 @@
 }
 
 /* Estimated time until the prefill of a prompt that is sent now completes. */
-static int64_t prefill_time_us(const struct pool_upstream *upstream,
+static int64_t prefill_time_us(const struct pool *pool,
+			       const struct pool_upstream *upstream,
 			       const struct pool_prefix_block *blocks,
 			       uint32_t count)
 {
 	int64_t tokens = upstream->pending_prefill_tokens +
 			 pool_uncached_tokens(upstream, blocks, count);
 
-	return tokens * LP_US_PER_MS / POOL_PREFILL_TOKENS_PER_MS;
+	return pool_prefill_us(pool, upstream->info.service, tokens);
 }
 
 /* Tokens at the start of a prompt whose prefill has completed at an engine. */
@@ -118,6 +119,7 @@
 					 const struct pool_pick_args *args)
 {
 	struct copy_source source = {
+		.pool = pool,
 		.copying = args->blocks_count > 1
 				   ? cache_copying_of(pool, args->service)
 				   : NULL,
@@ -156,7 +158,7 @@
 
 	if (!source->upstream || source->upstream == upstream || tokens <= 0 ||
 	    pool_copy_time_us(source->copying, tokens) >=
-		    tokens * LP_US_PER_MS / POOL_PREFILL_TOKENS_PER_MS)
+		    pool_prefill_us(source->pool, args->service, tokens))
 		return none;
 	return (struct pool_cache_copy){ source->upstream, tokens,
 					 uncached - tokens };
@@ -206,7 +208,7 @@
 {
 	int64_t now_us = lp_now_us(pool->clock);
 	int64_t prefilled_us =
-		now_us + prefill_time_us(upstream, blocks, count);
+		now_us + prefill_time_us(pool, upstream, blocks, count);
 
 	for (uint32_t i = 0; i < count; i++) {
 		struct cached_block *block = g_hash_table_lookup(
--- a/policy/pool_private.h
+++ b/policy/pool_private.h
@@ -3,6 +3,7 @@
 #define POOL_PRIVATE_H
 
 #include "policy/pool.h"
+#include "policy/prefill_rate.h"
 
 struct pool {
 	const struct lp_clock *clock;
@@ -16,6 +17,7 @@
 	GHashTable *services; /* name -> GPtrArray of struct pool_upstream */
 	const struct closed_domains *closed_domains; /* NULL: unknown */
 	GHashTable *warmup_limits;     /* service -> struct warmup_limits */
+	GHashTable *prefill_rates;     /* service -> struct prefill_rate */
 	GHashTable *cache_copying;     /* service -> struct cache_copying */
 	GHashTable *rate_limit_shares; /* service -> struct
 					  pool_rate_limit_shares */
@@ -34,6 +36,7 @@
 
 /* The engine from which a prompt's prefix cache can be copied. */
 struct copy_source {
+	const struct pool *pool;
 	const struct cache_copying *copying; /* NULL: nothing is copied */
 	struct pool_upstream *upstream; /* with the longest prefix; or NULL */
 	int64_t prefilled_tokens;	/* in its cache */
--- a/tests/uneven_upstreams_test.cc
+++ b/tests/uneven_upstreams_test.cc
@@ -302,4 +302,72 @@
 	EXPECT_EQ(pool.factor("other"), 1);
 }
 
+/* ---- prefill rate ---- */
+
+/* Engines that read 41.4 or 32.4 tokens per ms, where 60 are assumed. Guards
+ * against prompts that are admitted and placed as if they were read in half of
+ * the time that they take. */
+TEST(PrefillRate, IsLearntFromLongPrompts)
+{
+	for (double tokens_per_ms : { 41.4, 32.4, 120.0 }) {
+		UnevenPool pool;
+
+		EXPECT_EQ(pool_prefill_us(pool.c_pool, "s", 6000), 100000);
+		for (int64_t tokens = 4000; tokens < 12000; tokens += 500)
+			pool_record_prefill(
+				pool.c_pool, pool.at("one"), tokens,
+				15000 + (int64_t)((double)tokens * 1000 /
+						  tokens_per_ms));
+		EXPECT_NEAR((double)pool_prefill_us(pool.c_pool, "s", 6000),
+			    6000 * 1000 / tokens_per_ms,
+			    600 * 1000 / tokens_per_ms);
+		/* Other services are not affected. */
+		EXPECT_EQ(pool_prefill_us(pool.c_pool, "t", 6000), 100000);
+	}
+}
+
+/* Short prompts say nothing about the rate, and times that no engine can have
+ * are bounded: a stalled engine must not make all prompts count as late. */
+TEST(PrefillRate, IsBounded)
+{
+	UnevenPool pool;
+
+	for (int i = 0; i < 100; i++)
+		pool_record_prefill(pool.c_pool, pool.at("one"), 500, 200000);
+	EXPECT_EQ(pool_prefill_us(pool.c_pool, "s", 6000), 100000);
+	for (int i = 0; i < 100; i++)
+		pool_record_prefill(pool.c_pool, pool.at("one"), 6000,
+				    60 * LP_US_PER_S);
+	EXPECT_EQ(pool_prefill_us(pool.c_pool, "s", 6000), 600000);
+	for (int i = 0; i < 100; i++)
+		pool_record_prefill(pool.c_pool, pool.at("one"), 6000, 15001);
+	EXPECT_EQ(pool_prefill_us(pool.c_pool, "s", 6000), 30000);
+}
+
+/* One engine is 10 times slower for a while: its prompts are one in eight. */
+TEST(PrefillRate, DisturbedEngineChangesItLittle)
+{
+	UnevenPool pool;
+
+	for (int i = 0; i < 160; i++)
+		pool_record_prefill(pool.c_pool, pool.at("one"), 6000,
+				    15000 + (i % 8 ? 150000 : 1500000));
+	EXPECT_NEAR((double)pool_prefill_us(pool.c_pool, "s", 6000), 150000,
+		    20000);
+}
+
+/* The reported load of the host is not taken for the engines' rate. */
+TEST(PrefillRate, LeavesOutReportedLoad)
+{
+	UnevenPool pool;
+
+	for (int i = 0; i < 40; i++) {
+		pool.advance_ms(100);
+		pool_note_host_load(pool.c_pool, pool.at("one"), 200);
+		pool_record_prefill(pool.c_pool, pool.at("one"), 6000, 330000);
+	}
+	EXPECT_NEAR((double)pool_prefill_us(pool.c_pool, "s", 6000), 150000,
+		    15000);
+}
+
 } // namespace
