Bound the share of running requests of an engine

Frequent prefixes keep prompts at their engine, whatever runs there already: the busiest engine of two deployments has 1.66 to 1.92 times the mean number of requests, and each request slows the steps of all others there.

An engine that runs more than 1.3 times its fair share, by slots and usual speed, and at least 8 requests, is now replaced by the cheapest engine below that bound in its domain (policy/engine_balance). It keeps prompts whose shared prefix the other one would have to read again, and those for which the other one would be late. One selection remains linear in the number of engines. Fewer requests, services without prompts and other domains are as before.

--- a/policy/pool_choice.c
+++ b/policy/pool_choice.c
@@ -2,6 +2,7 @@
 #include "policy/pool_private.h"
 
 #include "base/lp_id.h"
+#include "policy/engine_balance.h"
 #include "policy/retry_schedule.h"
 
 #include <math.h>
@@ -23,6 +24,10 @@
 /* Missing the latency target costs as much as repeating the prefill of some
  * 25,000 tokens: six sevenths of a request's value, by the sites' prices. */
 #define LATE_COST_US (2000 * LP_US_PER_MS)
+/* An engine within its share may cost at most this much more than the cheapest
+ * one that is above its share: a copy of a long prefix, but not a late answer.
+ */
+#define BALANCE_COST_MAX_US (1000 * LP_US_PER_MS)
 /* An upstream in another domain than this entry: one more round trip, and the
  * traffic is paid for. */
 #define OTHER_DOMAIN_COST_US (20 * LP_US_PER_MS)
@@ -165,14 +170,129 @@
 	return cost;
 }
 
+static bool is_candidate(const struct pool *pool,
+			 const struct pool_pick_args *args,
+			 const struct pool_upstream *upstream)
+{
+	return pool_is_send_permitted(pool, upstream) &&
+	       is_in_shard(args, upstream) &&
+	       allowed_regions_contain(args->allowed_regions,
+				       upstream->region) &&
+	       !was_tried(args, upstream->info.id);
+}
+
+static bool is_above_share(const struct engine_balance *balance,
+			   const struct pool_upstream *upstream)
+{
+	return engine_balance_is_exceeded(
+		balance,
+		engine_capacity(upstream->info.slots, upstream->usual_slowness),
+		upstream->in_flight);
+}
+
+/* A candidate and its cost. */
+struct choice {
+	struct pool_upstream *upstream; /* NULL: there is none */
+	bool is_available;
+	double cost_us;
+};
+
+/* The cheapest candidate. With `balance`, the cheapest that is not above its
+ * share and is in `domain`. */
+static struct choice find_cheapest(const struct pool *pool,
+				   const GPtrArray *list,
+				   const struct selection *selection,
+				   const struct engine_balance *balance,
+				   const char *domain)
+{
+	struct choice best = { 0 };
+
+	for (guint i = 0; i < list->len; i++) {
+		struct pool_upstream *upstream = g_ptr_array_index(list, i);
+		bool available = pool_is_available(pool, upstream);
+		double cost;
+
+		if (!is_candidate(pool, selection->args, upstream))
+			continue;
+		if (balance && (is_above_share(balance, upstream) ||
+				strcmp(upstream->info.domain, domain) != 0))
+			continue;
+		cost = cost_us(pool, selection, upstream);
+		/* An ejected upstream is better than none. */
+		if (best.upstream &&
+		    (best.is_available > available ||
+		     (best.is_available == available && cost >= best.cost_us)))
+			continue;
+		best = (struct choice){ upstream, available, cost };
+	}
+	return best;
+}
+
+static struct engine_balance measure_balance(const struct pool *pool,
+					     const GPtrArray *list,
+					     const struct pool_pick_args *args)
+{
+	struct engine_balance balance = { 0 };
+
+	for (guint i = 0; i < list->len; i++) {
+		const struct pool_upstream *upstream =
+			g_ptr_array_index(list, i);
+
+		if (is_candidate(pool, args, upstream))
+			engine_balance_add(
+				&balance,
+				engine_capacity(upstream->info.slots,
+						upstream->usual_slowness),
+				upstream->in_flight);
+	}
+	return balance;
+}
+
+/* Tokens of shared blocks that would be read, and not copied. */
+static int64_t shared_tokens_read(const struct selection *selection,
+				  const struct pool_upstream *upstream)
+{
+	const struct pool_pick_args *args = selection->args;
+	struct pool_cache_copy copy =
+		pool_plan_copy(&selection->source, upstream, args);
+
+	return MAX(uncached_shared_tokens(args, upstream) - copy.copied_tokens,
+		   0);
+}
+
+/*
+ * Replaces an engine that is above its share of the running requests by the
+ * cheapest that is not. An engine that has the prompt's shared prefix is kept
+ * if the other one would have to read it again: that costs more than an uneven
+ * load. Between domains, too, transfers cost more.
+ */
+static struct choice balance_choice(const struct pool *pool,
+				    const GPtrArray *list,
+				    const struct selection *selection,
+				    struct choice best)
+{
+	struct engine_balance balance;
+	struct choice other;
+
+	balance = measure_balance(pool, list, selection->args);
+	if (!is_above_share(&balance, best.upstream))
+		return best;
+	other = find_cheapest(pool, list, selection, &balance,
+			      best.upstream->info.domain);
+	if (!other.upstream || other.is_available < best.is_available ||
+	    other.cost_us > best.cost_us + BALANCE_COST_MAX_US ||
+	    shared_tokens_read(selection, other.upstream) >
+		    shared_tokens_read(selection, best.upstream))
+		return best;
+	return other;
+}
+
 struct pool_upstream *pool_pick(struct pool *pool,
 				const struct pool_pick_args *args)
 {
 	const GPtrArray *list = pool_service_upstreams(pool, args->service);
 	struct selection selection;
-	struct pool_upstream *best = NULL;
-	double best_cost = 0;
-	bool best_available = false;
+	struct choice best;
 
 	if (!list)
 		return NULL;
@@ -182,28 +302,10 @@
 		.affinity_upstream = find_affinity_upstream(args, list),
 		.source = pool_find_copy_source(pool, list, args),
 	};
-	for (guint i = 0; i < list->len; i++) {
-		struct pool_upstream *upstream = g_ptr_array_index(list, i);
-		bool available = pool_is_available(pool, upstream);
-		double cost;
-
-		if (!pool_is_send_permitted(pool, upstream) ||
-		    !is_in_shard(args, upstream) ||
-		    !allowed_regions_contain(args->allowed_regions,
-					     upstream->region) ||
-		    was_tried(args, upstream->info.id))
-			continue;
-		cost = cost_us(pool, &selection, upstream);
-		/* An ejected upstream is better than none. */
-		if (best &&
-		    (best_available > available ||
-		     (best_available == available && cost >= best_cost)))
-			continue;
-		best = upstream;
-		best_cost = cost;
-		best_available = available;
-	}
-	return best;
+	best = find_cheapest(pool, list, &selection, NULL, NULL);
+	if (best.upstream && args->blocks_count)
+		best = balance_choice(pool, list, &selection, best);
+	return best.upstream;
 }
 
 /* ---- Retry-After ---- */
--- a/tests/uneven_upstreams_test.cc
+++ b/tests/uneven_upstreams_test.cc
@@ -6,6 +6,13 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <set>
+
+extern "C" {
+#include "policy/engine_balance.h"
+}
+
 namespace
 {
 
@@ -370,4 +377,253 @@
 		    15000);
 }
 
+/* ---- balance of engines ---- */
+
+TEST(EngineBalance, ShareIsByCapacityAndIgnoresFewRequests)
+{
+	const double fast = engine_capacity(96, 1);
+	const double slow = engine_capacity(96, 1.3);
+	engine_balance balance = {};
+
+	for (int i = 0; i < 10; i++)
+		engine_balance_add(&balance, i % 2 ? slow : fast, 20);
+	/* Fair shares of 201 requests: 22.7 and 17.5. */
+	EXPECT_FALSE(engine_balance_is_exceeded(&balance, fast, 28));
+	EXPECT_TRUE(engine_balance_is_exceeded(&balance, fast, 29));
+	EXPECT_FALSE(engine_balance_is_exceeded(&balance, slow, 21));
+	EXPECT_TRUE(engine_balance_is_exceeded(&balance, slow, 22));
+	engine_balance calm = {};
+
+	for (int i = 0; i < 10; i++)
+		engine_balance_add(&calm, fast, 1);
+	EXPECT_FALSE(engine_balance_is_exceeded(&calm, fast, 7));
+	EXPECT_TRUE(engine_balance_is_exceeded(&calm, fast, 8));
+}
+
+/* A service of `count` engines with prompts that share prefixes of 6,300
+ * tokens, placed by one placer. On every third engine work takes 1.3 times as
+ * long. */
+struct Engines : Pool {
+	struct Running {
+		pool_upstream *engine;
+		int64_t read_us;
+		int64_t end_us;
+		int64_t tokens;
+		bool is_read;
+	};
+	std::vector<pool_upstream *> list;
+	std::vector<Running> running;
+	uint32_t random = 7;
+	std::set<uint64_t> prefixes;
+	int64_t shared_read = 0;
+	int64_t copied = 0;
+	std::vector<double> load; /* per engine, by capacity; summed over time
+				   */
+
+	explicit Engines(int count, bool copies)
+	{
+		clock.now_us = LP_US_PER_S;
+		for (int i = 0; i < count; i++)
+			add(("e" + std::to_string(i)).c_str(), "a");
+		for (auto &info : infos)
+			info.slots = 96;
+		pool_update(c_pool, infos.data(), infos.size());
+		for (int i = 0; i < count; i++) {
+			list.push_back(pool_find(
+				c_pool, ("e" + std::to_string(i)).c_str()));
+			list[i]->slowness = slowness(i);
+			list[i]->usual_slowness = slowness(i);
+		}
+		load.resize(count);
+		if (copies)
+			pool_set_cache_copying(c_pool, "s", 163840, 137500);
+	}
+	static double slowness(int i)
+	{
+		return i % 3 ? 1 : 1.3;
+	}
+	uint32_t next(uint32_t bound)
+	{
+		random = random * 1664525 + 1013904223;
+		return (random >> 8) % bound;
+	}
+	/* Some prefixes are frequent, others rare. */
+	uint64_t next_prefix()
+	{
+		return 1 + next(1 + next(200));
+	}
+	void start()
+	{
+		uint64_t prefix = next_prefix();
+		std::vector<pool_prefix_block> prompt = {
+			{ prefix, 6300 },
+			{ 1000 + (uint64_t)next(1u << 20), 500 }
+		};
+		pool_pick_args args = {};
+
+		args.service = "s";
+		args.blocks = prompt.data();
+		args.blocks_count = prompt.size();
+		args.target_us = LP_US_PER_S;
+		pool_upstream *engine = pool_pick(c_pool, &args);
+		pool_cache_copy copy =
+			pool_find_cache_copy(c_pool, engine, &args);
+		int64_t uncached =
+			pool_uncached_tokens(engine, prompt.data(), 1);
+
+		prefixes.insert(prefix);
+		copied += copy.copied_tokens;
+		shared_read += uncached - copy.copied_tokens;
+		engine->in_flight++;
+		engine->pending_prefill_tokens += copy.prefill_tokens;
+		pool_note_cached_blocks(c_pool, engine, prompt.data(), 2,
+					400000);
+		running.push_back(
+			{ engine,
+			  clock.now_us +
+				  engine->pending_prefill_tokens * 1000 / 41,
+			  clock.now_us + (int64_t)(engine->slowness *
+						   (2000000 + next(2000000))),
+			  copy.prefill_tokens, false });
+	}
+	void advance(int64_t us)
+	{
+		clock.now_us += us;
+		for (size_t i = 0; i < running.size();) {
+			Running &one = running[i];
+
+			if (!one.is_read && one.read_us <= clock.now_us) {
+				one.is_read = true;
+				one.engine->pending_prefill_tokens -=
+					one.tokens;
+			}
+			if (one.is_read && one.end_us <= clock.now_us) {
+				one.engine->in_flight--;
+				running[i] = running.back();
+				running.pop_back();
+			} else {
+				i++;
+			}
+		}
+	}
+	/* So many requests a second for some seconds. Returns the load of the
+	 * busiest engine by capacity, as a multiple of the mean. */
+	double run(int per_s, int seconds)
+	{
+		double sum = 0;
+		double most = 0;
+
+		for (int i = 0; i < per_s * seconds; i++) {
+			start();
+			advance(LP_US_PER_S / per_s);
+			for (size_t j = 0; j < list.size(); j++)
+				load[j] += list[j]->in_flight * slowness(j);
+		}
+		for (double one : load) {
+			sum += one;
+			most = std::max(most, one);
+		}
+		return most * (double)load.size() / sum;
+	}
+};
+
+/* Steady load of prompts with some frequent prefixes, at 44 engines of unequal
+ * speed. Guards against engines that have 1.7 to 1.9 times the mean number of
+ * requests because frequent prefixes stay at them. Without the bound the
+ * busiest has 3.2 times the mean here. */
+TEST(EngineBalance, BusiestEngineIsWithinBoundOfTheMean)
+{
+	Engines engines(44, true);
+
+	EXPECT_LT(engines.run(140, 30), 1.3);
+	EXPECT_LE(engines.shared_read,
+		  (int64_t)engines.prefixes.size() * 6300 * 102 / 100);
+}
+
+/* The same where engines copy no prefixes: the balance must not be bought by
+ * reading them again. */
+TEST(EngineBalance, PrefixesAreNotReadAgainWithoutCopies)
+{
+	Engines engines(44, false);
+
+	engines.run(140, 30);
+	EXPECT_LE(engines.shared_read,
+		  (int64_t)engines.prefixes.size() * 6300 * 102 / 100);
+}
+
+/* A service with few requests, as on deployments without bursts: prompts stay
+ * with their prefix and nothing is copied. */
+TEST(EngineBalance, FewRequestsAreNotMoved)
+{
+	Engines engines(44, true);
+
+	engines.run(10, 60);
+	EXPECT_EQ(engines.copied, 0);
+}
+
+/* One engine of four has 40 requests, the others have 8 each. */
+struct OneBusyEngine : Pool {
+	std::vector<pool_prefix_block> prompt = { { 7, 6300 }, { 8, 500 } };
+	pool_upstream *busy;
+
+	explicit OneBusyEngine(const char *other_domain)
+	{
+		clock.now_us = LP_US_PER_S;
+		add("one", "a");
+		busy = pool_find(c_pool, "one");
+		for (const char *id : { "two", "three", "four" }) {
+			add(id, other_domain);
+			pool_find(c_pool, id)->in_flight = 8;
+		}
+		busy->in_flight = 40;
+		/* Prompts whose first choice is the busy engine. */
+		while (affinity() != busy)
+			prompt[0].id++;
+	}
+	const pool_upstream *affinity()
+	{
+		pool_pick_args args = {};
+
+		args.service = "s";
+		args.blocks = prompt.data();
+		args.blocks_count = 2;
+		return pool_affinity_upstream(c_pool, &args);
+	}
+	void cache_at_busy()
+	{
+		pool_note_cached_blocks(c_pool, busy, prompt.data(), 1, 0);
+		clock.now_us += LP_US_PER_S;
+	}
+};
+
+TEST(EngineBalance, BusyEngineTakesNoNewPrefix)
+{
+	OneBusyEngine pool("a");
+
+	EXPECT_NE(pool.pick(pool.prompt), pool.busy);
+	/* All others are excluded, too. */
+	EXPECT_EQ(pool.pick(pool.prompt, { "two", "three", "four" }),
+		  pool.busy);
+	pool.busy->in_flight = 8;
+	EXPECT_EQ(pool.pick(pool.prompt), pool.busy);
+}
+
+TEST(EngineBalance, BusyEngineKeepsPrefixThatOthersWouldReadAgain)
+{
+	OneBusyEngine pool("a");
+
+	pool.cache_at_busy();
+	EXPECT_EQ(pool.pick(pool.prompt), pool.busy);
+	pool_set_cache_copying(pool.c_pool, "s", 163840, 137500);
+	EXPECT_NE(pool.pick(pool.prompt), pool.busy);
+}
+
+/* Transfers between domains cost more than an uneven load. */
+TEST(EngineBalance, RequestsAreNotMovedToAnotherDomain)
+{
+	OneBusyEngine pool("b");
+
+	EXPECT_EQ(pool.pick(pool.prompt), pool.busy);
+}
+
 } // namespace
