Bound the usual speed of upstreams in both directions

An upstream that reports a load that is too high is learnt as fast for that load. After a calm time, in which the report fades, it would count as many times faster than the others and attract their work. Outcomes now count in the usual slowness as at most twice as fast as the service's mean, as they do as at most twice as slow.

--- a/policy/pool_estimates.c
+++ b/policy/pool_estimates.c
@@ -19,11 +19,13 @@
 /* Weight of the newest outcome in the usual slowness: a machine that is always
  * slower is known after some twenty calls. */
 #define USUAL_WEIGHT 0.05
-/* An outcome counts in the usual slowness as at most this multiple of the
- * service's mean. So the few calls of a disturbance hardly change it, and an
- * upstream that counts as slower by no more than this still gets work under
- * load, whose outcomes correct the estimate. */
-#define USUAL_MAX_MULTIPLE 2.0
+/* An outcome counts in the usual slowness as at most this much slower or faster
+ * than the service's mean. So the few calls of a disturbance hardly change it,
+ * and an upstream that counts as slower by no more than this still gets work
+ * under load, whose outcomes correct the estimate. One that falsely reports a
+ * loaded host, and so counts as fast for that load, does not attract all work
+ * when the report has faded. */
+#define USUAL_DEVIATION_MAX 2.0
 /* Half-life of usual slowness beyond the service's mean without outcomes: it
  * lasts through calm periods, but a slow upstream that gets no work at all is
  * tried again at some time. */
@@ -101,7 +103,8 @@
 {
 	upstream->slowness += OUTCOME_WEIGHT * (ratio - upstream->slowness);
 	upstream->usual_slowness +=
-		USUAL_WEIGHT * (MIN(ratio, USUAL_MAX_MULTIPLE * mean) -
+		USUAL_WEIGHT * (CLAMP(ratio, mean / USUAL_DEVIATION_MAX,
+				      mean * USUAL_DEVIATION_MAX) -
 				upstream->usual_slowness);
 }
 
--- a/tests/uneven_upstreams_test.cc
+++ b/tests/uneven_upstreams_test.cc
@@ -162,6 +162,21 @@
 	}
 }
 
+/* The same one after some calm seconds, in which the report fades. Guards
+ * against work that all goes to it because it counts as fast for its load. */
+TEST(UnevenUpstreams, FalseReportsLeaveNoFastUpstreamBehind)
+{
+	UnevenPool pool;
+
+	for (const char *id : { "two", "three", "four" })
+		pool.calls(id, 30, 1);
+	pool.calls("one", 100, 1, 1000);
+	EXPECT_NEAR(pool.factor("one"), 1, 0.1);
+	pool.advance_ms(9000);
+	pool.pick();
+	EXPECT_GT(pool.factor("one"), 0.4);
+}
+
 /* Steady prompts with a shared prefix, engines on shared hosts: they stay at
  * their engine while its load changes every 100 ms, and leave it while the load
  * is high for a second. */
