Give placers prompts in proportion to their engines

More than 32 engines of a service are divided by hash among two or more placers, and prompts were divided by the hash of their prefix: a placer with fewer engines than another got as many prompts. The shard of a prompt is now that of its affinity upstream among all engines, so that only the prompts of an engine that leaves move.

While entries of two releases run, they disagree on the placer of about half of the prompts. A placer that is asked for a prompt of another shard selects among that shard's engines, with less knowledge of their load.

--- a/direct/direct_stages.c
+++ b/direct/direct_stages.c
@@ -418,16 +418,12 @@
 {
 	const struct stage_service *service =
 		g_hash_table_lookup(stages->services, pick_args->service);
-	uint32_t last = pick_args->blocks_count - 1;
 
 	if (!service || !service->is_engines || !pick_args->blocks_count)
 		return;
-	/* By the last prefix block but one: the last block is taken as not
-	 * shared with other prompts. */
 	pick_args->shard_count = service->shards;
-	pick_args->shard =
-		(uint32_t)(pick_args->blocks[last ? last - 1 : 0].id %
-			   service->shards);
+	pick_args->shard = pool_prompt_shard(stages->direct->pool, pick_args,
+					     service->shards);
 }
 
 uint64_t direct_stages_placer(struct direct_stages *stages,
--- a/policy/pool.h
+++ b/policy/pool.h
@@ -227,6 +227,12 @@
 const struct pool_upstream *
 pool_affinity_upstream(const struct pool *pool,
 		       const struct pool_pick_args *args);
+/** The shard whose placer selects the engine of a prompt: that of its affinity
+ * upstream among all. So shards get prompts in proportion to their numbers of
+ * engines, which need not be equal. */
+uint32_t pool_prompt_shard(const struct pool *pool,
+			   const struct pool_pick_args *args,
+			   uint32_t shard_count);
 
 /**
  * Set the size and the transfer rate of prefix caches that engines of a service
--- a/policy/pool_choice.c
+++ b/policy/pool_choice.c
@@ -57,19 +57,18 @@
 static uint64_t affinity_rank(const struct pool_pick_args *args,
 			      const struct pool_upstream *upstream)
 {
-	uint32_t deepest_shared = args->blocks_count - 2;
+	uint32_t deepest_shared = MAX(args->blocks_count, 2) - 2;
 
 	return lp_hash_pair(args->blocks[deepest_shared].id, upstream->hash);
 }
 
+/* The first of the eligible upstreams by that ranking; or NULL. */
 static const struct pool_upstream *
-find_affinity_upstream(const struct pool_pick_args *args, const GPtrArray *list)
+find_first_ranked(const struct pool_pick_args *args, const GPtrArray *list)
 {
 	const struct pool_upstream *preferred = NULL;
 	uint64_t best = 0;
 
-	if (args->blocks_count < 2)
-		return NULL;
 	for (guint i = 0; i < list->len; i++) {
 		const struct pool_upstream *upstream =
 			g_ptr_array_index(list, i);
@@ -86,6 +85,13 @@
 	return preferred;
 }
 
+/* A prompt of one block shares nothing. */
+static const struct pool_upstream *
+find_affinity_upstream(const struct pool_pick_args *args, const GPtrArray *list)
+{
+	return args->blocks_count < 2 ? NULL : find_first_ranked(args, list);
+}
+
 const struct pool_upstream *
 pool_affinity_upstream(const struct pool *pool,
 		       const struct pool_pick_args *args)
@@ -95,6 +101,19 @@
 	return list ? find_affinity_upstream(args, list) : NULL;
 }
 
+uint32_t pool_prompt_shard(const struct pool *pool,
+			   const struct pool_pick_args *args,
+			   uint32_t shard_count)
+{
+	const GPtrArray *list = pool_service_upstreams(pool, args->service);
+	struct pool_pick_args all_shards = *args;
+	const struct pool_upstream *first;
+
+	all_shards.shard_count = 0;
+	first = list ? find_first_ranked(&all_shards, list) : NULL;
+	return first ? (uint32_t)(first->hash % shard_count) : 0;
+}
+
 /* State of one selection that is common to all candidates. */
 struct selection {
 	const struct pool_pick_args *args;
--- a/tests/uneven_upstreams_test.cc
+++ b/tests/uneven_upstreams_test.cc
@@ -10,6 +10,7 @@
 #include <set>
 
 extern "C" {
+#include "base/lp_id.h"
 #include "policy/engine_balance.h"
 }
 
@@ -555,6 +556,48 @@
 		  (int64_t)engines.prefixes.size() * 6300 * 102 / 100);
 }
 
+/* A large service with two placers, of which one has twice as many engines.
+ * Guards against engines that get twice as many prompts as those of the other
+ * placer. */
+TEST(EngineBalance, ShardsGetPromptsInProportionToTheirEngines)
+{
+	Pool pool;
+	uint32_t engines[2] = {};
+	uint32_t prompts[2] = {};
+
+	for (int i = 0; engines[0] < 20 || engines[1] < 10; i++) {
+		const std::string id = "e" + std::to_string(i);
+		uint32_t shard = lp_hash_str(id.c_str()) % 2;
+
+		if (engines[shard] < (shard ? 10 : 20)) {
+			pool.add(id.c_str(), "a");
+			engines[shard]++;
+		}
+	}
+	for (uint64_t i = 0; i < 20000; i++) {
+		const pool_prefix_block blocks[] = { { i * 7919, 6300 },
+						     { 1, 500 } };
+		pool_pick_args args = {};
+
+		args.service = "s";
+		args.blocks = blocks;
+		args.blocks_count = 1 + i % 2;
+		args.shard = pool_prompt_shard(pool.c_pool, &args, 2);
+		args.shard_count = 2;
+		prompts[args.shard]++;
+		/* The shard has the engine that all entries prefer. */
+		if (args.blocks_count > 1 && i < 1000) {
+			const pool_upstream *in_shard =
+				pool_affinity_upstream(pool.c_pool, &args);
+
+			args.shard_count = 0;
+			EXPECT_EQ(pool_affinity_upstream(pool.c_pool, &args),
+				  in_shard);
+		}
+	}
+	EXPECT_NEAR(prompts[0] / 20000.0, 2.0 / 3, 0.02);
+}
+
 /* The same where engines copy no prefixes: the balance must not be bought by
  * reading them again. */
 TEST(EngineBalance, PrefixesAreNotReadAgainWithoutCopies)
