Carry the software version of upstreams, and log what tells resumed streams apart

A record with another version under the same id is another process. An incarnation that only an answer has named has an unknown version until a list names it.

'sending' has the version, and of a resumed stream the version that began it and the attempt that the caller names; linepier_streams_of_two_versions_total counts moves within an answer. No choice depends on any of it yet.

--- a/direct/direct_codec.h
+++ b/direct/direct_codec.h
@@ -26,8 +26,11 @@
 			   by the request */
 	const char *piece_key; /**< input of stages without inputs from other
 				  stages, or NULL */
-	const char *last_event_id; /**< the caller resumes a stream after this
-				      event, or NULL */
+	const char *last_event_id;   /**< the caller resumes a stream after this
+					event, or NULL */
+	const char *resumed_attempt; /**< id of the caller's attempt that
+					delivered the stream's first event, or
+					NULL */
 };
 
 /** Header of a request that is sent to an upstream. All members are borrowed.
--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -33,6 +33,7 @@
 	g_array_unref(request->info.prefix_blocks);
 	g_array_unref(request->info.pieces);
 	direct_config_unref(request->config);
+	g_free(request->stream_version);
 	g_free(request->last_event_id);
 	g_free(request->id);
 	g_free(request);
--- a/direct/direct_request.h
+++ b/direct/direct_request.h
@@ -88,6 +88,8 @@
 				   connection */
 	bool may_have_run;
 	bool answer_begun;
+	char *stream_version; /* of the upstream of its first event; NULL: no
+				 event yet, or unknown */
 	char *last_event_id;
 	int64_t last_event_us; /* when it was sent to the caller; 0: none yet */
 	/* a stream that has begun and lost its upstream */
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -27,6 +27,8 @@
 #define BUFFERED_ANSWER_MAX (8 << 20)
 /* Bytes that a caller may leave unread before its answer is aborted. */
 #define UNSENT_ANSWER_MAX (1 << 20)
+/* Bytes of a caller's text in a log line. */
+#define LOGGED_TEXT_MAX 64
 
 static void record_lost_sending(struct direct_request *request)
 {
@@ -367,6 +369,22 @@
 	http_call_start(request->call, request->status, &request->fields);
 }
 
+/* Counts a stream that has events of two versions, which do not fit together.
+ */
+static void check_stream_version(struct direct_request *request)
+{
+	const char *version = request->upstream->info.version;
+
+	if (!request->stream_version) {
+		request->stream_version = g_strdup(version);
+		return;
+	}
+	if (g_strcmp0(request->stream_version, version) != 0)
+		*direct_counter(request->direct,
+				"linepier_streams_of_two_versions_total",
+				NULL) += 1;
+}
+
 static void forward_events(struct direct_request *request)
 {
 	size_t size = direct_event_stream_complete_size(
@@ -375,6 +393,8 @@
 
 	if (!size)
 		return;
+	if (!request->upstream_responded)
+		check_stream_version(request);
 	record_first_response(request);
 	begin_answer(request);
 	direct_stream_resume_end(request, "continued", NULL);
@@ -607,6 +627,31 @@
 	g_ptr_array_add(request->tried_upstreams, g_strdup(upstream->info.id));
 }
 
+/* Callers choose the length of their ids. */
+static void log_caller_text(struct lp_event_log *log, const char *name,
+			    const char *text)
+{
+	g_autofree char *start = g_strndup(text, LOGGED_TEXT_MAX);
+
+	lp_event_text(log, name, start);
+}
+
+/* Adds what tells a resumed stream from other requests. */
+static void log_resumed_stream(const struct direct_request *request)
+{
+	struct lp_event_log *log = request->direct->options.log;
+	const char *after_event = request->last_event_id
+					  ? request->last_event_id
+					  : request->info.last_event_id;
+
+	if (after_event)
+		log_caller_text(log, "after_event", after_event);
+	if (request->info.resumed_attempt)
+		log_caller_text(log, "resumes", request->info.resumed_attempt);
+	if (request->stream_version)
+		lp_event_text(log, "stream_version", request->stream_version);
+}
+
 static void log_sending(struct direct_request *request)
 {
 	struct lp_event_log *log = request->direct->options.log;
@@ -616,6 +661,11 @@
 	lp_event_text(log, "service", request->service);
 	lp_event_text(log, "upstream", request->upstream->info.id);
 	lp_event_text(log, "domain", request->upstream->info.domain);
+	lp_event_text(log, "version",
+		      request->upstream->info.version
+			      ? request->upstream->info.version
+			      : "");
+	log_resumed_stream(request);
 	lp_event_int(log, "cold_tokens", request->cold_tokens);
 	lp_event_text(log, "copy_from",
 		      request->copy_from ? request->copy_from->info.id : "");
--- a/policy/pool.c
+++ b/policy/pool.c
@@ -37,6 +37,7 @@
 	g_free(info->service);
 	g_free(info->address);
 	g_free(info->domain);
+	g_free(info->version);
 }
 
 void pool_upstream_unref(struct pool_upstream *upstream)
@@ -433,6 +434,7 @@
 	upstream->info.service = g_strdup(info->service);
 	upstream->info.address = g_strdup(info->address);
 	upstream->info.domain = g_strdup(info->domain);
+	upstream->info.version = g_strdup(info->version);
 	upstream->info.slots = info->slots;
 	upstream->info.draining = info->draining;
 	upstream->info.born_ms = info->born_ms;
@@ -471,6 +473,16 @@
 	       !strcmp(upstream->info.service, info->service);
 }
 
+/* Whether the listed upstream can be the same process: a process does not
+ * change its software. */
+static bool is_same_process(const struct pool_upstream *upstream,
+			    const struct pool_upstream_info *info)
+{
+	return has_same_address_and_service(upstream, info) &&
+	       (!upstream->info.version ||
+		!g_strcmp0(upstream->info.version, info->version));
+}
+
 void pool_set_restart_callback(struct pool *pool, pool_restarted_fn restarted,
 			       void *userdata)
 {
@@ -521,8 +533,7 @@
 		add_incarnation(pool, info);
 		return true;
 	}
-	if (status == INCARNATION_NEW ||
-	    !has_same_address_and_service(upstream, info)) {
+	if (status == INCARNATION_NEW || !is_same_process(upstream, info)) {
 		replace_incarnation(pool, upstream, info);
 		return true;
 	}
@@ -531,6 +542,8 @@
 	changed = upstream->info.draining != info->draining;
 	upstream->info.slots = info->slots;
 	upstream->info.draining = info->draining;
+	if (!upstream->info.version)
+		upstream->info.version = g_strdup(info->version);
 	return changed;
 }
 
@@ -604,7 +617,8 @@
 }
 
 /* Replaces the listed incarnation by a newer one that the list does not have
- * yet: the same info except for the start time. */
+ * yet: the same info except for the start time. It may run other software than
+ * the one before. */
 static struct pool_upstream *
 adopt_newer_incarnation(struct pool *pool, struct pool_upstream *listed,
 			int64_t born_ms)
@@ -613,6 +627,7 @@
 	struct pool_upstream *after;
 
 	info.born_ms = born_ms;
+	info.version = NULL;
 	clear_index(pool);
 	after = replace_incarnation(pool, listed, &info);
 	assume_cold(pool, after);
--- a/policy/pool.h
+++ b/policy/pool.h
@@ -44,6 +44,7 @@
 	bool draining;
 	int64_t born_ms; /**< start time, upstream's wall clock; 0: unknown */
 	int64_t cold_left_us; /**< remaining cold period; 0: warm */
+	char *version;	      /**< of its software; NULL: unknown */
 };
 
 /** One incarnation of an upstream: policy/incarnations.h. */
--- a/tests/notices_test.cc
+++ b/tests/notices_test.cc
@@ -139,9 +139,8 @@
 	TestClock clock;
 	pool *upstreams = pool_create(&clock.clock, "a");
 	char id[] = "1", service[] = "s", address[] = "1:1", domain[] = "a";
-	pool_upstream_info info = {
-		id, service, address, domain, 4, false, 7, 0
-	};
+	pool_upstream_info info = { id,	   service, address, domain, 4,
+				    false, 7,	    0,	     nullptr };
 
 	pool_update(upstreams, &info, 1);
 	EXPECT_TRUE(
@@ -172,9 +171,8 @@
 					   pool_create(rig.clock, "a") };
 	direct_notices *notices = direct_notices_create(&options);
 	char id[] = "1", service[] = "s", address[] = "1:1", domain[] = "a";
-	pool_upstream_info info = {
-		id, service, address, domain, 4, false, 7, 0
-	};
+	pool_upstream_info info = { id,	   service, address, domain, 4,
+				    false, 7,	    0,	     nullptr };
 
 	pool_update(options.pool, &info, 1);
 	pool_upstream *upstream = pool_find(options.pool, "1");
@@ -294,9 +292,8 @@
 	TestClock clock;
 	pool *upstreams = pool_create(&clock.clock, "a");
 	char id[] = "1", service[] = "s", address[] = "1:1", domain[] = "a";
-	pool_upstream_info info = {
-		id, service, address, domain, 4, false, 7, 0
-	};
+	pool_upstream_info info = { id,	   service, address, domain, 4,
+				    false, 7,	    0,	     nullptr };
 
 	pool_update(upstreams, &info, 1);
 	pool_note_pushback(upstreams, pool_find(upstreams, "1"),
--- a/tests/pool_rig.h
+++ b/tests/pool_rig.h
@@ -20,9 +20,11 @@
 			g_free(info.service);
 			g_free(info.address);
 			g_free(info.domain);
+			g_free(info.version);
 		}
 	}
-	void add(const char *id, const char *domain, const char *service = "s")
+	void add(const char *id, const char *domain, const char *service = "s",
+		 const char *version = "v1")
 	{
 		pool_upstream_info info = { g_strdup(id),
 					    g_strdup(service),
@@ -31,7 +33,8 @@
 					    4,
 					    false,
 					    0,
-					    0 };
+					    0,
+					    g_strdup(version) };
 
 		infos.push_back(info);
 		pool_update(c_pool, infos.data(), infos.size());
--- a/tests/rate_limit_test.cc
+++ b/tests/rate_limit_test.cc
@@ -139,9 +139,8 @@
 	TestClock clock;
 	pool *c_pool = pool_create(&clock.clock, "a");
 	char id[] = "1", service[] = "s", address[] = "1:1", domain[] = "a";
-	pool_upstream_info info = {
-		id, service, address, domain, 4, false, 7, 0
-	};
+	pool_upstream_info info = { id,	   service, address, domain, 4,
+				    false, 7,	    0,	     nullptr };
 	rate_limit_report report = { true, 1, 5 };
 
 	pool_update(c_pool, &info, 1);
--- a/tests/upstream_test.cc
+++ b/tests/upstream_test.cc
@@ -56,6 +56,7 @@
 	EXPECT_STREQ(entry.service, "s");
 	EXPECT_STREQ(entry.address, "10.0.0.1:80");
 	EXPECT_STREQ(entry.domain, "a");
+	EXPECT_STREQ(entry.version, "v1");
 	EXPECT_EQ(entry.slots, 6u);
 	EXPECT_FALSE(entry.draining);
 	EXPECT_EQ(entry.born_ms, 1764720000123);
@@ -313,18 +314,18 @@
 /* Changes between lists are small, and lead to the same list. */
 TEST(UpstreamList, ChangesLeadFromOneListToAnother)
 {
-	const std::string head = "linepier-upstreams 3\n";
-	const std::string kept = "i-1 s 10.0.0.1:80 a 6 0 5 0\n";
+	const std::string head = "linepier-upstreams 4\n";
+	const std::string kept = "i-1 s 10.0.0.1:80 a v1 6 0 5 0\n";
 	plf_upstream_list *from = plf_upstream_list_parse(
-		(head + kept + "i-2 s 10.0.0.2:80 a 6 0 5 0\n" +
-		 "i%203 s 10.0.0.3:80 a 6 0 5 0\n")
+		(head + kept + "i-2 s 10.0.0.2:80 a v1 6 0 5 0\n" +
+		 "i%203 s 10.0.0.3:80 a v1 6 0 5 0\n")
 			.c_str());
 	plf_upstream_list *to = plf_upstream_list_parse(
-		(head + kept + "i-2 s 10.0.0.2:80 a 6 1 5 0\n" +
-		 "i-4 s 10.0.0.4:80 a 6 0 5 0\n")
+		(head + kept + "i-2 s 10.0.0.2:80 a v1 6 1 5 0\n" +
+		 "i-4 s 10.0.0.4:80 a v%202 6 0 5 0\n")
 			.c_str());
 	plf_upstream_list *other = plf_upstream_list_parse(
-		(head + "i-1 s 10.0.0.1:80 a 7 0 5 0\n").c_str());
+		(head + "i-1 s 10.0.0.1:80 a v1 7 0 5 0\n").c_str());
 	uint64_t hash = plf_upstream_list_hash(to);
 	char *text;
 
@@ -342,6 +343,7 @@
 	EXPECT_EQ(plf_upstream_list_size(from), 3u);
 	EXPECT_EQ(plf_upstream_list_find(from, "i 3"), nullptr);
 	EXPECT_TRUE(plf_upstream_list_find(from, "i-2")->draining);
+	EXPECT_STREQ(plf_upstream_list_find(from, "i-4")->version, "v 2");
 	plf_upstream_list_destroy(other);
 	plf_upstream_list_destroy(from);
 	plf_upstream_list_destroy(to);
@@ -352,19 +354,20 @@
 {
 	const char *const rows[] = {
 		"",
-		"linepier-upstream-changes 1",
-		"linepier-upstream-changes 2\n",
-		"linepier-upstream-changes 1\ni-1\n",
-		"linepier-upstream-changes 1\n+i-1\n",
-		"linepier-upstream-changes 1\n-i-1",
-		"linepier-upstream-changes 1\n-%zz\n",
-		"linepier-upstream-changes 1\n-i-1\n-i-1\n",
-		"linepier-upstream-changes 1\n-i-1\n\n-i-2\n",
+		"linepier-upstream-changes 2",
+		"linepier-upstream-changes 1\n",
+		"linepier-upstream-changes 3\n",
+		"linepier-upstream-changes 2\ni-1\n",
+		"linepier-upstream-changes 2\n+i-1\n",
+		"linepier-upstream-changes 2\n-i-1",
+		"linepier-upstream-changes 2\n-%zz\n",
+		"linepier-upstream-changes 2\n-i-1\n-i-1\n",
+		"linepier-upstream-changes 2\n-i-1\n\n-i-2\n",
 	};
 	plf_upstream_list *list = plf_upstream_list_parse(
-		"linepier-upstreams 3\ni-1 s 10.0.0.1:80 a 6 0 5 0\n");
+		"linepier-upstreams 4\ni-1 s 10.0.0.1:80 a v1 6 0 5 0\n");
 	plf_upstream_list *empty =
-		plf_upstream_list_parse("linepier-upstreams 3\n");
+		plf_upstream_list_parse("linepier-upstreams 4\n");
 
 	for (const char *row : rows) {
 		EXPECT_FALSE(plf_list_changes_apply(
@@ -376,7 +379,7 @@
 	}
 	EXPECT_EQ(plf_upstream_list_size(list), 1u);
 	EXPECT_TRUE(plf_list_changes_apply(
-		list, "linepier-upstream-changes 1\n-i-1\n",
+		list, "linepier-upstream-changes 2\n-i-1\n",
 		plf_upstream_list_hash(empty)));
 	plf_upstream_list_destroy(list);
 	plf_upstream_list_destroy(empty);
@@ -389,24 +392,26 @@
 	const char *const rows[] = {
 		"",
 		"\n",
-		"linepier-upstreams 3",
-		"linepier-upstreams 2\n",
-		"linepier-upstreams 2\ni-1 s 10.0.0.1:80 a 6 0 5\n",
-		"i-1 s 10.0.0.1:80 a 6 0\n", /* no format line */
-		"linepier-upstreams 3\ni-1 s 10.0.0.1:80 a 6 0 5\n",
-		"linepier-upstreams 3\ni-1 s 10.0.0.1:80 a 6 0 5 0 9\n",
-		"linepier-upstreams 3\ni-1 s 10.0.0.1:80 a 6 2 5 0\n",
-		"linepier-upstreams 3\ni-1 s 10.0.0.1:80 a -6 0 5 0\n",
-		"linepier-upstreams 3\ni-1 s 10.0.0.1:80 a 6 0 -5 0\n",
-		"linepier-upstreams 3\ni-1 s 10.0.0.1:80 a 6 0 5 -1\n",
-		"linepier-upstreams 3\ni-1 s 10.0.0.1:80 a 6 0 5 86400001\n",
-		"linepier-upstreams 3\ni-1 %zz 10.0.0.1:80 a 6 0 5 0\n",
-		"linepier-upstreams 3\ni-1 %00 10.0.0.1:80 a 6 0 5 0\n",
-		"linepier-upstreams 3\ni-1 s 10.0.0.1:80 a 6 0 5 0",
-		"linepier-upstreams 3\ni-1 s 10.0.0.1:80 a 6 0 5 0\n\nmore",
+		"linepier-upstreams 4",
+		"linepier-upstreams 3\n",
+		"linepier-upstreams 3\ni-1 s 10.0.0.1:80 a 6 0 5 0\n",
+		"i-1 s 10.0.0.1:80 a v1 6 0\n", /* no format line */
+		"linepier-upstreams 4\ni-1 s 10.0.0.1:80 a v1 6 0 5\n",
+		"linepier-upstreams 4\ni-1 s 10.0.0.1:80 a 6 0 5 0\n",
+		"linepier-upstreams 4\ni-1 s 10.0.0.1:80 a %zz 6 0 5 0\n",
+		"linepier-upstreams 4\ni-1 s 10.0.0.1:80 a v1 6 0 5 0 9\n",
+		"linepier-upstreams 4\ni-1 s 10.0.0.1:80 a v1 6 2 5 0\n",
+		"linepier-upstreams 4\ni-1 s 10.0.0.1:80 a v1 -6 0 5 0\n",
+		"linepier-upstreams 4\ni-1 s 10.0.0.1:80 a v1 6 0 -5 0\n",
+		"linepier-upstreams 4\ni-1 s 10.0.0.1:80 a v1 6 0 5 -1\n",
+		"linepier-upstreams 4\ni-1 s 10.0.0.1:80 a v1 6 0 5 86400001\n",
+		"linepier-upstreams 4\ni-1 %zz 10.0.0.1:80 a v1 6 0 5 0\n",
+		"linepier-upstreams 4\ni-1 %00 10.0.0.1:80 a v1 6 0 5 0\n",
+		"linepier-upstreams 4\ni-1 s 10.0.0.1:80 a v1 6 0 5 0",
+		"linepier-upstreams 4\ni-1 s 10.0.0.1:80 a v1 6 0 5 0\n\nmore",
 	};
 	plf_upstream_list *empty =
-		plf_upstream_list_parse("linepier-upstreams 3\n");
+		plf_upstream_list_parse("linepier-upstreams 4\n");
 
 	for (const char *row : rows)
 		EXPECT_EQ(plf_upstream_list_parse(row), nullptr) << row;
@@ -420,7 +425,7 @@
 TEST(UpstreamList, HashIncludesWhetherUpstreamIsCold)
 {
 	const std::string before =
-		"linepier-upstreams 3\ni-1 s 10.0.0.1:80 a 6 "
+		"linepier-upstreams 4\ni-1 s 10.0.0.1:80 a v1 6 "
 		"0 5 ";
 	plf_upstream_list *warm =
 		plf_upstream_list_parse((before + "0\n").c_str());
