--- a/tools/pe.c
+++ b/tools/pe.c
@@ -118,6 +118,7 @@
 	struct pe_conn *conn;
 	struct pe_upstream *upstream;
 	uint32_t next;
+	bool begun; /* an event was written */
 };
 
 static gboolean on_event(gpointer userdata)
@@ -147,6 +148,9 @@
 		return G_SOURCE_REMOVE;
 	}
 	chunk = g_strdup_printf("%zx\r\n%s\r\n", strlen(event), event);
+	if (!stream->begun)
+		pe_versions_event(stream->upstream, conn);
+	stream->begun = true;
 	pe_conn_write(conn, chunk);
 	stream->next++;
 	return G_SOURCE_CONTINUE;
@@ -310,11 +314,12 @@
 
 	return g_strdup_printf(
 		"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
-		"\"version\":\"v1\",\"slots\":4,\"state\":\"%s\","
+		"\"version\":\"%s\",\"slots\":4,\"state\":\"%s\","
 		"\"cold_left_ms\":%u,\"seq_no\":1%s}",
 		upstream->service, upstream->listener->address,
-		upstream->domain, upstream->draining ? "draining" : "ready",
-		upstream->cold_ms, upstream->pe->no_start ? "" : born);
+		upstream->domain, upstream->version,
+		upstream->draining ? "draining" : "ready", upstream->cold_ms,
+		upstream->pe->no_start ? "" : born);
 }
 
 void pe_write(struct pe *pe, const char *id, const void *bytes, size_t size)
@@ -375,6 +380,7 @@
 	upstream->id = g_strdup_printf("i-%u", ++pe->serial);
 	upstream->service = g_strdup(service);
 	upstream->domain = g_strdup(domain);
+	upstream->version = g_strdup("v1");
 	upstream->work_ms = DEFAULT_WORK_MS;
 	upstream->born_ms = g_get_real_time() / 1000;
 	upstream->memory =
@@ -405,6 +411,7 @@
 	g_free(upstream->other_id);
 	g_free(upstream->service);
 	g_free(upstream->domain);
+	g_free(upstream->version);
 	g_free(upstream);
 }
 
@@ -556,6 +563,8 @@
 	pe->revision = 1;
 	pe->upstreams = g_ptr_array_new_with_free_func(free_upstream);
 	pe->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	pe->stream_versions =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	pe->accounts =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	pe->breaches = g_ptr_array_new_with_free_func(g_free);
@@ -571,6 +580,7 @@
 	g_ptr_array_unref(pe->watches);
 	g_hash_table_unref(pe->items);
 	g_hash_table_unref(pe->runs);
+	g_hash_table_unref(pe->stream_versions);
 	g_hash_table_unref(pe->accounts);
 	g_ptr_array_unref(pe->breaches);
 	g_free(pe);
--- a/tools/pe.h
+++ b/tools/pe.h
@@ -71,6 +71,9 @@
 struct pe_upstream *pe_add(struct pe *pe, enum pe_kind kind,
 			   const char *service, const char *domain);
 void pe_fault(struct pe_upstream *upstream, enum pe_fault fault);
+/** Set the version of its software, "v1" at first, and write its entry again.
+ */
+void pe_set_version(struct pe_upstream *upstream, const char *version);
 /** How long a request or call takes. */
 void pe_set_work_ms(struct pe_upstream *upstream, uint32_t work_ms);
 
@@ -188,6 +191,9 @@
 /** Pieces made, given up, and kept at this moment, anywhere. */
 uint32_t pe_pieces_made(const struct pe *pe);
 uint32_t pe_pieces_kept(const struct pe *pe);
+/** Streams that went on at another version than the one of their first event;
+ * each is a breach, too. */
+uint32_t pe_mixed_streams(const struct pe *pe);
 /** What should never have reached an upstream: of char *. */
 const GPtrArray *pe_breaches(const struct pe *pe);
 
--- a/tools/pe_private.h
+++ b/tools/pe_private.h
@@ -62,6 +62,7 @@
 	uint32_t late_arrivals;	 /**< later than may be, after it */
 	char *service;
 	char *domain;
+	char *version; /**< of its software */
 	uint32_t work_ms;
 	struct pe_stage_cost cost; /**< all zero: work_ms counts */
 	int64_t busy_until_us;	   /**< end of the last call, by cost */
@@ -88,10 +89,13 @@
 	struct pe_link *link; /**< what the store's answers go over */
 	enum pe_store_fault store_fault;
 	int64_t revision;
-	GHashTable *items;    /**< key -> struct pe_item */
-	GPtrArray *watches;   /**< of struct pe_conn that wait */
-	GPtrArray *upstreams; /**< of struct pe_upstream */
-	GHashTable *runs;     /**< request id -> count */
+	GHashTable *items;	     /**< key -> struct pe_item */
+	GPtrArray *watches;	     /**< of struct pe_conn that wait */
+	GPtrArray *upstreams;	     /**< of struct pe_upstream */
+	GHashTable *runs;	     /**< request id -> count */
+	GHashTable *stream_versions; /**< id of a caller's attempt -> version of
+					its first event */
+	uint32_t mixed_streams;
 	GPtrArray *breaches;
 	uint32_t made;
 	uint32_t serial;
@@ -178,6 +182,12 @@
  */
 char *pe_stage_poison(const struct pe *pe, const struct pe_conn *conn);
 
+/* ---- pe_versions.c ---- */
+
+/** An engine writes an event of a stream: its first, or one that a version
+ * other than that of the first event must not write. */
+void pe_versions_event(struct pe_upstream *upstream, struct pe_conn *conn);
+
 /* ---- pe_poison.c ---- */
 
 bool pe_is_poison(const struct pe *pe, const char *content);
