Resume a broken stream only at the software version that began it

The first event now decides the version: selection, Retry-After, affinity and the estimate of the wait consider only upstreams of that version, and a placer is told the others as excluded, which entries of the release before understand. An answer whose version has no eligible upstream left is aborted at once. An unknown version cannot be resumed. Should an event of another version come all the same, the answer is aborted and counted.

--- a/direct/direct_placement.c
+++ b/direct/direct_placement.c
@@ -119,8 +119,8 @@
 	return g_variant_builder_end(&blocks);
 }
 
-/* Upstreams tried before, and those in pushback towards this entry: to them
- * the placer is another entry. */
+/* Upstreams tried before, those in pushback towards this entry (to them the
+ * placer is another entry), and those of other versions than the stream's. */
 static GVariant *write_excluded(const struct direct_placement *placement,
 				const struct pool_pick_args *pick_args)
 {
@@ -137,7 +137,9 @@
 		const struct pool_upstream *upstream =
 			g_ptr_array_index(upstreams, i);
 
-		if (pool_has_pushback(pool, upstream))
+		if (pool_has_pushback(pool, upstream) ||
+		    (pick_args->version_id &&
+		     upstream->version_id != pick_args->version_id))
 			g_variant_builder_add(&tried, "t",
 					      (guint64)upstream->hash);
 	}
--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -13,6 +13,9 @@
  * restart. */
 #define SHUTDOWN_TIMEOUT_MAX_US (1 * LP_US_PER_S)
 
+/* Bytes of a caller's text in a log line. */
+#define LOGGED_TEXT_MAX 64
+
 /* ---- answering and freeing ---- */
 
 void direct_request_free(struct direct_request *request)
@@ -71,6 +74,30 @@
 	lp_event_text(request->direct->options.log, "stages_ms", text->str);
 }
 
+/* Callers choose the length of their ids. */
+static void log_caller_text(struct lp_event_log *log, const char *name,
+			    const char *text)
+{
+	g_autofree char *start = g_strndup(text, LOGGED_TEXT_MAX);
+
+	lp_event_text(log, name, start);
+}
+
+void direct_request_log_resumed(const struct direct_request *request)
+{
+	struct lp_event_log *log = request->direct->options.log;
+	const char *after_event = request->last_event_id
+					  ? request->last_event_id
+					  : request->info.last_event_id;
+
+	if (after_event)
+		log_caller_text(log, "after_event", after_event);
+	if (request->info.resumed_attempt)
+		log_caller_text(log, "resumes", request->info.resumed_attempt);
+	if (request->stream_version)
+		lp_event_text(log, "stream_version", request->stream_version);
+}
+
 void direct_request_log_end(struct direct_request *request, const char *outcome,
 			    uint32_t status, const char *why)
 {
@@ -281,7 +308,9 @@
 		int64_t wait_us = MAX(upstream->pushback_until_us - now_us,
 				      pool_rate_limit_wait_us(pool, upstream));
 
-		if (!pool_is_eligible(upstream))
+		if (!pool_is_eligible(upstream) ||
+		    (request->has_version &&
+		     upstream->version_id != request->version_id))
 			continue;
 		if (wait_us <= 0)
 			return 0;
--- a/direct/direct_request.h
+++ b/direct/direct_request.h
@@ -2,7 +2,8 @@
  * One request of a caller, shared by the files that process it:
  * direct_request.c (admission, deadline, local replies), direct_stage_plan.c
  * (its stages), direct_sending.c (sending it to upstreams),
- * direct_stream_resume.c (streams that have begun and lost their upstream).
+ * direct_stream_resume.c (streams that have begun and lost their upstream),
+ * direct_stream_version.c (the version that may serve a stream).
  *
  * A request is owned by the entry's table of requests from
  * direct_request_begin() on and freed by direct_request_free(). Functions that
@@ -88,8 +89,10 @@
 				   connection */
 	bool may_have_run;
 	bool answer_begun;
-	char *stream_version; /* of the upstream of its first event; NULL: no
-				 event yet, or unknown */
+	/* a stream that has begun */
+	bool has_version;     /* only version_id may serve it */
+	uint64_t version_id;  /* of its first event; 0: unknown */
+	char *stream_version; /* its name, for log lines, or NULL */
 	char *last_event_id;
 	int64_t last_event_us; /* when it was sent to the caller; 0: none yet */
 	/* a stream that has begun and lost its upstream */
@@ -111,6 +114,8 @@
 /** Log and count the outcome of a request. `why`: the reason; may be NULL. */
 void direct_request_log_end(struct direct_request *request, const char *outcome,
 			    uint32_t status, const char *why);
+/** Add what tells a resumed stream from other requests to a log line. */
+void direct_request_log_resumed(const struct direct_request *request);
 /** Answer with a status of this entry's own, and free the request. An answer
  * that has begun is aborted instead. `retry_after_us`: Retry-After; 0: none. */
 void direct_request_reply_locally(struct direct_request *request,
@@ -168,6 +173,13 @@
  * any load. */
 int64_t direct_stage_plan_least_us(const struct direct_request *request);
 
+/* ---- direct_stream_version.c ---- */
+
+/** Whether an upstream may serve the request: any, or one of the version that
+ * began its stream. If there is none, it is refused, or its answer aborted, and
+ * it is freed. */
+bool direct_stream_version_check(struct direct_request *request);
+
 /* ---- direct_stream_resume.c ---- */
 
 /** Start the time limit of a stream that has begun and lost its upstream. */
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -27,8 +27,6 @@
 #define BUFFERED_ANSWER_MAX (8 << 20)
 /* Bytes that a caller may leave unread before its answer is aborted. */
 #define UNSENT_ANSWER_MAX (1 << 20)
-/* Bytes of a caller's text in a log line. */
-#define LOGGED_TEXT_MAX 64
 
 static void record_lost_sending(struct direct_request *request)
 {
@@ -96,6 +94,7 @@
 		.tried_count = request->tried_upstreams->len,
 		.target_us =
 			event_due_us(request) - direct_request_now_us(request),
+		.version_id = request->version_id,
 	};
 	direct_stages_set_shard(request->direct->stages, pick_args);
 	if (request->graph)
@@ -215,7 +214,8 @@
 			  !is_suspect(request);
 	struct retry_state state = {
 		.repeatable = repeatable,
-		.resumable = request->route->is_resumable,
+		.resumable = request->route->is_resumable &&
+			     (!request->has_version || request->version_id),
 		.response_started = request->answer_begun,
 		.may_have_run = request->may_have_run,
 		.executions = request->possible_runs + 1,
@@ -369,32 +369,36 @@
 	http_call_start(request->call, request->status, &request->fields);
 }
 
-/* Counts a stream that has events of two versions, which do not fit together.
- */
-static void check_stream_version(struct direct_request *request)
+/* The first event decides which version may serve the stream from then on: the
+ * events of two versions do not fit together. Returns whether this one may. */
+static bool check_stream_version(struct direct_request *request)
 {
-	const char *version = request->upstream->info.version;
+	const struct pool_upstream *upstream = request->upstream;
 
-	if (!request->stream_version) {
-		request->stream_version = g_strdup(version);
-		return;
-	}
-	if (g_strcmp0(request->stream_version, version) != 0)
-		*direct_counter(request->direct,
-				"linepier_streams_of_two_versions_total",
-				NULL) += 1;
+	if (request->has_version)
+		return upstream->version_id == request->version_id;
+	request->has_version = true;
+	request->version_id = upstream->version_id;
+	request->stream_version = g_strdup(upstream->info.version);
+	return true;
 }
 
-static void forward_events(struct direct_request *request)
+/* Returns false if the answer was aborted and the request freed. */
+static bool forward_events(struct direct_request *request)
 {
 	size_t size = direct_event_stream_complete_size(
 		request->body->str, request->body->len,
 		&request->last_event_id);
 
 	if (!size)
-		return;
-	if (!request->upstream_responded)
-		check_stream_version(request);
+		return true;
+	if (!request->upstream_responded && !check_stream_version(request)) {
+		*direct_counter(request->direct,
+				"linepier_streams_of_two_versions_total",
+				NULL) += 1;
+		direct_request_abort(request, "version");
+		return false;
+	}
 	record_first_response(request);
 	begin_answer(request);
 	direct_stream_resume_end(request, "continued", NULL);
@@ -404,6 +408,7 @@
 	direct_quarantine_request_progressed(request->direct->quarantine,
 					     request);
 	set_stall_timer(request);
+	return true;
 }
 
 static void on_body(void *userdata, const char *bytes, size_t size)
@@ -411,8 +416,8 @@
 	struct direct_request *request = userdata;
 
 	g_string_append_len(request->body, bytes, (gssize)size);
-	if (is_event_stream(request))
-		forward_events(request);
+	if (is_event_stream(request) && !forward_events(request))
+		return;
 	if (request->body->len > BUFFERED_ANSWER_MAX ||
 	    http_call_unsent_bytes(request->call) > UNSENT_ANSWER_MAX) {
 		direct_request_reply_locally(request, 502, 0, "too_large");
@@ -627,31 +632,6 @@
 	g_ptr_array_add(request->tried_upstreams, g_strdup(upstream->info.id));
 }
 
-/* Callers choose the length of their ids. */
-static void log_caller_text(struct lp_event_log *log, const char *name,
-			    const char *text)
-{
-	g_autofree char *start = g_strndup(text, LOGGED_TEXT_MAX);
-
-	lp_event_text(log, name, start);
-}
-
-/* Adds what tells a resumed stream from other requests. */
-static void log_resumed_stream(const struct direct_request *request)
-{
-	struct lp_event_log *log = request->direct->options.log;
-	const char *after_event = request->last_event_id
-					  ? request->last_event_id
-					  : request->info.last_event_id;
-
-	if (after_event)
-		log_caller_text(log, "after_event", after_event);
-	if (request->info.resumed_attempt)
-		log_caller_text(log, "resumes", request->info.resumed_attempt);
-	if (request->stream_version)
-		lp_event_text(log, "stream_version", request->stream_version);
-}
-
 static void log_sending(struct direct_request *request)
 {
 	struct lp_event_log *log = request->direct->options.log;
@@ -665,7 +645,7 @@
 		      request->upstream->info.version
 			      ? request->upstream->info.version
 			      : "");
-	log_resumed_stream(request);
+	direct_request_log_resumed(request);
 	lp_event_int(log, "cold_tokens", request->cold_tokens);
 	lp_event_text(log, "copy_from",
 		      request->copy_from ? request->copy_from->info.id : "");
@@ -792,6 +772,13 @@
 	struct pool_pick_args pick_args;
 
 	request->placement_query = 0;
+	/* A placer of an older release does not exclude other versions. */
+	if (upstream && request->has_version &&
+	    upstream->version_id != request->version_id) {
+		direct_placement_report_end(request->direct->placement,
+					    placement, POOL_UNDETERMINED);
+		upstream = NULL;
+	}
 	if (!upstream) {
 		fill_pick_args(request, &pick_args);
 		place_locally(request, &pick_args, placement->wait_us);
@@ -826,7 +813,8 @@
 	struct pool_pick_args pick_args;
 
 	if (!direct_request_check_quarantine(request) ||
-	    !direct_stream_resume_check(request))
+	    !direct_stream_resume_check(request) ||
+	    !direct_stream_version_check(request))
 		return;
 	if (request->graph &&
 	    !graph_inputs_available(request->graph,
--- a/policy/pool.c
+++ b/policy/pool.c
@@ -421,6 +421,13 @@
 
 /* ---- the list ---- */
 
+static uint64_t version_id(const struct pool_upstream_info *info)
+{
+	return info->version ? lp_hash_pair(lp_hash_str(info->service),
+					    lp_hash_str(info->version))
+			     : 0;
+}
+
 static struct pool_upstream *
 create_upstream(const struct pool *pool, const struct pool_upstream_info *info)
 {
@@ -443,6 +450,7 @@
 		info->born_ms
 			? lp_hash_pair(upstream->hash, (uint64_t)info->born_ms)
 			: upstream->hash;
+	upstream->version_id = version_id(info);
 	upstream->listed = true;
 	upstream->refs = 1;
 	upstream->slowness = 1.0;
@@ -542,8 +550,10 @@
 	changed = upstream->info.draining != info->draining;
 	upstream->info.slots = info->slots;
 	upstream->info.draining = info->draining;
-	if (!upstream->info.version)
+	if (!upstream->info.version) {
 		upstream->info.version = g_strdup(info->version);
+		upstream->version_id = version_id(info);
+	}
 	return changed;
 }
 
@@ -662,6 +672,24 @@
 	return g_hash_table_lookup(pool->services, service);
 }
 
+const struct pool_upstream *pool_find_version(const struct pool *pool,
+					      const char *service,
+					      uint64_t version_id)
+{
+	const GPtrArray *list = pool_service_upstreams(pool, service);
+	const struct pool_upstream *found = NULL;
+
+	for (guint i = 0; list && i < list->len; i++) {
+		const struct pool_upstream *upstream =
+			g_ptr_array_index(list, i);
+
+		if (upstream->version_id == version_id &&
+		    (!found || !pool_is_eligible(found)))
+			found = upstream;
+	}
+	return found;
+}
+
 struct pool_upstream *pool_find(const struct pool *pool, const char *id)
 {
 	return g_hash_table_lookup(pool->upstreams, id);
--- a/policy/pool.h
+++ b/policy/pool.h
@@ -52,9 +52,11 @@
 	struct pool_upstream_info info;
 	uint64_t hash; /**< of the id; ranks the upstream and assigns its shard,
 			  stable across restarts */
-	uint64_t incarnation;	   /**< of id and start time; identifies the
-				      incarnation to other entries */
-	bool listed;		   /**< in the current list */
+	uint64_t incarnation; /**< of id and start time; identifies the
+				 incarnation to other entries */
+	uint64_t version_id;  /**< of service and software version, the same
+				 at all entries; 0: unknown */
+	bool listed;	      /**< in the current list */
 	int64_t pushback_until_us; /**< no requests before this time */
 	bool drain_notice;	   /**< received in an answer */
 	bool domain_closed;	   /**< closed by operators */
@@ -112,6 +114,8 @@
 			   shard_count is 0 or 1 */
 	const char *const *tried; /**< ids excluded from selection */
 	uint32_t tried_count;
+	uint64_t version_id; /**< of the only software version that may be
+				selected; 0: any */
 };
 
 /** This entry's shares of the rate limits that the upstreams of a service
@@ -152,6 +156,11 @@
 /** Listed upstreams of a service (struct pool_upstream), borrowed; or NULL. */
 const GPtrArray *pool_service_upstreams(const struct pool *pool,
 					const char *service);
+/** A listed upstream of a service that runs this software version, an eligible
+ * one if there is any; or NULL. */
+const struct pool_upstream *pool_find_version(const struct pool *pool,
+					      const char *service,
+					      uint64_t version_id);
 struct pool_upstream *pool_find(const struct pool *pool, const char *id);
 struct pool_upstream *pool_find_incarnation(const struct pool *pool,
 					    uint64_t incarnation);
--- a/policy/pool_choice.c
+++ b/policy/pool_choice.c
@@ -39,6 +39,12 @@
 	return false;
 }
 
+static bool is_of_version(const struct pool_pick_args *args,
+			  const struct pool_upstream *upstream)
+{
+	return !args->version_id || upstream->version_id == args->version_id;
+}
+
 static bool is_in_shard(const struct pool_pick_args *args,
 			const struct pool_upstream *upstream)
 {
@@ -71,6 +77,7 @@
 		if (!pool_is_eligible(upstream) || rank <= best ||
 		    !allowed_regions_contain(args->allowed_regions,
 					     upstream->region) ||
+		    !is_of_version(args, upstream) ||
 		    !is_in_shard(args, upstream))
 			continue;
 		best = rank;
@@ -189,6 +196,7 @@
 		    !is_in_shard(args, upstream) ||
 		    !allowed_regions_contain(args->allowed_regions,
 					     upstream->region) ||
+		    !is_of_version(args, upstream) ||
 		    was_tried(args, upstream->info.id))
 			continue;
 		pool_decay_estimates(upstream, now_us);
@@ -218,6 +226,7 @@
 		       const struct pool_upstream *upstream)
 {
 	return pool_is_eligible(upstream) && is_in_shard(args, upstream) &&
+	       is_of_version(args, upstream) &&
 	       allowed_regions_contain(args->allowed_regions, upstream->region);
 }
 
--- a/tests/stream_version_test.cc
+++ b/tests/stream_version_test.cc
@@ -144,9 +144,8 @@
 		pe_set_work_ms(engine, 900);
 	}
 	CallerRequest stream(versions.first.address, "a1", "/again/x");
-	EXPECT_TRUE(run_loop_until([&] {
-		return pe_runs(versions.first.platform, "a1") == 1;
-	}));
+	EXPECT_TRUE(run_loop_until(
+		[&] { return pe_runs(versions.first.platform, "a1") == 1; }));
 	began = versions.v1[pe_arrivals(versions.v1[0]) ? 0 : 1];
 	for (pe_upstream *engine : versions.v1)
 		if (engine != began)
@@ -167,9 +166,8 @@
 		pe_set_work_ms(engine, 900);
 	}
 	CallerRequest stream(versions.first.address, "a1", "/again/x");
-	EXPECT_TRUE(run_loop_until([&] {
-		return pe_runs(versions.first.platform, "a1") == 1;
-	}));
+	EXPECT_TRUE(run_loop_until(
+		[&] { return pe_runs(versions.first.platform, "a1") == 1; }));
 	pe_drain(versions.v1[pe_arrivals(versions.v1[0]) ? 1 : 0]);
 	versions.release();
 	EXPECT_NE(stream.wait().error, LP_OK);
