Continue a stream that its caller takes up only at the version that began it

Callers that lost their stream took it up at another entry with Last-Event-Id and Resumes, and were served at any version: what an entry knew of a stream ended with its request, and no code read Resumes.

The entry that passes on a first event records its version under the hash of the attempt, and sends the record (24 bytes) to two peers, chosen by rendezvous hash. Whoever is asked later finds them the same way, among six peers, without knowing who served the attempt: entries may have terminated, started or been cut off in between, and nothing goes to all entries. A record lives as long as its caller waits, 60 s at most. An entry that drains hands its records over.

A stream that nobody knows goes on only if it can have begun at a single version: lists named no other for 5 min without a pause, up to one that was read after the take-up. Otherwise, for an ambiguous attempt, and where no upstream of the version is eligible, the request is refused at once with Retry-After; it has not run. The service is that of the version, also where a route is split among several.

--- a/direct/direct.c
+++ b/direct/direct.c
@@ -154,6 +154,7 @@
 			.notices = direct->notices,
 		});
 	direct->stages = direct_stages_create(direct);
+	direct->stream_origins = direct_stream_origins_create(direct);
 	direct->answer_times = lp_histogram_create(
 		options->counters, "linepier_answer_milliseconds");
 	direct->first_event_times = lp_histogram_create(
@@ -177,6 +178,7 @@
 	direct_terminations_destroy(direct->terminations);
 	direct_quarantine_destroy(direct->quarantine);
 	direct_prefix_cache_destroy(direct->prefix_cache);
+	direct_stream_origins_destroy(direct->stream_origins);
 	direct_notices_destroy(direct->notices);
 	pool_destroy(direct->pool);
 	direct_closed_domains_destroy(direct->closed_domains);
@@ -256,7 +258,7 @@
 
 void direct_set_upstreams(struct direct *direct,
 			  const struct pool_upstream_info *entries,
-			  uint32_t count)
+			  uint32_t count, int64_t read_us)
 {
 	struct lp_event_log *log = direct->options.log;
 	uint32_t changes = pool_update(direct->pool, entries, count);
@@ -264,8 +266,11 @@
 	direct->has_upstreams = true;
 	direct->upstreams_updated_us = lp_now_us(direct->options.clock);
 	update_peer_service(direct);
+	direct_stream_origins_set_list(direct->stream_origins, direct->pool,
+				       read_us);
 	if (!changes)
 		return;
+	for_each_request(direct, direct_request_refuse_if_version_gone);
 	if (lp_event_begin(log, "upstreams", NULL)) {
 		lp_event_int(log, "listed", count);
 		lp_event_int(log, "changes", changes);
@@ -274,6 +279,11 @@
 	direct_calls_run(direct->calls);
 }
 
+void direct_confirm_upstreams(struct direct *direct, int64_t read_us)
+{
+	direct_stream_origins_confirm_list(direct->stream_origins, read_us);
+}
+
 void direct_set_region(struct direct *direct, const char *domain,
 		       const char *region)
 {
@@ -317,6 +327,7 @@
 	direct_closed_domains_set_peers(direct->closed_domains, peers);
 	direct_notices_set_peers(direct->notices, peers);
 	direct_quarantine_set_peers(direct->quarantine, peers);
+	direct_stream_origins_set_peers(direct->stream_origins, peers);
 	direct_stages_set_peers(direct->stages, peers);
 	update_peer_service(direct);
 }
@@ -375,6 +386,7 @@
 	http_server_drain(direct->server);
 	if (direct->peers)
 		direct_peers_drain(direct->peers);
+	direct_stream_origins_hand_over(direct->stream_origins);
 }
 
 void direct_set_shutdown_time(struct direct *direct, int64_t end_us)
--- a/direct/direct.h
+++ b/direct/direct.h
@@ -47,6 +47,9 @@
 	double retry_ratio;
 	double retry_slack; /**< this entry's part of the slack */
 	int64_t retry_window_us;
+	/** A stream that a caller takes up did not begin earlier than this; 0:
+	 * 5 min. */
+	int64_t stream_age_max_us;
 	/** Called when this entry's own observations block a request, or
 	 * extend its block. `content`: digest of the request. May be NULL. */
 	void (*blocked)(void *userdata, uint64_t content);
@@ -64,10 +67,13 @@
 bool direct_set_config(struct direct *direct, struct direct_config *config);
 /** Version of the current configuration; negative: none yet. */
 int64_t direct_config_version(const struct direct *direct);
-/** Replace the list of upstreams. */
+/** Replace the list of upstreams; it was read at `read_us` by whoever read it.
+ */
 void direct_set_upstreams(struct direct *direct,
 			  const struct pool_upstream_info *entries,
-			  uint32_t count);
+			  uint32_t count, int64_t read_us);
+/** The list of upstreams was read once more, unchanged, at `read_us`. */
+void direct_confirm_upstreams(struct direct *direct, int64_t read_us);
 /** Set the region of a failure domain. To be called before the first list of
  * upstreams. */
 void direct_set_region(struct direct *direct, const char *domain,
--- a/direct/direct_peers.c
+++ b/direct/direct_peers.c
@@ -635,6 +635,16 @@
 	}
 }
 
+void direct_peers_list_live(const struct direct_peers *peers, GArray *out)
+{
+	g_autoptr(GPtrArray) live = live_peers(peers);
+
+	for (guint i = 0; i < live->len; i++)
+		g_array_append_val(
+			out, ((const struct peer *)g_ptr_array_index(live, i))
+				     ->hash);
+}
+
 bool direct_peers_send(struct direct_peers *peers, uint64_t peer, char kind,
 		       GVariant *body)
 {
--- a/direct/direct_peers.h
+++ b/direct/direct_peers.h
@@ -96,6 +96,8 @@
 /** Append this entry and the peers that may get work to `out`, of struct
  * dispatchers_member. */
 void direct_peers_members(const struct direct_peers *peers, GArray *out);
+/** Append the hashes of all live peers to `out`, of uint64_t. */
+void direct_peers_list_live(const struct direct_peers *peers, GArray *out);
 /** A peer is silent or does not do its work: it gets none for a while. */
 void direct_peers_suspect(struct direct_peers *peers, uint64_t peer);
 /** Time of the last datagram of any kind from a peer; 0: none. */
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -10,6 +10,7 @@
 #include "direct/direct_peers.h"
 #include "direct/direct_prefix_cache.h"
 #include "direct/direct_quarantine.h"
+#include "direct/direct_stream_origins.h"
 #include "direct/direct_terminations.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
@@ -65,6 +66,7 @@
 	struct direct_calls *calls;
 	struct direct_results *results;
 	struct direct_prefix_cache *prefix_cache;
+	struct direct_stream_origins *stream_origins;
 	struct direct_peers *peers;	    /* NULL: no peers */
 	struct direct_relay *relay;	    /* NULL: no peers */
 	struct direct_placement *placement; /* NULL: no peers */
@@ -114,6 +116,9 @@
 /** Refuse a request whose stages are in progress if closed domains leave no
  * upstream for a service that it still needs. */
 void direct_request_refuse_if_closed(struct direct_request *request);
+/** Refuse a request whose stages are in progress, or abort its answer, if no
+ * upstream of the version that began its stream is left. */
+void direct_request_refuse_if_version_gone(struct direct_request *request);
 /** Refuse a request that has not been sent, or abort a stream that waits to be
  * resumed, because the entry terminates. */
 void direct_request_refuse_unsent(struct direct_request *request);
--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -23,6 +23,7 @@
 	direct_sending_end(request, POOL_UNDETERMINED);
 	direct_clear_timer(&request->deadline_timer);
 	direct_clear_timer(&request->resume_timer);
+	direct_stream_version_cancel(request);
 	direct_quarantine_request_ended(request->direct->quarantine, request);
 	if (request->graph)
 		direct_stages_cancel(request->direct->stages, request);
@@ -523,6 +524,12 @@
 		check_domains_open(request);
 }
 
+void direct_request_refuse_if_version_gone(struct direct_request *request)
+{
+	if (request->state == DIRECT_STATE_STAGES && request->service)
+		direct_stream_version_check(request);
+}
+
 void direct_request_refuse_unsent(struct direct_request *request)
 {
 	if (request->state != DIRECT_STATE_SENT)
@@ -575,6 +582,8 @@
 	switch (request->state) {
 	case DIRECT_STATE_STAGES:
 		return waits_for_stages(request);
+	case DIRECT_STATE_ORIGIN:
+		return request->origin_search != 0;
 	case DIRECT_STATE_PLACING:
 		return request->placement_query || request->placement_timer;
 	case DIRECT_STATE_SENT:
@@ -675,6 +684,23 @@
 		       SHUTDOWN_TIMEOUT_MAX_US;
 }
 
+/* Serves a request whose service is known. */
+static void admit_request(struct direct_request *request)
+{
+	struct direct *direct = request->direct;
+
+	request->client_waited_us = client_wait_elapsed_us(
+		&direct_request_estimates(request)->client_wait,
+		request->info.timeout_us);
+	retry_budget_add_request(direct->retry_budget, request->service);
+	if (!direct_request_check_quarantine(request))
+		return;
+	if (request->route->stages_count)
+		direct_stage_plan_create(request);
+	if (check_domains_open(request) && admit(request))
+		direct_request_advance(request);
+}
+
 /* Serves a readable request at an entry that is ready. */
 static void process_request(struct direct_request *request)
 {
@@ -695,16 +721,10 @@
 				      "draining");
 		return;
 	}
-	request->client_waited_us = client_wait_elapsed_us(
-		&direct_request_estimates(request)->client_wait,
-		request->info.timeout_us);
-	retry_budget_add_request(direct->retry_budget, request->service);
-	if (!direct_request_check_quarantine(request))
-		return;
-	if (request->route->stages_count)
-		direct_stage_plan_create(request);
-	if (check_domains_open(request) && admit(request))
-		direct_request_advance(request);
+	if (direct_stream_version_needs_search(request))
+		direct_stream_version_search(request, admit_request);
+	else
+		admit_request(request);
 }
 
 void direct_request_begin(struct direct *direct, struct http_call *call)
--- a/direct/direct_request.h
+++ b/direct/direct_request.h
@@ -26,7 +26,8 @@
 #define DIRECT_ENGINE_FIRST_EVENT_US (120 * LP_US_PER_MS)
 
 enum direct_state {
-	DIRECT_STATE_STAGES,  /* its pieces are being computed */
+	DIRECT_STATE_STAGES, /* its pieces are being computed */
+	DIRECT_STATE_ORIGIN, /* the version that began its stream is searched */
 	DIRECT_STATE_PLACING, /* its placer was asked for an engine */
 	DIRECT_STATE_SENT,    /* it was sent to an upstream */
 };
@@ -89,7 +90,9 @@
 				   connection */
 	bool may_have_run;
 	bool answer_begun;
-	/* a stream that has begun */
+	/* a stream that has begun, in this answer or an earlier one */
+	uint64_t origin_search;			       /* 0: none */
+	void (*admit)(struct direct_request *request); /* after the search */
 	bool has_version;     /* only version_id may serve it */
 	uint64_t version_id;  /* of its first event; 0: unknown */
 	char *stream_version; /* its name, for log lines, or NULL */
@@ -175,6 +178,16 @@
 
 /* ---- direct_stream_version.c ---- */
 
+/** Whether its caller takes up a stream that an earlier answer began. */
+bool direct_stream_version_needs_search(const struct direct_request *request);
+/** Find the version that began the stream that a request takes up, then call
+ * `admit`. If the version is unknown or gone, the request is refused and freed
+ * instead. */
+void direct_stream_version_search(
+	struct direct_request *request,
+	void (*admit)(struct direct_request *request));
+/** End the search, if any. */
+void direct_stream_version_cancel(struct direct_request *request);
 /** Whether an upstream may serve the request: any, or one of the version that
  * began its stream. If there is none, it is refused, or its answer aborted, and
  * it is freed. */
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -383,6 +383,16 @@
 	return true;
 }
 
+/* Before its first event is passed on, so that the stream can be taken up at
+ * another entry. */
+static void record_origin(struct direct_request *request)
+{
+	if (request->route->is_resumable && request->version_id)
+		direct_stream_origins_record(request->direct->stream_origins,
+					     request->id, request->version_id,
+					     request->info.timeout_us);
+}
+
 /* Returns false if the answer was aborted and the request freed. */
 static bool forward_events(struct direct_request *request)
 {
@@ -399,6 +409,8 @@
 		direct_request_abort(request, "version");
 		return false;
 	}
+	if (!request->answer_begun)
+		record_origin(request);
 	record_first_response(request);
 	begin_answer(request);
 	direct_stream_resume_end(request, "continued", NULL);
--- a/policy/pool.c
+++ b/policy/pool.c
@@ -672,6 +672,19 @@
 	return g_hash_table_lookup(pool->services, service);
 }
 
+void pool_foreach(const struct pool *pool,
+		  void (*fn)(void *userdata,
+			     const struct pool_upstream *upstream),
+		  void *userdata)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, pool->upstreams);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		fn(userdata, value);
+}
+
 const struct pool_upstream *pool_find_version(const struct pool *pool,
 					      const char *service,
 					      uint64_t version_id)
--- a/policy/pool.h
+++ b/policy/pool.h
@@ -156,6 +156,11 @@
 /** Listed upstreams of a service (struct pool_upstream), borrowed; or NULL. */
 const GPtrArray *pool_service_upstreams(const struct pool *pool,
 					const char *service);
+/** Calls `fn` for each listed upstream. It must not change the pool. */
+void pool_foreach(const struct pool *pool,
+		  void (*fn)(void *userdata,
+			     const struct pool_upstream *upstream),
+		  void *userdata);
 /** A listed upstream of a service that runs this software version, an eligible
  * one if there is any; or NULL. */
 const struct pool_upstream *pool_find_version(const struct pool *pool,
--- a/tests/direct_rig.h
+++ b/tests/direct_rig.h
@@ -161,6 +161,8 @@
 	bool is_bootstrap_reader = true;
 	/* Announces the version of its configuration to peers. */
 	bool spreads_config = false;
+	/* Of entries that are created from now on; 0: the default. */
+	static inline int64_t stream_age_max_us = 0;
 
 	/* On a platform that is owned by the caller. */
 	explicit Rig(pe *platform) : platform(platform), owns_platform(false)
@@ -253,6 +255,7 @@
 		options.domain = "a";
 		options.retry_ratio = 0.2;
 		options.retry_slack = 20;
+		options.stream_age_max_us = stream_age_max_us;
 		options.blocked = [](void *self, uint64_t content) {
 			plf_quarantine_write(
 				static_cast<Rig *>(self)->quarantine, content);
--- a/tests/stream_version_test.cc
+++ b/tests/stream_version_test.cc
@@ -21,6 +21,7 @@
 	std::vector<pe_upstream *> v1;
 	std::vector<pe_upstream *> v2;
 	std::vector<std::string> bodies;
+	bool has_prompts = false;
 
 	explicit TwoVersions(int entries = 1, bool in_contact = true)
 	{
@@ -78,7 +79,8 @@
 	{
 		for (int i = 0; i < streams_count; i++) {
 			CallerRequest begun(first.address,
-					    attempt(i, 0).c_str(), "/again/x");
+					    attempt(i, 0).c_str(), "/again/x",
+					    prompt(i));
 
 			EXPECT_TRUE(run_loop_until(
 				[&] { return !begun.body.empty(); }));
@@ -97,10 +99,29 @@
 	 */
 	std::unique_ptr<CallerRequest> take_up(int stream, int number, Rig &at)
 	{
+		return take_up(stream, number, at, attempt(stream, 0));
+	}
+	/* `begun`: the attempt that the caller names; empty: none. */
+	std::unique_ptr<CallerRequest> take_up(int stream, int number, Rig &at,
+					       const std::string &begun)
+	{
+		Fields fields = prompt(stream);
+
+		fields["Last-Event-Id"] = last_id(bodies[stream]);
+		if (!begun.empty())
+			fields["Resumes"] = begun;
 		return std::make_unique<CallerRequest>(
 			at.address, attempt(stream, number).c_str(), "/again/x",
-			Fields{ { "Last-Event-Id", last_id(bodies[stream]) },
-				{ "Resumes", attempt(stream, 0) } });
+			fields);
+	}
+	Fields prompt(int stream) const
+	{
+		std::string own = "b" + std::to_string(stream) + ":5";
+
+		if (!has_prompts)
+			return {};
+		return { { "X-Token-Counts", "10,6" },
+			 { "X-Prompt-Prefix", "a:5," + own } };
 	}
 	/* Takes all streams up at an entry. Returns how many were completed. */
 	int complete_streams(Rig &at)
@@ -234,4 +255,124 @@
 	EXPECT_EQ(versions.mixed(), 0u);
 }
 
+/* Guards against a placer that chooses an engine of another version. */
+TEST(StreamVersion, PlacerChoosesVersionThatBegan)
+{
+	TwoVersions versions(2);
+
+	versions.has_prompts = true;
+	versions.begin_streams();
+	versions.release();
+	EXPECT_EQ(versions.complete_streams(versions.entry(1)), streams_count);
+	EXPECT_EQ(versions.mixed(), 0u);
+}
+
+/* Guards against a stream whose version is lost after its first continuation:
+ * its caller names the attempt of the first event each time. */
+TEST(StreamVersion, LaterAttemptsContinueAtVersionThatBegan)
+{
+	TwoVersions versions(2);
+
+	versions.begin_streams();
+	versions.release();
+	for (int i = 0; i < streams_count; i++) {
+		auto taken = versions.take_up(i, 1, versions.entry(1));
+
+		EXPECT_TRUE(run_loop_until(
+			[&] { return !taken->body.empty() || taken->done; }));
+		versions.bodies[i] += taken->body;
+		if (!taken->done)
+			taken->cancel();
+		taken = versions.take_up(i, 2, versions.entry(i % 2));
+		EXPECT_EQ(versions.bodies[i] + taken->wait().body,
+			  complete_stream);
+	}
+	EXPECT_EQ(versions.mixed(), 0u);
+}
+
+/* Guards against the version of an upstream as it is now in place of that of
+ * the stream's first event: it has come back under its id with another one. */
+TEST(StreamVersion, UpgradedUpstreamKeepsItsStreamsVersion)
+{
+	TwoVersions versions(2);
+	const pe_restart_options restart = {};
+
+	versions.begin_streams();
+	pe_restart(versions.v1[0], &restart);
+	pe_set_version(versions.v1[0], "v2");
+	versions.wait_for_lists();
+	EXPECT_EQ(versions.complete_streams(versions.entry(1)), streams_count);
+	EXPECT_EQ(versions.mixed(), 0u);
+}
+
+/* Guards against records that are lost with the entries that keep them, when
+ * these are restarted one after the other. */
+TEST(StreamVersion, DrainingEntryHandsItsRecordsOver)
+{
+	TwoVersions versions(2);
+	Rig late(&versions.first);
+
+	versions.begin_streams();
+	late.join("127.0.0.9", 500, { "127.0.0.1", "127.0.0.2" });
+	versions.release();
+	EXPECT_TRUE(run_loop_until([&] {
+		return direct_ready(late.entry) &&
+		       direct_peers_count(late.peers) == 3 &&
+		       direct_peers_count(versions.entry(1).peers) == 3;
+	}));
+	versions.first.end();
+	direct_drain(versions.entry(1).entry);
+	run_loop_until([] { return false; }, 100);
+	versions.entry(1).end();
+	EXPECT_EQ(versions.complete_streams(late), streams_count);
+	EXPECT_EQ(versions.mixed(), 0u);
+}
+
+/* Guards against a guess for a caller that does not say which attempt began its
+ * stream, or names one that nobody has seen. */
+TEST(StreamVersion, UnnamedStreamIsRefusedWhileTwoVersionsServe)
+{
+	const std::string unknown[] = { "", "never-seen",
+					std::string(2000, 'x') };
+	TwoVersions versions(2);
+	int number = 0;
+
+	versions.begin_streams();
+	versions.release();
+	for (const std::string &begun : unknown) {
+		number++;
+		versions.expect_refused(
+			*versions.take_up(0, number, versions.entry(1), begun),
+			TwoVersions::attempt(0, number));
+	}
+	EXPECT_EQ(versions.mixed(), 0u);
+}
+
+/* Guards against refusals of streams of unknown origin where a single version
+ * can have begun them: it alone was listed for as long as streams last. */
+TEST(StreamVersion, UnnamedStreamContinuesAtTheSoleVersion)
+{
+	Rig::stream_age_max_us = LP_US_PER_S;
+	TwoVersions versions;
+	Rig::stream_age_max_us = 0;
+
+	versions.begin_streams();
+	versions.wait_for_lists();
+	EXPECT_EQ(
+		versions.bodies[0] +
+			versions.take_up(0, 1, versions.first, "")->wait().body,
+		complete_stream);
+	/* The first version has left: it may have begun the stream. */
+	versions.release();
+	for (pe_upstream *engine : versions.v1)
+		pe_remove(engine);
+	run_loop_until([] { return false; }, 400);
+	versions.expect_refused(*versions.take_up(0, 2, versions.first, ""),
+				TwoVersions::attempt(0, 2));
+	versions.wait_for_lists();
+	versions.wait_for_lists();
+	EXPECT_EQ(versions.take_up(0, 3, versions.first, "")->wait().status,
+		  200u);
+}
+
 } // namespace
