Copy prefix caches only between engines of the same version

What two versions write does not fit together, and engines do not check it.

Selection now knows the best source of each version, and an entry ignores a source of another version that a placer of an older release names. Between unknown versions nothing is copied.

PrefixCopy.ComesOnlyFromAnEngineOfTheSameVersion and IsNotUsedBetweenUnknownVersions failed before and pass.

--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -574,17 +574,25 @@
 	const struct pool *pool = request->direct->pool;
 	const struct direct_placement_result *placement = &request->placement;
 	struct pool_pick_args pick_args;
+	struct pool_upstream *source;
 
 	if (!placement->placer) {
 		fill_pick_args(request, &pick_args);
 		return pool_find_cache_copy(pool, request->upstream,
 					    &pick_args);
 	}
+	source = placement->copy_source
+			 ? pool_find_incarnation(pool, placement->copy_source)
+			 : NULL;
+	/* A placer of an older release does not compare versions. */
+	if (source && (!source->version_id ||
+		       source->version_id != request->upstream->version_id))
+		return (struct pool_cache_copy){
+			.prefill_tokens = placement->cold_tokens +
+					  placement->copied_tokens,
+		};
 	return (struct pool_cache_copy){
-		.source = placement->copy_source
-				  ? pool_find_incarnation(
-					    pool, placement->copy_source)
-				  : NULL,
+		.source = source,
 		.copied_tokens = placement->copied_tokens,
 		.prefill_tokens = placement->cold_tokens,
 	};
--- a/policy/pool_choice.c
+++ b/policy/pool_choice.c
@@ -99,7 +99,7 @@
 struct selection {
 	const struct pool_pick_args *args;
 	const struct pool_upstream *affinity_upstream;
-	struct copy_source source; /* of a cache copy */
+	struct copy_sources sources; /* of a cache copy */
 };
 
 /* Shared tokens whose prefill would be repeated. The last block is the
@@ -117,9 +117,9 @@
 			     const struct pool_upstream *upstream)
 {
 	const struct pool_pick_args *args = selection->args;
-	const struct cache_copying *copying = selection->source.copying;
+	const struct cache_copying *copying = selection->sources.copying;
 	struct pool_cache_copy copy =
-		pool_plan_copy(&selection->source, upstream, args);
+		pool_plan_copy(&selection->sources, upstream, args);
 	int64_t tokens = upstream->pending_prefill_tokens + copy.prefill_tokens;
 	double cost =
 		FIRST_DECODE_STEP_US +
@@ -185,7 +185,7 @@
 	selection = (struct selection){
 		.args = args,
 		.affinity_upstream = find_affinity_upstream(args, list),
-		.source = pool_find_copy_source(pool, list, args),
+		.sources = pool_find_copy_sources(pool, list, args),
 	};
 	for (guint i = 0; i < list->len; i++) {
 		struct pool_upstream *upstream = g_ptr_array_index(list, i);
--- a/policy/pool_prefix_cache.c
+++ b/policy/pool_prefix_cache.c
@@ -112,12 +112,42 @@
 	return tokens;
 }
 
+/* NULL: no engine of this version has a part of the prompt. */
+static const struct copy_source *find_source(const struct copy_sources *sources,
+					     uint64_t version_id)
+{
+	for (uint32_t i = 0; i < sources->count; i++)
+		if (sources->versions[i].version_id == version_id)
+			return &sources->versions[i];
+	return NULL;
+}
+
+/* Keeps the engine with the longest prefix of each version. */
+static void add_source(struct copy_sources *sources,
+		       struct pool_upstream *upstream, int64_t tokens)
+{
+	const struct copy_source added = { upstream->version_id, upstream,
+					   tokens };
+	uint32_t at = 0;
+
+	while (at < sources->count &&
+	       sources->versions[at].version_id != added.version_id)
+		at++;
+	if (at == COPY_VERSIONS_MAX || tokens <= 0)
+		return;
+	if (at == sources->count)
+		sources->count++;
+	else if (tokens <= sources->versions[at].prefilled_tokens)
+		return;
+	sources->versions[at] = added;
+}
+
 /* The last block is the request's own: a prompt of one block shares nothing. */
-struct copy_source pool_find_copy_source(const struct pool *pool,
-					 const GPtrArray *list,
-					 const struct pool_pick_args *args)
+struct copy_sources pool_find_copy_sources(const struct pool *pool,
+					   const GPtrArray *list,
+					   const struct pool_pick_args *args)
 {
-	struct copy_source source = {
+	struct copy_sources sources = {
 		.copying = args->blocks_count > 1
 				   ? cache_copying_of(pool, args->service)
 				   : NULL,
@@ -125,37 +155,37 @@
 	};
 	int64_t now_us = lp_now_us(pool->clock);
 
-	for (guint i = 0; source.copying && i < list->len; i++) {
+	for (guint i = 0; sources.copying && i < list->len; i++) {
 		struct pool_upstream *upstream = g_ptr_array_index(list, i);
-		int64_t tokens;
 
-		if (upstream->consecutive_failures ||
+		if (upstream->consecutive_failures || !upstream->version_id ||
 		    now_us < upstream->ejected_until_us ||
 		    !allowed_regions_contain(args->allowed_regions,
 					     upstream->region))
 			continue;
-		tokens = prefilled_prefix_tokens(upstream, args->blocks,
-						 args->blocks_count, now_us);
-		if (tokens <= source.prefilled_tokens)
-			continue;
-		source.upstream = upstream;
-		source.prefilled_tokens = tokens;
+		add_source(&sources, upstream,
+			   prefilled_prefix_tokens(upstream, args->blocks,
+						   args->blocks_count, now_us));
 	}
-	return source;
+	return sources;
 }
 
-struct pool_cache_copy pool_plan_copy(const struct copy_source *source,
+struct pool_cache_copy pool_plan_copy(const struct copy_sources *sources,
 				      const struct pool_upstream *upstream,
 				      const struct pool_pick_args *args)
 {
 	int64_t uncached = pool_uncached_tokens(upstream, args->blocks,
 						args->blocks_count);
-	int64_t tokens =
-		source->prefilled_tokens - (source->prompt_tokens - uncached);
+	const struct copy_source *source =
+		find_source(sources, upstream->version_id);
 	const struct pool_cache_copy none = { .prefill_tokens = uncached };
+	int64_t tokens;
 
-	if (!source->upstream || source->upstream == upstream || tokens <= 0 ||
-	    pool_copy_time_us(source->copying, tokens) >=
+	if (!source || source->upstream == upstream)
+		return none;
+	tokens = source->prefilled_tokens - (sources->prompt_tokens - uncached);
+	if (tokens <= 0 ||
+	    pool_copy_time_us(sources->copying, tokens) >=
 		    tokens * LP_US_PER_MS / POOL_PREFILL_TOKENS_PER_MS)
 		return none;
 	return (struct pool_cache_copy){ source->upstream, tokens,
@@ -169,10 +199,10 @@
 {
 	static const GPtrArray empty;
 	const GPtrArray *list = pool_service_upstreams(pool, args->service);
-	struct copy_source source =
-		pool_find_copy_source(pool, list ? list : &empty, args);
+	struct copy_sources sources =
+		pool_find_copy_sources(pool, list ? list : &empty, args);
 
-	return pool_plan_copy(&source, upstream, args);
+	return pool_plan_copy(&sources, upstream, args);
 }
 
 static void drop_least_recently_used(struct pool_upstream *upstream)
--- a/policy/pool_private.h
+++ b/policy/pool_private.h
@@ -32,11 +32,23 @@
 	double bytes_per_us;
 };
 
-/* The engine from which a prompt's prefix cache can be copied. */
+/* Software versions of a service whose engines copy from each other. A release
+ * rarely meets the end of another one. */
+#define COPY_VERSIONS_MAX 4
+
+/* The engine of a version from which a prompt's prefix cache can be copied. */
 struct copy_source {
-	const struct cache_copying *copying; /* NULL: nothing is copied */
-	struct pool_upstream *upstream; /* with the longest prefix; or NULL */
+	uint64_t version_id;
+	struct pool_upstream *upstream; /* with the longest prefix */
 	int64_t prefilled_tokens;	/* in its cache */
+};
+
+/* The engines from which a prompt's prefix cache can be copied: one of each
+ * version, since a version cannot use what another one wrote. */
+struct copy_sources {
+	const struct cache_copying *copying; /* NULL: nothing is copied */
+	struct copy_source versions[COPY_VERSIONS_MAX];
+	uint32_t count;
 	int64_t prompt_tokens;
 };
 
@@ -51,11 +63,11 @@
 			      const struct pool_upstream *upstream);
 /** Let the estimates fade for the time without outcomes. */
 void pool_decay_estimates(struct pool_upstream *upstream, int64_t now_us);
-/** The engine from which the prompt's prefix cache can be copied. */
-struct copy_source pool_find_copy_source(const struct pool *pool,
-					 const GPtrArray *list,
-					 const struct pool_pick_args *args);
-struct pool_cache_copy pool_plan_copy(const struct copy_source *source,
+/** The engines from which the prompt's prefix cache can be copied. */
+struct copy_sources pool_find_copy_sources(const struct pool *pool,
+					   const GPtrArray *list,
+					   const struct pool_pick_args *args);
+struct pool_cache_copy pool_plan_copy(const struct copy_sources *sources,
 				      const struct pool_upstream *upstream,
 				      const struct pool_pick_args *args);
 /** Time of a copy; `copying` NULL: the service does not copy, and `tokens` is
--- a/tests/prefix_cache_test.cc
+++ b/tests/prefix_cache_test.cc
@@ -62,6 +62,40 @@
 	EXPECT_EQ(pool.copy().copied_tokens, 13000);
 }
 
+/* Guards against a cache that another software version wrote: what two versions
+ * write does not fit together. */
+TEST(PrefixCopy, ComesOnlyFromAnEngineOfTheSameVersion)
+{
+	CopyingPool pool;
+	pool_upstream *engine;
+
+	pool.advance_ms(1000);
+	pool.add("new", "a", "s", "v2");
+	engine = pool_find(pool.c_pool, "new");
+	EXPECT_EQ(pool.copy_to(engine).source, nullptr);
+	EXPECT_EQ(pool.copy_to(engine).prefill_tokens, 14000);
+	EXPECT_EQ(pool.copy().source, pool.source);
+	pool_note_cached_blocks(pool.c_pool, engine, prompt.data(), 2, 100000);
+	pool.advance_ms(1000);
+	pool.add("newer", "a", "s", "v2");
+	EXPECT_EQ(pool.copy_to(pool_find(pool.c_pool, "newer")).source, engine);
+	EXPECT_EQ(pool.copy().source, pool.source);
+}
+
+/* Guards against a copy to or from an engine whose version is not known. */
+TEST(PrefixCopy, IsNotUsedBetweenUnknownVersions)
+{
+	CopyingPool pool;
+
+	pool.add("first", "a", "s", nullptr);
+	pool.add("second", "a", "s", nullptr);
+	pool_note_cached_blocks(pool.c_pool, pool_find(pool.c_pool, "first"),
+				prompt.data(), 2, 100000);
+	pool.advance_ms(1000);
+	EXPECT_EQ(pool.copy_to(pool_find(pool.c_pool, "second")).source,
+		  nullptr);
+}
+
 TEST(PrefixCopy, IsUnavailableBeforeTheSourceHasReadIt)
 {
 	CopyingPool pool;
--- a/tests/stream_origins_test.cc
+++ b/tests/stream_origins_test.cc
@@ -119,10 +119,10 @@
 		uint64_t asked[STREAM_ORIGINS_ASKED];
 		std::set<uint64_t> found;
 
-		ASSERT_EQ(stream_origins_choose(
-				  lp_hash_pair(attempt, 1), entries.data(),
-				  entries.size(), STREAM_ORIGINS_REPLICAS,
-				  keepers),
+		ASSERT_EQ(stream_origins_choose(lp_hash_pair(attempt, 1),
+						entries.data(), entries.size(),
+						STREAM_ORIGINS_REPLICAS,
+						keepers),
 			  (uint32_t)STREAM_ORIGINS_REPLICAS);
 		ASSERT_NE(keepers[0], keepers[1]);
 		used.insert(keepers[0]);
