Soak with releases of software versions, and callers that take streams up

--release=yes replaces engines by ones of other versions, with and without notice, one release before the last has ended, beside all other faults; callers leave streams or lose them and take them up at any entry, up to three times. The emulator writes down streams that go on at another version, and the share of streams that go on is held against that of new ones.

--- a/tools/pe.h
+++ b/tools/pe.h
@@ -191,6 +191,15 @@
 /** Pieces made, given up, and kept at this moment, anywhere. */
 uint32_t pe_pieces_made(const struct pe *pe);
 uint32_t pe_pieces_kept(const struct pe *pe);
+const char *pe_version(const struct pe_upstream *upstream);
+/** Whether it is an upstream of this service. */
+bool pe_is_of(const struct pe_upstream *upstream, const char *service);
+/** The version of the first event of the stream that an attempt began, borrowed
+ * until the attempt begins anew; NULL: it has delivered none. */
+const char *pe_stream_version(const struct pe *pe, const char *attempt);
+/** Upstreams of a version that serve without a fault and do not drain. */
+uint32_t pe_ready_count(const struct pe *pe, const char *service,
+			const char *version);
 /** Streams that went on at another version than the one of their first event;
  * each is a breach, too. */
 uint32_t pe_mixed_streams(const struct pe *pe);
--- a/tools/pe_versions.c
+++ b/tools/pe_versions.c
@@ -45,3 +45,35 @@
 	upstream->version = g_strdup(version);
 	pe_tell(upstream);
 }
+
+const char *pe_version(const struct pe_upstream *upstream)
+{
+	return upstream->version;
+}
+
+bool pe_is_of(const struct pe_upstream *upstream, const char *service)
+{
+	return !strcmp(upstream->service, service);
+}
+
+const char *pe_stream_version(const struct pe *pe, const char *attempt)
+{
+	return g_hash_table_lookup(pe->stream_versions, attempt);
+}
+
+uint32_t pe_ready_count(const struct pe *pe, const char *service,
+			const char *version)
+{
+	uint32_t count = 0;
+
+	for (guint i = 0; i < pe->upstreams->len; i++) {
+		const struct pe_upstream *upstream =
+			g_ptr_array_index(pe->upstreams, i);
+
+		count += pe_is_of(upstream, service) && !upstream->away &&
+			 !upstream->draining &&
+			 upstream->fault == PE_FAULT_NONE &&
+			 !strcmp(upstream->version, version);
+	}
+	return count;
+}
--- a/tools/soak_main.c
+++ b/tools/soak_main.c
@@ -16,6 +16,7 @@
 #include "tools/soak_evacuation.h"
 #include "tools/soak_notices.h"
 #include "tools/soak_poison.h"
+#include "tools/soak_release.h"
 #include "tools/soak_suspend.h"
 #include "tools/soak_writer.h"
 
@@ -31,6 +32,8 @@
 #define ENTRIES 2
 /* With --cut; takes the ports of two seeds. */
 #define ENTRIES_CUT 3
+/* How often a caller takes a stream up, with --release. */
+#define TAKE_UPS_MAX 3
 #define READY_LIMIT_US (15 * LP_US_PER_S)
 #define ASK_EVERY_MS 20
 /* Once the faults are over, to see what comes of what they left. */
@@ -67,6 +70,7 @@
 	int64_t notices;
 	int64_t balancer;
 	int64_t cut;
+	int64_t release;
 	char *env;
 	char *logs;
 };
@@ -94,6 +98,8 @@
 	{ "cut", LP_SETTING_BOOL, FIELD(cut), "no", 0, 0, NULL,
 	  "cut off one of three entries while upstreams leave; by what env "
 	  "loads" },
+	{ "release", LP_SETTING_BOOL, FIELD(release), "no", 0, 0, NULL,
+	  "release software versions of engines; callers take streams up" },
 	{ "env", LP_SETTING_STRING, FIELD(env), "", 0, 0, NULL,
 	  "NAME=VALUE,... for the program under test" },
 	{ "logs", LP_SETTING_STRING, FIELD(logs), "", 0, 0, NULL,
@@ -133,6 +139,7 @@
 	struct soak_notices *notices;	    /* NULL: likewise */
 	struct soak_balancer *balancer;	    /* NULL: likewise */
 	struct soak_cut *cut;		    /* NULL: likewise */
+	struct soak_release *release;	    /* NULL: likewise */
 	GPtrArray *upstreams;
 	struct entry entries[ENTRIES_CUT];
 	uint32_t count;				/* of entries */
@@ -164,7 +171,16 @@
 	struct http_exchange *exchange;
 	guint timer;
 	uint32_t status;
-	GString *body;
+	GString *body; /* after what earlier attempts of the stream delivered */
+	/* of a stream, with --release */
+	char *first;	  /* attempt that delivered its first event; or NULL */
+	char *last_event; /* of those that the attempts before delivered */
+	gsize earlier;	  /* bytes of the body that they delivered */
+	uint32_t take_ups;
+	bool counts; /* its outcome belongs to a share */
+	bool leaves; /* its caller leaves after the first events */
+	bool has_left;
+	guint leave_source;
 };
 
 static const char *const targets[KINDS] = { "/look/x", "/order/x", "/once/x",
@@ -416,6 +432,8 @@
 		soak->refused++;
 	else
 		soak->failed++;
+	if (ask->has_left)
+		return;
 	judge_time(ask);
 	judge_planned_end(ask, error);
 	if (!error && ask->status == 200 && !whole) {
@@ -428,19 +446,35 @@
 		breach(soak, ask->id, "ran twice");
 }
 
+static void free_ask(struct ask *ask)
+{
+	if (ask->timer)
+		g_source_remove(ask->timer);
+	if (ask->leave_source)
+		g_source_remove(ask->leave_source);
+	g_string_free(ask->body, TRUE);
+	g_free(ask->first);
+	g_free(ask->last_event);
+	g_free(ask->id);
+	g_free(ask);
+}
+
+static void take_up(struct ask *ask);
+
 static void end_ask(struct ask *ask, int error)
 {
 	struct soak *soak = ask->soak;
 
 	judge(ask, error);
-	if (ask->timer)
-		g_source_remove(ask->timer);
+	if (ask->counts)
+		soak_release_add(soak->release, ask->first != NULL,
+				 ask->body->len > ask->earlier);
+	if (error)
+		take_up(ask);
 	soak->open--;
 	if (!soak->open && soak->asked == soak->settings.requests)
 		g_main_loop_quit(soak->loop);
-	g_string_free(ask->body, TRUE);
-	g_free(ask->id);
-	g_free(ask);
+	free_ask(ask);
 }
 
 static void on_head(void *userdata, uint32_t status,
@@ -454,10 +488,24 @@
 		breach(ask->soak, ask->id, "an answer of another request");
 }
 
+static gboolean on_leave(gpointer userdata)
+{
+	struct ask *ask = userdata;
+
+	ask->leave_source = 0;
+	ask->has_left = true;
+	http_exchange_cancel(ask->exchange);
+	end_ask(ask, LP_ERROR_UPSTREAM_GONE);
+	return G_SOURCE_REMOVE;
+}
+
 static void on_body(void *userdata, const char *bytes, size_t size)
 {
-	g_string_append_len(((struct ask *)userdata)->body, bytes,
-			    (gssize)size);
+	struct ask *ask = userdata;
+
+	g_string_append_len(ask->body, bytes, (gssize)size);
+	if (ask->leaves && !ask->leave_source)
+		ask->leave_source = g_idle_add(on_leave, ask);
 }
 
 static void on_done(void *userdata, int error, bool sent)
@@ -486,6 +534,10 @@
 	http_fields_add(&fields, "Host", "a.example");
 	http_fields_add(&fields, "X-Attempt-Id", ask->id);
 	http_fields_add(&fields, "Authorization", "Bearer key-always");
+	if (ask->first) {
+		http_fields_add(&fields, "Resumes", ask->first);
+		http_fields_add(&fields, "Last-Event-Id", ask->last_event);
+	}
 	if (ask->kind == KIND_STAGED) {
 		http_fields_add(&fields, "X-Pieces", "2,3");
 		http_fields_add(&fields, "X-Piece-Key",
@@ -506,6 +558,80 @@
 	http_fields_clear(&fields);
 }
 
+/* Sends a request to an entry. */
+static void send_ask(struct ask *ask, uint32_t entry)
+{
+	struct soak *soak = ask->soak;
+
+	ask->entry = entry;
+	ask->stops = soak->entries[entry].stops;
+	ask->sent_there = soak_balancer_has(soak->balancer, entry);
+	ask->begun_us = g_get_monotonic_time();
+	ask->counts = ask->kind == KIND_AGAIN &&
+		      soak_release_counts(soak->release, ask->first);
+	start_exchange(ask, soak->entries[entry].callers);
+	if (ask->exchange)
+		ask->timer = g_timeout_add(ASK_TIMEOUT_MS, on_ask_timeout, ask);
+	else
+		end_ask(ask, LP_ERROR_UPSTREAM_GONE);
+}
+
+/* ---- streams that callers take up ---- */
+
+static gboolean on_take_up(gpointer userdata)
+{
+	struct ask *ask = userdata;
+
+	ask->timer = 0;
+	send_ask(ask, (uint32_t)g_rand_int_range(ask->soak->random, 0,
+						 (gint32)ask->soak->count));
+	return G_SOURCE_REMOVE;
+}
+
+/* The id of the last whole event; g_free(). NULL: there is none. */
+static char *last_event_id(const char *body)
+{
+	const char *end = g_strrstr(body, "\n\n");
+	g_autofree char *whole = end ? g_strndup(body, end - body) : NULL;
+	const char *id = whole ? g_strrstr(whole, "id: ") : NULL;
+
+	return id ? g_strndup(id + 4, strcspn(id + 4, "\n")) : NULL;
+}
+
+/* Continues a stream that broke off, after the last whole event, with a new
+ * attempt at any entry. */
+static void take_up(struct ask *before)
+{
+	struct soak *soak = before->soak;
+	char *last_event = last_event_id(before->body->str);
+	struct ask *ask;
+
+	if (!soak->release || before->kind != KIND_AGAIN || !last_event ||
+	    before->take_ups == TAKE_UPS_MAX) {
+		g_free(last_event);
+		return;
+	}
+	ask = g_new0(struct ask, 1);
+	ask->soak = soak;
+	ask->kind = before->kind;
+	ask->take_ups = before->take_ups + 1;
+	ask->id = g_strdup_printf("%s-%u",
+				  before->first ? before->first : before->id,
+				  ask->take_ups);
+	ask->first = g_strdup(before->first ? before->first : before->id);
+	ask->last_event = last_event;
+	ask->body = g_string_new_len(before->body->str,
+				     g_strrstr(before->body->str, "\n\n") + 2 -
+					     before->body->str);
+	ask->earlier = ask->body->len;
+	ask->leaves = soak_release_draw_leaving(soak->release);
+	soak->open++;
+	ask->timer = g_timeout_add(soak_release_draw_pause_ms(soak->release),
+				   on_take_up, ask);
+}
+
+/* ---- requests ---- */
+
 static gboolean on_ask_timer(gpointer userdata)
 {
 	struct soak *soak = userdata;
@@ -517,21 +643,15 @@
 	if (soak_cut_keeps_from(soak->cut, entry))
 		entry = (entry + 1) % soak->count;
 	ask->soak = soak;
-	ask->entry = entry;
-	ask->stops = soak->entries[entry].stops;
-	ask->sent_there = soak_balancer_has(soak->balancer, entry);
-	ask->begun_us = g_get_monotonic_time();
 	ask->kind = (enum kind)g_rand_int_range(soak->random, 0, KINDS);
 	ask->id = g_strdup_printf("s%" G_GINT64_FORMAT "-%u",
 				  (gint64)soak->settings.seed, ++soak->asked);
 	ask->body = g_string_new(NULL);
 	ask->poison = soak_poison_draw(soak->poison);
+	ask->leaves = ask->kind == KIND_AGAIN &&
+		      soak_release_draw_leaving(soak->release);
 	soak->open++;
-	start_exchange(ask, soak->entries[entry].callers);
-	if (ask->exchange)
-		ask->timer = g_timeout_add(ASK_TIMEOUT_MS, on_ask_timeout, ask);
-	else
-		end_ask(ask, LP_ERROR_UPSTREAM_GONE);
+	send_ask(ask, entry);
 	return soak->asked < soak->settings.requests ? G_SOURCE_CONTINUE
 						     : G_SOURCE_REMOVE;
 }
@@ -568,6 +688,7 @@
 		soak->random, 0, (gint32)soak->count)];
 
 	soak_poison_excuse(soak->poison);
+	soak_release_entry_disturbed(soak->release);
 	pe_excuse_entry(soak->platform);
 	/* It goes on first, whatever it is to be told. */
 	if (soak_suspend_holds(soak->suspend, entry->number))
@@ -632,6 +753,7 @@
 	soak_suspend_disturb(soak->suspend);
 	soak_evacuation_disturb(soak->evacuation);
 	soak_notices_disturb(soak->notices);
+	soak_release_disturb(soak->release);
 	if (dice < 3)
 		fault_entry(soak, dice);
 	else if (dice == 3)
@@ -769,6 +891,19 @@
 	});
 }
 
+static void start_release(struct soak *soak)
+{
+	if (!soak->settings.release)
+		return;
+	soak->release = soak_release_create(&(struct soak_release_options){
+		.platform = soak->platform,
+		.upstreams = soak->upstreams,
+		.seed = (uint32_t)soak->settings.seed,
+		.breach = on_breach,
+		.userdata = soak,
+	});
+}
+
 static void start_cut(struct soak *soak)
 {
 	if (!soak->settings.cut)
@@ -799,6 +934,7 @@
 	start_evacuation(soak);
 	start_notices(soak);
 	start_cut(soak);
+	start_release(soak);
 	for (uint32_t i = 0; i < soak->count; i++) {
 		soak->entries[i].number = i;
 		soak->entries[i].pauses =
@@ -826,6 +962,7 @@
 	}
 	soak_suspend_destroy(soak->suspend);
 	soak_cut_destroy(soak->cut);
+	soak_release_destroy(soak->release);
 	g_rmdir(soak->folder);
 	g_free(soak->folder);
 	g_ptr_array_unref(soak->upstreams);
@@ -901,6 +1038,7 @@
 	soak_config_settle(soak->config);
 	soak_poison_settle(soak->poison);
 	soak_evacuation_settle(soak->evacuation);
+	soak_release_settle(soak->release);
 	/* With poison, requests that were lost with upstreams three times are
 	 * kept out for a while, and reach none. */
 	if (!soak->poison)
