Scenarios call entries only once they listen

scenario.refusals was red once: its first call got 'no answer' where the transcript has '503 no_config, not_run'. The verb 'fleet' returned as soon as the processes were spawned, and this scenario calls at once, without 'ready': an entry that takes longer to start than the agents take to be spawned refuses the connection.

With an entry that starts 2 s late the scenario printed 'no answer' as its third line, as recorded, and nothing else differed; with this change the transcript is the expected one. A fleet whose entries do not listen within the time to start fails, as one whose processes do not start.

--- a/tools/fleet.c
+++ b/tools/fleet.c
@@ -424,6 +424,25 @@
 	return fleet->standin && wait_answering(fleet->hosts_url);
 }
 
+/* Whether an address accepts connections within the time that processes take to
+ * start. */
+static bool wait_listening(const char *address)
+{
+	g_autoptr(GSocketClient) client = g_socket_client_new();
+	int64_t until_us = g_get_monotonic_time() + READY_TIMEOUT_US;
+
+	while (g_get_monotonic_time() < until_us) {
+		g_autoptr(GSocketConnection) conn =
+			g_socket_client_connect_to_host(client, address, 0,
+							NULL, NULL);
+
+		if (conn)
+			return true;
+		fleet_pause(POLL_US);
+	}
+	return false;
+}
+
 static bool start_proxy(struct fleet *fleet)
 {
 	g_autoptr(GPtrArray) argv = new_argv(fleet, "lp-proxy");
@@ -489,6 +508,9 @@
 		fleet_list(fleet, fleet_at(fleet, i));
 	for (guint i = 0; good && i < fleet->hosts->len; i++)
 		good = fleet_start(fleet, fleet_at(fleet, i));
+	/* A caller's connection to an entry that starts slowly is refused. */
+	for (uint32_t i = 0; good && i < fleet->options.entries; i++)
+		good = wait_listening(fleet_entry(fleet, i));
 	if (good)
 		return fleet;
 	if (!*why)
