Send no empty history of versions to peers that are discovered

When a fleet starts for the first time its entries discover each other before any has read a list: each would send each other one a datagram with nothing in it, 148,000 at 385 entries.

--- a/direct/direct_stream_origins.c
+++ b/direct/direct_stream_origins.c
@@ -503,7 +503,7 @@
 	g_autoptr(GVariant) body = NULL;
 
 	if (!version_history_get_view(origins->versions, &view) ||
-	    view.count > HISTORY_MAX)
+	    !view.count || view.count > HISTORY_MAX)
 		return;
 	g_variant_builder_init(&listings, G_VARIANT_TYPE("a(ttx)"));
 	for (uint32_t i = 0; i < view.count; i++)
