--- a/tests/slow_link_test.cc
+++ b/tests/slow_link_test.cc
@@ -294,7 +294,7 @@
 {
 	const std::string peer =
 		"127.0.0.1:" + std::to_string(peers_port() + 60);
-	const char target[] = "/upstreams/3";
+	const char target[] = PLF_UPSTREAM_LIST_TARGET;
 	Rig rig;
 
 	for (int i = 0; i < 40; i++)
--- a/tests/store_reader_fleet_test.cc
+++ b/tests/store_reader_fleet_test.cc
@@ -182,7 +182,8 @@
 TEST(StoreReaderFleet, ListChangesAreNotFetched)
 {
 	ReaderFleet fleet;
-	const char labels[] = "target=\"/upstreams/3\",outcome=\"ok\"";
+	const char labels[] =
+		"target=\"" PLF_UPSTREAM_LIST_TARGET "\",outcome=\"ok\"";
 	auto fetches = [&] {
 		int64_t sum = 0;
 
