Soak: callers in a file of their own; one writer of callers' header fields

soak_main.c had grown to 1,067 lines with the streams that callers resume. The header of a caller's request stood in it and in bench_surge.c, which was the only place outside platform/, tools/ and tests/ with the platform's names.

--- a/bench/bench_surge.c
+++ b/bench/bench_surge.c
@@ -6,6 +6,7 @@
 #include "bench/bench.h"
 #include "http/http_client.h"
 #include "tools/pe.h"
+#include "tools/pe_caller.h"
 
 #include <fcntl.h>
 #include <math.h>
@@ -336,14 +337,16 @@
 	call->sent_us = now_us();
 	call->status = 0;
 	http_fields_init(&fields);
-	http_fields_add(&fields, "Host", "a.example");
-	http_fields_add(&fields, "X-Attempt-Id", id);
-	http_fields_add(&fields, "Authorization", "Bearer key");
-	http_fields_add_int(&fields, "X-Deadline-Ms",
-			    MAX(left_us(call) / LP_US_PER_MS, 1));
-	http_fields_add(&fields, "X-Token-Counts", "100,6");
-	http_fields_add(&fields, "X-Pieces", call->class->pieces);
-	http_fields_add(&fields, "X-Piece-Key", id);
+	pe_caller_write(
+		&(struct pe_caller_request){
+			.attempt = id,
+			.key = "key",
+			.timeout_ms = MAX(left_us(call) / LP_US_PER_MS, 1),
+			.tokens = "100,6",
+			.pieces = call->class->pieces,
+			.piece_key = id,
+		},
+		&fields);
 	call->exchange = http_exchange_start(&(struct http_exchange_options){
 		.address = call->surge->callers[entry],
 		.method = "POST",
--- a/tools/pe_versions.c
+++ b/tools/pe_versions.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 /* The attempt that delivered the first event of this stream: the caller names
- * it when it takes the stream up. */
+ * it when it resumes the stream. */
 static const char *first_attempt(const struct pe_conn *conn)
 {
 	const char *resumed = pe_conn_field(conn, "Resumes");
--- /dev/null
+++ b/tools/soak_callers.c
@@ -0,0 +1,364 @@
+/** The soak's callers: what they ask of the entries, and what may come of it. */
+#include "tools/soak_private.h"
+
+#include "http/http_client.h"
+#include "tools/pe_caller.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define STREAM_EVENTS 6
+#define ASK_TIMEOUT_MS 9000
+/* How often a caller resumes a stream, with --release. */
+#define RESUMES_MAX 3
+/* The longest timeout of a route, and what a busy host may take beyond it to
+ * say that it is over. */
+#define ROUTE_MAX_US (3 * LP_US_PER_S)
+#define ANSWER_SLACK_US (1500 * LP_US_PER_MS)
+/* An entry that is not stopped has read a request by then. */
+#define READ_US (500 * LP_US_PER_MS)
+/* Before the end of its grace time an entry may refuse, then cut. */
+#define GRACE_LAST_US (1500 * LP_US_PER_MS)
+
+enum kind { KIND_LOOK, KIND_ORDER, KIND_ONCE, KIND_AGAIN, KIND_STAGED, KINDS };
+
+struct ask {
+	struct soak *soak;
+	enum kind kind;
+	char *id;
+	const char *poison; /* what ends who begins it, or NULL */
+	uint32_t entry;
+	uint32_t stops;	 /* of its entry, when it began */
+	bool sent_there; /* by the balancer, which had it in rotation */
+	int64_t begun_us;
+	struct http_exchange *exchange;
+	guint timer;
+	uint32_t status;
+	GString *body; /* after what earlier attempts of the stream delivered */
+	/* of a stream, with --release */
+	char *first;	  /* attempt that delivered its first event; or NULL */
+	char *last_event; /* of those that the attempts before delivered */
+	gsize earlier;	  /* bytes of the body that they delivered */
+	uint32_t resumes;
+	bool counts; /* its outcome belongs to a share */
+	bool leaves; /* its caller leaves after the first events */
+	bool has_left;
+	guint leave_source;
+};
+
+static const char *const targets[KINDS] = { "/look/x", "/order/x", "/once/x",
+					    "/again/x", "/staged/x" };
+
+static bool stream_is_whole(const char *body)
+{
+	g_autoptr(GString) expected = g_string_new(NULL);
+
+	for (int i = 1; i <= STREAM_EVENTS; i++)
+		g_string_append_printf(expected, "id: %d\ndata: token %d\n\n",
+				       i, i);
+	return !strcmp(body, expected->str);
+}
+
+/* When its entry could read it: what came while it stood still, or just before,
+ * is read when it goes on. */
+static int64_t read_us(const struct ask *ask, const GArray *pauses)
+{
+	int64_t at_us = ask->begun_us;
+
+	for (guint i = 0; i < pauses->len; i++) {
+		const struct pause *pause =
+			&g_array_index(pauses, struct pause, i);
+
+		if (at_us + READ_US > pause->from_us && at_us < pause->to_us)
+			at_us = pause->to_us;
+	}
+	return at_us;
+}
+
+/* When its entry had to answer at the latest. Its time goes on while its entry
+ * stands still, but no answer comes then. */
+static int64_t due_us(const struct ask *ask)
+{
+	const struct entry *entry = &ask->soak->entries[ask->entry];
+
+	return MAX(read_us(ask, entry->pauses) + ROUTE_MAX_US,
+		   entry->resumed_us);
+}
+
+static void judge_time(const struct ask *ask)
+{
+	struct soak *soak = ask->soak;
+	const struct entry *entry = &soak->entries[ask->entry];
+	int64_t now_us = g_get_monotonic_time();
+
+	/* Of several stops only the last is known. */
+	if (entry->paused || soak_suspend_holds(soak->suspend, ask->entry) ||
+	    entry->stops > ask->stops + 1 ||
+	    now_us <= due_us(ask) + ANSWER_SLACK_US)
+		return;
+	soak_breach(soak, ask->id, "held past its time");
+	printf("it was %s, status %u, %d ms after it began, %d ms after its "
+	       "entry went on%s\n",
+	       targets[ask->kind], ask->status,
+	       (int)((now_us - ask->begun_us) / LP_US_PER_MS),
+	       (int)((now_us - entry->resumed_us) / LP_US_PER_MS),
+	       entry->leaving ? ", leaving" : "");
+}
+
+/* An entry that ends in order, in this one life and without standing still,
+ * answers whoever its balancer sent there, until shortly before its time is up.
+ */
+static void judge_planned_end(const struct ask *ask, int error)
+{
+	struct soak *soak = ask->soak;
+	const struct entry *entry = &soak->entries[ask->entry];
+	int64_t since_us = g_get_monotonic_time() - entry->term_us;
+
+	if (!ask->sent_there || !entry->leaving || !error || ask->status ||
+	    !ask->timer || entry->stops != ask->stops || entry->paused ||
+	    soak_suspend_holds(soak->suspend, ask->entry) ||
+	    since_us > GRACE_US - GRACE_LAST_US)
+		return;
+	soak_breach(soak, ask->id, "no answer of an entry that ends in order");
+	printf("it was %s, %s, %d ms after SIGTERM, begun %d ms before\n",
+	       targets[ask->kind], lp_strerror(error),
+	       (int)(since_us / LP_US_PER_MS),
+	       (int)((g_get_monotonic_time() - ask->begun_us) / LP_US_PER_MS));
+}
+
+static void judge(struct ask *ask, int error)
+{
+	struct soak *soak = ask->soak;
+	uint32_t runs = pe_runs(soak->platform, ask->id);
+	bool streams = ask->kind >= KIND_ONCE;
+	bool whole = streams ? stream_is_whole(ask->body->str)
+			     : !strcmp(ask->body->str, "whole");
+
+	if (!error && ask->status == 200)
+		soak->answered++;
+	else if (!error && ask->status == 503)
+		soak->refused++;
+	else
+		soak->failed++;
+	if (ask->has_left)
+		return;
+	judge_time(ask);
+	judge_planned_end(ask, error);
+	if (!error && ask->status == 200 && !whole) {
+		soak_breach(soak, ask->id, "a success without the whole answer");
+		printf("it was %s: %s\n", targets[ask->kind], ask->body->str);
+	}
+	if (!error && ask->status == 503 && runs)
+		soak_breach(soak, ask->id, "refused as not run, and it has run");
+	if (runs > 1 && ask->kind != KIND_LOOK && ask->kind != KIND_AGAIN)
+		soak_breach(soak, ask->id, "ran twice");
+}
+
+static void free_ask(struct ask *ask)
+{
+	if (ask->timer)
+		g_source_remove(ask->timer);
+	if (ask->leave_source)
+		g_source_remove(ask->leave_source);
+	g_string_free(ask->body, TRUE);
+	g_free(ask->first);
+	g_free(ask->last_event);
+	g_free(ask->id);
+	g_free(ask);
+}
+
+static void resume_stream(struct ask *ask);
+
+static void end_ask(struct ask *ask, int error)
+{
+	struct soak *soak = ask->soak;
+
+	judge(ask, error);
+	if (ask->counts)
+		soak_release_add(soak->release, ask->first != NULL,
+				 ask->body->len > ask->earlier);
+	if (error)
+		resume_stream(ask);
+	soak->open--;
+	if (!soak->open && soak->asked == soak->settings.requests)
+		g_main_loop_quit(soak->loop);
+	free_ask(ask);
+}
+
+static void on_head(void *userdata, uint32_t status,
+		    const struct http_fields *fields)
+{
+	struct ask *ask = userdata;
+	const char *id = http_fields_get(fields, "X-Attempt-Id");
+
+	ask->status = status;
+	if (g_strcmp0(id, ask->id) != 0)
+		soak_breach(ask->soak, ask->id, "an answer of another request");
+}
+
+static gboolean on_leave(gpointer userdata)
+{
+	struct ask *ask = userdata;
+
+	ask->leave_source = 0;
+	ask->has_left = true;
+	http_exchange_cancel(ask->exchange);
+	end_ask(ask, LP_ERROR_UPSTREAM_GONE);
+	return G_SOURCE_REMOVE;
+}
+
+static void on_body(void *userdata, const char *bytes, size_t size)
+{
+	struct ask *ask = userdata;
+
+	g_string_append_len(ask->body, bytes, (gssize)size);
+	if (ask->leaves && !ask->leave_source)
+		ask->leave_source = g_idle_add(on_leave, ask);
+}
+
+static void on_done(void *userdata, int error, bool sent)
+{
+	end_ask(userdata, error);
+}
+
+static gboolean on_ask_timeout(gpointer userdata)
+{
+	struct ask *ask = userdata;
+
+	ask->timer = 0;
+	http_exchange_cancel(ask->exchange);
+	/* Paused entries answer nobody: that is no breach. */
+	end_ask(ask, LP_ERROR_UPSTREAM_GONE);
+	return G_SOURCE_REMOVE;
+}
+
+static void start_exchange(struct ask *ask, const char *address)
+{
+	static const struct http_exchange_events events = { on_head, on_body,
+							    on_done };
+	bool is_staged = ask->kind == KIND_STAGED;
+	const char *piece_key = ask->poison ? ask->poison : ask->id;
+	struct http_fields fields;
+
+	http_fields_init(&fields);
+	pe_caller_write(&(struct pe_caller_request){
+				.attempt = ask->id,
+				.key = "key-always",
+				.pieces = is_staged ? "2,3" : NULL,
+				.piece_key = is_staged ? piece_key : NULL,
+				.resumed_attempt = ask->first,
+				.last_event = ask->last_event,
+			},
+			&fields);
+	ask->exchange = http_exchange_start(&(struct http_exchange_options){
+		.address = address,
+		.method = "POST",
+		.target = targets[ask->kind],
+		.fields = &fields,
+		.body = ask->poison ? ask->poison : "",
+		.body_size = ask->poison ? strlen(ask->poison) : 0,
+		.has_body = true,
+		.connect_timeout_us = LP_US_PER_S,
+		.events = &events,
+		.userdata = ask,
+	});
+	http_fields_clear(&fields);
+}
+
+/* Sends a request to an entry. */
+static void send_ask(struct ask *ask, uint32_t entry)
+{
+	struct soak *soak = ask->soak;
+
+	ask->entry = entry;
+	ask->stops = soak->entries[entry].stops;
+	ask->sent_there = soak_balancer_has(soak->balancer, entry);
+	ask->begun_us = g_get_monotonic_time();
+	ask->counts = ask->kind == KIND_AGAIN &&
+		      soak_release_counts(soak->release, ask->first);
+	start_exchange(ask, soak->entries[entry].callers);
+	if (ask->exchange)
+		ask->timer = g_timeout_add(ASK_TIMEOUT_MS, on_ask_timeout, ask);
+	else
+		end_ask(ask, LP_ERROR_UPSTREAM_GONE);
+}
+
+/* ---- streams that callers resume ---- */
+
+static gboolean on_resume(gpointer userdata)
+{
+	struct ask *ask = userdata;
+
+	ask->timer = 0;
+	send_ask(ask, (uint32_t)g_rand_int_range(ask->soak->random, 0,
+						 (gint32)ask->soak->count));
+	return G_SOURCE_REMOVE;
+}
+
+/* The id of the last whole event; g_free(). NULL: there is none. */
+static char *last_event_id(const char *body)
+{
+	const char *end = g_strrstr(body, "\n\n");
+	g_autofree char *whole = end ? g_strndup(body, end - body) : NULL;
+	const char *id = whole ? g_strrstr(whole, "id: ") : NULL;
+
+	return id ? g_strndup(id + 4, strcspn(id + 4, "\n")) : NULL;
+}
+
+/* Continues a stream that broke off, after the last whole event, with a new
+ * attempt at any entry. */
+static void resume_stream(struct ask *before)
+{
+	struct soak *soak = before->soak;
+	char *last_event = last_event_id(before->body->str);
+	struct ask *ask;
+
+	if (!soak->release || before->kind != KIND_AGAIN || !last_event ||
+	    before->resumes == RESUMES_MAX) {
+		g_free(last_event);
+		return;
+	}
+	ask = g_new0(struct ask, 1);
+	ask->soak = soak;
+	ask->kind = before->kind;
+	ask->resumes = before->resumes + 1;
+	ask->id = g_strdup_printf("%s-%u",
+				  before->first ? before->first : before->id,
+				  ask->resumes);
+	ask->first = g_strdup(before->first ? before->first : before->id);
+	ask->last_event = last_event;
+	ask->body = g_string_new_len(before->body->str,
+				     g_strrstr(before->body->str, "\n\n") + 2 -
+					     before->body->str);
+	ask->earlier = ask->body->len;
+	ask->leaves = soak_release_draw_leaving(soak->release);
+	soak->open++;
+	ask->timer = g_timeout_add(soak_release_draw_pause_ms(soak->release),
+				   on_resume, ask);
+}
+
+/* ---- requests ---- */
+
+gboolean soak_callers_on_timer(gpointer userdata)
+{
+	struct soak *soak = userdata;
+	uint32_t drawn = (uint32_t)g_rand_int_range(soak->random, 0,
+						    (gint32)soak->count);
+	uint32_t entry = soak_balancer_choose(soak->balancer, drawn);
+	struct ask *ask = g_new0(struct ask, 1);
+
+	if (soak_cut_keeps_from(soak->cut, entry))
+		entry = (entry + 1) % soak->count;
+	ask->soak = soak;
+	ask->kind = (enum kind)g_rand_int_range(soak->random, 0, KINDS);
+	ask->id = g_strdup_printf("s%" G_GINT64_FORMAT "-%u",
+				  (gint64)soak->settings.seed, ++soak->asked);
+	ask->body = g_string_new(NULL);
+	ask->poison = soak_poison_draw(soak->poison);
+	ask->leaves = ask->kind == KIND_AGAIN &&
+		      soak_release_draw_leaving(soak->release);
+	soak->open++;
+	send_ask(ask, entry);
+	return soak->asked < soak->settings.requests ? G_SOURCE_CONTINUE
+						     : G_SOURCE_REMOVE;
+}
--- a/tools/soak_main.c
+++ b/tools/soak_main.c
@@ -6,22 +6,10 @@
  * Everything random comes from the seed. Prints what it did and what it saw;
  * exit 0 if no promise was broken.
  */
-#include "base/lp_clock.h"
 #include "base/lp_settings.h"
-#include "http/http_client.h"
-#include "tools/pe.h"
-#include "tools/soak_balancer.h"
-#include "tools/soak_config.h"
-#include "tools/soak_cut.h"
-#include "tools/soak_evacuation.h"
-#include "tools/soak_notices.h"
-#include "tools/soak_poison.h"
-#include "tools/soak_release.h"
-#include "tools/soak_suspend.h"
-#include "tools/soak_writer.h"
+#include "tools/soak_private.h"
 
 #include <fcntl.h>
-#include <gio/gio.h>
 #include <glib/gstdio.h>
 #include <signal.h>
 #include <stdio.h>
@@ -29,11 +17,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#define ENTRIES 2
-/* With --cut; takes the ports of two seeds. */
-#define ENTRIES_CUT 3
-/* How often a caller takes a stream up, with --release. */
-#define TAKE_UPS_MAX 3
 #define READY_LIMIT_US (15 * LP_US_PER_S)
 #define ASK_EVERY_MS 20
 /* Once the faults are over, to see what comes of what they left. */
@@ -41,39 +24,12 @@
 /* Of the upstreams of a service, this one is in the other domain. */
 #define UPSTREAMS_EACH 3
 #define FAULT_EVERY_MS 700
-#define ASK_TIMEOUT_MS 9000
 /* Ports of one soak: callers, the balancer, peers' TCP, a spare one each. */
 #define PORTS_EACH 4
 #define FIRST_PORT 22000
 #define PORT_SPAN 4000
-#define STREAM_EVENTS 6
 #define LOGS_MODE 0755
 #define LOG_MODE 0644
-/* The longest timeout of a route, and what a busy host may take beyond it to
- * say that it is over. */
-#define ROUTE_MAX_US (3 * LP_US_PER_S)
-#define ANSWER_SLACK_US (1500 * LP_US_PER_MS)
-/* An entry that is not stopped has read a request by then. */
-#define READ_US (500 * LP_US_PER_MS)
-#define GRACE_US (5 * LP_US_PER_S)
-/* Before the end of its grace time an entry may refuse, then cut. */
-#define GRACE_LAST_US (1500 * LP_US_PER_MS)
-
-struct soak_settings {
-	char *daemon;
-	int64_t seed;
-	int64_t requests;
-	int64_t faults;
-	int64_t poison;
-	int64_t suspend;
-	int64_t evacuate;
-	int64_t notices;
-	int64_t balancer;
-	int64_t cut;
-	int64_t release;
-	char *env;
-	char *logs;
-};
 
 #define FIELD(name) offsetof(struct soak_settings, name)
 static const struct lp_setting table[] = {
@@ -99,94 +55,14 @@
 	  "cut off one of three entries while upstreams leave; by what env "
 	  "loads" },
 	{ "release", LP_SETTING_BOOL, FIELD(release), "no", 0, 0, NULL,
-	  "release software versions of engines; callers take streams up" },
+	  "release software versions of engines; callers resume streams" },
 	{ "env", LP_SETTING_STRING, FIELD(env), "", 0, 0, NULL,
 	  "NAME=VALUE,... for the program under test" },
 	{ "logs", LP_SETTING_STRING, FIELD(logs), "", 0, 0, NULL,
 	  "folder for what the entries print; empty: nowhere" },
 };
 
-/* A time in which an entry stood still, or none ran. */
-struct pause {
-	int64_t from_us;
-	int64_t to_us;
-};
-
-struct entry {
-	uint32_t number;
-	char *settings;
-	char *callers;
-	char *ready;
-	GPid pid;
-	bool paused;
-	bool leaving;	 /* got SIGTERM, ... */
-	int64_t term_us; /* ... at this time */
-	uint32_t stops;	 /* how often it was stopped or started */
-	/* of the last time that it stood still */
-	int64_t stopped_us;
-	int64_t resumed_us; /* or was started */
-	GArray *pauses;	    /* of struct pause, all that are over */
-};
-
-struct soak {
-	struct soak_settings settings;
-	struct pe *platform;
-	struct soak_config *config;
-	struct soak_writer *writer;
-	struct soak_poison *poison;	    /* NULL: none */
-	struct soak_suspend *suspend;	    /* NULL: likewise */
-	struct soak_evacuation *evacuation; /* NULL: likewise */
-	struct soak_notices *notices;	    /* NULL: likewise */
-	struct soak_balancer *balancer;	    /* NULL: likewise */
-	struct soak_cut *cut;		    /* NULL: likewise */
-	struct soak_release *release;	    /* NULL: likewise */
-	GPtrArray *upstreams;
-	struct entry entries[ENTRIES_CUT];
-	uint32_t count;				/* of entries */
-	const char *addresses[ENTRIES_CUT + 1]; /* of entries, for callers */
-	const char *ready[ENTRIES_CUT];		/* and for the balancer */
-	char *folder;
-	GRand *random;
-	GMainLoop *loop;
-	uint32_t asked;
-	uint32_t open;
-	uint32_t answered;
-	uint32_t refused;
-	uint32_t failed;
-	uint32_t faults;
-	uint32_t breaches;
-};
-
-enum kind { KIND_LOOK, KIND_ORDER, KIND_ONCE, KIND_AGAIN, KIND_STAGED, KINDS };
-
-struct ask {
-	struct soak *soak;
-	enum kind kind;
-	char *id;
-	const char *poison; /* what ends who begins it, or NULL */
-	uint32_t entry;
-	uint32_t stops;	 /* of its entry, when it began */
-	bool sent_there; /* by the balancer, which had it in rotation */
-	int64_t begun_us;
-	struct http_exchange *exchange;
-	guint timer;
-	uint32_t status;
-	GString *body; /* after what earlier attempts of the stream delivered */
-	/* of a stream, with --release */
-	char *first;	  /* attempt that delivered its first event; or NULL */
-	char *last_event; /* of those that the attempts before delivered */
-	gsize earlier;	  /* bytes of the body that they delivered */
-	uint32_t take_ups;
-	bool counts; /* its outcome belongs to a share */
-	bool leaves; /* its caller leaves after the first events */
-	bool has_left;
-	guint leave_source;
-};
-
-static const char *const targets[KINDS] = { "/look/x", "/order/x", "/once/x",
-					    "/again/x", "/staged/x" };
-
-static void breach(struct soak *soak, const char *id, const char *what)
+void soak_breach(struct soak *soak, const char *id, const char *what)
 {
 	soak->breaches++;
 	printf("broken: %s: %s\n", id, what);
@@ -339,323 +215,6 @@
 	return true;
 }
 
-/* ---- callers ---- */
-
-static bool stream_is_whole(const char *body)
-{
-	g_autoptr(GString) expected = g_string_new(NULL);
-
-	for (int i = 1; i <= STREAM_EVENTS; i++)
-		g_string_append_printf(expected, "id: %d\ndata: token %d\n\n",
-				       i, i);
-	return !strcmp(body, expected->str);
-}
-
-/* When its entry could read it: what came while it stood still, or just before,
- * is read when it goes on. */
-static int64_t read_us(const struct ask *ask, const GArray *pauses)
-{
-	int64_t at_us = ask->begun_us;
-
-	for (guint i = 0; i < pauses->len; i++) {
-		const struct pause *pause =
-			&g_array_index(pauses, struct pause, i);
-
-		if (at_us + READ_US > pause->from_us && at_us < pause->to_us)
-			at_us = pause->to_us;
-	}
-	return at_us;
-}
-
-/* When its entry had to answer at the latest. Its time goes on while its entry
- * stands still, but no answer comes then. */
-static int64_t due_us(const struct ask *ask)
-{
-	const struct entry *entry = &ask->soak->entries[ask->entry];
-
-	return MAX(read_us(ask, entry->pauses) + ROUTE_MAX_US,
-		   entry->resumed_us);
-}
-
-static void judge_time(const struct ask *ask)
-{
-	struct soak *soak = ask->soak;
-	const struct entry *entry = &soak->entries[ask->entry];
-	int64_t now_us = g_get_monotonic_time();
-
-	/* Of several stops only the last is known. */
-	if (entry->paused || soak_suspend_holds(soak->suspend, ask->entry) ||
-	    entry->stops > ask->stops + 1 ||
-	    now_us <= due_us(ask) + ANSWER_SLACK_US)
-		return;
-	breach(soak, ask->id, "held past its time");
-	printf("it was %s, status %u, %d ms after it began, %d ms after its "
-	       "entry went on%s\n",
-	       targets[ask->kind], ask->status,
-	       (int)((now_us - ask->begun_us) / LP_US_PER_MS),
-	       (int)((now_us - entry->resumed_us) / LP_US_PER_MS),
-	       entry->leaving ? ", leaving" : "");
-}
-
-/* An entry that ends in order, in this one life and without standing still,
- * answers whoever its balancer sent there, until shortly before its time is up.
- */
-static void judge_planned_end(const struct ask *ask, int error)
-{
-	struct soak *soak = ask->soak;
-	const struct entry *entry = &soak->entries[ask->entry];
-	int64_t since_us = g_get_monotonic_time() - entry->term_us;
-
-	if (!ask->sent_there || !entry->leaving || !error || ask->status ||
-	    !ask->timer || entry->stops != ask->stops || entry->paused ||
-	    soak_suspend_holds(soak->suspend, ask->entry) ||
-	    since_us > GRACE_US - GRACE_LAST_US)
-		return;
-	breach(soak, ask->id, "no answer of an entry that ends in order");
-	printf("it was %s, %s, %d ms after SIGTERM, begun %d ms before\n",
-	       targets[ask->kind], lp_strerror(error),
-	       (int)(since_us / LP_US_PER_MS),
-	       (int)((g_get_monotonic_time() - ask->begun_us) / LP_US_PER_MS));
-}
-
-static void judge(struct ask *ask, int error)
-{
-	struct soak *soak = ask->soak;
-	uint32_t runs = pe_runs(soak->platform, ask->id);
-	bool streams = ask->kind >= KIND_ONCE;
-	bool whole = streams ? stream_is_whole(ask->body->str)
-			     : !strcmp(ask->body->str, "whole");
-
-	if (!error && ask->status == 200)
-		soak->answered++;
-	else if (!error && ask->status == 503)
-		soak->refused++;
-	else
-		soak->failed++;
-	if (ask->has_left)
-		return;
-	judge_time(ask);
-	judge_planned_end(ask, error);
-	if (!error && ask->status == 200 && !whole) {
-		breach(soak, ask->id, "a success without the whole answer");
-		printf("it was %s: %s\n", targets[ask->kind], ask->body->str);
-	}
-	if (!error && ask->status == 503 && runs)
-		breach(soak, ask->id, "refused as not run, and it has run");
-	if (runs > 1 && ask->kind != KIND_LOOK && ask->kind != KIND_AGAIN)
-		breach(soak, ask->id, "ran twice");
-}
-
-static void free_ask(struct ask *ask)
-{
-	if (ask->timer)
-		g_source_remove(ask->timer);
-	if (ask->leave_source)
-		g_source_remove(ask->leave_source);
-	g_string_free(ask->body, TRUE);
-	g_free(ask->first);
-	g_free(ask->last_event);
-	g_free(ask->id);
-	g_free(ask);
-}
-
-static void take_up(struct ask *ask);
-
-static void end_ask(struct ask *ask, int error)
-{
-	struct soak *soak = ask->soak;
-
-	judge(ask, error);
-	if (ask->counts)
-		soak_release_add(soak->release, ask->first != NULL,
-				 ask->body->len > ask->earlier);
-	if (error)
-		take_up(ask);
-	soak->open--;
-	if (!soak->open && soak->asked == soak->settings.requests)
-		g_main_loop_quit(soak->loop);
-	free_ask(ask);
-}
-
-static void on_head(void *userdata, uint32_t status,
-		    const struct http_fields *fields)
-{
-	struct ask *ask = userdata;
-	const char *id = http_fields_get(fields, "X-Attempt-Id");
-
-	ask->status = status;
-	if (g_strcmp0(id, ask->id) != 0)
-		breach(ask->soak, ask->id, "an answer of another request");
-}
-
-static gboolean on_leave(gpointer userdata)
-{
-	struct ask *ask = userdata;
-
-	ask->leave_source = 0;
-	ask->has_left = true;
-	http_exchange_cancel(ask->exchange);
-	end_ask(ask, LP_ERROR_UPSTREAM_GONE);
-	return G_SOURCE_REMOVE;
-}
-
-static void on_body(void *userdata, const char *bytes, size_t size)
-{
-	struct ask *ask = userdata;
-
-	g_string_append_len(ask->body, bytes, (gssize)size);
-	if (ask->leaves && !ask->leave_source)
-		ask->leave_source = g_idle_add(on_leave, ask);
-}
-
-static void on_done(void *userdata, int error, bool sent)
-{
-	end_ask(userdata, error);
-}
-
-static gboolean on_ask_timeout(gpointer userdata)
-{
-	struct ask *ask = userdata;
-
-	ask->timer = 0;
-	http_exchange_cancel(ask->exchange);
-	/* Paused entries answer nobody: that is no breach. */
-	end_ask(ask, LP_ERROR_UPSTREAM_GONE);
-	return G_SOURCE_REMOVE;
-}
-
-static void start_exchange(struct ask *ask, const char *address)
-{
-	static const struct http_exchange_events events = { on_head, on_body,
-							    on_done };
-	struct http_fields fields;
-
-	http_fields_init(&fields);
-	http_fields_add(&fields, "Host", "a.example");
-	http_fields_add(&fields, "X-Attempt-Id", ask->id);
-	http_fields_add(&fields, "Authorization", "Bearer key-always");
-	if (ask->first) {
-		http_fields_add(&fields, "Resumes", ask->first);
-		http_fields_add(&fields, "Last-Event-Id", ask->last_event);
-	}
-	if (ask->kind == KIND_STAGED) {
-		http_fields_add(&fields, "X-Pieces", "2,3");
-		http_fields_add(&fields, "X-Piece-Key",
-				ask->poison ? ask->poison : ask->id);
-	}
-	ask->exchange = http_exchange_start(&(struct http_exchange_options){
-		.address = address,
-		.method = "POST",
-		.target = targets[ask->kind],
-		.fields = &fields,
-		.body = ask->poison ? ask->poison : "",
-		.body_size = ask->poison ? strlen(ask->poison) : 0,
-		.has_body = true,
-		.connect_timeout_us = LP_US_PER_S,
-		.events = &events,
-		.userdata = ask,
-	});
-	http_fields_clear(&fields);
-}
-
-/* Sends a request to an entry. */
-static void send_ask(struct ask *ask, uint32_t entry)
-{
-	struct soak *soak = ask->soak;
-
-	ask->entry = entry;
-	ask->stops = soak->entries[entry].stops;
-	ask->sent_there = soak_balancer_has(soak->balancer, entry);
-	ask->begun_us = g_get_monotonic_time();
-	ask->counts = ask->kind == KIND_AGAIN &&
-		      soak_release_counts(soak->release, ask->first);
-	start_exchange(ask, soak->entries[entry].callers);
-	if (ask->exchange)
-		ask->timer = g_timeout_add(ASK_TIMEOUT_MS, on_ask_timeout, ask);
-	else
-		end_ask(ask, LP_ERROR_UPSTREAM_GONE);
-}
-
-/* ---- streams that callers take up ---- */
-
-static gboolean on_take_up(gpointer userdata)
-{
-	struct ask *ask = userdata;
-
-	ask->timer = 0;
-	send_ask(ask, (uint32_t)g_rand_int_range(ask->soak->random, 0,
-						 (gint32)ask->soak->count));
-	return G_SOURCE_REMOVE;
-}
-
-/* The id of the last whole event; g_free(). NULL: there is none. */
-static char *last_event_id(const char *body)
-{
-	const char *end = g_strrstr(body, "\n\n");
-	g_autofree char *whole = end ? g_strndup(body, end - body) : NULL;
-	const char *id = whole ? g_strrstr(whole, "id: ") : NULL;
-
-	return id ? g_strndup(id + 4, strcspn(id + 4, "\n")) : NULL;
-}
-
-/* Continues a stream that broke off, after the last whole event, with a new
- * attempt at any entry. */
-static void take_up(struct ask *before)
-{
-	struct soak *soak = before->soak;
-	char *last_event = last_event_id(before->body->str);
-	struct ask *ask;
-
-	if (!soak->release || before->kind != KIND_AGAIN || !last_event ||
-	    before->take_ups == TAKE_UPS_MAX) {
-		g_free(last_event);
-		return;
-	}
-	ask = g_new0(struct ask, 1);
-	ask->soak = soak;
-	ask->kind = before->kind;
-	ask->take_ups = before->take_ups + 1;
-	ask->id = g_strdup_printf("%s-%u",
-				  before->first ? before->first : before->id,
-				  ask->take_ups);
-	ask->first = g_strdup(before->first ? before->first : before->id);
-	ask->last_event = last_event;
-	ask->body = g_string_new_len(before->body->str,
-				     g_strrstr(before->body->str, "\n\n") + 2 -
-					     before->body->str);
-	ask->earlier = ask->body->len;
-	ask->leaves = soak_release_draw_leaving(soak->release);
-	soak->open++;
-	ask->timer = g_timeout_add(soak_release_draw_pause_ms(soak->release),
-				   on_take_up, ask);
-}
-
-/* ---- requests ---- */
-
-static gboolean on_ask_timer(gpointer userdata)
-{
-	struct soak *soak = userdata;
-	uint32_t drawn = (uint32_t)g_rand_int_range(soak->random, 0,
-						    (gint32)soak->count);
-	uint32_t entry = soak_balancer_choose(soak->balancer, drawn);
-	struct ask *ask = g_new0(struct ask, 1);
-
-	if (soak_cut_keeps_from(soak->cut, entry))
-		entry = (entry + 1) % soak->count;
-	ask->soak = soak;
-	ask->kind = (enum kind)g_rand_int_range(soak->random, 0, KINDS);
-	ask->id = g_strdup_printf("s%" G_GINT64_FORMAT "-%u",
-				  (gint64)soak->settings.seed, ++soak->asked);
-	ask->body = g_string_new(NULL);
-	ask->poison = soak_poison_draw(soak->poison);
-	ask->leaves = ask->kind == KIND_AGAIN &&
-		      soak_release_draw_leaving(soak->release);
-	soak->open++;
-	send_ask(ask, entry);
-	return soak->asked < soak->settings.requests ? G_SOURCE_CONTINUE
-						     : G_SOURCE_REMOVE;
-}
-
 /* ---- faults ---- */
 
 static void add_upstreams(struct soak *soak)
@@ -734,7 +293,7 @@
 
 		if (entry->leaving || waitpid(entry->pid, NULL, WNOHANG) <= 0)
 			continue;
-		breach(soak, entry->settings, "an entry ended by itself");
+		soak_breach(soak, entry->settings, "an entry ended by itself");
 		start_entry(soak, entry);
 	}
 }
@@ -771,7 +330,7 @@
 
 static void on_breach(void *userdata, const char *id, const char *what)
 {
-	breach(userdata, id, what);
+	soak_breach(userdata, id, what);
 }
 
 static void start_config(struct soak *soak)
@@ -846,7 +405,7 @@
 	struct soak *soak = userdata;
 
 	soak->settings.requests += ASKS_AFTER_FAULTS;
-	g_timeout_add(ASK_EVERY_MS, on_ask_timer, soak);
+	g_timeout_add(ASK_EVERY_MS, soak_callers_on_timer, soak);
 	g_main_loop_run(soak->loop);
 }
 
@@ -1001,7 +560,7 @@
 	const GPtrArray *breaches = pe_breaches(soak->platform);
 
 	for (guint i = 0; i < breaches->len; i++)
-		breach(soak, "upstream", g_ptr_array_index(breaches, i));
+		soak_breach(soak, "upstream", g_ptr_array_index(breaches, i));
 	if (soak->balancer)
 		printf("the balancer stood still %u times\n",
 		       soak_balancer_pauses(soak->balancer));
@@ -1024,7 +583,7 @@
 		stop(soak);
 		return 1;
 	}
-	g_timeout_add(ASK_EVERY_MS, on_ask_timer, soak);
+	g_timeout_add(ASK_EVERY_MS, soak_callers_on_timer, soak);
 	soak_cut_begin(soak->cut);
 	if (soak->settings.faults)
 		faults = g_timeout_add(FAULT_EVERY_MS, on_fault_timer, soak);
--- a/tools/soak_release.c
+++ b/tools/soak_release.c
@@ -37,7 +37,7 @@
 	int64_t disturbed_us;
 	uint32_t replaced;
 	struct share begun;
-	struct share taken_up;
+	struct share resumed;
 };
 
 static void free_replacement(gpointer data)
@@ -194,10 +194,10 @@
 					 ENGINE_SERVICE, version) >= 2;
 }
 
-void soak_release_add(struct soak_release *release, bool taken_up,
+void soak_release_add(struct soak_release *release, bool resumed,
 		      bool has_succeeded)
 {
-	struct share *share = taken_up ? &release->taken_up : &release->begun;
+	struct share *share = resumed ? &release->resumed : &release->begun;
 
 	share->count++;
 	share->succeeded += has_succeeded;
@@ -207,12 +207,12 @@
  * begin. */
 static bool is_share_low(const struct soak_release *release)
 {
-	const struct share *taken_up = &release->taken_up;
+	const struct share *resumed = &release->resumed;
 	const struct share *begun = &release->begun;
 
-	return taken_up->count >= STREAMS_MIN && begun->count &&
-	       2 * (uint64_t)taken_up->succeeded * begun->count <
-		       (uint64_t)begun->succeeded * taken_up->count;
+	return resumed->count >= STREAMS_MIN && begun->count &&
+	       2 * (uint64_t)resumed->succeeded * begun->count <
+		       (uint64_t)begun->succeeded * resumed->count;
 }
 
 void soak_release_settle(struct soak_release *release)
@@ -221,10 +221,11 @@
 		return;
 	printf("release: %u engines replaced, %u versions, %u of %u new "
 	       "streams "
-	       "answered, %u of %u taken up went on, %u at another version\n",
+	       "answered, %u of %u resumed ones continued, %u at another "
+	       "version\n",
 	       release->replaced, release->serial, release->begun.succeeded,
-	       release->begun.count, release->taken_up.succeeded,
-	       release->taken_up.count,
+	       release->begun.count, release->resumed.succeeded,
+	       release->resumed.count,
 	       pe_mixed_streams(release->options.platform));
 	if (is_share_low(release))
 		release->options.breach(release->options.userdata, "release",
--- a/tools/soak_release.h
+++ b/tools/soak_release.h
@@ -4,7 +4,7 @@
  * still run the version before. A release may begin before the last one has
  * ended, and may go back to the first version.
  *
- * It also counts the streams that begin and those that callers take up, and
+ * It also counts the streams that begin and those that callers resume, and
  * compares the shares that succeed. What goes on at a wrong version is a breach
  * that the emulator writes down.
  */
@@ -33,7 +33,7 @@
 void soak_release_entry_disturbed(struct soak_release *release);
 /** Draw whether a caller leaves its stream after the first events. */
 bool soak_release_draw_leaving(struct soak_release *release);
-/** Draw when a caller takes its stream up again. */
+/** Draw when a caller resumes its stream. */
 uint32_t soak_release_draw_pause_ms(struct soak_release *release);
 /**
  * A stream was asked for: a new one, or one that the attempt `first` began
@@ -42,7 +42,7 @@
  */
 bool soak_release_counts(struct soak_release *release, const char *first);
 /** Its outcome. */
-void soak_release_add(struct soak_release *release, bool taken_up,
+void soak_release_add(struct soak_release *release, bool resumed,
 		      bool has_succeeded);
 /** The faults are over: compare the shares, print them. */
 void soak_release_settle(struct soak_release *release);
