Streams' versions: usual terms, and the history of versions apart

'Resume' and 'lookup' in place of 'take up' and 'search', replicas in place of keepers; the log line is client_resume now, the counter linepier_client_resumes_total. direct_stream_origins.c had two jobs: what lists have named, and its exchange with peers, is direct_version_history now. The choice of replicas hashes each entry once.

--- a/direct/direct.c
+++ b/direct/direct.c
@@ -154,6 +154,12 @@
 			.notices = direct->notices,
 		});
 	direct->stages = direct_stages_create(direct);
+	direct->version_history = direct_version_history_create(&(
+		struct direct_version_history_options){
+		.clock = options->clock,
+		.first_start_us =
+			options->is_first_start ? direct->started_us : 0,
+	});
 	direct->stream_origins = direct_stream_origins_create(direct);
 	direct->answer_times = lp_histogram_create(
 		options->counters, "linepier_answer_milliseconds");
@@ -179,6 +185,7 @@
 	direct_quarantine_destroy(direct->quarantine);
 	direct_prefix_cache_destroy(direct->prefix_cache);
 	direct_stream_origins_destroy(direct->stream_origins);
+	direct_version_history_destroy(direct->version_history);
 	direct_notices_destroy(direct->notices);
 	pool_destroy(direct->pool);
 	direct_closed_domains_destroy(direct->closed_domains);
@@ -266,8 +273,9 @@
 	direct->has_upstreams = true;
 	direct->upstreams_updated_us = lp_now_us(direct->options.clock);
 	update_peer_service(direct);
-	direct_stream_origins_set_list(direct->stream_origins, direct->pool,
-				       read_us);
+	direct_version_history_add_list(direct->version_history, direct->pool,
+					read_us);
+	direct_stream_origins_check_list(direct->stream_origins);
 	if (!changes)
 		return;
 	for_each_request(direct, direct_request_refuse_if_version_gone);
@@ -281,7 +289,8 @@
 
 void direct_confirm_upstreams(struct direct *direct, int64_t read_us)
 {
-	direct_stream_origins_confirm_list(direct->stream_origins, read_us);
+	direct_version_history_confirm_list(direct->version_history, read_us);
+	direct_stream_origins_check_list(direct->stream_origins);
 }
 
 void direct_set_region(struct direct *direct, const char *domain,
@@ -327,6 +336,7 @@
 	direct_closed_domains_set_peers(direct->closed_domains, peers);
 	direct_notices_set_peers(direct->notices, peers);
 	direct_quarantine_set_peers(direct->quarantine, peers);
+	direct_version_history_set_peers(direct->version_history, peers);
 	direct_stream_origins_set_peers(direct->stream_origins, peers);
 	direct_stages_set_peers(direct->stages, peers);
 	update_peer_service(direct);
--- a/direct/direct.h
+++ b/direct/direct.h
@@ -47,8 +47,8 @@
 	double retry_ratio;
 	double retry_slack; /**< this entry's part of the slack */
 	int64_t retry_window_us;
-	/** A stream that a caller takes up did not begin earlier than this; 0:
-	 * 60 s. */
+	/** Longest time for which a caller waits for a stream, over all its
+	 * attempts; 0: 60 s. */
 	int64_t stream_age_max_us;
 	/** The whole fleet starts for the first time: no stream has begun
 	 * before. */
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -12,6 +12,7 @@
 #include "direct/direct_quarantine.h"
 #include "direct/direct_stream_origins.h"
 #include "direct/direct_terminations.h"
+#include "direct/direct_version_history.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "http/http_sock.h"
@@ -66,6 +67,7 @@
 	struct direct_calls *calls;
 	struct direct_results *results;
 	struct direct_prefix_cache *prefix_cache;
+	struct direct_version_history *version_history;
 	struct direct_stream_origins *stream_origins;
 	struct direct_peers *peers;	    /* NULL: no peers */
 	struct direct_relay *relay;	    /* NULL: no peers */
--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -594,7 +594,7 @@
 	case DIRECT_STATE_STAGES:
 		return waits_for_stages(request);
 	case DIRECT_STATE_ORIGIN:
-		return request->origin_search != 0;
+		return request->origin_lookup != 0;
 	case DIRECT_STATE_PLACING:
 		return request->placement_query || request->placement_timer;
 	case DIRECT_STATE_SENT:
@@ -732,8 +732,8 @@
 				      "draining");
 		return;
 	}
-	if (direct_stream_version_needs_search(request))
-		direct_stream_version_search(request, admit_request);
+	if (direct_stream_version_needs_lookup(request))
+		direct_stream_version_look_up(request, admit_request);
 	else
 		admit_request(request);
 }
--- a/direct/direct_request.h
+++ b/direct/direct_request.h
@@ -26,8 +26,8 @@
 #define DIRECT_ENGINE_FIRST_EVENT_US (120 * LP_US_PER_MS)
 
 enum direct_state {
-	DIRECT_STATE_STAGES, /* its pieces are being computed */
-	DIRECT_STATE_ORIGIN, /* the version that began its stream is searched */
+	DIRECT_STATE_STAGES,  /* its pieces are being computed */
+	DIRECT_STATE_ORIGIN,  /* lookup of the version that began its stream */
 	DIRECT_STATE_PLACING, /* its placer was asked for an engine */
 	DIRECT_STATE_SENT,    /* it was sent to an upstream */
 };
@@ -91,15 +91,15 @@
 	bool may_have_run;
 	bool answer_begun;
 	/* a stream that has begun, in this answer or an earlier one */
-	uint64_t origin_search;			       /* 0: none */
-	void (*admit)(struct direct_request *request); /* after the search */
+	uint64_t origin_lookup;			       /* 0: none */
+	void (*admit)(struct direct_request *request); /* after the lookup */
 	bool has_version;     /* only version_id may serve it */
 	uint64_t version_id;  /* of its first event; 0: unknown */
 	char *stream_version; /* its name, for log lines, or NULL */
 	char *last_event_id;
 	int64_t last_event_us; /* when it was sent to the caller; of a stream
-				  that its caller takes up: when it came back;
-				  0: none yet */
+				  that its caller resumes: arrival of the
+				  request; 0: none yet */
 	/* a stream that has begun and lost its upstream */
 	int64_t resume_began_us; /* 0: it has not, or has continued since */
 	guint resume_timer;	 /* ends at the time limit */
@@ -112,7 +112,7 @@
 }
 
 /** Whether its stream has begun and lost its upstream, in this answer or in an
- * earlier one that its caller takes up. Its caller waits for the next event,
+ * earlier one that its caller resumes. Its caller waits for the next event,
  * not for the first one. */
 static inline bool
 direct_request_is_resumed(const struct direct_request *request)
@@ -190,15 +190,15 @@
 
 /* ---- direct_stream_version.c ---- */
 
-/** Whether its caller takes up a stream that an earlier answer began. */
-bool direct_stream_version_needs_search(const struct direct_request *request);
-/** Find the version that began the stream that a request takes up, then call
+/** Whether its caller resumes a stream that an earlier answer began. */
+bool direct_stream_version_needs_lookup(const struct direct_request *request);
+/** Find the version that began the stream that a request resumes, then call
  * `admit`. If the version is unknown or gone, the request is refused and freed
  * instead. */
-void direct_stream_version_search(
+void direct_stream_version_look_up(
 	struct direct_request *request,
 	void (*admit)(struct direct_request *request));
-/** End the search, if any. */
+/** Cancel the lookup, if any. */
 void direct_stream_version_cancel(struct direct_request *request);
 /** Whether an upstream may serve the request: any, or one of the version that
  * began its stream. If there is none, it is refused, or its answer aborted, and
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -383,8 +383,8 @@
 	return true;
 }
 
-/* Before its first event is passed on, so that the stream can be taken up at
- * another entry. */
+/* Before its first event is passed on, so that the caller can resume the stream
+ * at another entry. */
 static void record_origin(struct direct_request *request)
 {
 	if (request->route->is_resumable && request->version_id)
--- a/direct/direct_stream_origins.c
+++ b/direct/direct_stream_origins.c
@@ -3,23 +3,18 @@
 #include "base/lp_id.h"
 #include "base/lp_timer.h"
 #include "direct/direct_private.h"
-#include "policy/version_history.h"
 
 #define KIND_RECORDS 'O'
 #define KIND_QUERY 'F'
 #define KIND_ANSWER 'I'
-#define KIND_HISTORY 'M'
 
 #define RECORDS_TYPE "a(ttu)" /* attempt, version (0: ambiguous), ms left */
 #define QUERY_TYPE "(tt)"     /* number, attempt */
 #define ANSWER_TYPE "(tyt)"   /* number, status, version */
-/* us since the history begins (G_MAXINT64: with the fleet), us since the last
- * list; service, version, us since it was listed */
-#define HISTORY_TYPE "(xxa(ttx))"
 
 /* About 5 KB. */
 #define RECORDS_PER_DATAGRAM 200
-/* A few megabytes; ten times what an entry of a large fleet keeps. */
+/* A few megabytes. */
 #define RECORDS_MAX 65536
 /* Queries are sent again to peers that have not answered, as datagrams may be
  * lost, and then given up. */
@@ -28,23 +23,20 @@
 /* Time by which the list of upstreams has been read again: the longest interval
  * between two reads, and the time of one. */
 #define LIST_WAIT_MS 1300
-/* Versions in a history that is sent; about 6 KB. */
-#define HISTORY_MAX 250
-
 struct query_peer {
 	uint64_t peer;
 	bool answered;
 };
 
-/* A search under way. */
-struct search {
+/* A lookup in progress. */
+struct lookup {
 	struct direct_stream_origins *origins;
 	uint64_t number;
-	struct direct_stream_search options;
+	struct direct_stream_lookup options;
 	uint64_t attempt; /* hash */
 	int64_t began_us;
-	struct query_peer asked[STREAM_ORIGINS_ASKED];
-	uint32_t asked_count;
+	struct query_peer queried[STREAM_ORIGINS_QUERIED];
+	uint32_t queried_count;
 	uint32_t sends;
 	bool waits_for_list; /* all peers have answered, or were given up */
 	guint timer;
@@ -55,8 +47,7 @@
 	struct direct *direct;
 	struct direct_peers *peers; /* NULL: no peers */
 	struct stream_origins *records;
-	struct version_history *versions;
-	GHashTable *searches; /* number -> struct search */
+	GHashTable *lookups; /* number -> struct lookup */
 	uint64_t last_number;
 };
 
@@ -74,10 +65,10 @@
 			     (guint32)(left_us / LP_US_PER_MS));
 }
 
-/* Hashes of the peers that may keep records; g_array_unref(). */
-static GArray *list_keepers(const struct direct_stream_origins *origins)
+/* Hashes of the peers that may get replicas; g_array_unref(). */
+static GArray *list_replica_peers(const struct direct_stream_origins *origins)
 {
-	GArray *keepers = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	GArray *replica_peers = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	g_autoptr(GArray) members =
 		g_array_new(FALSE, FALSE, sizeof(struct dispatchers_member));
 	uint64_t own = direct_peers_own_hash(origins->peers);
@@ -88,9 +79,9 @@
 			&g_array_index(members, struct dispatchers_member, i);
 
 		if (member->hash != own && member->capacity)
-			g_array_append_val(keepers, member->hash);
+			g_array_append_val(replica_peers, member->hash);
 	}
-	return keepers;
+	return replica_peers;
 }
 
 static uint32_t choose(uint64_t attempt, const GArray *peers, uint32_t max,
@@ -103,10 +94,10 @@
 static void send_record(struct direct_stream_origins *origins, uint64_t attempt,
 			uint64_t version, int64_t left_us)
 {
-	g_autoptr(GArray) keepers = list_keepers(origins);
+	g_autoptr(GArray) replica_peers = list_replica_peers(origins);
 	uint64_t chosen[STREAM_ORIGINS_REPLICAS];
 	uint32_t count =
-		choose(attempt, keepers, STREAM_ORIGINS_REPLICAS, chosen);
+		choose(attempt, replica_peers, STREAM_ORIGINS_REPLICAS, chosen);
 	GVariant *record = write_record(attempt, version, left_us);
 	g_autoptr(GVariant) body =
 		g_variant_ref_sink(g_variant_new_array(NULL, &record, 1));
@@ -147,10 +138,10 @@
 
 /* ---- records of an entry that terminates ---- */
 
-/* The records for each peer, and those that may keep them. */
+/* The records for each peer, and the peers that may get replicas. */
 struct handover {
 	GHashTable *by_peer; /* hash -> GPtrArray of GVariant: records */
-	GArray *keepers;
+	GArray *replica_peers;
 };
 
 static GPtrArray *records_for(struct handover *handover, uint64_t peer)
@@ -171,7 +162,7 @@
 {
 	struct handover *handover = userdata;
 	uint64_t chosen[STREAM_ORIGINS_REPLICAS];
-	uint32_t count = choose(attempt, handover->keepers,
+	uint32_t count = choose(attempt, handover->replica_peers,
 				STREAM_ORIGINS_REPLICAS, chosen);
 
 	for (uint32_t i = 0; i < count; i++)
@@ -203,7 +194,7 @@
 
 	if (!origins->peers)
 		return;
-	handover.keepers = list_keepers(origins);
+	handover.replica_peers = list_replica_peers(origins);
 	handover.by_peer =
 		g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 				      (GDestroyNotify)g_ptr_array_unref);
@@ -212,72 +203,72 @@
 	while (g_hash_table_iter_next(&iter, &peer, &records))
 		send_records(origins, *(const uint64_t *)peer, records);
 	g_hash_table_unref(handover.by_peer);
-	g_array_unref(handover.keepers);
+	g_array_unref(handover.replica_peers);
 }
 
-/* ---- searches ---- */
+/* ---- lookups ---- */
 
-static void free_search(gpointer data)
+static void free_lookup(gpointer data)
 {
-	struct search *search = data;
+	struct lookup *lookup = data;
 
-	direct_clear_timer(&search->timer);
-	g_free(search);
+	direct_clear_timer(&lookup->timer);
+	g_free(lookup);
 }
 
-static void finish_search(struct search *search,
+static void finish_lookup(struct lookup *lookup,
 			  enum stream_origin_status status)
 {
-	struct direct_stream_origin origin = search->origin;
-	direct_stream_origin_fn on_found = search->options.on_found;
-	void *userdata = search->options.userdata;
+	struct direct_stream_origin origin = lookup->origin;
+	direct_stream_origin_fn on_found = lookup->options.on_found;
+	void *userdata = lookup->options.userdata;
 
 	origin.status = status;
-	g_hash_table_remove(search->origins->searches, &search->number);
+	g_hash_table_remove(lookup->origins->lookups, &lookup->number);
 	on_found(userdata, &origin);
 }
 
 /* The only version that can have begun the stream, as far as is known; 0: there
  * are several, or it is not known. */
-static uint64_t sole_version(const struct search *search)
+static uint64_t sole_version(const struct lookup *lookup)
 {
-	int64_t age_us = search->origins->direct->options.stream_age_max_us;
-
-	return search->options.service
-		       ? version_history_sole_version(
-				 search->origins->versions,
-				 lp_hash_str(search->options.service),
-				 search->began_us -
-					 (age_us ? age_us
-						 : STREAM_ORIGINS_LIFETIME_US))
-		       : 0;
+	const struct direct *direct = lookup->origins->direct;
+	int64_t age_us = direct->options.stream_age_max_us;
+
+	if (!lookup->options.service)
+		return 0;
+	return direct_version_history_sole_version(
+		direct->version_history, lookup->options.service,
+		lookup->began_us -
+			(age_us ? age_us : STREAM_ORIGINS_LIFETIME_US));
 }
 
-/* Ends the search if the list of upstreams decides. A version that is not
+/* Ends the lookup if the list of upstreams decides. A version that is not
  * listed yet may have begun the stream at another entry, so the list must have
- * been read after the search began. */
-static void check_list(struct search *search)
+ * been read after the lookup began. */
+static void check_list(struct lookup *lookup)
 {
-	uint64_t version = sole_version(search);
+	uint64_t version = sole_version(lookup);
 
 	if (!version) {
-		finish_search(search, STREAM_ORIGIN_UNKNOWN);
+		finish_lookup(lookup, STREAM_ORIGIN_UNKNOWN);
 		return;
 	}
-	if (version_history_read_us(search->origins->versions) <
-	    search->began_us)
+	if (direct_version_history_read_us(
+		    lookup->origins->direct->version_history) <
+	    lookup->began_us)
 		return;
-	search->origin.source = DIRECT_STREAM_ORIGIN_SOLE;
-	search->origin.version = version;
-	finish_search(search, STREAM_ORIGIN_KNOWN);
+	lookup->origin.source = DIRECT_STREAM_ORIGIN_SOLE;
+	lookup->origin.version = version;
+	finish_lookup(lookup, STREAM_ORIGIN_KNOWN);
 }
 
 static gboolean on_list_timeout(gpointer userdata)
 {
-	struct search *search = userdata;
+	struct lookup *lookup = userdata;
 
-	search->timer = 0;
-	finish_search(search, STREAM_ORIGIN_UNKNOWN);
+	lookup->timer = 0;
+	finish_lookup(lookup, STREAM_ORIGIN_UNKNOWN);
 	return G_SOURCE_REMOVE;
 }
 
@@ -289,101 +280,102 @@
 		options->needs_list(options->userdata);
 }
 
-static void wait_for_list(struct search *search)
+static void wait_for_list(struct lookup *lookup)
 {
-	direct_clear_timer(&search->timer);
-	search->waits_for_list = true;
-	search->timer = lp_timer_add(LIST_WAIT_MS, on_list_timeout, search);
-	if (sole_version(search))
-		request_list(search->origins);
-	check_list(search);
+	direct_clear_timer(&lookup->timer);
+	lookup->waits_for_list = true;
+	lookup->timer = lp_timer_add(LIST_WAIT_MS, on_list_timeout, lookup);
+	if (sole_version(lookup))
+		request_list(lookup->origins);
+	check_list(lookup);
 }
 
-static void send_queries(struct search *search)
+static void send_queries(struct lookup *lookup)
 {
-	struct direct_stream_origins *origins = search->origins;
+	struct direct_stream_origins *origins = lookup->origins;
 	g_autoptr(GVariant) body = g_variant_ref_sink(g_variant_new(
-		QUERY_TYPE, (guint64)search->number, (guint64)search->attempt));
+		QUERY_TYPE, (guint64)lookup->number, (guint64)lookup->attempt));
 
-	search->sends++;
-	for (uint32_t i = 0; i < search->asked_count; i++)
-		if (!search->asked[i].answered)
-			direct_peers_send(origins->peers, search->asked[i].peer,
-					  KIND_QUERY, body);
+	lookup->sends++;
+	for (uint32_t i = 0; i < lookup->queried_count; i++)
+		if (!lookup->queried[i].answered)
+			direct_peers_send(origins->peers,
+					  lookup->queried[i].peer, KIND_QUERY,
+					  body);
 }
 
 static gboolean on_resend(gpointer userdata)
 {
-	struct search *search = userdata;
+	struct lookup *lookup = userdata;
 
-	if (search->sends < QUERY_SENDS) {
-		send_queries(search);
+	if (lookup->sends < QUERY_SENDS) {
+		send_queries(lookup);
 		return G_SOURCE_CONTINUE;
 	}
-	search->timer = 0;
-	wait_for_list(search);
+	lookup->timer = 0;
+	wait_for_list(lookup);
 	return G_SOURCE_REMOVE;
 }
 
-static void choose_peers(struct search *search)
+static void choose_peers(struct lookup *lookup)
 {
-	struct direct_stream_origins *origins = search->origins;
+	struct direct_stream_origins *origins = lookup->origins;
 	g_autoptr(GArray) peers = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	uint64_t chosen[STREAM_ORIGINS_ASKED];
+	uint64_t chosen[STREAM_ORIGINS_QUERIED];
 
 	direct_peers_list_live(origins->peers, peers);
-	search->asked_count =
-		choose(search->attempt, peers, STREAM_ORIGINS_ASKED, chosen);
-	for (uint32_t i = 0; i < search->asked_count; i++)
-		search->asked[i].peer = chosen[i];
-	search->origin.asked = search->asked_count;
+	lookup->queried_count =
+		choose(lookup->attempt, peers, STREAM_ORIGINS_QUERIED, chosen);
+	for (uint32_t i = 0; i < lookup->queried_count; i++)
+		lookup->queried[i].peer = chosen[i];
+	lookup->origin.queried = lookup->queried_count;
 }
 
 static gboolean on_begin(gpointer userdata)
 {
-	struct search *search = userdata;
-	struct direct_stream_origins *origins = search->origins;
+	struct lookup *lookup = userdata;
+	struct direct_stream_origins *origins = lookup->origins;
 	enum stream_origin_status status = STREAM_ORIGIN_UNKNOWN;
 
-	search->timer = 0;
-	if (search->options.attempt)
-		status = stream_origins_find(origins->records, search->attempt,
-					     &search->origin.version);
+	lookup->timer = 0;
+	if (lookup->options.attempt)
+		status = stream_origins_find(origins->records, lookup->attempt,
+					     &lookup->origin.version);
 	if (status != STREAM_ORIGIN_UNKNOWN) {
-		finish_search(search, status);
+		finish_lookup(lookup, status);
 		return G_SOURCE_REMOVE;
 	}
-	if (search->options.attempt && origins->peers)
-		choose_peers(search);
-	if (!search->asked_count) {
-		wait_for_list(search);
+	if (lookup->options.attempt && origins->peers)
+		choose_peers(lookup);
+	if (!lookup->queried_count) {
+		wait_for_list(lookup);
 		return G_SOURCE_REMOVE;
 	}
-	send_queries(search);
-	search->timer = lp_timer_add(QUERY_RESEND_MS, on_resend, search);
+	send_queries(lookup);
+	lookup->timer = lp_timer_add(QUERY_RESEND_MS, on_resend, lookup);
 	return G_SOURCE_REMOVE;
 }
 
 uint64_t
-direct_stream_origins_search(struct direct_stream_origins *origins,
-			     const struct direct_stream_search *options)
+direct_stream_origins_lookup(struct direct_stream_origins *origins,
+			     const struct direct_stream_lookup *options)
 {
-	struct search *search = g_new0(struct search, 1);
-
-	search->origins = origins;
-	search->number = ++origins->last_number;
-	search->options = *options;
-	search->attempt = options->attempt ? lp_hash_str(options->attempt) : 0;
-	search->began_us = now_us(origins);
-	search->timer = lp_timer_add(0, on_begin, search);
-	g_hash_table_insert(origins->searches, &search->number, search);
-	return search->number;
+	struct lookup *lookup = g_new0(struct lookup, 1);
+
+	lookup->origins = origins;
+	lookup->number = ++origins->last_number;
+	lookup->options = *options;
+	lookup->attempt = options->attempt ? lp_hash_str(options->attempt) : 0;
+	lookup->began_us = now_us(origins);
+	lookup->timer = lp_timer_add(0, on_begin, lookup);
+	g_hash_table_insert(origins->lookups, &lookup->number, lookup);
+	return lookup->number;
 }
 
 void direct_stream_origins_cancel(struct direct_stream_origins *origins,
 				  uint64_t number)
 {
-	g_hash_table_remove(origins->searches, &number);
+	g_hash_table_remove(origins->lookups, &number);
 }
 
 /* ---- queries and answers ---- */
@@ -404,16 +396,16 @@
 	direct_peers_send(origins->peers, peer, KIND_ANSWER, reply);
 }
 
-/* Returns whether it was asked and had not answered yet. */
-static bool note_answer(struct search *search, uint64_t peer)
+/* Returns whether it was queried and had not answered yet. */
+static bool note_answer(struct lookup *lookup, uint64_t peer)
 {
-	for (uint32_t i = 0; i < search->asked_count; i++) {
-		struct query_peer *asked = &search->asked[i];
+	for (uint32_t i = 0; i < lookup->queried_count; i++) {
+		struct query_peer *queried = &lookup->queried[i];
 
-		if (asked->peer != peer || asked->answered)
+		if (queried->peer != peer || queried->answered)
 			continue;
-		asked->answered = true;
-		search->origin.answered++;
+		queried->answered = true;
+		lookup->origin.answered++;
 		return true;
 	}
 	return false;
@@ -422,134 +414,49 @@
 static void on_answer(void *userdata, uint64_t peer, GVariant *body)
 {
 	struct direct_stream_origins *origins = userdata;
-	struct search *search;
+	struct lookup *lookup;
 	guint64 number;
 	guint8 status;
 	guint64 version;
 
 	g_variant_get(body, ANSWER_TYPE, &number, &status, &version);
-	search = g_hash_table_lookup(origins->searches, &number);
-	if (!search || !note_answer(search, peer))
+	lookup = g_hash_table_lookup(origins->lookups, &number);
+	if (!lookup || !note_answer(lookup, peer))
 		return;
 	if (status == STREAM_ORIGIN_KNOWN && version) {
-		search->origin.source = DIRECT_STREAM_ORIGIN_PEER;
-		search->origin.version = version;
-		finish_search(search, STREAM_ORIGIN_KNOWN);
+		lookup->origin.source = DIRECT_STREAM_ORIGIN_PEER;
+		lookup->origin.version = version;
+		finish_lookup(lookup, STREAM_ORIGIN_KNOWN);
 	} else if (status == STREAM_ORIGIN_AMBIGUOUS) {
-		finish_search(search, STREAM_ORIGIN_AMBIGUOUS);
-	} else if (search->origin.answered == search->asked_count &&
-		   !search->waits_for_list) {
-		wait_for_list(search);
+		finish_lookup(lookup, STREAM_ORIGIN_AMBIGUOUS);
+	} else if (lookup->origin.answered == lookup->queried_count &&
+		   !lookup->waits_for_list) {
+		wait_for_list(lookup);
 	}
 }
 
 /* ---- the list of upstreams ---- */
 
-/* Searches that end may free others, together with their requests. */
-static void check_searches(struct direct_stream_origins *origins)
+/* Lookups that end may free others, together with their requests. */
+void direct_stream_origins_check_list(struct direct_stream_origins *origins)
 {
 	g_autoptr(GArray) numbers = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	GHashTableIter iter;
 	gpointer value;
 
-	g_hash_table_iter_init(&iter, origins->searches);
+	g_hash_table_iter_init(&iter, origins->lookups);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		if (((const struct search *)value)->waits_for_list)
+		if (((const struct lookup *)value)->waits_for_list)
 			g_array_append_val(
 				numbers,
-				((const struct search *)value)->number);
+				((const struct lookup *)value)->number);
 	for (guint i = 0; i < numbers->len; i++) {
-		struct search *search = g_hash_table_lookup(
-			origins->searches,
-			&g_array_index(numbers, uint64_t, i));
-
-		if (search)
-			check_list(search);
-	}
-}
-
-static void add_upstream(void *userdata, const struct pool_upstream *upstream)
-{
-	struct direct_stream_origins *origins = userdata;
-
-	version_history_add(origins->versions,
-			    lp_hash_str(upstream->info.service),
-			    upstream->version_id);
-}
-
-void direct_stream_origins_set_list(struct direct_stream_origins *origins,
-				    const struct pool *pool, int64_t read_us)
-{
-	version_history_begin_list(origins->versions, read_us);
-	pool_foreach(pool, add_upstream, origins);
-	check_searches(origins);
-}
+		struct lookup *lookup = g_hash_table_lookup(
+			origins->lookups, &g_array_index(numbers, uint64_t, i));
 
-void direct_stream_origins_confirm_list(struct direct_stream_origins *origins,
-					int64_t read_us)
-{
-	version_history_confirm_list(origins->versions, read_us);
-	check_searches(origins);
-}
-
-/* ---- histories of peers ---- */
-
-static void send_history(void *userdata, uint64_t peer)
-{
-	struct direct_stream_origins *origins = userdata;
-	int64_t at_us = now_us(origins);
-	struct version_history_view view;
-	GVariantBuilder listings;
-	g_autoptr(GVariant) body = NULL;
-
-	if (!version_history_get_view(origins->versions, &view) ||
-	    !view.count || view.count > HISTORY_MAX)
-		return;
-	g_variant_builder_init(&listings, G_VARIANT_TYPE("a(ttx)"));
-	for (uint32_t i = 0; i < view.count; i++)
-		g_variant_builder_add(
-			&listings, "(ttx)", (guint64)view.listings[i].service,
-			(guint64)view.listings[i].version,
-			(gint64)(at_us - view.listings[i].listed_us));
-	body = g_variant_ref_sink(g_variant_new(
-		"(xxa(ttx))",
-		view.since_us == G_MININT64 ? (gint64)G_MAXINT64
-					    : (gint64)(at_us - view.since_us),
-		(gint64)(at_us - view.read_us), &listings));
-	direct_peers_send(origins->peers, peer, KIND_HISTORY, body);
-}
-
-static void on_history(void *userdata, uint64_t peer, GVariant *body)
-{
-	struct direct_stream_origins *origins = userdata;
-	g_autoptr(GArray) listings = g_array_new(
-		FALSE, FALSE, sizeof(struct version_history_listing));
-	int64_t at_us = now_us(origins);
-	struct version_history_view view = { 0 };
-	GVariantIter *iter;
-	guint64 service;
-	guint64 version;
-	gint64 since_age_us;
-	gint64 read_age_us;
-	gint64 age_us;
-
-	g_variant_get(body, HISTORY_TYPE, &since_age_us, &read_age_us, &iter);
-	while (g_variant_iter_next(iter, "(ttx)", &service, &version,
-				   &age_us)) {
-		struct version_history_listing listing = {
-			service, version, at_us - MAX(age_us, 0), false
-		};
-
-		g_array_append_val(listings, listing);
+		if (lookup)
+			check_list(lookup);
 	}
-	g_variant_iter_free(iter);
-	view.since_us = since_age_us == G_MAXINT64
-				? G_MININT64
-				: at_us - MAX(since_age_us, 0);
-	view.read_us = at_us - MAX(read_age_us, 0);
-	view.listings = (const struct version_history_listing *)listings->data;
-	view.count = listings->len;
-	version_history_merge(origins->versions, &view);
 }
 
 /* ---- start and end ---- */
@@ -563,12 +470,8 @@
 	origins->direct = direct;
 	origins->records =
 		stream_origins_create(direct->options.clock, RECORDS_MAX);
-	origins->versions = version_history_create();
-	if (direct->options.is_first_start)
-		version_history_set_first_start(origins->versions,
-						direct->started_us);
-	origins->searches = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-						  NULL, free_search);
+	origins->lookups = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						 NULL, free_lookup);
 	/* Differs from those of an earlier start, whose answers may be late. */
 	origins->last_number = lp_random_u64() >> 1;
 	return origins;
@@ -585,17 +488,13 @@
 	direct_peers_listen(peers, KIND_QUERY, QUERY_TYPE, on_query, origins);
 	direct_peers_listen(peers, KIND_ANSWER, ANSWER_TYPE, on_answer,
 			    origins);
-	direct_peers_listen(peers, KIND_HISTORY, HISTORY_TYPE, on_history,
-			    origins);
-	direct_peers_on_discovered(peers, send_history, origins);
 }
 
 void direct_stream_origins_destroy(struct direct_stream_origins *origins)
 {
 	if (!origins)
 		return;
-	g_hash_table_unref(origins->searches);
+	g_hash_table_unref(origins->lookups);
 	stream_origins_destroy(origins->records);
-	version_history_destroy(origins->versions);
 	g_free(origins);
 }
--- a/direct/direct_stream_origins.h
+++ b/direct/direct_stream_origins.h
@@ -1,13 +1,12 @@
 /**
- * The software versions that began streams (policy/stream_origins.h), shared
- * with a few peers for each stream, and found again when a caller takes a
- * stream up.
+ * The software versions that began streams (policy/stream_origins.h),
+ * replicated to a few peers for each stream, and looked up when a caller
+ * resumes one.
  *
- * A record is one datagram to each of three peers, sent when the first event is
- * passed on. If all are lost, or all who had them have terminated, the stream
- * is unknown: it may still go on if the list of upstreams shows that a single
- * version can have begun it (policy/version_history.h). Otherwise the caller is
- * refused: a guess could join events that do not fit together.
+ * A record is sent to each of three peers, in one datagram, when the first
+ * event is forwarded. If all replicas are lost, the stream is unknown: it may
+ * still continue if the lists of upstreams show that a single version can have
+ * begun it (direct_version_history.h).
  *
  * All functions must be called on the event loop's thread. Times are in
  * microseconds.
@@ -15,7 +14,6 @@
 #ifndef DIRECT_STREAM_ORIGINS_H
 #define DIRECT_STREAM_ORIGINS_H
 
-#include "policy/pool.h"
 #include "policy/stream_origins.h"
 
 struct direct;
@@ -32,16 +30,12 @@
 void direct_stream_origins_record(struct direct_stream_origins *origins,
 				  const char *attempt, uint64_t version,
 				  int64_t lifetime_us);
-/** Send all records to the peers that keep them when this entry has terminated.
- */
+/** Send all records to the peers that are their replicas without this entry, as
+ * it terminates. */
 void direct_stream_origins_hand_over(struct direct_stream_origins *origins);
 
-/** A list of upstreams was read at `read_us`. */
-void direct_stream_origins_set_list(struct direct_stream_origins *origins,
-				    const struct pool *pool, int64_t read_us);
-/** It was read once more, unchanged, at `read_us`. */
-void direct_stream_origins_confirm_list(struct direct_stream_origins *origins,
-					int64_t read_us);
+/** The list of upstreams was read: lookups that wait for it may end. */
+void direct_stream_origins_check_list(struct direct_stream_origins *origins);
 
 /** How a stream's origin was found, for log lines. */
 enum direct_stream_origin_source {
@@ -50,12 +44,12 @@
 	DIRECT_STREAM_ORIGIN_SOLE, /**< no other version can have begun it */
 };
 
-/** What is known of a stream that a caller takes up. */
+/** What is known of a stream that a caller resumes. */
 struct direct_stream_origin {
 	enum stream_origin_status status;
 	enum direct_stream_origin_source source;
 	uint64_t version; /**< if it is known */
-	uint32_t asked;	  /**< peers */
+	uint32_t queried; /**< peers */
 	uint32_t answered;
 };
 
@@ -63,24 +57,24 @@
 typedef void (*direct_stream_origin_fn)(
 	void *userdata, const struct direct_stream_origin *origin);
 
-/** A search for the origin of a stream. */
-struct direct_stream_search {
+/** A lookup for the origin of a stream. */
+struct direct_stream_lookup {
 	const char *attempt; /**< that the caller names; NULL: none */
 	const char *service; /**< the only one that can have begun it; NULL:
-				there are several. Must outlive the search */
+				there are several. Must outlive the lookup */
 	direct_stream_origin_fn on_found;
 	void *userdata;
 };
 
 /**
  * Find the origin of a stream: in own records, at peers, or by the list of
- * upstreams. `on_found` is called once, later, unless the search is cancelled.
+ * upstreams. `on_found` is called once, later, unless the lookup is cancelled.
  * Returns its number, never 0.
  */
 uint64_t
-direct_stream_origins_search(struct direct_stream_origins *origins,
-			     const struct direct_stream_search *search);
-/** No effect on a search that has ended. */
+direct_stream_origins_lookup(struct direct_stream_origins *origins,
+			     const struct direct_stream_lookup *lookup);
+/** No effect on a lookup that has ended. */
 void direct_stream_origins_cancel(struct direct_stream_origins *origins,
 				  uint64_t number);
 
--- a/direct/direct_stream_version.c
+++ b/direct/direct_stream_version.c
@@ -1,9 +1,10 @@
-/** Streams that callers take up, and the version that may serve them. */
+/** The software version of streams that have begun, which alone may serve them.
+ */
 #include "direct/direct_request.h"
 
 #include <string.h>
 
-bool direct_stream_version_needs_search(const struct direct_request *request)
+bool direct_stream_version_needs_lookup(const struct direct_request *request)
 {
 	return request->route->kind == DIRECT_STREAM &&
 	       (request->info.last_event_id || request->info.resumed_attempt);
@@ -63,13 +64,13 @@
 	const char *outcome = outcome_of(request, origin);
 	g_autofree char *labels = g_strdup_printf("outcome=\"%s\"", outcome);
 
-	*direct_counter(request->direct, "linepier_streams_taken_up_total",
+	*direct_counter(request->direct, "linepier_client_resumes_total",
 			labels) += 1;
-	if (!lp_event_begin(log, "stream_taken_up", request->id))
+	if (!lp_event_begin(log, "client_resume", request->id))
 		return;
 	lp_event_text(log, "outcome", outcome);
 	direct_request_log_resumed(request);
-	lp_event_int(log, "asked", origin->asked);
+	lp_event_int(log, "queried", origin->queried);
 	lp_event_int(log, "answered", origin->answered);
 	lp_event_int(log, "took_us",
 		     direct_request_now_us(request) - request->arrived_us);
@@ -80,7 +81,7 @@
 {
 	struct direct_request *request = userdata;
 
-	request->origin_search = 0;
+	request->origin_lookup = 0;
 	request->state = DIRECT_STATE_STAGES;
 	if (origin->status == STREAM_ORIGIN_KNOWN)
 		set_version(request, origin->version);
@@ -92,16 +93,17 @@
 		request->admit(request);
 }
 
-void direct_stream_version_search(struct direct_request *request,
-				  void (*admit)(struct direct_request *request))
+void direct_stream_version_look_up(
+	struct direct_request *request,
+	void (*admit)(struct direct_request *request))
 {
 	const struct direct_route *route = request->route;
 
 	request->admit = admit;
 	request->state = DIRECT_STATE_ORIGIN;
-	request->origin_search = direct_stream_origins_search(
+	request->origin_lookup = direct_stream_origins_lookup(
 		request->direct->stream_origins,
-		&(struct direct_stream_search){
+		&(struct direct_stream_lookup){
 			.attempt = request->info.resumed_attempt,
 			.service = route->weighted_services_count == 1
 					   ? request->service
@@ -113,10 +115,10 @@
 
 void direct_stream_version_cancel(struct direct_request *request)
 {
-	if (request->origin_search)
+	if (request->origin_lookup)
 		direct_stream_origins_cancel(request->direct->stream_origins,
-					     request->origin_search);
-	request->origin_search = 0;
+					     request->origin_lookup);
+	request->origin_lookup = 0;
 }
 
 bool direct_stream_version_check(struct direct_request *request)
--- a/policy/stream_origins.c
+++ b/policy/stream_origins.c
@@ -139,28 +139,27 @@
 	}
 }
 
-static uint64_t rank(uint64_t attempt, uint64_t entry)
-{
-	return lp_hash_pair(attempt, entry);
-}
-
 uint32_t stream_origins_choose(uint64_t attempt, const uint64_t *entries,
 			       uint32_t count, uint32_t max, uint64_t *chosen)
 {
+	uint64_t ranks[STREAM_ORIGINS_QUERIED];
 	uint32_t size = 0;
 
+	max = MIN(max, STREAM_ORIGINS_QUERIED);
 	for (uint32_t i = 0; i < count; i++) {
+		uint64_t rank = lp_hash_pair(attempt, entries[i]);
 		uint32_t at = size;
 
-		while (at && rank(attempt, entries[i]) >
-				     rank(attempt, chosen[at - 1]))
+		while (at && rank > ranks[at - 1])
 			at--;
 		if (at == max)
 			continue;
-		if (size < max)
-			size++;
-		for (uint32_t j = size - 1; j > at; j--)
+		size = MIN(size + 1, max);
+		for (uint32_t j = size - 1; j > at; j--) {
+			ranks[j] = ranks[j - 1];
 			chosen[j] = chosen[j - 1];
+		}
+		ranks[at] = rank;
 		chosen[at] = entries[i];
 	}
 	return size;
--- a/policy/stream_origins.h
+++ b/policy/stream_origins.h
@@ -1,12 +1,12 @@
 /**
- * Which software version began each stream, for callers that take a stream up
- * at another entry.
+ * Which software version began each stream, for callers that resume a stream at
+ * another entry.
  *
  * A caller names the attempt that delivered the first event of its stream. The
  * entry that served that attempt may have terminated since, or be cut off, so
- * each record is also kept by a few other entries, chosen by rendezvous hash of
- * the attempt: whoever is asked later chooses the same ones without knowing who
- * served the attempt, and no message goes to all entries.
+ * each record is replicated to a few other entries, chosen by rendezvous hash
+ * of the attempt: whoever gets the next attempt chooses the same ones without
+ * knowing who served the first, and no message goes to all entries.
  *
  * A record lives as long as the stream's caller waits. An attempt for which two
  * versions were recorded is ambiguous, and stays so.
@@ -22,10 +22,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/** Other entries that keep a record, and that are asked for one: as many more
- * are asked as may have started or terminated in between. */
+/** Replicas of a record, and entries that are queried for one: more of them, as
+ * entries may have started or terminated in between. */
 #define STREAM_ORIGINS_REPLICAS 3
-#define STREAM_ORIGINS_ASKED 6
+#define STREAM_ORIGINS_QUERIED 6
 /** Longest lifetime of a record, and that of a stream whose caller gives no
  * deadline. */
 #define STREAM_ORIGINS_LIFETIME_US (60 * LP_US_PER_S)
@@ -63,9 +63,10 @@
 				       uint64_t version, int64_t left_us),
 			    void *userdata);
 /**
- * Choose the entries that keep the record of an attempt, or are asked for it:
+ * Choose the entries that are replicas for an attempt, or are queried for it:
  * the first `max` by rendezvous hash among `entries`, hashes of their
- * addresses. Writes them to `chosen` and returns how many they are.
+ * addresses. Writes them to `chosen` and returns how many they are. `max`: at
+ * most STREAM_ORIGINS_QUERIED.
  */
 uint32_t stream_origins_choose(uint64_t attempt, const uint64_t *entries,
 			       uint32_t count, uint32_t max, uint64_t *chosen);
--- a/policy/version_history.h
+++ b/policy/version_history.h
@@ -2,7 +2,7 @@
  * Which software versions of each service the lists of upstreams have named
  * lately. A stream whose origin nobody knows may go on only if a single version
  * can have begun it: the only one that was listed since before the stream can
- * have begun, up to a list that was read after its caller took it up.
+ * have begun, up to a list that was read after its caller resumed it.
  *
  * Pure: lists and times in, decisions out. Times are in microseconds.
  */
--- a/tests/stream_origins_test.cc
+++ b/tests/stream_origins_test.cc
@@ -101,8 +101,8 @@
 }
 
 /* Guards against records that nobody finds: entries start and terminate between
- * the record and the search for it. */
-TEST(StreamOrigins, SearchReachesTheKeepersAlthoughEntriesChange)
+ * the record and the lookup. */
+TEST(StreamOrigins, LookupReachesAReplicaAlthoughEntriesChange)
 {
 	std::vector<uint64_t> entries;
 
@@ -115,42 +115,44 @@
 	std::set<uint64_t> used;
 
 	for (uint64_t attempt = 0; attempt < 10000; attempt++) {
-		uint64_t keepers[STREAM_ORIGINS_REPLICAS];
-		uint64_t asked[STREAM_ORIGINS_ASKED];
+		uint64_t replicas[STREAM_ORIGINS_REPLICAS];
+		uint64_t queried[STREAM_ORIGINS_QUERIED];
 		std::set<uint64_t> found;
 		size_t kept = 0;
 
 		ASSERT_EQ(stream_origins_choose(lp_hash_pair(attempt, 1),
 						entries.data(), entries.size(),
 						STREAM_ORIGINS_REPLICAS,
-						keepers),
+						replicas),
 			  (uint32_t)STREAM_ORIGINS_REPLICAS);
-		ASSERT_NE(keepers[0], keepers[1]);
-		used.insert(keepers[0]);
+		ASSERT_NE(replicas[0], replicas[1]);
+		used.insert(replicas[0]);
 		ASSERT_EQ(stream_origins_choose(lp_hash_pair(attempt, 1),
 						later.data(), later.size(),
-						STREAM_ORIGINS_ASKED, asked),
-			  (uint32_t)STREAM_ORIGINS_ASKED);
-		found.insert(asked, asked + STREAM_ORIGINS_ASKED);
-		for (uint64_t keeper : keepers)
-			kept += found.count(keeper);
+						STREAM_ORIGINS_QUERIED,
+						queried),
+			  (uint32_t)STREAM_ORIGINS_QUERIED);
+		found.insert(queried, queried + STREAM_ORIGINS_QUERIED);
+		for (uint64_t replica : replicas)
+			kept += found.count(replica);
 		lost += !kept;
 	}
 	EXPECT_EQ(used.size(), entries.size());
-	/* All keepers among the 4 of 385 that terminated: once in 2 million. */
+	/* All replicas among the 4 of 385 that terminated: once in 2 million.
+	 */
 	EXPECT_EQ(lost, 0);
 }
 
 TEST(StreamOrigins, FewEntriesAreAllChosen)
 {
 	const uint64_t entries[] = { 5, 6, 7 };
-	uint64_t chosen[STREAM_ORIGINS_ASKED];
+	uint64_t chosen[STREAM_ORIGINS_QUERIED];
 
-	EXPECT_EQ(stream_origins_choose(1, entries, 3, STREAM_ORIGINS_ASKED,
+	EXPECT_EQ(stream_origins_choose(1, entries, 3, STREAM_ORIGINS_QUERIED,
 					chosen),
 		  3u);
 	EXPECT_EQ(std::set<uint64_t>(chosen, chosen + 3).size(), 3u);
-	EXPECT_EQ(stream_origins_choose(1, entries, 0, STREAM_ORIGINS_ASKED,
+	EXPECT_EQ(stream_origins_choose(1, entries, 0, STREAM_ORIGINS_QUERIED,
 					chosen),
 		  0u);
 }
--- a/tests/stream_resume_test.cc
+++ b/tests/stream_resume_test.cc
@@ -138,9 +138,9 @@
 	EXPECT_EQ(broken.resumes("continued"), 1);
 }
 
-/* Guards against a stream that its caller takes up being refused, or queued
+/* Guards against a stream that its caller resumes being refused, or queued
  * behind on-time work, as one that is late for its first event. */
-TEST(StreamResume, PiecesOfStreamTakenUpPrecedeOnTimeWork)
+TEST(StreamResume, PiecesOfStreamResumedByCallerPrecedeOnTimeWork)
 {
 	Rig::stream_age_max_us = LP_US_PER_MS;
 	BrokenStream broken;
@@ -153,14 +153,14 @@
 	broken.stream->wait();
 	broken.queue_burst(8, 100);
 	run_loop_until([] { return false; }, 60);
-	CallerRequest taken(broken.rig.address, "a2", "/resumed/x",
-			    Fields{ { "X-Pieces", "2,2" },
-				    { "X-Piece-Key", "k" },
-				    { "Last-Event-Id", "2" } });
-	EXPECT_TRUE(
-		run_loop_until([&] { return taken.done; }, patience_us / 1000));
-	EXPECT_EQ(taken.status, 200u);
-	EXPECT_EQ(first_events + taken.body, complete_stream);
+	CallerRequest resumed(broken.rig.address, "a2", "/resumed/x",
+			      Fields{ { "X-Pieces", "2,2" },
+				      { "X-Piece-Key", "k" },
+				      { "Last-Event-Id", "2" } });
+	EXPECT_TRUE(run_loop_until([&] { return resumed.done; },
+				   patience_us / 1000));
+	EXPECT_EQ(resumed.status, 200u);
+	EXPECT_EQ(first_events + resumed.body, complete_stream);
 	EXPECT_FALSE(broken.burst.back()->done);
 }
 
--- a/tests/stream_version_test.cc
+++ b/tests/stream_version_test.cc
@@ -73,6 +73,26 @@
 		return "s" + std::to_string(stream) + "-" +
 		       std::to_string(number);
 	}
+	/* Begins a stream whose engine cuts it after two events, once there was
+	 * time for a release. */
+	std::unique_ptr<CallerRequest> begin_stream_to_be_cut()
+	{
+		auto stream = std::make_unique<CallerRequest>(first.address,
+							      "a1", "/again/x");
+
+		for (pe_upstream *engine : v1) {
+			pe_fault(engine, PE_FAULT_CUT);
+			pe_set_work_ms(engine, 900);
+		}
+		EXPECT_TRUE(run_loop_until(
+			[&] { return pe_runs(first.platform, "a1") == 1; }));
+		return stream;
+	}
+	/* The engine of v1 that has no stream. */
+	pe_upstream *idle_engine()
+	{
+		return v1[pe_arrivals(v1[0]) ? 1 : 0];
+	}
 	/* Begins streams at v1 through the first entry; their callers leave
 	 * after the first events. */
 	void begin_streams()
@@ -95,15 +115,15 @@
 
 		return body.substr(at + 4, body.find('\n', at) - at - 4);
 	}
-	/* Takes a stream up, as its caller does, after the events that it has.
+	/* Resumes a stream, as its caller does, after the events that it has.
 	 */
-	std::unique_ptr<CallerRequest> take_up(int stream, int number, Rig &at)
+	std::unique_ptr<CallerRequest> resume(int stream, int number, Rig &at)
 	{
-		return take_up(stream, number, at, attempt(stream, 0));
+		return resume(stream, number, at, attempt(stream, 0));
 	}
 	/* `begun`: the attempt that the caller names; empty: none. */
-	std::unique_ptr<CallerRequest> take_up(int stream, int number, Rig &at,
-					       const std::string &begun)
+	std::unique_ptr<CallerRequest> resume(int stream, int number, Rig &at,
+					      const std::string &begun)
 	{
 		Fields fields = prompt(stream);
 
@@ -123,17 +143,18 @@
 		return { { "X-Token-Counts", "10,6" },
 			 { "X-Prompt-Prefix", "a:5," + own } };
 	}
-	/* Takes all streams up at an entry. Returns how many were completed. */
+	/* Resumes all streams at an entry. Returns how many were completed. */
 	int complete_streams(Rig &at)
 	{
 		int completed = 0;
 
 		for (int i = 0; i < streams_count; i++) {
-			auto taken = take_up(i, 1, at);
+			auto resumed = resume(i, 1, at);
 
-			taken->wait();
-			completed += taken->error == LP_OK &&
-				     bodies[i] + taken->body == complete_stream;
+			resumed->wait();
+			completed +=
+				resumed->error == LP_OK &&
+				bodies[i] + resumed->body == complete_stream;
 		}
 		return completed;
 	}
@@ -158,21 +179,11 @@
 TEST(StreamVersion, EntryResumesAtVersionThatBegan)
 {
 	TwoVersions versions;
-	pe_upstream *began;
+	auto stream = versions.begin_stream_to_be_cut();
 
-	for (pe_upstream *engine : versions.v1) {
-		pe_fault(engine, PE_FAULT_CUT);
-		pe_set_work_ms(engine, 900);
-	}
-	CallerRequest stream(versions.first.address, "a1", "/again/x");
-	EXPECT_TRUE(run_loop_until(
-		[&] { return pe_runs(versions.first.platform, "a1") == 1; }));
-	began = versions.v1[pe_arrivals(versions.v1[0]) ? 0 : 1];
-	for (pe_upstream *engine : versions.v1)
-		if (engine != began)
-			pe_fault(engine, PE_FAULT_NONE);
+	pe_fault(versions.idle_engine(), PE_FAULT_NONE);
 	versions.release();
-	EXPECT_EQ(stream.wait().body, complete_stream);
+	EXPECT_EQ(stream->wait().body, complete_stream);
 	EXPECT_EQ(versions.mixed(), 0u);
 }
 
@@ -181,23 +192,17 @@
 TEST(StreamVersion, AnswerIsAbortedWhenVersionIsGone)
 {
 	TwoVersions versions;
+	auto stream = versions.begin_stream_to_be_cut();
 
-	for (pe_upstream *engine : versions.v1) {
-		pe_fault(engine, PE_FAULT_CUT);
-		pe_set_work_ms(engine, 900);
-	}
-	CallerRequest stream(versions.first.address, "a1", "/again/x");
-	EXPECT_TRUE(run_loop_until(
-		[&] { return pe_runs(versions.first.platform, "a1") == 1; }));
-	pe_drain(versions.v1[pe_arrivals(versions.v1[0]) ? 1 : 0]);
+	pe_drain(versions.idle_engine());
 	versions.release();
-	EXPECT_NE(stream.wait().error, LP_OK);
-	EXPECT_EQ(stream.body,
+	EXPECT_NE(stream->wait().error, LP_OK);
+	EXPECT_EQ(stream->body,
 		  "id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\n");
 	EXPECT_EQ(versions.mixed(), 0u);
 }
 
-/* Guards against an entry that takes up a stream of another entry at another
+/* Guards against an entry that continues a stream of another entry at another
  * version. */
 TEST(StreamVersion, CallerContinuesAtAnotherEntry)
 {
@@ -232,7 +237,7 @@
 	versions.release();
 	for (int i = 0; i < streams_count; i++)
 		versions.expect_refused(
-			*versions.take_up(i, 1, versions.entry(1)),
+			*versions.resume(i, 1, versions.entry(1)),
 			TwoVersions::attempt(i, 1));
 	EXPECT_EQ(versions.mixed(), 0u);
 }
@@ -250,7 +255,7 @@
 	versions.wait_for_lists();
 	for (int i = 0; i < streams_count; i++)
 		versions.expect_refused(
-			*versions.take_up(i, 1, versions.entry(i % 2)),
+			*versions.resume(i, 1, versions.entry(i % 2)),
 			TwoVersions::attempt(i, 1));
 	EXPECT_EQ(versions.mixed(), 0u);
 }
@@ -276,15 +281,16 @@
 	versions.begin_streams();
 	versions.release();
 	for (int i = 0; i < streams_count; i++) {
-		auto taken = versions.take_up(i, 1, versions.entry(1));
-
-		EXPECT_TRUE(run_loop_until(
-			[&] { return !taken->body.empty() || taken->done; }));
-		versions.bodies[i] += taken->body;
-		if (!taken->done)
-			taken->cancel();
-		taken = versions.take_up(i, 2, versions.entry(i % 2));
-		EXPECT_EQ(versions.bodies[i] + taken->wait().body,
+		auto resumed = versions.resume(i, 1, versions.entry(1));
+
+		EXPECT_TRUE(run_loop_until([&] {
+			return !resumed->body.empty() || resumed->done;
+		}));
+		versions.bodies[i] += resumed->body;
+		if (!resumed->done)
+			resumed->cancel();
+		resumed = versions.resume(i, 2, versions.entry(i % 2));
+		EXPECT_EQ(versions.bodies[i] + resumed->wait().body,
 			  complete_stream);
 	}
 	EXPECT_EQ(versions.mixed(), 0u);
@@ -342,7 +348,7 @@
 	for (const std::string &begun : unknown) {
 		number++;
 		versions.expect_refused(
-			*versions.take_up(0, number, versions.entry(1), begun),
+			*versions.resume(0, number, versions.entry(1), begun),
 			TwoVersions::attempt(0, number));
 	}
 	EXPECT_EQ(versions.mixed(), 0u);
@@ -360,18 +366,18 @@
 	versions.wait_for_lists();
 	EXPECT_EQ(
 		versions.bodies[0] +
-			versions.take_up(0, 1, versions.first, "")->wait().body,
+			versions.resume(0, 1, versions.first, "")->wait().body,
 		complete_stream);
 	/* The first version has left: it may have begun the stream. */
 	versions.release();
 	for (pe_upstream *engine : versions.v1)
 		pe_remove(engine);
 	run_loop_until([] { return false; }, 400);
-	versions.expect_refused(*versions.take_up(0, 2, versions.first, ""),
+	versions.expect_refused(*versions.resume(0, 2, versions.first, ""),
 				TwoVersions::attempt(0, 2));
 	versions.wait_for_lists();
 	versions.wait_for_lists();
-	EXPECT_EQ(versions.take_up(0, 3, versions.first, "")->wait().status,
+	EXPECT_EQ(versions.resume(0, 3, versions.first, "")->wait().status,
 		  200u);
 }
 
