--- a/bench/bench_decide.c
+++ b/bench/bench_decide.c
@@ -1,8 +1,11 @@
-/* decide: processor time of one routing and one admission decision. */
+/* decide: processor time of one routing and one admission decision, and of the
+ * decisions about streams' versions. */
 #include "base/lp_id.h"
 #include "bench/bench.h"
 #include "policy/queue.h"
 #include "policy/route.h"
+#include "policy/stream_origins.h"
+#include "policy/version_history.h"
 #include "policy/worker.h"
 
 #include <stdio.h>
@@ -10,6 +13,10 @@
 
 #define PICKS 400000
 #define CALLS 200000
+#define STREAMS 20000
+#define LISTS 500
+/* Services of a large deployment, each with a release under way. */
+#define SERVICES 20
 
 static double cpu_us(void)
 {
@@ -148,6 +155,49 @@
 	return start_us / CALLS;
 }
 
+/* The replicas of one stream's record, among so many entries. */
+static double replicas_cost_us(uint32_t count)
+{
+	g_autofree uint64_t *entries = g_new(uint64_t, count);
+	uint64_t chosen[STREAM_ORIGINS_REPLICAS];
+	double start_us;
+
+	for (uint32_t i = 0; i < count; i++)
+		entries[i] = lp_hash_pair(i, 1);
+	start_us = cpu_us();
+	for (uint32_t i = 0; i < STREAMS; i++)
+		stream_origins_choose(lp_hash_pair(i, 2), entries, count,
+				      STREAM_ORIGINS_REPLICAS, chosen);
+	return (cpu_us() - start_us) / STREAMS;
+}
+
+/* One list of so many upstreams, added to the history of versions. */
+static double history_cost_us(uint32_t count)
+{
+	struct version_history *history = version_history_create();
+	double start_us = cpu_us();
+
+	for (uint32_t list = 1; list <= LISTS; list++) {
+		version_history_begin_list(history, list);
+		for (uint32_t i = 0; i < count; i++)
+			version_history_add(history, i % SERVICES,
+					    1 + i % (2 * SERVICES));
+	}
+	start_us = cpu_us() - start_us;
+	version_history_destroy(history);
+	return start_us / LISTS;
+}
+
+static void print_stream_costs(void)
+{
+	static const uint32_t counts[] = { 5, 100, 385, 1400 };
+
+	printf("%10s %14s %12s\n", "n", "replicas_us", "history_us");
+	for (size_t i = 0; i < G_N_ELEMENTS(counts); i++)
+		printf("%10u %14.3f %12.3f\n", counts[i],
+		       replicas_cost_us(counts[i]), history_cost_us(counts[i]));
+}
+
 int bench_decide(const struct bench_settings *settings)
 {
 	static const uint32_t upstreams[] = { 10, 100, 256 };
@@ -166,6 +216,7 @@
 		admit_us[i] = admit_cost_us(organisations[i]);
 		printf("%14u %12.3f\n", organisations[i], admit_us[i]);
 	}
+	print_stream_costs();
 	printf("decide route_us=%.3f route_growth=%.2f admit_us=%.3f "
 	       "admit_growth=%.2f\n",
 	       route_us[2], route_us[2] / route_us[0], admit_us[2],
