--- a/direct/direct_version_history.h
+++ b/direct/direct_version_history.h
@@ -1,9 +1,10 @@
 /**
  * Which software versions the lists of upstreams have named
- * (policy/version_history.h), by the lists of this entry and those of its peers.
+ * (policy/version_history.h), by the lists of this entry and those of its
+ * peers.
  *
- * An entry that has restarted has read few lists. When two entries discover each
- * other, each sends its history to the other one, in one datagram.
+ * An entry that has restarted has read few lists. When two entries discover
+ * each other, each sends its history to the other one, in one datagram.
  *
  * All functions must be called on the event loop's thread. Times are in
  * microseconds of the clock.
--- a/tools/pe_caller.h
+++ b/tools/pe_caller.h
@@ -11,14 +11,14 @@
 
 /** Strings are borrowed; NULL and 0: the field is left out. */
 struct pe_caller_request {
-	const char *attempt;	      /**< id of this attempt */
-	const char *key;	      /**< of its organisation */
-	int64_t timeout_ms;	      /**< how long the caller waits */
-	const char *tokens;	      /**< "IN,OUT" */
-	const char *pieces;	      /**< of each stage: "N,N" */
+	const char *attempt; /**< id of this attempt */
+	const char *key;     /**< of its organisation */
+	int64_t timeout_ms;  /**< how long the caller waits */
+	const char *tokens;  /**< "IN,OUT" */
+	const char *pieces;  /**< of each stage: "N,N" */
 	const char *piece_key;
-	const char *resumed_attempt;  /**< that began the stream */
-	const char *last_event;	      /**< of that stream */
+	const char *resumed_attempt; /**< that began the stream */
+	const char *last_event;	     /**< of that stream */
 };
 
 void pe_caller_write(const struct pe_caller_request *request,
--- a/tools/soak_callers.c
+++ b/tools/soak_callers.c
@@ -1,4 +1,5 @@
-/** The soak's callers: what they ask of the entries, and what may come of it. */
+/** The soak's callers: what they ask of the entries, and what may come of it.
+ */
 #include "tools/soak_private.h"
 
 #include "http/http_client.h"
@@ -145,11 +146,13 @@
 	judge_time(ask);
 	judge_planned_end(ask, error);
 	if (!error && ask->status == 200 && !whole) {
-		soak_breach(soak, ask->id, "a success without the whole answer");
+		soak_breach(soak, ask->id,
+			    "a success without the whole answer");
 		printf("it was %s: %s\n", targets[ask->kind], ask->body->str);
 	}
 	if (!error && ask->status == 503 && runs)
-		soak_breach(soak, ask->id, "refused as not run, and it has run");
+		soak_breach(soak, ask->id,
+			    "refused as not run, and it has run");
 	if (runs > 1 && ask->kind != KIND_LOOK && ask->kind != KIND_AGAIN)
 		soak_breach(soak, ask->id, "ran twice");
 }
@@ -241,15 +244,16 @@
 	struct http_fields fields;
 
 	http_fields_init(&fields);
-	pe_caller_write(&(struct pe_caller_request){
-				.attempt = ask->id,
-				.key = "key-always",
-				.pieces = is_staged ? "2,3" : NULL,
-				.piece_key = is_staged ? piece_key : NULL,
-				.resumed_attempt = ask->first,
-				.last_event = ask->last_event,
-			},
-			&fields);
+	pe_caller_write(
+		&(struct pe_caller_request){
+			.attempt = ask->id,
+			.key = "key-always",
+			.pieces = is_staged ? "2,3" : NULL,
+			.piece_key = is_staged ? piece_key : NULL,
+			.resumed_attempt = ask->first,
+			.last_event = ask->last_event,
+		},
+		&fields);
 	ask->exchange = http_exchange_start(&(struct http_exchange_options){
 		.address = address,
 		.method = "POST",
