Await slow answers of the key-value service: adaptive timeouts, late answers used

What callers saw: entries that were restarted while the key-value service took 1.6 s for each answer refused all requests until it was fast again.

Cause: a call was cancelled after a fixed second and sent again; its answer was thrown away. Entries, the etcd backend, the host list and the agent's metrics share the module.

Evidence: each kv_call_failed has took_us 1.00 s and 0 bytes, which a silent service looks like as well.

Change: the answer to an overdue request is awaited for ten seconds more. It is taken by a read of the same path that is under way, or that is sent when it begins; it restarts what waits for the service to answer; calls under way and later ones get twice the time that it took (policy/call_timeout). Only answers raise the timeout, so an outage is noticed as before.

The command line, which makes single calls, waits ten seconds instead of two: it said of such a service that it cannot be reached.

Before: SlowService.* 5 of 5 red, scenario.kv-slow-start red. After: green.

--- a/agent/agent_load.c
+++ b/agent/agent_load.c
@@ -89,7 +89,10 @@
 
 	load->options = *options;
 	load->url = g_strconcat(options->url, "/metrics", NULL);
-	load->http = store_http_create(1);
+	load->http = store_http_create(&(struct store_http_options){
+		.connections = 1,
+		.adapts_timeout = true,
+	});
 	poll_metrics(load);
 	return load;
 }
--- a/agent/agent_orders.c
+++ b/agent/agent_orders.c
@@ -139,7 +139,8 @@
 
 	orders->node = node;
 	orders->order = order_create(&options);
-	orders->http = store_http_create(1);
+	orders->http = store_http_create(
+		&(struct store_http_options){ .connections = 1 });
 	orders->key =
 		g_strconcat(FENCE_PREFIX, node_settings(node)->host, NULL);
 	orders->fence_value = g_strdup_printf("%" G_GINT64_MODIFIER "x",
--- a/cli/linepier_main.c
+++ b/cli/linepier_main.c
@@ -5,6 +5,9 @@
 #include <stdio.h>
 #include <string.h>
 
+/* A command makes few calls and learns nothing of the service before: it waits
+ * as long as a slow one may take. */
+#define KV_TIMEOUT_US (10 * LP_US_PER_S)
 #define KV_CALLS_PER_S 50.0
 #define FIELD(name) offsetof(struct cli_settings, name)
 
@@ -71,12 +74,14 @@
 		.settings = settings,
 		.args = args,
 		.counters = lp_counters_create(),
-		.http = store_http_create(4),
+		.http = store_http_create(
+			&(struct store_http_options){ .connections = 4 }),
 	};
 	const struct store_etcd_options options = {
 		.url = settings->kv_url,
 		.clock = lp_clock_boot(),
 		.counters = cli.counters,
+		.timeout_us = KV_TIMEOUT_US,
 		.calls_per_s = KV_CALLS_PER_S,
 	};
 	int status;
--- a/store/store_etcd.c
+++ b/store/store_etcd.c
@@ -519,7 +519,10 @@
 	etcd->base.ops = &etcd_ops;
 	etcd->options = *options;
 	etcd->url = g_strdup(options->url);
-	etcd->http = store_http_create(CONNECTIONS);
+	etcd->http = store_http_create(&(struct store_http_options){
+		.connections = CONNECTIONS,
+		.adapts_timeout = true,
+	});
 	g_queue_init(&etcd->waiting);
 	bucket_init(&etcd->budget, rate, burst, lp_now_us(options->clock));
 	return &etcd->base;
--- a/store/store_hosts.c
+++ b/store/store_hosts.c
@@ -134,7 +134,10 @@
 
 	client->options = *options;
 	client->url = g_strconcat(options->url, "/v1/hosts", NULL);
-	client->http = store_http_create(1);
+	client->http = store_http_create(&(struct store_http_options){
+		.connections = 1,
+		.adapts_timeout = true,
+	});
 	poll_now(client);
 	return client;
 }
--- a/store/store_http.h
+++ b/store/store_http.h
@@ -1,4 +1,13 @@
-/** One HTTP exchange with JSON both ways, over libsoup. */
+/**
+ * HTTP exchanges with JSON both ways, over libsoup.
+ *
+ * A client serves one service. If it adapts its timeout, an exchange that got
+ * no answer in time fails, and the answer is still awaited for a while. When it
+ * begins, it tells how long the service takes, and exchanges under way and
+ * later ones are given that time (policy/call_timeout.h). The answer itself
+ * goes to an exchange for the same URL that is under way by then and accepts
+ * it. Times are in microseconds, of lp_clock_boot().
+ */
 #ifndef STORE_HTTP_H
 #define STORE_HTTP_H
 
@@ -6,6 +15,7 @@
 
 #include <json-glib/json-glib.h>
 #include <libsoup/soup.h>
+#include <stdbool.h>
 
 struct store_http;
 /** One on its way; ends with done() or dropped(). */
@@ -14,6 +24,9 @@
 /** What came of an exchange. Borrowed during the callback. */
 struct store_http_answer {
 	int error; /**< LP_OK: any HTTP answer came whole */
+	/** By how much the request that was answered was sent before the
+	 * exchange: store_http_request.accepts_earlier. */
+	int64_t earlier_us;
 	uint32_t status;
 	const char *etag; /**< or NULL */
 	const char *body; /**< NUL-terminated; NULL on error */
@@ -25,8 +38,15 @@
 	const char *url;
 	const char *body;   /**< JSON, or NULL */
 	const char *etag;   /**< sent as If-None-Match, or NULL */
-	int64_t timeout_us; /**< until the answer begins; 0: 2 s */
-	int64_t stall_us;   /**< between two pieces of it; 0: timeout_us */
+	int64_t timeout_us; /**< until the answer begins; 0: 2 s. Longer if the
+			       client adapts it */
+	/** Time for which the service may hold the answer back, beyond the
+	 * timeout (long poll). */
+	int64_t wait_us;
+	int64_t stall_us; /**< between two pieces of it; 0: timeout_us */
+	/** The answer to an earlier request for the same URL, whose exchange
+	 * failed, is as good: whichever begins first is taken. */
+	bool accepts_earlier;
 	/** The answer begins to come; or NULL. */
 	void (*begun)(void *userdata, uint32_t status);
 	void (*done)(void *userdata, const struct store_http_answer *answer);
@@ -36,8 +56,17 @@
 	void *userdata;
 };
 
-/** `connections`: most connections to one host. */
-struct store_http *store_http_create(uint32_t connections);
+struct store_http_options {
+	uint32_t connections; /**< most exchanges at the same time */
+	bool adapts_timeout;  /**< to the time that the service takes */
+	/** Called when an answer begins `took_us` after its request was sent,
+	 * whose exchange had failed; or NULL. An exchange that is sent by the
+	 * callback may receive that answer. */
+	void (*late)(void *userdata, int64_t took_us);
+	void *userdata;
+};
+
+struct store_http *store_http_create(const struct store_http_options *options);
 /** Outstanding exchanges are cancelled and dropped. */
 void store_http_destroy(struct store_http *http);
 /**
@@ -48,5 +77,8 @@
 		const struct store_http_request *request);
 void store_http_cancel(struct store_http_exchange *exchange);
 SoupSession *store_http_session(struct store_http *http);
+/** The timeout of an exchange that is sent now and asks for this one. */
+int64_t store_http_timeout_us(const struct store_http *http,
+			      int64_t initial_us);
 
 #endif
--- a/store/store_kv.h
+++ b/store/store_kv.h
@@ -49,6 +49,9 @@
 	const struct store_pair *pairs;
 	uint32_t pairs_count;
 	int64_t lease;
+	/** Of a range: by how much the read that was answered was sent before
+	 * the call. */
+	int64_t earlier_us;
 };
 
 /** What a watch hears of. */
--- a/tests/cwrap.h
+++ b/tests/cwrap.h
@@ -47,6 +47,7 @@
 #include "policy/allowed_regions.h"
 #include "policy/backoff.h"
 #include "policy/bucket.h"
+#include "policy/call_timeout.h"
 #include "policy/claim.h"
 #include "policy/client_wait.h"
 #include "policy/closed_domains.h"
--- a/tools/pe.h
+++ b/tools/pe.h
@@ -54,6 +54,8 @@
 void pe_store_fault(struct pe *pe, enum pe_store_fault fault);
 /** The rate of the link that the service's answers share; 0: no bound. */
 void pe_store_set_rate(struct pe *pe, uint32_t bytes_per_s);
+/** How long the service takes for each answer; 0: it answers at once. */
+void pe_store_set_delay(struct pe *pe, uint32_t delay_ms);
 /** The connections that are open go silent for good, in the middle of an answer
  * too; new ones work. */
 void pe_store_silence(struct pe *pe);
--- a/tools/pe_link.c
+++ b/tools/pe_link.c
@@ -12,10 +12,12 @@
 	char *text;
 	size_t size;
 	size_t sent;
+	gint64 due_us; /* not sent before */
 };
 
 struct pe_link {
 	uint32_t bytes_per_s; /* 0: no bound */
+	uint32_t delay_ms;    /* of each answer */
 	GPtrArray *sendings;  /* of struct sending */
 	guint timer;	      /* runs while there is something to send */
 };
@@ -49,6 +51,25 @@
 	link->bytes_per_s = bytes_per_s;
 }
 
+void pe_link_set_delay(struct pe_link *link, uint32_t delay_ms)
+{
+	link->delay_ms = delay_ms;
+}
+
+static bool is_due(const struct sending *sending)
+{
+	return g_get_monotonic_time() >= sending->due_us;
+}
+
+static guint count_due(const struct pe_link *link)
+{
+	guint count = 0;
+
+	for (guint i = 0; i < link->sendings->len; i++)
+		count += is_due(g_ptr_array_index(link->sendings, i));
+	return count;
+}
+
 static void send_some(struct pe_link *link, guint index, size_t bytes)
 {
 	struct sending *sending;
@@ -58,6 +79,8 @@
 	if (index >= link->sendings->len)
 		return; /* a client left while another was written to */
 	sending = g_ptr_array_index(link->sendings, index);
+	if (!is_due(sending))
+		return;
 	conn = sending->conn;
 	size = MIN(bytes, sending->size - sending->sent);
 	http_sock_write(conn->sock, sending->text + sending->sent, size);
@@ -73,7 +96,8 @@
 {
 	struct pe_link *link = userdata;
 	guint count = link->sendings->len;
-	size_t bytes = link->bytes_per_s / TICKS_PER_S / MAX(count, 1);
+	guint due = count_due(link);
+	size_t bytes = link->bytes_per_s / TICKS_PER_S / MAX(due, 1);
 
 	for (guint i = count; i-- > 0;)
 		send_some(link, i,
@@ -95,13 +119,15 @@
 	conn->timer = 0;
 	if (conn->silent)
 		return;
-	if (!link->bytes_per_s) {
+	if (!link->bytes_per_s && !link->delay_ms) {
 		pe_conn_write(conn, text);
 		pe_conn_next(conn);
 		return;
 	}
 	sending = g_new0(struct sending, 1);
 	sending->conn = conn;
+	sending->due_us = g_get_monotonic_time() +
+			  link->delay_ms * G_TIME_SPAN_MILLISECOND;
 	sending->size = strlen(text);
 	sending->text = g_steal_pointer(&text);
 	g_ptr_array_add(link->sendings, sending);
--- a/tools/pe_private.h
+++ b/tools/pe_private.h
@@ -153,6 +153,8 @@
 void pe_link_destroy(struct pe_link *link);
 /** 0: as fast as they are taken, as in the beginning. */
 void pe_link_set_rate(struct pe_link *link, uint32_t bytes_per_s);
+/** Each answer is sent that much later. */
+void pe_link_set_delay(struct pe_link *link, uint32_t delay_ms);
 /** Write an answer; the connection is kept. */
 void pe_link_answer(struct pe_link *link, struct pe_conn *conn, uint32_t status,
 		    const char *extra, const char *body);
--- a/tools/pe_store.c
+++ b/tools/pe_store.c
@@ -333,6 +333,11 @@
 	pe_link_set_rate(pe->link, bytes_per_s);
 }
 
+void pe_store_set_delay(struct pe *pe, uint32_t delay_ms)
+{
+	pe_link_set_delay(pe->link, delay_ms);
+}
+
 void pe_store_silence(struct pe *pe)
 {
 	pe_link_stall(pe->link);
