--- a/tests/slow_service_test.cc
+++ b/tests/slow_service_test.cc
@@ -8,7 +8,7 @@
  * another one was sent: kv_call_failed after 1.00 s with 0 bytes, for every
  * call.
  */
-#include "direct_rig.h"
+#include "scripted_feed.h"
 
 #include <memory>
 
@@ -154,6 +154,61 @@
 	EXPECT_TRUE(reaches_version(*entry, 2, 1500));
 }
 
+/* ---- what peers have meanwhile ---- */
+
+/* Guards against an entry without a list that waits for its own poll, which may
+ * take as long as the service is slow, while a peer announces the list. */
+TEST(SlowService, EntryWithoutAListTakesTheOneThatAPeerAnnounces)
+{
+	ScriptedFeed peer;
+	ScriptedFeed entry(true);
+
+	peer.answer_poll({ "i-1 ready" });
+	ASSERT_TRUE(entry.store.poll_pending());
+	EXPECT_TRUE(plf_feed_handle_peer_hash(entry.feed, 7, 0));
+	plf_feed_offer_announced_list(entry.feed, peer.list_text().c_str(), 0);
+	EXPECT_EQ(entry.list_text(), peer.list_text());
+}
+
+/* The same while its polls fail. */
+TEST(SlowService, EntryWithoutAListTakesOneWhileItsPollsFail)
+{
+	ScriptedFeed peer;
+	ScriptedFeed entry(true);
+
+	peer.answer_poll({ "i-1 ready" });
+	entry.fail_poll();
+	EXPECT_TRUE(plf_feed_handle_peer_hash(entry.feed, 7, 0));
+	plf_feed_offer_announced_list(entry.feed, peer.list_text().c_str(), 0);
+	EXPECT_EQ(entry.list_text(), peer.list_text());
+}
+
+/* Guards against fetches from peers that have just started, too, and have
+ * nothing: of 68 entries that started while the service did not answer, each
+ * sent seven in ten seconds. */
+TEST(SlowService, NothingIsFetchedFromPeersWithoutAConfiguration)
+{
+	std::unique_ptr<pe, void (*)(pe *)> platform{ pe_create(), pe_destroy };
+	std::vector<std::unique_ptr<Rig>> entries;
+
+	pe_store_fault(platform.get(), PE_STORE_SILENT);
+	for (int i = 0; i < 3; i++) {
+		entries.push_back(std::make_unique<Rig>(platform.get(), true));
+		entries[i]->spreads_config = true;
+		entries[i]->join(("127.0.0." + std::to_string(i + 1)).c_str(),
+				 500, { "127.0.0.1" });
+	}
+	wait_ms(3000);
+	for (auto &entry : entries) {
+		EXPECT_EQ(direct_peers_count(entry->peers), 3u);
+		EXPECT_EQ(*lp_counter(entry->counters,
+				      "linepier_peer_fetches_total",
+				      "target=\"" PLF_UPSTREAM_LIST_TARGET
+				      "\",outcome=\"failed\""),
+			  0);
+	}
+}
+
 /* ---- the timeout ---- */
 
 const int64_t initial_us = 1000;
