Scenarios: started entries listen, and one that never does is named

A fleet whose entry never listens failed after 20 s as "a process did not start". Now it fails with the entry's name and address, and at once if the process has ended.

--- a/tests/cwrap.h
+++ b/tests/cwrap.h
@@ -83,6 +83,7 @@
 #include "policy/watch_keeper.h"
 #include "policy/watch_timeout.h"
 #include "policy/worker.h"
+#include "tools/fleet.h"
 #include "tools/pe.h"
 #include "wire/wire_msg.h"
 }
--- a/tools/fleet.c
+++ b/tools/fleet.c
@@ -241,6 +241,37 @@
 	return host->pid;
 }
 
+static bool has_ended(struct fleet_host *host)
+{
+	if (host->pid && waitpid(host->pid, NULL, WNOHANG) == host->pid)
+		host->pid = 0;
+	return !host->pid;
+}
+
+static bool accepts_connections(const char *address)
+{
+	g_autoptr(GSocketClient) client = g_socket_client_new();
+	g_autoptr(GSocketConnection) conn =
+		g_socket_client_connect_to_host(client, address, 0, NULL, NULL);
+
+	return conn != NULL;
+}
+
+bool fleet_wait_listening(struct fleet *fleet, struct fleet_host *host)
+{
+	int64_t until_us =
+		g_get_monotonic_time() + fleet->options.start_timeout_us;
+
+	if (*host->service)
+		return true;
+	while (!accepts_connections(host->listen)) {
+		if (has_ended(host) || g_get_monotonic_time() > until_us)
+			return false;
+		fleet_pause(POLL_US);
+	}
+	return true;
+}
+
 bool fleet_succeed(struct fleet *fleet, struct fleet_host *host)
 {
 	struct fleet_host *old = g_new0(struct fleet_host, 1);
@@ -424,25 +455,6 @@
 	return fleet->standin && wait_answering(fleet->hosts_url);
 }
 
-/* Whether an address accepts connections within the time that processes take to
- * start. */
-static bool wait_listening(const char *address)
-{
-	g_autoptr(GSocketClient) client = g_socket_client_new();
-	int64_t until_us = g_get_monotonic_time() + READY_TIMEOUT_US;
-
-	while (g_get_monotonic_time() < until_us) {
-		g_autoptr(GSocketConnection) conn =
-			g_socket_client_connect_to_host(client, address, 0,
-							NULL, NULL);
-
-		if (conn)
-			return true;
-		fleet_pause(POLL_US);
-	}
-	return false;
-}
-
 static bool start_proxy(struct fleet *fleet)
 {
 	g_autoptr(GPtrArray) argv = new_argv(fleet, "lp-proxy");
@@ -475,6 +487,8 @@
 	fleet->options = *options;
 	if (!fleet->options.entries)
 		fleet->options.entries = 2;
+	if (!fleet->options.start_timeout_us)
+		fleet->options.start_timeout_us = READY_TIMEOUT_US;
 	if (!fleet->options.scale_percent)
 		fleet->options.scale_percent = 100;
 	fleet->build = g_strdup(options->build);
@@ -509,8 +523,15 @@
 	for (guint i = 0; good && i < fleet->hosts->len; i++)
 		good = fleet_start(fleet, fleet_at(fleet, i));
 	/* A caller's connection to an entry that starts slowly is refused. */
-	for (uint32_t i = 0; good && i < fleet->options.entries; i++)
-		good = wait_listening(fleet_entry(fleet, i));
+	for (guint i = 0; good && i < fleet->hosts->len; i++) {
+		struct fleet_host *host = fleet_at(fleet, i);
+
+		good = fleet_wait_listening(fleet, host);
+		if (!good)
+			*why = g_strdup_printf(
+				"%s does not listen for callers at %s",
+				host->id, host->listen);
+	}
 	if (good)
 		return fleet;
 	if (!*why)
--- a/tools/fleet.h
+++ b/tools/fleet.h
@@ -24,6 +24,7 @@
 	uint32_t entries;	/**< 0: 2 */
 	uint32_t scale_percent; /**< of each service's count; 0: 100 */
 	bool proxied;		/**< KV and wires go through the fault proxy */
+	int64_t start_timeout_us; /**< until entries listen; 0: 20 s */
 	/** More flags for every linepierd, NULL-terminated, or NULL. */
 	const char *const *flags;
 };
@@ -57,8 +58,11 @@
 const char *fleet_kv_direct(const struct fleet *fleet);
 const char *fleet_hosts_url(const struct fleet *fleet);
 
-/** Start a host's process (again). */
+/** Start a host's process (again). It may not listen yet. */
 bool fleet_start(struct fleet *fleet, struct fleet_host *host);
+/** Wait until an entry that was started accepts callers' connections. False: it
+ * has ended, or does not in time. Agents have no callers. */
+bool fleet_wait_listening(struct fleet *fleet, struct fleet_host *host);
 /**
  * Start a successor of a process that is left as it is: the host's id goes
  * to the new one, on ports of its own, and the old one is found as ID.old.
--- a/tools/scenario_fleet.c
+++ b/tools/scenario_fleet.c
@@ -100,7 +100,8 @@
 {
 	struct fleet_host *host = sc_host_of(scenario, words);
 
-	if (host && !fleet_start(scenario->fleet, host))
+	if (host && (!fleet_start(scenario->fleet, host) ||
+		     !fleet_wait_listening(scenario->fleet, host)))
 		sc_fail(scenario, "it did not start");
 }
 
@@ -108,7 +109,8 @@
 {
 	struct fleet_host *host = sc_host_of(scenario, words);
 
-	if (host && !fleet_succeed(scenario->fleet, host))
+	if (host && (!fleet_succeed(scenario->fleet, host) ||
+		     !fleet_wait_listening(scenario->fleet, host)))
 		sc_fail(scenario, "it did not start");
 }
 
@@ -161,8 +163,10 @@
 	for (uint32_t i = 0; i < fleet_count(scenario->fleet); i++) {
 		struct fleet_host *host = fleet_at(scenario->fleet, i);
 
-		if (!host->pid)
-			fleet_start(scenario->fleet, host);
+		if (!host->pid &&
+		    (!fleet_start(scenario->fleet, host) ||
+		     !fleet_wait_listening(scenario->fleet, host)))
+			sc_fail(scenario, host->id);
 	}
 }
 
