Calls of pieces wait longer while no upstream of their service answers

What callers saw: where all upstreams of a stage took more than three times the expected time, no request with that stage was served. Each call was given up, its upstream avoided for a while, and the pieces begun anew elsewhere, with the same timeout, until the request's time was over. A call that is given up takes its upstream's time all the same.

Cause: the timeout of a call follows the speed that was measured at its upstream, and only answered calls are measured.

Change: the timeout doubles with the consecutive failures that each upstream of the service has, twice at most. Where one upstream answers, it is as before: there the pieces are better off elsewhere soon. The decision is in policy/pieces.

--- a/direct/direct_calls.c
+++ b/direct/direct_calls.c
@@ -8,9 +8,6 @@
 
 #include <string.h>
 
-/* A call times out after this many times its expected duration. */
-#define CALL_TIMEOUT_FACTOR 3
-#define CALL_TIMEOUT_MIN_US (700 * LP_US_PER_MS)
 /* A query of result memory; a later answer is not worth waiting for. */
 #define MEMORY_QUERY_TIMEOUT_US (500 * LP_US_PER_MS)
 /* Peers that receive the report of an unreachable upstream eject it for this
@@ -527,8 +524,7 @@
 		.method = "POST",
 		.target = codec->items_target,
 		.body = body,
-		.timeout_us = MAX(CALL_TIMEOUT_FACTOR * batch->expected_us,
-				  CALL_TIMEOUT_MIN_US),
+		.timeout_us = batch->timeout_us,
 		.done = on_call_done,
 		.userdata = call,
 	});
--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -17,6 +17,11 @@
  * by this factor. */
 #define SLOW_CALL_FACTOR 1.5
 
+/* A call times out after this many times its expected duration. */
+#define CALL_TIMEOUT_FACTOR 3
+#define CALL_TIMEOUT_MIN_US (700 * LP_US_PER_MS)
+#define CALL_TIMEOUT_DOUBLINGS_MAX 2
+
 /* Interval between memory queries to an upstream that holds results of other
  * dispatchers; a call lasts about twice as long. */
 #define MEMORY_QUERY_INTERVAL_US (150 * LP_US_PER_MS)
@@ -397,6 +402,33 @@
 	g_free(selected);
 }
 
+/* Consecutive failures that each upstream of the service has. */
+static uint32_t failures_everywhere(const struct pieces *pieces)
+{
+	const GPtrArray *list = pieces_upstreams(pieces);
+	uint32_t fewest = G_MAXUINT32;
+
+	for (guint i = 0; i < list->len; i++) {
+		const struct pool_upstream *upstream =
+			g_ptr_array_index(list, i);
+
+		fewest = MIN(fewest, upstream->consecutive_failures);
+	}
+	return fewest;
+}
+
+/* Another upstream is tried soon, unless none has answered lately: then they
+ * may all be slow, and a call that is given up helps nobody. */
+static int64_t piece_call_timeout_us(const struct pieces *pieces,
+				     int64_t expected_us)
+{
+	uint32_t failures = failures_everywhere(pieces);
+	uint32_t doublings = MIN(failures, CALL_TIMEOUT_DOUBLINGS_MAX);
+
+	return MAX(CALL_TIMEOUT_FACTOR * expected_us, CALL_TIMEOUT_MIN_US)
+	       << doublings;
+}
+
 static struct pieces_call *open_call(struct pieces *pieces,
 				     struct pool_upstream *upstream)
 {
@@ -414,6 +446,7 @@
 					      pieces, call->pieces->len) *
 				      pool_upstream_time_factor(
 					      pieces->options.pool, upstream));
+	call->timeout_us = piece_call_timeout_us(pieces, call->expected_us);
 	upstream->in_flight++;
 	g_ptr_array_add(pieces->calls, call);
 	return call;
--- a/policy/pieces.h
+++ b/policy/pieces.h
@@ -64,6 +64,7 @@
 	int64_t started_us;
 	int64_t expected_us; /**< duration, given the upstream's present speed
 			      */
+	int64_t timeout_us;  /**< after which the call is given up */
 	int64_t own_bytes;   /**< of results counted there before the call */
 	int64_t completed_bytes; /**< of the call's results */
 	bool memory_exhausted;	 /**< a piece failed for want of memory */
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -20,7 +20,8 @@
 
 	explicit Programs(const char *linepierd)
 	{
-		g_autofree char *self = g_file_read_link("/proc/self/exe", nullptr);
+		g_autofree char *self =
+			g_file_read_link("/proc/self/exe", nullptr);
 		g_autofree char *tests = g_path_get_dirname(self);
 		const std::string standin =
 			std::string(tests) + "/../lp-standin";
--- a/tests/slow_service_test.cc
+++ b/tests/slow_service_test.cc
@@ -209,6 +209,28 @@
 	}
 }
 
+/* ---- upstreams ---- */
+
+/* Guards against calls of pieces that are given up and begun anew without end,
+ * as all upstreams of a stage take longer than three times the expected time:
+ * they are slow, not gone. */
+TEST(SlowService, StageWhoseUpstreamsAreAllSlowIsCompleted)
+{
+	Rig rig;
+
+	for (int i = 0; i < 2; i++) {
+		pe_set_work_ms(rig.add(PE_STAGE, "first"), 1000);
+		rig.add(PE_STAGE, "second");
+		rig.add(PE_ENGINE, "engine");
+	}
+	rig.settle();
+	CallerRequest request(rig.address, "a", "/staged/x",
+			      Fields{ { "X-Pieces", "1,1" },
+				      { "X-Piece-Key", "k" },
+				      { "X-Deadline-Ms", "8000" } });
+	EXPECT_EQ(request.wait().body, complete_stream);
+}
+
 /* ---- the timeout ---- */
 
 const int64_t initial_us = 1000;
