--- a/store/store_http.c
+++ b/store/store_http.c
@@ -18,12 +18,12 @@
 	struct store_http_options options;
 	SoupSession *session;
 	GHashTable *pending; /* of struct store_http_exchange */
-	GPtrArray *overdue;  /* of struct sending, without an exchange */
+	GPtrArray *overdue;  /* of struct attempt whose exchange has failed */
 	struct call_timeout timeout;
 };
 
-/* A request that was sent, and its answer. */
-struct sending {
+/* One request that was sent for an exchange, and its answer. */
+struct attempt {
 	struct store_http *http; /* NULL: cancelled, freed when it returns */
 	struct store_http_exchange *exchange; /* NULL: it has failed */
 	int64_t sent_us;
@@ -38,7 +38,7 @@
 
 struct store_http_exchange {
 	struct store_http *http;
-	struct sending *sending;
+	struct attempt *attempt;
 	int64_t sent_us;
 	int64_t timeout_us; /* until the answer begins, before adaptation */
 	int64_t wait_us;    /* by which the service may hold it back */
@@ -79,30 +79,30 @@
 
 /* ---- requests that are of no use any more ---- */
 
-static void free_sending(struct sending *sending)
+static void free_attempt(struct attempt *attempt)
 {
-	if (sending->timer)
-		g_source_remove(sending->timer);
-	if (sending->stream)
-		g_object_unref(sending->stream);
-	g_string_free(sending->body, TRUE);
-	g_object_unref(sending->message);
-	g_object_unref(sending->cancel);
-	g_free(sending->url);
-	g_free(sending);
+	if (attempt->timer)
+		g_source_remove(attempt->timer);
+	if (attempt->stream)
+		g_object_unref(attempt->stream);
+	g_string_free(attempt->body, TRUE);
+	g_object_unref(attempt->message);
+	g_object_unref(attempt->cancel);
+	g_free(attempt->url);
+	g_free(attempt);
 }
 
 /* Freed when the cancelled call comes back. */
-static void abandon(struct sending *sending)
+static void abandon(struct attempt *attempt)
 {
-	sending->http = NULL;
-	sending->exchange = NULL;
-	g_cancellable_cancel(sending->cancel);
+	attempt->http = NULL;
+	attempt->exchange = NULL;
+	g_cancellable_cancel(attempt->cancel);
 }
 
 static void drop(struct store_http_exchange *exchange)
 {
-	abandon(exchange->sending);
+	abandon(exchange->attempt);
 	if (exchange->dropped)
 		exchange->dropped(exchange->userdata);
 	g_free(exchange);
@@ -137,19 +137,19 @@
 
 static void finish_exchange(struct store_http_exchange *exchange, int error)
 {
-	const struct sending *sending = exchange->sending;
+	const struct attempt *attempt = exchange->attempt;
 	struct store_http_answer answer = {
 		.error = error,
-		.earlier_us = exchange->sent_us - sending->sent_us,
-		.size = sending->body->len,
+		.earlier_us = exchange->sent_us - attempt->sent_us,
+		.size = attempt->body->len,
 	};
 
 	if (!error) {
-		answer.status = soup_message_get_status(sending->message);
+		answer.status = soup_message_get_status(attempt->message);
 		answer.etag = soup_message_headers_get_one(
-			soup_message_get_response_headers(sending->message),
+			soup_message_get_response_headers(attempt->message),
 			"ETag");
-		answer.body = sending->body->str;
+		answer.body = attempt->body->str;
 	}
 	g_hash_table_remove(exchange->http->pending, exchange);
 	exchange->done(exchange->userdata, &answer);
@@ -157,39 +157,39 @@
 }
 
 /* The answer has ended, or will not come. */
-static void finish(struct sending *sending, int error)
+static void finish(struct attempt *attempt, int error)
 {
-	struct store_http_exchange *exchange = sending->exchange;
+	struct store_http_exchange *exchange = attempt->exchange;
 
 	if (exchange)
 		finish_exchange(exchange, error);
-	else if (sending->http)
-		g_ptr_array_remove(sending->http->overdue, sending);
-	free_sending(sending);
+	else if (attempt->http)
+		g_ptr_array_remove(attempt->http->overdue, attempt);
+	free_attempt(attempt);
 }
 
 /* ---- the time until the answer begins ---- */
 
-static int64_t age_us(const struct sending *sending)
+static int64_t age_us(const struct attempt *attempt)
 {
-	return lp_now_us(lp_clock_boot()) - sending->sent_us;
+	return lp_now_us(lp_clock_boot()) - attempt->sent_us;
 }
 
 static int64_t head_wait_us(const struct store_http_exchange *exchange)
 {
 	return exchange->wait_us +
 	       store_http_timeout_us(exchange->http, exchange->timeout_us) -
-	       age_us(exchange->sending);
+	       age_us(exchange->attempt);
 }
 
 static gboolean on_timeout(gpointer userdata);
 
-static void set_timer(struct sending *sending, int64_t wait_us)
+static void set_timer(struct attempt *attempt, int64_t wait_us)
 {
-	if (sending->timer)
-		g_source_remove(sending->timer);
-	sending->timer = lp_timer_add((guint)(wait_us / LP_US_PER_MS),
-				      on_timeout, sending);
+	if (attempt->timer)
+		g_source_remove(attempt->timer);
+	attempt->timer = lp_timer_add((guint)(wait_us / LP_US_PER_MS),
+				      on_timeout, attempt);
 }
 
 /* Of the overdue requests, the one that was sent soonest after the one before
@@ -201,10 +201,10 @@
 	int64_t shortest_us = INT64_MAX;
 
 	for (guint i = 1; i < overdue->len; i++) {
-		const struct sending *before =
+		const struct attempt *before =
 			g_ptr_array_index(overdue, i - 1);
-		const struct sending *sending = g_ptr_array_index(overdue, i);
-		int64_t gap_us = sending->sent_us - before->sent_us;
+		const struct attempt *attempt = g_ptr_array_index(overdue, i);
+		int64_t gap_us = attempt->sent_us - before->sent_us;
 
 		if (gap_us < shortest_us) {
 			shortest_us = gap_us;
@@ -214,23 +214,23 @@
 	abandon(g_ptr_array_remove_index(overdue, removed));
 }
 
-static void await_overdue(struct sending *sending)
+static void await_overdue(struct attempt *attempt)
 {
-	struct store_http *http = sending->http;
+	struct store_http *http = attempt->http;
 
 	if (http->overdue->len == OVERDUE_MAX)
 		thin_out_overdue(http->overdue);
-	g_ptr_array_add(http->overdue, sending);
-	set_timer(sending, CALL_TIMEOUT_MAX_US);
+	g_ptr_array_add(http->overdue, attempt);
+	set_timer(attempt, CALL_TIMEOUT_MAX_US);
 }
 
 static void fail_overdue(struct store_http_exchange *exchange)
 {
-	struct sending *sending = exchange->sending;
+	struct attempt *attempt = exchange->attempt;
 
-	call_timeout_on_overdue(&sending->http->timeout);
-	sending->exchange = NULL;
-	await_overdue(sending);
+	call_timeout_on_overdue(&attempt->http->timeout);
+	attempt->exchange = NULL;
+	await_overdue(attempt);
 	finish_exchange(exchange, LP_ERROR_PLATFORM_DOWN);
 }
 
@@ -243,54 +243,54 @@
 
 static gboolean on_timeout(gpointer userdata)
 {
-	struct sending *sending = userdata;
+	struct attempt *attempt = userdata;
 	struct store_http_exchange *exchange =
-		sending->stream ? NULL : sending->exchange;
+		attempt->stream ? NULL : attempt->exchange;
 
-	sending->timer = 0;
+	attempt->timer = 0;
 	if (exchange && head_wait_us(exchange) >= LP_US_PER_MS)
-		set_timer(sending, head_wait_us(exchange));
+		set_timer(attempt, head_wait_us(exchange));
 	else if (exchange && can_learn(exchange))
 		fail_overdue(exchange);
 	else
-		g_cancellable_cancel(sending->cancel);
+		g_cancellable_cancel(attempt->cancel);
 	return G_SOURCE_REMOVE;
 }
 
 /* ---- the answer ---- */
 
-static void read_on(struct sending *sending);
+static void read_on(struct attempt *attempt);
 
 static void on_bytes(GObject *source, GAsyncResult *result, gpointer userdata)
 {
-	struct sending *sending = userdata;
+	struct attempt *attempt = userdata;
 	g_autoptr(GBytes) bytes = g_input_stream_read_bytes_finish(
 		G_INPUT_STREAM(source), result, NULL);
 	gsize size;
 	const char *data;
 
 	if (!bytes) {
-		finish(sending, LP_ERROR_PLATFORM_DOWN);
+		finish(attempt, LP_ERROR_PLATFORM_DOWN);
 		return;
 	}
 	data = g_bytes_get_data(bytes, &size);
 	if (!size) {
-		finish(sending, LP_OK);
+		finish(attempt, LP_OK);
 		return;
 	}
-	g_string_append_len(sending->body, data, (gssize)size);
-	sending->transfer.received += size;
-	read_on(sending);
+	g_string_append_len(attempt->body, data, (gssize)size);
+	attempt->transfer.received += size;
+	read_on(attempt);
 }
 
-static void read_on(struct sending *sending)
+static void read_on(struct attempt *attempt)
 {
 	int64_t now_us = lp_now_us(lp_clock_boot());
 
-	set_timer(sending, lp_transfer_wait_us(&sending->transfer, now_us));
-	g_input_stream_read_bytes_async(sending->stream, READ_BYTES,
-					G_PRIORITY_DEFAULT, sending->cancel,
-					on_bytes, sending);
+	set_timer(attempt, lp_transfer_wait_us(&attempt->transfer, now_us));
+	g_input_stream_read_bytes_async(attempt->stream, READ_BYTES,
+					G_PRIORITY_DEFAULT, attempt->cancel,
+					on_bytes, attempt);
 }
 
 /* A refusal is quick also where an answer is not. */
@@ -300,74 +300,74 @@
 	       SOUP_STATUS_IS_SERVER_ERROR(status);
 }
 
-static void learn(const struct sending *sending)
+static void learn(const struct attempt *attempt)
 {
-	struct store_http *http = sending->http;
-	bool is_overdue = !sending->exchange;
+	struct store_http *http = attempt->http;
+	bool is_overdue = !attempt->exchange;
 
-	if (is_refusal(soup_message_get_status(sending->message)) ||
-	    !(is_overdue || can_learn(sending->exchange)))
+	if (is_refusal(soup_message_get_status(attempt->message)) ||
+	    !(is_overdue || can_learn(attempt->exchange)))
 		return;
-	call_timeout_on_answer(&http->timeout, age_us(sending));
+	call_timeout_on_answer(&http->timeout, age_us(attempt));
 	if (is_overdue && http->options.late)
-		http->options.late(http->options.userdata, age_us(sending));
+		http->options.late(http->options.userdata, age_us(attempt));
 }
 
 /* An exchange that awaits an answer and accepts the one to this request. */
-static struct store_http_exchange *find_heir(const struct sending *sending)
+static struct store_http_exchange *find_waiting(const struct attempt *attempt)
 {
 	GHashTableIter iter;
 	gpointer key;
 
-	g_hash_table_iter_init(&iter, sending->http->pending);
+	g_hash_table_iter_init(&iter, attempt->http->pending);
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
 		struct store_http_exchange *exchange = key;
 
-		if (exchange->accepts_earlier && !exchange->sending->stream &&
-		    !strcmp(exchange->sending->url, sending->url))
+		if (exchange->accepts_earlier && !exchange->attempt->stream &&
+		    !strcmp(exchange->attempt->url, attempt->url))
 			return exchange;
 	}
 	return NULL;
 }
 
-/* Hands the answer that begins to an exchange that accepts it, if there is one,
- * whose own request is cancelled. */
-static bool hand_over(struct sending *sending)
+/* Gives the answer that begins to an exchange that accepts it, if there is one;
+ * that exchange's own request is cancelled. */
+static bool reassign(struct attempt *attempt)
 {
-	struct store_http_exchange *heir = find_heir(sending);
+	struct store_http_exchange *exchange = find_waiting(attempt);
 
-	if (!heir)
+	if (!exchange)
 		return false;
-	g_ptr_array_remove(sending->http->overdue, sending);
-	abandon(heir->sending);
-	heir->sending = sending;
-	sending->exchange = heir;
+	g_ptr_array_remove(attempt->http->overdue, attempt);
+	abandon(exchange->attempt);
+	exchange->attempt = attempt;
+	attempt->exchange = exchange;
 	return true;
 }
 
 static void on_head(GObject *source, GAsyncResult *result, gpointer userdata)
 {
-	struct sending *sending = userdata;
+	struct attempt *attempt = userdata;
 	struct store_http_exchange *exchange;
 
-	sending->stream =
+	attempt->stream =
 		soup_session_send_finish(SOUP_SESSION(source), result, NULL);
-	if (!sending->stream || !sending->http) {
-		finish(sending, LP_ERROR_PLATFORM_DOWN);
+	if (!attempt->stream || !attempt->http) {
+		finish(attempt, LP_ERROR_PLATFORM_DOWN);
 		return;
 	}
-	learn(sending);
-	if (!sending->exchange && !hand_over(sending)) {
-		finish(sending, LP_ERROR_PLATFORM_DOWN);
+	learn(attempt);
+	if (!attempt->exchange && !reassign(attempt)) {
+		finish(attempt, LP_ERROR_PLATFORM_DOWN);
 		return;
 	}
-	exchange = sending->exchange;
-	sending->transfer.begun_us = lp_now_us(lp_clock_boot());
-	sending->transfer.stall_us = exchange->stall_us;
+	exchange = attempt->exchange;
+	attempt->transfer.begun_us = lp_now_us(lp_clock_boot());
+	attempt->transfer.stall_us = exchange->stall_us;
 	if (exchange->begun)
 		exchange->begun(exchange->userdata,
-				soup_message_get_status(sending->message));
-	read_on(sending);
+				soup_message_get_status(attempt->message));
+	read_on(attempt);
 }
 
 /* ---- requests ---- */
@@ -400,19 +400,19 @@
 	return message;
 }
 
-static struct sending *send_request(struct store_http_exchange *exchange,
-				    const struct store_http_request *request)
+static struct attempt *create_attempt(struct store_http_exchange *exchange,
+				      const struct store_http_request *request)
 {
-	struct sending *sending = g_new0(struct sending, 1);
-
-	sending->http = exchange->http;
-	sending->exchange = exchange;
-	sending->sent_us = exchange->sent_us;
-	sending->url = g_strdup(request->url);
-	sending->body = g_string_new(NULL);
-	sending->cancel = g_cancellable_new();
-	sending->message = create_message(exchange->http, request);
-	return sending;
+	struct attempt *attempt = g_new0(struct attempt, 1);
+
+	attempt->http = exchange->http;
+	attempt->exchange = exchange;
+	attempt->sent_us = exchange->sent_us;
+	attempt->url = g_strdup(request->url);
+	attempt->body = g_string_new(NULL);
+	attempt->cancel = g_cancellable_new();
+	attempt->message = create_message(exchange->http, request);
+	return attempt;
 }
 
 struct store_http_exchange *
@@ -434,11 +434,11 @@
 	exchange->done = request->done;
 	exchange->dropped = request->dropped;
 	exchange->userdata = request->userdata;
-	exchange->sending = send_request(exchange, request);
-	set_timer(exchange->sending, head_wait_us(exchange));
+	exchange->attempt = create_attempt(exchange, request);
+	set_timer(exchange->attempt, head_wait_us(exchange));
 	g_hash_table_add(http->pending, exchange);
-	soup_session_send_async(http->session, exchange->sending->message,
-				G_PRIORITY_DEFAULT, exchange->sending->cancel,
-				on_head, exchange->sending);
+	soup_session_send_async(http->session, exchange->attempt->message,
+				G_PRIORITY_DEFAULT, exchange->attempt->cancel,
+				on_head, exchange->attempt);
 	return exchange;
 }
