Retry budget: log what was used when it is spent; count retries by service

No line said what a service had used of its budget, how large the entry's share of the slack was or how long the process had run, so an excess could not be attributed to a restart, to a wrong number of entries or to arrivals that are not counted.

--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -108,14 +108,38 @@
 
 /* ---- after a sending ---- */
 
+static void log_budget_spent(struct direct_request *request)
+{
+	struct lp_event_log *log = request->direct->options.log;
+	struct retry_budget_view view;
+
+	if (!lp_event_begin(log, "retry_budget", request->id))
+		return;
+	retry_budget_get_view(request->direct->retry_budget, request->service,
+			      &view);
+	lp_event_text(log, "outcome", "spent");
+	lp_event_text(log, "service", request->service);
+	lp_event_int(log, "requests", view.requests);
+	lp_event_int(log, "retries", view.retries);
+	lp_event_int(log, "slack_milli", (int64_t)(view.slack * 1000));
+	lp_event_int(log, "up_us",
+		     direct_request_now_us(request) -
+			     request->direct->started_us);
+	lp_event_end(log);
+}
+
 static bool take_from_retry_budget(void *userdata)
 {
 	struct direct_request *request = userdata;
 	bool taken = retry_budget_take(request->direct->retry_budget,
 				       request->service);
+	g_autofree char *labels =
+		g_strdup_printf("budget=\"%s\",service=\"%s\"",
+				taken ? "taken" : "spent", request->service);
 
-	*direct_counter(request->direct, "linepier_retries_total",
-			taken ? "budget=\"taken\"" : "budget=\"spent\"") += 1;
+	*direct_counter(request->direct, "linepier_retries_total", labels) += 1;
+	if (!taken)
+		log_budget_spent(request);
 	return taken;
 }
 
--- a/policy/retry_budget.c
+++ b/policy/retry_budget.c
@@ -88,25 +88,42 @@
 	current_slot(retry_budget, usage_of(retry_budget, service))->requests++;
 }
 
-bool retry_budget_take(struct retry_budget *retry_budget, const char *service)
+/* Counts of the window that ends now. */
+static struct retry_budget_view usage_view(struct retry_budget *retry_budget,
+					   const struct usage *usage)
 {
-	struct usage *usage = usage_of(retry_budget, service);
-	struct slot *current = current_slot(retry_budget, usage);
-	uint32_t requests = 0;
-	uint32_t retries = 0;
+	struct retry_budget_view view = {
+		.slack = retry_budget->options.slack,
+	};
+	int64_t number = slot_number(retry_budget);
 
 	for (uint32_t i = 0; i <= WINDOW_SLOTS; i++) {
 		const struct slot *slot = &usage->slots[i];
 
-		if (slot->number < current->number - WINDOW_SLOTS)
+		if (slot->number < number - WINDOW_SLOTS)
 			continue;
-		retries += slot->retries;
+		view.retries += slot->retries;
 		/* Requests of the oldest slot may lie outside of the window. */
-		if (slot->number > current->number - WINDOW_SLOTS)
-			requests += slot->requests;
+		if (slot->number > number - WINDOW_SLOTS)
+			view.requests += slot->requests;
 	}
-	if (retries + 1 > retry_budget->options.ratio * requests +
-				  retry_budget->options.slack)
+	return view;
+}
+
+void retry_budget_get_view(struct retry_budget *retry_budget,
+			   const char *service, struct retry_budget_view *out)
+{
+	*out = usage_view(retry_budget, usage_of(retry_budget, service));
+}
+
+bool retry_budget_take(struct retry_budget *retry_budget, const char *service)
+{
+	struct usage *usage = usage_of(retry_budget, service);
+	struct slot *current = current_slot(retry_budget, usage);
+	struct retry_budget_view view = usage_view(retry_budget, usage);
+
+	if (view.retries + 1 >
+	    retry_budget->options.ratio * view.requests + view.slack)
 		return false;
 	current->retries++;
 	return true;
--- a/policy/retry_budget.h
+++ b/policy/retry_budget.h
@@ -30,6 +30,16 @@
 /** Counts a new request to this service. */
 void retry_budget_add_request(struct retry_budget *retry_budget,
 			      const char *service);
+/** What a service has used of its budget within the last window. */
+struct retry_budget_view {
+	uint32_t requests;
+	uint32_t retries;
+	double slack; /**< this entry's share */
+};
+
+/** Fills in the usage of a service. */
+void retry_budget_get_view(struct retry_budget *retry_budget,
+			   const char *service, struct retry_budget_view *out);
 /** Takes one retry out of the service's budget. False: it is exhausted. */
 bool retry_budget_take(struct retry_budget *retry_budget, const char *service);
 
