Retry budget: the slack survives restarts of its process

Each process counted in memory and had its whole share of the slack at its start, so k processes within a window had k shares; it also divided the slack by the members it had seen itself, none at first.

The share is now a token bucket that is empty at the start, holds half of the share and fills at half of it per window, and does not fill before the process knows its fleet. Whatever is killed, one entry gets what one bucket holds when a window begins and what one bucket gets during it. The number of entries is the highest of the last ten minutes, silent ones included.

--- a/direct/direct.c
+++ b/direct/direct.c
@@ -106,6 +106,7 @@
 		.ratio = options->retry_ratio,
 		.slack = options->retry_slack,
 		.window_us = options->retry_window_us,
+		.starts_full = options->retry_budget_is_unused,
 	};
 
 	direct->server = http_server_create(&server, error);
--- a/direct/direct.h
+++ b/direct/direct.h
@@ -42,11 +42,13 @@
 	struct lp_counters *counters;
 	const char *address; /**< "IP:PORT" for callers */
 	const char *domain;  /**< own failure domain */
-	/** Retry budget: ratio x requests + slack in each window, fleet-wide.
-	 */
+	/** Retry budget: ratio x requests + slack in each window, fleet-wide
+	 * (policy/retry_budget.h). */
 	double retry_ratio;
-	double retry_slack; /**< this entry's part of the slack */
+	double retry_slack; /**< this entry's share; 0: not known yet */
 	int64_t retry_window_us;
+	/** No earlier process of this entry can have taken a retry. */
+	bool retry_budget_is_unused;
 	/** Longest time for which a caller waits for a stream, over all its
 	 * attempts; 0: 60 s. */
 	int64_t stream_age_max_us;
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -122,6 +122,8 @@
 	lp_event_int(log, "requests", view.requests);
 	lp_event_int(log, "retries", view.retries);
 	lp_event_int(log, "slack_milli", (int64_t)(view.slack * 1000));
+	lp_event_int(log, "slack_left_milli",
+		     (int64_t)(view.slack_left * 1000));
 	lp_event_int(log, "up_us",
 		     direct_request_now_us(request) -
 			     request->direct->started_us);
--- a/tests/cwrap.h
+++ b/tests/cwrap.h
@@ -69,6 +69,7 @@
 #include "policy/queue.h"
 #include "policy/quota.h"
 #include "policy/rate_limit.h"
+#include "policy/recent_max.h"
 #include "policy/remaining_latency.h"
 #include "policy/rendezvous.h"
 #include "policy/result_memory.h"
--- a/tests/direct_policy_test.cc
+++ b/tests/direct_policy_test.cc
@@ -100,7 +100,7 @@
 TEST(RetryBudget, RetriesStayWithinBoundInAnyWindow)
 {
 	TestClock clock;
-	retry_budget_options options = { &clock.clock, 0.2, 3, 0 };
+	retry_budget_options options = { &clock.clock, 0.2, 3, 0, false };
 	retry_budget *budget = retry_budget_create(&options);
 	std::vector<int64_t> requests;
 	std::vector<int64_t> taken;
--- a/tests/direct_rig.h
+++ b/tests/direct_rig.h
@@ -255,6 +255,7 @@
 		options.domain = "a";
 		options.retry_ratio = 0.2;
 		options.retry_slack = 20;
+		options.retry_budget_is_unused = true;
 		options.stream_age_max_us = stream_age_max_us;
 		options.blocked = [](void *self, uint64_t content) {
 			plf_quarantine_write(
--- a/tests/retry_budget_test.cc
+++ b/tests/retry_budget_test.cc
@@ -24,32 +24,35 @@
 	TestClock clock;
 	std::mt19937 random;
 	std::vector<retry_budget *> entries;
+	std::vector<int64_t> started_us;
 	std::vector<int64_t> requests;
 	std::vector<int64_t> retries;
 
-	Fleet(uint32_t seed, size_t size) : random(seed), entries(size)
+	Fleet(uint32_t seed, size_t size)
+	    : random(seed), entries(size), started_us(size)
 	{
 		for (size_t i = 0; i < size; i++)
-			start(i);
+			start(i, slack / (double)size);
 	}
 	~Fleet()
 	{
 		for (auto *entry : entries)
 			retry_budget_destroy(entry);
 	}
-	void start(size_t at)
+	void start(size_t at, double share)
 	{
 		retry_budget_options options = {};
 
 		options.clock = &clock.clock;
 		options.ratio = ratio;
-		options.slack = slack / (double)entries.size();
+		options.slack = share;
 		entries[at] = retry_budget_create(&options);
+		started_us[at] = clock.now_us;
 	}
-	void restart(size_t at)
+	void restart(size_t at, double share)
 	{
 		retry_budget_destroy(entries[at]);
-		start(at);
+		start(at, share);
 	}
 	bool draw(double probability)
 	{
@@ -69,7 +72,9 @@
 				kill_us = 0;
 				for (size_t i = 0; i < entries.size(); i++)
 					if (draw(kill_share))
-						restart(i);
+						restart(i,
+							slack / (double)entries
+									.size());
 			}
 			step();
 		}
@@ -122,4 +127,105 @@
 	}
 }
 
+/* Guards against an excess while entries are added, some of them are killed,
+ * and each entry learns the size of the fleet late. */
+TEST(RetryBudget, GrowingFleetStaysWithinItsBudget)
+{
+	const int64_t learn_us = 2 * LP_US_PER_S;
+
+	for (uint32_t seed = 1; seed <= 20; seed++) {
+		Fleet fleet(seed, 2 + seed % 5);
+		size_t size = fleet.entries.size();
+		std::vector<int64_t> grown_us;
+
+		for (int i = 0; i < 2000; i++) {
+			if (fleet.draw(0.003) && fleet.entries.size() < 40) {
+				fleet.entries.push_back(nullptr);
+				fleet.started_us.push_back(0);
+				fleet.start(fleet.entries.size() - 1, 0);
+				grown_us.push_back(fleet.clock.now_us);
+			}
+			while (!grown_us.empty() &&
+			       fleet.clock.now_us - grown_us[0] > learn_us) {
+				grown_us.erase(grown_us.begin());
+				size++;
+			}
+			for (size_t at = 0; at < fleet.entries.size(); at++) {
+				if (fleet.draw(0.005))
+					fleet.restart(at, 0);
+				if (fleet.clock.now_us - fleet.started_us[at] >
+				    learn_us)
+					retry_budget_set_bounds(
+						fleet.entries[at], ratio,
+						retry_budget_share(
+							slack, (uint32_t)size));
+			}
+			fleet.step();
+			fleet.clock.now_us += step_us;
+		}
+		EXPECT_LE(fleet.excess(), 0) << "seed " << seed;
+	}
+}
+
+/* Guards against an entry that spends the share of a fleet whose size it does
+ * not know yet. */
+TEST(RetryBudget, WithoutAShareRetriesAreOnlyPaidFromRequests)
+{
+	TestClock clock;
+	retry_budget_options options = { &clock.clock, ratio, 0, 0, true };
+	retry_budget *budget = retry_budget_create(&options);
+
+	clock.now_us += 3 * window_us;
+	EXPECT_FALSE(retry_budget_take(budget, "s"));
+	for (int i = 0; i < 5; i++)
+		retry_budget_add_request(budget, "s");
+	EXPECT_TRUE(retry_budget_take(budget, "s"));
+	EXPECT_FALSE(retry_budget_take(budget, "s"));
+	EXPECT_EQ(retry_budget_share(slack, 0), 0);
+	retry_budget_destroy(budget);
+}
+
+/* Guards against an entry that keeps what it saved under a larger share. */
+TEST(RetryBudget, SmallerShareAppliesToWhatWasSaved)
+{
+	TestClock clock;
+	retry_budget_options options = { &clock.clock, 0, 20, 0, true };
+	retry_budget *budget = retry_budget_create(&options);
+	int taken = 0;
+
+	retry_budget_set_bounds(budget, 0, 4);
+	while (retry_budget_take(budget, "s"))
+		taken++;
+	EXPECT_EQ(taken, 2);
+	retry_budget_destroy(budget);
+}
+
+TEST(RetryBudget, WholeShareIsUsableInAWindow)
+{
+	TestClock clock;
+	retry_budget_options options = { &clock.clock, 0, 20, 0, true };
+	retry_budget *budget = retry_budget_create(&options);
+	int taken = 0;
+
+	for (int i = 0; i < 100; i++) {
+		while (retry_budget_take(budget, "s"))
+			taken++;
+		clock.now_us += window_us / 100;
+	}
+	EXPECT_GE(taken, 19);
+	EXPECT_LE(taken, 20);
+	retry_budget_destroy(budget);
+}
+
+TEST(RecentMax, ForgetsAfterOneToTwoPeriods)
+{
+	recent_max highest = { 100, 0, 0, 0 };
+
+	EXPECT_EQ(recent_max_update(&highest, 7, 1), 7u);
+	EXPECT_EQ(recent_max_update(&highest, 3, 100), 7u);
+	EXPECT_EQ(recent_max_update(&highest, 2, 150), 7u);
+	EXPECT_EQ(recent_max_update(&highest, 1, 210), 2u);
+	EXPECT_EQ(recent_max_update(&highest, 1, 900), 1u);
+}
+
 } // namespace
