Log organisation, prompt parts and progress of each lost request

The log told a lost request by a digest of its content alone, so it could not show what the requests lost at several terminations have in common.

--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -15,6 +15,8 @@
 
 /* Bytes of a caller's text in a log line. */
 #define LOGGED_TEXT_MAX 64
+/* Parts of a prompt in a log line. */
+#define LOGGED_PARTS_MAX 8
 
 /* ---- answering and freeing ---- */
 
@@ -236,8 +238,59 @@
 	return request->digest;
 }
 
+/* Keyed as the digest of the request. */
+static uint64_t part_digest(const struct direct_request *request,
+			    const struct pool_prefix_block *block)
+{
+	const struct lp_digest_part part = { (const char *)&block->id,
+					     sizeof(block->id) };
+	const char *key = request->info.organisation_key
+				  ? request->info.organisation_key
+				  : "";
+
+	return lp_digest_keyed(key, &part, 1);
+}
+
 /* ---- quarantine ---- */
 
+/* Adds the digests of the parts of a prompt that may belong to other prompts as
+ * well: all but the last. */
+static void add_part_digests(struct direct_request *request)
+{
+	const GArray *blocks = request->info.prefix_blocks;
+	g_autoptr(GString) text = g_string_new(NULL);
+
+	for (guint i = 0; i + 1 < blocks->len && i < LOGGED_PARTS_MAX; i++) {
+		char digest[LP_DIGEST_SIZE];
+
+		lp_digest_print(
+			part_digest(request,
+				    &g_array_index(blocks,
+						   struct pool_prefix_block,
+						   i)),
+			digest);
+		g_string_append_printf(text, "%s%s", text->len ? " " : "",
+				       digest);
+	}
+	lp_event_text(request->direct->options.log, "parts", text->str);
+}
+
+static void log_lost(struct direct_request *request,
+		     const struct pool_upstream *upstream)
+{
+	struct lp_event_log *log = request->direct->options.log;
+
+	if (!lp_event_begin(log, "request_lost", request->id))
+		return;
+	lp_event_text(log, "upstream", upstream->info.id);
+	lp_event_digest(log, "content", direct_request_digest(request));
+	lp_event_text(log, "organisation",
+		      request->organisation ? request->organisation->name : "");
+	lp_event_int(log, "responded", request->upstream_responded);
+	add_part_digests(request);
+	lp_event_end(log);
+}
+
 bool direct_request_check_quarantine(struct direct_request *request)
 {
 	struct direct_quarantine *quarantine = request->direct->quarantine;
@@ -264,6 +317,7 @@
 		.sent_us = began_us,
 	};
 
+	log_lost(request, upstream);
 	direct_quarantine_request_lost(request->direct->quarantine, request);
 	direct_terminations_add_lost_request(request->direct->terminations,
 					     upstream, lost);
