Emulator: engines that crash on a part of a prompt

A part at any place but the last crashes whoever runs the request, at once or after some events, always or in a share of the runs. What reached engines after the fifth crash is counted for each part.

--- a/tools/pe.c
+++ b/tools/pe.c
@@ -106,9 +106,7 @@
 /* The request ends who begins it. */
 static void end_by(struct pe_upstream *upstream, struct pe_conn *conn)
 {
-	g_autofree char *content = content_of(conn);
-
-	pe_poison_struck(upstream->pe, content);
+	pe_poison_struck(upstream->pe, conn->poison);
 	pe_end(upstream, &upstream->pe->poison.end);
 }
 
@@ -141,7 +139,7 @@
 		pe_conn_end(conn, false);
 		return G_SOURCE_REMOVE;
 	}
-	if (pe_is_poison(stream->upstream->pe, conn->body->str) &&
+	if (conn->poison &&
 	    stream->next > stream->upstream->pe->poison.after_event) {
 		conn->timer = 0;
 		end_by(stream->upstream, conn);
@@ -216,8 +214,7 @@
 
 	conn->timer = 0;
 	if (upstream->kind == PE_ENGINE &&
-	    (streams(upstream->fault) ||
-	     pe_is_poison(upstream->pe, conn->body->str)))
+	    (streams(upstream->fault) || conn->poison))
 		begin_stream(upstream, conn);
 	else
 		answer_plain(upstream, conn);
@@ -233,16 +230,29 @@
 	return G_SOURCE_REMOVE;
 }
 
+/* What of a request may crash this upstream; g_free(). NULL: nothing. */
+static char *find_poison(const struct pe_upstream *upstream,
+			 const struct pe_conn *conn)
+{
+	if (pe_is_poison(upstream->pe, conn->body->str))
+		return content_of(conn);
+	return upstream->kind == PE_ENGINE ? pe_poison_part(upstream->pe, conn)
+					   : NULL;
+}
+
 /* Returns whether it ends the upstream before any event. */
 static bool begin_poison(struct pe_upstream *upstream, struct pe_conn *conn)
 {
 	struct pe *pe = upstream->pe;
-	g_autofree char *content = NULL;
+	g_autofree char *poison = find_poison(upstream, conn);
 
-	if (!pe_is_poison(pe, conn->body->str))
+	g_clear_pointer(&conn->poison, g_free);
+	if (!poison)
+		return false;
+	pe_poison_arrived(pe, poison);
+	if (!pe_poison_strikes(pe))
 		return false;
-	content = content_of(conn);
-	pe_poison_arrived(pe, content);
+	conn->poison = g_steal_pointer(&poison);
 	if (upstream->kind == PE_ENGINE && pe->poison.after_event)
 		return false;
 	conn->timer = g_timeout_add(pe->poison.after_ms, on_poisoned, conn);
--- a/tools/pe.h
+++ b/tools/pe.h
@@ -159,16 +159,21 @@
 	/** The body has this in it, or the key of a piece; NULL: none do. Must
 	 * outlive the emulator. */
 	const char *content;
+	/** Ids of parts of a prompt, NULL-terminated; NULL: none. A part counts
+	 * unless it is the prompt's last one. Must outlive the emulator. */
+	const char *const *parts;
+	uint32_t percent;     /**< of such requests crash; 0: all */
 	uint32_t after_ms;    /**< of work */
 	uint32_t after_event; /**< an engine: of its stream; 0: at once */
 	struct pe_end_options end;
 };
 
-/** What came of the worst of these requests, in all its tries. */
+/** What came of the worst of these requests, in all its tries, or of the worst
+ * of the parts. */
 struct pe_poison_book {
 	uint32_t ends;		 /**< upstreams that ended under it */
 	uint32_t arrivals;	 /**< at upstreams */
-	uint32_t arrivals_after; /**< once three had ended */
+	uint32_t arrivals_after; /**< once three, of a part five, had ended */
 	uint32_t arrivals_late;	 /**< and three seconds after that */
 };
 
--- a/tools/pe_listener.c
+++ b/tools/pe_listener.c
@@ -6,6 +6,7 @@
 {
 	http_parse_clear(&conn->parse);
 	g_string_free(conn->body, TRUE);
+	g_free(conn->poison);
 	g_free(conn);
 }
 
--- a/tools/pe_private.h
+++ b/tools/pe_private.h
@@ -15,8 +15,9 @@
 	struct http_sock *sock; /**< NULL: it has ended */
 	struct http_parse parse;
 	GString *body;
-	guint timer; /**< of an answer to come */
-	bool silent; /**< whatever goes over it is lost from now on */
+	guint timer;  /**< of an answer to come */
+	bool silent;  /**< whatever goes over it is lost from now on */
+	char *poison; /**< what crashes whoever runs its request, or NULL */
 	uint32_t refs;
 };
 
@@ -194,6 +195,11 @@
 
 bool pe_is_poison(const struct pe *pe, const char *content);
 /** Such a request has reached an upstream, or ends one now. */
+/** What of a request crashes an engine, as an account's name: a part of its
+ * prompt; g_free(). NULL: nothing. */
+char *pe_poison_part(const struct pe *pe, const struct pe_conn *conn);
+/** Whether a request that may crash an engine does so, drawn anew each time. */
+bool pe_poison_strikes(const struct pe *pe);
 void pe_poison_arrived(struct pe *pe, const char *content);
 void pe_poison_struck(struct pe *pe, const char *content);
 
