Quarantine: recognise parts of prompts under which upstreams crash

A request now has several keys, its content and each part of its prompt but the last, with one record and one set of rules for all. An answer that has begun clears the parts of crashes before any event, a complete one all keys. A part is a suspect only from a second round on, and is blamed only for what no other key explains: a first part that all share stays usable while a second one is blocked. Against an organisation only terminations count that lost its own requests, or those of two others.

--- a/direct/direct.c
+++ b/direct/direct.c
@@ -253,6 +253,7 @@
 	direct_calls_configure(direct->calls, config);
 	update_peer_service(direct);
 	direct_stages_configure(direct->stages, config);
+	direct_quarantine_set_part_key(direct->quarantine, config->least_key);
 	g_hash_table_foreach_remove(direct->route_estimates, is_route_removed,
 				    config);
 	log_config(direct, before);
--- a/direct/direct_config.c
+++ b/direct/direct_config.c
@@ -169,8 +169,22 @@
 	return (int32_t)index;
 }
 
+static const char *find_least_key(const struct direct_config *config)
+{
+	const char *least = NULL;
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, config->keys);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		if (!least || strcmp(key, least) < 0)
+			least = key;
+	return least ? least : "";
+}
+
 void direct_config_seal(struct direct_config *config)
 {
+	config->least_key = find_least_key(config);
 	for (guint i = 0; i < config->routes->len; i++)
 		index_route(config, g_ptr_array_index(config->routes, i));
 	index_ranks(config);
--- a/direct/direct_config.h
+++ b/direct/direct_config.h
@@ -104,6 +104,8 @@
 	GPtrArray *organisations;
 	GHashTable *keys; /**< key -> struct direct_organisation */
 	bool needs_keys;  /**< requests need a key, except on public routes */
+	const char *least_key; /**< the first of the keys in byte order, or "";
+				  borrowed */
 	struct direct_limits limits;
 	/* private */
 	GHashTable *routes_by_prefix; /**< prefix_key() -> struct direct_route,
--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -15,8 +15,6 @@
 
 /* Bytes of a caller's text in a log line. */
 #define LOGGED_TEXT_MAX 64
-/* Parts of a prompt in a log line. */
-#define LOGGED_PARTS_MAX 8
 
 /* ---- answering and freeing ---- */
 
@@ -238,56 +236,40 @@
 	return request->digest;
 }
 
-/* Keyed as the digest of the request. */
-static uint64_t part_digest(const struct direct_request *request,
-			    const struct pool_prefix_block *block)
-{
-	const struct lp_digest_part part = { (const char *)&block->id,
-					     sizeof(block->id) };
-	const char *key = request->info.organisation_key
-				  ? request->info.organisation_key
-				  : "";
-
-	return lp_digest_keyed(key, &part, 1);
-}
-
 /* ---- quarantine ---- */
 
-/* Adds the digests of the parts of a prompt that may belong to other prompts as
- * well: all but the last. */
-static void add_part_digests(struct direct_request *request)
+/* Adds the digests of the parts of a prompt. */
+static void add_part_digests(struct lp_event_log *log,
+			     const struct quarantine_keys *keys)
 {
-	const GArray *blocks = request->info.prefix_blocks;
 	g_autoptr(GString) text = g_string_new(NULL);
 
-	for (guint i = 0; i + 1 < blocks->len && i < LOGGED_PARTS_MAX; i++) {
+	for (uint32_t i = 0; i < keys->count; i++) {
 		char digest[LP_DIGEST_SIZE];
 
-		lp_digest_print(
-			part_digest(request,
-				    &g_array_index(blocks,
-						   struct pool_prefix_block,
-						   i)),
-			digest);
+		if (!keys->items[i].is_part)
+			continue;
+		lp_digest_print(keys->items[i].digest, digest);
 		g_string_append_printf(text, "%s%s", text->len ? " " : "",
 				       digest);
 	}
-	lp_event_text(request->direct->options.log, "parts", text->str);
+	lp_event_text(log, "parts", text->str);
 }
 
-static void log_lost(struct direct_request *request,
-		     const struct pool_upstream *upstream)
+static void log_lost(const struct direct_request *request,
+		     const struct pool_upstream *upstream,
+		     const struct lost_request *lost)
 {
 	struct lp_event_log *log = request->direct->options.log;
 
 	if (!lp_event_begin(log, "request_lost", request->id))
 		return;
 	lp_event_text(log, "upstream", upstream->info.id);
-	lp_event_digest(log, "content", direct_request_digest(request));
+	lp_event_digest(log, "content", lost->keys.items[0].digest);
 	lp_event_text(log, "organisation",
 		      request->organisation ? request->organisation->name : "");
-	lp_event_int(log, "responded", request->upstream_responded);
-	add_part_digests(request);
+	lp_event_int(log, "responded", lost->had_begun);
+	add_part_digests(log, &lost->keys);
 	lp_event_end(log);
 }
 
@@ -307,20 +289,39 @@
 	return direct_quarantine_round(request->direct->quarantine, request);
 }
 
-void direct_request_report_lost(struct direct_request *request,
-				const struct pool_upstream *upstream,
-				uint32_t round, int64_t began_us)
+static void report_lost(struct direct_request *request,
+			const struct pool_upstream *upstream,
+			const struct lost_request *lost)
+{
+	log_lost(request, upstream, lost);
+	direct_quarantine_request_lost(request->direct->quarantine, request);
+	direct_terminations_add_lost_request(request->direct->terminations,
+					     upstream, *lost);
+}
+
+void direct_request_report_lost(struct direct_request *request)
 {
 	const struct lost_request lost = {
-		.request_digest = direct_request_digest(request),
-		.round = round,
-		.sent_us = began_us,
+		.keys = *direct_quarantine_keys(request->direct->quarantine,
+						request),
+		.had_begun = request->upstream_responded,
+		.sent_us = request->sent_us,
 	};
 
-	log_lost(request, upstream);
-	direct_quarantine_request_lost(request->direct->quarantine, request);
-	direct_terminations_add_lost_request(request->direct->terminations,
-					     upstream, lost);
+	report_lost(request, request->upstream, &lost);
+}
+
+/* Upstreams that compute pieces do not read the prompt. */
+void direct_request_report_lost_pieces(struct direct_request *request,
+				       const struct pool_upstream *upstream,
+				       uint32_t round, int64_t began_us)
+{
+	struct lost_request lost = { .sent_us = began_us };
+
+	lost.keys.count = 1;
+	lost.keys.items[0].digest = direct_request_digest(request);
+	lost.keys.items[0].round = round;
+	report_lost(request, upstream, &lost);
 }
 
 /* ---- admission ---- */
--- a/direct/direct_request.h
+++ b/direct/direct_request.h
@@ -50,7 +50,10 @@
 				  corrected; 0: not admitted by an estimate */
 	int32_t priority;
 	uint64_t digest; /* direct_request_digest(); 0: not computed yet */
-	bool is_trial;	 /* the single run that the quarantine allows */
+	struct quarantine_keys quarantine_keys; /* direct_quarantine_keys();
+						   none: not computed yet */
+	uint32_t trials; /* of its keys, as bits: it is the single run that the
+			    quarantine allows */
 	bool was_trial;	 /* it is or was a trial, also after it was lost */
 	guint deadline_timer;
 	guint stall_timer;
@@ -70,7 +73,6 @@
 	const struct pool_upstream *copy_from; /* borrowed; valid only while the
 						  request is written; or NULL */
 	int64_t sent_us;
-	uint32_t quarantine_round; /* as of sent_us */
 	int64_t expected_us; /* estimate: from sent_us to the first response */
 	int64_t cold_tokens; /* prompt tokens that the engine has to read */
 	bool upstream_responded; /* with an event or a complete answer */
@@ -121,6 +123,13 @@
 	       (request->has_version && !request->answer_begun);
 }
 
+/** Whether it is the trial of its content, the first of its keys. */
+static inline bool
+direct_request_is_content_trial(const struct direct_request *request)
+{
+	return request->trials & 1;
+}
+
 /* ---- direct_request.c ---- */
 
 /** Free a request and cancel its sending and its stages. Its HTTP call must
@@ -156,16 +165,18 @@
 /** Whether the quarantine allows a request to be sent to an upstream. If not,
  * the request is answered and freed. */
 bool direct_request_check_quarantine(struct direct_request *request);
-/** The quarantine round to which terminations under this request count from now
- * on. */
+/** The quarantine round to which terminations under pieces of this request
+ * count from now on. */
 uint32_t direct_request_quarantine_round(struct direct_request *request);
-/** Report that a request, or pieces of it, were lost with an upstream or with
- * the connection to it. `round` and `began_us`:
- * direct_request_quarantine_round() and the time at which the request or the
- * pieces were sent. */
-void direct_request_report_lost(struct direct_request *request,
-				const struct pool_upstream *upstream,
-				uint32_t round, int64_t began_us);
+/** Report that a request was lost with its upstream or with the connection to
+ * it. */
+void direct_request_report_lost(struct direct_request *request);
+/** Report that pieces of a request were lost with an upstream or with the
+ * connection to it. `round` and `began_us`: direct_request_quarantine_round()
+ * and the time at which the pieces were sent. */
+void direct_request_report_lost_pieces(struct direct_request *request,
+				       const struct pool_upstream *upstream,
+				       uint32_t round, int64_t began_us);
 
 /** Estimates of the route of a request; created if there are none. */
 struct direct_route_estimates *
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -31,8 +31,7 @@
 static void record_lost_sending(struct direct_request *request)
 {
 	request->lost_sendings++;
-	direct_request_report_lost(request, request->upstream,
-				   request->quarantine_round, request->sent_us);
+	direct_request_report_lost(request);
 }
 
 void direct_sending_end(struct direct_request *request,
@@ -437,6 +436,9 @@
 	}
 	if (!request->answer_begun)
 		record_origin(request);
+	if (!request->upstream_responded)
+		direct_quarantine_request_begun(request->direct->quarantine,
+						request);
 	record_first_response(request);
 	begin_answer(request);
 	direct_stream_resume_end(request, "continued", NULL);
@@ -466,16 +468,17 @@
 {
 	bool truncated = request->ends_with_connection && request->body->len;
 
-	record_first_response(request);
 	if (truncated)
 		record_lost_sending(request);
+	record_first_response(request);
 	direct_sending_end(request, truncated ? POOL_UNREACHABLE : POOL_SERVED);
 	if (truncated) {
 		g_string_truncate(request->body, 0);
 		handle_sending_end(request, RETRY_EVENT_BROKEN, "torn");
 		return;
 	}
-	direct_quarantine_request_served(request->direct->quarantine, request);
+	direct_quarantine_request_served(request->direct->quarantine, request,
+					 true);
 	direct_stream_resume_end(request, "continued", NULL);
 	begin_answer(request);
 	http_call_write(request->call, request->body->str, request->body->len);
@@ -508,17 +511,17 @@
 		handle_sending_end(request, RETRY_EVENT_BROKEN, "not_ours");
 	} else if (request->answer_begun) {
 		direct_quarantine_request_served(request->direct->quarantine,
-						 request);
+						 request, success);
 		direct_sending_end(request, POOL_ERROR_ANSWER);
 		handle_sending_end(request, RETRY_EVENT_BROKEN, "no_stream");
 	} else if (request->status >= 500) {
 		direct_quarantine_request_served(request->direct->quarantine,
-						 request);
+						 request, success);
 		direct_sending_end(request, POOL_ERROR_ANSWER);
 		handle_sending_end(request, RETRY_EVENT_ERROR, "error");
 	} else {
 		direct_quarantine_request_served(request->direct->quarantine,
-						 request);
+						 request, success);
 		record_first_response(request);
 		direct_sending_end(request, POOL_SERVED);
 		handle_sending_end(request, RETRY_EVENT_ANSWERED, "answered");
@@ -655,7 +658,7 @@
 	request->state = DIRECT_STATE_SENT;
 	request->upstream = pool_upstream_ref(upstream);
 	request->sent_us = direct_request_now_us(request);
-	request->quarantine_round = direct_request_quarantine_round(request);
+	direct_quarantine_note_rounds(request->direct->quarantine, request);
 	request->upstream_responded = false;
 	request->status = 0;
 	memset(&request->reply, 0, sizeof(request->reply));
--- a/direct/direct_stage_plan.c
+++ b/direct/direct_stage_plan.c
@@ -316,7 +316,8 @@
 			.allowed_regions = request->allowed_regions,
 			.has_inputs = stage_config->input_stages_count > 0,
 			.holds_memory = occupies_result_memory(request, stage),
-			.exclusive = request->is_trial,
+			.exclusive =
+				direct_request_is_content_trial(request),
 			.group_started = has_started_piece(request->graph, stage),
 			.resumes = resumes,
 		},
--- a/direct/direct_stages.c
+++ b/direct/direct_stages.c
@@ -510,9 +510,9 @@
 		upstream = pool_find_incarnation(request->direct->pool,
 						 results[i].producer);
 		if (upstream && upstream != previous)
-			direct_request_report_lost(request, upstream,
-						   submission->round,
-						   submission->submitted_us);
+			direct_request_report_lost_pieces(
+				request, upstream, submission->round,
+				submission->submitted_us);
 		previous = upstream;
 	}
 }
--- a/direct/direct_terminations.c
+++ b/direct/direct_terminations.c
@@ -83,7 +83,7 @@
 	if (!lp_event_begin(log, "lost_with_upstream", NULL))
 		return;
 	lp_event_text(log, "upstream", upstream->info.id);
-	lp_event_digest(log, "content", lost->request_digest);
+	lp_event_digest(log, "content", lost->keys.items[0].digest);
 	lp_event_int(log, "after_us", lost->lost_us - lost->sent_us);
 	lp_event_end(log);
 }
--- a/policy/lost_requests.h
+++ b/policy/lost_requests.h
@@ -15,6 +15,7 @@
 #define LOST_REQUESTS_H
 
 #include "base/lp_clock.h"
+#include "policy/quarantine.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -27,9 +28,9 @@
 struct lost_requests;
 
 struct lost_request {
-	uint64_t request_digest; /**< of its content */
-	uint64_t incarnation;	 /**< of the upstream; policy/pool.h */
-	uint32_t round;		 /**< quarantine_round() when it was sent */
+	struct quarantine_keys keys; /**< the first: of its content */
+	uint64_t incarnation;	     /**< of the upstream; policy/pool.h */
+	bool had_begun;		     /**< its answer had begun */
 	int64_t sent_us;
 	int64_t lost_us;
 };
--- a/policy/quarantine.c
+++ b/policy/quarantine.c
@@ -4,28 +4,36 @@
 #include <string.h>
 
 struct record {
-	uint64_t request;
-	struct quarantine_termination
-		terminations[QUARANTINE_TERMINATIONS_MAX]; /* by time */
-	uint32_t count;
+	uint64_t key;
+	bool is_part;
+	GArray *terminations; /* of struct quarantine_termination, by time */
 	uint32_t rounds;
 	int64_t cleared_us;
+	int64_t begun_us;
 	int64_t trial_until_us;
 };
 
 struct quarantine {
 	const struct lp_clock *clock;
-	GHashTable *records; /* request -> struct record */
+	GHashTable *records; /* key -> struct record */
 	bool disabled;
 };
 
+static void free_record(gpointer data)
+{
+	struct record *record = data;
+
+	g_array_unref(record->terminations);
+	g_free(record);
+}
+
 struct quarantine *quarantine_create(const struct lp_clock *clock)
 {
 	struct quarantine *quarantine = g_new0(struct quarantine, 1);
 
 	quarantine->clock = clock;
 	quarantine->records = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-						    NULL, g_free);
+						    NULL, free_record);
 	return quarantine;
 }
 
@@ -48,44 +56,136 @@
 }
 
 static struct record *find_record(const struct quarantine *quarantine,
-				  uint64_t request)
+				  uint64_t key)
 {
-	return g_hash_table_lookup(quarantine->records, &request);
+	return g_hash_table_lookup(quarantine->records, &key);
 }
 
-/* ---- properties of a record ---- */
+static uint32_t count_of(const struct record *record)
+{
+	return record->terminations->len;
+}
+
+static struct quarantine_termination *
+termination_at(const struct record *record, uint32_t index)
+{
+	return &g_array_index(record->terminations,
+			      struct quarantine_termination, index);
+}
+
+/* ---- evidence: terminations that count against a request ---- */
+
+struct evidence {
+	const struct quarantine_termination
+		*items[QUARANTINE_TERMINATIONS_MAX]; /* by time */
+	uint32_t count;
+	uint32_t rounds;
+};
+
+static bool is_of_organisation(const struct quarantine_termination *termination,
+			       uint64_t organisation)
+{
+	return termination->organisations[0] == organisation ||
+	       termination->organisations[1] == organisation;
+}
+
+/* Whether requests of two organisations other than this one were lost. */
+static bool concerns_two_others(const struct record *record,
+				uint64_t organisation)
+{
+	uint64_t first = 0;
+
+	for (uint32_t i = 0; i < count_of(record); i++)
+		for (uint32_t j = 0; j < 2; j++) {
+			uint64_t other =
+				termination_at(record, i)->organisations[j];
+
+			if (!other || other == organisation || other == first)
+				continue;
+			if (first)
+				return true;
+			first = other;
+		}
+	return false;
+}
+
+static struct evidence all_evidence(const struct record *record)
+{
+	struct evidence evidence = { .count = count_of(record),
+				     .rounds = record->rounds };
+
+	for (uint32_t i = 0; i < count_of(record); i++)
+		evidence.items[i] = termination_at(record, i);
+	return evidence;
+}
+
+static struct evidence evidence_for(const struct record *record,
+				    uint64_t organisation)
+{
+	struct evidence evidence = { 0 };
+
+	if (!record->is_part || concerns_two_others(record, organisation))
+		return all_evidence(record);
+	for (uint32_t i = 0; i < count_of(record); i++) {
+		const struct quarantine_termination *termination =
+			termination_at(record, i);
+
+		if (!is_of_organisation(termination, organisation))
+			continue;
+		evidence.items[evidence.count++] = termination;
+		evidence.rounds = MAX(evidence.rounds, termination->round);
+	}
+	return evidence;
+}
 
-static int64_t last_termination_us(const struct record *record)
+static int64_t last_termination_us(const struct evidence *evidence)
 {
-	return record->count
-		       ? record->terminations[record->count - 1].terminated_us
+	return evidence->count
+		       ? evidence->items[evidence->count - 1]->terminated_us
 		       : 0;
 }
 
-static int64_t blocked_until_us(const struct record *record)
+static int64_t blocked_until_us(const struct evidence *evidence)
 {
 	int64_t block_us = QUARANTINE_BLOCK_US;
 
-	if (record->rounds < QUARANTINE_BLOCK_ROUNDS)
+	if (evidence->rounds < QUARANTINE_BLOCK_ROUNDS)
 		return 0;
 	for (uint32_t i = QUARANTINE_BLOCK_ROUNDS;
-	     i < record->rounds && block_us < QUARANTINE_BLOCK_MAX_US; i++)
+	     i < evidence->rounds && block_us < QUARANTINE_BLOCK_MAX_US; i++)
 		block_us *= QUARANTINE_BLOCK_FACTOR;
-	return last_termination_us(record) +
+	return last_termination_us(evidence) +
 	       MIN(block_us, QUARANTINE_BLOCK_MAX_US);
 }
 
+static bool is_suspect(const struct evidence *evidence, bool is_part)
+{
+	return evidence->count >= QUARANTINE_SUSPECT_TERMINATIONS &&
+	       (!is_part || evidence->rounds >= QUARANTINE_SUSPECT_PART_ROUNDS);
+}
+
+/* ---- properties of a record ---- */
+
+static bool is_record_suspect(const struct record *record)
+{
+	struct evidence evidence = all_evidence(record);
+
+	return is_suspect(&evidence, record->is_part);
+}
+
 static int64_t expires_us(const struct record *record)
 {
-	int64_t until_us =
-		MAX(last_termination_us(record), blocked_until_us(record));
+	struct evidence evidence = all_evidence(record);
+	int64_t until_us = MAX(last_termination_us(&evidence),
+			       blocked_until_us(&evidence));
 
-	return MAX(until_us, record->cleared_us) + QUARANTINE_RECORD_TTL_US;
+	until_us = MAX(until_us, MAX(record->cleared_us, record->begun_us));
+	return until_us + QUARANTINE_RECORD_TTL_US;
 }
 
-uint32_t quarantine_round(const struct quarantine *quarantine, uint64_t request)
+uint32_t quarantine_round(const struct quarantine *quarantine, uint64_t key)
 {
-	const struct record *record = find_record(quarantine, request);
+	const struct record *record = find_record(quarantine, key);
 
 	return record ? record->rounds + 1 : 1;
 }
@@ -96,9 +196,11 @@
 {
 	if (a->rounds != b->rounds)
 		return a->rounds < b->rounds;
-	if (a->count != b->count)
-		return a->count < b->count;
-	return last_termination_us(a) < last_termination_us(b);
+	if (count_of(a) != count_of(b))
+		return count_of(a) < count_of(b);
+	return count_of(a) &&
+	       termination_at(a, count_of(a) - 1)->terminated_us <
+		       termination_at(b, count_of(b) - 1)->terminated_us;
 }
 
 static void evict_record(struct quarantine *quarantine)
@@ -112,40 +214,78 @@
 		if (!victim || is_evicted_before(value, victim))
 			victim = value;
 	if (victim)
-		g_hash_table_remove(quarantine->records, &victim->request);
+		g_hash_table_remove(quarantine->records, &victim->key);
 }
 
 static struct record *add_record(struct quarantine *quarantine,
-				 uint64_t request)
+				 const struct quarantine_termination *first)
 {
 	struct record *record = g_new0(struct record, 1);
 
 	if (g_hash_table_size(quarantine->records) == QUARANTINE_RECORDS_MAX)
 		evict_record(quarantine);
-	record->request = request;
-	g_hash_table_insert(quarantine->records, &record->request, record);
+	record->key = first->key;
+	record->is_part = first->is_part;
+	record->terminations = g_array_new(
+		FALSE, FALSE, sizeof(struct quarantine_termination));
+	g_hash_table_insert(quarantine->records, &record->key, record);
 	return record;
 }
 
-/* A termination of the same incarnation in a later round is a different one:
- * the run was sent although the earlier termination was known, so the upstream
- * has restarted, and the list of upstreams does not show it yet. */
-static bool has_termination(const struct record *record,
-			    const struct quarantine_termination *termination)
+/* Whether two terminations of one incarnation are the same. One of a later
+ * round is a different one: the run was sent although the earlier termination
+ * was known, so the upstream has restarted, and the list of upstreams does not
+ * show it yet. Requests that share a part may be in flight together although
+ * they were sent in different rounds. */
+static bool is_same_crash(const struct quarantine_termination *a,
+			  const struct quarantine_termination *b)
 {
-	for (uint32_t i = 0; i < record->count; i++)
-		if (record->terminations[i].incarnation ==
-			    termination->incarnation &&
-		    record->terminations[i].round == termination->round)
-			return true;
-	return false;
+	if (a->incarnation != b->incarnation)
+		return false;
+	return a->round == b->round ||
+	       (a->is_part && ABS(a->terminated_us - b->terminated_us) <
+				      QUARANTINE_SAME_CRASH_US);
+}
+
+static struct quarantine_termination *
+find_same_crash(const struct record *record,
+		const struct quarantine_termination *termination)
+{
+	for (uint32_t i = 0; i < count_of(record); i++)
+		if (is_same_crash(termination_at(record, i), termination))
+			return termination_at(record, i);
+	return NULL;
+}
+
+static bool add_organisation(struct quarantine_termination *termination,
+			     uint64_t organisation)
+{
+	uint64_t *known = termination->organisations;
+
+	if (!organisation || organisation == known[0] || known[1])
+		return false;
+	known[known[0] ? 1 : 0] = organisation;
+	return true;
+}
+
+/* Adds what another request with the same key tells of the same crash. Returns
+ * whether it was not known. */
+static bool merge_termination(struct quarantine_termination *known,
+			      const struct quarantine_termination *other)
+{
+	bool is_new = other->round > known->round ||
+		      (other->had_begun && !known->had_begun);
+
+	known->round = MAX(known->round, other->round);
+	known->had_begun |= other->had_begun;
+	for (uint32_t i = 0; i < G_N_ELEMENTS(other->organisations); i++)
+		is_new |= add_organisation(known, other->organisations[i]);
+	return is_new;
 }
 
 static void remove_at(struct record *record, uint32_t index)
 {
-	record->count--;
-	memmove(&record->terminations[index], &record->terminations[index + 1],
-		(record->count - index) * sizeof(record->terminations[0]));
+	g_array_remove_index(record->terminations, index);
 }
 
 /* Keeps the terminations sorted by time. If there are too many, the second
@@ -155,91 +295,253 @@
 {
 	uint32_t index;
 
-	if (record->count == QUARANTINE_TERMINATIONS_MAX)
+	if (count_of(record) == QUARANTINE_TERMINATIONS_MAX)
 		remove_at(record, 1);
-	index = record->count;
-	while (index && record->terminations[index - 1].terminated_us >
+	index = count_of(record);
+	while (index && termination_at(record, index - 1)->terminated_us >
 				termination->terminated_us)
 		index--;
-	memmove(&record->terminations[index + 1], &record->terminations[index],
-		(record->count - index) * sizeof(record->terminations[0]));
-	record->terminations[index] = *termination;
-	record->count++;
+	g_array_insert_val(record->terminations, index, *termination);
+}
+
+static bool was_cleared(const struct record *record,
+			const struct quarantine_termination *termination)
+{
+	int64_t cleared_us = termination->had_begun ? record->cleared_us
+						    : MAX(record->cleared_us,
+							  record->begun_us);
+
+	return termination->terminated_us <= cleared_us;
 }
 
 bool quarantine_add_termination(
 	struct quarantine *quarantine,
 	const struct quarantine_termination *termination)
 {
-	struct record *record = find_record(quarantine, termination->request);
+	struct record *record = find_record(quarantine, termination->key);
+	struct quarantine_termination *known = NULL;
+	bool is_new = true;
 
-	if (record && (has_termination(record, termination) ||
-		       termination->terminated_us <= record->cleared_us))
+	if (record && was_cleared(record, termination))
 		return false;
 	if (!record)
-		record = add_record(quarantine, termination->request);
-	insert_termination(record, termination);
+		record = add_record(quarantine, termination);
+	known = find_same_crash(record, termination);
+	if (known)
+		is_new = merge_termination(known, termination);
+	else
+		insert_termination(record, termination);
 	record->rounds = MAX(record->rounds, termination->round);
-	return true;
+	return is_new;
 }
 
 static void recount_rounds(struct record *record)
 {
 	record->rounds = 0;
-	for (uint32_t i = 0; i < record->count; i++)
+	for (uint32_t i = 0; i < count_of(record); i++)
 		record->rounds =
-			MAX(record->rounds, record->terminations[i].round);
+			MAX(record->rounds, termination_at(record, i)->round);
 }
 
-bool quarantine_clear(struct quarantine *quarantine, uint64_t request,
+/* Removes the terminations up to `until_us`, or only those before which no
+ * answer had begun. Returns whether there were any. */
+static bool remove_terminations(struct record *record, int64_t until_us,
+				bool only_unbegun)
+{
+	uint32_t count = count_of(record);
+
+	for (uint32_t i = count_of(record); i-- > 0;) {
+		const struct quarantine_termination *termination =
+			termination_at(record, i);
+
+		if (termination->terminated_us <= until_us &&
+		    !(only_unbegun && termination->had_begun))
+			remove_at(record, i);
+	}
+	recount_rounds(record);
+	if (!is_record_suspect(record))
+		record->trial_until_us = 0;
+	return count_of(record) < count;
+}
+
+bool quarantine_clear(struct quarantine *quarantine, uint64_t key,
 		      int64_t cleared_us)
 {
-	struct record *record = find_record(quarantine, request);
-	bool any_removed = false;
+	struct record *record = find_record(quarantine, key);
 
 	if (!record)
 		return false;
-	while (record->count &&
-	       record->terminations[0].terminated_us <= cleared_us) {
-		remove_at(record, 0);
-		any_removed = true;
-	}
-	recount_rounds(record);
 	record->cleared_us = MAX(record->cleared_us, cleared_us);
 	record->trial_until_us = 0;
-	return any_removed;
+	return remove_terminations(record, cleared_us, false);
+}
+
+bool quarantine_clear_unbegun(struct quarantine *quarantine, uint64_t key,
+			      int64_t begun_us)
+{
+	struct record *record = find_record(quarantine, key);
+
+	if (!record)
+		return false;
+	record->begun_us = MAX(record->begun_us, begun_us);
+	return remove_terminations(record, begun_us, true);
+}
+
+/* ---- which of several keys explains terminations ---- */
+
+static bool has_incarnation(const struct record *record, uint64_t incarnation)
+{
+	for (uint32_t i = 0; i < count_of(record); i++)
+		if (termination_at(record, i)->incarnation == incarnation)
+			return true;
+	return false;
+}
+
+/* The terminations of the evidence that a record has as well, as bits. */
+static uint32_t covered_by(const struct evidence *evidence,
+			   const struct record *other)
+{
+	uint32_t covered = 0;
+
+	for (uint32_t i = 0; i < evidence->count; i++)
+		if (has_incarnation(other, evidence->items[i]->incarnation))
+			covered |= 1U << i;
+	return covered;
+}
+
+static bool has_key(const struct quarantine_keys *keys, uint64_t digest)
+{
+	for (uint32_t i = 0; i < keys->count; i++)
+		if (keys->items[i].digest == digest)
+			return true;
+	return false;
+}
+
+/* What is known of the cause of terminations. */
+enum explanation {
+	EXPLANATION_OWN,       /* the key, or others of the same request */
+	EXPLANATION_AMBIGUOUS, /* the key, or others that the request lacks */
+	EXPLANATION_OTHER,     /* a key with these and further terminations */
+};
+
+/* `keys`: of the request; NULL: of none. */
+static enum explanation explain(const struct quarantine *quarantine,
+				const struct record *record,
+				const struct evidence *evidence,
+				const struct quarantine_keys *keys)
+{
+	const uint32_t all = (1U << evidence->count) - 1;
+	uint32_t covered = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, quarantine->records);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct record *other = value;
+		uint32_t by_other;
+
+		if (other == record ||
+		    count_of(other) < QUARANTINE_SUSPECT_TERMINATIONS)
+			continue;
+		by_other = covered_by(evidence, other);
+		if (by_other == all && count_of(other) > count_of(record))
+			return EXPLANATION_OTHER;
+		if (!keys || !has_key(keys, other->key))
+			covered |= by_other;
+	}
+	return covered == all ? EXPLANATION_AMBIGUOUS : EXPLANATION_OWN;
+}
+
+void quarantine_foreach_explained(const struct quarantine *quarantine,
+				  uint64_t key,
+				  void (*visit)(void *userdata, uint64_t key),
+				  void *userdata)
+{
+	const struct record *cause = find_record(quarantine, key);
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!cause)
+		return;
+	g_hash_table_iter_init(&iter, quarantine->records);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct record *record = value;
+		struct evidence evidence = all_evidence(record);
+
+		if (record != cause && count_of(record) &&
+		    covered_by(&evidence, cause) == (1U << evidence.count) - 1)
+			visit(userdata, record->key);
+	}
 }
 
 /* ---- admission ---- */
 
-enum quarantine_decision quarantine_admit(struct quarantine *quarantine,
-					  uint64_t request, int64_t until_us,
-					  int64_t *wait_us)
+/* The time for which a request must wait because of one of its keys; 0: it may
+ * run. `*is_trial`: only as a trial. */
+static int64_t wait_for_key(const struct quarantine *quarantine,
+			    const struct quarantine_keys *keys,
+			    const struct record *record, bool *is_trial)
 {
-	struct record *record = find_record(quarantine, request);
 	int64_t now_us = lp_now_us(quarantine->clock);
+	enum explanation explanation;
+	struct evidence evidence;
 
-	*wait_us = 0;
-	if (quarantine->disabled || !record ||
-	    record->count < QUARANTINE_SUSPECT_TERMINATIONS)
-		return QUARANTINE_PASS;
-	if (now_us < blocked_until_us(record)) {
-		*wait_us = blocked_until_us(record) - now_us;
-		return QUARANTINE_REFUSE;
+	*is_trial = false;
+	if (!record || count_of(record) < QUARANTINE_SUSPECT_TERMINATIONS)
+		return 0;
+	evidence = evidence_for(record, keys->organisation);
+	if (!is_suspect(&evidence, record->is_part))
+		return 0;
+	explanation = explain(quarantine, record, &evidence, keys);
+	if (explanation == EXPLANATION_OTHER)
+		return 0;
+	if (explanation == EXPLANATION_OWN &&
+	    now_us < blocked_until_us(&evidence))
+		return blocked_until_us(&evidence) - now_us;
+	if (now_us < record->trial_until_us)
+		return MIN(record->trial_until_us - now_us,
+			   QUARANTINE_TRIAL_WAIT_MAX_US);
+	*is_trial = true;
+	return 0;
+}
+
+struct quarantine_admission quarantine_admit(struct quarantine *quarantine,
+					     const struct quarantine_keys *keys,
+					     int64_t until_us)
+{
+	struct quarantine_admission admission = { 0 };
+
+	for (uint32_t i = 0; i < keys->count && !quarantine->disabled; i++) {
+		uint64_t key = keys->items[i].digest;
+		bool is_trial;
+		int64_t wait_us =
+			wait_for_key(quarantine, keys,
+				     find_record(quarantine, key), &is_trial);
+
+		if (is_trial)
+			admission.trials |= 1U << i;
+		if (wait_us <= admission.wait_us)
+			continue;
+		admission.wait_us = wait_us;
+		admission.refused_by = key;
 	}
-	if (now_us < record->trial_until_us) {
-		*wait_us = MIN(record->trial_until_us - now_us,
-			       QUARANTINE_TRIAL_WAIT_MAX_US);
-		return QUARANTINE_REFUSE;
+	if (admission.wait_us) {
+		admission.decision = QUARANTINE_REFUSE;
+		admission.trials = 0;
+	} else if (admission.trials) {
+		admission.decision = QUARANTINE_TRIAL;
 	}
-	record->trial_until_us = until_us;
-	return QUARANTINE_TRIAL;
+	for (uint32_t i = 0; i < keys->count; i++)
+		if (admission.trials & (1U << i))
+			quarantine_set_trial(quarantine, keys->items[i].digest,
+					     until_us);
+	return admission;
 }
 
-void quarantine_set_trial(struct quarantine *quarantine, uint64_t request,
+void quarantine_set_trial(struct quarantine *quarantine, uint64_t key,
 			  int64_t until_us)
 {
-	struct record *record = find_record(quarantine, request);
+	struct record *record = find_record(quarantine, key);
 
 	if (record)
 		record->trial_until_us = until_us;
@@ -251,32 +553,43 @@
 {
 	int64_t longest_us = 0;
 
-	for (uint32_t i = 0; i < record->count; i++)
-		longest_us = MAX(longest_us, record->terminations[i].run_us);
+	for (uint32_t i = 0; i < count_of(record); i++)
+		longest_us = MAX(longest_us, termination_at(record, i)->run_us);
 	return longest_us;
 }
 
-static struct quarantine_view make_view(const struct record *record)
+static struct quarantine_view make_view(const struct quarantine *quarantine,
+					const struct record *record)
 {
+	struct evidence evidence = all_evidence(record);
+	bool suspect = is_suspect(&evidence, record->is_part);
+
 	return (struct quarantine_view){
-		.request = record->request,
-		.terminations = record->terminations,
-		.terminations_count = record->count,
+		.key = record->key,
+		.is_part = record->is_part,
+		.terminations = (const struct quarantine_termination *)
+					record->terminations->data,
+		.terminations_count = count_of(record),
 		.rounds = record->rounds,
+		.is_suspect = suspect,
+		.is_explained = suspect &&
+				explain(quarantine, record, &evidence, NULL) ==
+					EXPLANATION_OTHER,
 		.cleared_us = record->cleared_us,
-		.blocked_until_us = blocked_until_us(record),
+		.begun_us = record->begun_us,
+		.blocked_until_us = blocked_until_us(&evidence),
 		.trial_until_us = record->trial_until_us,
 		.longest_run_us = longest_run_us(record),
 	};
 }
 
-bool quarantine_get_view(const struct quarantine *quarantine, uint64_t request,
+bool quarantine_get_view(const struct quarantine *quarantine, uint64_t key,
 			 struct quarantine_view *out)
 {
-	const struct record *record = find_record(quarantine, request);
+	const struct record *record = find_record(quarantine, key);
 
 	if (record)
-		*out = make_view(record);
+		*out = make_view(quarantine, record);
 	return record != NULL;
 }
 
@@ -290,7 +603,7 @@
 
 	g_hash_table_iter_init(&iter, quarantine->records);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct quarantine_view view = make_view(value);
+		struct quarantine_view view = make_view(quarantine, value);
 
 		visit(userdata, &view);
 	}
--- a/tests/prompt_part_test.cc
+++ b/tests/prompt_part_test.cc
@@ -194,4 +194,98 @@
 				    "900d:200,a%:100");
 }
 
+/* Three requests at a time, at all entries in turn. */
+TEST(PromptPart, IsBlockedInFleetsOfSeveralSizes)
+{
+	for (int size : { 5, 21 }) {
+		Fleet fleet(size, crash_on(bad_part));
+		Load bad{ fleet, "bad", "/once/x", "5ead:200,bad0:100", {} };
+		Load sound{ fleet, "sound", "/again/x", "5ead:200,a%:100", {} };
+
+		send_in_turn({ &bad, &bad, &bad, &sound }, 30, 250);
+		EXPECT_LE(fleet.counts().arrivals_late, 3u) << size;
+		EXPECT_GE(sound.served(), 27) << size;
+	}
+}
+
+/* Guards against a part that is forgotten when all entries are killed. */
+TEST(PromptPart, StaysBlockedAfterAKillOfAllEntries)
+{
+	Fleet fleet(2, crash_on(bad_part));
+	Load bad{ fleet, "bad", "/once/x", "5ead:200,bad0:100", {} };
+	Load sound{ fleet, "sound", "/again/x", "5ead:200,a%:100", {} };
+	uint32_t arrivals;
+
+	send_in_turn({ &bad, &sound }, 12, 200);
+	/* Records are stored within some round trips. */
+	run_loop_until([] { return false; }, 300);
+	arrivals = fleet.counts().arrivals;
+	bad.requests.clear();
+	sound.requests.clear();
+	fleet.kill_all();
+	ASSERT_TRUE(run_loop_until([&] {
+		return direct_blocked_count(fleet.rigs[0]->entry) &&
+		       direct_blocked_count(fleet.rigs[1]->entry);
+	}));
+	bad.name = "after-bad";
+	sound.name = "after-sound";
+	send_in_turn({ &bad, &sound }, 12, 200);
+	EXPECT_EQ(fleet.counts().arrivals, arrivals);
+	EXPECT_EQ(bad.refused(), 12);
+	EXPECT_EQ(sound.served(), 12);
+}
+
+/* Guards against popular parts that are blocked as all engines crash, one after
+ * the other. */
+TEST(PromptPart, PopularPartsAreServedWhileEnginesCrash)
+{
+	const pe_poison_options none = {};
+	const pe_end_options end = { 300, 150, true };
+	Fleet fleet(2, none, 6);
+	Load popular{ fleet, "popular", "/again/x", "5ead:200,900d:100", {} };
+
+	for (auto *engine : fleet.engines) {
+		send_in_turn({ &popular }, 10, 30);
+		pe_end(engine, &end);
+	}
+	send_in_turn({ &popular }, 10, 30);
+	EXPECT_GE(popular.served(), 63);
+}
+
+TEST(PromptPart, TwoPartsAreBlockedAtATime)
+{
+	Fleet fleet(2, crash_on(two_bad_parts));
+	Load one{ fleet, "one", "/once/x", "5ead:200,bad0:100", {} };
+	Load two{ fleet, "two", "/once/x", "bad1:200,a%:100", {} };
+	Load sound{ fleet, "sound", "/again/x", "5ead:200,b%:100", {} };
+
+	send_in_turn({ &one, &two, &sound }, 40, 200);
+	EXPECT_LE(fleet.counts().arrivals_late, 3u);
+	EXPECT_GE(sound.served(), 36);
+}
+
+/* Operators see the part under a digest, and can let it in again. */
+TEST(PromptPart, OperatorsSeeAndClearIt)
+{
+	Fleet fleet(2, crash_on(bad_part));
+	Load bad{ fleet, "bad", "/once/x", "5ead:200,bad0:100", {} };
+	Load sound{ fleet, "sound", "/again/x", "5ead:200,a%:100", {} };
+	std::string listing;
+	uint64_t digest;
+	size_t at;
+
+	send_in_turn({ &bad, &sound }, 10, 200);
+	listing = fleet.listing();
+	EXPECT_EQ(listing.find("bad0"), std::string::npos);
+	at = listing.find("\"key\":\"part\",\"standing\":\"kept_out\"");
+	ASSERT_NE(at, std::string::npos) << listing;
+	digest = g_ascii_strtoull(listing.substr(at - 18, 16).c_str(), nullptr,
+				  16);
+	direct_unblock_request(fleet.rigs[0]->entry, digest);
+	ASSERT_TRUE(run_loop_until(
+		[&] { return !direct_blocked_count(fleet.rigs[1]->entry); }));
+	bad.send();
+	EXPECT_EQ(bad.requests.back()->wait().status, 502u);
+}
+
 } // namespace
--- a/tests/quarantine_test.cc
+++ b/tests/quarantine_test.cc
@@ -12,6 +12,18 @@
 const int64_t s = LP_US_PER_S;
 const uint64_t poison = 7;
 
+quarantine_termination make_termination(uint64_t key, uint64_t incarnation,
+					uint32_t round, int64_t terminated_us)
+{
+	quarantine_termination termination = {};
+
+	termination.key = key;
+	termination.incarnation = incarnation;
+	termination.round = round;
+	termination.terminated_us = terminated_us;
+	return termination;
+}
+
 struct Fleet {
 	TestClock clock;
 	quarantine *c_quarantine = quarantine_create(&clock.clock);
@@ -25,17 +37,25 @@
 	/* An upstream terminates under a run of this round. */
 	void terminate(uint64_t request, uint32_t round)
 	{
-		quarantine_termination termination = {
-			request, ++last_incarnation, round, clock.now_us, 100
-		};
+		quarantine_termination termination = make_termination(
+			request, ++last_incarnation, round, clock.now_us);
+
+		termination.run_us = 100;
 
 		EXPECT_TRUE(
 			quarantine_add_termination(c_quarantine, &termination));
 	}
 	quarantine_decision admit(uint64_t request = poison)
 	{
-		return quarantine_admit(c_quarantine, request,
-					clock.now_us + 3 * s, &wait_us);
+		quarantine_keys keys = {};
+		quarantine_admission admission;
+
+		keys.count = 1;
+		keys.items[0].digest = request;
+		admission = quarantine_admit(c_quarantine, &keys,
+					     clock.now_us + 3 * s);
+		wait_us = admission.wait_us;
+		return admission.decision;
 	}
 	/* Makes up to `most` runs, one after the other, that terminate their
 	 * upstreams; returns how many were admitted. */
@@ -139,9 +159,9 @@
 TEST(Quarantine, ReportsMayArriveInAnyOrder)
 {
 	const quarantine_termination terminations[] = {
-		{ poison, 1, 1, 1000, 0 },
-		{ poison, 2, 2, 2000, 0 },
-		{ poison, 3, 3, 3000, 0 }
+		make_termination(poison, 1, 1, 1000),
+		make_termination(poison, 2, 2, 2000),
+		make_termination(poison, 3, 3, 3000),
 	};
 	const int orders[][5] = { { 0, 1, 2, 1, 0 },
 				  { 2, 1, 0, 0, 2 },
@@ -175,7 +195,8 @@
 TEST(Quarantine, TerminationInALaterRoundIsDistinct)
 {
 	Fleet fleet;
-	quarantine_termination termination = { poison, 50, 1, 1000, 0 };
+	quarantine_termination termination =
+		make_termination(poison, 50, 1, 1000);
 
 	EXPECT_TRUE(
 		quarantine_add_termination(fleet.c_quarantine, &termination));
@@ -223,7 +244,7 @@
 		fleet.c_quarantine,
 		[](void *out, const quarantine_view *view) {
 			static_cast<std::vector<uint64_t> *>(out)->push_back(
-				view->request);
+				view->key);
 		},
 		&seen);
 	EXPECT_EQ(seen.size(), (size_t)QUARANTINE_RECORDS_MAX);
@@ -276,6 +297,17 @@
 
 /* ---- lost requests ---- */
 
+lost_request make_lost(uint64_t request, uint64_t incarnation)
+{
+	lost_request lost = {};
+
+	lost.keys.count = 1;
+	lost.keys.items[0].digest = request;
+	lost.keys.items[0].round = 1;
+	lost.incarnation = incarnation;
+	return lost;
+}
+
 struct LostRequests {
 	TestClock clock;
 	lost_requests *c_lost = lost_requests_create(&clock.clock);
@@ -288,9 +320,10 @@
 	}
 	lost_request_status add(uint64_t request, uint64_t incarnation)
 	{
-		lost_request one = { request, incarnation, 1, clock.now_us,
-				     clock.now_us };
+		lost_request one = make_lost(request, incarnation);
 
+		one.sent_us = clock.now_us;
+		one.lost_us = clock.now_us;
 		return lost_requests_add(c_lost, &one);
 	}
 };
@@ -316,7 +349,7 @@
 TEST(LostRequests, LateLossIsDatedToTheTermination)
 {
 	LostRequests lost;
-	lost_request late = { 1, 50, 1, 0, 0 };
+	lost_request late = make_lost(1, 50);
 	int64_t terminated_us = lost.clock.now_us;
 
 	lost_requests_note_termination(lost.c_lost, 50, false, lost.out);
