--- a/tools/pe_caller.c
+++ b/tools/pe_caller.c
@@ -21,6 +21,7 @@
 	if (request->timeout_ms)
 		http_fields_add_int(out, "X-Deadline-Ms", request->timeout_ms);
 	add(out, "X-Token-Counts", request->tokens);
+	add(out, "X-Prompt-Prefix", request->prompt);
 	add(out, "X-Pieces", request->pieces);
 	add(out, "X-Piece-Key", request->piece_key);
 	add(out, "Resumes", request->resumed_attempt);
--- a/tools/pe_caller.h
+++ b/tools/pe_caller.h
@@ -15,6 +15,7 @@
 	const char *key;     /**< of its organisation */
 	int64_t timeout_ms;  /**< how long the caller waits */
 	const char *tokens;  /**< "IN,OUT" */
+	const char *prompt;  /**< its parts: "ID:TOKENS,..." */
 	const char *pieces;  /**< of each stage: "N,N" */
 	const char *piece_key;
 	const char *resumed_attempt; /**< that began the stream */
--- a/tools/soak_callers.c
+++ b/tools/soak_callers.c
@@ -28,6 +28,7 @@
 	enum kind kind;
 	char *id;
 	const char *poison; /* what ends who begins it, or NULL */
+	char *prompt;	    /* of a stream, or NULL */
 	uint32_t entry;
 	uint32_t stops;	 /* of its entry, when it began */
 	bool sent_there; /* by the balancer, which had it in rotation */
@@ -166,6 +167,7 @@
 	g_string_free(ask->body, TRUE);
 	g_free(ask->first);
 	g_free(ask->last_event);
+	g_free(ask->prompt);
 	g_free(ask->id);
 	g_free(ask);
 }
@@ -248,6 +250,8 @@
 		&(struct pe_caller_request){
 			.attempt = ask->id,
 			.key = "key-always",
+			.tokens = ask->prompt ? "170,20" : NULL,
+			.prompt = ask->prompt,
 			.pieces = is_staged ? "2,3" : NULL,
 			.piece_key = is_staged ? piece_key : NULL,
 			.resumed_attempt = ask->first,
@@ -359,6 +363,8 @@
 				  (gint64)soak->settings.seed, ++soak->asked);
 	ask->body = g_string_new(NULL);
 	ask->poison = soak_poison_draw(soak->poison);
+	if (ask->kind >= KIND_ONCE)
+		ask->prompt = soak_poison_draw_prompt(soak->poison, ask->id);
 	ask->leaves = ask->kind == KIND_AGAIN &&
 		      soak_release_draw_leaving(soak->release);
 	soak->open++;
