Emulator: streams without framing, and streams that end early in good order

An engine's stream may have neither a length nor chunks and end with its connection, and any stream may end after some events, or inside one, in good order. The soak's fault of answers without framing now covers streams, too.

--- a/tools/pe.c
+++ b/tools/pe.c
@@ -119,20 +119,54 @@
 	bool begun; /* an event was written */
 };
 
+static bool is_unframed(const struct pe_upstream *upstream)
+{
+	return upstream->stream_end.unframed ||
+	       upstream->fault == PE_FAULT_UNFRAMED;
+}
+
+static void write_part(const struct stream *stream, const char *text)
+{
+	g_autofree char *chunk = NULL;
+
+	if (!is_unframed(stream->upstream))
+		chunk = g_strdup_printf("%zx\r\n%s\r\n", strlen(text), text);
+	pe_conn_write(stream->conn, chunk ? chunk : text);
+}
+
+static void end_stream(struct stream *stream)
+{
+	struct pe_conn *conn = stream->conn;
+
+	if (!is_unframed(stream->upstream))
+		pe_conn_write(conn, "0\r\n\r\n");
+	conn->timer = 0;
+	pe_conn_end(conn, false);
+}
+
+/* Returns whether the stream has ended in good order, early or not. */
+static bool end_if_due(struct stream *stream)
+{
+	const struct pe_stream_end *how = &stream->upstream->stream_end;
+	bool is_early = how->early && stream->next > how->events;
+
+	if (stream->next <= EVENTS && !is_early)
+		return false;
+	if (is_early && how->in_event)
+		write_part(stream, "id: 9\nda");
+	end_stream(stream);
+	return true;
+}
+
 static gboolean on_event(gpointer userdata)
 {
 	struct stream *stream = userdata;
 	struct pe_conn *conn = stream->conn;
 	g_autofree char *event = g_strdup_printf("id: %u\ndata: token %u\n\n",
 						 stream->next, stream->next);
-	g_autofree char *chunk = NULL;
 
-	if (stream->next > EVENTS) {
-		pe_conn_write(conn, "0\r\n\r\n");
-		conn->timer = 0;
-		pe_conn_end(conn, false);
+	if (end_if_due(stream))
 		return G_SOURCE_REMOVE;
-	}
 	if (stream->upstream->fault == PE_FAULT_CUT && stream->next == CUT_AT) {
 		pe_conn_write(conn, "8\r\nid: 3\nda\r\n");
 		conn->timer = 0;
@@ -145,23 +179,29 @@
 		end_by(stream->upstream, conn);
 		return G_SOURCE_REMOVE;
 	}
-	chunk = g_strdup_printf("%zx\r\n%s\r\n", strlen(event), event);
 	if (!stream->begun)
 		pe_versions_event(stream->upstream, conn);
 	stream->begun = true;
-	pe_conn_write(conn, chunk);
+	write_part(stream, event);
 	stream->next++;
 	return G_SOURCE_CONTINUE;
 }
 
+void pe_set_stream_end(struct pe_upstream *upstream,
+		       const struct pe_stream_end *how)
+{
+	upstream->stream_end = *how;
+}
+
 static void begin_stream(struct pe_upstream *upstream, struct pe_conn *conn)
 {
 	const char *after = pe_conn_field(conn, "Last-Event-Id");
 	g_autofree char *fields = answer_fields(upstream, conn, false);
 	g_autofree char *head = g_strdup_printf(
 		"HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n"
-		"Transfer-Encoding: chunked\r\n\r\n",
-		fields);
+		"%s\r\n",
+		fields,
+		is_unframed(upstream) ? "" : "Transfer-Encoding: chunked\r\n");
 	struct stream *stream = g_new0(struct stream, 1);
 
 	stream->conn = conn;
--- a/tools/pe.h
+++ b/tools/pe.h
@@ -179,6 +179,16 @@
 
 void pe_poison(struct pe *pe, const struct pe_poison_options *how);
 void pe_poison_seen(const struct pe *pe, struct pe_poison_book *worst);
+/** How an engine's streams end. */
+struct pe_stream_end {
+	bool unframed;	 /**< with the connection: neither length nor chunks */
+	bool early;	 /**< after `events` of them, in good order */
+	uint32_t events; /**< 0: before the first */
+	bool in_event;	 /**< a part of the next event comes as well */
+};
+
+void pe_set_stream_end(struct pe_upstream *upstream,
+		       const struct pe_stream_end *how);
 /** Remove its entry and stop it. Frees it. */
 void pe_remove(struct pe_upstream *upstream);
 
--- a/tools/pe_private.h
+++ b/tools/pe_private.h
@@ -48,6 +48,7 @@
 	struct pe_listener *listener;
 	enum pe_kind kind;
 	enum pe_fault fault;
+	struct pe_stream_end stream_end;
 	char *id;	 /**< as the key-value service names it */
 	char *other_id;	 /**< of a process that took the address; or NULL */
 	int64_t born_ms; /**< wall clock, as it says it */
