Event streams: lines may end with CR LF

Events whose lines end with CR LF were not recognised: their stream was held back until its end and could not be resumed.

--- a/direct/direct_event_stream.c
+++ b/direct/direct_event_stream.c
@@ -5,7 +5,7 @@
 
 static const char id_field[] = "id:";
 
-/* Reads one line, without its line feed. Only a line that begins with "id:" is
+/* Reads one line, without its end. Only a line that begins with "id:" is
  * an id, since data may contain the same text. */
 static void read_id_line(const char *line, size_t size, char **last_id)
 {
@@ -17,36 +17,29 @@
 	*last_id = g_strstrip(g_strndup(line + skip, size - skip));
 }
 
-static void read_ids(const char *event, size_t size, char **last_id)
-{
-	size_t start = 0;
-
-	while (start < size) {
-		const char *end = memchr(event + start, '\n', size - start);
-		size_t length =
-			end ? (size_t)(end - event) - start : size - start;
-
-		read_id_line(event + start, length, last_id);
-		start += length + 1;
-	}
-}
-
+/* An event ends with an empty line; lines end with LF or CR LF. */
 size_t direct_event_stream_complete_size(const char *text, size_t size,
 					 char **last_id)
 {
+	g_autofree char *id = NULL;
 	size_t complete_size = 0;
-
-	while (complete_size < size) {
-		const char *end =
-			g_strstr_len(text + complete_size,
-				     (gssize)(size - complete_size), "\n\n");
-		size_t event_size;
-
-		if (!end)
-			break;
-		event_size = (size_t)(end - text) + 2 - complete_size;
-		read_ids(text + complete_size, event_size, last_id);
-		complete_size += event_size;
+	size_t start = 0;
+	const char *end;
+
+	while ((end = memchr(text + start, '\n', size - start))) {
+		size_t length = (size_t)(end - text) - start;
+
+		if (length && text[start + length - 1] == '\r')
+			length--;
+		read_id_line(text + start, length, &id);
+		start = (size_t)(end - text) + 1;
+		if (length)
+			continue;
+		complete_size = start;
+		if (!id)
+			continue;
+		g_free(*last_id);
+		*last_id = g_steal_pointer(&id);
 	}
 	return complete_size;
 }
