Streams that end inside an event, or before any without framing, are broken off

Callers got a stream as complete that had ended inside an event, with the part of the event, if its connection had ended in good order with chunks; and one that had neither chunks nor a length and ended before its first event.

Only unframed streams were checked for a part of an event at their end. Now any stream is: it is resumed where its route allows, else aborted. An unframed stream without events is retried or answered 502, unless it was resumed: its last event may have been delivered before. A truncated stream no longer counts as a response of its upstream.

--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -464,24 +464,33 @@
 	}
 }
 
+/* Whether a stream was broken off although its connection ended in good order:
+ * inside an event, or, as it has no framing that would show its end, before any
+ * event. A resumed stream may have had its last event already. */
+static bool is_truncated(const struct direct_request *request)
+{
+	return request->body->len ||
+	       (request->ends_with_connection && !request->upstream_responded &&
+		!request->answer_begun && !direct_request_is_resumed(request));
+}
+
 static void finish_stream(struct direct_request *request)
 {
-	bool truncated = request->ends_with_connection && request->body->len;
+	bool truncated = is_truncated(request);
 
-	if (truncated)
-		record_lost_sending(request);
-	record_first_response(request);
-	direct_sending_end(request, truncated ? POOL_UNREACHABLE : POOL_SERVED);
 	if (truncated) {
+		record_lost_sending(request);
+		direct_sending_end(request, POOL_UNREACHABLE);
 		g_string_truncate(request->body, 0);
 		handle_sending_end(request, RETRY_EVENT_BROKEN, "torn");
 		return;
 	}
+	record_first_response(request);
+	direct_sending_end(request, POOL_SERVED);
 	direct_quarantine_request_served(request->direct->quarantine, request,
 					 true);
 	direct_stream_resume_end(request, "continued", NULL);
 	begin_answer(request);
-	http_call_write(request->call, request->body->str, request->body->len);
 	direct_request_log_end(request, "answered", request->status, NULL);
 	http_call_finish(request->call);
 	direct_request_free(request);
