Quarantine: keys of a request are collected in one place; trials of parts end by their round

A lost run ended the running trial of its key if it was sent in the second round. For a part such a run may have been sent before the part was a suspect, so the trial of another entry could be ended early and one more run admitted.

--- a/direct/direct_quarantine.c
+++ b/direct/direct_quarantine.c
@@ -406,7 +406,13 @@
 	};
 }
 
-/* A run of a later round can only have been a trial. */
+/* A run of a round from which on the key was a suspect can only have been a
+ * trial. */
+static bool was_trial(const struct quarantine_key *key)
+{
+	return key->round > (key->is_part ? QUARANTINE_SUSPECT_PART_ROUNDS : 1);
+}
+
 static void end_trials(struct direct_quarantine *quarantine,
 		       const struct lost_request *lost)
 {
@@ -414,7 +420,7 @@
 		const struct quarantine_key *key = &lost->keys.items[i];
 
 		notify_if_blocked(quarantine, key->digest);
-		if (key->round > 1)
+		if (was_trial(key))
 			end_running_trial(quarantine, key->digest);
 	}
 }
@@ -539,24 +545,18 @@
 	return best;
 }
 
-static bool has_key(const struct quarantine_keys *keys, uint64_t digest)
+/* The last part belongs to its request alone. */
+static void add_part_keys(const struct direct_quarantine *quarantine,
+			  const GArray *blocks, struct quarantine_keys *keys)
 {
-	for (uint32_t i = 0; i < keys->count; i++)
-		if (keys->items[i].digest == digest)
-			return true;
-	return false;
-}
-
-static void add_key(struct quarantine_keys *keys, uint64_t digest, bool is_part)
-{
-	if (keys->count == QUARANTINE_KEYS_MAX || !digest ||
-	    has_key(keys, digest))
-		return;
-	keys->items[keys->count++] = (struct quarantine_key){
-		.digest = digest,
-		.round = 1,
-		.is_part = is_part,
-	};
+	for (guint i = 0; i + 1 < MIN(blocks->len, QUARANTINE_KEYS_MAX); i++)
+		quarantine_keys_add(
+			keys,
+			part_digest(quarantine,
+				    &g_array_index(blocks,
+						   struct pool_prefix_block,
+						   i)),
+			true);
 }
 
 const struct quarantine_keys *
@@ -568,17 +568,9 @@
 
 	if (keys->count)
 		return keys;
-	add_key(keys, direct_request_digest(request), false);
+	quarantine_keys_add(keys, direct_request_digest(request), false);
 	if (request->route->kind == DIRECT_STREAM)
-		for (guint i = 0; i + 1 < MIN(blocks->len, QUARANTINE_KEYS_MAX);
-		     i++)
-			add_key(keys,
-				part_digest(
-					quarantine,
-					&g_array_index(blocks,
-						       struct pool_prefix_block,
-						       i)),
-				true);
+		add_part_keys(quarantine, blocks, keys);
 	keys->organisation = lp_hash_str(
 		request->organisation ? request->organisation->name : "");
 	return keys;
--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -318,8 +318,7 @@
 {
 	struct lost_request lost = { .sent_us = began_us };
 
-	lost.keys.count = 1;
-	lost.keys.items[0].digest = direct_request_digest(request);
+	quarantine_keys_add(&lost.keys, direct_request_digest(request), false);
 	lost.keys.items[0].round = round;
 	report_lost(request, upstream, &lost);
 }
--- a/policy/quarantine.c
+++ b/policy/quarantine.c
@@ -1,7 +1,6 @@
 #include "policy/quarantine.h"
 
 #include <glib.h>
-#include <string.h>
 
 struct record {
 	uint64_t key;
@@ -73,6 +72,28 @@
 			      struct quarantine_termination, index);
 }
 
+/* ---- keys of a request ---- */
+
+static bool has_key(const struct quarantine_keys *keys, uint64_t digest)
+{
+	for (uint32_t i = 0; i < keys->count; i++)
+		if (keys->items[i].digest == digest)
+			return true;
+	return false;
+}
+
+void quarantine_keys_add(struct quarantine_keys *keys, uint64_t digest,
+			 bool is_part)
+{
+	if (keys->count == QUARANTINE_KEYS_MAX || has_key(keys, digest))
+		return;
+	keys->items[keys->count++] = (struct quarantine_key){
+		.digest = digest,
+		.round = 1,
+		.is_part = is_part,
+	};
+}
+
 /* ---- evidence: terminations that count against a request ---- */
 
 struct evidence {
@@ -283,11 +304,6 @@
 	return is_new;
 }
 
-static void remove_at(struct record *record, uint32_t index)
-{
-	g_array_remove_index(record->terminations, index);
-}
-
 /* Keeps the terminations sorted by time. If there are too many, the second
  * oldest is dropped, so that the first and the newest stay. */
 static void insert_termination(struct record *record,
@@ -296,7 +312,7 @@
 	uint32_t index;
 
 	if (count_of(record) == QUARANTINE_TERMINATIONS_MAX)
-		remove_at(record, 1);
+		g_array_remove_index(record->terminations, 1);
 	index = count_of(record);
 	while (index && termination_at(record, index - 1)->terminated_us >
 				termination->terminated_us)
@@ -356,7 +372,7 @@
 
 		if (termination->terminated_us <= until_us &&
 		    !(only_unbegun && termination->had_begun))
-			remove_at(record, i);
+			g_array_remove_index(record->terminations, i);
 	}
 	recount_rounds(record);
 	if (!is_record_suspect(record))
@@ -409,14 +425,6 @@
 	return covered;
 }
 
-static bool has_key(const struct quarantine_keys *keys, uint64_t digest)
-{
-	for (uint32_t i = 0; i < keys->count; i++)
-		if (keys->items[i].digest == digest)
-			return true;
-	return false;
-}
-
 /* What is known of the cause of terminations. */
 enum explanation {
 	EXPLANATION_OWN,       /* the key, or others of the same request */
--- a/policy/quarantine.h
+++ b/policy/quarantine.h
@@ -137,6 +137,11 @@
 	int64_t longest_run_us;	  /**< longest run up to a termination */
 };
 
+/** Adds a key, with the first round. No effect if it is there already, or if
+ * there are QUARANTINE_KEYS_MAX. */
+void quarantine_keys_add(struct quarantine_keys *keys, uint64_t digest,
+			 bool is_part);
+
 struct quarantine *quarantine_create(const struct lp_clock *clock);
 void quarantine_destroy(struct quarantine *quarantine);
 /** Disabled, it refuses nothing but continues to count terminations. */
--- a/tests/quarantine_fleet_test.cc
+++ b/tests/quarantine_fleet_test.cc
@@ -109,13 +109,6 @@
 				return run.keys.items[i].digest;
 		return 0;
 	}
-	static void add_key(quarantine_keys &keys, uint64_t digest, bool part)
-	{
-		quarantine_key &key = keys.items[keys.count++];
-
-		key.digest = digest;
-		key.is_part = part;
-	}
 	void send(Kind &kind)
 	{
 		Run run = {};
@@ -123,10 +116,12 @@
 
 		run.kind = &kind;
 		run.entry = random() % entries.size();
-		add_key(run.keys, kind.content ? kind.content : ++last_digest,
-			false);
+		quarantine_keys_add(&run.keys,
+				    kind.content ? kind.content : ++last_digest,
+				    false);
 		for (uint64_t part : kind.parts)
-			add_key(run.keys, part ? part : ++last_digest, true);
+			quarantine_keys_add(&run.keys,
+					    part ? part : ++last_digest, true);
 		run.keys.organisation = kind.organisation;
 		run.is_counted = !fifth_us.empty() &&
 				 clock.now_us > fifth_us.begin()->second +
