--- a/review/common/standin.h
+++ b/review/common/standin.h
@@ -407,6 +407,7 @@
 	long long era = 1;
 	long long leases = 0;
 	bool away = false;
+	bool held = false; /* the system gets no answers */
 	Listener listener;
 
 	static std::string query(const std::string &target, const char *name)
@@ -493,13 +494,14 @@
 		int64_t until_ms =
 			now_ms() +
 			strtoll(query(target, "wait_ms").c_str(), nullptr, 10);
-		long long begun_era = era;
 
 		for (;;) {
 			std::string events;
 
+			while (held)
+				changed.wait(lock);
 			forget();
-			if (away || era != begun_era)
+			if (away)
 				return "";
 			if (after > state.revision || after < state.forgotten)
 				return answer(410, "{}");
@@ -521,6 +523,8 @@
 		std::string target = request.target();
 		std::string path = target.substr(0, target.find('?'));
 
+		while (held)
+			changed.wait(lock);
 		if (away)
 			return "";
 		if (path == "/linepier/kv-watch")
@@ -637,6 +641,24 @@
 
 		copy = state;
 	}
+	/* A drill in which channels stay: the system gets no answers, while
+	 * the operator and the servers write again to what the copy has; ... */
+	void hold()
+	{
+		std::lock_guard<std::mutex> lock(mutex);
+
+		held = true;
+		state = copy;
+		era++;
+	}
+	/* ... and then it does. */
+	void release()
+	{
+		std::lock_guard<std::mutex> lock(mutex);
+
+		held = false;
+		changed.notify_all();
+	}
 	/* A drill: the store is away, ... */
 	void leave()
 	{
