--- a/review/common/standin.h
+++ b/review/common/standin.h
@@ -987,7 +987,7 @@
 
 inline void begin(const char *record_path, int limit_s)
 {
-	char folder[] = "/tmp/linepier-review-XXXXXX";
+	char folder[] = P_tmpdir "/linepier-review-XXXXXX";
 
 	signal(SIGPIPE, SIG_IGN);
 	now_ms();
