Connections: peers that read slowly are not taken for gone

The rule of closed connections looked at delivered bytes, the idle timeout at the answer's last write.

While bytes are undelivered a connection now looks at the age of the last acknowledgement (TCP_INFO), and policy/peer_liveness decides: a peer that owes one for three seconds is gone, one that acknowledges probes of its window is slow. Probes are kept at one a second, so that a peer that goes while its window is closed is noticed as soon as before. TCP_USER_TIMEOUT is left where a system does not report that age, and only with bytes in flight. A delivery ends at the deadline of its request. A connection is closed once its answer is delivered, and a draining entry waits for what a closed window holds back.

Log line `undelivered` and linepier_undelivered_total{peer,state}: slow, gone, deadline.

Before (the tests on, without what reads the new reports): SlowPeer.CallerThatPausesGetsItsWholeAnswer, CallerThatReadsIsNotIdle, CallerThatHasShutItsSideDownGetsItsWholeAnswer and UpstreamThatPausesGetsTheWholeBody fail; SilentCallerIsGoneOnceItIsWrittenTo passes.

--- a/direct/direct.c
+++ b/direct/direct.c
@@ -1,4 +1,5 @@
 #include "direct/direct_closed_domains.h"
+#include "direct/direct_delivery.h"
 #include "direct/direct_placement.h"
 #include "direct/direct_private.h"
 #include "direct/direct_relay.h"
@@ -24,6 +25,13 @@
 	lp_event_end(log);
 }
 
+static void on_caller_delivery(void *userdata, const char *client_ip,
+			       const struct http_delivery *delivery)
+{
+	direct_delivery_report(userdata, DIRECT_DELIVERY_CALLER, client_ip,
+			       NULL, delivery);
+}
+
 static void on_upstream_restarted(void *userdata,
 				  const struct pool_upstream *before,
 				  const struct pool_upstream *after)
@@ -99,6 +107,7 @@
 		.limits = initial_limits,
 		.request = on_request,
 		.refused = on_request_unreadable,
+		.delivery = on_caller_delivery,
 		.userdata = direct,
 	};
 	const struct retry_budget_options retry_budget = {
--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -718,6 +718,7 @@
 	if (deadline_us && (!wait_us || deadline_us < wait_us))
 		wait_us = deadline_us;
 	request->deadline_us = request->arrived_us + wait_us;
+	http_call_set_deadline(request->call, request->deadline_us);
 	left_us = MAX(request->deadline_us - direct_request_now_us(request), 0);
 	request->deadline_timer = lp_timer_add((guint)(left_us / LP_US_PER_MS),
 					       on_deadline, request);
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -2,6 +2,7 @@
 #include "direct/direct_event_stream.h"
 
 #include "base/lp_timer.h"
+#include "direct/direct_delivery.h"
 #include "direct/direct_request.h"
 
 #include <string.h>
@@ -568,6 +569,15 @@
 	.done = on_done,
 };
 
+static void on_delivery(void *userdata, const struct http_delivery *delivery)
+{
+	struct direct_request *request = userdata;
+
+	direct_delivery_report(request->direct, DIRECT_DELIVERY_UPSTREAM,
+			       request->upstream->info.id, request->id,
+			       delivery);
+}
+
 /* ---- sending ---- */
 
 static void write_request_fields(struct direct_request *request,
@@ -744,6 +754,7 @@
 				     strcmp(method, "HEAD") != 0),
 		.connect_timeout_us = DIRECT_CONNECT_TIMEOUT_US,
 		.events = &exchange_events,
+		.delivery = on_delivery,
 		.userdata = request,
 	});
 	http_fields_clear(&fields);
--- a/http/http_client.c
+++ b/http/http_client.c
@@ -11,6 +11,7 @@
 	struct http_sock *sock;
 	struct http_parse parse;
 	const struct http_exchange_events *events;
+	void (*delivery)(void *userdata, const struct http_delivery *delivery);
 	void *userdata;
 	guint connect_timer;
 	bool parsing;	/* the parser is running, so it must not be freed */
@@ -117,6 +118,18 @@
 	.ended = on_ended,
 };
 
+static void on_delivery(void *userdata, const struct http_delivery *delivery)
+{
+	struct http_exchange *exchange = userdata;
+
+	if (exchange->delivery)
+		exchange->delivery(exchange->userdata, delivery);
+}
+
+static const struct http_sock_watch sock_watch = {
+	.delivery = on_delivery,
+};
+
 static void write_request(struct http_exchange *exchange,
 			  const struct http_exchange_options *options)
 {
@@ -146,7 +159,10 @@
 		g_free(exchange);
 		return NULL;
 	}
+	http_sock_set_watch(exchange->sock, &sock_watch);
+	http_sock_set_memory(exchange->sock, options->memory);
 	exchange->events = options->events;
+	exchange->delivery = options->delivery;
 	exchange->userdata = options->userdata;
 	http_parse_init(&exchange->parse, HTTP_RESPONSE);
 	exchange->parse.no_body = !strcmp(options->method, "HEAD");
@@ -169,6 +185,11 @@
 		free_exchange(exchange);
 }
 
+void http_exchange_pause(struct http_exchange *exchange, bool pause)
+{
+	http_sock_pause(exchange->sock, pause);
+}
+
 bool http_exchange_has_sent(const struct http_exchange *exchange)
 {
 	return http_sock_has_sent(exchange->sock);
--- a/http/http_client.h
+++ b/http/http_client.h
@@ -13,6 +13,7 @@
 
 #include "base/lp_error.h"
 #include "http/http_fields.h"
+#include "http/http_sock.h"
 
 struct http_exchange;
 
@@ -43,7 +44,11 @@
 	size_t body_size;
 	bool has_body; /**< send a Content-Length, even if it is 0 */
 	int64_t connect_timeout_us;
+	struct http_memory *memory; /**< counts the queued request; or NULL */
 	const struct http_exchange_events *events;
+	/** Called when the server does not take the request: struct
+	 * http_sock_watch. May be NULL. */
+	void (*delivery)(void *userdata, const struct http_delivery *delivery);
 	void *userdata;
 };
 
@@ -55,6 +60,11 @@
 http_exchange_start(const struct http_exchange_options *options);
 /** Reset the connection and free the exchange; done() is not called. */
 void http_exchange_cancel(struct http_exchange *exchange);
+/**
+ * Pause or resume reading the answer. The server is not read from meanwhile, so
+ * that it stops sending; a reset is noticed nevertheless.
+ */
+void http_exchange_pause(struct http_exchange *exchange, bool pause);
 /** Whether a byte of the request was sent. */
 bool http_exchange_has_sent(const struct http_exchange *exchange);
 
--- a/http/http_server.c
+++ b/http/http_server.c
@@ -16,12 +16,16 @@
 #define BACKLOG 512
 /* Limit of connections accepted in one event-loop iteration. */
 #define ACCEPTS_PER_ITERATION 64
+/* Time for a client to take the rest of its answer from a connection that is
+ * closed, where nothing else limits it. */
+#define CLOSE_TIMEOUT_US (60 * LP_US_PER_S)
 
 struct conn;
 
 struct http_call {
 	struct conn *conn;
 	bool started;
+	int64_t deadline_us; /* of its answer's delivery; 0: none */
 	void (*on_disconnect)(void *userdata);
 	void *disconnect_userdata;
 };
@@ -33,6 +37,7 @@
 	GByteArray *body;
 	GByteArray *read_ahead;
 	struct http_call call;
+	int64_t deliver_until_us; /* deadline of the last answer; 0: none */
 	int64_t phase_started_us; /* when the request's first byte arrived, or
 				     the idle time began */
 	bool request_started;	  /* a request has arrived in part */
@@ -91,20 +96,35 @@
 		conn->server->busy--;
 }
 
+/* The clock of the server's owner is not that of its connections. */
+static void set_sock_deadline(struct conn *conn, int64_t left_us)
+{
+	http_sock_set_deadline(conn->sock,
+			       lp_now_us(lp_clock_boot()) + MAX(left_us, 0));
+}
+
+static void set_delivery_deadline(struct conn *conn)
+{
+	conn->deliver_until_us = conn->call.deadline_us;
+	if (conn->deliver_until_us)
+		set_sock_deadline(conn, conn->deliver_until_us - now_us(conn));
+	else
+		http_sock_set_deadline(conn->sock, 0);
+}
+
 static void close_conn(struct conn *conn, bool reset)
 {
 	set_answer_pending(conn, false);
 	set_request_started(conn, false);
 	g_hash_table_remove(conn->server->conns, conn);
-	if (!reset && http_sock_unsent_bytes(conn->sock)) {
+	if (!conn->deliver_until_us)
+		set_sock_deadline(conn, CLOSE_TIMEOUT_US);
+	if (reset) {
+		http_sock_abort(conn->sock);
+	} else if (http_sock_close(conn->sock)) {
 		g_hash_table_add(conn->server->delivering, conn);
-		http_sock_close(conn->sock);
 		return;
 	}
-	if (reset)
-		http_sock_abort(conn->sock);
-	else
-		http_sock_close(conn->sock);
 	/* Callers up the stack may still use it: freed by the next sweep. */
 	g_ptr_array_add(conn->server->closed_conns, conn);
 }
@@ -122,6 +142,7 @@
 	g_autoptr(GByteArray) read_ahead = NULL;
 
 	set_answer_pending(conn, false);
+	set_delivery_deadline(conn);
 	if (closes) {
 		close_conn(conn, false);
 		return;
@@ -159,6 +180,7 @@
 	struct http_server *server = conn->server;
 
 	conn->is_rejected = true;
+	set_delivery_deadline(conn);
 	write_head(conn, status, NULL, "Content-Length: 0\r\n", true);
 	if (server->options.refused)
 		server->options.refused(server->options.userdata, error,
@@ -283,6 +305,20 @@
 	.delivered = on_delivered,
 };
 
+static void on_delivery(void *userdata, const struct http_delivery *delivery)
+{
+	const struct conn *conn = userdata;
+	const struct http_server_options *options = &conn->server->options;
+	g_autofree char *ip = http_sock_peer_ip(conn->sock);
+
+	if (options->delivery)
+		options->delivery(options->userdata, ip, delivery);
+}
+
+static const struct http_sock_watch sock_watch = {
+	.delivery = on_delivery,
+};
+
 /* ---- listener ---- */
 
 static void add_conn(struct http_server *server, GSocket *socket)
@@ -299,6 +335,7 @@
 	g_hash_table_add(server->conns, conn);
 	begin_request(conn);
 	conn->sock = http_sock_from_accepted(socket, &sock_events, conn);
+	http_sock_set_watch(conn->sock, &sock_watch);
 }
 
 static void accept_pending(struct http_server *server, uint32_t limit)
@@ -323,10 +360,15 @@
 static void check_timeouts(struct conn *conn)
 {
 	const struct http_limits *limits = &conn->server->options.limits;
-	int64_t silent_us = now_us(conn) - conn->phase_started_us;
+	int64_t silent_us;
 
 	if (conn->answer_pending)
 		return;
+	/* A client that still reads its answer is not idle. */
+	if (!conn->request_started && now_us(conn) < conn->deliver_until_us &&
+	    http_sock_undelivered_bytes(conn->sock))
+		conn->phase_started_us = now_us(conn);
+	silent_us = now_us(conn) - conn->phase_started_us;
 	if (conn->request_started) {
 		if (limits->read_us && silent_us > limits->read_us)
 			reject(conn, LP_ERROR_SLOW_REQUEST, 408);
@@ -407,7 +449,7 @@
 {
 	struct conn *conn = key;
 
-	http_sock_abort(conn->sock);
+	http_sock_close_now(conn->sock);
 	free_conn(conn);
 }
 
@@ -448,27 +490,28 @@
 	server->draining = true;
 }
 
-/* Counts idle connections whose previous answer is not yet sent. */
-static uint32_t count_unsent_idle(const struct http_server *server)
+static bool has_blocked_answer(const struct conn *conn)
+{
+	return !conn->answer_pending && !conn->request_started &&
+	       http_sock_blocked_bytes(conn->sock) > 0;
+}
+
+static uint32_t count_blocked_answers(GHashTable *conns)
 {
 	GHashTableIter iter;
-	gpointer key;
+	gpointer conn;
 	uint32_t count = 0;
 
-	g_hash_table_iter_init(&iter, server->conns);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		const struct conn *conn = key;
-
-		count += !conn->answer_pending && !conn->request_started &&
-			 http_sock_unsent_bytes(conn->sock);
-	}
+	g_hash_table_iter_init(&iter, conns);
+	while (g_hash_table_iter_next(&iter, &conn, NULL))
+		count += has_blocked_answer(conn);
 	return count;
 }
 
 uint32_t http_server_busy_count(const struct http_server *server)
 {
-	return server->busy + g_hash_table_size(server->delivering) +
-	       count_unsent_idle(server);
+	return server->busy + count_blocked_answers(server->conns) +
+	       count_blocked_answers(server->delivering);
 }
 
 /* ---- calls ---- */
@@ -513,6 +556,11 @@
 	call->disconnect_userdata = userdata;
 }
 
+void http_call_set_deadline(struct http_call *call, int64_t deadline_us)
+{
+	call->deadline_us = deadline_us;
+}
+
 static bool is_head_method(const struct conn *conn)
 {
 	return conn->parse.parser.method == HTTP_HEAD;
--- a/http/http_server.h
+++ b/http/http_server.h
@@ -15,6 +15,7 @@
 #include "base/lp_clock.h"
 #include "base/lp_error.h"
 #include "http/http_fields.h"
+#include "http/http_sock.h"
 
 struct http_server;
 /**
@@ -43,6 +44,12 @@
 	 * Called after a request was rejected while it was read; may be NULL.
 	 */
 	void (*refused)(void *userdata, int error, uint32_t status);
+	/**
+	 * Called when a client does not take its answer: struct
+	 * http_sock_watch. `client_ip`: "" if it has disconnected. May be NULL.
+	 */
+	void (*delivery)(void *userdata, const char *client_ip,
+			 const struct http_delivery *delivery);
 	void *userdata;
 };
 
@@ -85,6 +92,12 @@
 void http_call_set_disconnect_handler(struct http_call *call,
 				      void (*on_disconnect)(void *userdata),
 				      void *userdata);
+/**
+ * Set until when the client may take its time to read the answer. What it has
+ * not taken by then is dropped, and its connection reset. Without a deadline
+ * the connection is closed after the idle timeout.
+ */
+void http_call_set_deadline(struct http_call *call, int64_t deadline_us);
 /**
  * Send a complete answer. `fields` must not hold framing or connection fields.
  * The call is over.
--- a/tests/cwrap.h
+++ b/tests/cwrap.h
@@ -62,6 +62,7 @@
 #include "policy/lost_requests.h"
 #include "policy/order.h"
 #include "policy/outage_wait.h"
+#include "policy/peer_liveness.h"
 #include "policy/pieces.h"
 #include "policy/pool.h"
 #include "policy/quantile.h"
