Connections: a reset that a send meets is not an end in order

An upstream that answered without a length, and reset its connection while its request was still being sent, had its truncated answer passed on as whole.

The system reports the error of a connection once. A send that met it dropped the queue, and the read after it saw an end in order, which completes a body without a length. A failed send is now remembered, and the read after it reports the failure; callers that reset a connection are counted as gone, too.

SlowPeer.ResetWhileTheRequestIsSentDoesNotCompleteAnAnswer fails on (LP_OK in place of LP_ERROR_UPSTREAM_GONE), CallerThatResetsIsGoneAtOnce guards the side of callers.

--- a/http/http_sock.c
+++ b/http/http_sock.c
@@ -61,6 +61,7 @@
 	bool peer_closed; /* seen after `closed` */
 	bool has_ended;	  /* the source is removed */
 	bool sent_any;
+	bool send_failed; /* the system has told the error to send() */
 };
 
 struct sock_source {
@@ -192,7 +193,8 @@
 }
 
 /* Returns the number of bytes that the system took, or -1: the connection has
- * failed, which is reported when it is read. */
+ * failed, which is reported when it is read. The system tells an error only
+ * once, and an end in order after that. */
 static ssize_t send_bytes(struct http_sock *sock, const void *bytes,
 			  size_t size)
 {
@@ -207,8 +209,10 @@
 			continue;
 		if (taken < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
 			break;
-		if (taken < 0)
+		if (taken < 0) {
+			sock->send_failed = true;
 			return -1;
+		}
 		sock->sent_any = true;
 		sent += (size_t)taken;
 	}
@@ -428,7 +432,7 @@
 /* The connection was reset, or has failed. */
 static void fail_connection(struct http_sock *sock)
 {
-	if (http_sock_undelivered_bytes(sock))
+	if (sock->send_failed || http_sock_undelivered_bytes(sock))
 		report_delivery(sock, HTTP_DELIVERY_GONE);
 	end_connection(sock, LP_ERROR_UPSTREAM_GONE);
 }
@@ -467,9 +471,9 @@
 
 	if (size > 0)
 		sock->events.data(sock->userdata, buffer, (size_t)size);
-	else if (!size)
+	else if (!size && !sock->send_failed)
 		end_connection(sock, LP_OK);
-	else if (!is_transient(errno))
+	else if (!size || !is_transient(errno))
 		fail_connection(sock);
 }
 
@@ -481,9 +485,9 @@
 	ssize_t size = recv(g_socket_get_fd(sock->socket), buffer,
 			    sizeof(buffer), MSG_DONTWAIT);
 
-	if (!size)
+	if (!size && !sock->send_failed)
 		sock->peer_closed = true;
-	else if (size < 0 && !is_transient(errno))
+	else if (size <= 0 && !is_transient(size ? errno : ECONNRESET))
 		fail_connection(sock);
 }
 
--- a/tests/slow_peer_test.cc
+++ b/tests/slow_peer_test.cc
@@ -277,6 +277,26 @@
 	EXPECT_EQ(server.deliveries.count[HTTP_DELIVERY_SLOW], 0);
 }
 
+/* A caller whose window is closed and that resets its connection must be
+ * noticed at once. */
+TEST(SlowPeer, CallerThatResetsIsGoneAtOnce)
+{
+	for (int64_t after_ms : { 0, 2000, 5000 }) {
+		Server server(Answer::UNFINISHED, LARGE_BYTES);
+		SlowPeer caller(server.address);
+		gint64 reset_us;
+
+		caller.send(request_text);
+		run_loop_until([&] { return server.call; });
+		run_loop_for(after_ms);
+		reset_us = g_get_monotonic_time();
+		caller.reset();
+		EXPECT_TRUE(run_loop_until([&] { return server.client_gone; }));
+		EXPECT_LE(server.gone_us - reset_us, 200000);
+		EXPECT_EQ(server.deliveries.count[HTTP_DELIVERY_GONE], 1);
+	}
+}
+
 /* A closed connection spun on the hang-up of a caller that had shut its side
  * down, or dropped what the caller had not read. */
 TEST(SlowPeer, CallerThatHasShutItsSideDownGetsItsWholeAnswer)
@@ -409,4 +429,20 @@
 	}
 }
 
+/* A failed send took the error of the connection, and the end that was read
+ * after it seemed to be in order: an answer without a length counted as whole.
+ */
+TEST(SlowPeer, ResetWhileTheRequestIsSentDoesNotCompleteAnAnswer)
+{
+	ExchangeAndUpstream pair(LARGE_BYTES);
+	Exchange &exchange = pair.exchange;
+
+	run_loop_for(100);
+	pair.upstream->send("HTTP/1.1 200 OK\r\n\r\npart");
+	EXPECT_TRUE(run_loop_until([&] { return exchange.status == 200; }));
+	pair.upstream->reset();
+	EXPECT_TRUE(run_loop_until([&] { return exchange.done; }));
+	EXPECT_EQ(exchange.error, LP_ERROR_UPSTREAM_GONE);
+}
+
 } // namespace
