Connections: silence between two retransmissions is no silence

Retransmissions are now bounded to one second, as probes were, from the first check that finds bytes undelivered. An owner that closes a connection whose bytes the system still holds sets the bound back: without an owner Linux gives up after some eight probes, silently, which a slow caller uses up in 6 s.

A connection that is paused for flow control reports its end after what has come before it; a server's still does at once.

SlowPeer.CallerWhoseWindowShrinksGetsItsWholeAnswer: without the bound 3 of 4 callers get 32,768 of 200,000 bytes (2 of 2 runs), with it all (3 of 3). SlowPeer.AnswerInTheSystemOutlivesItsServer: red without setting it back, green with it.

--- a/http/http_sock.c
+++ b/http/http_sock.c
@@ -26,9 +26,11 @@
 #define FIRST_CHECK_MS 1000
 #define CHECK_MS 500
 #define CHECK_MIN_MS 50
-/* Longest interval between probes of a closed window; by default it doubles up
- * to two minutes. Since Linux 6.15. */
+/* Longest interval between probes of a closed window, and between
+ * retransmissions; by default it doubles up to two minutes. Since Linux 6.15.
+ */
 #define PROBE_INTERVAL_MAX_MS 1000
+#define PROBE_INTERVAL_DEFAULT_MS 120000
 #ifndef TCP_RTO_MAX_MS
 #define TCP_RTO_MAX_MS 44
 #endif
@@ -52,9 +54,10 @@
 	int64_t deadline_us;
 	int user_timeout_ms; /* as set: TCP_USER_TIMEOUT */
 	bool reports_acks;   /* the system tells when the peer acknowledged */
-	bool is_slow;	     /* the peer's window is closed */
 	bool slow_reported;  /* since bytes are undelivered */
+	bool asks_often;     /* ask_often() */
 	bool is_probed_often;
+	bool keepalive;
 	bool connecting;
 	bool paused;
 	bool closed;	  /* by this side: no more events but delivered() */
@@ -276,24 +279,30 @@
 	set_option(sock, IPPROTO_TCP, TCP_USER_TIMEOUT, timeout_ms);
 }
 
-/* A closed window is probed often, so that a peer that goes meanwhile is
- * noticed. Keep-alive probes do the same on systems that send them while bytes
- * wait; Linux does not. */
-static void set_slow(struct http_sock *sock, bool is_slow)
+/* Has a peer that does not acknowledge asked often, so that it is soon known
+ * whether it is there: its window may be closed, or have shrunk with bytes in
+ * flight, which are sent again then. */
+static void ask_often(struct http_sock *sock)
 {
-	if (sock->is_slow == is_slow)
+	if (sock->asks_often)
 		return;
-	sock->is_slow = is_slow;
-	if (is_slow && !sock->is_probed_often) {
-		sock->is_probed_often = g_socket_set_option(
-			sock->socket, IPPROTO_TCP, TCP_RTO_MAX_MS,
-			PROBE_INTERVAL_MAX_MS, NULL);
-		set_option(sock, IPPROTO_TCP, TCP_KEEPIDLE, 1);
-		set_option(sock, IPPROTO_TCP, TCP_KEEPINTVL, 1);
-		set_option(sock, IPPROTO_TCP, TCP_KEEPCNT,
-			   SILENCE_MAX_MS / 1000);
-	}
-	set_option(sock, SOL_SOCKET, SO_KEEPALIVE, is_slow);
+	sock->asks_often = true;
+	sock->is_probed_often =
+		g_socket_set_option(sock->socket, IPPROTO_TCP, TCP_RTO_MAX_MS,
+				    PROBE_INTERVAL_MAX_MS, NULL);
+	set_option(sock, IPPROTO_TCP, TCP_KEEPIDLE, 1);
+	set_option(sock, IPPROTO_TCP, TCP_KEEPINTVL, 1);
+	set_option(sock, IPPROTO_TCP, TCP_KEEPCNT, SILENCE_MAX_MS / 1000);
+}
+
+/* Systems that do not probe a closed window send keep-alive probes while bytes
+ * wait; Linux does the first and not the second. */
+static void set_keepalive(struct http_sock *sock, bool on)
+{
+	if (sock->keepalive == on)
+		return;
+	sock->keepalive = on;
+	set_option(sock, SOL_SOCKET, SO_KEEPALIVE, on);
 }
 
 static struct peer_report read_report(struct http_sock *sock)
@@ -388,12 +397,13 @@
 		sock->slow_reported = true;
 		report_delivery(sock, HTTP_DELIVERY_SLOW);
 	}
-	set_slow(sock, state == PEER_SLOW);
+	set_keepalive(sock, state == PEER_SLOW);
 	if (state == PEER_DELIVERED) {
 		if (sock->closed)
 			end_connection(sock, LP_OK);
 		return;
 	}
+	ask_often(sock);
 	left_us = silence_max_us -
 		  peer_liveness_silence_us(&sock->liveness, &report);
 	schedule_check(sock,
@@ -429,10 +439,11 @@
 	schedule_check(sock, FIRST_CHECK_MS);
 }
 
-/* The connection was reset, or has failed. */
+/* The connection was reset, or has failed. The last bytes in flight may have
+ * arrived. */
 static void fail_connection(struct http_sock *sock)
 {
-	if (sock->send_failed || http_sock_undelivered_bytes(sock))
+	if (sock->send_failed || http_sock_blocked_bytes(sock))
 		report_delivery(sock, HTTP_DELIVERY_GONE);
 	end_connection(sock, LP_ERROR_UPSTREAM_GONE);
 }
@@ -507,10 +518,26 @@
 		sock->watch.taken(sock->userdata);
 }
 
+/* The peer has reset the connection, or closed both its sides. The system would
+ * report that again and again. */
+static void handle_hang_up_while_paused(struct http_sock *sock)
+{
+	if (sock->watch.ends_while_paused) {
+		fail_connection(sock);
+		return;
+	}
+	g_source_remove_unix_fd(sock->source, sock->tag);
+	sock->tag = NULL;
+}
+
 static void handle_readable(struct http_sock *sock)
 {
 	if (sock->has_ended)
 		return;
+	if (!sock->closed && sock->paused) {
+		handle_hang_up_while_paused(sock);
+		return;
+	}
 	if (!sock->closed) {
 		read_available(sock);
 		return;
@@ -560,12 +587,17 @@
 	return sock;
 }
 
+static void add_unix_fd(struct http_sock *sock)
+{
+	sock->tag = g_source_add_unix_fd(sock->source,
+					 g_socket_get_fd(sock->socket), 0);
+}
+
 static void add_source(struct http_sock *sock)
 {
 	sock->source = g_source_new(&source_funcs, sizeof(struct sock_source));
 	((struct sock_source *)sock->source)->sock = sock;
-	sock->tag = g_source_add_unix_fd(sock->source,
-					 g_socket_get_fd(sock->socket), 0);
+	add_unix_fd(sock);
 	update_interest(sock);
 	g_source_attach(sock->source, NULL);
 }
@@ -635,6 +667,11 @@
 	http_holding_set(&sock->held, bytes);
 }
 
+void http_sock_set_receive_buffer(struct http_sock *sock, int size)
+{
+	set_option(sock, SOL_SOCKET, SO_RCVBUF, size);
+}
+
 void http_sock_set_deadline(struct http_sock *sock, int64_t deadline_us)
 {
 	sock->deadline_us = deadline_us;
@@ -663,6 +700,8 @@
 	if (sock->paused == pause)
 		return;
 	sock->paused = pause;
+	if (!sock->tag && !sock->has_ended)
+		add_unix_fd(sock);
 	update_interest(sock);
 }
 
@@ -670,6 +709,11 @@
 {
 	if (http_sock_unsent_bytes(sock))
 		set_reset(sock);
+	/* Without an owner the system gives up a connection after a number of
+	 * probes, and frequent ones are used up while a slow peer pauses. */
+	if (sock->is_probed_often && http_sock_undelivered_bytes(sock))
+		set_option(sock, IPPROTO_TCP, TCP_RTO_MAX_MS,
+			   PROBE_INTERVAL_DEFAULT_MS);
 	sock->closed = true;
 	sock->has_ended = true;
 	if (sock->source)
--- a/http/http_sock.h
+++ b/http/http_sock.h
@@ -51,6 +51,9 @@
 	void (*delivery)(void *userdata, const struct http_delivery *delivery);
 	/** Called when the system has taken queued bytes. */
 	void (*taken)(void *userdata);
+	/** Report a reset at once while reading is paused, and drop what is not
+	 * read yet; otherwise it is reported after that. */
+	bool ends_while_paused;
 };
 
 /** Callbacks. After http_sock_close(), only delivered() is called. */
@@ -88,6 +91,8 @@
 /** `watch` is copied; its callbacks get the userdata of the connection. */
 void http_sock_set_watch(struct http_sock *sock,
 			 const struct http_sock_watch *watch);
+/** Set the size of the system's buffer of received bytes. */
+void http_sock_set_receive_buffer(struct http_sock *sock, int size);
 /** Count queued bytes as held in `memory`, which must outlive them. */
 void http_sock_set_memory(struct http_sock *sock, struct http_memory *memory);
 /**
--- a/tests/slow_peer.h
+++ b/tests/slow_peer.h
@@ -18,29 +18,39 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+inline void run_loop_for(int64_t ms)
+{
+	run_loop_until([] { return false; }, ms);
+}
+
 /* What the system of a slow peer holds of bytes that are not read. */
 static const int SLOW_PEER_WINDOW_BYTES = 8192;
 
 struct SlowPeer {
 	int fd = -1;
 	std::string received;
-	size_t x_count = 0; /* of 'x' in it, which tests use for bodies */
+	size_t x_count = 0; /* of 'x' after its head, for bodies of tests */
+	size_t head_size = 0;
 	bool ended = false; /* in order, or by a reset */
 	int error = 0;	    /* errno of a reset */
 
-	/* Connects to "IP:PORT". */
-	explicit SlowPeer(const std::string &address)
+	/* Connects to "IP:PORT". `shrinks`: its window is as large as usual at
+	 * first. */
+	explicit SlowPeer(const std::string &address, bool shrinks = false)
 	{
 		sockaddr_in to = {};
 
 		fd = socket(AF_INET, SOCK_STREAM, 0);
-		set_window(fd);
+		if (!shrinks)
+			set_window(fd);
 		to.sin_family = AF_INET;
 		to.sin_port = htons((uint16_t)atoi(address.c_str() +
 						   address.find(':') + 1));
 		to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 		if (connect(fd, (sockaddr *)&to, sizeof(to)))
 			abort();
+		if (shrinks)
+			set_window(fd);
 	}
 	/* Takes over a connection. */
 	explicit SlowPeer(int accepted) : fd(accepted)
@@ -71,8 +81,7 @@
 
 		if (got > 0) {
 			received.append(buffer, 0, (size_t)got);
-			x_count += (size_t)std::count(
-				buffer.begin(), buffer.begin() + got, 'x');
+			count_body((size_t)got);
 		} else if (!got) {
 			ended = true;
 		} else if (errno != EAGAIN && errno != EWOULDBLOCK) {
@@ -80,6 +89,20 @@
 			error = errno;
 		}
 	}
+	/* Counts the last `size` bytes as far as they are of the body. */
+	void count_body(size_t size)
+	{
+		size_t begin = received.size() - size;
+		size_t head_end = received.find("\r\n\r\n");
+
+		if (!head_size && head_end != std::string::npos)
+			head_size = head_end + 4;
+		if (head_size)
+			x_count += (size_t)std::count(
+				received.begin() +
+					(long)std::max(begin, head_size),
+				received.end(), 'x');
+	}
 	/* Its window is as large as usual from here on. */
 	void open_window()
 	{
@@ -98,6 +121,17 @@
 		});
 		return x_count == size;
 	}
+	size_t occurrences(const std::string &text) const
+	{
+		size_t count = 0;
+		size_t at = 0;
+
+		while ((at = received.find(text, at)) != std::string::npos) {
+			count++;
+			at += text.size();
+		}
+		return count;
+	}
 	/* No byte and no acknowledgement leaves it from here on. */
 	void fall_silent()
 	{
--- a/tests/slow_peer_test.cc
+++ b/tests/slow_peer_test.cc
@@ -20,11 +20,6 @@
 
 const char request_text[] = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 
-void run_loop_for(int64_t ms)
-{
-	run_loop_until([] { return false; }, ms);
-}
-
 /* What a server or client reported of a connection. */
 struct Deliveries {
 	int count[HTTP_DELIVERY_STATES] = {};
@@ -165,6 +160,34 @@
 	}
 }
 
+/* A window that shrinks leaves bytes in flight, which are sent again at longer
+ * and longer intervals: the caller seemed silent between two of them. */
+TEST(SlowPeer, CallerWhoseWindowShrinksGetsItsWholeAnswer)
+{
+	Server server(Answer::CLOSED, 200000);
+	std::vector<std::unique_ptr<SlowPeer>> callers;
+
+	for (int i = 0; i < 4; i++) {
+		callers.push_back(
+			std::make_unique<SlowPeer>(server.address, true));
+		callers.back()->send(request_text);
+		run_loop_for(100);
+		callers.back()->read_some(16384);
+	}
+	run_loop_for(PAUSE_MS);
+	for (auto &caller : callers) {
+		run_loop_until(
+			[&] {
+				caller->read_some(16384);
+				return caller->x_count >= 200000 ||
+				       caller->ended;
+			},
+			20000);
+		EXPECT_EQ(caller->x_count, 200000u);
+		EXPECT_EQ(caller->error, 0);
+	}
+}
+
 /* The idle timeout ran while a caller was still reading its answer, and closed
  * its connection. */
 TEST(SlowPeer, CallerThatReadsIsNotIdle)
@@ -189,6 +212,21 @@
 	}
 }
 
+/* The system of an entry that had ended gave a caller up while it paused,
+ * without a word. */
+TEST(SlowPeer, AnswerInTheSystemOutlivesItsServer)
+{
+	auto server = std::make_unique<Server>(Answer::WHOLE, SMALL_BYTES);
+	SlowPeer caller(server->address);
+
+	caller.send(request_text);
+	run_loop_for(2500);
+	server.reset();
+	run_loop_for(8000);
+	EXPECT_TRUE(caller.read_all(SMALL_BYTES));
+	EXPECT_EQ(caller.error, 0);
+}
+
 /* Without a time limit a caller that never reads would hold its answer for
  * ever. */
 TEST(SlowPeer, DeadlineEndsAnAnswerThatIsNotRead)
