Entry: what is held for callers and upstreams has a bound over the process

Callers that read slowly could have an entry buffer 8 MB and more for each of them, callers that send slowly 4 MB each: an entry with 120 MB was killed for its memory, and the requests of all others with it. limits.memory_mb was not read.

Bytes of request bodies, queued requests and queued answers are counted, also those of answers to peers. A request that finds no room is refused with 503, not run, and Retry-After, as soon as its head tells; a body counts from then on. The limit is a quarter of the process's memory, for what allocation, the system's buffers and everything else take. Queues give back their memory when they are empty, and drop what was sent while they are not.

--- a/direct/direct.c
+++ b/direct/direct.c
@@ -6,6 +6,13 @@
 
 #include <string.h>
 
+/* Held bytes may be this fraction of the process's memory; allocation and the
+ * system's buffers add to them. */
+#define MEMORY_FRACTION 4
+/* Callers are refused for so long while memory is short: it is freed as soon as
+ * others read their answers. */
+#define MEMORY_RETRY_AFTER_US (250 * LP_US_PER_MS)
+
 static void on_request(void *userdata, struct http_call *call)
 {
 	direct_request_begin(userdata, call);
@@ -18,10 +25,14 @@
 
 	*lp_counter(direct->options.counters, "linepier_unread_total", NULL) +=
 		1;
+	if (error == LP_ERROR_OVERLOADED)
+		*lp_counter(direct->options.counters,
+			    "linepier_memory_refusals_total", NULL) += 1;
 	if (!lp_event_begin(log, "request_unreadable", NULL))
 		return;
 	lp_event_text(log, "error", lp_error_info(error)->name);
 	lp_event_int(log, "status", status);
+	lp_event_int(log, "held_bytes", direct->memory.held_bytes);
 	lp_event_end(log);
 }
 
@@ -32,6 +43,24 @@
 			       NULL, delivery);
 }
 
+static void write_overload_refusal(void *userdata,
+				   const struct http_fields *request,
+				   struct http_fields *out)
+{
+	const struct direct_codec *codec =
+		((const struct direct *)userdata)->options.codec;
+	struct direct_request_info info = {
+		.prefix_blocks = g_array_new(FALSE, FALSE,
+					     sizeof(struct pool_prefix_block)),
+		.pieces = g_array_new(FALSE, FALSE, sizeof(uint32_t)),
+	};
+
+	codec->read_request(request, &info);
+	codec->write_refusal(info.id, MEMORY_RETRY_AFTER_US, out);
+	g_array_unref(info.prefix_blocks);
+	g_array_unref(info.pieces);
+}
+
 static void on_upstream_restarted(void *userdata,
 				  const struct pool_upstream *before,
 				  const struct pool_upstream *after)
@@ -108,6 +137,8 @@
 		.request = on_request,
 		.refused = on_request_unreadable,
 		.delivery = on_caller_delivery,
+		.memory = &direct->memory,
+		.write_refusal = write_overload_refusal,
 		.userdata = direct,
 	};
 	const struct retry_budget_options retry_budget = {
@@ -124,6 +155,7 @@
 		return NULL;
 	}
 	direct->options = *options;
+	direct_set_memory(direct, options->memory_bytes);
 	direct->started_us = lp_now_us(options->clock);
 	direct->domain = g_strdup(options->domain);
 	direct->pool = pool_create(options->clock, options->domain);
@@ -363,6 +395,16 @@
 		pool_note_unreachable(direct->pool, target, ejection_us);
 }
 
+void direct_set_memory(struct direct *direct, int64_t memory_bytes)
+{
+	direct->memory.limit_bytes = memory_bytes / MEMORY_FRACTION;
+}
+
+struct http_memory *direct_memory(struct direct *direct)
+{
+	return &direct->memory;
+}
+
 void direct_enforce_quarantine(struct direct *direct, bool on)
 {
 	direct_quarantine_set_enabled(direct->quarantine, on);
--- a/direct/direct.h
+++ b/direct/direct.h
@@ -34,6 +34,7 @@
 
 struct direct;
 struct direct_peers;
+struct http_memory;
 
 struct direct_options {
 	const struct lp_clock *clock;
@@ -55,6 +56,9 @@
 	/** The whole fleet starts for the first time: no stream has begun
 	 * before. */
 	bool is_first_start;
+	/** Memory of this process; 0: no limit. Requests are refused before
+	 * what is held for callers and upstreams exceeds a quarter of it. */
+	int64_t memory_bytes;
 	/** Called when this entry's own observations block a request, or
 	 * extend its block. `content`: digest of the request. May be NULL. */
 	void (*blocked)(void *userdata, uint64_t content);
@@ -95,6 +99,10 @@
 			      const char *domain, bool closed);
 /** Send the closed failure domains to all peers again. */
 void direct_share_closed_domains(struct direct *direct);
+/** Change the memory limit, as in struct direct_options. */
+void direct_set_memory(struct direct *direct, int64_t memory_bytes);
+/** What this process holds for its peers, for servers beside this one. */
+struct http_memory *direct_memory(struct direct *direct);
 /** Whether the list names an incarnation that seems to have terminated, as
  * when an upstream's clock was set back: the adapter then has to pass the same
  * list again once it has confirmed that the list is unchanged. */
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -52,6 +52,7 @@
 	struct direct_options options;
 	char *domain;
 	struct http_server *server;
+	struct http_memory memory;    /* held for callers and upstreams */
 	struct direct_config *config; /* NULL: not configured yet */
 	struct pool *pool;
 	bool has_upstreams;
--- a/http/http_client.c
+++ b/http/http_client.c
@@ -7,6 +7,9 @@
 
 #include <string.h>
 
+/* Bodies up to this size are written together with the head. */
+#define SMALL_BODY_MAX 16384
+
 struct http_exchange {
 	struct http_sock *sock;
 	struct http_parse parse;
@@ -130,10 +133,13 @@
 	.delivery = on_delivery,
 };
 
+/* A large body is not copied, as the system takes most of it at once. */
 static void write_request(struct http_exchange *exchange,
 			  const struct http_exchange_options *options)
 {
-	g_autoptr(GString) text = g_string_sized_new(512 + options->body_size);
+	bool is_small = options->body_size <= SMALL_BODY_MAX;
+	g_autoptr(GString) text =
+		g_string_sized_new(512 + (is_small ? options->body_size : 0));
 
 	g_string_printf(text, "%s %s HTTP/1.1\r\n", options->method,
 			options->target);
@@ -142,10 +148,13 @@
 		g_string_append_printf(text, "Content-Length: %zu\r\n",
 				       options->body_size);
 	g_string_append(text, "Connection: close\r\n\r\n");
-	if (options->body_size)
+	if (options->body_size && is_small)
 		g_string_append_len(text, options->body,
 				    (gssize)options->body_size);
 	http_sock_write(exchange->sock, text->str, text->len);
+	if (!is_small)
+		http_sock_write(exchange->sock, options->body,
+				options->body_size);
 }
 
 struct http_exchange *
@@ -159,6 +168,9 @@
 		g_free(exchange);
 		return NULL;
 	}
+	if (options->receive_buffer_bytes)
+		http_sock_set_receive_buffer(exchange->sock,
+					     options->receive_buffer_bytes);
 	http_sock_set_watch(exchange->sock, &sock_watch);
 	http_sock_set_memory(exchange->sock, options->memory);
 	exchange->events = options->events;
@@ -190,6 +202,11 @@
 	http_sock_pause(exchange->sock, pause);
 }
 
+int64_t http_exchange_blocked_bytes(const struct http_exchange *exchange)
+{
+	return http_sock_blocked_bytes(exchange->sock);
+}
+
 bool http_exchange_has_sent(const struct http_exchange *exchange)
 {
 	return http_sock_has_sent(exchange->sock);
--- a/http/http_client.h
+++ b/http/http_client.h
@@ -44,6 +44,7 @@
 	size_t body_size;
 	bool has_body; /**< send a Content-Length, even if it is 0 */
 	int64_t connect_timeout_us;
+	int receive_buffer_bytes;   /**< of the system; 0: its default */
 	struct http_memory *memory; /**< counts the queued request; or NULL */
 	const struct http_exchange_events *events;
 	/** Called when the server does not take the request: struct
@@ -62,9 +63,11 @@
 void http_exchange_cancel(struct http_exchange *exchange);
 /**
  * Pause or resume reading the answer. The server is not read from meanwhile, so
- * that it stops sending; a reset is noticed nevertheless.
+ * that it stops sending. The end of its connection is reported after that.
  */
 void http_exchange_pause(struct http_exchange *exchange, bool pause);
+/** Number of bytes of the request that the server takes no more of for now. */
+int64_t http_exchange_blocked_bytes(const struct http_exchange *exchange);
 /** Whether a byte of the request was sent. */
 bool http_exchange_has_sent(const struct http_exchange *exchange);
 
--- a/http/http_server.c
+++ b/http/http_server.c
@@ -12,6 +12,8 @@
 /* Limit of bytes read ahead while an answer is pending; reading pauses above
  * it. */
 #define READ_AHEAD_MAX 65536
+/* Memory of a body that is kept for the connection's next request. */
+#define KEPT_BODY_MAX 65536
 /* Limit of connections that wait to be accepted. */
 #define BACKLOG 512
 /* Limit of connections accepted in one event-loop iteration. */
@@ -28,6 +30,8 @@
 	int64_t deadline_us; /* of its answer's delivery; 0: none */
 	void (*on_disconnect)(void *userdata);
 	void *disconnect_userdata;
+	void (*on_taken)(void *userdata);
+	void *taken_userdata;
 };
 
 struct conn {
@@ -36,13 +40,17 @@
 	struct http_parse parse;
 	GByteArray *body;
 	GByteArray *read_ahead;
+	struct http_holding held; /* body and read_ahead */
+	int64_t announced_bytes;  /* of the body, held from its head on */
 	struct http_call call;
 	int64_t deliver_until_us; /* deadline of the last answer; 0: none */
 	int64_t phase_started_us; /* when the request's first byte arrived, or
 				     the idle time began */
 	bool request_started;	  /* a request has arrived in part */
 	bool answer_pending;	  /* a complete request waits for its answer */
-	bool is_rejected; /* its body is too large, or it got an error answer */
+	bool is_rejected;   /* its body is too large, or it got an error answer
+			     */
+	bool is_overloaded; /* there is no room for its body */
 };
 
 struct http_server {
@@ -70,12 +78,21 @@
 static void free_conn(gpointer data)
 {
 	struct conn *conn = data;
+
+	http_holding_set(&conn->held, 0);
 	http_parse_clear(&conn->parse);
 	g_byte_array_unref(conn->body);
 	g_byte_array_unref(conn->read_ahead);
 	g_free(conn);
 }
 
+static void count_held(struct conn *conn)
+{
+	http_holding_set(&conn->held,
+			 MAX((int64_t)conn->body->len, conn->announced_bytes) +
+				 conn->read_ahead->len);
+}
+
 static void set_request_started(struct conn *conn, bool request_started)
 {
 	if (conn->request_started == request_started)
@@ -173,6 +190,19 @@
 	http_sock_write(conn->sock, head->str, head->len);
 }
 
+static void write_rejection(struct conn *conn, uint32_t status)
+{
+	const struct http_server_options *options = &conn->server->options;
+	struct http_fields fields;
+
+	http_fields_init(&fields);
+	if (conn->is_overloaded && options->write_refusal)
+		options->write_refusal(options->userdata, &conn->parse.fields,
+				       &fields);
+	write_head(conn, status, &fields, "Content-Length: 0\r\n", true);
+	http_fields_clear(&fields);
+}
+
 /* Answers with an error of the server itself. The connection is closed, as
  * its next bytes may not be the start of a request. */
 static void reject(struct conn *conn, int error, uint32_t status)
@@ -181,7 +211,7 @@
 
 	conn->is_rejected = true;
 	set_delivery_deadline(conn);
-	write_head(conn, status, NULL, "Content-Length: 0\r\n", true);
+	write_rejection(conn, status);
 	if (server->options.refused)
 		server->options.refused(server->options.userdata, error,
 					status);
@@ -190,10 +220,27 @@
 
 /* ---- reading requests ---- */
 
+/* Length of the body that the head announces; 0: none, unknown, or too large.
+ */
+static int64_t announced_body_bytes(const struct conn *conn)
+{
+	uint64_t length = conn->parse.parser.content_length;
+	size_t limit = conn->server->options.limits.body_bytes;
+
+	return length > (limit ? limit : INT64_MAX) ? 0 : (int64_t)length;
+}
+
 static void on_head(void *userdata)
 {
 	struct conn *conn = userdata;
+	int64_t announced_bytes = announced_body_bytes(conn);
 
+	conn->is_overloaded = !http_memory_fits(conn->server->options.memory,
+						announced_bytes);
+	if (conn->is_overloaded)
+		return;
+	conn->announced_bytes = announced_bytes;
+	count_held(conn);
 	if (http_fields_has_token(&conn->parse.fields, "Expect",
 				  "100-continue")) {
 		static const char continue_line[] =
@@ -209,18 +256,36 @@
 	struct conn *conn = userdata;
 	size_t limit = conn->server->options.limits.body_bytes;
 
-	if (limit && conn->body->len + size > limit)
+	if (limit && conn->body->len + size > limit) {
 		conn->is_rejected = true;
-	else
-		g_byte_array_append(conn->body, (const guint8 *)bytes,
-				    (guint)size);
+		return;
+	}
+	if (!conn->announced_bytes)
+		conn->is_overloaded |= !http_memory_fits(
+			conn->server->options.memory, (int64_t)size);
+	if (conn->is_overloaded)
+		return;
+	g_byte_array_append(conn->body, (const guint8 *)bytes, (guint)size);
+	count_held(conn);
+}
+
+static void clear_body(struct conn *conn)
+{
+	if (conn->body->len > KEPT_BODY_MAX) {
+		g_byte_array_unref(conn->body);
+		conn->body = g_byte_array_new();
+	}
+	g_byte_array_set_size(conn->body, 0);
+	conn->announced_bytes = 0;
+	count_held(conn);
 }
 
 static void begin_request(struct conn *conn)
 {
 	http_parse_restart(&conn->parse);
 	conn->parse.head_bytes_max = conn->server->options.limits.head_bytes;
-	g_byte_array_set_size(conn->body, 0);
+	clear_body(conn);
+	conn->is_overloaded = false;
 	memset(&conn->call, 0, sizeof(conn->call));
 	conn->call.conn = conn;
 	conn->phase_started_us = now_us(conn);
@@ -243,6 +308,8 @@
 		reject(conn, error, 400);
 	else if (conn->is_rejected)
 		reject(conn, LP_ERROR_TOO_LARGE, 413);
+	else if (conn->is_overloaded)
+		reject(conn, LP_ERROR_OVERLOADED, 503);
 	else if (conn->parse.is_complete)
 		dispatch_request(conn);
 }
@@ -275,6 +342,7 @@
 	}
 	g_byte_array_append(conn->read_ahead, (const guint8 *)bytes,
 			    (guint)size);
+	count_held(conn);
 	if (conn->read_ahead->len > READ_AHEAD_MAX)
 		http_sock_pause(conn->sock, true);
 }
@@ -315,8 +383,18 @@
 		options->delivery(options->userdata, ip, delivery);
 }
 
+static void on_taken(void *userdata)
+{
+	const struct conn *conn = userdata;
+
+	if (conn->answer_pending && conn->call.on_taken)
+		conn->call.on_taken(conn->call.taken_userdata);
+}
+
 static const struct http_sock_watch sock_watch = {
 	.delivery = on_delivery,
+	.taken = on_taken,
+	.ends_while_paused = true,
 };
 
 /* ---- listener ---- */
@@ -328,6 +406,7 @@
 	conn->server = server;
 	conn->body = g_byte_array_new();
 	conn->read_ahead = g_byte_array_new();
+	conn->held.memory = server->options.memory;
 	http_parse_init(&conn->parse, HTTP_REQUEST);
 	conn->parse.head = on_head;
 	conn->parse.body = on_body;
@@ -336,6 +415,7 @@
 	begin_request(conn);
 	conn->sock = http_sock_from_accepted(socket, &sock_events, conn);
 	http_sock_set_watch(conn->sock, &sock_watch);
+	http_sock_set_memory(conn->sock, server->options.memory);
 }
 
 static void accept_pending(struct http_server *server, uint32_t limit)
@@ -556,6 +636,14 @@
 	call->disconnect_userdata = userdata;
 }
 
+void http_call_set_taken_handler(struct http_call *call,
+				 void (*on_taken)(void *userdata),
+				 void *userdata)
+{
+	call->on_taken = on_taken;
+	call->taken_userdata = userdata;
+}
+
 void http_call_set_deadline(struct http_call *call, int64_t deadline_us)
 {
 	call->deadline_us = deadline_us;
@@ -618,5 +706,6 @@
 
 void http_call_abort(struct http_call *call)
 {
+	set_delivery_deadline(call->conn);
 	close_conn(call->conn, !call->started);
 }
--- a/http/http_server.h
+++ b/http/http_server.h
@@ -50,6 +50,12 @@
 	 */
 	void (*delivery)(void *userdata, const char *client_ip,
 			 const struct http_delivery *delivery);
+	/** Counts what clients send and have not read yet; requests that find
+	 * no room are refused with 503. NULL: not counted. */
+	struct http_memory *memory;
+	/** Adds fields to such a refusal; may be NULL. */
+	void (*write_refusal)(void *userdata, const struct http_fields *request,
+			      struct http_fields *out);
 	void *userdata;
 };
 
@@ -109,6 +115,11 @@
 void http_call_start(struct http_call *call, uint32_t status,
 		     const struct http_fields *fields);
 void http_call_write(struct http_call *call, const char *bytes, size_t size);
+/** Set a callback for the system's taking of written bytes while the answer is
+ * not complete. */
+void http_call_set_taken_handler(struct http_call *call,
+				 void (*on_taken)(void *userdata),
+				 void *userdata);
 /** Number of written bytes that the socket has not taken yet. */
 size_t http_call_unsent_bytes(const struct http_call *call);
 /** Complete a started answer. The call is over. */
