Emulator and soak: callers and upstreams that read slowly

The emulator's upstreams may answer with large bodies and events, pause while they read a request, and cut off an answer that is not taken in time.

--- a/tools/pe.c
+++ b/tools/pe.c
@@ -54,6 +54,15 @@
 			       notices);
 }
 
+/* A text, and what its pace adds; g_free(). */
+static char *pad(const char *text, const struct pe_upstream *upstream)
+{
+	g_autofree char *more =
+		g_strnfill(upstream->listener->pace.answer_bytes, 'x');
+
+	return g_strconcat(text, more, NULL);
+}
+
 static void answer_plain(struct pe_upstream *upstream, struct pe_conn *conn)
 {
 	g_autofree char *fields = answer_fields(
@@ -90,7 +99,8 @@
 				       fields, fields);
 		break;
 	default:
-		pe_conn_answer(conn, 200, fields, "whole");
+		text = pad("whole", upstream);
+		pe_conn_answer(conn, 200, fields, text);
 		return;
 	}
 	pe_conn_write(conn, text);
@@ -162,8 +172,10 @@
 {
 	struct stream *stream = userdata;
 	struct pe_conn *conn = stream->conn;
-	g_autofree char *event = g_strdup_printf("id: %u\ndata: token %u\n\n",
-						 stream->next, stream->next);
+	g_autofree char *token = g_strdup_printf("token %u", stream->next);
+	g_autofree char *data = pad(token, stream->upstream);
+	g_autofree char *event =
+		g_strdup_printf("id: %u\ndata: %s\n\n", stream->next, data);
 
 	if (end_if_due(stream))
 		return G_SOURCE_REMOVE;
@@ -475,6 +487,11 @@
 	upstream->work_ms = work_ms;
 }
 
+void pe_set_pace(struct pe_upstream *upstream, const struct pe_pace *pace)
+{
+	pe_listener_set_pace(upstream->listener, pace);
+}
+
 void pe_set_stage_cost(struct pe_upstream *upstream,
 		       const struct pe_stage_cost *cost)
 {
@@ -690,48 +707,51 @@
 	return pe_grown_config(version, 0);
 }
 
-char *pe_grown_config(int64_t version, uint32_t routes_more)
+/* `plain_ms`, `stream_ms`: timeouts. */
+static char *print_config(int64_t version, uint32_t routes_more,
+			  uint32_t plain_ms, uint32_t stream_ms)
 {
 	g_autofree char *more = more_routes(routes_more);
-	static const char routes[] =
+	g_autofree char *routes = g_strdup_printf(
 		"{\"name\":\"look\",\"host\":\"a.example\",\"prefix\":\"/look/"
 		"\","
-		"\"kind\":\"idempotent\",\"timeout_ms\":2000,"
+		"\"kind\":\"idempotent\",\"timeout_ms\":%u,"
 		"\"target_latency_ms\":300,\"priority\":2,\"service\":"
 		"\"plain\","
 		"\"max_attempts\":2},"
 		"{\"name\":\"order\",\"host\":\"a.example\",\"prefix\":"
-		"\"/order/\",\"kind\":\"non_idempotent\",\"timeout_ms\":2000,"
+		"\"/order/\",\"kind\":\"non_idempotent\",\"timeout_ms\":%u,"
 		"\"target_latency_ms\":300,\"priority\":2,\"service\":"
 		"\"plain\","
 		"\"max_attempts\":1},"
 		"{\"name\":\"once\",\"host\":\"a.example\",\"prefix\":\"/once/"
 		"\","
-		"\"kind\":\"streaming\",\"timeout_ms\":3000,"
+		"\"kind\":\"streaming\",\"timeout_ms\":%u,"
 		"\"target_latency_ms\":500,\"target_gap_ms\":200,\"priority\":"
 		"1,"
 		"\"service\":\"engine\",\"max_attempts\":1},"
 		"{\"name\":\"again\",\"host\":\"a.example\",\"prefix\":"
-		"\"/again/\",\"kind\":\"streaming\",\"timeout_ms\":3000,"
+		"\"/again/\",\"kind\":\"streaming\",\"timeout_ms\":%u,"
 		"\"target_latency_ms\":500,\"target_gap_ms\":200,\"priority\":"
 		"0,"
 		"\"service\":\"engine\",\"max_attempts\":2,"
 		"\"resume_streams\":true},"
 		"{\"name\":\"staged\",\"host\":\"a.example\",\"prefix\":"
-		"\"/staged/\",\"kind\":\"streaming\",\"timeout_ms\":3000,"
+		"\"/staged/\",\"kind\":\"streaming\",\"timeout_ms\":%u,"
 		"\"target_latency_ms\":2000,\"target_gap_ms\":200,"
 		"\"priority\":0,\"service\":\"engine\",\"max_attempts\":1,"
 		"\"stages\":[{\"service\":\"first\",\"after\":[],\"bytes\":"
 		"1000},"
 		"{\"service\":\"second\",\"after\":[0],\"bytes\":1000}]},"
 		"{\"name\":\"restaged\",\"host\":\"a.example\",\"prefix\":"
-		"\"/restaged/\",\"kind\":\"streaming\",\"timeout_ms\":3000,"
+		"\"/restaged/\",\"kind\":\"streaming\",\"timeout_ms\":%u,"
 		"\"target_latency_ms\":2000,\"target_gap_ms\":200,"
 		"\"priority\":0,\"service\":\"engine\",\"max_attempts\":2,"
 		"\"resume_streams\":true,"
 		"\"stages\":[{\"service\":\"first\",\"after\":[],\"bytes\":"
 		"1000},"
-		"{\"service\":\"second\",\"after\":[0],\"bytes\":1000}]}";
+		"{\"service\":\"second\",\"after\":[0],\"bytes\":1000}]}",
+		plain_ms, plain_ms, stream_ms, stream_ms, stream_ms, stream_ms);
 	static const char pieces[] =
 		"\"pieces\":{\"slots\":1,\"queue\":2,\"batch\":8,"
 		"\"call_ms\":10,\"item_ms\":1,\"headroom_mb\":1,\"handle_s\":"
@@ -751,6 +771,16 @@
 		(gint64)version, more, routes, pieces, pieces, (gint64)version);
 }
 
+char *pe_grown_config(int64_t version, uint32_t routes_more)
+{
+	return print_config(version, routes_more, 2000, 3000);
+}
+
+char *pe_patient_config(int64_t version, uint32_t routes_more)
+{
+	return print_config(version, routes_more, 12000, 12000);
+}
+
 const char *pe_domain(const struct pe_upstream *upstream)
 {
 	return upstream->domain;
--- a/tools/pe.h
+++ b/tools/pe.h
@@ -68,6 +68,8 @@
 char *pe_sample_config(int64_t version);
 /** The same with some routes more, 130 bytes each. */
 char *pe_grown_config(int64_t version, uint32_t routes_more);
+/** The same with timeouts of 12 s, for callers that read slowly. */
+char *pe_patient_config(int64_t version, uint32_t routes_more);
 
 /** Start an upstream, with its entry in the key-value service. */
 struct pe_upstream *pe_add(struct pe *pe, enum pe_kind kind,
@@ -189,6 +191,18 @@
 
 void pe_set_stream_end(struct pe_upstream *upstream,
 		       const struct pe_stream_end *how);
+/** How much an upstream answers, and how it takes what is sent to it. */
+struct pe_pace {
+	uint32_t answer_bytes; /**< 'x' after a plain answer, or after the data
+				  of each event */
+	uint32_t pause_ms;     /**< after the first bytes of a request it reads
+				  nothing for so long, with a small window */
+	uint32_t cut_ms; /**< an answer that is not taken by then, after its end
+			    was written, is cut off; 0: never */
+};
+
+/** For connections that are made from now on. */
+void pe_set_pace(struct pe_upstream *upstream, const struct pe_pace *pace);
 /** Remove its entry and stop it. Frees it. */
 void pe_remove(struct pe_upstream *upstream);
 
--- a/tools/pe_listener.c
+++ b/tools/pe_listener.c
@@ -1,6 +1,9 @@
 #include "tools/pe_private.h"
 
 #include <string.h>
+#include <sys/socket.h>
+
+#define SMALL_WINDOW_BYTES 8192
 
 static void free_conn(struct pe_conn *conn)
 {
@@ -12,13 +15,22 @@
 
 static void drop(struct pe_conn *conn, bool reset)
 {
+	const struct pe_pace *pace = &conn->listener->pace;
+
 	if (!conn->sock)
 		return;
+	if (pace->cut_ms)
+		http_sock_set_deadline(conn->sock,
+				       lp_now_us(lp_clock_boot()) +
+					       pace->cut_ms * LP_US_PER_MS);
 	if (reset)
 		http_sock_abort(conn->sock);
 	else
 		http_sock_close(conn->sock);
 	conn->sock = NULL;
+	if (conn->pause)
+		g_source_remove(conn->pause);
+	conn->pause = 0;
 	if (conn->timer)
 		g_source_remove(conn->timer);
 	conn->timer = 0;
@@ -55,11 +67,32 @@
 	g_string_append_len(conn->body, bytes, (gssize)size);
 }
 
+static gboolean on_pause_over(gpointer userdata)
+{
+	struct pe_conn *conn = userdata;
+
+	conn->pause = 0;
+	http_sock_pause(conn->sock, false);
+	return G_SOURCE_REMOVE;
+}
+
+static void pause_once(struct pe_conn *conn)
+{
+	uint32_t pause_ms = conn->listener->pace.pause_ms;
+
+	if (!pause_ms || conn->has_paused)
+		return;
+	conn->has_paused = true;
+	http_sock_pause(conn->sock, true);
+	conn->pause = g_timeout_add(pause_ms, on_pause_over, conn);
+}
+
 static void on_data(void *userdata, const char *bytes, size_t size)
 {
 	struct pe_conn *conn = userdata;
 	size_t used;
 
+	pause_once(conn);
 	if (conn->parse.is_complete || conn->silent)
 		return;
 	if (http_parse_feed(&conn->parse, bytes, size, &used))
@@ -137,6 +170,15 @@
 	g_source_attach(listener->source, NULL);
 }
 
+void pe_listener_set_pace(struct pe_listener *listener,
+			  const struct pe_pace *pace)
+{
+	listener->pace = *pace;
+	if (pace->pause_ms)
+		g_socket_set_option(listener->socket, SOL_SOCKET, SO_RCVBUF,
+				    SMALL_WINDOW_BYTES, NULL);
+}
+
 static void end_source(struct pe_listener *listener)
 {
 	if (!listener->source)
--- a/tools/pe_private.h
+++ b/tools/pe_private.h
@@ -15,7 +15,9 @@
 	struct http_sock *sock; /**< NULL: it has ended */
 	struct http_parse parse;
 	GString *body;
-	guint timer;  /**< of an answer to come */
+	guint timer; /**< of an answer to come */
+	guint pause; /**< timer: it reads on; 0: it reads */
+	bool has_paused;
 	bool silent;  /**< whatever goes over it is lost from now on */
 	char *poison; /**< what crashes whoever runs its request, or NULL */
 	uint32_t refs;
@@ -29,6 +31,7 @@
 	GPtrArray *conns; /**< of struct pe_conn that stand */
 	/** A whole request; answered here or later. */
 	void (*request)(void *userdata, struct pe_conn *conn);
+	struct pe_pace pace;
 	/** Its client has left before the answer; may be NULL. */
 	void (*left)(void *userdata, struct pe_conn *conn);
 	void *userdata;
@@ -124,6 +127,8 @@
 pe_listener_create(void (*request)(void *userdata, struct pe_conn *conn),
 		   void (*left)(void *userdata, struct pe_conn *conn),
 		   void *userdata);
+void pe_listener_set_pace(struct pe_listener *listener,
+			  const struct pe_pace *pace);
 /** Refuse connections from now on; those that stand stay. */
 void pe_listener_stop(struct pe_listener *listener);
 /** Take connections at the same address again. */
--- a/tools/soak_callers.c
+++ b/tools/soak_callers.c
@@ -10,6 +10,11 @@
 
 #define STREAM_EVENTS 6
 #define ASK_TIMEOUT_MS 9000
+/* With --slow, where routes have timeouts of 12 s. */
+#define SLOW_ASK_TIMEOUT_MS 16000
+#define SLOW_ROUTE_MAX_US (12 * LP_US_PER_S)
+/* What the system of a slow caller holds of an answer. */
+#define SLOW_WINDOW_BYTES 16384
 /* How often a caller resumes a stream, with --release. */
 #define RESUMES_MAX 3
 /* The longest timeout of a route, and what a busy host may take beyond it to
@@ -42,6 +47,8 @@
 	char *last_event; /* of those that the attempts before delivered */
 	gsize earlier;	  /* bytes of the body that they delivered */
 	uint32_t resumes;
+	struct soak_slow_draw slow;
+	guint pause; /* timer: its caller reads on; 0: it reads */
 	bool counts; /* its outcome belongs to a share */
 	bool leaves; /* its caller leaves after the first events */
 	bool has_left;
@@ -51,14 +58,27 @@
 static const char *const targets[KINDS] = { "/look/x", "/order/x", "/once/x",
 					    "/again/x", "/staged/x" };
 
-static bool stream_is_whole(const char *body)
+/* The whole answer to a request; g_free(). */
+static char *expected_answer(const struct ask *ask)
 {
-	g_autoptr(GString) expected = g_string_new(NULL);
+	g_autofree char *more =
+		g_strnfill(soak_slow_answer_bytes(ask->soak->slow), 'x');
+	GString *expected;
 
+	if (ask->kind < KIND_ONCE)
+		return g_strconcat("whole", more, NULL);
+	expected = g_string_new(NULL);
 	for (int i = 1; i <= STREAM_EVENTS; i++)
-		g_string_append_printf(expected, "id: %d\ndata: token %d\n\n",
-				       i, i);
-	return !strcmp(body, expected->str);
+		g_string_append_printf(expected, "id: %d\ndata: token %d%s\n\n",
+				       i, i, more);
+	return g_string_free(expected, FALSE);
+}
+
+static bool is_whole(const struct ask *ask)
+{
+	g_autofree char *expected = expected_answer(ask);
+
+	return !strcmp(ask->body->str, expected);
 }
 
 /* When its entry could read it: what came while it stood still, or just before,
@@ -83,7 +103,8 @@
 {
 	const struct entry *entry = &ask->soak->entries[ask->entry];
 
-	return MAX(read_us(ask, entry->pauses) + ROUTE_MAX_US,
+	return MAX(read_us(ask, entry->pauses) +
+			   (ask->soak->slow ? SLOW_ROUTE_MAX_US : ROUTE_MAX_US),
 		   entry->resumed_us);
 }
 
@@ -93,6 +114,10 @@
 	const struct entry *entry = &soak->entries[ask->entry];
 	int64_t now_us = g_get_monotonic_time();
 
+	/* The system of an entry that was killed gives up callers that read
+	 * nothing, and cannot tell them. */
+	if (ask->slow.pause_ms && entry->stops != ask->stops)
+		return;
 	/* Of several stops only the last is known. */
 	if (entry->paused || soak_suspend_holds(soak->suspend, ask->entry) ||
 	    entry->stops > ask->stops + 1 ||
@@ -128,13 +153,24 @@
 	       (int)((g_get_monotonic_time() - ask->begun_us) / LP_US_PER_MS));
 }
 
+/* What was begun by an entry that nothing happened to meanwhile, and is over
+ * before its deadline. */
+static void judge_slow(const struct ask *ask, bool is_whole_answer)
+{
+	const struct entry *entry = &ask->soak->entries[ask->entry];
+	int64_t took_us = g_get_monotonic_time() - ask->begun_us;
+
+	if (ask->status == 200 && took_us < SLOW_ROUTE_MAX_US &&
+	    entry->stops == ask->stops && !entry->leaving && !entry->paused)
+		soak_slow_add(ask->soak->slow, ask->id, &ask->slow,
+			      is_whole_answer);
+}
+
 static void judge(struct ask *ask, int error)
 {
 	struct soak *soak = ask->soak;
 	uint32_t runs = pe_runs(soak->platform, ask->id);
-	bool streams = ask->kind >= KIND_ONCE;
-	bool whole = streams ? stream_is_whole(ask->body->str)
-			     : !strcmp(ask->body->str, "whole");
+	bool whole = is_whole(ask);
 
 	if (!error && ask->status == 200)
 		soak->answered++;
@@ -144,12 +180,14 @@
 		soak->failed++;
 	if (ask->has_left)
 		return;
+	judge_slow(ask, !error && whole);
 	judge_time(ask);
 	judge_planned_end(ask, error);
 	if (!error && ask->status == 200 && !whole) {
 		soak_breach(soak, ask->id,
 			    "a success without the whole answer");
-		printf("it was %s: %s\n", targets[ask->kind], ask->body->str);
+		printf("it was %s: %zu bytes, %.80s\n", targets[ask->kind],
+		       ask->body->len, ask->body->str);
 	}
 	if (!error && ask->status == 503 && runs)
 		soak_breach(soak, ask->id,
@@ -164,6 +202,8 @@
 		g_source_remove(ask->timer);
 	if (ask->leave_source)
 		g_source_remove(ask->leave_source);
+	if (ask->pause)
+		g_source_remove(ask->pause);
 	g_string_free(ask->body, TRUE);
 	g_free(ask->first);
 	g_free(ask->last_event);
@@ -212,10 +252,29 @@
 	return G_SOURCE_REMOVE;
 }
 
+static gboolean on_pause_over(gpointer userdata)
+{
+	struct ask *ask = userdata;
+
+	ask->pause = 0;
+	http_exchange_pause(ask->exchange, false);
+	return G_SOURCE_REMOVE;
+}
+
+static void pause_once(struct ask *ask)
+{
+	if (!ask->slow.pause_ms)
+		return;
+	http_exchange_pause(ask->exchange, true);
+	ask->pause = g_timeout_add(ask->slow.pause_ms, on_pause_over, ask);
+}
+
 static void on_body(void *userdata, const char *bytes, size_t size)
 {
 	struct ask *ask = userdata;
 
+	if (!ask->body->len)
+		pause_once(ask);
 	g_string_append_len(ask->body, bytes, (gssize)size);
 	if (ask->leaves && !ask->leave_source)
 		ask->leave_source = g_idle_add(on_leave, ask);
@@ -243,6 +302,8 @@
 							    on_done };
 	bool is_staged = ask->kind == KIND_STAGED;
 	const char *piece_key = ask->poison ? ask->poison : ask->id;
+	g_autofree char *filler = g_strnfill(ask->slow.body_bytes, 'y');
+	const char *body = ask->poison ? ask->poison : filler;
 	struct http_fields fields;
 
 	http_fields_init(&fields);
@@ -263,9 +324,11 @@
 		.method = "POST",
 		.target = targets[ask->kind],
 		.fields = &fields,
-		.body = ask->poison ? ask->poison : "",
-		.body_size = ask->poison ? strlen(ask->poison) : 0,
+		.body = body,
+		.body_size = strlen(body),
 		.has_body = true,
+		.receive_buffer_bytes =
+			ask->slow.pause_ms ? SLOW_WINDOW_BYTES : 0,
 		.connect_timeout_us = LP_US_PER_S,
 		.events = &events,
 		.userdata = ask,
@@ -286,7 +349,9 @@
 		      soak_release_counts(soak->release, ask->first);
 	start_exchange(ask, soak->entries[entry].callers);
 	if (ask->exchange)
-		ask->timer = g_timeout_add(ASK_TIMEOUT_MS, on_ask_timeout, ask);
+		ask->timer = g_timeout_add(soak->slow ? SLOW_ASK_TIMEOUT_MS
+						      : ASK_TIMEOUT_MS,
+					   on_ask_timeout, ask);
 	else
 		end_ask(ask, LP_ERROR_UPSTREAM_GONE);
 }
@@ -362,6 +427,7 @@
 	ask->id = g_strdup_printf("s%" G_GINT64_FORMAT "-%u",
 				  (gint64)soak->settings.seed, ++soak->asked);
 	ask->body = g_string_new(NULL);
+	ask->slow = soak_slow_draw(soak->slow);
 	ask->poison = soak_poison_draw(soak->poison);
 	if (ask->kind >= KIND_ONCE)
 		ask->prompt = soak_poison_draw_prompt(soak->poison, ask->id);
--- a/tools/soak_config.c
+++ b/tools/soak_config.c
@@ -32,8 +32,10 @@
 
 static void write_version(struct soak_config *config)
 {
-	g_autofree char *json =
-		pe_grown_config(++config->version, config->routes);
+	char *(*print)(int64_t version, uint32_t routes_more) =
+		config->options.is_patient ? pe_patient_config
+					   : pe_grown_config;
+	g_autofree char *json = print(++config->version, config->routes);
 
 	pe_set_config(config->options.platform, json);
 }
--- a/tools/soak_config.h
+++ b/tools/soak_config.h
@@ -14,6 +14,7 @@
 struct soak_config_options {
 	struct pe *platform;
 	uint32_t seed;
+	bool is_patient; /**< timeouts that suit callers who read slowly */
 	const char *const *entries; /**< "IP:PORT" of each, NULL-terminated */
 	/** A promise was broken at an entry. */
 	void (*breach)(void *userdata, const char *entry, const char *what);
--- a/tools/soak_main.c
+++ b/tools/soak_main.c
@@ -56,6 +56,8 @@
 	  "loads" },
 	{ "release", LP_SETTING_BOOL, FIELD(release), "no", 0, 0, NULL,
 	  "release software versions of engines; callers resume streams" },
+	{ "slow", LP_SETTING_BOOL, FIELD(slow), "no", 0, 0, NULL,
+	  "callers and upstreams that read slowly, and large answers" },
 	{ "env", LP_SETTING_STRING, FIELD(env), "", 0, 0, NULL,
 	  "NAME=VALUE,... for the program under test" },
 	{ "logs", LP_SETTING_STRING, FIELD(logs), "", 0, 0, NULL,
@@ -339,6 +341,7 @@
 		.platform = soak->platform,
 		.seed = (uint32_t)soak->settings.seed,
 		.entries = soak->addresses,
+		.is_patient = soak->settings.slow,
 		.breach = on_breach,
 		.userdata = soak,
 	});
@@ -463,6 +466,19 @@
 	});
 }
 
+static void start_slow(struct soak *soak)
+{
+	if (!soak->settings.slow)
+		return;
+	soak->slow = soak_slow_create(&(struct soak_slow_options){
+		.upstreams = soak->upstreams,
+		.seed = (uint32_t)soak->settings.seed,
+		.has_faults = soak->settings.faults,
+		.breach = on_breach,
+		.userdata = soak,
+	});
+}
+
 static void start_cut(struct soak *soak)
 {
 	if (!soak->settings.cut)
@@ -494,6 +510,7 @@
 	start_notices(soak);
 	start_cut(soak);
 	start_release(soak);
+	start_slow(soak);
 	for (uint32_t i = 0; i < soak->count; i++) {
 		soak->entries[i].number = i;
 		soak->entries[i].pauses =
@@ -522,6 +539,7 @@
 	soak_suspend_destroy(soak->suspend);
 	soak_cut_destroy(soak->cut);
 	soak_release_destroy(soak->release);
+	soak_slow_destroy(soak->slow);
 	g_rmdir(soak->folder);
 	g_free(soak->folder);
 	g_ptr_array_unref(soak->upstreams);
@@ -598,6 +616,7 @@
 	soak_poison_settle(soak->poison);
 	soak_evacuation_settle(soak->evacuation);
 	soak_release_settle(soak->release);
+	soak_slow_settle(soak->slow);
 	/* With poison, requests that were lost with upstreams three times are
 	 * kept out for a while, and reach none. */
 	if (!soak->poison)
--- a/tools/soak_private.h
+++ b/tools/soak_private.h
@@ -11,6 +11,7 @@
 #include "tools/soak_notices.h"
 #include "tools/soak_poison.h"
 #include "tools/soak_release.h"
+#include "tools/soak_slow.h"
 #include "tools/soak_suspend.h"
 #include "tools/soak_writer.h"
 
@@ -33,6 +34,7 @@
 	int64_t balancer;
 	int64_t cut;
 	int64_t release;
+	int64_t slow;
 	char *env;
 	char *logs;
 };
@@ -71,6 +73,7 @@
 	struct soak_balancer *balancer;	    /* NULL: likewise */
 	struct soak_cut *cut;		    /* NULL: likewise */
 	struct soak_release *release;	    /* NULL: likewise */
+	struct soak_slow *slow;		    /* NULL: likewise */
 	GPtrArray *upstreams;
 	struct entry entries[ENTRIES_CUT];
 	uint32_t count;				/* of entries */
