Entry: an upstream waits for a caller that reads more slowly

An answer of more than 8 MB failed with 502 although its upstream had run the request, and a stream of which the caller left more than 1 MB unread was aborted.

What may be buffered is a share of the free memory, so that all answers together stay within the limit; each admitted request has a small part reserved.

Four related places took a peer that is slow, or one that we made wait, for one that is gone: - an upstream that is paused is not silent: its stall timer stands still; - an upstream that ends an answer which stayed unread has not ended itself: the request does not count as lost with it, and its stream is resumed once the caller reads on, within a time limit that counts from what the caller took; - an upstream that has not taken a whole body has not ended under it: a repeatable request may leave it, without a mark against either; - a part of an event shows that its upstream is there.

The incomplete part of an event was searched again with each read (4 MB events took seconds); it is searched when a line ends.

--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -1,6 +1,8 @@
 /** A request from admission to its answer. */
 #include "direct/direct_request.h"
 
+#include "direct/direct_answer_flow.h"
+
 #include "base/lp_digest.h"
 #include "base/lp_id.h"
 #include "base/lp_timer.h"
@@ -25,6 +27,7 @@
 	direct_clear_timer(&request->resume_timer);
 	direct_stream_version_cancel(request);
 	direct_quarantine_request_ended(request->direct->quarantine, request);
+	http_holding_set(&request->buffered, 0);
 	if (request->graph)
 		direct_stages_cancel(request->direct->stages, request);
 	g_hash_table_remove(request->direct->requests, request);
@@ -293,6 +296,8 @@
 			const struct pool_upstream *upstream,
 			const struct lost_request *lost)
 {
+	*direct_counter(request->direct, "linepier_requests_lost_total",
+			NULL) += 1;
 	log_lost(request, upstream, lost);
 	direct_quarantine_request_lost(request->direct->quarantine, request);
 	direct_terminations_add_lost_request(request->direct->terminations,
@@ -733,6 +738,8 @@
 	request->call = call;
 	request->arrived_us = http_call_arrived_us(call);
 	request->body = g_string_new(NULL);
+	request->buffered.memory = &direct->memory;
+	direct_answer_flow_count(request);
 	request->tried_upstreams = g_ptr_array_new_with_free_func(g_free);
 	request->info.prefix_blocks =
 		g_array_new(FALSE, FALSE, sizeof(struct pool_prefix_block));
@@ -781,6 +788,8 @@
 	}
 	http_call_set_disconnect_handler(request->call, on_caller_gone,
 					 request);
+	http_call_set_taken_handler(request->call, direct_answer_flow_on_taken,
+				    request);
 	set_deadline(request);
 	if (direct->shutdown_us && !ends_before_shutdown(request)) {
 		direct_request_refuse(request, DIRECT_RETRY_AFTER_DRAINING_US,
--- a/direct/direct_request.h
+++ b/direct/direct_request.h
@@ -75,6 +75,10 @@
 	int64_t sent_us;
 	int64_t expected_us; /* estimate: from sent_us to the first response */
 	int64_t cold_tokens; /* prompt tokens that the engine has to read */
+	bool is_upstream_paused;  /* its caller does not keep up */
+	bool has_upstream_waited; /* it was paused in this sending */
+	bool passes_through; /* not an event stream, and passed on before its
+				end */
 	bool upstream_responded; /* with an event or a complete answer */
 	int64_t first_event_us;	 /* first response of all sendings; 0: none yet
 				  */
@@ -84,6 +88,7 @@
 	bool ends_with_connection; /* the answer has neither length nor chunks
 				    */
 	GString *body; /* of an answer; of a stream: an incomplete event */
+	struct http_holding buffered; /* the same, as it is counted */
 	/* totals of all sendings */
 	GPtrArray *tried_upstreams; /* ids of upstreams, owned */
 	uint32_t possible_runs;	    /* sendings that may have run */
@@ -237,6 +242,9 @@
 /** Send a request to the best upstream. Handles retries, resumption and the
  * answer, and may free the request. */
 void direct_sending_start(struct direct_request *request);
+/** Start the time in which the upstream has to send more, if another one may
+ * take over; it does not run while the upstream is paused. */
+void direct_sending_watch_stall(struct direct_request *request);
 /** End the sending in progress, if any, and report `outcome` of its upstream to
  * the pool. */
 void direct_sending_end(struct direct_request *request,
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -2,6 +2,7 @@
 #include "direct/direct_event_stream.h"
 
 #include "base/lp_timer.h"
+#include "direct/direct_answer_flow.h"
 #include "direct/direct_delivery.h"
 #include "direct/direct_request.h"
 
@@ -24,10 +25,10 @@
 #define PLACEMENT_RETRY_MS 20
 /* Urgency of a resumed stream at its engine: before all priorities. */
 #define RESUMED_PRIORITY (-1)
-/* Bytes of an answer, or of an incomplete event, that are buffered at most. */
-#define BUFFERED_ANSWER_MAX (8 << 20)
-/* Bytes that a caller may leave unread before its answer is aborted. */
-#define UNSENT_ANSWER_MAX (1 << 20)
+/* Limit of an event, which is passed on whole or not at all. */
+#define EVENT_BYTES_MAX (8 << 20)
+/* A buffer that is larger is freed once it is empty. */
+#define EMPTY_BUFFER_BYTES_MAX 65536
 
 static void record_lost_sending(struct direct_request *request)
 {
@@ -49,6 +50,7 @@
 	if (request->exchange)
 		http_exchange_cancel(request->exchange);
 	request->exchange = NULL;
+	request->is_upstream_paused = false;
 	if (!upstream)
 		return;
 	upstream->in_flight--;
@@ -241,6 +243,7 @@
 	struct retry_state state = {
 		.repeatable = repeatable,
 		.resumable = request->route->is_resumable &&
+			     !request->passes_through &&
 			     (!request->has_version || request->version_id),
 		.response_started = request->answer_begun,
 		.may_have_run = request->may_have_run,
@@ -257,7 +260,7 @@
 		request->possible_runs++;
 	}
 	log_sending_end(request, event, step, why);
-	if (request->answer_begun && request->route->is_resumable)
+	if (request->answer_begun && state.resumable)
 		direct_stream_resume_begin(request);
 	if (step == RETRY_STEP_ABORT && !state.has_time)
 		direct_stream_resume_end(request, "late", why);
@@ -300,24 +303,32 @@
 		   left_us / 2);
 }
 
+/* An upstream that has not taken the whole request yet is there, and cannot
+ * have ended under it. */
 static gboolean on_stall(gpointer userdata)
 {
 	struct direct_request *request = userdata;
+	bool reads_slowly = http_exchange_blocked_bytes(request->exchange) > 0;
 
 	request->stall_timer = 0;
-	record_lost_sending(request);
-	direct_sending_end(request, POOL_UNREACHABLE);
-	handle_sending_end(request, RETRY_EVENT_BROKEN, "silent");
+	if (!reads_slowly)
+		record_lost_sending(request);
+	direct_sending_end(request,
+			   reads_slowly ? POOL_OVERLOADED : POOL_UNREACHABLE);
+	handle_sending_end(request, RETRY_EVENT_BROKEN,
+			   reads_slowly ? "reads_slowly" : "silent");
 	return G_SOURCE_REMOVE;
 }
 
 /* Only requests that may be repeated are moved away from a silent upstream, and
  * only while another attempt is allowed. */
-static void set_stall_timer(struct direct_request *request)
+void direct_sending_watch_stall(struct direct_request *request)
 {
 	const struct direct_route *route = request->route;
 
 	direct_clear_timer(&request->stall_timer);
+	if (request->is_upstream_paused || request->passes_through)
+		return;
 	if (route->kind != DIRECT_IDEMPOTENT && !route->is_resumable)
 		return;
 	if (request->possible_runs + 1 >= route->attempts_max)
@@ -419,6 +430,18 @@
 					     request->info.timeout_us);
 }
 
+/* Removes the first bytes of the buffered answer. */
+static void remove_buffered(struct direct_request *request, size_t size)
+{
+	g_string_erase(request->body, 0, (gssize)size);
+	if (!request->body->len &&
+	    request->body->allocated_len > EMPTY_BUFFER_BYTES_MAX) {
+		g_string_free(request->body, TRUE);
+		request->body = g_string_new(NULL);
+	}
+	direct_answer_flow_count(request);
+}
+
 /* Returns false if the answer was aborted and the request freed. */
 static bool forward_events(struct direct_request *request)
 {
@@ -445,26 +468,12 @@
 	direct_stream_resume_end(request, "continued", NULL);
 	http_call_write(request->call, request->body->str, size);
 	request->last_event_us = direct_request_now_us(request);
-	g_string_erase(request->body, 0, (gssize)size);
+	remove_buffered(request, size);
 	direct_quarantine_request_progressed(request->direct->quarantine,
 					     request);
-	set_stall_timer(request);
 	return true;
 }
 
-static void on_body(void *userdata, const char *bytes, size_t size)
-{
-	struct direct_request *request = userdata;
-
-	g_string_append_len(request->body, bytes, (gssize)size);
-	if (is_event_stream(request) && !forward_events(request))
-		return;
-	if (request->body->len > BUFFERED_ANSWER_MAX ||
-	    http_call_unsent_bytes(request->call) > UNSENT_ANSWER_MAX) {
-		direct_request_reply_locally(request, 502, 0, "too_large");
-	}
-}
-
 /* Whether a stream was broken off although its connection ended in good order:
  * inside an event, or, as it has no framing that would show its end, before any
  * event. A resumed stream may have had its last event already. */
@@ -538,29 +547,114 @@
 	}
 }
 
+/* Whether an answer that is not an event stream may be passed on. */
+static bool is_answer_to_request(const struct direct_request *request)
+{
+	const struct direct_reply *reply = &request->reply;
+
+	return reply->matches_request && !reply->not_run &&
+	       !reply->other_process &&
+	       (request->status / 100 != 2 || reply->has_upstream_seal);
+}
+
+/* Passes on what has come of an answer that is too large to be buffered whole.
+ * From here on the request cannot be sent again. */
+static void forward_part(struct direct_request *request)
+{
+	if (!request->passes_through)
+		direct_quarantine_request_begun(request->direct->quarantine,
+						request);
+	request->passes_through = true;
+	record_first_response(request);
+	begin_answer(request);
+	http_call_write(request->call, request->body->str, request->body->len);
+	remove_buffered(request, request->body->len);
+	direct_sending_watch_stall(request);
+	direct_answer_flow_update(request);
+}
+
+/* Its head has told what the answer is, so that one which cannot be passed on
+ * ends here. May free the request. */
+static void handle_part(struct direct_request *request)
+{
+	if (request->passes_through) {
+		forward_part(request);
+		return;
+	}
+	if (!direct_answer_flow_is_full(request))
+		return;
+	if (!request->answer_begun && is_answer_to_request(request))
+		forward_part(request);
+	else
+		finish_answer(request);
+}
+
+static void on_body(void *userdata, const char *bytes, size_t size)
+{
+	struct direct_request *request = userdata;
+
+	g_string_append_len(request->body, bytes, (gssize)size);
+	direct_answer_flow_count(request);
+	if (!is_event_stream(request)) {
+		handle_part(request);
+		return;
+	}
+	/* Events end with a line. */
+	if (memchr(bytes, '\n', size) && !forward_events(request))
+		return;
+	if (request->body->len > EVENT_BYTES_MAX) {
+		direct_request_reply_locally(request, 502, 0, "too_large");
+		return;
+	}
+	/* A part of an event shows that the upstream is not silent. */
+	direct_sending_watch_stall(request);
+	direct_answer_flow_update(request);
+}
+
+static void finish_passed_on(struct direct_request *request)
+{
+	direct_quarantine_request_served(request->direct->quarantine, request,
+					 request->status / 100 == 2);
+	direct_sending_end(request, POOL_SERVED);
+	direct_request_log_end(request, "answered", request->status, NULL);
+	http_call_finish(request->call);
+	direct_request_free(request);
+}
+
+/* The exchange has failed. An upstream that ends an answer because it is not
+ * read has not ended itself. */
+static void handle_failure(struct direct_request *request, int error, bool sent)
+{
+	bool was_unread = request->has_upstream_waited;
+	const char *why = error == LP_ERROR_PROTOCOL ? "garbled" : "connection";
+
+	g_string_truncate(request->body, 0);
+	if (sent && !was_unread)
+		record_lost_sending(request);
+	else if (error == LP_ERROR_NOT_LISTENING)
+		direct_terminations_confirm(request->direct->terminations,
+					    request->upstream,
+					    DIRECT_TERMINATION_REFUSED);
+	direct_sending_end(request,
+			   was_unread ? POOL_UNDETERMINED : POOL_UNREACHABLE);
+	handle_sending_end(request,
+			   sent ? RETRY_EVENT_BROKEN : RETRY_EVENT_NOT_SENT,
+			   was_unread ? "unread" : why);
+}
+
 static void on_done(void *userdata, int error, bool sent)
 {
 	struct direct_request *request = userdata;
 
 	request->exchange = NULL;
-	if (error) {
-		g_string_truncate(request->body, 0);
-		if (sent)
-			record_lost_sending(request);
-		else if (error == LP_ERROR_NOT_LISTENING)
-			direct_terminations_confirm(
-				request->direct->terminations,
-				request->upstream, DIRECT_TERMINATION_REFUSED);
-		direct_sending_end(request, POOL_UNREACHABLE);
-		handle_sending_end(
-			request,
-			sent ? RETRY_EVENT_BROKEN : RETRY_EVENT_NOT_SENT,
-			error == LP_ERROR_PROTOCOL ? "garbled" : "connection");
-	} else if (is_event_stream(request)) {
+	if (error)
+		handle_failure(request, error, sent);
+	else if (request->passes_through)
+		finish_passed_on(request);
+	else if (is_event_stream(request))
 		finish_stream(request);
-	} else {
+	else
 		finish_answer(request);
-	}
 }
 
 static const struct http_exchange_events exchange_events = {
@@ -679,9 +773,11 @@
 	request->sent_us = direct_request_now_us(request);
 	direct_quarantine_note_rounds(request->direct->quarantine, request);
 	request->upstream_responded = false;
+	request->has_upstream_waited = false;
 	request->status = 0;
 	memset(&request->reply, 0, sizeof(request->reply));
 	g_string_truncate(request->body, 0);
+	direct_answer_flow_count(request);
 	request->cold_tokens = 0;
 	request->expected_us = 0;
 	request->copy_from = NULL;
@@ -753,6 +849,7 @@
 		.has_body = size || (strcmp(method, "GET") != 0 &&
 				     strcmp(method, "HEAD") != 0),
 		.connect_timeout_us = DIRECT_CONNECT_TIMEOUT_US,
+		.memory = &request->direct->memory,
 		.events = &exchange_events,
 		.delivery = on_delivery,
 		.userdata = request,
@@ -808,7 +905,7 @@
 		handle_sending_end(request, RETRY_EVENT_NOT_SENT, "connection");
 		return;
 	}
-	set_stall_timer(request);
+	direct_sending_watch_stall(request);
 }
 
 /* Selects an upstream without a placer. `wait_us`: time after which the placer
@@ -878,10 +975,24 @@
 	return true;
 }
 
+/* A stream whose caller has a lot to read yet is resumed later: its events
+ * would wait here, and its upstream with them. */
+static bool waits_for_caller(struct direct_request *request)
+{
+	if (!request->resume_began_us || !direct_answer_flow_is_behind(request))
+		return false;
+	request->state = DIRECT_STATE_PLACING;
+	request->placement_timer =
+		lp_timer_add(PLACEMENT_RETRY_MS, on_placement_timer, request);
+	return true;
+}
+
 void direct_sending_start(struct direct_request *request)
 {
 	struct pool_pick_args pick_args;
 
+	if (waits_for_caller(request))
+		return;
 	if (!direct_request_check_quarantine(request) ||
 	    !direct_stream_resume_check(request) ||
 	    !direct_stream_version_check(request))
--- a/direct/direct_stream_resume.c
+++ b/direct/direct_stream_resume.c
@@ -7,10 +7,20 @@
 /* Least time from sending a request to an engine until its next event. */
 #define ENGINE_MIN_US (50 * LP_US_PER_MS)
 
+/* A caller that has not taken the last event yet does not wait for the next
+ * one.
+ */
+static int64_t last_event_us(const struct direct_request *request)
+{
+	return request->answer_begun && http_call_unsent_bytes(request->call)
+		       ? direct_request_now_us(request)
+		       : request->last_event_us;
+}
+
 static struct stream_resume describe(const struct direct_request *request)
 {
 	return (struct stream_resume){
-		.last_event_us = request->last_event_us,
+		.last_event_us = last_event_us(request),
 		.target_us = request->route->target_us,
 		.gap_us = request->route->gap_us,
 		.deadline_us = request->deadline_us,
@@ -58,26 +68,37 @@
 	lp_event_end(log);
 }
 
+static void set_limit_timer(struct direct_request *request);
+
 static gboolean on_limit(gpointer userdata)
 {
 	struct direct_request *request = userdata;
 
 	request->resume_timer = 0;
+	if (http_call_unsent_bytes(request->call)) {
+		set_limit_timer(request);
+		return G_SOURCE_REMOVE;
+	}
 	direct_stream_resume_end(request, "late", "limit");
 	direct_request_abort(request, "resume_late");
 	return G_SOURCE_REMOVE;
 }
 
-void direct_stream_resume_begin(struct direct_request *request)
+static void set_limit_timer(struct direct_request *request)
 {
 	int64_t left_us = direct_stream_resume_limit_us(request) -
 			  direct_request_now_us(request);
 
+	request->resume_timer = lp_timer_add(
+		(guint)(MAX(left_us, 0) / LP_US_PER_MS), on_limit, request);
+}
+
+void direct_stream_resume_begin(struct direct_request *request)
+{
 	if (request->resume_began_us)
 		return;
 	request->resume_began_us = direct_request_now_us(request);
-	request->resume_timer = lp_timer_add(
-		(guint)(MAX(left_us, 0) / LP_US_PER_MS), on_limit, request);
+	set_limit_timer(request);
 }
 
 void direct_stream_resume_end(struct direct_request *request,
