--- a/tools/pe.c
+++ b/tools/pe.c
@@ -67,6 +67,7 @@
 {
 	g_autofree char *fields = answer_fields(
 		upstream, conn, upstream->fault == PE_FAULT_FOREIGN);
+	g_autofree char *whole = pad("whole", upstream);
 	g_autofree char *text = NULL;
 
 	switch (upstream->fault) {
@@ -88,19 +89,18 @@
 				       fields);
 		break;
 	case PE_FAULT_UNFRAMED:
-		text = g_strdup_printf("HTTP/1.1 200 OK\r\n%s\r\nwhole",
-				       fields);
+		text = g_strdup_printf("HTTP/1.1 200 OK\r\n%s\r\n%s", fields,
+				       whole);
 		break;
 	case PE_FAULT_EXTRA:
 		text = g_strdup_printf("HTTP/1.1 200 OK\r\n%s"
-				       "Content-Length: 5\r\n\r\nwhole"
+				       "Content-Length: %zu\r\n\r\n%s"
 				       "HTTP/1.1 200 OK\r\n%s"
 				       "Content-Length: 5\r\n\r\nextra",
-				       fields, fields);
+				       fields, strlen(whole), whole, fields);
 		break;
 	default:
-		text = pad("whole", upstream);
-		pe_conn_answer(conn, 200, fields, text);
+		pe_conn_answer(conn, 200, fields, whole);
 		return;
 	}
 	pe_conn_write(conn, text);
