--- a/direct/direct_answer_flow.c
+++ b/direct/direct_answer_flow.c
@@ -34,8 +34,8 @@
 	request->is_upstream_paused = pause;
 	request->has_upstream_waited = true;
 	if (pause)
-		*direct_counter(request->direct, "linepier_upstreams_paused",
-				NULL) += 1;
+		*direct_counter(request->direct,
+				"linepier_upstreams_paused_total", NULL) += 1;
 	if (!request->exchange)
 		return;
 	http_exchange_pause(request->exchange, pause);
