Emulator: the patient configuration has long pauses, too

Callers who read slowly wait longer: their routes have targets of 3 s and pauses of 1 s, and what the test checks is the same.

--- a/tools/pe.c
+++ b/tools/pe.c
@@ -707,9 +707,16 @@
 	return pe_grown_config(version, 0);
 }
 
-/* `plain_ms`, `stream_ms`: timeouts. */
+/* Times of the routes. */
+struct route_times {
+	uint32_t plain_ms; /* timeouts */
+	uint32_t stream_ms;
+	uint32_t first_ms; /* targets of streams without stages: first event, */
+	uint32_t gap_ms;   /* and pauses */
+};
+
 static char *print_config(int64_t version, uint32_t routes_more,
-			  uint32_t plain_ms, uint32_t stream_ms)
+			  const struct route_times *times)
 {
 	g_autofree char *more = more_routes(routes_more);
 	g_autofree char *routes = g_strdup_printf(
@@ -727,12 +734,12 @@
 		"{\"name\":\"once\",\"host\":\"a.example\",\"prefix\":\"/once/"
 		"\","
 		"\"kind\":\"streaming\",\"timeout_ms\":%u,"
-		"\"target_latency_ms\":500,\"target_gap_ms\":200,\"priority\":"
+		"\"target_latency_ms\":%u,\"target_gap_ms\":%u,\"priority\":"
 		"1,"
 		"\"service\":\"engine\",\"max_attempts\":1},"
 		"{\"name\":\"again\",\"host\":\"a.example\",\"prefix\":"
 		"\"/again/\",\"kind\":\"streaming\",\"timeout_ms\":%u,"
-		"\"target_latency_ms\":500,\"target_gap_ms\":200,\"priority\":"
+		"\"target_latency_ms\":%u,\"target_gap_ms\":%u,\"priority\":"
 		"0,"
 		"\"service\":\"engine\",\"max_attempts\":2,"
 		"\"resume_streams\":true},"
@@ -751,7 +758,10 @@
 		"\"stages\":[{\"service\":\"first\",\"after\":[],\"bytes\":"
 		"1000},"
 		"{\"service\":\"second\",\"after\":[0],\"bytes\":1000}]}",
-		plain_ms, plain_ms, stream_ms, stream_ms, stream_ms, stream_ms);
+		times->plain_ms, times->plain_ms, times->stream_ms,
+		times->first_ms, times->gap_ms, times->stream_ms,
+		times->first_ms, times->gap_ms, times->stream_ms,
+		times->stream_ms);
 	static const char pieces[] =
 		"\"pieces\":{\"slots\":1,\"queue\":2,\"batch\":8,"
 		"\"call_ms\":10,\"item_ms\":1,\"headroom_mb\":1,\"handle_s\":"
@@ -773,12 +783,14 @@
 
 char *pe_grown_config(int64_t version, uint32_t routes_more)
 {
-	return print_config(version, routes_more, 2000, 3000);
+	return print_config(version, routes_more,
+			    &(struct route_times){ 2000, 3000, 500, 200 });
 }
 
 char *pe_patient_config(int64_t version, uint32_t routes_more)
 {
-	return print_config(version, routes_more, 12000, 12000);
+	return print_config(version, routes_more,
+			    &(struct route_times){ 12000, 12000, 3000, 1000 });
 }
 
 const char *pe_domain(const struct pe_upstream *upstream)
