Entry: what is held for slow callers exceeded its bound

Cause: 16 KB were reserved for each admitted request, but the answer of each may have had 16 KB unread, 16 KB read beside them and 64 KB of sent bytes that were still in its queue, each counted on its own; an event was buffered up to 8 MB whatever was free; and bodies were counted once although they are queued again for the upstream. The test did not show it: the emulator's listeners had GLib's backlog of 10, so most of its 40 requests waited outside, and it asked for twice the bound.

Now one account covers all that a connection holds of an answer, and 32 KB of it are reserved from the request's head on, which is what an answer needs while memory is short. Bodies count twice. A queue drops sent bytes once they are half of it. An event larger than the share is passed on as it comes; its stream cannot be resumed from then on, and is aborted if it ends inside the event. Idle connections keep 4 KB for the next body, not 64.

--- a/direct/direct.c
+++ b/direct/direct.c
@@ -1,3 +1,4 @@
+#include "direct/direct_answer_flow.h"
 #include "direct/direct_closed_domains.h"
 #include "direct/direct_delivery.h"
 #include "direct/direct_placement.h"
@@ -138,6 +139,8 @@
 		.refused = on_request_unreadable,
 		.delivery = on_caller_delivery,
 		.memory = &direct->memory,
+		.answer_bytes = DIRECT_ANSWER_RESERVED_BYTES,
+		.body_copies = 1, /* queued for an upstream */
 		.write_refusal = write_overload_refusal,
 		.userdata = direct,
 	};
--- a/direct/direct_answer_flow.c
+++ b/direct/direct_answer_flow.c
@@ -7,13 +7,12 @@
 #define UNREAD_MAX_BYTES (1 << 20)
 /* What is buffered of an answer that is passed on whole. */
 #define BUFFERED_MAX_BYTES (8 << 20)
-/* Both while memory is short. Each request has so much from its admission on,
- * so that those which are admitted can go on. */
-#define RESERVED_BYTES 16384
+/* Both while memory is short. */
+#define SHORT_BYTES (DIRECT_ANSWER_RESERVED_BYTES / 4)
 
 static int64_t unread_limit(const struct direct_request *request)
 {
-	return http_memory_share(&request->direct->memory, RESERVED_BYTES,
+	return http_memory_share(&request->direct->memory, SHORT_BYTES,
 				 UNREAD_MAX_BYTES);
 }
 
@@ -62,12 +61,11 @@
 bool direct_answer_flow_is_full(const struct direct_request *request)
 {
 	return (int64_t)request->body->len >
-	       http_memory_share(&request->direct->memory, RESERVED_BYTES,
+	       http_memory_share(&request->direct->memory, SHORT_BYTES,
 				 BUFFERED_MAX_BYTES);
 }
 
 void direct_answer_flow_count(struct direct_request *request)
 {
-	http_holding_set(&request->buffered,
-			 MAX((int64_t)request->body->len, RESERVED_BYTES));
+	http_call_set_buffered(request->call, (int64_t)request->body->len);
 }
--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -27,7 +27,6 @@
 	direct_clear_timer(&request->resume_timer);
 	direct_stream_version_cancel(request);
 	direct_quarantine_request_ended(request->direct->quarantine, request);
-	http_holding_set(&request->buffered, 0);
 	if (request->graph)
 		direct_stages_cancel(request->direct->stages, request);
 	g_hash_table_remove(request->direct->requests, request);
@@ -738,8 +737,6 @@
 	request->call = call;
 	request->arrived_us = http_call_arrived_us(call);
 	request->body = g_string_new(NULL);
-	request->buffered.memory = &direct->memory;
-	direct_answer_flow_count(request);
 	request->tried_upstreams = g_ptr_array_new_with_free_func(g_free);
 	request->info.prefix_blocks =
 		g_array_new(FALSE, FALSE, sizeof(struct pool_prefix_block));
--- a/direct/direct_request.h
+++ b/direct/direct_request.h
@@ -77,8 +77,9 @@
 	int64_t cold_tokens; /* prompt tokens that the engine has to read */
 	bool is_upstream_paused;  /* its caller does not keep up */
 	bool has_upstream_waited; /* it was paused in this sending */
-	bool passes_through; /* not an event stream, and passed on before its
-				end */
+	bool passes_through;  /* not an event stream, and passed on before its
+				 end */
+	bool has_split_event; /* one was passed on before its end */
 	bool upstream_responded; /* with an event or a complete answer */
 	int64_t first_event_us;	 /* first response of all sendings; 0: none yet
 				  */
@@ -88,7 +89,6 @@
 	bool ends_with_connection; /* the answer has neither length nor chunks
 				    */
 	GString *body; /* of an answer; of a stream: an incomplete event */
-	struct http_holding buffered; /* the same, as it is counted */
 	/* totals of all sendings */
 	GPtrArray *tried_upstreams; /* ids of upstreams, owned */
 	uint32_t possible_runs;	    /* sendings that may have run */
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -25,8 +25,8 @@
 #define PLACEMENT_RETRY_MS 20
 /* Urgency of a resumed stream at its engine: before all priorities. */
 #define RESUMED_PRIORITY (-1)
-/* Limit of an event, which is passed on whole or not at all. */
-#define EVENT_BYTES_MAX (8 << 20)
+/* CR LF CR LF */
+#define EVENT_END_BYTES_MAX 4
 /* A buffer that is larger is freed once it is empty. */
 #define EMPTY_BUFFER_BYTES_MAX 65536
 
@@ -244,6 +244,7 @@
 		.repeatable = repeatable,
 		.resumable = request->route->is_resumable &&
 			     !request->passes_through &&
+			     !request->has_split_event &&
 			     (!request->has_version || request->version_id),
 		.response_started = request->answer_begun,
 		.may_have_run = request->may_have_run,
@@ -327,7 +328,8 @@
 	const struct direct_route *route = request->route;
 
 	direct_clear_timer(&request->stall_timer);
-	if (request->is_upstream_paused || request->passes_through)
+	if (request->is_upstream_paused || request->passes_through ||
+	    request->has_split_event)
 		return;
 	if (route->kind != DIRECT_IDEMPOTENT && !route->is_resumable)
 		return;
@@ -442,15 +444,10 @@
 	direct_answer_flow_count(request);
 }
 
-/* Returns false if the answer was aborted and the request freed. */
-static bool forward_events(struct direct_request *request)
+/* Passes on the first bytes of what is buffered of a stream. Returns false if
+ * the answer was aborted and the request freed. */
+static bool forward_stream(struct direct_request *request, size_t size)
 {
-	size_t size = direct_event_stream_complete_size(
-		request->body->str, request->body->len,
-		&request->last_event_id);
-
-	if (!size)
-		return true;
 	if (!request->upstream_responded && !check_stream_version(request)) {
 		*direct_counter(request->direct,
 				"linepier_streams_of_two_versions_total",
@@ -474,6 +471,24 @@
 	return true;
 }
 
+/* As forward_stream(). An event that is too large to be buffered is passed on
+ * without what may be the beginning of its end, so that a stream that ends
+ * inside it still leaves bytes in the buffer. */
+static bool forward_events(struct direct_request *request)
+{
+	size_t size = direct_event_stream_complete_size(
+		request->body->str, request->body->len,
+		&request->last_event_id);
+
+	if (size && !forward_stream(request, size))
+		return false;
+	if (!direct_answer_flow_is_full(request))
+		return true;
+	request->has_split_event = true;
+	return forward_stream(request,
+			      request->body->len - EVENT_END_BYTES_MAX + 1);
+}
+
 /* Whether a stream was broken off although its connection ended in good order:
  * inside an event, or, as it has no framing that would show its end, before any
  * event. A resumed stream may have had its last event already. */
@@ -601,12 +616,10 @@
 		return;
 	}
 	/* Events end with a line. */
-	if (memchr(bytes, '\n', size) && !forward_events(request))
+	if ((memchr(bytes, '\n', size) ||
+	     direct_answer_flow_is_full(request)) &&
+	    !forward_events(request))
 		return;
-	if (request->body->len > EVENT_BYTES_MAX) {
-		direct_request_reply_locally(request, 502, 0, "too_large");
-		return;
-	}
 	/* A part of an event shows that the upstream is not silent. */
 	direct_sending_watch_stall(request);
 	direct_answer_flow_update(request);
@@ -850,7 +863,6 @@
 		.has_body = size || (strcmp(method, "GET") != 0 &&
 				     strcmp(method, "HEAD") != 0),
 		.connect_timeout_us = DIRECT_CONNECT_TIMEOUT_US,
-		.memory = &request->direct->memory,
 		.events = &exchange_events,
 		.delivery = on_delivery,
 		.userdata = request,
--- a/http/http_client.c
+++ b/http/http_client.c
@@ -172,7 +172,6 @@
 		http_sock_set_receive_buffer(exchange->sock,
 					     options->receive_buffer_bytes);
 	http_sock_set_watch(exchange->sock, &sock_watch);
-	http_sock_set_memory(exchange->sock, options->memory);
 	exchange->events = options->events;
 	exchange->delivery = options->delivery;
 	exchange->userdata = options->userdata;
--- a/http/http_client.h
+++ b/http/http_client.h
@@ -44,8 +44,7 @@
 	size_t body_size;
 	bool has_body; /**< send a Content-Length, even if it is 0 */
 	int64_t connect_timeout_us;
-	int receive_buffer_bytes;   /**< of the system; 0: its default */
-	struct http_memory *memory; /**< counts the queued request; or NULL */
+	int receive_buffer_bytes; /**< of the system; 0: its default */
 	const struct http_exchange_events *events;
 	/** Called when the server does not take the request: struct
 	 * http_sock_watch. May be NULL. */
--- a/http/http_memory.c
+++ b/http/http_memory.c
@@ -4,11 +4,31 @@
 
 #define SHARES_OF_FREE 4
 
-void http_holding_set(struct http_holding *holding, int64_t bytes)
+static void update(struct http_holding *holding, int64_t reserved_bytes,
+		   int64_t bytes)
 {
-	if (holding->memory)
-		holding->memory->held_bytes += bytes - holding->bytes;
+	int64_t before = MAX(holding->reserved_bytes, holding->bytes);
+
+	holding->reserved_bytes = reserved_bytes;
 	holding->bytes = bytes;
+	if (holding->memory)
+		holding->memory->held_bytes +=
+			MAX(reserved_bytes, bytes) - before;
+}
+
+void http_holding_add(struct http_holding *holding, int64_t bytes)
+{
+	update(holding, holding->reserved_bytes, holding->bytes + bytes);
+}
+
+void http_holding_set(struct http_holding *holding, int64_t bytes)
+{
+	update(holding, holding->reserved_bytes, bytes);
+}
+
+void http_holding_reserve(struct http_holding *holding, int64_t bytes)
+{
+	update(holding, bytes, holding->bytes);
 }
 
 bool http_memory_fits(const struct http_memory *memory, int64_t bytes)
--- a/http/http_server.c
+++ b/http/http_server.c
@@ -13,7 +13,7 @@
  * it. */
 #define READ_AHEAD_MAX 65536
 /* Memory of a body that is kept for the connection's next request. */
-#define KEPT_BODY_MAX 65536
+#define KEPT_BODY_MAX 4096
 /* Limit of connections that wait to be accepted. */
 #define BACKLOG 512
 /* Limit of connections accepted in one event-loop iteration. */
@@ -27,7 +27,8 @@
 struct http_call {
 	struct conn *conn;
 	bool started;
-	int64_t deadline_us; /* of its answer's delivery; 0: none */
+	int64_t deadline_us;	/* of its answer's delivery; 0: none */
+	int64_t buffered_bytes; /* as counted for its owner */
 	void (*on_disconnect)(void *userdata);
 	void *disconnect_userdata;
 	void (*on_taken)(void *userdata);
@@ -40,8 +41,9 @@
 	struct http_parse parse;
 	GByteArray *body;
 	GByteArray *read_ahead;
-	struct http_holding held; /* body and read_ahead */
-	int64_t announced_bytes;  /* of the body, held from its head on */
+	struct http_holding held;	 /* body and read_ahead */
+	struct http_holding answer_held; /* buffered, and queued answers */
+	int64_t announced_bytes; /* of the body, held from its head on */
 	struct http_call call;
 	int64_t deliver_until_us; /* deadline of the last answer; 0: none */
 	int64_t phase_started_us; /* when the request's first byte arrived, or
@@ -80,6 +82,7 @@
 	struct conn *conn = data;
 
 	http_holding_set(&conn->held, 0);
+	http_holding_set(&conn->answer_held, 0);
 	http_parse_clear(&conn->parse);
 	g_byte_array_unref(conn->body);
 	g_byte_array_unref(conn->read_ahead);
@@ -88,9 +91,17 @@
 
 static void count_held(struct conn *conn)
 {
-	http_holding_set(&conn->held,
-			 MAX((int64_t)conn->body->len, conn->announced_bytes) +
-				 conn->read_ahead->len);
+	uint32_t copies = 1 + conn->server->options.body_copies;
+
+	http_holding_set(&conn->held, copies * MAX((int64_t)conn->body->len,
+						   conn->announced_bytes) +
+					      conn->read_ahead->len);
+}
+
+static void release_answer(struct conn *conn)
+{
+	http_call_set_buffered(&conn->call, 0);
+	http_holding_reserve(&conn->answer_held, 0);
 }
 
 static void set_request_started(struct conn *conn, bool request_started)
@@ -133,6 +144,7 @@
 {
 	set_answer_pending(conn, false);
 	set_request_started(conn, false);
+	release_answer(conn);
 	g_hash_table_remove(conn->server->conns, conn);
 	if (!conn->deliver_until_us)
 		set_sock_deadline(conn, CLOSE_TIMEOUT_US);
@@ -233,14 +245,17 @@
 static void on_head(void *userdata)
 {
 	struct conn *conn = userdata;
+	const struct http_server_options *options = &conn->server->options;
 	int64_t announced_bytes = announced_body_bytes(conn);
 
-	conn->is_overloaded = !http_memory_fits(conn->server->options.memory,
-						announced_bytes);
+	conn->is_overloaded = !http_memory_fits(
+		options->memory, (1 + options->body_copies) * announced_bytes +
+					 options->answer_bytes);
 	if (conn->is_overloaded)
 		return;
 	conn->announced_bytes = announced_bytes;
 	count_held(conn);
+	http_holding_reserve(&conn->answer_held, options->answer_bytes);
 	if (http_fields_has_token(&conn->parse.fields, "Expect",
 				  "100-continue")) {
 		static const char continue_line[] =
@@ -254,7 +269,8 @@
 static void on_body(void *userdata, const char *bytes, size_t size)
 {
 	struct conn *conn = userdata;
-	size_t limit = conn->server->options.limits.body_bytes;
+	const struct http_server_options *options = &conn->server->options;
+	size_t limit = options->limits.body_bytes;
 
 	if (limit && conn->body->len + size > limit) {
 		conn->is_rejected = true;
@@ -262,7 +278,8 @@
 	}
 	if (!conn->announced_bytes)
 		conn->is_overloaded |= !http_memory_fits(
-			conn->server->options.memory, (int64_t)size);
+			options->memory,
+			(1 + options->body_copies) * (int64_t)size);
 	if (conn->is_overloaded)
 		return;
 	g_byte_array_append(conn->body, (const guint8 *)bytes, (guint)size);
@@ -282,6 +299,7 @@
 
 static void begin_request(struct conn *conn)
 {
+	release_answer(conn);
 	http_parse_restart(&conn->parse);
 	conn->parse.head_bytes_max = conn->server->options.limits.head_bytes;
 	clear_body(conn);
@@ -343,7 +361,8 @@
 	g_byte_array_append(conn->read_ahead, (const guint8 *)bytes,
 			    (guint)size);
 	count_held(conn);
-	if (conn->read_ahead->len > READ_AHEAD_MAX)
+	if (conn->read_ahead->len >
+	    http_memory_share(conn->server->options.memory, 0, READ_AHEAD_MAX))
 		http_sock_pause(conn->sock, true);
 }
 
@@ -407,6 +426,8 @@
 	conn->body = g_byte_array_new();
 	conn->read_ahead = g_byte_array_new();
 	conn->held.memory = server->options.memory;
+	conn->answer_held.memory = server->options.memory;
+	conn->call.conn = conn;
 	http_parse_init(&conn->parse, HTTP_REQUEST);
 	conn->parse.head = on_head;
 	conn->parse.body = on_body;
@@ -415,7 +436,7 @@
 	begin_request(conn);
 	conn->sock = http_sock_from_accepted(socket, &sock_events, conn);
 	http_sock_set_watch(conn->sock, &sock_watch);
-	http_sock_set_memory(conn->sock, server->options.memory);
+	http_sock_set_holding(conn->sock, &conn->answer_held);
 }
 
 static void accept_pending(struct http_server *server, uint32_t limit)
@@ -644,6 +665,13 @@
 	call->taken_userdata = userdata;
 }
 
+void http_call_set_buffered(struct http_call *call, int64_t bytes)
+{
+	http_holding_add(&call->conn->answer_held,
+			 bytes - call->buffered_bytes);
+	call->buffered_bytes = bytes;
+}
+
 void http_call_set_deadline(struct http_call *call, int64_t deadline_us)
 {
 	call->deadline_us = deadline_us;
--- a/http/http_server.h
+++ b/http/http_server.h
@@ -53,6 +53,11 @@
 	/** Counts what clients send and have not read yet; requests that find
 	 * no room are refused with 503. NULL: not counted. */
 	struct http_memory *memory;
+	/** Reserved for the answer of each request, from its head on. */
+	int64_t answer_bytes;
+	/** How many times the owner keeps a body while it is served; 0: it is
+	 * not kept but by the connection. */
+	uint32_t body_copies;
 	/** Adds fields to such a refusal; may be NULL. */
 	void (*write_refusal)(void *userdata, const struct http_fields *request,
 			      struct http_fields *out);
@@ -115,6 +120,9 @@
 void http_call_start(struct http_call *call, uint32_t status,
 		     const struct http_fields *fields);
 void http_call_write(struct http_call *call, const char *bytes, size_t size);
+/** Count so many bytes, which the owner buffers of the answer until the call
+ * is over, beside those that are queued. */
+void http_call_set_buffered(struct http_call *call, int64_t bytes);
 /** Set a callback for the system's taking of written bytes while the answer is
  * not complete. */
 void http_call_set_taken_handler(struct http_call *call,
--- a/http/http_sock.c
+++ b/http/http_sock.c
@@ -34,10 +34,8 @@
 #ifndef TCP_RTO_MAX_MS
 #define TCP_RTO_MAX_MS 44
 #endif
-/* Sent bytes are removed from the queue in blocks of this size or more. */
-#define COMPACT_BYTES 65536
 /* An empty queue keeps this much memory at most. */
-#define EMPTY_QUEUE_BYTES_MAX 16384
+#define EMPTY_QUEUE_BYTES_MAX 4096
 
 struct http_sock {
 	GSocket *socket;
@@ -47,8 +45,9 @@
 	struct http_sock_watch watch;
 	void *userdata;
 	GByteArray *out_buffer;
-	size_t out_start; /* number of its bytes already sent */
-	struct http_holding held;
+	size_t out_start;	      /* number of its bytes already sent */
+	struct http_holding *holding; /* of the queue; may be NULL */
+	int64_t held_bytes;	      /* of `holding` */
 	guint check_timer; /* runs while written bytes may be undelivered */
 	struct peer_liveness liveness;
 	int64_t deadline_us;
@@ -72,13 +71,31 @@
 	struct http_sock *sock;
 };
 
+static void count_queue(struct http_sock *sock)
+{
+	int64_t before = sock->held_bytes;
+
+	sock->held_bytes = sock->out_buffer->len;
+	if (sock->holding)
+		http_holding_add(sock->holding, sock->held_bytes - before);
+}
+
+void http_sock_set_holding(struct http_sock *sock, struct http_holding *holding)
+{
+	if (sock->holding)
+		http_holding_add(sock->holding, -sock->held_bytes);
+	sock->holding = holding;
+	if (sock->holding)
+		http_holding_add(sock->holding, sock->held_bytes);
+}
+
 static void clear_sock(gpointer data)
 {
 	struct http_sock *sock = data;
 
 	if (sock->check_timer)
 		g_source_remove(sock->check_timer);
-	http_holding_set(&sock->held, 0);
+	http_sock_set_holding(sock, NULL);
 	if (sock->source) {
 		g_source_destroy(sock->source);
 		g_source_unref(sock->source);
@@ -156,6 +173,7 @@
 		sock->events.ended(sock->userdata, error);
 		return;
 	}
+	http_sock_set_holding(sock, NULL);
 	if (sock->events.delivered)
 		sock->events.delivered(sock->userdata);
 	unref_sock(sock); /* the reference kept by http_sock_close() */
@@ -171,7 +189,7 @@
 	}
 	g_byte_array_set_size(sock->out_buffer, 0);
 	sock->out_start = 0;
-	http_holding_set(&sock->held, 0);
+	count_queue(sock);
 }
 
 static void remove_sent_bytes(struct http_sock *sock)
@@ -180,19 +198,18 @@
 		drop_queue(sock);
 		return;
 	}
-	if (sock->out_start < COMPACT_BYTES ||
-	    sock->out_start < sock->out_buffer->len / 2)
+	if (sock->out_start < sock->out_buffer->len / 2)
 		return;
 	g_byte_array_remove_range(sock->out_buffer, 0, (guint)sock->out_start);
 	sock->out_start = 0;
-	http_holding_set(&sock->held, sock->out_buffer->len);
+	count_queue(sock);
 }
 
 static void queue_bytes(struct http_sock *sock, const char *bytes, size_t size)
 {
 	g_byte_array_append(sock->out_buffer, (const guint8 *)bytes,
 			    (guint)size);
-	http_holding_set(&sock->held, sock->out_buffer->len);
+	count_queue(sock);
 }
 
 /* Returns the number of bytes that the system took, or -1: the connection has
@@ -658,15 +675,6 @@
 	sock->watch = *watch;
 }
 
-void http_sock_set_memory(struct http_sock *sock, struct http_memory *memory)
-{
-	int64_t bytes = sock->held.bytes;
-
-	http_holding_set(&sock->held, 0);
-	sock->held.memory = memory;
-	http_holding_set(&sock->held, bytes);
-}
-
 void http_sock_set_receive_buffer(struct http_sock *sock, int size)
 {
 	set_option(sock, SOL_SOCKET, SO_RCVBUF, size);
@@ -714,6 +722,7 @@
 	if (sock->is_probed_often && http_sock_undelivered_bytes(sock))
 		set_option(sock, IPPROTO_TCP, TCP_RTO_MAX_MS,
 			   PROBE_INTERVAL_DEFAULT_MS);
+	http_sock_set_holding(sock, NULL);
 	sock->closed = true;
 	sock->has_ended = true;
 	if (sock->source)
--- a/http/http_sock.h
+++ b/http/http_sock.h
@@ -93,8 +93,10 @@
 			 const struct http_sock_watch *watch);
 /** Set the size of the system's buffer of received bytes. */
 void http_sock_set_receive_buffer(struct http_sock *sock, int size);
-/** Count queued bytes as held in `memory`, which must outlive them. */
-void http_sock_set_memory(struct http_sock *sock, struct http_memory *memory);
+/** Count queued bytes in `holding`, which must stay until the connection is
+ * freed, or until delivered(). */
+void http_sock_set_holding(struct http_sock *sock,
+			   struct http_holding *holding);
 /**
  * Drop bytes that are still queued, and end the connection, at this time of
  * lp_clock_boot(); 0: never.
--- a/tests/slow_answer_test.cc
+++ b/tests/slow_answer_test.cc
@@ -10,6 +10,8 @@
 
 /* More than the system and the entry buffer for one caller. */
 const uint32_t ANSWER_BYTES = 32 << 20;
+/* More than the system buffers for one caller. */
+const uint32_t CROWD_ANSWER_BYTES = 8 << 20;
 const uint32_t EVENT_BYTES = 4 << 20;
 const uint32_t EVENTS = 6;
 /* What an entry may buffer of one answer, and be given at once. */
@@ -269,28 +271,39 @@
 
 /* ---- memory ---- */
 
-/* What was held for slow callers had no bound over all of them. */
+/* What was held for slow callers had no bound over all of them; with one, each
+ * admitted answer could exceed what was reserved for it. */
 TEST(SlowAnswer, MemoryForSlowCallersIsBounded)
 {
 	const int64_t memory_bytes = 2 << 20;
+	const pe_pace crowd_pace = { CROWD_ANSWER_BYTES, 0, 0 };
 	SlowRig rig;
 	std::vector<std::unique_ptr<SlowPeer>> callers;
+	pe_upstream *upstream = rig.add_paced(PE_PLAIN, { ANSWER_BYTES, 0, 0 });
 	int64_t most;
 
-	rig.add_paced(PE_PLAIN, { ANSWER_BYTES, 0, 0 });
+	rig.add_paced(PE_ENGINE, { EVENT_BYTES, 0, 0 });
 	rig.settle();
 	direct_set_memory(rig.entry, memory_bytes);
 	for (int i = 0; i < 40; i++) {
 		std::string id = "a" + std::to_string(i);
 
 		callers.push_back(std::make_unique<SlowPeer>(rig.address));
-		callers.back()->send(request_text(id.c_str(), "/order/x", 0));
+		callers.back()->send(request_text(
+			id.c_str(), i % 2 ? "/once/x" : "/order/x", 0));
+		if (i)
+			continue;
+		EXPECT_TRUE(run_loop_until([&] {
+			callers[0]->read_some(1);
+			return !callers[0]->received.empty();
+		}));
+		pe_set_pace(upstream, &crowd_pace);
 	}
 	EXPECT_TRUE(run_loop_until([&] {
 		return !http_memory_fits(direct_memory(rig.entry), 60000);
 	}));
 	most = watch_held_bytes(rig, 3000);
-	EXPECT_LE(most, memory_bytes / 2);
+	EXPECT_LE(most, memory_bytes / 4);
 
 	/* Refused before the limit, truthfully, and with a time to return. */
 	CallerRequest refused(rig.address, "b1", "/order/x", {},
@@ -298,11 +311,14 @@
 	EXPECT_EQ(refused.wait().status, 503u);
 	EXPECT_NE(refused.retry_after, "");
 	EXPECT_EQ(pe_runs(rig.platform, "b1"), 0u);
-	EXPECT_LE(rig.held_bytes(), memory_bytes / 2);
+	EXPECT_LE(rig.held_bytes(), memory_bytes / 4);
 
 	/* None of those that were admitted is cut off for it. */
 	EXPECT_TRUE(read_to_end(*callers[0]));
 	EXPECT_EQ(callers[0]->x_count, ANSWER_BYTES);
+	EXPECT_TRUE(read_to_end(*callers[1]));
+	EXPECT_EQ(callers[1]->x_count, EVENTS * EVENT_BYTES);
+	EXPECT_LE(rig.held_bytes(), memory_bytes / 4);
 	callers.clear();
 	EXPECT_TRUE(run_loop_until([&] { return !rig.held_bytes(); }));
 	CallerRequest served(rig.address, "b2", "/order/x", {},
@@ -310,6 +326,31 @@
 	EXPECT_EQ(served.wait().status, 200u);
 }
 
+/* A stream ended inside an event of which a part had been passed on, and went
+ * on at another upstream, or seemed to be complete. */
+TEST(SlowAnswer, StreamThatEndsInsideASplitEventIsCut)
+{
+	const pe_stream_end how = { false, true, 2, true };
+	SlowRig rig;
+	std::vector<pe_upstream *> engines;
+
+	for (int i = 0; i < 2; i++) {
+		engines.push_back(
+			rig.add_paced(PE_ENGINE, { EVENT_BYTES, 0, 0 }));
+		pe_set_stream_end(engines.back(), &how);
+	}
+	rig.settle();
+	direct_set_memory(rig.entry, 1 << 20);
+	SlowPeer caller(rig.address);
+
+	caller.send(request_text("a1", "/again/x", 0));
+	EXPECT_FALSE(read_to_end(caller));
+	EXPECT_TRUE(caller.ended);
+	EXPECT_GT(caller.x_count, 2 * EVENT_BYTES);
+	EXPECT_EQ(caller.occurrences("id: "), 3u);
+	EXPECT_EQ(pe_arrivals(engines[0]) + pe_arrivals(engines[1]), 1u);
+}
+
 /* Bodies that callers send slowly are held, too. */
 TEST(SlowAnswer, MemoryForBodiesIsBounded)
 {
--- a/tools/pe.c
+++ b/tools/pe.c
@@ -162,8 +162,11 @@
 
 	if (stream->next <= EVENTS && !is_early)
 		return false;
-	if (is_early && how->in_event)
-		write_part(stream, "id: 9\nda");
+	if (is_early && how->in_event) {
+		g_autofree char *part = pad("id: 9\nda", stream->upstream);
+
+		write_part(stream, part);
+	}
 	end_stream(stream);
 	return true;
 }
--- a/tools/pe_listener.c
+++ b/tools/pe_listener.c
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 
 #define SMALL_WINDOW_BYTES 8192
+#define BACKLOG 256
 
 static void free_conn(struct pe_conn *conn)
 {
@@ -162,6 +163,7 @@
 
 void pe_listener_go_on(struct pe_listener *listener)
 {
+	g_socket_set_listen_backlog(listener->socket, BACKLOG);
 	g_socket_listen(listener->socket, NULL);
 	listener->source =
 		g_socket_create_source(listener->socket, G_IO_IN, NULL);
