linepierd: the deadline ends the delivery of an answer, and memory for callers is bounded

A caller that read nothing of its answer held it, its connection and a draining entry for as long as it liked: libsoup has no limit of its own for a slow peer, and the entry's deadline ended with the answer's last byte (read in the code, listed as open in the postmortem of slow peers). Nothing counted what all callers held.

entry/entry_delivery counts it from the head of a request on: three copies of the body, and of the answer what is not written, at least 32 KB. A delivery that is not over at its request's deadline is reset, logged and counted; one whose caller has gone is counted apart (linepier_undelivered_total, linepier_held_bytes, linepier_memory_refusals_total).

Open: a stream does not wait for its caller, as the agent that runs it is not told, so what is held can exceed the quarter by what admitted answers still grow.

--- a/entry/entry_http.c
+++ b/entry/entry_http.c
@@ -3,6 +3,7 @@
 
 #include "base/lp_json.h"
 #include "base/lp_timer.h"
+#include "entry/entry_delivery.h"
 #include "entry/entry_disconnect.h"
 #include "entry/entry_private.h"
 #include "node/node_listener.h"
@@ -17,6 +18,8 @@
 #define KEY_MAX 200
 #define DEADLINE_MS_MAX 3600000
 #define IDLE_TIMEOUT_MS 60000 /* a connection without a whole header */
+/* Memory is freed as soon as other callers read their answers. */
+#define MEMORY_RETRY_AFTER_US (1 * LP_US_PER_S)
 #define PROBLEM_TYPE "application/problem+json"
 #define REQUEST_TIMEOUT_RESPONSE                     \
 	"HTTP/1.1 408 Request Timeout\r\n"           \
@@ -37,8 +40,9 @@
 	SoupServerMessage *msg;
 	struct entry_request *request; /* NULL once answered */
 	GSocket *socket;	       /* watched for disconnection, or NULL */
-	bool wants_events;	       /* the caller takes server-sent events */
-	bool streaming; /* the head of the event stream is sent */
+	int64_t deadline_us;
+	bool wants_events; /* the caller takes server-sent events */
+	bool streaming;	   /* the head of the event stream is sent */
 };
 
 /* ---- answers ---- */
@@ -75,6 +79,7 @@
 	soup_server_message_set_status(msg, status, NULL);
 	soup_server_message_set_response(msg, type, SOUP_MEMORY_COPY, text,
 					 strlen(text));
+	entry_delivery_add(msg, (int64_t)strlen(text));
 }
 
 static void respond_answer(SoupServerMessage *msg,
@@ -112,6 +117,9 @@
 	const struct entry_answer answer = {
 		.error = error,
 		.run = LP_RUN_NOT_RUN,
+		.retry_after_us = error == LP_ERROR_OVERLOADED
+					  ? MEMORY_RETRY_AFTER_US
+					  : 0,
 		.detail = detail,
 	};
 
@@ -144,6 +152,7 @@
 		g_strdup_printf("event: %s\ndata: %s\n\n", event, data);
 
 	soup_message_body_append(body, SOUP_MEMORY_COPY, text, strlen(text));
+	entry_delivery_add(exchange->msg, (int64_t)strlen(text));
 }
 
 static void begin_stream(struct exchange *exchange, const char *id)
@@ -207,6 +216,7 @@
 		answer_stream(exchange, answer);
 	else
 		respond_answer(exchange->msg, answer);
+	entry_delivery_complete(exchange->msg, exchange->deadline_us);
 	soup_server_message_unpause(exchange->msg);
 }
 
@@ -358,6 +368,19 @@
 			 NULL);
 }
 
+/* Without a length, as large as may be. */
+static int64_t largest_body_bytes(const struct entry_http *http,
+				  SoupServerMessage *msg)
+{
+	SoupMessageHeaders *headers =
+		soup_server_message_get_request_headers(msg);
+
+	if (soup_message_headers_get_encoding(headers) ==
+	    SOUP_ENCODING_CONTENT_LENGTH)
+		return soup_message_headers_get_content_length(headers);
+	return http->entry->settings->body_max;
+}
+
 static void on_request_head(SoupServer *server, SoupServerMessage *msg,
 			    const char *path, GHashTable *query,
 			    gpointer userdata)
@@ -365,6 +388,9 @@
 	struct entry_http *http = userdata;
 	int error = check_request_head(http, msg, path);
 
+	if (!error && !entry_delivery_begin(http->entry, msg,
+					    largest_body_bytes(http, msg)))
+		error = LP_ERROR_OVERLOADED;
 	set_request_timer(msg, (guint)http->entry->settings->read_timeout_ms);
 	if (error) {
 		soup_message_body_set_accumulate(
@@ -412,6 +438,11 @@
 			   const char *path, const struct cfg_organisation *org,
 			   int64_t timeout_us)
 {
+	const struct cfg_pipeline *pipeline =
+		cfg_pipeline_find(node_snapshot(http->entry->node)->doc,
+				  path + strlen(PIPELINES_PATH));
+	int64_t deadline_us =
+		pipeline ? pipeline->deadline_ms * LP_US_PER_MS : 0;
 	struct exchange *exchange = g_new0(struct exchange, 1);
 	SoupMessageBody *body = soup_server_message_get_request_body(msg);
 	g_autoptr(GBytes) bytes = soup_message_body_flatten(body);
@@ -430,6 +461,9 @@
 	};
 
 	exchange->http = http;
+	exchange->deadline_us =
+		entry_now_us(http->entry) +
+		(timeout_us ? MIN(timeout_us, deadline_us) : deadline_us);
 	exchange->msg = g_object_ref(msg);
 	exchange->wants_events =
 		strstr(request_header(msg, "Accept"), "text/event-stream");
--- a/entry/entry_private.h
+++ b/entry/entry_private.h
@@ -4,6 +4,7 @@
 
 #include "entry/entry.h"
 #include "entry/entry_json.h"
+#include "http/http_memory.h"
 #include "policy/claim.h"
 #include "policy/drain.h"
 #include "policy/flow.h"
@@ -27,6 +28,7 @@
 	struct quota_holder *quota_holder; /* quotas granted by this entry */
 	GSource *timer;			   /* fires at flow_next_us() */
 	uint32_t requests;	   /* requests that exist, in any state */
+	struct http_memory memory; /* held for callers */
 	int64_t listen_stopped_us; /* 0: still listening */
 };
 
--- a/node/node.h
+++ b/node/node.h
@@ -56,6 +56,7 @@
 	int64_t kv_calls_per_s;
 	int64_t key_keep_ms;
 	int64_t trace_events;
+	int64_t memory_mb;
 	int64_t requests_max;
 };
 
--- a/node/node_settings.c
+++ b/node/node_settings.c
@@ -68,6 +68,8 @@
 	  86400000, NULL, "entry: idempotency keys are kept this long" },
 	{ "trace-events", LP_SETTING_INT, FIELD(trace_events), "4096", 16,
 	  1000000, NULL, "events kept for explain" },
+	{ "memory-mb", LP_SETTING_INT, FIELD(memory_mb), "512", 1, 1048576,
+	  NULL, "entry: memory; callers are refused at a quarter of it" },
 	{ "requests-max", LP_SETTING_INT, FIELD(requests_max), "20000", 1,
 	  1000000, NULL, "entry: most requests in flight" },
 };
--- a/tools/scenario_call.c
+++ b/tools/scenario_call.c
@@ -1,6 +1,9 @@
 /* Verbs that make one call. */
 #include "tools/scenario_private.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
 static void print_problem(JsonObject *object)
 {
 	printf("%" G_GINT64_FORMAT " %s, %s%s\n",
@@ -74,6 +77,8 @@
 	const char *raw = sc_option(words, "body", NULL);
 	uint32_t fill = sc_number(words, "fill", 0);
 	const char *subject = sc_option(words, "subject", "s1");
+	g_autofree char *padding =
+		g_strnfill(sc_number(words, "token_bytes", 0), 'x');
 	g_autofree char *mark = NULL;
 
 	if (raw)
@@ -83,7 +88,7 @@
 
 		return g_strdup_printf("{\"text\":\"%s\"}", text);
 	}
-	mark = g_strdup_printf("w%u",
+	mark = g_strdup_printf("w%s%u", padding,
 			       sc_number(words, "mark", ++scenario->calls));
 	return g_strdup_printf("{\"text\":\"please [[%s]]\","
 			       "\"subject\":\"%s\",\"max_tokens\":%u}",
@@ -310,6 +315,49 @@
 	g_io_stream_close(G_IO_STREAM(connection), NULL, NULL);
 }
 
+/* Connected with small segments and a small receive buffer, so that the systems
+ * of both sides hold little. */
+static GSocketConnection *connect_narrowly(const char *address)
+{
+	g_autoptr(GSocketConnectable) to =
+		g_network_address_parse(address, 0, NULL);
+	g_autoptr(GSocketAddress) ip = g_inet_socket_address_new_from_string(
+		g_network_address_get_hostname(G_NETWORK_ADDRESS(to)),
+		g_network_address_get_port(G_NETWORK_ADDRESS(to)));
+	g_autoptr(GSocket) socket =
+		g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+			     G_SOCKET_PROTOCOL_TCP, NULL);
+
+	g_socket_set_option(socket, IPPROTO_TCP, TCP_MAXSEG, 536, NULL);
+	g_socket_set_option(socket, SOL_SOCKET, SO_RCVBUF, 8192, NULL);
+	if (!g_socket_connect(socket, ip, NULL, NULL))
+		return NULL;
+	return g_socket_connection_factory_create_connection(socket);
+}
+
+/*
+ * read-later PIPELINE for_ms=N [org=NAME] [entry=N] [subject=S] [tokens=N]
+ * [token_bytes=N]: a caller that reads nothing of its stream for so long, and
+ * then all of it.
+ */
+void sc_verb_read_later(struct scenario *scenario, const struct words *words)
+{
+	g_autofree char *request = hang_up_request(scenario, words, true);
+	g_autoptr(GSocketConnection) connection = connect_narrowly(
+		scenario->entries[sc_number(words, "entry", 0)]);
+
+	if (!connection) {
+		sc_fail(scenario, "no connection");
+		return;
+	}
+	g_output_stream_write_all(
+		g_io_stream_get_output_stream(G_IO_STREAM(connection)), request,
+		strlen(request), NULL, NULL, NULL);
+	fleet_pause((int64_t)sc_number(words, "for_ms", 0) * LP_US_PER_MS);
+	printf("%s\n",
+	       read_until(connection, "event: done") ? "whole" : "cut off");
+}
+
 /* executions SERVICE: runs of keys that may run once. */
 struct fleet_reply sc_executions_of(struct scenario *scenario,
 				    const char *service, const char *path)
--- a/tools/scenario_cli.c
+++ b/tools/scenario_cli.c
@@ -309,6 +309,16 @@
 						  "revision"));
 }
 
+/* metric HOST NAME: the value of a counter now; 0 if there is none. */
+void sc_verb_metric(struct scenario *scenario, const struct words *words)
+{
+	struct fleet_host *host = sc_host_of(scenario, words);
+
+	if (host)
+		printf("%" G_GINT64_FORMAT "\n",
+		       fleet_metric(host, sc_word(words, 2)));
+}
+
 /* wait-metric HOST NAME VALUE: until a counter is at least this. */
 void sc_verb_wait_metric(struct scenario *scenario, const struct words *words)
 {
--- a/tools/scenario_private.h
+++ b/tools/scenario_private.h
@@ -88,6 +88,7 @@
 			     const struct words *words);
 void sc_verb_linepierd(struct scenario *scenario, const struct words *words);
 void sc_verb_revision(struct scenario *scenario, const struct words *words);
+void sc_verb_metric(struct scenario *scenario, const struct words *words);
 void sc_verb_wait_metric(struct scenario *scenario, const struct words *words);
 void sc_verb_wait_model(struct scenario *scenario, const struct words *words);
 void sc_verb_wait_revision(struct scenario *scenario,
@@ -105,6 +106,7 @@
 void sc_verb_connect(struct scenario *scenario, const struct words *words);
 void sc_verb_executions(struct scenario *scenario, const struct words *words);
 void sc_verb_hang_up(struct scenario *scenario, const struct words *words);
+void sc_verb_read_later(struct scenario *scenario, const struct words *words);
 void sc_verb_send_held(struct scenario *scenario, const struct words *words);
 void sc_verb_send_raw(struct scenario *scenario, const struct words *words);
 void sc_verb_ticket(struct scenario *scenario, const struct words *words);
