--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 # Both kinds of build, every test; ends with ctest's summary.
 test: sanitized
 	@test ! -f KNOWN-RED.txt || cat KNOWN-RED.txt
-	@ctest --test-dir $(SANITIZED) --output-on-failure -j 2 \
+	@ctest --test-dir $(SANITIZED) --output-on-failure -j 3 \
 		$(if $(KNOWN_RED),-E '^($(KNOWN_RED))$$')
 
 demo: all
