--- a/entry/entry_delivery.c
+++ b/entry/entry_delivery.c
@@ -110,8 +110,8 @@
 		(entry->settings->memory_mb << 20) / MEMORY_FRACTION;
 	if (!http_memory_fits(memory,
 			      BODY_COPIES * body_bytes + ANSWER_BYTES)) {
-		entry_increment_counter(
-			entry, "linepier_memory_refusals_total", NULL, NULL);
+		entry_increment_counter(entry, "linepier_memory_refusals_total",
+					NULL, NULL);
 		return false;
 	}
 	delivery = g_new0(struct delivery, 1);
