Entry: a few slow callers no longer use up the memory for new requests

Beside callers that left large answers unread, new requests were refused with 503 although each needs 32 KB and its body only: an answer could hold a quarter of all that was free, and so could the next, until nothing was.

What an answer holds beyond its reservation now comes out of half of the bound; the other half is left to new work.

--- a/http/http_memory.c
+++ b/http/http_memory.c
@@ -42,7 +42,7 @@
 {
 	if (!memory || !memory->limit_bytes)
 		return max_bytes;
-	return CLAMP((memory->limit_bytes - memory->held_bytes) /
+	return CLAMP((memory->limit_bytes / 2 - memory->held_bytes) /
 			     SHARES_OF_FREE,
 		     min_bytes, max_bytes);
 }
--- a/http/http_memory.h
+++ b/http/http_memory.h
@@ -34,8 +34,8 @@
 void http_holding_reserve(struct http_holding *holding, int64_t bytes);
 /** Whether so many bytes more may be held. `memory`: may be NULL. */
 bool http_memory_fits(const struct http_memory *memory, int64_t bytes);
-/** What a single holder may hold: a quarter of what is free, within bounds.
- * `memory`: may be NULL. */
+/** What a single holder may hold: a quarter of what is free of half the limit,
+ * within bounds. The other half is left to new work. `memory`: may be NULL. */
 int64_t http_memory_share(const struct http_memory *memory, int64_t min_bytes,
 			  int64_t max_bytes);
 
--- a/tests/slow_answer_test.cc
+++ b/tests/slow_answer_test.cc
@@ -326,6 +326,34 @@
 	EXPECT_EQ(served.wait().status, 200u);
 }
 
+/* Callers were refused for want of memory that a few slow ones had filled with
+ * their answers. */
+TEST(SlowAnswer, FewSlowCallersLeaveRoomForOthers)
+{
+	SlowRig rig;
+	std::vector<std::unique_ptr<SlowPeer>> callers;
+	pe_upstream *upstream =
+		rig.add_paced(PE_PLAIN, { CROWD_ANSWER_BYTES, 0, 0 });
+	const pe_pace small_pace = {};
+
+	rig.settle();
+	direct_set_memory(rig.entry, 8 << 20);
+	for (int i = 0; i < 20; i++) {
+		std::string id = "a" + std::to_string(i);
+
+		callers.push_back(std::make_unique<SlowPeer>(rig.address));
+		callers.back()->send(request_text(id.c_str(), "/order/x", 0));
+	}
+	watch_held_bytes(rig, 3000);
+	pe_set_pace(upstream, &small_pace);
+	for (const char *id : { "b1", "b2", "b3", "b4", "b5" }) {
+		CallerRequest served(rig.address, id, "/order/x", {},
+				     std::string(60000, 'y').c_str());
+
+		EXPECT_EQ(served.wait().status, 200u);
+	}
+}
+
 /* A stream ended inside an event of which a part had been passed on, and went
  * on at another upstream, or seemed to be complete. */
 TEST(SlowAnswer, StreamThatEndsInsideASplitEventIsCut)
