--- a/entry/entry_delivery.c
+++ b/entry/entry_delivery.c
@@ -24,8 +24,8 @@
 	struct entry *entry;
 	SoupServerMessage *msg; /* owns this */
 	struct http_holding body;
-	struct http_holding answer;
-	guint timer; /* 0: not complete yet */
+	struct http_holding answer; /* what is not written of it */
+	guint timer;		    /* of the deadline; 0: not complete yet */
 	bool is_late;
 };
 
@@ -100,14 +100,17 @@
 	return G_SOURCE_REMOVE;
 }
 
+void entry_delivery_set_memory(struct entry *entry, int64_t memory_bytes)
+{
+	entry->memory.limit_bytes = memory_bytes / MEMORY_FRACTION;
+}
+
 bool entry_delivery_begin(struct entry *entry, SoupServerMessage *msg,
 			  int64_t body_bytes)
 {
 	struct http_memory *memory = &entry->memory;
 	struct delivery *delivery;
 
-	memory->limit_bytes =
-		(entry->settings->memory_mb << 20) / MEMORY_FRACTION;
 	if (!http_memory_fits(memory,
 			      BODY_COPIES * body_bytes + ANSWER_BYTES)) {
 		entry_increment_counter(entry, "linepier_memory_refusals_total",
--- a/entry/entry_delivery.h
+++ b/entry/entry_delivery.h
@@ -16,6 +16,9 @@
 
 struct entry;
 
+/** Set the memory of this process, a quarter of which may be held for callers.
+ */
+void entry_delivery_set_memory(struct entry *entry, int64_t memory_bytes);
 /** Begin a delivery, for a request whose body has at most so many bytes.
  * Returns false if there is no room: the request is to be refused. */
 bool entry_delivery_begin(struct entry *entry, SoupServerMessage *msg,
--- a/entry/entry_http.c
+++ b/entry/entry_http.c
@@ -536,6 +536,7 @@
 	int error;
 
 	http->entry = entry;
+	entry_delivery_set_memory(entry, entry->settings->memory_mb << 20);
 	http->disconnect = entry_disconnect_create(on_disconnect);
 	http->exchanges = g_hash_table_new(g_direct_hash, g_direct_equal);
 	http->server = soup_server_new("server-header", "linepier", NULL);
