Emulator: a stream keeps the framing that its head has announced

An engine whose stream had begun without framing wrote the rest by its setting of that moment, and the soak changes that while streams run. What the entry passed on was what it had read.

The framing is that of the stream's head now. StreamEnd.FramingOfAStreamThatHasBegun- Stays gets chunks as text before, and passes now.

--- a/tests/stream_end_test.cc
+++ b/tests/stream_end_test.cc
@@ -81,6 +81,20 @@
 	}
 }
 
+/* Guards against an emulated stream whose framing follows a later setting: its
+ * caller gets the last chunk as text. */
+TEST(StreamEnd, FramingOfAStreamThatHasBegunStays)
+{
+	EndRig rig(end_of(true, false, false));
+	const pe_stream_end framed = {};
+	CallerRequest request(rig.address, "a", "/once/x");
+
+	ASSERT_TRUE(run_loop_until([&] { return !request.body.empty(); }));
+	pe_set_stream_end(rig.engine, &framed);
+	EXPECT_EQ(request.wait().body, complete_stream);
+	EXPECT_EQ(request.error, LP_OK);
+}
+
 /* Guards against an unframed stream without any event that is taken for a
  * complete one. */
 TEST(StreamEnd, UnframedStreamWithoutEventsIsBroken)
--- a/tools/pe.c
+++ b/tools/pe.c
@@ -126,7 +126,8 @@
 	struct pe_conn *conn;
 	struct pe_upstream *upstream;
 	uint32_t next;
-	bool begun; /* an event was written */
+	bool begun;    /* an event was written */
+	bool unframed; /* as its head said */
 };
 
 static bool is_unframed(const struct pe_upstream *upstream)
@@ -139,7 +140,7 @@
 {
 	g_autofree char *chunk = NULL;
 
-	if (!is_unframed(stream->upstream))
+	if (!stream->unframed)
 		chunk = g_strdup_printf("%zx\r\n%s\r\n", strlen(text), text);
 	pe_conn_write(stream->conn, chunk ? chunk : text);
 }
@@ -148,7 +149,7 @@
 {
 	struct pe_conn *conn = stream->conn;
 
-	if (!is_unframed(stream->upstream))
+	if (!stream->unframed)
 		pe_conn_write(conn, "0\r\n\r\n");
 	conn->timer = 0;
 	pe_conn_end(conn, false);
@@ -221,6 +222,7 @@
 
 	stream->conn = conn;
 	stream->upstream = upstream;
+	stream->unframed = is_unframed(upstream);
 	stream->next =
 		after ? (uint32_t)g_ascii_strtoull(after, NULL, 10) + 1 : 1;
 	pe_conn_write(conn, head);
