--- a/direct/direct_answer_flow.h
+++ b/direct/direct_answer_flow.h
@@ -11,13 +11,14 @@
 #ifndef DIRECT_ANSWER_FLOW_H
 #define DIRECT_ANSWER_FLOW_H
 
+#include "http/http_sock.h"
+
 #include <stdbool.h>
 
 /** Reserved for the answer of each request from its admission on, so that it
- * can go on while memory is short: a quarter of it may be buffered then,
- * another one may be left unread by the caller, and the rest is read at once.
- */
-#define DIRECT_ANSWER_RESERVED_BYTES 32768
+ * can go on while memory is short: one read, and as much again of which one
+ * half may be buffered and the other left unread by the caller. */
+#define DIRECT_ANSWER_RESERVED_BYTES (2 * HTTP_SOCK_READ_BYTES_MAX)
 
 struct direct_request;
 
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -25,7 +25,7 @@
 #define PLACEMENT_RETRY_MS 20
 /* Urgency of a resumed stream at its engine: before all priorities. */
 #define RESUMED_PRIORITY (-1)
-/* CR LF CR LF */
+/* An event ends with two line ends, CR LF at the longest. */
 #define EVENT_END_BYTES_MAX 4
 /* A buffer that is larger is freed once it is empty. */
 #define EMPTY_BUFFER_BYTES_MAX 65536
--- a/entry/entry_delivery.h
+++ b/entry/entry_delivery.h
@@ -16,8 +16,9 @@
 
 struct entry;
 
-/** Set the memory of this process, a quarter of which may be held for callers.
- */
+/** Set the memory of this process. Requests are refused while they would take
+ * what is held for callers over a quarter of it; streams that are under way may
+ * exceed that, as they are not made to wait for their callers. */
 void entry_delivery_set_memory(struct entry *entry, int64_t memory_bytes);
 /** Begin a delivery, for a request whose body has at most so many bytes.
  * Returns false if there is no room: the request is to be refused. */
--- a/http/http_sock.c
+++ b/http/http_sock.c
@@ -13,9 +13,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-/* Limit of bytes read at once: an answer of a plain service fits in one
- * read. */
-#define READ_BYTES_MAX 16384
 /* A peer that owes an acknowledgement for this long is gone: three times a
  * round trip with one retransmission after the usual second. */
 #define SILENCE_MAX_MS 3000
@@ -493,7 +490,7 @@
 
 static void read_available(struct http_sock *sock)
 {
-	char buffer[READ_BYTES_MAX];
+	char buffer[HTTP_SOCK_READ_BYTES_MAX];
 	ssize_t size = recv(g_socket_get_fd(sock->socket), buffer,
 			    sizeof(buffer), MSG_DONTWAIT);
 
@@ -509,7 +506,7 @@
  * turn the close into a reset, which may cost the peer its answer. */
 static void discard_available(struct http_sock *sock)
 {
-	char buffer[READ_BYTES_MAX];
+	char buffer[HTTP_SOCK_READ_BYTES_MAX];
 	ssize_t size = recv(g_socket_get_fd(sock->socket), buffer,
 			    sizeof(buffer), MSG_DONTWAIT);
 
--- a/http/http_sock.h
+++ b/http/http_sock.h
@@ -21,6 +21,10 @@
 
 #include <gio/gio.h>
 
+/** Limit of bytes read at once: an answer of a plain service fits in one read.
+ */
+#define HTTP_SOCK_READ_BYTES_MAX 16384
+
 struct http_sock;
 
 /** What became of written bytes that a peer does not take. */
--- a/tests/slow_answer_test.cc
+++ b/tests/slow_answer_test.cc
@@ -354,8 +354,8 @@
 	}
 }
 
-/* A stream ended inside an event of which a part had been passed on, and went
- * on at another upstream, or seemed to be complete. */
+/* Guards against a stream that ends inside an event of which a part has been
+ * passed on, and goes on at another upstream, or is completed. */
 TEST(SlowAnswer, StreamThatEndsInsideASplitEventIsCut)
 {
 	const pe_stream_end how = { false, true, 2, true };
--- a/tools/scenario_call.c
+++ b/tools/scenario_call.c
@@ -287,6 +287,18 @@
 		body);
 }
 
+static bool send_request(struct scenario *scenario,
+			 GSocketConnection *connection, const char *request)
+{
+	if (!connection) {
+		sc_fail(scenario, "no connection");
+		return false;
+	}
+	return g_output_stream_write_all(
+		g_io_stream_get_output_stream(G_IO_STREAM(connection)), request,
+		strlen(request), NULL, NULL, NULL);
+}
+
 /*
  * hang-up PIPELINE [after_ms=N] [org=NAME] [entry=N] [subject=S] [tokens=N]:
  * a caller closes its connection after that time, or after the first token of
@@ -301,13 +313,8 @@
 	g_autoptr(GSocketConnection) connection =
 		g_socket_client_connect_to_host(client, entry, 0, NULL, NULL);
 
-	if (!connection) {
-		sc_fail(scenario, "no connection");
+	if (!send_request(scenario, connection, request))
 		return;
-	}
-	g_output_stream_write_all(
-		g_io_stream_get_output_stream(G_IO_STREAM(connection)), request,
-		strlen(request), NULL, NULL, NULL);
 	if (after_ms)
 		fleet_pause(after_ms * LP_US_PER_MS);
 	else if (!read_until(connection, "event: token"))
@@ -315,8 +322,11 @@
 	g_io_stream_close(G_IO_STREAM(connection), NULL, NULL);
 }
 
-/* Connected with small segments and a small receive buffer, so that the systems
- * of both sides hold little. */
+/* So that the systems of both sides hold little for a caller that does not
+ * read. */
+#define SMALL_SEGMENT_BYTES 536
+#define SMALL_WINDOW_BYTES 8192
+
 static GSocketConnection *connect_narrowly(const char *address)
 {
 	g_autoptr(GSocketConnectable) to =
@@ -328,8 +338,10 @@
 		g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
 			     G_SOCKET_PROTOCOL_TCP, NULL);
 
-	g_socket_set_option(socket, IPPROTO_TCP, TCP_MAXSEG, 536, NULL);
-	g_socket_set_option(socket, SOL_SOCKET, SO_RCVBUF, 8192, NULL);
+	g_socket_set_option(socket, IPPROTO_TCP, TCP_MAXSEG,
+			    SMALL_SEGMENT_BYTES, NULL);
+	g_socket_set_option(socket, SOL_SOCKET, SO_RCVBUF, SMALL_WINDOW_BYTES,
+			    NULL);
 	if (!g_socket_connect(socket, ip, NULL, NULL))
 		return NULL;
 	return g_socket_connection_factory_create_connection(socket);
@@ -337,25 +349,26 @@
 
 /*
  * read-later PIPELINE for_ms=N [org=NAME] [entry=N] [subject=S] [tokens=N]
- * [token_bytes=N]: a caller that reads nothing of its stream for so long, and
- * then all of it.
+ * [token_bytes=N] [leave=yes]: a caller that reads nothing of its stream for so
+ * long, and then all of it, or closes its connection.
  */
 void sc_verb_read_later(struct scenario *scenario, const struct words *words)
 {
 	g_autofree char *request = hang_up_request(scenario, words, true);
+	g_autofree char *answer = NULL;
 	g_autoptr(GSocketConnection) connection = connect_narrowly(
 		scenario->entries[sc_number(words, "entry", 0)]);
 
-	if (!connection) {
-		sc_fail(scenario, "no connection");
+	if (!send_request(scenario, connection, request))
 		return;
-	}
-	g_output_stream_write_all(
-		g_io_stream_get_output_stream(G_IO_STREAM(connection)), request,
-		strlen(request), NULL, NULL, NULL);
 	fleet_pause((int64_t)sc_number(words, "for_ms", 0) * LP_US_PER_MS);
-	printf("%s\n",
-	       read_until(connection, "event: done") ? "whole" : "cut off");
+	if (!strcmp(sc_option(words, "leave", "no"), "yes"))
+		return;
+	answer = read_all(connection);
+	printf("%s\n", strstr(answer, "event: done") &&
+				       g_str_has_suffix(answer, "\r\n0\r\n\r\n")
+			       ? "whole"
+			       : "cut off");
 }
 
 /* executions SERVICE: runs of keys that may run once. */
