--- a/direct/direct_answer_flow.h
+++ b/direct/direct_answer_flow.h
@@ -14,11 +14,12 @@
 #include "http/http_sock.h"
 
 #include <stdbool.h>
+#include <stdint.h>
 
 /** Reserved for the answer of each request from its admission on, so that it
  * can go on while memory is short: one read, and as much again of which one
  * half may be buffered and the other left unread by the caller. */
-#define DIRECT_ANSWER_RESERVED_BYTES (2 * HTTP_SOCK_READ_BYTES_MAX)
+#define DIRECT_ANSWER_RESERVED_BYTES (INT64_C(2) * HTTP_SOCK_READ_BYTES_MAX)
 
 struct direct_request;
 
