JSON: a nested text of a peer ended the process

A text of a megabyte of "[" from the key-value service or from an upstream of linepierd, and a body of a caller of linepierd with a quote in a comment before such a text, ended the process that read it (SIGSEGV).

json-glib's parser recurses into each array and object without a limit, and accepts comments. Bodies of callers were checked for their depth before, but a quote in a comment turned the check off for the rest. Answers of the service (lp_json_read), of upstreams of linepierd, of the host list and records of the configuration were not checked at all. Records and answers read by platform/plf_json were, by a parser that does not recurse.

One check for all of them: at most 64 deep (32 for bodies of callers, as before), and outside of strings no character that JSON does not have, so that no comment hides anything.

Json.DeeplyNestedTextIsRefused, AgentUpstream.DeeplyNestedAnswerIsAnError and the comment in Map.DeepAndBrokenBodiesAreRefused pass. Before, a program that gives the parser such a text ended with signal 11; the tests themselves were not run on the code before.

--- a/agent/agent_upstream.c
+++ b/agent/agent_upstream.c
@@ -1,5 +1,6 @@
 #include "agent/agent_upstream.h"
 
+#include "base/lp_json.h"
 #include "base/lp_lines.h"
 
 #include <json-glib/json-glib.h>
@@ -147,7 +148,7 @@
 		return;
 	}
 	parser = json_parser_new();
-	if (!json_parser_load_from_data(parser, text, (gssize)size, NULL)) {
+	if (!lp_json_load(parser, text, (gssize)size)) {
 		finish_run(run, LP_ERROR_UPSTREAM_FAILED, LP_RUN_MAY_HAVE_RUN,
 			   g_strdup("the answer is not valid JSON"));
 		return;
@@ -197,7 +198,7 @@
 	const char *text;
 	const char *finish;
 
-	if (!json_parser_load_from_data(parser, data, -1, NULL))
+	if (!lp_json_load(parser, data, -1))
 		return;
 	choice = first_choice(json_parser_get_root(parser));
 	if (!choice)
--- a/base/lp_json.c
+++ b/base/lp_json.c
@@ -1,5 +1,7 @@
 #include "base/lp_json.h"
 
+#include <string.h>
+
 void lp_json_text(JsonBuilder *builder, const char *name, const char *value)
 {
 	json_builder_set_member_name(builder, name);
@@ -25,11 +27,55 @@
 	return json_to_string(root, FALSE);
 }
 
+bool lp_json_is_plain(const char *text, size_t size, uint32_t depth_max)
+{
+	static const char plain[] = " \t\r\n,:+-.";
+	uint32_t depth = 0;
+	bool quoted = false;
+
+	for (size_t i = 0; i < size; i++) {
+		char c = text[i];
+
+		if (quoted) {
+			if (c == '\\')
+				i++;
+			else if (c == '"')
+				quoted = false;
+		} else if (c == '"') {
+			quoted = true;
+		} else if (c == '{' || c == '[') {
+			if (++depth > depth_max)
+				return false;
+		} else if (c == '}' || c == ']') {
+			depth -= depth > 0;
+		} else if (!g_ascii_isalnum(c) && (!c || !strchr(plain, c))) {
+			return false;
+		}
+	}
+	return true;
+}
+
+bool lp_json_load(JsonParser *parser, const char *text, gssize size)
+{
+	size_t length = size < 0 ? strlen(text) : (size_t)size;
+
+	return lp_json_is_plain(text, length, LP_JSON_DEPTH_MAX) &&
+	       json_parser_load_from_data(parser, text, (gssize)length, NULL);
+}
+
+JsonNode *lp_json_node(const char *text)
+{
+	g_autoptr(JsonParser) parser = json_parser_new();
+
+	return lp_json_load(parser, text, -1) ? json_parser_steal_root(parser)
+					      : NULL;
+}
+
 JsonObject *lp_json_read(JsonParser *parser, const char *text)
 {
 	JsonNode *root;
 
-	if (!text || !json_parser_load_from_data(parser, text, -1, NULL))
+	if (!text || !lp_json_load(parser, text, -1))
 		return NULL;
 	root = json_parser_get_root(parser);
 	return root && JSON_NODE_HOLDS_OBJECT(root) ? json_node_get_object(root)
--- a/cli/cli_config.c
+++ b/cli/cli_config.c
@@ -1,6 +1,8 @@
 /* check, diff, apply, show, history, rollback, audit. */
 #include "cli/cli.h"
 
+#include "base/lp_json.h"
+
 #include <stdio.h>
 #include <string.h>
 
@@ -158,7 +160,7 @@
 /* The segment's list; a segment of an earlier round starts anew. */
 static JsonArray *segment_records(const char *value, uint64_t round)
 {
-	g_autoptr(JsonNode) root = value ? json_from_string(value, NULL) : NULL;
+	g_autoptr(JsonNode) root = value ? lp_json_node(value) : NULL;
 	JsonObject *object;
 
 	if (!root || !JSON_NODE_HOLDS_OBJECT(root))
@@ -234,7 +236,7 @@
 
 static bool segment_has(const char *value, const char *apply_id)
 {
-	g_autoptr(JsonNode) root = value ? json_from_string(value, NULL) : NULL;
+	g_autoptr(JsonNode) root = value ? lp_json_node(value) : NULL;
 	JsonArray *records;
 
 	if (!root)
@@ -527,7 +529,7 @@
 
 static void gather_audit(const char *value, GPtrArray *records)
 {
-	g_autoptr(JsonNode) root = json_from_string(value, NULL);
+	g_autoptr(JsonNode) root = lp_json_node(value);
 	JsonArray *list;
 
 	if (!root || !JSON_NODE_HOLDS_OBJECT(root))
--- a/cli/cli_io.c
+++ b/cli/cli_io.c
@@ -1,5 +1,6 @@
 #include "cli/cli.h"
 
+#include "base/lp_json.h"
 #include "base/lp_timer.h"
 
 #include <string.h>
@@ -112,7 +113,7 @@
 
 	wait->status = answer->error ? 0 : answer->status;
 	if (wait->status == SOUP_STATUS_OK)
-		wait->node = json_from_string(answer->body, NULL);
+		wait->node = lp_json_node(answer->body);
 	g_main_loop_quit(wait->loop);
 }
 
--- a/config/cfg_record.c
+++ b/config/cfg_record.c
@@ -52,7 +52,7 @@
 	JsonNode *root;
 	JsonObject *object;
 
-	if (!json_parser_load_from_data(parser, json, -1, NULL))
+	if (!lp_json_load(parser, json, -1))
 		return LP_ERROR_BAD_CONFIG;
 	root = json_parser_get_root(parser);
 	if (!root || !JSON_NODE_HOLDS_OBJECT(root))
--- a/entry/entry_json.c
+++ b/entry/entry_json.c
@@ -7,37 +7,13 @@
 #define TEMPLATE_OPEN "{{"
 #define TEMPLATE_CLOSE "}}"
 
-static bool too_deep(const char *text, size_t size)
-{
-	uint32_t depth = 0;
-	bool quoted = false;
-
-	for (size_t i = 0; i < size; i++) {
-		char c = text[i];
-
-		if (quoted) {
-			if (c == '\\')
-				i++;
-			else if (c == '"')
-				quoted = false;
-		} else if (c == '"') {
-			quoted = true;
-		} else if (c == '{' || c == '[') {
-			if (++depth > ENTRY_JSON_DEPTH_MAX)
-				return true;
-		} else if ((c == '}' || c == ']') && depth) {
-			depth -= 1;
-		}
-	}
-	return false;
-}
-
 JsonNode *entry_json_parse(const char *text, size_t size)
 {
 	g_autoptr(JsonParser) parser = NULL;
 	JsonNode *root;
 
-	if (!g_utf8_validate(text, (gssize)size, NULL) || too_deep(text, size))
+	if (!g_utf8_validate(text, (gssize)size, NULL) ||
+	    !lp_json_is_plain(text, size, ENTRY_JSON_DEPTH_MAX))
 		return NULL;
 	parser = json_parser_new_immutable();
 	if (!json_parser_load_from_data(parser, text, (gssize)size, NULL))
@@ -126,7 +102,7 @@
 	JsonNode *node = NULL;
 
 	if (!strstr(value, TEMPLATE_OPEN))
-		node = json_from_string(value, NULL);
+		node = lp_json_node(value);
 	if (node)
 		return node;
 	text = expand_template(values, value);
--- a/entry/entry_request.c
+++ b/entry/entry_request.c
@@ -290,7 +290,7 @@
 			   uint32_t stage, const char *body)
 {
 	struct entry_request *request = flowing->owner;
-	g_autoptr(JsonNode) node = json_from_string(body, NULL);
+	g_autoptr(JsonNode) node = lp_json_node(body);
 
 	if (!node)
 		return LP_ERROR_UPSTREAM_FAILED;
--- a/store/store_hosts.c
+++ b/store/store_hosts.c
@@ -1,6 +1,7 @@
 #include "store/store_hosts.h"
 
 #include "base/lp_clock.h"
+#include "base/lp_json.h"
 #include "base/lp_timer.h"
 
 #include <string.h>
@@ -58,7 +59,7 @@
 	JsonNode *list;
 	JsonArray *array;
 
-	if (!json_parser_load_from_data(parser, body, -1, NULL))
+	if (!lp_json_load(parser, body, -1))
 		return false;
 	root = json_parser_get_root(parser);
 	if (!root || !JSON_NODE_HOLDS_OBJECT(root))
--- a/tests/agent_upstream_test.cc
+++ b/tests/agent_upstream_test.cc
@@ -13,6 +13,7 @@
 	uint32_t count = 0;
 	bool ended = false;
 	int error = LP_OK;
+	lp_run run = LP_RUN_NOT_RUN;
 
 	static void on_chunk(void *userdata, const char *, uint32_t tokens)
 	{
@@ -23,6 +24,7 @@
 	{
 		static_cast<Tokens *>(userdata)->ended = true;
 		static_cast<Tokens *>(userdata)->error = result->error;
+		static_cast<Tokens *>(userdata)->run = result->run;
 		g_free(result->body);
 	}
 };
@@ -76,3 +78,27 @@
 		  (int64_t)TOKENS * iterations.turn_us);
 	upstream_destroy(upstream);
 }
+
+/* A nested answer overflowed the agent's stack. */
+TEST(AgentUpstream, DeeplyNestedAnswerIsAnError)
+{
+	ThreadServer engine("max_tokens", [](const std::string &) {
+		return whole_answer("{\"a\":" + std::string(1 << 20, '['));
+	});
+	Tokens tokens;
+	const std::string url = "http://" + engine.address;
+	upstream *upstream = upstream_create(url.c_str(), &ops);
+	upstream_request request = {};
+
+	request.path = "/v1/completions";
+	request.key = "";
+	request.trace = "";
+	request.body = "{\"max_tokens\":50}";
+	request.userdata = &tokens;
+	upstream_start_run(upstream, &request);
+	while (!tokens.ended)
+		g_main_context_iteration(nullptr, TRUE);
+	EXPECT_EQ(tokens.error, LP_ERROR_UPSTREAM_FAILED);
+	EXPECT_EQ(tokens.run, LP_RUN_MAY_HAVE_RUN);
+	upstream_destroy(upstream);
+}
--- a/tests/base_test.cc
+++ b/tests/base_test.cc
@@ -146,3 +146,29 @@
 	g_string_free(out, TRUE);
 	lp_counters_destroy(counters);
 }
+
+/* A nested text of a peer overflowed the stack, also where a comment hid the
+ * nesting from a check. */
+TEST(Json, DeeplyNestedTextIsRefused)
+{
+	const std::string deep(1 << 20, '[');
+
+	for (const char *begin :
+	     { "{\"a\":", "/*\"*/{\"a\":", "//\"\n{\"a\":", "'\"'" }) {
+		g_autoptr(JsonParser) parser = json_parser_new();
+
+		EXPECT_EQ(lp_json_read(parser, (begin + deep).c_str()),
+			  nullptr);
+	}
+}
+
+/* Guards against a check that takes brackets in strings for nesting. */
+TEST(Json, BracketsInStringsAreNoNesting)
+{
+	g_autoptr(JsonParser) parser = json_parser_new();
+	const std::string text = "{\"a\":\"\\\"" +
+				 std::string(2 * LP_JSON_DEPTH_MAX, '[') +
+				 "\",\"b\":[-1.5e+3,true,null,{}]}";
+
+	EXPECT_NE(lp_json_read(parser, text.c_str()), nullptr);
+}
--- a/tests/config_test.cc
+++ b/tests/config_test.cc
@@ -172,6 +172,9 @@
 
 	deep = "{\"a\":" + deep;
 	EXPECT_EQ(entry_json_parse(deep.c_str(), deep.size()), nullptr);
+	/* A quote in a comment hid the nesting after it. */
+	deep = "/*\"*/" + deep;
+	EXPECT_EQ(entry_json_parse(deep.c_str(), deep.size()), nullptr);
 	EXPECT_EQ(entry_json_parse("[1]", 3), nullptr);
 	EXPECT_EQ(entry_json_parse("{\"a\"", 4), nullptr);
 	EXPECT_EQ(entry_json_parse("{\"\xff\":1}", 7), nullptr);
