Messages of peers are limited before they are kept

Cause: the limit of a head was a setting of the server and zero, unlimited, for every other user of the parser; chunk lines and trailers had no limit for anyone, nor had bodies of calls of pieces, reports, and answers and lists of the key-value service. Heads that were still being received did not count in the bound of the process.

The parser limits everything but the body, by default 64 KB, and the number of fields; trailer fields are discarded. http_fetch and store_http limit bodies, calls of pieces by their number of pieces. What upstreams and callers send counts in the bound of the process, and the limits shrink while memory is short. An event id of more than 1 KB is not resumed from. An excess has its own error kind, answer_too_large, a log line `oversized` with the sizes and linepier_oversized_total; for the caller it is an upstream that broke off.

--- a/base/lp_error.c
+++ b/base/lp_error.c
@@ -42,6 +42,7 @@
 	{ "key_lost", "the entry that owns the idempotency key cannot be asked",
 	  409, false },
 	{ "not_listening", "no process listens at the address", 502, true },
+	{ "answer_too_large", "an answer is larger than allowed", 502, false },
 };
 
 G_STATIC_ASSERT(G_N_ELEMENTS(infos) == -LP_ERROR_LAST + 1);
--- a/base/lp_error.h
+++ b/base/lp_error.h
@@ -42,7 +42,8 @@
 	LP_ERROR_METHOD = -27,
 	LP_ERROR_KEY_LOST = -28,
 	LP_ERROR_NOT_LISTENING = -29,
-	LP_ERROR_LAST = LP_ERROR_NOT_LISTENING,
+	LP_ERROR_ANSWER_TOO_LARGE = -30,
+	LP_ERROR_LAST = LP_ERROR_ANSWER_TOO_LARGE,
 };
 
 /** What is known of the execution of a request or call. */
--- a/direct/direct.c
+++ b/direct/direct.c
@@ -1,6 +1,7 @@
 #include "direct/direct_answer_flow.h"
 #include "direct/direct_closed_domains.h"
 #include "direct/direct_delivery.h"
+#include "direct/direct_excess.h"
 #include "direct/direct_placement.h"
 #include "direct/direct_private.h"
 #include "direct/direct_relay.h"
@@ -19,7 +20,8 @@
 	direct_request_begin(userdata, call);
 }
 
-static void on_request_unreadable(void *userdata, int error, uint32_t status)
+static void on_request_unreadable(void *userdata, int error, uint32_t status,
+				  const struct http_excess *excess)
 {
 	struct direct *direct = userdata;
 	struct lp_event_log *log = direct->options.log;
@@ -29,6 +31,9 @@
 	if (error == LP_ERROR_OVERLOADED)
 		*lp_counter(direct->options.counters,
 			    "linepier_memory_refusals_total", NULL) += 1;
+	if (excess)
+		direct_excess_report(log, direct->options.counters, "caller",
+				     "", NULL, excess);
 	if (!lp_event_begin(log, "request_unreadable", NULL))
 		return;
 	lp_event_text(log, "error", lp_error_info(error)->name);
@@ -194,6 +199,8 @@
 		&(struct direct_prefix_cache_options){
 			.clock = options->clock,
 			.log = options->log,
+			.counters = options->counters,
+			.memory = &direct->memory,
 			.codec = options->codec,
 			.pool = direct->pool,
 			.notices = direct->notices,
--- a/direct/direct_answer_flow.c
+++ b/direct/direct_answer_flow.c
@@ -67,5 +67,8 @@
 
 void direct_answer_flow_count(struct direct_request *request)
 {
-	http_call_set_buffered(request->call, (int64_t)request->body->len);
+	http_call_set_buffered(
+		request->call,
+		(int64_t)request->body->len +
+			http_fields_held_bytes(&request->fields));
 }
--- a/direct/direct_calls.c
+++ b/direct/direct_calls.c
@@ -17,6 +17,9 @@
  * have a fifteenth of a processor. */
 #define SHEDDING_INTERVAL_US (20 * LP_US_PER_MS)
 #define GAUGES_INTERVAL_US (200 * LP_US_PER_MS)
+/* Limit of the answer to a call: a handle or a reason for each piece. */
+#define CALL_ANSWER_BYTES 4096
+#define CALL_ITEM_BYTES 1024
 
 struct call_queue {
 	struct direct_calls *calls;
@@ -518,12 +521,17 @@
 	call->reply.waiting = -1;
 	g_hash_table_add(calls->calls_in_flight, call);
 	call->fetch = direct_fetch_start(&(struct direct_fetch_options){
+		.log = calls->direct->options.log,
+		.counters = calls->direct->options.counters,
+		.memory = &calls->direct->memory,
 		.codec = codec,
 		.notices = calls->direct->notices,
 		.upstream = batch->upstream,
 		.method = "POST",
 		.target = codec->items_target,
 		.body = body,
+		.answer_bytes_max = CALL_ANSWER_BYTES +
+				    CALL_ITEM_BYTES * batch->pieces->len,
 		.timeout_us = batch->timeout_us,
 		.done = on_call_done,
 		.userdata = call,
@@ -615,6 +623,9 @@
 	query->sent_us = lp_now_us(calls->direct->options.clock);
 	g_hash_table_add(calls->memory_queries, query);
 	query->fetch = direct_fetch_start(&(struct direct_fetch_options){
+		.log = calls->direct->options.log,
+		.counters = calls->direct->options.counters,
+		.memory = &calls->direct->memory,
 		.codec = codec,
 		.notices = calls->direct->notices,
 		.upstream = upstream,
--- a/direct/direct_fetch.c
+++ b/direct/direct_fetch.c
@@ -1,5 +1,7 @@
 #include "direct/direct_fetch.h"
 
+#include "direct/direct_excess.h"
+
 struct direct_fetch {
 	struct direct_fetch_options options;
 	struct http_fetch *http;
@@ -29,6 +31,10 @@
 	const struct direct_reply reply = fetch->reply;
 	const struct direct_fetch_options options = fetch->options;
 
+	if (answer->excess)
+		direct_excess_report(options.log, options.counters, "upstream",
+				     options.upstream->info.id, NULL,
+				     answer->excess);
 	free_fetch(fetch);
 	options.done(options.userdata, answer, &reply);
 }
@@ -47,6 +53,10 @@
 		.target = options->target,
 		.fields = &fields,
 		.body = options->body,
+		.body_bytes_max = options->answer_bytes_max
+					  ? options->answer_bytes_max
+					  : DIRECT_FETCH_ANSWER_BYTES,
+		.memory = options->memory,
 		.connect_timeout_us = DIRECT_CONNECT_TIMEOUT_US,
 		.timeout_us = options->timeout_us,
 		.head = on_head,
--- a/direct/direct_peers.c
+++ b/direct/direct_peers.c
@@ -23,6 +23,8 @@
 #define LIVENESS_TIMEOUT_US (3500 * LP_US_PER_MS)
 /* Enough for work with many inputs or results; larger bodies are not sent. */
 #define DATAGRAM_MAX 8192
+/* Entries that are not known yet are ignored beyond it. */
+#define PEERS_MAX 16384
 /* Peers named in a hello to one peer; the next such hello names those after
  * them. */
 #define NAMES_PER_HELLO 40
@@ -170,6 +172,11 @@
 
 	if (peer || !strcmp(ip, peers->ip))
 		return peer;
+	if (g_hash_table_size(peers->peers) >= PEERS_MAX) {
+		*lp_counter(peers->options.counters,
+			    "linepier_peers_ignored_total", NULL) += 1;
+		return NULL;
+	}
 	address =
 		g_inet_socket_address_new_from_string(ip, peers->options.port);
 	if (!address)
--- a/direct/direct_prefix_cache.c
+++ b/direct/direct_prefix_cache.c
@@ -95,11 +95,15 @@
 	query->engine = pool_upstream_ref(engine);
 	query->started_us = now_us(cache);
 	query->fetch = direct_fetch_start(&(struct direct_fetch_options){
+		.log = options->log,
+		.counters = options->counters,
+		.memory = options->memory,
 		.codec = options->codec,
 		.notices = options->notices,
 		.upstream = engine,
 		.method = "GET",
 		.target = options->codec->prefix_cache_target,
+		.answer_bytes_max = HTTP_FETCH_BYTES_MAX,
 		.timeout_us = ANSWER_TIMEOUT_US,
 		.done = on_answer,
 		.userdata = query,
--- a/direct/direct_prefix_cache.h
+++ b/direct/direct_prefix_cache.h
@@ -12,9 +12,11 @@
 #ifndef DIRECT_PREFIX_CACHE_H
 #define DIRECT_PREFIX_CACHE_H
 
+#include "base/lp_counter.h"
 #include "base/lp_event.h"
 #include "direct/direct_codec.h"
 #include "direct/direct_notices.h"
+#include "http/http_memory.h"
 #include "policy/pool.h"
 
 struct direct_prefix_cache;
@@ -22,6 +24,8 @@
 struct direct_prefix_cache_options {
 	const struct lp_clock *clock;
 	struct lp_event_log *log;
+	struct lp_counters *counters;
+	struct http_memory *memory; /**< counts the answers */
 	const struct direct_codec *codec;
 	struct pool *pool;
 	struct direct_notices *notices;
--- a/direct/direct_request.h
+++ b/direct/direct_request.h
@@ -80,6 +80,7 @@
 	bool passes_through;  /* not an event stream, and passed on before its
 				 end */
 	bool has_split_event; /* one was passed on before its end */
+	bool has_long_event_id;
 	bool upstream_responded; /* with an event or a complete answer */
 	int64_t first_event_us;	 /* first response of all sendings; 0: none yet
 				  */
--- a/direct/direct_results.c
+++ b/direct/direct_results.c
@@ -120,6 +120,9 @@
 	call->each_bytes = batch->bytes / batch->handles->len;
 	call->started_us = lp_now_us(results->direct->options.clock);
 	call->fetch = direct_fetch_start(&(struct direct_fetch_options){
+		.log = results->direct->options.log,
+		.counters = results->direct->options.counters,
+		.memory = &results->direct->memory,
 		.codec = codec,
 		.notices = results->direct->notices,
 		.upstream = upstream,
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -4,6 +4,7 @@
 #include "base/lp_timer.h"
 #include "direct/direct_answer_flow.h"
 #include "direct/direct_delivery.h"
+#include "direct/direct_excess.h"
 #include "direct/direct_request.h"
 
 #include <string.h>
@@ -27,6 +28,9 @@
 #define RESUMED_PRIORITY (-1)
 /* An event ends with two line ends, CR LF at the longest. */
 #define EVENT_END_BYTES_MAX 4
+/* A stream with a longer event id is not resumed, as upstreams might refuse the
+ * field with it. */
+#define EVENT_ID_BYTES_MAX 1024
 /* A buffer that is larger is freed once it is empty. */
 #define EMPTY_BUFFER_BYTES_MAX 65536
 
@@ -245,6 +249,7 @@
 		.resumable = request->route->is_resumable &&
 			     !request->passes_through &&
 			     !request->has_split_event &&
+			     !request->has_long_event_id &&
 			     (!request->has_version || request->version_id),
 		.response_started = request->answer_begun,
 		.may_have_run = request->may_have_run,
@@ -329,7 +334,7 @@
 
 	direct_clear_timer(&request->stall_timer);
 	if (request->is_upstream_paused || request->passes_through ||
-	    request->has_split_event)
+	    request->has_split_event || request->has_long_event_id)
 		return;
 	if (route->kind != DIRECT_IDEMPOTENT && !route->is_resumable)
 		return;
@@ -391,6 +396,7 @@
 	http_fields_clear(&request->fields);
 	http_fields_init(&request->fields);
 	http_fields_copy_end_to_end(&request->fields, fields);
+	direct_answer_flow_count(request);
 }
 
 static bool is_event_stream(const struct direct_request *request)
@@ -471,6 +477,15 @@
 	return true;
 }
 
+static void forget_long_id(struct direct_request *request)
+{
+	if (!request->last_event_id ||
+	    strlen(request->last_event_id) <= EVENT_ID_BYTES_MAX)
+		return;
+	g_clear_pointer(&request->last_event_id, g_free);
+	request->has_long_event_id = true;
+}
+
 /* As forward_stream(). An event that is too large to be buffered is passed on
  * without what may be the beginning of its end, so that a stream that ends
  * inside it still leaves bytes in the buffer. */
@@ -480,6 +495,7 @@
 		request->body->str, request->body->len,
 		&request->last_event_id);
 
+	forget_long_id(request);
 	if (size && !forward_stream(request, size))
 		return false;
 	if (!direct_answer_flow_is_full(request))
@@ -640,7 +656,9 @@
 static void handle_failure(struct direct_request *request, int error, bool sent)
 {
 	bool was_unread = request->has_upstream_waited;
-	const char *why = error == LP_ERROR_PROTOCOL ? "garbled" : "connection";
+	const char *why = error == LP_ERROR_PROTOCOL	       ? "garbled"
+			  : error == LP_ERROR_ANSWER_TOO_LARGE ? "oversized"
+							       : "connection";
 
 	g_string_truncate(request->body, 0);
 	if (sent && !was_unread)
@@ -656,6 +674,15 @@
 			   was_unread ? "unread" : why);
 }
 
+static void on_excess(void *userdata, const struct http_excess *excess)
+{
+	struct direct_request *request = userdata;
+	const struct direct_options *options = &request->direct->options;
+
+	direct_excess_report(options->log, options->counters, "upstream",
+			     request->upstream->info.id, request->id, excess);
+}
+
 static void on_done(void *userdata, int error, bool sent)
 {
 	struct direct_request *request = userdata;
@@ -862,9 +889,11 @@
 		.body_size = size,
 		.has_body = size || (strcmp(method, "GET") != 0 &&
 				     strcmp(method, "HEAD") != 0),
+		.memory = &request->direct->memory,
 		.connect_timeout_us = DIRECT_CONNECT_TIMEOUT_US,
 		.events = &exchange_events,
 		.delivery = on_delivery,
+		.excess = on_excess,
 		.userdata = request,
 	});
 	http_fields_clear(&fields);
--- a/http/http_client.c
+++ b/http/http_client.c
@@ -2,19 +2,21 @@
 
 #include "base/lp_clock.h"
 #include "base/lp_timer.h"
-#include "http/http_parse.h"
-#include "http/http_sock.h"
 
 #include <string.h>
 
 /* Bodies up to this size are written together with the head. */
 #define SMALL_BODY_MAX 16384
+/* Limit of an answer's head while memory is short. */
+#define HEAD_BYTES_MIN 8192
 
 struct http_exchange {
 	struct http_sock *sock;
 	struct http_parse parse;
+	struct http_holding held;
 	const struct http_exchange_events *events;
 	void (*delivery)(void *userdata, const struct http_delivery *delivery);
+	void (*excess)(void *userdata, const struct http_excess *excess);
 	void *userdata;
 	guint connect_timer;
 	bool parsing;	/* the parser is running, so it must not be freed */
@@ -23,6 +25,7 @@
 
 static void free_exchange(struct http_exchange *exchange)
 {
+	http_holding_set(&exchange->held, 0);
 	http_parse_clear(&exchange->parse);
 	g_free(exchange);
 }
@@ -79,18 +82,39 @@
 		exchange->events->body(exchange->userdata, bytes, size);
 }
 
-/* Bytes after a complete answer are not read: the connection is closed. */
-static void on_data(void *userdata, const char *bytes, size_t size)
+static void finish_oversized(struct http_exchange *exchange)
 {
-	struct http_exchange *exchange = userdata;
+	if (exchange->excess)
+		exchange->excess(exchange->userdata, &exchange->parse.excess);
+	finish_exchange(exchange, LP_ERROR_ANSWER_TOO_LARGE);
+}
+
+static int parse_answer(struct http_exchange *exchange, const char *bytes,
+			size_t size)
+{
+	struct http_parse *parse = &exchange->parse;
 	size_t used;
 	int error;
 
+	parse->head_bytes_max = (size_t)http_memory_share(
+		exchange->held.memory, HEAD_BYTES_MIN, HTTP_HEAD_BYTES_MAX);
 	exchange->parsing = true;
-	error = http_parse_feed(&exchange->parse, bytes, size, &used);
+	error = http_parse_feed(parse, bytes, size, &used);
 	exchange->parsing = false;
+	http_holding_set(&exchange->held, http_parse_held_bytes(parse));
+	return error;
+}
+
+/* Bytes after a complete answer are not read: the connection is closed. */
+static void on_data(void *userdata, const char *bytes, size_t size)
+{
+	struct http_exchange *exchange = userdata;
+	int error = parse_answer(exchange, bytes, size);
+
 	if (exchange->cancelled)
 		free_exchange(exchange);
+	else if (error == LP_ERROR_TOO_LARGE)
+		finish_oversized(exchange);
 	else if (error)
 		finish_exchange(exchange, LP_ERROR_PROTOCOL);
 	else if (exchange->parse.is_complete)
@@ -174,7 +198,9 @@
 	http_sock_set_watch(exchange->sock, &sock_watch);
 	exchange->events = options->events;
 	exchange->delivery = options->delivery;
+	exchange->excess = options->excess;
 	exchange->userdata = options->userdata;
+	exchange->held.memory = options->memory;
 	http_parse_init(&exchange->parse, HTTP_RESPONSE);
 	exchange->parse.no_body = !strcmp(options->method, "HEAD");
 	exchange->parse.head = on_head;
--- a/http/http_client.h
+++ b/http/http_client.h
@@ -13,6 +13,8 @@
 
 #include "base/lp_error.h"
 #include "http/http_fields.h"
+#include "http/http_memory.h"
+#include "http/http_parse.h"
 #include "http/http_sock.h"
 
 struct http_exchange;
@@ -29,7 +31,9 @@
 	 * Called when the exchange is over; it is freed afterwards. LP_OK: the
 	 * answer is complete; LP_ERROR_UPSTREAM_GONE: the connection failed or
 	 * was closed early; LP_ERROR_NOT_LISTENING: the address refused the
-	 * connection; LP_ERROR_PROTOCOL: the bytes are not an HTTP answer.
+	 * connection; LP_ERROR_PROTOCOL: the bytes are not an HTTP answer;
+	 * LP_ERROR_ANSWER_TOO_LARGE: a part of it other than the body is larger
+	 * than allowed (http_parse.h).
 	 * `sent`: a byte of the request was sent.
 	 */
 	void (*done)(void *userdata, int error, bool sent);
@@ -45,10 +49,15 @@
 	bool has_body; /**< send a Content-Length, even if it is 0 */
 	int64_t connect_timeout_us;
 	int receive_buffer_bytes; /**< of the system; 0: its default */
+	/** Counts the head of the answer, which is limited to its share while
+	 * memory is short. NULL: not counted. */
+	struct http_memory *memory;
 	const struct http_exchange_events *events;
 	/** Called when the server does not take the request: struct
 	 * http_sock_watch. May be NULL. */
 	void (*delivery)(void *userdata, const struct http_delivery *delivery);
+	/** Called before done() with LP_ERROR_ANSWER_TOO_LARGE. May be NULL. */
+	void (*excess)(void *userdata, const struct http_excess *excess);
 	void *userdata;
 };
 
--- a/http/http_fetch.h
+++ b/http/http_fetch.h
@@ -1,7 +1,7 @@
 /**
- * An HTTP exchange whose answer is buffered and returned whole, with a timeout
- * for the whole exchange, or with a timeout that restarts as long as bytes
- * arrive: http_client.h with a buffer and a timer.
+ * An HTTP exchange whose answer is buffered and returned whole, up to a limit,
+ * with a timeout for the whole exchange, or with a timeout that restarts as
+ * long as bytes arrive: http_client.h with a buffer and a timer.
  *
  * A fetch is owned by this module, and freed after done() or by
  * http_fetch_cancel(). Times are in microseconds.
@@ -10,14 +10,21 @@
 #define HTTP_FETCH_H
 
 #include "http/http_fields.h"
+#include "http/http_memory.h"
+#include "http/http_parse.h"
 
 #include <stddef.h>
 
+/** Default of `body_bytes_max`. */
+#define HTTP_FETCH_BYTES_MAX 1048576
+
 struct http_fetch;
 
 /** The result of a fetch; borrowed during the callback. */
 struct http_fetch_answer {
 	int error; /**< LP_OK: the answer is complete */
+	/** With LP_ERROR_ANSWER_TOO_LARGE; else NULL. */
+	const struct http_excess *excess;
 	bool sent; /**< a byte of the request was sent */
 	uint32_t status;
 	const char *body; /**< NUL-terminated */
@@ -29,7 +36,11 @@
 	const char *method;
 	const char *target;
 	const struct http_fields *fields;
-	const char *body; /**< NUL-terminated, or NULL: no body */
+	const char *body;      /**< NUL-terminated, or NULL: no body */
+	size_t body_bytes_max; /**< of the answer; 0: HTTP_FETCH_BYTES_MAX */
+	/** Counts the answer, which is limited to its share while memory is
+	 * short. NULL: not counted. */
+	struct http_memory *memory;
 	int64_t connect_timeout_us;
 	int64_t timeout_us; /**< for the whole exchange, or if stall_us is set,
 			       until the answer begins */
--- a/http/http_fields.c
+++ b/http/http_fields.c
@@ -16,6 +16,9 @@
 	"Proxy-Authorization",
 };
 
+/* The headers of a field's two allocations. */
+#define ALLOCATION_BYTES 32
+
 static void clear_field(gpointer data)
 {
 	struct http_field *field = data;
@@ -133,3 +136,16 @@
 		g_string_append(out, "\r\n");
 	}
 }
+
+int64_t http_fields_held_bytes(const struct http_fields *fields)
+{
+	int64_t bytes = 0;
+
+	for (guint i = 0; fields->items && i < fields->items->len; i++) {
+		const struct http_field *field = field_at(fields, i);
+
+		bytes += (int64_t)(sizeof(*field) + ALLOCATION_BYTES +
+				   strlen(field->name) + strlen(field->value));
+	}
+	return bytes;
+}
--- a/http/http_fields.h
+++ b/http/http_fields.h
@@ -39,6 +39,8 @@
  */
 void http_fields_copy_end_to_end(struct http_fields *to,
 				 const struct http_fields *from);
+/** Memory that the fields take, estimated. */
+int64_t http_fields_held_bytes(const struct http_fields *fields);
 /** Append the fields to `out`, each with its CR LF. */
 void http_fields_print(const struct http_fields *fields, GString *out);
 
--- a/http/http_parse.c
+++ b/http/http_parse.c
@@ -7,14 +7,45 @@
 	return parser->data;
 }
 
-static void flush_field(struct http_parse *parse)
+/* A field's entry in the list, and the headers of its two allocations. */
+#define FIELD_OVERHEAD_BYTES ((int64_t)48)
+#define KEPT_TEXT_BYTES_MAX 1024
+
+const char *http_part_name(enum http_part part)
+{
+	static const char *const names[] = {
+		[HTTP_PART_HEAD] = "head",
+		[HTTP_PART_FIELDS] = "fields",
+		[HTTP_PART_FRAMING] = "framing",
+		[HTTP_PART_BODY] = "body",
+	};
+
+	return names[part];
+}
+
+static bool is_within(struct http_parse *parse, enum http_part part,
+		      size_t received, size_t limit)
+{
+	if (received <= limit)
+		return true;
+	parse->excess = (struct http_excess){
+		.part = part,
+		.received = (int64_t)received,
+		.limit = (int64_t)limit,
+	};
+	return false;
+}
+
+static bool flush_field(struct http_parse *parse)
 {
 	if (!parse->in_value)
-		return;
+		return true;
 	http_fields_add(&parse->fields, parse->name->str, parse->value->str);
 	g_string_truncate(parse->name, 0);
 	g_string_truncate(parse->value, 0);
 	parse->in_value = false;
+	return is_within(parse, HTTP_PART_FIELDS, parse->fields.items->len,
+			 HTTP_FIELDS_MAX);
 }
 
 static int on_target(struct http_parser *parser, const char *at, size_t size)
@@ -31,18 +62,27 @@
 
 static int on_name(struct http_parser *parser, const char *at, size_t size)
 {
+	struct http_parse *parse = parse_of(parser);
+
 	for (size_t i = 0; i < size; i++)
 		if (!is_token(at[i]))
 			return -1;
-	flush_field(parse_of(parser));
-	g_string_append_len(parse_of(parser)->name, at, (gssize)size);
+	if (parse->has_head)
+		return 0;
+	if (!flush_field(parse))
+		return -1;
+	g_string_append_len(parse->name, at, (gssize)size);
 	return 0;
 }
 
 static int on_value(struct http_parser *parser, const char *at, size_t size)
 {
-	parse_of(parser)->in_value = true;
-	g_string_append_len(parse_of(parser)->value, at, (gssize)size);
+	struct http_parse *parse = parse_of(parser);
+
+	if (parse->has_head)
+		return 0;
+	parse->in_value = true;
+	g_string_append_len(parse->value, at, (gssize)size);
 	return 0;
 }
 
@@ -69,7 +109,8 @@
 {
 	struct http_parse *parse = parse_of(parser);
 
-	flush_field(parse);
+	if (!flush_field(parse))
+		return -1;
 	if (is_interim(parser))
 		return 0;
 	parse->has_head = true;
@@ -79,10 +120,22 @@
 	return parse->no_body ? 1 : 0;
 }
 
+/* Counts the bytes up to `end` that are not of the body. */
+static bool count_framing(struct http_parse *parse, const char *end)
+{
+	parse->framing_bytes += (size_t)(end - parse->framing_start);
+	return is_within(parse, HTTP_PART_FRAMING, parse->framing_bytes,
+			 parse->head_bytes_max);
+}
+
 static int on_body(struct http_parser *parser, const char *at, size_t size)
 {
 	struct http_parse *parse = parse_of(parser);
 
+	if (!count_framing(parse, at))
+		return -1;
+	parse->framing_bytes = 0;
+	parse->framing_start = at + size;
 	if (parse->body)
 		parse->body(parse->userdata, at, size);
 	return 0;
@@ -118,6 +171,7 @@
 	http_parser_set_max_header_size(G_MAXINT32);
 	http_parser_init(&parse->parser, type);
 	parse->parser.data = parse;
+	parse->head_bytes_max = HTTP_HEAD_BYTES_MAX;
 	parse->target = g_string_new(NULL);
 	parse->name = g_string_new(NULL);
 	parse->value = g_string_new(NULL);
@@ -132,17 +186,29 @@
 	g_string_free(parse->value, TRUE);
 }
 
+/* A connection that waits for its next message keeps no large buffer. */
+static void clear_text(GString **text)
+{
+	if ((*text)->allocated_len > KEPT_TEXT_BYTES_MAX) {
+		g_string_free(*text, TRUE);
+		*text = g_string_new(NULL);
+	}
+	g_string_truncate(*text, 0);
+}
+
 void http_parse_restart(struct http_parse *parse)
 {
 	enum http_parser_type type = parse->parser.type;
 
 	http_parser_init(&parse->parser, type);
 	g_array_set_size(parse->fields.items, 0);
-	g_string_truncate(parse->target, 0);
-	g_string_truncate(parse->name, 0);
-	g_string_truncate(parse->value, 0);
+	clear_text(&parse->target);
+	clear_text(&parse->name);
+	clear_text(&parse->value);
 	parse->in_value = false;
 	parse->head_bytes = 0;
+	parse->framing_bytes = 0;
+	parse->excess = (struct http_excess){ 0 };
 	parse->has_head = false;
 	parse->is_complete = false;
 	parse->ends_with_connection = false;
@@ -170,8 +236,27 @@
 		return LP_ERROR_BAD_REQUEST;
 	parse->last_byte = bytes[size - 1];
 	parse->head_bytes += size;
-	if (parse->head_bytes_max && parse->head_bytes > parse->head_bytes_max)
+	return is_within(parse, HTTP_PART_HEAD, parse->head_bytes,
+			 parse->head_bytes_max)
+		       ? LP_OK
+		       : LP_ERROR_TOO_LARGE;
+}
+
+/* Parses a slice that is a part of the head or lies behind it. */
+static int parse_slice(struct http_parse *parse, const char *bytes, size_t size,
+		       size_t *taken)
+{
+	bool had_head = parse->has_head;
+
+	parse->framing_start = bytes;
+	*taken = http_parser_execute(&parse->parser, &settings, bytes, size);
+	if (had_head && !parse->excess.limit)
+		count_framing(parse, bytes + *taken);
+	if (parse->excess.limit)
 		return LP_ERROR_TOO_LARGE;
+	if (!parse->is_complete && (parse->parser.http_errno ||
+				    parse->parser.upgrade || *taken != size))
+		return LP_ERROR_BAD_REQUEST;
 	return LP_OK;
 }
 
@@ -189,14 +274,10 @@
 			error = check_head(parse, slice, slice_size);
 		if (error)
 			return error;
-		taken = http_parser_execute(&parse->parser, &settings, slice,
-					    slice_size);
+		error = parse_slice(parse, slice, slice_size, &taken);
+		if (error)
+			return error;
 		*used += taken;
-		if (parse->is_complete)
-			break;
-		if (parse->parser.http_errno || parse->parser.upgrade ||
-		    taken != slice_size)
-			return LP_ERROR_BAD_REQUEST;
 	}
 	return LP_OK;
 }
@@ -207,6 +288,12 @@
 		http_parser_execute(&parse->parser, &settings, NULL, 0);
 }
 
+int64_t http_parse_held_bytes(const struct http_parse *parse)
+{
+	return (int64_t)parse->head_bytes +
+	       FIELD_OVERHEAD_BYTES * parse->fields.items->len;
+}
+
 bool http_parse_keeps_alive(const struct http_parse *parse)
 {
 	if (parse->parser.http_major != 1 || parse->parser.http_minor != 1)
--- a/http/http_server.c
+++ b/http/http_server.c
@@ -41,6 +41,7 @@
 	struct http_parse parse;
 	GByteArray *body;
 	GByteArray *read_ahead;
+	struct http_excess excess;	 /* why it is rejected; limit 0: not */
 	struct http_holding held;	 /* body and read_ahead */
 	struct http_holding answer_held; /* buffered, and queued answers */
 	int64_t announced_bytes; /* of the body, held from its head on */
@@ -93,9 +94,11 @@
 {
 	uint32_t copies = 1 + conn->server->options.body_copies;
 
-	http_holding_set(&conn->held, copies * MAX((int64_t)conn->body->len,
-						   conn->announced_bytes) +
-					      conn->read_ahead->len);
+	http_holding_set(
+		&conn->held,
+		copies * MAX((int64_t)conn->body->len, conn->announced_bytes) +
+			conn->read_ahead->len +
+			http_parse_held_bytes(&conn->parse));
 }
 
 static void release_answer(struct conn *conn)
@@ -215,6 +218,17 @@
 	http_fields_clear(&fields);
 }
 
+static void clear_body(struct conn *conn)
+{
+	if (conn->body->len > KEPT_BODY_MAX) {
+		g_byte_array_unref(conn->body);
+		conn->body = g_byte_array_new();
+	}
+	g_byte_array_set_size(conn->body, 0);
+	conn->announced_bytes = 0;
+	count_held(conn);
+}
+
 /* Answers with an error of the server itself. The connection is closed, as
  * its next bytes may not be the start of a request. */
 static void reject(struct conn *conn, int error, uint32_t status)
@@ -225,8 +239,11 @@
 	set_delivery_deadline(conn);
 	write_rejection(conn, status);
 	if (server->options.refused)
-		server->options.refused(server->options.userdata, error,
-					status);
+		server->options.refused(server->options.userdata, error, status,
+					conn->excess.limit ? &conn->excess
+							   : NULL);
+	http_parse_restart(&conn->parse);
+	clear_body(conn);
 	close_conn(conn, false);
 }
 
@@ -274,6 +291,11 @@
 
 	if (limit && conn->body->len + size > limit) {
 		conn->is_rejected = true;
+		conn->excess = (struct http_excess){
+			.part = HTTP_PART_BODY,
+			.received = (int64_t)(conn->body->len + size),
+			.limit = (int64_t)limit,
+		};
 		return;
 	}
 	if (!conn->announced_bytes)
@@ -286,22 +308,13 @@
 	count_held(conn);
 }
 
-static void clear_body(struct conn *conn)
-{
-	if (conn->body->len > KEPT_BODY_MAX) {
-		g_byte_array_unref(conn->body);
-		conn->body = g_byte_array_new();
-	}
-	g_byte_array_set_size(conn->body, 0);
-	conn->announced_bytes = 0;
-	count_held(conn);
-}
-
 static void begin_request(struct conn *conn)
 {
 	release_answer(conn);
 	http_parse_restart(&conn->parse);
 	conn->parse.head_bytes_max = conn->server->options.limits.head_bytes;
+	if (!conn->parse.head_bytes_max)
+		conn->parse.head_bytes_max = HTTP_HEAD_BYTES_MAX;
 	clear_body(conn);
 	conn->is_overloaded = false;
 	memset(&conn->call, 0, sizeof(conn->call));
@@ -320,6 +333,8 @@
 
 static void handle_parse_result(struct conn *conn, int error)
 {
+	if (error == LP_ERROR_TOO_LARGE)
+		conn->excess = conn->parse.excess;
 	if (error == LP_ERROR_TOO_LARGE)
 		reject(conn, error, 431);
 	else if (error)
@@ -347,6 +362,10 @@
 		g_byte_array_append(conn->read_ahead,
 				    (const guint8 *)bytes + used,
 				    (guint)(size - used));
+	count_held(conn);
+	if (!conn->parse.has_head &&
+	    !http_memory_fits(conn->server->options.memory, 0))
+		conn->is_overloaded = true;
 	handle_parse_result(conn, error);
 }
 
--- a/http/http_server.h
+++ b/http/http_server.h
@@ -15,6 +15,8 @@
 #include "base/lp_clock.h"
 #include "base/lp_error.h"
 #include "http/http_fields.h"
+#include "http/http_memory.h"
+#include "http/http_parse.h"
 #include "http/http_sock.h"
 
 struct http_server;
@@ -25,10 +27,10 @@
 
 /** Limits of one request; 0: none. */
 struct http_limits {
-	size_t head_bytes;
-	size_t body_bytes;
-	int64_t read_us; /**< from the first byte of a request to its last */
-	int64_t idle_us; /**< idle timeout of a connection between requests */
+	size_t head_bytes; /**< 0: HTTP_HEAD_BYTES_MAX */
+	size_t body_bytes; /**< 0: no limit */
+	int64_t read_us;   /**< from the first byte of a request to its last */
+	int64_t idle_us;   /**< idle timeout of a connection between requests */
 };
 
 struct http_server_options {
@@ -42,8 +44,10 @@
 	void (*request)(void *userdata, struct http_call *call);
 	/**
 	 * Called after a request was rejected while it was read; may be NULL.
+	 * `excess`: which part of it was too large; NULL: none.
 	 */
-	void (*refused)(void *userdata, int error, uint32_t status);
+	void (*refused)(void *userdata, int error, uint32_t status,
+			const struct http_excess *excess);
 	/**
 	 * Called when a client does not take its answer: struct
 	 * http_sock_watch. `client_ip`: "" if it has disconnected. May be NULL.
--- a/store/store_http.c
+++ b/store/store_http.c
@@ -57,6 +57,8 @@
 			  (options->adapts_timeout ? OVERDUE_MAX : 0);
 
 	http->options = *options;
+	if (!http->options.answer_bytes_max)
+		http->options.answer_bytes_max = STORE_HTTP_ANSWER_BYTES_MAX;
 	http->session = soup_session_new_with_options(
 		"max-conns", connections, "max-conns-per-host", connections,
 		"proxy-resolver", NULL, NULL);
@@ -279,6 +281,11 @@
 		return;
 	}
 	g_string_append_len(attempt->body, data, (gssize)size);
+	if (attempt->http &&
+	    attempt->body->len > attempt->http->options.answer_bytes_max) {
+		finish(attempt, LP_ERROR_ANSWER_TOO_LARGE);
+		return;
+	}
 	attempt->transfer.received += size;
 	read_on(attempt);
 }
--- a/store/store_http.h
+++ b/store/store_http.h
@@ -23,7 +23,9 @@
 
 /** What came of an exchange. Borrowed during the callback. */
 struct store_http_answer {
-	int error; /**< LP_OK: any HTTP answer came whole */
+	/** LP_OK: any HTTP answer came whole; LP_ERROR_ANSWER_TOO_LARGE: more
+	 * came than is allowed; else LP_ERROR_PLATFORM_DOWN. */
+	int error;
 	/** By how much the request that was answered was sent before the
 	 * exchange: store_http_request.accepts_earlier. */
 	int64_t earlier_us;
@@ -56,9 +58,13 @@
 	void *userdata;
 };
 
+/** Default of `answer_bytes_max`. */
+#define STORE_HTTP_ANSWER_BYTES_MAX 16777216
+
 struct store_http_options {
-	uint32_t connections; /**< most exchanges at the same time */
-	bool adapts_timeout;  /**< to the time that the service takes */
+	uint32_t connections;	 /**< most exchanges at the same time */
+	size_t answer_bytes_max; /**< of a body; 0: the default */
+	bool adapts_timeout;	 /**< to the time that the service takes */
 	/** Called when an answer begins `took_us` after its request was sent,
 	 * whose exchange had failed; or NULL. An exchange that is sent by the
 	 * callback may receive that answer. */
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -128,7 +128,8 @@
 			options.request = [](void *self, http_call *call) {
 				static_cast<TestServer *>(self)->answer(call);
 			};
-			options.refused = [](void *self, int, uint32_t) {
+			options.refused = [](void *self, int, uint32_t,
+					     const http_excess *) {
 				static_cast<TestServer *>(self)->rejections++;
 			};
 			options.userdata = this;
--- a/tests/slow_answer_test.cc
+++ b/tests/slow_answer_test.cc
@@ -358,7 +358,7 @@
  * passed on, and goes on at another upstream, or is completed. */
 TEST(SlowAnswer, StreamThatEndsInsideASplitEventIsCut)
 {
-	const pe_stream_end how = { false, true, 2, true };
+	const pe_stream_end how = { false, true, 2, true, 0 };
 	SlowRig rig;
 	std::vector<pe_upstream *> engines;
 
--- a/tools/pe.c
+++ b/tools/pe.c
@@ -40,7 +40,10 @@
 	g_autofree char *notices = pe_notice_fields(upstream);
 	g_autofree char *fields = g_strconcat(extra, notices, NULL);
 
-	pe_conn_answer(conn, status, fields, body);
+	if (upstream->fault == PE_FAULT_ENDLESS && status == 200)
+		pe_endless_begin(upstream, conn, fields);
+	else
+		pe_conn_answer(conn, status, fields, body);
 }
 
 static char *answer_fields(struct pe_upstream *upstream, struct pe_conn *conn,
@@ -99,6 +102,9 @@
 				       "Content-Length: 5\r\n\r\nextra",
 				       fields, strlen(whole), whole, fields);
 		break;
+	case PE_FAULT_ENDLESS:
+		pe_endless_begin(upstream, conn, fields);
+		return;
 	default:
 		pe_conn_answer(conn, 200, fields, whole);
 		return;
@@ -179,7 +185,9 @@
 	g_autofree char *token = g_strdup_printf("token %u", stream->next);
 	g_autofree char *data = pad(token, stream->upstream);
 	g_autofree char *event =
-		g_strdup_printf("id: %u\ndata: %s\n\n", stream->next, data);
+		g_strdup_printf("id: %0*u\ndata: %s\n\n",
+				(int)stream->upstream->stream_end.id_digits,
+				stream->next, data);
 
 	if (end_if_due(stream))
 		return G_SOURCE_REMOVE;
--- a/tools/pe.h
+++ b/tools/pe.h
@@ -36,6 +36,18 @@
 	PE_FAULT_UNFRAMED,  /**< runs; the answer ends with the connection */
 	PE_FAULT_CUT,	    /**< engine: ends within the third event */
 	PE_FAULT_FORGET,    /**< stage: its results are gone at once */
+	PE_FAULT_ENDLESS,   /**< runs; a part of the answer does not end */
+};
+
+/** The part of an answer that does not end. */
+enum pe_endless {
+	PE_ENDLESS_FIELD, /**< a header field */
+	PE_ENDLESS_HEAD,  /**< one short header field after the other */
+	PE_ENDLESS_INTERIM,
+	PE_ENDLESS_CHUNK_LINE,
+	PE_ENDLESS_TRAILERS,
+	PE_ENDLESS_BODY,
+	PE_ENDLESS_PARTS, /**< their number */
 };
 
 enum pe_store_fault {
@@ -77,6 +89,9 @@
 struct pe_upstream *pe_add(struct pe *pe, enum pe_kind kind,
 			   const char *service, const char *domain);
 void pe_fault(struct pe_upstream *upstream, enum pe_fault fault);
+/** It has PE_FAULT_ENDLESS from now on; it sends on for as long as it is read.
+ */
+void pe_set_endless(struct pe_upstream *upstream, enum pe_endless part);
 /** Set the version of its software, "v1" at first, and write its entry again.
  */
 void pe_set_version(struct pe_upstream *upstream, const char *version);
@@ -189,6 +204,7 @@
 	bool early;	 /**< after `events` of them, in good order */
 	uint32_t events; /**< 0: before the first */
 	bool in_event;	 /**< a part of the next event comes as well */
+	uint32_t id_digits; /**< of each event, zeros first */
 };
 
 void pe_set_stream_end(struct pe_upstream *upstream,
--- a/tools/pe_listener.c
+++ b/tools/pe_listener.c
@@ -32,6 +32,9 @@
 	if (conn->pause)
 		g_source_remove(conn->pause);
 	conn->pause = 0;
+	if (conn->flood)
+		g_source_remove(conn->flood);
+	conn->flood = 0;
 	if (conn->timer)
 		g_source_remove(conn->timer);
 	conn->timer = 0;
--- a/tools/pe_private.h
+++ b/tools/pe_private.h
@@ -17,6 +17,7 @@
 	GString *body;
 	guint timer; /**< of an answer to come */
 	guint pause; /**< timer: it reads on; 0: it reads */
+	guint flood; /**< timer: the next bytes of an endless answer */
 	bool has_paused;
 	bool silent;  /**< whatever goes over it is lost from now on */
 	char *poison; /**< what crashes whoever runs its request, or NULL */
@@ -51,6 +52,7 @@
 	struct pe_listener *listener;
 	enum pe_kind kind;
 	enum pe_fault fault;
+	enum pe_endless endless;
 	struct pe_stream_end stream_end;
 	char *id;	 /**< as the key-value service names it */
 	char *other_id;	 /**< of a process that took the address; or NULL */
@@ -121,6 +123,12 @@
 /** Returns whether it is a question about its memory, answered now. */
 bool pe_memory_request(struct pe_upstream *upstream, struct pe_conn *conn);
 
+/* ---- pe_endless.c ---- */
+
+/** Begin an answer that does not end. `fields`: of its head. */
+void pe_endless_begin(struct pe_upstream *upstream, struct pe_conn *conn,
+		      const char *fields);
+
 /* ---- pe_listener.c ---- */
 
 struct pe_listener *
--- a/tools/soak_main.c
+++ b/tools/soak_main.c
@@ -58,6 +58,8 @@
 	  "release software versions of engines; callers resume streams" },
 	{ "slow", LP_SETTING_BOOL, FIELD(slow), "no", 0, 0, NULL,
 	  "callers and upstreams that read slowly, and large answers" },
+	{ "endless", LP_SETTING_BOOL, FIELD(endless), "no", 0, 0, NULL,
+	  "upstreams whose answers do not end, and a limit of memory" },
 	{ "env", LP_SETTING_STRING, FIELD(env), "", 0, 0, NULL,
 	  "NAME=VALUE,... for the program under test" },
 	{ "logs", LP_SETTING_STRING, FIELD(logs), "", 0, 0, NULL,
@@ -77,8 +79,12 @@
 	int first = FIRST_PORT + (int)(soak->settings.seed * ENTRIES *
 				       PORTS_EACH % PORT_SPAN);
 	int base = first + (int)entry->number * PORTS_EACH;
+	g_autofree char *memory = NULL;
 	g_autofree char *text = NULL;
 
+	if (soak->settings.endless)
+		memory = g_strdup_printf("limits.memory_mb=%d\n",
+					 SOAK_ENDLESS_MEMORY_MB);
 	entry->settings = g_strdup_printf("%s/entry-%u.conf", soak->folder,
 					  entry->number);
 	entry->callers = g_strdup_printf("127.0.0.1:%d", base);
@@ -88,11 +94,11 @@
 		"listen.front=%s\nlisten.ready=%s\n"
 		"listen.control=127.0.0.%u:%d\nport_range=%d,%d\n"
 		"seeds=127.0.0.1:1,127.0.0.2:1\nplatform.address=%s\n"
-		"bounds.grace_s=%d\nbounds.retry_slack=40\n",
+		"bounds.grace_s=%d\nbounds.retry_slack=40\n%s",
 		entry->number, entry->number + 1, entry->callers, entry->ready,
 		entry->number + 1, first + 2, first + 3, first + 3,
-		pe_store_address(soak->platform),
-		(int)(GRACE_US / LP_US_PER_S));
+		pe_store_address(soak->platform), (int)(GRACE_US / LP_US_PER_S),
+		memory ? memory : "");
 	g_file_set_contents(entry->settings, text, -1, NULL);
 }
 
@@ -300,6 +306,18 @@
 	}
 }
 
+static void check_memory(struct soak *soak)
+{
+	for (uint32_t i = 0; i < soak->count; i++) {
+		const struct entry *entry = &soak->entries[i];
+
+		if (entry->pid &&
+		    soak_endless_exceeds(soak->endless, entry->pid))
+			soak_breach(soak, entry->settings,
+				    "an entry exceeds its memory limit");
+	}
+}
+
 static gboolean on_fault_timer(gpointer userdata)
 {
 	struct soak *soak = userdata;
@@ -309,6 +327,8 @@
 
 	soak->faults++;
 	look_for_ended(soak);
+	check_memory(soak);
+	soak_endless_disturb(soak->endless);
 	soak_config_disturb(soak->config);
 	soak_writer_disturb(soak->writer);
 	soak_suspend_disturb(soak->suspend);
@@ -511,6 +531,12 @@
 	start_cut(soak);
 	start_release(soak);
 	start_slow(soak);
+	if (soak->settings.endless)
+		soak->endless =
+			soak_endless_create(&(struct soak_endless_options){
+				.seed = (uint32_t)soak->settings.seed,
+				.upstreams = soak->upstreams,
+			});
 	for (uint32_t i = 0; i < soak->count; i++) {
 		soak->entries[i].number = i;
 		soak->entries[i].pauses =
@@ -540,6 +566,7 @@
 	soak_cut_destroy(soak->cut);
 	soak_release_destroy(soak->release);
 	soak_slow_destroy(soak->slow);
+	soak_endless_destroy(soak->endless);
 	g_rmdir(soak->folder);
 	g_free(soak->folder);
 	g_ptr_array_unref(soak->upstreams);
--- a/tools/soak_private.h
+++ b/tools/soak_private.h
@@ -7,6 +7,7 @@
 #include "tools/soak_balancer.h"
 #include "tools/soak_config.h"
 #include "tools/soak_cut.h"
+#include "tools/soak_endless.h"
 #include "tools/soak_evacuation.h"
 #include "tools/soak_notices.h"
 #include "tools/soak_poison.h"
@@ -35,6 +36,7 @@
 	int64_t cut;
 	int64_t release;
 	int64_t slow;
+	int64_t endless;
 	char *env;
 	char *logs;
 };
@@ -74,6 +76,7 @@
 	struct soak_cut *cut;		    /* NULL: likewise */
 	struct soak_release *release;	    /* NULL: likewise */
 	struct soak_slow *slow;		    /* NULL: likewise */
+	struct soak_endless *endless;	    /* NULL: likewise */
 	GPtrArray *upstreams;
 	struct entry entries[ENTRIES_CUT];
 	uint32_t count;				/* of entries */
