linepierd: answers of upstreams are limited

An answer of an upstream, or a line of its stream, that did not end was kept by its agent until the system ended it, and all of its calls with it.

An agent reads an answer up to 16 MB, and a line of a stream likewise, then closes the connection: answer_too_large, may have run.

AgentUpstream.AnswerWithoutEndIsCutOff passes, whole and streamed; it was not run on the code before, where its error kind does not exist.

--- a/agent/agent_upstream.c
+++ b/agent/agent_upstream.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #define CONNECTIONS_MAX 4096
+#define READ_BYTES 65536
 #define DATA_PREFIX "data: "
 #define DATA_DONE "[DONE]"
 #define ERROR_TEXT_MAX \
@@ -25,6 +26,8 @@
 	SoupMessage *message;
 	GCancellable *cancel;
 	struct lp_lines *lines;
+	GInputStream *body_stream; /* of a whole answer */
+	GString *body;
 	bool stream;
 	uint32_t tokens;
 	char *finish; /* finish reason sent by the engine */
@@ -66,6 +69,9 @@
 
 	run->upstream->ops->end(run->userdata, &result);
 	lp_lines_destroy(run->lines);
+	g_clear_object(&run->body_stream);
+	if (run->body)
+		g_string_free(run->body, TRUE);
 	g_object_unref(run->message);
 	g_object_unref(run->cancel);
 	g_free(run->finish);
@@ -91,6 +97,9 @@
 
 	if (g_error_matches(gerror, G_IO_ERROR, G_IO_ERROR_CANCELLED))
 		error = LP_ERROR_WITHDRAWN;
+	else if (g_error_matches(gerror, G_IO_ERROR,
+				 G_IO_ERROR_MESSAGE_TOO_LARGE))
+		error = LP_ERROR_ANSWER_TOO_LARGE;
 	finish_run(run, error, run_state, g_strdup(gerror->message));
 }
 
@@ -124,31 +133,20 @@
 		json_node_get_object(usage), "total_tokens", 0);
 }
 
-static void on_response_read(GObject *source, GAsyncResult *result,
-			     gpointer userdata)
+static void finish_whole(struct upstream_run *run)
 {
-	struct upstream_run *run = userdata;
-	g_autoptr(GError) gerror = NULL;
-	g_autoptr(GBytes) bytes = soup_session_send_and_read_finish(
-		SOUP_SESSION(source), result, &gerror);
 	g_autoptr(JsonParser) parser = NULL;
-	g_autofree char *text = NULL;
-	const char *data;
+	gssize size = (gssize)run->body->len;
+	g_autofree char *text =
+		g_string_free(g_steal_pointer(&run->body), FALSE);
 	JsonNode *root;
-	gsize size;
 
-	if (!bytes) {
-		finish_with_io_error(run, gerror);
-		return;
-	}
-	data = g_bytes_get_data(bytes, &size);
-	text = g_strndup(data ? data : "", size);
 	if (soup_message_get_status(run->message) != SOUP_STATUS_OK) {
 		finish_with_status(run, text);
 		return;
 	}
 	parser = json_parser_new();
-	if (!lp_json_load(parser, text, (gssize)size)) {
+	if (!lp_json_load(parser, text, size)) {
 		finish_run(run, LP_ERROR_UPSTREAM_FAILED, LP_RUN_MAY_HAVE_RUN,
 			   g_strdup("the answer is not valid JSON"));
 		return;
@@ -159,6 +157,61 @@
 	finish_run(run, LP_OK, LP_RUN_RAN, g_steal_pointer(&text));
 }
 
+static void read_body(struct upstream_run *run);
+
+static void on_body_read(GObject *source, GAsyncResult *result,
+			 gpointer userdata)
+{
+	struct upstream_run *run = userdata;
+	g_autoptr(GError) gerror = NULL;
+	g_autoptr(GBytes) bytes = g_input_stream_read_bytes_finish(
+		G_INPUT_STREAM(source), result, &gerror);
+	const char *data;
+	gsize size;
+
+	if (!bytes) {
+		finish_with_io_error(run, gerror);
+		return;
+	}
+	data = g_bytes_get_data(bytes, &size);
+	if (!size) {
+		finish_whole(run);
+		return;
+	}
+	g_string_append_len(run->body, data, (gssize)size);
+	if (run->body->len <= UPSTREAM_ANSWER_BYTES_MAX) {
+		read_body(run);
+		return;
+	}
+	gerror = g_error_new(G_IO_ERROR, G_IO_ERROR_MESSAGE_TOO_LARGE,
+			     "the answer is larger than %d bytes",
+			     UPSTREAM_ANSWER_BYTES_MAX);
+	finish_with_io_error(run, gerror);
+}
+
+static void read_body(struct upstream_run *run)
+{
+	g_input_stream_read_bytes_async(run->body_stream, READ_BYTES,
+					G_PRIORITY_DEFAULT, run->cancel,
+					on_body_read, run);
+}
+
+static void on_answer_begun(GObject *source, GAsyncResult *result,
+			    gpointer userdata)
+{
+	struct upstream_run *run = userdata;
+	g_autoptr(GError) gerror = NULL;
+
+	run->body_stream =
+		soup_session_send_finish(SOUP_SESSION(source), result, &gerror);
+	if (!run->body_stream) {
+		finish_with_io_error(run, gerror);
+		return;
+	}
+	run->body = g_string_new(NULL);
+	read_body(run);
+}
+
 /* ---- streams ---- */
 
 static void finish_stream(struct upstream_run *run)
@@ -251,6 +304,7 @@
 	run->lines = lp_lines_create(&(struct lp_lines_options){
 		.stream = stream,
 		.cancellable = run->cancel,
+		.line_bytes_max = UPSTREAM_ANSWER_BYTES_MAX,
 		.line = on_stream_line,
 		.ended = on_stream_ended,
 		.userdata = run,
@@ -301,9 +355,9 @@
 					G_PRIORITY_DEFAULT, run->cancel,
 					on_stream_opened, run);
 	else
-		soup_session_send_and_read_async(
-			upstream->session, run->message, G_PRIORITY_DEFAULT,
-			run->cancel, on_response_read, run);
+		soup_session_send_async(upstream->session, run->message,
+					G_PRIORITY_DEFAULT, run->cancel,
+					on_answer_begun, run);
 	return run;
 }
 
--- a/agent/agent_upstream.h
+++ b/agent/agent_upstream.h
@@ -12,6 +12,10 @@
 
 #include <glib.h>
 
+/** Limit of a whole answer, and of a line of a stream. An upstream that exceeds
+ * it is cut off, and its request may have run: LP_ERROR_ANSWER_TOO_LARGE. */
+#define UPSTREAM_ANSWER_BYTES_MAX 16777216
+
 struct upstream;
 struct upstream_run;
 
--- a/base/lp_lines.c
+++ b/base/lp_lines.c
@@ -53,6 +53,12 @@
 		lines->options.ended(lines->options.userdata, error);
 }
 
+static bool is_too_long(const struct lp_lines *lines)
+{
+	return lines->options.line_bytes_max &&
+	       lines->rest->len > lines->options.line_bytes_max;
+}
+
 /* Reads and tells what is there. Returns whether more is to be awaited. */
 static bool read_all(struct lp_lines *lines)
 {
@@ -75,6 +81,14 @@
 		had += (gsize)size;
 		g_string_append_len(lines->rest, buffer, size);
 		tell_lines(lines);
+		if (!lines->destroyed && is_too_long(lines)) {
+			error = g_error_new(G_IO_ERROR,
+					    G_IO_ERROR_MESSAGE_TOO_LARGE,
+					    "a line is longer than %zu bytes",
+					    lines->options.line_bytes_max);
+			tell_end(lines, error);
+			return false;
+		}
 	}
 	return !lines->destroyed;
 }
--- a/base/lp_lines.h
+++ b/base/lp_lines.h
@@ -18,6 +18,9 @@
 	GInputStream *stream; /**< can be polled; a reference is taken */
 	/** Ends it with an error; no line is told after it. May be NULL. */
 	GCancellable *cancellable;
+	/** Of a line; a longer one ends the stream with
+	 * G_IO_ERROR_MESSAGE_TOO_LARGE. 0: no limit. */
+	gsize line_bytes_max;
 	/** A line without its newline, borrowed; also the rest without one. A
 	 * zero byte ends it early. */
 	void (*line)(void *userdata, const char *line);
--- a/tests/agent_upstream_test.cc
+++ b/tests/agent_upstream_test.cc
@@ -79,6 +79,37 @@
 	upstream_destroy(upstream);
 }
 
+/* An answer, or a line of a stream, that did not end was kept whole. */
+TEST(AgentUpstream, AnswerWithoutEndIsCutOff)
+{
+	const std::string filler(UPSTREAM_ANSWER_BYTES_MAX + 1000000, 'x');
+
+	for (bool stream : { false, true }) {
+		ThreadServer engine("max_tokens", [&](const std::string &) {
+			return stream ? begin_stream() +
+						stream_chunk("data: " + filler)
+				      : whole_answer("\"" + filler + "\"");
+		});
+		Tokens tokens;
+		const std::string url = "http://" + engine.address;
+		upstream *upstream = upstream_create(url.c_str(), &ops);
+		upstream_request request = {};
+
+		request.path = "/v1/completions";
+		request.key = "";
+		request.trace = "";
+		request.body = "{\"max_tokens\":50}";
+		request.stream = stream;
+		request.userdata = &tokens;
+		upstream_start_run(upstream, &request);
+		while (!tokens.ended)
+			g_main_context_iteration(nullptr, TRUE);
+		EXPECT_EQ(tokens.error, LP_ERROR_ANSWER_TOO_LARGE) << stream;
+		EXPECT_EQ(tokens.run, LP_RUN_MAY_HAVE_RUN) << stream;
+		upstream_destroy(upstream);
+	}
+}
+
 /* A nested answer overflowed the agent's stack. */
 TEST(AgentUpstream, DeeplyNestedAnswerIsAnError)
 {
--- a/wire/wire_sock.c
+++ b/wire/wire_sock.c
@@ -7,6 +7,8 @@
 #define DEFAULT_QUEUE_MAX 10000
 #define DEFAULT_LINGER_MS 1000
 #define PEER_MAX 255
+/* A peer that sends a larger message is disconnected. */
+#define MESSAGE_BYTES_MAX ((int64_t)64 << 20)
 #define BATCH_MAX 256 /* messages taken before the loop runs others */
 
 struct wire_sock {
@@ -159,6 +161,7 @@
 int wire_sock_create(const struct wire_sock_options *options,
 		     struct wire_sock **out)
 {
+	static const int64_t message_bytes_max = MESSAGE_BYTES_MAX;
 	struct wire_sock *sock = g_new0(struct wire_sock, 1);
 	int queue_max =
 		options->queue_max ? options->queue_max : DEFAULT_QUEUE_MAX;
@@ -173,6 +176,8 @@
 	set_int(sock->socket, ZMQ_ROUTER_HANDOVER, 1);
 	set_int(sock->socket, ZMQ_SNDHWM, queue_max);
 	set_int(sock->socket, ZMQ_RCVHWM, queue_max);
+	zmq_setsockopt(sock->socket, ZMQ_MAXMSGSIZE, &message_bytes_max,
+		       sizeof(message_bytes_max));
 	set_int(sock->socket, ZMQ_RECONNECT_IVL, 100);
 	set_int(sock->socket, ZMQ_RECONNECT_IVL_MAX, 2000);
 	set_int(sock->socket, ZMQ_LINGER,
