Soak: a notice in a head without an end was not given

The emulator counts a drain notice as given when it writes the fields of an answer, but not with faults whose answer nobody reads. A head that does not end, or that interim answers without an end come before, is one of them and was missing there.

--- a/tools/pe_notices.c
+++ b/tools/pe_notices.c
@@ -29,6 +29,8 @@
 	case PE_FAULT_GARBLED:
 	case PE_FAULT_FOREIGN:
 		return false;
+	case PE_FAULT_ENDLESS: /* its head has an end, or not */
+		return upstream->endless >= PE_ENDLESS_CHUNK_LINE;
 	default:
 		return true;
 	}
