JSON: a text of several values leaked all but the last

A body of a caller of linepierd, an answer of an upstream of it, or an answer of the key-value service that was several JSON values in a row leaked memory: 2.6 MB for each text of 64 KB of `["]` (a program that only calls json-glib: 2.6 GB after 1,000 texts). The text is refused, so whoever sends it may go on.

json-glib's parser replaces its root by each further value and frees none of them.

lp_json_is_plain() refuses a second value and what is not in a value.

--- a/base/lp_json.c
+++ b/base/lp_json.c
@@ -27,30 +27,51 @@
 	return json_to_string(root, FALSE);
 }
 
+static bool ends_value(char c, uint32_t depth)
+{
+	return !depth && (c == '"' || c == '}' || c == ']');
+}
+
+static bool is_of_number_or_word(char c)
+{
+	return g_ascii_isalnum(c) || c == '+' || c == '-' || c == '.';
+}
+
 bool lp_json_is_plain(const char *text, size_t size, uint32_t depth_max)
 {
-	static const char plain[] = " \t\r\n,:+-.";
 	uint32_t depth = 0;
 	bool quoted = false;
+	bool ended = false; /* the value */
+	bool in_word = false;
 
 	for (size_t i = 0; i < size; i++) {
 		char c = text[i];
 
-		if (quoted) {
-			if (c == '\\')
-				i++;
-			else if (c == '"')
-				quoted = false;
-		} else if (c == '"') {
-			quoted = true;
-		} else if (c == '{' || c == '[') {
-			if (++depth > depth_max)
-				return false;
-		} else if (c == '}' || c == ']') {
-			depth -= depth > 0;
-		} else if (!g_ascii_isalnum(c) && (!c || !strchr(plain, c))) {
-			return false;
+		if (quoted && c == '\\') {
+			i++;
+			continue;
+		}
+		if (quoted && c != '"')
+			continue;
+		if (g_ascii_isspace(c)) {
+			ended |= in_word;
+			continue;
 		}
+		if (ended || (in_word && !is_of_number_or_word(c)))
+			return false;
+		if (c == '"')
+			quoted = !quoted;
+		else if (c == '{' || c == '[')
+			depth++;
+		else if ((c == '}' || c == ']') && depth)
+			depth--;
+		else if (is_of_number_or_word(c))
+			in_word = !depth;
+		else if (!depth || (c != ',' && c != ':'))
+			return false;
+		if (depth > depth_max)
+			return false;
+		ended = !quoted && ends_value(c, depth);
 	}
 	return true;
 }
--- a/base/lp_json.h
+++ b/base/lp_json.h
@@ -15,8 +15,9 @@
 /** Deepest nesting of a text from a peer. */
 #define LP_JSON_DEPTH_MAX 64
 
-/** Whether a text has no deeper nesting, and outside of its strings no
- * character that is not JSON: the parser also accepts comments. */
+/** Whether a text has no deeper nesting, no second value, and outside of its
+ * strings no character that is not JSON: the parser also accepts comments, and
+ * leaks all values but the last. */
 bool lp_json_is_plain(const char *text, size_t size, uint32_t depth_max);
 /** Parse a text of this size, -1: up to its zero byte, with
  * LP_JSON_DEPTH_MAX. */
--- a/tests/base_test.cc
+++ b/tests/base_test.cc
@@ -162,6 +162,17 @@
 	}
 }
 
+/* Each value of a text but the last was leaked, 2.6 MB for 64 KB of them. */
+TEST(Json, SecondValueIsRefused)
+{
+	for (const char *bad : { "{}{}", "[\"][\"][\"]", "{} 1", "1 2",
+				 "1\"a\"", "\"a\"\"b\"", "{},{}", "]", "1,2" })
+		EXPECT_FALSE(lp_json_is_plain(bad, strlen(bad), 9)) << bad;
+	for (const char *good : { " {\"a\":[1, -2.5e+3]} ", "\"a b\"", "12",
+				  "true\n", "[]", "{\"a\":\"\\\"}\"}" })
+		EXPECT_TRUE(lp_json_is_plain(good, strlen(good), 9)) << good;
+}
+
 /* Guards against a check that takes brackets in strings for nesting. */
 TEST(Json, BracketsInStringsAreNoNesting)
 {
