Logs: why an attempt is not repeated, and requests cut by the end of a process

Two of the hypotheses leave the same lines: the retry policy refuses for the budget, the quarantine's limit or the number of executions alike, and a process that ends with open requests says only how many.

sending_end names the obstacle (policy/retry finds it, the budget aside), and each request that is open when a process ends has its request_end, cut by shutdown.

--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -47,6 +47,7 @@
 
 void direct_request_discard(struct direct_request *request)
 {
+	direct_request_log_end(request, "cut", request->status, "shutdown");
 	direct_request_free(request);
 }
 
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -153,7 +153,7 @@
 
 static void log_sending_end(struct direct_request *request,
 			    enum retry_event event, enum retry_step step,
-			    const char *why)
+			    enum retry_obstacle obstacle, const char *why)
 {
 	static const char *const events[] = { "not_sent", "not_run",
 					      "answered", "error",
@@ -169,6 +169,7 @@
 	lp_event_text(log, "ended", events[event]);
 	lp_event_text(log, "why", why);
 	lp_event_text(log, "outcome", steps[step]);
+	lp_event_text(log, "obstacle", retry_obstacle_name(obstacle));
 	lp_event_text(
 		log, "upstream",
 		request->tried_upstreams->len
@@ -236,6 +237,12 @@
 	       request->deadline_us;
 }
 
+static bool is_further_attempt(enum retry_step step)
+{
+	return step == RETRY_STEP_RETRY || step == RETRY_STEP_RESUME ||
+	       step == RETRY_STEP_RECOMPUTE_INPUTS;
+}
+
 /* Decides and performs the step that follows a sending (policy/retry.h). To
  * be called after direct_sending_end(). May free the request. */
 static void handle_sending_end(struct direct_request *request,
@@ -258,14 +265,17 @@
 		.attempts = request->sendings,
 		.has_time = has_time_to_retry(request),
 	};
+	enum retry_obstacle obstacle = retry_find_obstacle(&state, event);
 	enum retry_step step =
 		retry_next_step(&state, event, take_from_retry_budget, request);
 
+	if (!obstacle && !is_further_attempt(step))
+		obstacle = RETRY_OBSTACLE_BUDGET;
 	if (event == RETRY_EVENT_BROKEN || event == RETRY_EVENT_ERROR) {
 		request->may_have_run = true;
 		request->possible_runs++;
 	}
-	log_sending_end(request, event, step, why);
+	log_sending_end(request, event, step, obstacle, why);
 	if (request->answer_begun && state.resumable)
 		direct_stream_resume_begin(request);
 	if (step == RETRY_STEP_ABORT && !state.has_time)
--- a/policy/retry.c
+++ b/policy/retry.c
@@ -12,28 +12,61 @@
 	return may_have_run ? RETRY_STEP_FAIL : RETRY_STEP_REFUSE;
 }
 
-static enum retry_step after_not_run(const struct retry_state *state,
-				     enum retry_event event,
-				     bool (*take_budget)(void *userdata),
-				     void *userdata)
+static bool has_run(enum retry_event event)
+{
+	return event == RETRY_EVENT_ERROR || event == RETRY_EVENT_BROKEN;
+}
+
+enum retry_obstacle retry_find_obstacle(const struct retry_state *state,
+					enum retry_event event)
+{
+	if (!has_run(event)) {
+		if (state->attempts >= ATTEMPTS_MAX)
+			return RETRY_OBSTACLE_ATTEMPTS;
+		return state->has_time ? RETRY_OBSTACLE_NONE
+				       : RETRY_OBSTACLE_TIME;
+	}
+	/* No place is left for another answer. */
+	if (state->response_started && !state->resumable)
+		return RETRY_OBSTACLE_NOT_RESUMABLE;
+	if (!state->repeatable)
+		return RETRY_OBSTACLE_NOT_REPEATABLE;
+	if (!state->has_time)
+		return RETRY_OBSTACLE_TIME;
+	if (state->executions >= state->executions_max)
+		return RETRY_OBSTACLE_EXECUTIONS;
+	return RETRY_OBSTACLE_NONE;
+}
+
+const char *retry_obstacle_name(enum retry_obstacle obstacle)
+{
+	static const char *const names[] = {
+		[RETRY_OBSTACLE_NONE] = "none",
+		[RETRY_OBSTACLE_NOT_REPEATABLE] = "not_repeatable",
+		[RETRY_OBSTACLE_NOT_RESUMABLE] = "not_resumable",
+		[RETRY_OBSTACLE_EXECUTIONS] = "executions",
+		[RETRY_OBSTACLE_ATTEMPTS] = "attempts",
+		[RETRY_OBSTACLE_TIME] = "time",
+		[RETRY_OBSTACLE_BUDGET] = "budget",
+	};
+
+	return names[obstacle];
+}
+
+static enum retry_step next_attempt(const struct retry_state *state,
+				    enum retry_event event)
 {
-	if (state->attempts >= ATTEMPTS_MAX || !state->has_time)
-		return final_step(state, state->may_have_run);
-	/* An attempt that was not sent adds no load and costs no budget. */
-	if (event != RETRY_EVENT_NOT_SENT && !take_budget(userdata))
-		return final_step(state, state->may_have_run);
 	if (event == RETRY_EVENT_INPUT_LOST)
 		return RETRY_STEP_RECOMPUTE_INPUTS;
 	return state->response_started ? RETRY_STEP_RESUME : RETRY_STEP_RETRY;
 }
 
-static bool may_retry(const struct retry_state *state,
-		      bool (*take_budget)(void *userdata), void *userdata)
+static enum retry_step last_step(const struct retry_state *state,
+				 enum retry_event event)
 {
-	if (!state->repeatable || !state->has_time ||
-	    state->executions >= state->executions_max)
-		return false;
-	return take_budget(userdata);
+	if (event == RETRY_EVENT_ERROR && !state->response_started)
+		return RETRY_STEP_FORWARD;
+	return final_step(state, has_run(event) || state->may_have_run);
 }
 
 enum retry_step retry_next_step(const struct retry_state *state,
@@ -41,26 +74,12 @@
 				bool (*take_budget)(void *userdata),
 				void *userdata)
 {
-	switch (event) {
-	case RETRY_EVENT_ANSWERED:
+	if (event == RETRY_EVENT_ANSWERED)
 		return RETRY_STEP_FORWARD;
-	case RETRY_EVENT_NOT_SENT:
-	case RETRY_EVENT_NOT_RUN:
-	case RETRY_EVENT_INPUT_LOST:
-		return after_not_run(state, event, take_budget, userdata);
-	case RETRY_EVENT_ERROR:
-		if (state->response_started) /* no place is left for another
-						answer */
-			break;
-		return may_retry(state, take_budget, userdata)
-			       ? RETRY_STEP_RETRY
-			       : RETRY_STEP_FORWARD;
-	case RETRY_EVENT_BROKEN:
-		break;
-	}
-	if (state->response_started && !state->resumable)
-		return RETRY_STEP_ABORT;
-	if (!may_retry(state, take_budget, userdata))
-		return final_step(state, true);
-	return state->response_started ? RETRY_STEP_RESUME : RETRY_STEP_RETRY;
+	if (retry_find_obstacle(state, event))
+		return last_step(state, event);
+	/* An attempt that was not sent adds no load and costs no budget. */
+	if (event != RETRY_EVENT_NOT_SENT && !take_budget(userdata))
+		return last_step(state, event);
+	return next_attempt(state, event);
 }
--- a/policy/retry.h
+++ b/policy/retry.h
@@ -50,6 +50,23 @@
 	bool has_time;	   /**< the deadline allows a further attempt */
 };
 
+/** Why a request is not sent again. */
+enum retry_obstacle {
+	RETRY_OBSTACLE_NONE,
+	RETRY_OBSTACLE_NOT_REPEATABLE,
+	RETRY_OBSTACLE_NOT_RESUMABLE, /**< a started answer that is no stream */
+	RETRY_OBSTACLE_EXECUTIONS,    /**< `executions_max` is reached */
+	RETRY_OBSTACLE_ATTEMPTS,      /**< too many that did not run */
+	RETRY_OBSTACLE_TIME,
+	RETRY_OBSTACLE_BUDGET,
+};
+
+/** What forbids a further attempt after this one, the budget aside. */
+enum retry_obstacle retry_find_obstacle(const struct retry_state *state,
+					enum retry_event event);
+/** For log lines and labels. */
+const char *retry_obstacle_name(enum retry_obstacle obstacle);
+
 /**
  * `take_budget` takes one retry out of the budget and returns whether there was
  * one; it is called at most once, and only for a retry that costs budget.
