--- a/tools/pe.c
+++ b/tools/pe.c
@@ -132,6 +132,8 @@
 	struct pe_conn *conn;
 	struct pe_upstream *upstream;
 	uint32_t next;
+	struct pe_pauses pauses; /* those to come */
+	int64_t paused_until_us;
 	bool begun;    /* an event was written */
 	bool unframed; /* as its head said */
 };
@@ -178,6 +180,22 @@
 	return true;
 }
 
+/* Begins the pause that is due after so many events. */
+static void pause_if_due(struct stream *stream, uint32_t events)
+{
+	if (!stream->pauses.count || events % stream->pauses.events)
+		return;
+	stream->pauses.count--;
+	stream->paused_until_us =
+		g_get_monotonic_time() +
+		stream->pauses.pause_ms * (int64_t)LP_US_PER_MS;
+}
+
+void pe_set_pauses(struct pe_upstream *upstream, const struct pe_pauses *pauses)
+{
+	upstream->pauses = *pauses;
+}
+
 static gboolean on_event(gpointer userdata)
 {
 	struct stream *stream = userdata;
@@ -189,6 +207,8 @@
 				(int)stream->upstream->stream_end.id_digits,
 				stream->next, data);
 
+	if (g_get_monotonic_time() < stream->paused_until_us)
+		return G_SOURCE_CONTINUE;
 	if (end_if_due(stream))
 		return G_SOURCE_REMOVE;
 	if (stream->upstream->fault == PE_FAULT_CUT && stream->next == CUT_AT) {
@@ -207,7 +227,7 @@
 		pe_versions_event(stream->upstream, conn);
 	stream->begun = true;
 	write_part(stream, event);
-	stream->next++;
+	pause_if_due(stream, stream->next++);
 	return G_SOURCE_CONTINUE;
 }
 
@@ -231,6 +251,7 @@
 	stream->conn = conn;
 	stream->upstream = upstream;
 	stream->unframed = is_unframed(upstream);
+	stream->pauses = upstream->pauses;
 	stream->next =
 		after ? (uint32_t)g_ascii_strtoull(after, NULL, 10) + 1 : 1;
 	pe_conn_write(conn, head);
--- a/tools/pe.h
+++ b/tools/pe.h
@@ -209,6 +209,16 @@
 
 void pe_set_stream_end(struct pe_upstream *upstream,
 		       const struct pe_stream_end *how);
+/** Pauses in which a sound engine sends nothing for its streams. */
+struct pe_pauses {
+	uint32_t pause_ms; /**< 0: none */
+	uint32_t count;	   /**< in each stream */
+	uint32_t events;   /**< before each pause */
+};
+
+/** For streams that begin from now on. */
+void pe_set_pauses(struct pe_upstream *upstream,
+		   const struct pe_pauses *pauses);
 /** How much an upstream answers, and how it takes what is sent to it. */
 struct pe_pace {
 	uint32_t answer_bytes; /**< 'x' after a plain answer, or after the data
--- a/tools/pe_private.h
+++ b/tools/pe_private.h
@@ -54,6 +54,7 @@
 	enum pe_fault fault;
 	enum pe_endless endless;
 	struct pe_stream_end stream_end;
+	struct pe_pauses pauses;
 	char *id;	 /**< as the key-value service names it */
 	char *other_id;	 /**< of a process that took the address; or NULL */
 	int64_t born_ms; /**< wall clock, as it says it */
