Silent upstreams: an attempt is given up only for a place elsewhere

What callers saw: streams cut, and 502 for answers that had not begun, seconds before their deadlines, at engines that pause and go on.

Cause: an attempt was ended by its stall timer, and only then it was decided whether the request may be sent again. If the budget was spent, or two attempts counted as lost by their silence alone, or no other upstream was there, nothing took its place. A stream whose stages had to be computed again was at no upstream in that time, and the refusal of unsent requests near the end of the grace time cut it.

Now policy/stall decides with the attempt still open: it stays unless a move is allowed (executions, time, quarantine, budget) and an upstream that was not tried can take it, or its own is gone. The stages and the placer's answer are had first; the attempt ends when the next one is sent. While it stays, that is asked again every 100 ms. A peer that is gone is known by its keep-alive probes, sent from the first stall on, or by a newer incarnation. No timeout and no budget has changed, and a hung upstream is left at the same time as before.

A request that is left counts against its content only if its upstream turns out to have terminated (request_left; request_lost is for broken connections). The upstream is avoided from its first stall on, and not any more once it sends.

--- a/direct/direct_answer_flow.c
+++ b/direct/direct_answer_flow.c
@@ -38,7 +38,7 @@
 	if (!request->exchange)
 		return;
 	http_exchange_pause(request->exchange, pause);
-	direct_sending_watch_stall(request);
+	direct_stall_watch(request);
 }
 
 /* The caller waits for the next event from now on. */
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -122,7 +122,7 @@
 /** Refuse a request whose stages are in progress, or abort its answer, if no
  * upstream of the version that began its stream is left. */
 void direct_request_refuse_if_version_gone(struct direct_request *request);
-/** Refuse a request that has not been sent, or abort a stream that waits to be
+/** Refuse a request that is at no upstream, or abort a stream that waits to be
  * resumed, because the entry terminates. */
 void direct_request_refuse_unsent(struct direct_request *request);
 /** Refuse a request because a piece of it cannot be completed in time. */
@@ -190,6 +190,10 @@
 /** Free the results that a request does not need any more; `all`: every one. */
 void direct_stages_free_results(struct direct_stages *stages,
 				struct direct_request *request, bool all);
+/** Cancel all pieces of a request and free its results; they are computed again
+ * when they are needed. */
+void direct_stages_discard(struct direct_stages *stages,
+			   struct direct_request *request);
 /** Inputs of a stage of a request are gone: cancel the stage's pieces, free the
  * other inputs and mark them all as missing, to be computed again. */
 void direct_stages_recompute_inputs(struct direct_stages *stages,
--- a/direct/direct_request.c
+++ b/direct/direct_request.c
@@ -165,7 +165,9 @@
 void direct_request_refuse(struct direct_request *request,
 			   int64_t retry_after_us, const char *why)
 {
-	if (request->may_have_run)
+	if (request->is_moving)
+		direct_stall_stay(request);
+	else if (request->may_have_run)
 		direct_request_reply_locally(request, 502, 0, why);
 	else
 		direct_request_reply_locally(request, 503, retry_after_us, why);
@@ -192,10 +194,10 @@
 	struct direct_request *request = userdata;
 
 	request->deadline_timer = 0;
+	direct_stall_stay(request);
 	if (request->answer_begun)
 		direct_request_abort(request, "deadline");
-	else if (request->state == DIRECT_STATE_SENT && request->exchange &&
-		 http_exchange_has_sent(request->exchange))
+	else if (request->exchange && http_exchange_has_sent(request->exchange))
 		direct_request_reply_locally(request, 504, 0, "deadline");
 	else
 		direct_request_refuse(request, DIRECT_RETRY_AFTER_FULL_US,
@@ -259,13 +261,13 @@
 	lp_event_text(log, "parts", text->str);
 }
 
-static void log_lost(const struct direct_request *request,
+static void log_lost(const struct direct_request *request, const char *event,
 		     const struct pool_upstream *upstream,
 		     const struct lost_request *lost)
 {
 	struct lp_event_log *log = request->direct->options.log;
 
-	if (!lp_event_begin(log, "request_lost", request->id))
+	if (!lp_event_begin(log, event, request->id))
 		return;
 	lp_event_text(log, "upstream", upstream->info.id);
 	lp_event_digest(log, "content", lost->keys.items[0].digest);
@@ -298,24 +300,41 @@
 {
 	*direct_counter(request->direct, "linepier_requests_lost_total",
 			NULL) += 1;
-	log_lost(request, upstream, lost);
+	log_lost(request, "request_lost", upstream, lost);
 	direct_quarantine_request_lost(request->direct->quarantine, request);
 	direct_terminations_add_lost_request(request->direct->terminations,
 					     upstream, *lost);
 }
 
-void direct_request_report_lost(struct direct_request *request)
+/* The sending in progress. */
+static struct lost_request describe_sending(struct direct_request *request)
 {
-	const struct lost_request lost = {
+	return (struct lost_request){
 		.keys = *direct_quarantine_keys(request->direct->quarantine,
 						request),
 		.had_begun = request->upstream_responded,
 		.sent_us = request->sent_us,
 	};
+}
+
+void direct_request_report_lost(struct direct_request *request)
+{
+	const struct lost_request lost = describe_sending(request);
 
 	report_lost(request, request->upstream, &lost);
 }
 
+void direct_request_report_left(struct direct_request *request)
+{
+	const struct lost_request left = describe_sending(request);
+
+	*direct_counter(request->direct, "linepier_requests_left_total",
+			NULL) += 1;
+	log_lost(request, "request_left", request->upstream, &left);
+	direct_terminations_add_lost_request(request->direct->terminations,
+					     request->upstream, left);
+}
+
 /* Upstreams that compute pieces do not read the prompt. */
 void direct_request_report_lost_pieces(struct direct_request *request,
 				       const struct pool_upstream *upstream,
@@ -602,7 +621,7 @@
 
 void direct_request_refuse_unsent(struct direct_request *request)
 {
-	if (request->state != DIRECT_STATE_SENT)
+	if (!request->exchange)
 		direct_request_refuse(request, DIRECT_RETRY_AFTER_DRAINING_US,
 				      "draining");
 }
@@ -649,6 +668,8 @@
 
 bool direct_request_is_waiting(const struct direct_request *request)
 {
+	if (request->exchange)
+		return true;
 	switch (request->state) {
 	case DIRECT_STATE_STAGES:
 		return waits_for_stages(request);
@@ -657,7 +678,7 @@
 	case DIRECT_STATE_PLACING:
 		return request->placement_query || request->placement_timer;
 	case DIRECT_STATE_SENT:
-		return request->exchange;
+		break;
 	}
 	return false;
 }
--- a/direct/direct_request.h
+++ b/direct/direct_request.h
@@ -2,6 +2,7 @@
  * One request of a caller, shared by the files that process it:
  * direct_request.c (admission, deadline, local replies), direct_stage_plan.c
  * (its stages), direct_sending.c (sending it to upstreams),
+ * direct_stall.c (attempts whose upstreams send nothing),
  * direct_stream_resume.c (streams that have begun and lost their upstream),
  * direct_stream_version.c (the version that may serve a stream).
  *
@@ -75,6 +76,10 @@
 	int64_t sent_us;
 	int64_t expected_us; /* estimate: from sent_us to the first response */
 	int64_t cold_tokens; /* prompt tokens that the engine has to read */
+	int64_t stalled_us;  /* its upstream has sent nothing for its stall time
+				since; 0: it has not */
+	bool is_moving; /* another upstream is sought; the state is that of the
+			   search, and the sending in progress goes on */
 	bool is_upstream_paused;  /* its caller does not keep up */
 	bool has_upstream_waited; /* it was paused in this sending */
 	bool passes_through;  /* not an event stream, and passed on before its
@@ -96,6 +101,8 @@
 	uint32_t sendings;
 	uint32_t lost_sendings; /* sendings lost with their upstream or
 				   connection */
+	uint32_t left_sendings; /* sendings that were left for another upstream
+				 */
 	bool may_have_run;
 	bool answer_begun;
 	/* a stream that has begun, in this answer or an earlier one */
@@ -126,6 +133,7 @@
 direct_request_is_resumed(const struct direct_request *request)
 {
 	return request->resume_began_us ||
+	       (request->is_moving && request->answer_begun) ||
 	       (request->has_version && !request->answer_begun);
 }
 
@@ -153,7 +161,7 @@
 				  const char *why);
 /** Refuse a request as "not run" (503), or as failed (502) if one of its
  * sendings may have run. An answer that has begun is aborted instead. Frees it.
- */
+ * While it is moving, only the move ends, and it stays at its upstream. */
 void direct_request_refuse(struct direct_request *request,
 			   int64_t retry_after_us, const char *why);
 /** Retry-After of a request that this entry cannot serve since it has started:
@@ -177,6 +185,9 @@
 /** Report that a request was lost with its upstream or with the connection to
  * it. */
 void direct_request_report_lost(struct direct_request *request);
+/** Report that a request was left at a silent upstream: it counts against the
+ * request only if the upstream turns out to have terminated. */
+void direct_request_report_left(struct direct_request *request);
 /** Report that pieces of a request were lost with an upstream or with the
  * connection to it. `round` and `began_us`: direct_request_quarantine_round()
  * and the time at which the pieces were sent. */
@@ -201,6 +212,8 @@
  * each of its stages. */
 void direct_stage_plan_learn(struct direct_request *request);
 
+/** Whether its stages may be computed once more. */
+bool direct_stage_plan_can_recompute(const struct direct_request *request);
 /** Least time that the stages whose results the request lacks take without
  * any load. */
 int64_t direct_stage_plan_least_us(const struct direct_request *request);
@@ -243,12 +256,43 @@
 /** Send a request to the best upstream. Handles retries, resumption and the
  * answer, and may free the request. */
 void direct_sending_start(struct direct_request *request);
-/** Start the time in which the upstream has to send more, if another one may
- * take over; it does not run while the upstream is paused. */
-void direct_sending_watch_stall(struct direct_request *request);
+/** Criteria for the selection of its upstream. */
+void direct_sending_fill_pick_args(const struct direct_request *request,
+				   struct pool_pick_args *pick_args);
+/** The state by which is decided whether it is sent again. */
+struct retry_state
+direct_sending_retry_state(const struct direct_request *request);
+/** Take one retry out of the budget of its service. */
+bool direct_sending_take_budget(void *userdata);
+/** Log the end of a sending and what follows. */
+void direct_sending_log_end(struct direct_request *request,
+			    enum retry_event event, enum retry_step step,
+			    enum retry_obstacle obstacle, const char *why);
+/** Perform the step that follows a sending which has ended. May free it. */
+void direct_sending_handle_end(struct direct_request *request,
+			       enum retry_event event, const char *why);
+/** The sending may have run, and it is not known to have been answered. */
+void direct_sending_note_possible_run(struct direct_request *request);
 /** End the sending in progress, if any, and report `outcome` of its upstream to
  * the pool. */
 void direct_sending_end(struct direct_request *request,
 			enum pool_outcome outcome);
 
+/* ---- direct_stall.c ---- */
+
+/** The upstream of the sending in progress has sent something, or nothing yet:
+ * start its stall time (policy/stall.h). It does not run while the upstream is
+ * paused. */
+void direct_stall_watch(struct direct_request *request);
+/** The sending in progress ends with this outcome of its upstream: so does its
+ * stall. */
+void direct_stall_end(struct direct_request *request,
+		      enum pool_outcome outcome);
+/** End the search for another upstream, if any; the sending in progress goes
+ * on. */
+void direct_stall_stay(struct direct_request *request);
+/** If it is moving, end the sending in progress, as it is sent to another
+ * upstream now. */
+void direct_stall_leave(struct direct_request *request);
+
 #endif
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -11,16 +11,6 @@
 
 /* A request is sent again only if this much time is left until its deadline. */
 #define RETRY_TIME_MIN_US (50 * LP_US_PER_MS)
-/* A repeatable request is sent to another upstream if this multiple of the
- * route's target time passes without an answer: at least STALL_MIN_US, but at
- * most half of the time left. */
-#define STALL_TARGET_MULTIPLE 2
-#define STALL_MIN_US (300 * LP_US_PER_MS)
-/* A resumable stream is moved if no event comes for this multiple of the
- * route's longest pause; before the first event, of its expected time. */
-#define STALL_GAP_MULTIPLE 3
-#define STALL_FIRST_MIN_US (1000 * LP_US_PER_MS)
-#define STALL_EXPECTED_MULTIPLE 4
 /* Interval at which a resumed stream looks for an engine while all of them are
  * limited. */
 #define PLACEMENT_RETRY_MS 20
@@ -45,7 +35,7 @@
 {
 	struct pool_upstream *upstream = request->upstream;
 
-	direct_clear_timer(&request->stall_timer);
+	direct_stall_end(request, outcome);
 	direct_clear_timer(&request->placement_timer);
 	if (request->placement_query)
 		direct_placement_cancel(request->direct->placement,
@@ -87,8 +77,8 @@
 		       : request->arrived_us + request->route->target_us;
 }
 
-static void fill_pick_args(const struct direct_request *request,
-			   struct pool_pick_args *pick_args)
+void direct_sending_fill_pick_args(const struct direct_request *request,
+				   struct pool_pick_args *pick_args)
 {
 	*pick_args = (struct pool_pick_args){
 		.service = request->service,
@@ -136,7 +126,7 @@
 	lp_event_end(log);
 }
 
-static bool take_from_retry_budget(void *userdata)
+bool direct_sending_take_budget(void *userdata)
 {
 	struct direct_request *request = userdata;
 	bool taken = retry_budget_take(request->direct->retry_budget,
@@ -151,7 +141,7 @@
 	return taken;
 }
 
-static void log_sending_end(struct direct_request *request,
+void direct_sending_log_end(struct direct_request *request,
 			    enum retry_event event, enum retry_step step,
 			    enum retry_obstacle obstacle, const char *why)
 {
@@ -212,7 +202,8 @@
 static bool is_suspect(const struct direct_request *request)
 {
 	return request->was_trial ||
-	       request->lost_sendings >= QUARANTINE_SUSPECT_TERMINATIONS;
+	       request->lost_sendings + request->left_sendings >=
+		       QUARANTINE_SUSPECT_TERMINATIONS;
 }
 
 /* Refuses a request that did not run. Retry-After is the time until some
@@ -222,7 +213,7 @@
 	struct pool_pick_args pick_args;
 	int64_t wait_us;
 
-	fill_pick_args(request, &pick_args);
+	direct_sending_fill_pick_args(request, &pick_args);
 	wait_us = pool_retry_after_us(request->direct->pool, &pick_args);
 	direct_request_refuse(
 		request, wait_us ? wait_us : DIRECT_RETRY_AFTER_FULL_US, why);
@@ -243,15 +234,14 @@
 	       step == RETRY_STEP_RECOMPUTE_INPUTS;
 }
 
-/* Decides and performs the step that follows a sending (policy/retry.h). To
- * be called after direct_sending_end(). May free the request. */
-static void handle_sending_end(struct direct_request *request,
-			       enum retry_event event, const char *why)
+struct retry_state
+direct_sending_retry_state(const struct direct_request *request)
 {
 	bool repeatable = (request->route->kind == DIRECT_IDEMPOTENT ||
 			   request->route->is_resumable) &&
 			  !is_suspect(request);
-	struct retry_state state = {
+
+	return (struct retry_state){
 		.repeatable = repeatable,
 		.resumable = request->route->is_resumable &&
 			     !request->passes_through &&
@@ -265,17 +255,29 @@
 		.attempts = request->sendings,
 		.has_time = has_time_to_retry(request),
 	};
+}
+
+void direct_sending_note_possible_run(struct direct_request *request)
+{
+	request->may_have_run = true;
+	request->possible_runs++;
+}
+
+/* Decides and performs the step that follows a sending (policy/retry.h). To
+ * be called after direct_sending_end(). */
+void direct_sending_handle_end(struct direct_request *request,
+			       enum retry_event event, const char *why)
+{
+	struct retry_state state = direct_sending_retry_state(request);
 	enum retry_obstacle obstacle = retry_find_obstacle(&state, event);
-	enum retry_step step =
-		retry_next_step(&state, event, take_from_retry_budget, request);
+	enum retry_step step = retry_next_step(
+		&state, event, direct_sending_take_budget, request);
 
 	if (!obstacle && !is_further_attempt(step))
 		obstacle = RETRY_OBSTACLE_BUDGET;
-	if (event == RETRY_EVENT_BROKEN || event == RETRY_EVENT_ERROR) {
-		request->may_have_run = true;
-		request->possible_runs++;
-	}
-	log_sending_end(request, event, step, obstacle, why);
+	if (event == RETRY_EVENT_BROKEN || event == RETRY_EVENT_ERROR)
+		direct_sending_note_possible_run(request);
+	direct_sending_log_end(request, event, step, obstacle, why);
 	if (request->answer_begun && state.resumable)
 		direct_stream_resume_begin(request);
 	if (step == RETRY_STEP_ABORT && !state.has_time)
@@ -305,56 +307,6 @@
 
 /* ---- answers of upstreams ---- */
 
-static int64_t stall_timeout_us(const struct direct_request *request)
-{
-	const struct direct_route *route = request->route;
-	int64_t left_us = request->deadline_us - direct_request_now_us(request);
-
-	if (route->kind == DIRECT_STREAM && request->upstream_responded)
-		return MAX(STALL_GAP_MULTIPLE * route->gap_us, STALL_MIN_US);
-	if (route->kind == DIRECT_STREAM)
-		return MAX(STALL_EXPECTED_MULTIPLE * request->expected_us,
-			   STALL_FIRST_MIN_US);
-	return MIN(MAX(STALL_TARGET_MULTIPLE * route->target_us, STALL_MIN_US),
-		   left_us / 2);
-}
-
-/* An upstream whose receive window holds the request back is alive: it does not
- * count as lost. */
-static gboolean on_stall(gpointer userdata)
-{
-	struct direct_request *request = userdata;
-	bool reads_slowly = http_exchange_blocked_bytes(request->exchange) > 0;
-
-	request->stall_timer = 0;
-	if (!reads_slowly)
-		record_lost_sending(request);
-	direct_sending_end(request,
-			   reads_slowly ? POOL_OVERLOADED : POOL_UNREACHABLE);
-	handle_sending_end(request, RETRY_EVENT_BROKEN,
-			   reads_slowly ? "reads_slowly" : "silent");
-	return G_SOURCE_REMOVE;
-}
-
-/* Only requests that may be repeated are moved away from a silent upstream, and
- * only while another attempt is allowed. */
-void direct_sending_watch_stall(struct direct_request *request)
-{
-	const struct direct_route *route = request->route;
-
-	direct_clear_timer(&request->stall_timer);
-	if (request->is_upstream_paused || request->passes_through ||
-	    request->has_split_event || request->has_long_event_id)
-		return;
-	if (route->kind != DIRECT_IDEMPOTENT && !route->is_resumable)
-		return;
-	if (request->possible_runs + 1 >= route->attempts_max)
-		return;
-	request->stall_timer =
-		lp_timer_add((guint)(stall_timeout_us(request) / LP_US_PER_MS),
-			     on_stall, request);
-}
-
 /* An upstream that answers has read the prompt and the inputs of the request.
  */
 static void record_first_response(struct direct_request *request)
@@ -533,7 +485,7 @@
 		record_lost_sending(request);
 		direct_sending_end(request, POOL_UNREACHABLE);
 		g_string_truncate(request->body, 0);
-		handle_sending_end(request, RETRY_EVENT_BROKEN, "torn");
+		direct_sending_handle_end(request, RETRY_EVENT_BROKEN, "torn");
 		return;
 	}
 	record_first_response(request);
@@ -557,34 +509,38 @@
 					    request->upstream,
 					    DIRECT_TERMINATION_REPLACED);
 		direct_sending_end(request, POOL_WRONG_PROCESS);
-		handle_sending_end(request, RETRY_EVENT_NOT_RUN,
-				   "other_process");
+		direct_sending_handle_end(request, RETRY_EVENT_NOT_RUN,
+					  "other_process");
 	} else if (reply->not_run) {
 		direct_sending_end(request, POOL_OVERLOADED);
-		handle_sending_end(request,
-				   reply->input_gone ? RETRY_EVENT_INPUT_LOST
-						     : RETRY_EVENT_NOT_RUN,
-				   "not_run");
+		direct_sending_handle_end(request,
+					  reply->input_gone
+						  ? RETRY_EVENT_INPUT_LOST
+						  : RETRY_EVENT_NOT_RUN,
+					  "not_run");
 	} else if (!reply->matches_request ||
 		   (success && !reply->has_upstream_seal)) {
 		direct_sending_end(request, POOL_UNREACHABLE);
-		handle_sending_end(request, RETRY_EVENT_BROKEN, "not_ours");
+		direct_sending_handle_end(request, RETRY_EVENT_BROKEN,
+					  "not_ours");
 	} else if (request->answer_begun) {
 		direct_quarantine_request_served(request->direct->quarantine,
 						 request, success);
 		direct_sending_end(request, POOL_ERROR_ANSWER);
-		handle_sending_end(request, RETRY_EVENT_BROKEN, "no_stream");
+		direct_sending_handle_end(request, RETRY_EVENT_BROKEN,
+					  "no_stream");
 	} else if (request->status >= 500) {
 		direct_quarantine_request_served(request->direct->quarantine,
 						 request, success);
 		direct_sending_end(request, POOL_ERROR_ANSWER);
-		handle_sending_end(request, RETRY_EVENT_ERROR, "error");
+		direct_sending_handle_end(request, RETRY_EVENT_ERROR, "error");
 	} else {
 		direct_quarantine_request_served(request->direct->quarantine,
 						 request, success);
 		record_first_response(request);
 		direct_sending_end(request, POOL_SERVED);
-		handle_sending_end(request, RETRY_EVENT_ANSWERED, "answered");
+		direct_sending_handle_end(request, RETRY_EVENT_ANSWERED,
+					  "answered");
 	}
 }
 
@@ -610,7 +566,7 @@
 	begin_answer(request);
 	http_call_write(request->call, request->body->str, request->body->len);
 	remove_buffered(request, request->body->len);
-	direct_sending_watch_stall(request);
+	direct_stall_watch(request);
 	direct_answer_flow_update(request);
 }
 
@@ -647,7 +603,7 @@
 	    !forward_events(request))
 		return;
 	/* A part of an event shows that the upstream is not silent. */
-	direct_sending_watch_stall(request);
+	direct_stall_watch(request);
 	direct_answer_flow_update(request);
 }
 
@@ -679,9 +635,9 @@
 					    DIRECT_TERMINATION_REFUSED);
 	direct_sending_end(request,
 			   was_unread ? POOL_UNDETERMINED : POOL_UNREACHABLE);
-	handle_sending_end(request,
-			   sent ? RETRY_EVENT_BROKEN : RETRY_EVENT_NOT_SENT,
-			   was_unread ? "unread" : why);
+	direct_sending_handle_end(
+		request, sent ? RETRY_EVENT_BROKEN : RETRY_EVENT_NOT_SENT,
+		was_unread ? "unread" : why);
 }
 
 static void on_excess(void *userdata, const struct http_excess *excess)
@@ -771,7 +727,7 @@
 	struct pool_upstream *source;
 
 	if (!placement->placer) {
-		fill_pick_args(request, &pick_args);
+		direct_sending_fill_pick_args(request, &pick_args);
 		return pool_find_cache_copy(pool, request->upstream,
 					    &pick_args);
 	}
@@ -947,17 +903,21 @@
 }
 
 static void send_to_upstream(struct direct_request *request,
-			     struct pool_upstream *upstream)
+			     struct pool_upstream *upstream,
+			     const struct direct_placement_result *placement)
 {
+	direct_stall_leave(request);
+	request->placement = *placement;
 	prepare_sending(request, upstream);
 	log_sending(request);
 	start_exchange(request);
 	if (!request->exchange) {
 		direct_sending_end(request, POOL_UNREACHABLE);
-		handle_sending_end(request, RETRY_EVENT_NOT_SENT, "connection");
+		direct_sending_handle_end(request, RETRY_EVENT_NOT_SENT,
+					  "connection");
 		return;
 	}
-	direct_sending_watch_stall(request);
+	direct_stall_watch(request);
 }
 
 /* Selects an upstream without a placer. `wait_us`: time after which the placer
@@ -965,10 +925,10 @@
 static void place_locally(struct direct_request *request,
 			  struct pool_pick_args *pick_args, int64_t wait_us)
 {
+	const struct direct_placement_result own = { 0 };
 	struct pool *pool = request->direct->pool;
 	struct pool_upstream *upstream;
 
-	request->placement = (struct direct_placement_result){ 0 };
 	upstream = pool_pick(pool, pick_args);
 	if (!upstream) { /* no usable upstream in the shard */
 		pick_args->shard_count = 0;
@@ -981,7 +941,7 @@
 		return;
 	}
 	pool_note_sent(pool, upstream);
-	send_to_upstream(request, upstream);
+	send_to_upstream(request, upstream, &own);
 }
 
 static void on_placed(void *userdata, struct pool_upstream *upstream,
@@ -999,12 +959,11 @@
 		upstream = NULL;
 	}
 	if (!upstream) {
-		fill_pick_args(request, &pick_args);
+		direct_sending_fill_pick_args(request, &pick_args);
 		place_locally(request, &pick_args, placement->wait_us);
 		return;
 	}
-	request->placement = *placement;
-	send_to_upstream(request, upstream);
+	send_to_upstream(request, upstream, placement);
 }
 
 /* Returns whether a peer was asked to place the prompt. */
@@ -1055,7 +1014,7 @@
 		recompute_inputs(request);
 		return;
 	}
-	fill_pick_args(request, &pick_args);
+	direct_sending_fill_pick_args(request, &pick_args);
 	if (!query_placer(request, &pick_args))
 		place_locally(request, &pick_args, 0);
 }
--- a/direct/direct_stage_plan.c
+++ b/direct/direct_stage_plan.c
@@ -394,6 +394,11 @@
 			record_stage_completion(request, i);
 }
 
+bool direct_stage_plan_can_recompute(const struct direct_request *request)
+{
+	return request->recomputations <= RECOMPUTATIONS_MAX;
+}
+
 void direct_request_advance(struct direct_request *request)
 {
 	if (request->state != DIRECT_STATE_STAGES)
@@ -408,7 +413,7 @@
 	    !direct_stream_resume_check(request))
 		return;
 	request_ready_stages(request);
-	if (request->recomputations > RECOMPUTATIONS_MAX) {
+	if (!direct_stage_plan_can_recompute(request)) {
 		direct_request_refuse(request, DIRECT_RETRY_AFTER_FULL_US,
 				      "stages_fail");
 		return;
--- a/direct/direct_stages.c
+++ b/direct/direct_stages.c
@@ -790,6 +790,15 @@
 	free_results(stages, results);
 }
 
+void direct_stages_discard(struct direct_stages *stages,
+			   struct direct_request *request)
+{
+	cancel_submissions(stages, request, NULL);
+	for (uint32_t i = 0; i < request->route->stages_count; i++)
+		reset_submitted(request->graph, i);
+	direct_stages_free_results(stages, request, true);
+}
+
 void direct_stages_cancel(struct direct_stages *stages,
 			  struct direct_request *request)
 {
--- a/direct/direct_terminations.c
+++ b/direct/direct_terminations.c
@@ -217,11 +217,9 @@
 
 /* ---- lost requests ---- */
 
-/* Whether a newer incarnation of the upstream is known, so that this one has
- * terminated. */
-static bool
-has_newer_incarnation(const struct direct_terminations *terminations,
-		      const struct pool_upstream *upstream)
+bool direct_terminations_is_replaced(
+	const struct direct_terminations *terminations,
+	const struct pool_upstream *upstream)
 {
 	const struct pool_upstream *newest =
 		pool_find(direct_of(terminations)->pool, upstream->info.id);
@@ -233,7 +231,8 @@
 	struct direct_terminations *terminations,
 	const struct pool_upstream *upstream, struct lost_request lost)
 {
-	bool is_replaced = has_newer_incarnation(terminations, upstream);
+	bool is_replaced =
+		direct_terminations_is_replaced(terminations, upstream);
 
 	lost.incarnation = upstream->incarnation;
 	lost.lost_us = lp_now_us(direct_of(terminations)->options.clock);
--- a/direct/direct_terminations.h
+++ b/direct/direct_terminations.h
@@ -46,6 +46,11 @@
 void direct_terminations_add_lost_request(
 	struct direct_terminations *terminations,
 	const struct pool_upstream *upstream, struct lost_request lost);
+/** Whether a newer incarnation of an upstream is known, so that this one has
+ * terminated. */
+bool direct_terminations_is_replaced(
+	const struct direct_terminations *terminations,
+	const struct pool_upstream *upstream);
 /** Records that an upstream has terminated, and reports its lost requests. */
 void direct_terminations_confirm(struct direct_terminations *terminations,
 				 const struct pool_upstream *upstream,
--- a/http/http_client.c
+++ b/http/http_client.c
@@ -227,6 +227,11 @@
 	http_sock_pause(exchange->sock, pause);
 }
 
+void http_exchange_probe_peer(struct http_exchange *exchange)
+{
+	http_sock_probe_peer(exchange->sock);
+}
+
 int64_t http_exchange_blocked_bytes(const struct http_exchange *exchange)
 {
 	return http_sock_blocked_bytes(exchange->sock);
--- a/http/http_client.h
+++ b/http/http_client.h
@@ -74,6 +74,9 @@
  * that it stops sending. The end of its connection is reported after that.
  */
 void http_exchange_pause(struct http_exchange *exchange, bool pause);
+/** Probe the server from now on: the exchange fails soon once its host is gone.
+ */
+void http_exchange_probe_peer(struct http_exchange *exchange);
 /** Number of bytes of the request that the server takes no more of for now. */
 int64_t http_exchange_blocked_bytes(const struct http_exchange *exchange);
 /** Whether a byte of the request was sent. */
--- a/http/http_sock.c
+++ b/http/http_sock.c
@@ -54,6 +54,7 @@
 	bool asks_often;     /* ask_often() */
 	bool is_probed_often;
 	bool keepalive;
+	bool probes_peer; /* http_sock_probe_peer() */
 	bool connecting;
 	bool paused;
 	bool closed;	  /* by this side: no more events but delivered() */
@@ -411,7 +412,7 @@
 		sock->slow_reported = true;
 		report_delivery(sock, HTTP_DELIVERY_SLOW);
 	}
-	set_keepalive(sock, state == PEER_SLOW);
+	set_keepalive(sock, state == PEER_SLOW || sock->probes_peer);
 	if (state == PEER_DELIVERED) {
 		if (sock->closed)
 			end_connection(sock, LP_OK);
@@ -700,6 +701,15 @@
 	update_interest(sock);
 }
 
+void http_sock_probe_peer(struct http_sock *sock)
+{
+	if (sock->has_ended)
+		return;
+	sock->probes_peer = true;
+	ask_often(sock);
+	set_keepalive(sock, true);
+}
+
 void http_sock_pause(struct http_sock *sock, bool pause)
 {
 	if (sock->paused == pause)
--- a/http/http_sock.h
+++ b/http/http_sock.h
@@ -118,6 +118,9 @@
 bool http_sock_has_sent(const struct http_sock *sock);
 /** The peer's IP address, "" if it disconnected; g_free(). */
 char *http_sock_peer_ip(const struct http_sock *sock);
+/** Probe the peer from now on, also while nothing is undelivered, so that the
+ * connection fails soon once the peer is gone. */
+void http_sock_probe_peer(struct http_sock *sock);
 /** Pause or resume reading. */
 void http_sock_pause(struct http_sock *sock, bool pause);
 /**
--- a/policy/pool.h
+++ b/policy/pool.h
@@ -288,6 +288,9 @@
 void pool_record_outcome(struct pool *pool, struct pool_upstream *upstream,
 			 enum pool_outcome outcome, int64_t took_us,
 			 int64_t expected_us);
+/** Record that an upstream which counted as unreachable has sent something: it
+ * is not ejected any longer. */
+void pool_note_recovered(struct pool *pool, struct pool_upstream *upstream);
 /** Record the load that an upstream reports for its host: how long work takes
  * there, in per cent of the usual time. */
 void pool_note_host_load(struct pool *pool, struct pool_upstream *upstream,
--- a/policy/pool_estimates.c
+++ b/policy/pool_estimates.c
@@ -82,6 +82,14 @@
 	}
 }
 
+void pool_note_recovered(struct pool *pool, struct pool_upstream *upstream)
+{
+	int64_t now_us = lp_now_us(pool->clock);
+
+	upstream->consecutive_failures = 0;
+	upstream->ejected_until_us = MIN(upstream->ejected_until_us, now_us);
+}
+
 void pool_note_host_load(struct pool *pool, struct pool_upstream *upstream,
 			 int32_t percent)
 {
--- a/policy/retry.c
+++ b/policy/retry.c
@@ -48,6 +48,8 @@
 		[RETRY_OBSTACLE_ATTEMPTS] = "attempts",
 		[RETRY_OBSTACLE_TIME] = "time",
 		[RETRY_OBSTACLE_BUDGET] = "budget",
+		[RETRY_OBSTACLE_BLOCKED] = "blocked",
+		[RETRY_OBSTACLE_PLACE] = "no_place",
 	};
 
 	return names[obstacle];
--- a/policy/retry.h
+++ b/policy/retry.h
@@ -59,6 +59,8 @@
 	RETRY_OBSTACLE_ATTEMPTS,      /**< too many that did not run */
 	RETRY_OBSTACLE_TIME,
 	RETRY_OBSTACLE_BUDGET,
+	RETRY_OBSTACLE_BLOCKED, /**< by the quarantine */
+	RETRY_OBSTACLE_PLACE,	/**< no other upstream may take it now */
 };
 
 /** What forbids a further attempt after this one, the budget aside. */
--- a/policy/retry_budget.c
+++ b/policy/retry_budget.c
@@ -193,18 +193,35 @@
 	};
 }
 
+/* The part of a retry that requests pay for. */
+static double paid_by_requests(const struct retry_budget *retry_budget,
+			       const struct usage *usage)
+{
+	struct slot sum = sum_slots(retry_budget, usage);
+
+	return CLAMP(retry_budget->options.ratio * sum.requests -
+			     sum.from_requests,
+		     0, 1);
+}
+
+bool retry_budget_allows(struct retry_budget *retry_budget, const char *service)
+{
+	struct usage *usage = usage_of(retry_budget, service);
+
+	return paid_by_requests(retry_budget, usage) +
+		       usage->fill * burst(retry_budget) >=
+	       WHOLE_RETRY;
+}
+
 bool retry_budget_take(struct retry_budget *retry_budget, const char *service)
 {
 	struct usage *usage = usage_of(retry_budget, service);
 	struct slot *current = current_slot(retry_budget, usage);
-	struct slot sum = sum_slots(retry_budget, usage);
-	double from_requests = CLAMP(
-		retry_budget->options.ratio * sum.requests - sum.from_requests,
-		0, 1);
+	double from_requests = paid_by_requests(retry_budget, usage);
 	double from_bucket = 1 - from_requests;
 	double burst_size = burst(retry_budget);
 
-	if (from_requests + usage->fill * burst_size < WHOLE_RETRY)
+	if (!retry_budget_allows(retry_budget, service))
 		return false;
 	if (burst_size > 0)
 		usage->fill = MAX(usage->fill - from_bucket / burst_size, 0);
--- a/policy/retry_budget.h
+++ b/policy/retry_budget.h
@@ -64,6 +64,9 @@
 /** Fills in the usage of a service. */
 void retry_budget_get_view(struct retry_budget *retry_budget,
 			   const char *service, struct retry_budget_view *out);
+/** Whether the service's budget has a retry now. */
+bool retry_budget_allows(struct retry_budget *retry_budget,
+			 const char *service);
 /** Takes one retry out of the service's budget. False: it is exhausted. */
 bool retry_budget_take(struct retry_budget *retry_budget, const char *service);
 
