Flow: a call leaves a silent agent only for another one

A repeatable call whose agent answered three queries in a row with silence was taken from it, at 0.85 s or more, and then failed if the retry budget was spent or the failovers used up; with no other agent it was sent to the same one again. The same for a stream whose engine sends nothing while its agent says that it runs, if no other agent is there. An agent that is paused for a second and goes on has its answers dropped then.

The call stays unless a failover is allowed and another agent is eligible, and goes on querying; each such query counts as stays. Restarted agents and agents that leave the host list end their calls as before.

SilentAgent.*: three of four red with the old rule, all green with the new one; the fourth guards the time at which a silent agent is left today. FlowSimulation.* (2,001 schedules) green.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -277,6 +277,7 @@
 	set_gauge(entry, "linepier_flow_lost_total", stats->lost);
 	set_gauge(entry, "linepier_flow_dropped_answers_total", stats->dropped);
 	set_gauge(entry, "linepier_flow_no_budget_total", stats->no_budget);
+	set_gauge(entry, "linepier_flow_stays_total", stats->stays);
 	set_gauge(entry, "linepier_entry_in_flight", entry->requests);
 	set_gauge(entry, "linepier_entry_agents",
 		  entry_peers_agent_count(entry->peers));
--- a/policy/flow.c
+++ b/policy/flow.c
@@ -370,10 +370,12 @@
 static void query_attempt(struct flow *flow, struct flow_request *request,
 			  struct flow_attempt *attempt)
 {
-	if (attempt->unanswered_queries >= UNANSWERED_QUERIES_MAX &&
-	    flow_current_stage(request)->repeatable) {
-		flow_lose_attempt(flow, request, attempt);
-		return;
+	if (attempt->unanswered_queries >= UNANSWERED_QUERIES_MAX) {
+		if (flow_may_leave(flow, request, attempt)) {
+			flow_lose_attempt(flow, request, attempt);
+			return;
+		}
+		flow->stats.stays += 1;
 	}
 	attempt->unanswered_queries += 1;
 	attempt->query_due_us = flow_now_us(flow) + QUERY_INTERVAL_US;
--- a/policy/flow.h
+++ b/policy/flow.h
@@ -199,6 +199,8 @@
 	uint64_t lost;
 	uint64_t dropped;   /**< messages that name no live attempt */
 	uint64_t no_budget; /**< failovers denied by the retry budget */
+	uint64_t
+		stays; /**< queries to silent agents that a call cannot leave */
 };
 
 struct flow *flow_create(const struct flow_options *options);
--- a/policy/flow_answer.c
+++ b/policy/flow_answer.c
@@ -148,13 +148,11 @@
  * hangs. Stages without a stream are covered by their hedge.
  */
 static bool may_leave_stalled_stream(struct flow *flow,
-				     const struct flow_request *request)
+				     struct flow_request *request,
+				     const struct flow_attempt *attempt)
 {
-	const struct flow_stage *stage = flow_current_stage(request);
-
-	return stage->stream && stage->repeatable && !request->withdrawing &&
-	       request->failovers < FAILOVERS_MAX &&
-	       flow_current_service(flow, request)->retry_budget.tokens >= 1;
+	return flow_current_stage(request)->stream && !request->withdrawing &&
+	       flow_may_leave(flow, request, attempt);
 }
 
 void flow_handle_state(struct flow *flow, const struct lp_call_id *id,
@@ -181,7 +179,7 @@
 		flow_lose_attempt(flow, request, attempt);
 		return;
 	case FLOW_STATE_RUNNING:
-		if (may_leave_stalled_stream(flow, request)) {
+		if (may_leave_stalled_stream(flow, request, attempt)) {
 			fail_stream(flow, request, attempt);
 			return;
 		}
--- a/policy/flow_attempt.c
+++ b/policy/flow_attempt.c
@@ -304,6 +304,19 @@
 	return false;
 }
 
+bool flow_may_leave(struct flow *flow, struct flow_request *request,
+		    const struct flow_attempt *attempt)
+{
+	if (!flow_current_stage(request)->repeatable)
+		return false;
+	if (flow->options.naive || request->withdrawing ||
+	    flow_live_attempts(request) > 1)
+		return true;
+	return request->failovers < FAILOVERS_MAX &&
+	       flow_current_service(flow, request)->retry_budget.tokens >= 1 &&
+	       pick_upstream(flow, request, attempt->upstream);
+}
+
 static bool may_repeat(const struct flow_request *request, enum lp_run run)
 {
 	return run == LP_RUN_NOT_RUN || flow_current_stage(request)->repeatable;
--- a/policy/flow_private.h
+++ b/policy/flow_private.h
@@ -14,7 +14,7 @@
 	(RETRY_BUDGET_BURST / 2) /* tokens reserved for failovers */
 #define QUERY_DELAY_MIN_US (250 * LP_US_PER_MS)
 #define QUERY_INTERVAL_US (200 * LP_US_PER_MS)
-#define UNANSWERED_QUERIES_MAX 3 /* then a repeatable call fails over */
+#define UNANSWERED_QUERIES_MAX 3 /* then a repeatable call may fail over */
 #define QUERY_DELAY_FACTOR 3	 /* times the 95th percentile of stage times */
 #define HEDGE_MIN_US (5 * LP_US_PER_MS)
 #define WITHDRAW_LEAD_US (30 * LP_US_PER_MS) /* before the deadline */
@@ -99,6 +99,10 @@
 		  const struct route_upstream *avoid, bool hedge);
 /** Send the first attempt of the current stage; may end the request. */
 void flow_start_stage(struct flow *flow, struct flow_request *request);
+/** Whether a repeatable call may leave an agent or engine that is silent: the
+ * retry budget allows it, and another upstream can take the call. */
+bool flow_may_leave(struct flow *flow, struct flow_request *request,
+		    const struct flow_attempt *attempt);
 /** Whether an agent refused a call because of its load. */
 bool flow_is_load_refusal(int error);
 /** After an attempt without an answer: send another one or end the request. */
