Stage calls: one that was made again is kept while nothing else answers

A request whose stage had one sound upstream that takes 4 s failed with 11 s left: its call was given up after 0.7 s, and again after 1.4 s, 2.8 s and so on, each time to be made anew at the same upstream. Pieces go to upstreams of their dispatcher's shards, so one upstream is what many dispatchers have.

The first call to an upstream that fell silent is given up as before, since a new connection may work where the old one is silent. The timeouts are the same. Kept calls are counted in linepier_stage_calls_overdue_total.

--- a/direct/direct_calls.c
+++ b/direct/direct_calls.c
@@ -61,6 +61,7 @@
 	bool is_lost;		   /* was sent, but got no complete answer */
 	struct direct_reply reply;
 	int64_t born_ms; /* start time that the upstream reported; 0: none */
+	bool is_overdue; /* it is kept beyond its timeout */
 };
 
 static void schedule_run(struct direct_calls *calls);
@@ -476,6 +477,25 @@
 	.body = "",
 };
 
+/* ---- calls that take longer than expected ---- */
+
+static int64_t on_call_overdue(void *userdata)
+{
+	struct stage_call *call = userdata;
+	struct direct *direct = call->calls->direct;
+	int64_t wait_us =
+		pieces_overdue_wait_us(call->queue->pieces, call->batch);
+
+	if (direct_terminations_is_replaced(direct->terminations,
+					    call->batch->upstream))
+		wait_us = 0;
+	if (wait_us && !call->is_overdue)
+		*direct_counter(direct, "linepier_stage_calls_overdue_total",
+				NULL) += 1;
+	call->is_overdue = wait_us;
+	return wait_us;
+}
+
 /* ---- start of a call ---- */
 
 static void fill_item(const struct direct_calls *calls,
@@ -533,6 +553,7 @@
 		.answer_bytes_max = CALL_ANSWER_BYTES +
 				    CALL_ITEM_BYTES * batch->pieces->len,
 		.timeout_us = batch->timeout_us,
+		.overdue = on_call_overdue,
 		.done = on_call_done,
 		.userdata = call,
 	});
--- a/direct/direct_fetch.c
+++ b/direct/direct_fetch.c
@@ -25,6 +25,15 @@
 			       &fetch->reply);
 }
 
+static int64_t on_overdue(void *userdata)
+{
+	const struct direct_fetch *fetch = userdata;
+
+	return fetch->options.overdue
+		       ? fetch->options.overdue(fetch->options.userdata)
+		       : 0;
+}
+
 static void on_done(void *userdata, const struct http_fetch_answer *answer)
 {
 	struct direct_fetch *fetch = userdata;
@@ -60,6 +69,7 @@
 		.connect_timeout_us = DIRECT_CONNECT_TIMEOUT_US,
 		.timeout_us = options->timeout_us,
 		.head = on_head,
+		.overdue = on_overdue,
 		.done = on_done,
 		.userdata = fetch,
 	});
--- a/direct/direct_fetch.h
+++ b/direct/direct_fetch.h
@@ -37,6 +37,8 @@
 	const char *body;	 /**< NUL-terminated, or NULL: no body */
 	size_t answer_bytes_max; /**< body; 0: DIRECT_FETCH_ANSWER_BYTES */
 	int64_t timeout_us;
+	/** As in struct http_fetch_options; may be NULL. */
+	int64_t (*overdue)(void *userdata);
 	/** Called once, never from inside direct_fetch_start(), after the fetch
 	 * was freed. `reply`: header of the answer; empty if there was none.
 	 * Both are borrowed. */
--- a/http/http_fetch.c
+++ b/http/http_fetch.c
@@ -21,6 +21,7 @@
 	GString *body;
 	void (*head)(void *userdata, uint32_t status,
 		     const struct http_fields *fields);
+	int64_t (*overdue)(void *userdata);
 	void (*done)(void *userdata, const struct http_fetch_answer *answer);
 	void *userdata;
 };
@@ -49,25 +50,33 @@
 	free_fetch(fetch);
 }
 
+static gboolean on_timeout(gpointer userdata);
+
+static void set_timer(struct http_fetch *fetch, int64_t wait_us)
+{
+	if (fetch->timer)
+		g_source_remove(fetch->timer);
+	fetch->timer = lp_timer_add((guint)(wait_us / LP_US_PER_MS), on_timeout,
+				    fetch);
+}
+
 static gboolean on_timeout(gpointer userdata)
 {
 	struct http_fetch *fetch = userdata;
+	int64_t wait_us = fetch->overdue ? fetch->overdue(fetch->userdata) : 0;
 	bool sent = http_exchange_has_sent(fetch->exchange);
 
 	fetch->timer = 0;
+	if (wait_us) {
+		http_exchange_probe_peer(fetch->exchange);
+		set_timer(fetch, wait_us);
+		return G_SOURCE_REMOVE;
+	}
 	http_exchange_cancel(fetch->exchange);
 	finish_fetch(fetch, LP_ERROR_UPSTREAM_GONE, sent);
 	return G_SOURCE_REMOVE;
 }
 
-static void set_timer(struct http_fetch *fetch, int64_t wait_us)
-{
-	if (fetch->timer)
-		g_source_remove(fetch->timer);
-	fetch->timer = lp_timer_add((guint)(wait_us / LP_US_PER_MS), on_timeout,
-				    fetch);
-}
-
 static void restart_stall_timer(struct http_fetch *fetch)
 {
 	int64_t now_us = lp_now_us(lp_clock_boot());
@@ -156,6 +165,7 @@
 					: HTTP_FETCH_BYTES_MAX;
 	fetch->held.memory = options->memory;
 	fetch->head = options->head;
+	fetch->overdue = options->overdue;
 	fetch->done = options->done;
 	fetch->userdata = options->userdata;
 	fetch->exchange = http_exchange_start(&(struct http_exchange_options){
--- a/http/http_fetch.h
+++ b/http/http_fetch.h
@@ -54,6 +54,11 @@
 	 */
 	void (*head)(void *userdata, uint32_t status,
 		     const struct http_fields *fields);
+	/**
+	 * Called when the timeout is over: how long to wait on, or 0 to end the
+	 * fetch. While it waits on, the server is probed. May be NULL.
+	 */
+	int64_t (*overdue)(void *userdata);
 	/** Called once, never from inside http_fetch_start(). */
 	void (*done)(void *userdata, const struct http_fetch_answer *answer);
 	void *userdata;
--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -1,5 +1,7 @@
 #include "policy/pieces_private.h"
 
+#include "policy/stall.h"
+
 #include <string.h>
 
 /* Transfers between failure domains cost money, so a piece waits for an
@@ -452,6 +454,40 @@
 	return call;
 }
 
+static bool has_answering_upstream(const struct pieces *pieces)
+{
+	const GPtrArray *list = pieces_upstreams(pieces);
+
+	for (guint i = 0; i < list->len; i++) {
+		const struct pool_upstream *upstream =
+			g_ptr_array_index(list, i);
+
+		if (pieces_is_usable(pieces, upstream) &&
+		    !upstream->consecutive_failures)
+			return true;
+	}
+	return false;
+}
+
+static bool is_of_use(const struct pieces *pieces,
+		      const struct pieces_call *call)
+{
+	for (guint i = 0; i < call->pieces->len; i++)
+		if (g_array_index(call->pieces, struct piece, i).expires_us >
+		    pieces_now_us(pieces))
+			return true;
+	return false;
+}
+
+int64_t pieces_overdue_wait_us(const struct pieces *pieces,
+			       const struct pieces_call *call)
+{
+	if (!call->upstream->consecutive_failures ||
+	    has_answering_upstream(pieces) || !is_of_use(pieces, call))
+		return 0;
+	return STALL_RECHECK_US;
+}
+
 /* Records whether a full call is waiting. */
 static void note_backlog(struct pieces *pieces)
 {
--- a/policy/pieces.h
+++ b/policy/pieces.h
@@ -94,6 +94,14 @@
 /** Reports that a piece is completed; `handle` names its result. */
 void pieces_piece_completed(struct pieces *pieces, struct pieces_call *call,
 			    const struct piece *piece, const char *handle);
+/**
+ * How long to wait on for a call whose timeout is over; 0: it is given up. It
+ * is kept if it was made again already, so that its connection is not at fault,
+ * no upstream that has answered its last call can take its pieces, and one of
+ * them is still of use.
+ */
+int64_t pieces_overdue_wait_us(const struct pieces *pieces,
+			       const struct pieces_call *call);
 /** Reports that a piece is not completed; `memory_exhausted`: for want of
  * result memory. */
 void pieces_piece_failed(struct pieces *pieces, struct pieces_call *call,
--- a/tests/direct_policy_test.cc
+++ b/tests/direct_policy_test.cc
@@ -770,6 +770,34 @@
 	rig.end_call(call);
 }
 
+/* Guards against a call to a slow upstream that is given up again and again
+ * although no other upstream answers, and against one that is kept although
+ * another one does, or its pieces are of no use any more. */
+TEST(PiecesQueue, OverdueCallIsKeptOnlyWhileNothingElseAnswers)
+{
+	Pieces rig;
+	pieces_call *call;
+	pool_upstream *other;
+
+	rig.add_pieces(1, 1, 900000);
+	ASSERT_EQ(rig.start_call(&call).size(), 1u);
+	other = pool_find(rig.c_pool, !strcmp(call->upstream->info.id, "one")
+					      ? "two"
+					      : "one");
+	pool_record_outcome(rig.c_pool, other, POOL_UNREACHABLE, 0, 0);
+	EXPECT_EQ(pieces_overdue_wait_us(rig.queue, call), 0);
+	pool_record_outcome(rig.c_pool, call->upstream, POOL_UNREACHABLE, 0, 0);
+	EXPECT_GT(pieces_overdue_wait_us(rig.queue, call), 0);
+	rig.clock.now_us += 3000000;
+	EXPECT_GT(pieces_overdue_wait_us(rig.queue, call), 0);
+	pool_record_outcome(rig.c_pool, other, POOL_SERVED, 0, 0);
+	EXPECT_EQ(pieces_overdue_wait_us(rig.queue, call), 0);
+	pool_record_outcome(rig.c_pool, other, POOL_UNREACHABLE, 0, 0);
+	rig.clock.now_us += 3000000;
+	EXPECT_EQ(pieces_overdue_wait_us(rig.queue, call), 0);
+	rig.end_call(call);
+}
+
 TEST(PiecesQueue, OrdersByPriorityAndPutsLatePiecesLast)
 {
 	Pieces rig;
--- a/tests/silent_upstream_test.cc
+++ b/tests/silent_upstream_test.cc
@@ -209,6 +209,34 @@
 	EXPECT_EQ(broken(complete_stream), 0u);
 }
 
+/* Guards against requests that fail because the only upstream of a stage pauses
+ * for longer than a call is waited for: the call is made again. */
+TEST_F(SilentUpstream, StageCallsOutlastPauseOfTheirOnlyUpstream)
+{
+	pe_upstream *first = rig.add(PE_STAGE, "first");
+
+	add_engine({});
+	configure(2, 0);
+	for (uint32_t pause_ms : { 1500, 5000 }) {
+		pe_set_work_ms(first, pause_ms);
+		send("/staged/x", 8);
+		run_loop_until([] { return false; }, pause_ms);
+		pe_set_work_ms(first, 10);
+	}
+	EXPECT_EQ(broken(complete_stream), 0u);
+}
+
+/* Calls of pieces were given up and made again, each after the longest timeout
+ * at most, until the request's time was over. */
+TEST_F(SilentUpstream, StageCallIsKeptAtItsOnlyUpstream)
+{
+	pe_set_work_ms(rig.add(PE_STAGE, "first"), 4000);
+	add_engine({});
+	configure(2, 0);
+	send("/staged/x", 2);
+	EXPECT_EQ(broken(complete_stream), 0u);
+}
+
 /* ---- something better is there ---- */
 
 /* Guards against a stream that stays at a hung engine although another one
