Soak: sound upstreams that pause, beside planned ends and a spent budget

--pauses=yes draws pauses for engines in the middle of their streams, and long answers of plain upstreams, within and beyond the times after which an entry considers another upstream.

--- a/tools/soak_callers.c
+++ b/tools/soak_callers.c
@@ -20,6 +20,7 @@
 /* The longest timeout of a route, and what a busy host may take beyond it to
  * say that it is over. */
 #define ROUTE_MAX_US (3 * LP_US_PER_S)
+#define PLAIN_ROUTE_US (2 * LP_US_PER_S)
 #define ANSWER_SLACK_US (1500 * LP_US_PER_MS)
 /* An entry that is not stopped has read a request by then. */
 #define READ_US (500 * LP_US_PER_MS)
@@ -166,6 +167,30 @@
 			      is_whole_answer);
 }
 
+/* When its route gives up. */
+static int64_t route_us(const struct ask *ask)
+{
+	return ask->kind < KIND_ONCE ? PLAIN_ROUTE_US : ROUTE_MAX_US;
+}
+
+static void judge_pauses(const struct ask *ask, int error, bool is_whole_answer)
+{
+	const struct entry *entry = &ask->soak->entries[ask->entry];
+	int64_t now_us = g_get_monotonic_time();
+	const struct soak_pauses_outcome outcome = {
+		.id = ask->id,
+		.status = ask->status,
+		.is_refused = error == LP_ERROR_NOT_LISTENING,
+		.is_whole = is_whole_answer,
+		.is_due = now_us - ask->begun_us >= route_us(ask) ||
+			  (entry->leaving &&
+			   now_us - entry->term_us > GRACE_US - GRACE_LAST_US),
+	};
+
+	if (entry->stops == ask->stops)
+		soak_pauses_judge(ask->soak->pauses, &outcome);
+}
+
 static void judge(struct ask *ask, int error)
 {
 	struct soak *soak = ask->soak;
@@ -181,6 +206,7 @@
 	if (ask->has_left)
 		return;
 	judge_slow(ask, !error && whole);
+	judge_pauses(ask, error, !error && whole);
 	judge_time(ask);
 	judge_planned_end(ask, error);
 	if (!error && ask->status == 200 && !whole) {
--- a/tools/soak_main.c
+++ b/tools/soak_main.c
@@ -60,6 +60,8 @@
 	  "callers and upstreams that read slowly, and large answers" },
 	{ "endless", LP_SETTING_BOOL, FIELD(endless), "no", 0, 0, NULL,
 	  "upstreams whose answers do not end, and a limit of memory" },
+	{ "pauses", LP_SETTING_BOOL, FIELD(pauses), "no", 0, 0, NULL,
+	  "sound upstreams that pause; without faults, beside planned ends" },
 	{ "env", LP_SETTING_STRING, FIELD(env), "", 0, 0, NULL,
 	  "NAME=VALUE,... for the program under test" },
 	{ "logs", LP_SETTING_STRING, FIELD(logs), "", 0, 0, NULL,
@@ -79,6 +81,7 @@
 	int first = FIRST_PORT + (int)(soak->settings.seed * ENTRIES *
 				       PORTS_EACH % PORT_SPAN);
 	int base = first + (int)entry->number * PORTS_EACH;
+	bool spends_budget = soak_pauses_spend_budget(soak->pauses);
 	g_autofree char *memory = NULL;
 	g_autofree char *text = NULL;
 
@@ -94,10 +97,12 @@
 		"listen.front=%s\nlisten.ready=%s\n"
 		"listen.control=127.0.0.%u:%d\nport_range=%d,%d\n"
 		"seeds=127.0.0.1:1,127.0.0.2:1\nplatform.address=%s\n"
-		"bounds.grace_s=%d\nbounds.retry_slack=40\n%s",
+		"bounds.grace_s=%d\nbounds.retry_ratio=%s\n"
+		"bounds.retry_slack=%d\n%s",
 		entry->number, entry->number + 1, entry->callers, entry->ready,
 		entry->number + 1, first + 2, first + 3, first + 3,
 		pe_store_address(soak->platform), (int)(GRACE_US / LP_US_PER_S),
+		spends_budget ? "0" : "0.2", spends_budget ? 0 : 40,
 		memory ? memory : "");
 	g_file_set_contents(entry->settings, text, -1, NULL);
 }
@@ -499,6 +504,36 @@
 	});
 }
 
+/* One that leaves is started again once it has ended by itself. */
+static void toggle_entry(void *userdata, uint32_t number)
+{
+	struct soak *soak = userdata;
+	struct entry *entry = &soak->entries[number];
+
+	if (!entry->leaving) {
+		kill(entry->pid, SIGTERM);
+		entry->leaving = true;
+		entry->term_us = g_get_monotonic_time();
+	} else if (waitpid(entry->pid, NULL, WNOHANG) > 0) {
+		start_entry(soak, entry);
+	}
+}
+
+static void start_pauses(struct soak *soak)
+{
+	if (!soak->settings.pauses)
+		return;
+	soak->pauses = soak_pauses_create(&(struct soak_pauses_options){
+		.upstreams = soak->upstreams,
+		.seed = (uint32_t)soak->settings.seed,
+		.toggle_entry = toggle_entry,
+		.entries = soak->count,
+		.has_faults = soak->settings.faults,
+		.breach = on_breach,
+		.userdata = soak,
+	});
+}
+
 static void start_cut(struct soak *soak)
 {
 	if (!soak->settings.cut)
@@ -531,6 +566,7 @@
 	start_cut(soak);
 	start_release(soak);
 	start_slow(soak);
+	start_pauses(soak);
 	if (soak->settings.endless)
 		soak->endless =
 			soak_endless_create(&(struct soak_endless_options){
@@ -567,6 +603,7 @@
 	soak_release_destroy(soak->release);
 	soak_slow_destroy(soak->slow);
 	soak_endless_destroy(soak->endless);
+	soak_pauses_destroy(soak->pauses);
 	g_rmdir(soak->folder);
 	g_free(soak->folder);
 	g_ptr_array_unref(soak->upstreams);
@@ -630,11 +667,13 @@
 	}
 	g_timeout_add(ASK_EVERY_MS, soak_callers_on_timer, soak);
 	soak_cut_begin(soak->cut);
+	soak_pauses_begin(soak->pauses);
 	if (soak->settings.faults)
 		faults = g_timeout_add(FAULT_EVERY_MS, on_fault_timer, soak);
 	g_main_loop_run(soak->loop);
 	if (faults)
 		g_source_remove(faults);
+	soak_pauses_end(soak->pauses);
 	soak_cut_settle(soak->cut);
 	end_faults(soak);
 	soak_notices_end(soak->notices);
@@ -644,6 +683,7 @@
 	soak_evacuation_settle(soak->evacuation);
 	soak_release_settle(soak->release);
 	soak_slow_settle(soak->slow);
+	soak_pauses_settle(soak->pauses);
 	/* With poison, requests that were lost with upstreams three times are
 	 * kept out for a while, and reach none. */
 	if (!soak->poison)
--- a/tools/soak_private.h
+++ b/tools/soak_private.h
@@ -10,6 +10,7 @@
 #include "tools/soak_endless.h"
 #include "tools/soak_evacuation.h"
 #include "tools/soak_notices.h"
+#include "tools/soak_pauses.h"
 #include "tools/soak_poison.h"
 #include "tools/soak_release.h"
 #include "tools/soak_slow.h"
@@ -37,6 +38,7 @@
 	int64_t release;
 	int64_t slow;
 	int64_t endless;
+	int64_t pauses;
 	char *env;
 	char *logs;
 };
@@ -77,6 +79,7 @@
 	struct soak_release *release;	    /* NULL: likewise */
 	struct soak_slow *slow;		    /* NULL: likewise */
 	struct soak_endless *endless;	    /* NULL: likewise */
+	struct soak_pauses *pauses;	    /* NULL: likewise */
 	GPtrArray *upstreams;
 	struct entry entries[ENTRIES_CUT];
 	uint32_t count;				/* of entries */
