Emulator: bodies without an end that are no answer, and events

A body whose answer names no request ends at what is buffered of one answer, is not passed on, and fails as the request may have run; an event that does not end is passed on until the deadline, and not kept.

--- a/tests/oversized_test.cc
+++ b/tests/oversized_test.cc
@@ -234,6 +234,39 @@
 	EXPECT_LT(rig.most_held, (8 << 20) + (2 << 20));
 }
 
+/* Guards against bytes without an end that are no answer being kept, or passed
+ * on to a caller. */
+TEST(Oversized, BodyWithoutEndThatIsNoAnswerIsNotPassedOn)
+{
+	OversizedRig rig;
+
+	pe_set_endless(rig.add(PE_PLAIN, "plain"), PE_ENDLESS_FOREIGN_BODY);
+	rig.settle();
+	CallerRequest order(rig.address, "a1", "/order/x");
+
+	EXPECT_EQ(rig.watch(order).status, 502u);
+	EXPECT_EQ(order.body, "");
+	EXPECT_EQ(pe_runs(rig.platform, "a1"), 1u);
+	EXPECT_LT(rig.most_held, (8 << 20) + (2 << 20));
+}
+
+/* The same for a stream whose first event does not end, which may be passed on
+ * but not kept. */
+TEST(Oversized, EventWithoutEndIsPassedOnUntilTheDeadline)
+{
+	OversizedRig rig;
+
+	pe_set_endless(rig.add(PE_ENGINE, "engine"), PE_ENDLESS_EVENT);
+	rig.settle();
+	CallerRequest stream(rig.address, "a1", "/again/x",
+			     { { "X-Deadline-Ms", "2000" } });
+
+	EXPECT_NE(rig.watch(stream).error, LP_OK);
+	EXPECT_LT(stream.took_us, 4000000);
+	EXPECT_EQ(pe_runs(rig.platform, "a1"), 1u);
+	EXPECT_LT(rig.most_held, (8 << 20) + (2 << 20));
+}
+
 /* Bodies of calls of pieces were kept without a limit. */
 TEST(Oversized, CallOfPiecesWithoutEndFailsOver)
 {
--- a/tools/pe.h
+++ b/tools/pe.h
@@ -47,6 +47,8 @@
 	PE_ENDLESS_CHUNK_LINE,
 	PE_ENDLESS_TRAILERS,
 	PE_ENDLESS_BODY,
+	PE_ENDLESS_FOREIGN_BODY, /**< of an answer that names no request */
+	PE_ENDLESS_EVENT,
 	PE_ENDLESS_PARTS, /**< their number */
 };
 
--- a/tools/pe_endless.c
+++ b/tools/pe_endless.c
@@ -11,6 +11,7 @@
 	const char *framing; /* the last fields of the head */
 	const char *begin;   /* what comes before the part */
 	const char *unit;    /* of which it consists */
+	bool is_foreign;     /* without the fields of an answer */
 };
 
 #define CHUNKED "Transfer-Encoding: chunked\r\n"
@@ -23,6 +24,11 @@
 	[PE_ENDLESS_TRAILERS] = { CHUNKED "\r\n", "1\r\nx\r\n0\r\n",
 				  "a:b\r\n" },
 	[PE_ENDLESS_BODY] = { CHUNKED "\r\n", "", "8\r\nxxxxxxxx\r\n" },
+	[PE_ENDLESS_FOREIGN_BODY] = { CHUNKED "\r\n", "", "8\r\nxxxxxxxx\r\n",
+				      true },
+	[PE_ENDLESS_EVENT] = { CHUNKED
+			       "Content-Type: text/event-stream\r\n\r\n",
+			       "", "8\r\nxxxxxxxx\r\n" },
 };
 
 static gboolean on_flood(gpointer userdata)
@@ -47,7 +53,8 @@
 
 	if (shape->framing) {
 		g_autofree char *head =
-			g_strdup_printf("HTTP/1.1 200 OK\r\n%s%s%s", fields,
+			g_strdup_printf("HTTP/1.1 200 OK\r\n%s%s%s",
+					shape->is_foreign ? "" : fields,
 					shape->framing, shape->begin);
 
 		pe_conn_write(conn, head);
