Stall: one look-up of a place for each move, fewer while blocked

While a move was under way, each look at the stalled attempt asked the pool and the quarantine again without use, and a request that the quarantine blocks asked it, and logged the refusal, ten times a second; now once. No other change of behaviour.

--- a/direct/direct_request.h
+++ b/direct/direct_request.h
@@ -271,6 +271,8 @@
 /** Perform the step that follows a sending which has ended. May free it. */
 void direct_sending_handle_end(struct direct_request *request,
 			       enum retry_event event, const char *why);
+/** The sending in progress is lost with its upstream or connection. */
+void direct_sending_record_lost(struct direct_request *request);
 /** The sending may have run, and it is not known to have been answered. */
 void direct_sending_note_possible_run(struct direct_request *request);
 /** End the sending in progress, if any, and report `outcome` of its upstream to
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -24,7 +24,7 @@
 /* A buffer that is larger is freed once it is empty. */
 #define EMPTY_BUFFER_BYTES_MAX 65536
 
-static void record_lost_sending(struct direct_request *request)
+void direct_sending_record_lost(struct direct_request *request)
 {
 	request->lost_sendings++;
 	direct_request_report_lost(request);
@@ -482,7 +482,7 @@
 	bool truncated = is_truncated(request);
 
 	if (truncated) {
-		record_lost_sending(request);
+		direct_sending_record_lost(request);
 		direct_sending_end(request, POOL_UNREACHABLE);
 		g_string_truncate(request->body, 0);
 		direct_sending_handle_end(request, RETRY_EVENT_BROKEN, "torn");
@@ -628,7 +628,7 @@
 
 	g_string_truncate(request->body, 0);
 	if (sent && !was_unread)
-		record_lost_sending(request);
+		direct_sending_record_lost(request);
 	else if (error == LP_ERROR_NOT_LISTENING)
 		direct_terminations_confirm(request->direct->terminations,
 					    request->upstream,
--- a/direct/direct_stall.c
+++ b/direct/direct_stall.c
@@ -147,7 +147,8 @@
 	return pool_pick(request->direct->pool, &pick_args);
 }
 
-/* What a move needs is looked up only while it is allowed. */
+/* What a move needs is looked up only while it is allowed and none has begun.
+ */
 static struct stall_decision decide(struct direct_request *request)
 {
 	const struct retry_state retry = direct_sending_retry_state(request);
@@ -161,7 +162,8 @@
 	struct stall_decision decision;
 	int64_t wait_us;
 
-	if (!attempt.retry_obstacle && !attempt.is_peer_gone) {
+	if (!attempt.retry_obstacle && !attempt.is_peer_gone &&
+	    !request->is_moving) {
 		attempt.has_budget = retry_budget_allows(direct->retry_budget,
 							 request->service);
 		attempt.has_place = has_place(request);
@@ -176,8 +178,7 @@
 
 static void end_attempt(struct direct_request *request)
 {
-	direct_request_report_lost(request);
-	request->lost_sendings++;
+	direct_sending_record_lost(request);
 	direct_sending_end(request, POOL_UNREACHABLE);
 	direct_sending_handle_end(request, RETRY_EVENT_BROKEN, "gone");
 }
@@ -203,10 +204,10 @@
 	if (is_first && decision.step == STALL_STAY)
 		count_stall(request, "waits", decision.obstacle);
 	request->stall_timer = lp_timer_add(
-		(guint)(STALL_RECHECK_US / LP_US_PER_MS), on_stall, request);
+		(guint)(decision.recheck_us / LP_US_PER_MS), on_stall, request);
 	if (decision.step == STALL_END)
 		end_attempt(request);
-	else if (decision.step == STALL_MOVE && !request->is_moving)
+	else if (decision.step == STALL_MOVE)
 		begin_move(request);
 	return G_SOURCE_REMOVE;
 }
--- a/policy/stall.c
+++ b/policy/stall.c
@@ -36,10 +36,17 @@
 struct stall_decision stall_decide(const struct stall_attempt *attempt)
 {
 	enum retry_obstacle obstacle = find_obstacle(attempt);
+	struct stall_decision decision = {
+		.step = obstacle ? STALL_STAY : STALL_MOVE,
+		.obstacle = obstacle,
+		.recheck_us = obstacle == RETRY_OBSTACLE_BLOCKED
+				      ? STALL_BLOCKED_RECHECK_US
+				      : STALL_RECHECK_US,
+	};
 
-	if (attempt->is_peer_gone)
-		return (struct stall_decision){ STALL_END,
-						RETRY_OBSTACLE_NONE };
-	return (struct stall_decision){ obstacle ? STALL_STAY : STALL_MOVE,
-					obstacle };
+	if (attempt->is_peer_gone) {
+		decision.step = STALL_END;
+		decision.obstacle = RETRY_OBSTACLE_NONE;
+	}
+	return decision;
 }
--- a/policy/stall.h
+++ b/policy/stall.h
@@ -5,7 +5,7 @@
  * does not tell. So the attempt is kept until something better is certain:
  * another upstream that may and can take the request now, or that its own is
  * gone. Its deadline and its caller end it otherwise. Whoever keeps it asks
- * again after STALL_RECHECK_US, and stops asking once the upstream sends.
+ * again after a while, and stops asking once the upstream sends.
  *
  * The functions keep no state. All times are in microseconds.
  */
@@ -18,8 +18,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/** Interval between two decisions about a silent upstream. */
+/** Interval between two decisions about a silent upstream, and if the
+ * quarantine blocks the request. */
 #define STALL_RECHECK_US (100 * LP_US_PER_MS)
+#define STALL_BLOCKED_RECHECK_US (1 * LP_US_PER_S)
 
 /** What is expected of an attempt. */
 struct stall_times {
@@ -53,6 +55,7 @@
 struct stall_decision {
 	enum stall_step step;
 	enum retry_obstacle obstacle; /**< why it stays */
+	int64_t recheck_us;	      /**< until the next decision */
 };
 
 struct stall_decision stall_decide(const struct stall_attempt *attempt);
