Scenarios: a wait for watches that fails prints what the KV counts

scenario.readers-killed is in KNOWN-RED.txt with "not that many watches"; how many there were was not known.

--- a/tools/scenario_cli.c
+++ b/tools/scenario_cli.c
@@ -249,17 +249,21 @@
 	fputs(text, stdout);
 }
 
-static bool counts_match(struct scenario *scenario, const char *path,
-			 const char *text)
+/* What the KV's stand-in has counted, or NULL; g_free(). */
+static char *read_counts(struct scenario *scenario, const char *path)
 {
 	g_autofree char *url =
 		g_strdup_printf("%s%s", fleet_kv_direct(scenario->fleet), path);
-	struct fleet_reply reply =
-		fleet_http("GET", url, NULL, NULL, CALL_TIMEOUT_US);
-	bool match = reply.body && strstr(reply.body, text);
 
-	g_free(reply.body);
-	return match;
+	return fleet_http("GET", url, NULL, NULL, CALL_TIMEOUT_US).body;
+}
+
+static bool counts_match(struct scenario *scenario, const char *path,
+			 const char *text)
+{
+	g_autofree char *counts = read_counts(scenario, path);
+
+	return counts && strstr(counts, text);
 }
 
 /* wait-revision N [HOST...]: until these, or all running, have it. */
@@ -344,7 +348,11 @@
 
 	while (!counts_match(scenario, "/standin/counts", text)) {
 		if (g_get_monotonic_time() > until_us) {
+			g_autofree char *counts =
+				read_counts(scenario, "/standin/counts");
+
 			sc_fail(scenario, "not that many watches");
+			printf("the KV has %s\n", counts ? counts : "");
 			return;
 		}
 		fleet_pause(POLL_US);
