--- a/tools/soak_config.c
+++ b/tools/soak_config.c
@@ -23,6 +23,7 @@
 	GRand *random;
 	int64_t version;
 	uint32_t routes;
+	uint32_t probe_status; /* of the last answer to a probe; 0: none */
 };
 
 /* Which version an entry has in force is seen by a key that only one knows. */
@@ -127,6 +128,7 @@
 	http_fields_clear(&fields);
 	while (!probe.ended)
 		g_main_context_iteration(NULL, TRUE);
+	config->probe_status = probe.status;
 	return probe.status == 200;
 }
 
@@ -160,6 +162,9 @@
 	}
 	printf("last version: waited %" G_GINT64_FORMAT " ms\n",
 	       (gint64)(g_get_monotonic_time() - start_us) / LP_US_PER_MS);
+	if (*entry)
+		printf("%s answered the last probe with %u\n", *entry,
+		       config->probe_status);
 	for (; *entry; entry++)
 		config->options.breach(config->options.userdata, *entry,
 				       "the newest configuration is not in "
