--- a/tests/silent_agent_test.cc
+++ b/tests/silent_agent_test.cc
@@ -22,7 +22,6 @@
 	std::vector<lp_call_id> calls;
 	int finishes = 0;
 	flow_outcome outcome = {};
-	int submitted = 0;
 
 	SilentAgent()
 	{
@@ -91,7 +90,6 @@
 		request.weight = 1;
 		request.deadline_us = clock.now_us + timeout_us;
 		ASSERT_EQ(flow_submit(fl, &request, &id, &outcome), LP_OK);
-		submitted++;
 	}
 	void run_for(int64_t us)
 	{
