--- a/tests/cwrap.h
+++ b/tests/cwrap.h
@@ -16,6 +16,7 @@
 #include "base/lp_event.h"
 #include "base/lp_id.h"
 #include "base/lp_json.h"
+#include "base/lp_loop_watch.h"
 #include "base/lp_settings.h"
 #include "base/lp_timer.h"
 #include "base/lp_transfer.h"
