Events of many lines: each line is read once

An event of 100,000 lines, complete and in good order, was not delivered at all.

Cause: what is buffered of an event was scanned from its beginning with every part that contains a line end, and an answer in small chunks has thousands of parts a read. perf: 99% of the time in memchr and its caller.

The position of the first unread line and of the event's id is kept, so that each byte is scanned once.

--- a/direct/direct_request.h
+++ b/direct/direct_request.h
@@ -13,6 +13,7 @@
 #ifndef DIRECT_REQUEST_H
 #define DIRECT_REQUEST_H
 
+#include "direct/direct_event_stream.h"
 #include "direct/direct_placement.h"
 #include "direct/direct_private.h"
 
@@ -95,6 +96,7 @@
 	bool ends_with_connection; /* the answer has neither length nor chunks
 				    */
 	GString *body; /* of an answer; of a stream: an incomplete event */
+	struct direct_event_stream event_stream; /* position in it */
 	/* totals of all sendings */
 	GPtrArray *tried_upstreams; /* ids of upstreams, owned */
 	uint32_t possible_runs;	    /* sendings that may have run */
--- a/direct/direct_sending.c
+++ b/direct/direct_sending.c
@@ -1,6 +1,4 @@
 /** Sends a request to upstreams and handles their answers. */
-#include "direct/direct_event_stream.h"
-
 #include "base/lp_timer.h"
 #include "direct/direct_answer_flow.h"
 #include "direct/direct_delivery.h"
@@ -404,6 +402,7 @@
 static void remove_buffered(struct direct_request *request, size_t size)
 {
 	g_string_erase(request->body, 0, (gssize)size);
+	direct_event_stream_remove(&request->event_stream, size);
 	if (!request->body->len &&
 	    request->body->allocated_len > EMPTY_BUFFER_BYTES_MAX) {
 		g_string_free(request->body, TRUE);
@@ -454,7 +453,7 @@
 static bool forward_events(struct direct_request *request)
 {
 	size_t size = direct_event_stream_complete_size(
-		request->body->str, request->body->len,
+		&request->event_stream, request->body->str, request->body->len,
 		&request->last_event_id);
 
 	forget_long_id(request);
@@ -784,6 +783,7 @@
 	request->status = 0;
 	memset(&request->reply, 0, sizeof(request->reply));
 	g_string_truncate(request->body, 0);
+	request->event_stream = (struct direct_event_stream){ 0 };
 	direct_answer_flow_count(request);
 	request->cold_tokens = 0;
 	request->expected_us = 0;
--- a/tests/direct_policy_test.cc
+++ b/tests/direct_policy_test.cc
@@ -233,8 +233,9 @@
 std::string last_event_id(const std::string &text,
 			  size_t *complete_size = nullptr)
 {
+	direct_event_stream stream = {};
 	char *id = nullptr;
-	size_t size = direct_event_stream_complete_size(text.data(),
+	size_t size = direct_event_stream_complete_size(&stream, text.data(),
 							text.size(), &id);
 	std::string out = id ? id : "none";
 
@@ -267,6 +268,39 @@
 	EXPECT_EQ(complete_size, 0u);
 }
 
+/* Guards against an event that is read differently when it arrives in parts,
+ * also after a part of it was passed on before its end. */
+TEST(Events, PartsAreReadAsTheWhole)
+{
+	const std::string text = "id: 1\ndata: a\n\nid: 2\r\n\r\n: c\n";
+	std::string buffered;
+	direct_event_stream stream = {};
+	char *id = nullptr;
+	size_t complete_size = 0;
+
+	for (char c : text) {
+		buffered += c;
+		size_t size = direct_event_stream_complete_size(
+			&stream, buffered.data(), buffered.size(), &id);
+		if (size) {
+			EXPECT_STREQ(id, complete_size ? "2" : "1");
+		}
+		direct_event_stream_remove(&stream, size);
+		buffered.erase(0, size);
+		complete_size += size;
+	}
+	EXPECT_EQ(complete_size, text.size() - 4);
+	buffered += "id: 3\ndata";
+	EXPECT_EQ(direct_event_stream_complete_size(&stream, buffered.data(),
+						    buffered.size(), &id),
+		  0u);
+	direct_event_stream_remove(&stream, buffered.size() - 2);
+	EXPECT_EQ(direct_event_stream_complete_size(&stream, "ta\n\n", 4, &id),
+		  4u);
+	EXPECT_STREQ(id, "2"); /* the line of the other id is gone */
+	g_free(id);
+}
+
 /* ---- admission ---- */
 
 /* After a burst, the measured piece times are still long but the queue is
--- a/tests/fuzz/fuzz_messages.cc
+++ b/tests/fuzz/fuzz_messages.cc
@@ -61,7 +61,10 @@
 {
 	g_autofree char *last_id = nullptr;
 
-	if (direct_event_stream_complete_size(text, size, &last_id) > size)
+	direct_event_stream stream = {};
+
+	if (direct_event_stream_complete_size(&stream, text, size, &last_id) >
+	    size)
 		abort();
 }
 
--- a/tests/oversized_test.cc
+++ b/tests/oversized_test.cc
@@ -270,6 +270,47 @@
 	EXPECT_LT(rig.most_held, (8 << 20) + (2 << 20));
 }
 
+/* Answers with one event of `lines` short lines, each in a chunk of its own. */
+std::string event_of_lines(const std::string &request, int lines)
+{
+	const std::string name = "X-Attempt-Id: ";
+	size_t at = request.find(name) + name.size();
+	std::string id = request.substr(at, request.find('\r', at) - at);
+	std::string text = begin_stream();
+
+	text.insert(text.find("\r\n") + 2,
+		    name + id + "\r\nX-Server-Seal: s." + id + "\r\n");
+	for (int i = 0; i < lines; i++)
+		text += stream_chunk("x\n");
+	return text + stream_chunk("\n") + end_stream();
+}
+
+/* An event was scanned from its beginning again with each of its lines: nobody
+ * was answered meanwhile. */
+TEST(Oversized, EventOfManyLinesLeavesTheLoopToOtherCallers)
+{
+	const int lines = 100000;
+	ThreadServer engine("\r\n\r\n", [](const std::string &request) {
+		return event_of_lines(request, lines);
+	});
+	const std::string record =
+		"{\"service\":\"engine\",\"address\":\"" + engine.address +
+		"\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":6,"
+		"\"state\":\"ready\",\"cold_left_ms\":0,\"seq_no\":1}";
+	OversizedRig rig;
+
+	pe_write(rig.platform, "raw", record.data(), record.size());
+	rig.add(PE_PLAIN, "plain");
+	rig.settle();
+	CallerRequest stream(rig.address, "a1", "/once/x");
+	CallerRequest order(rig.address, "b1", "/order/x",
+			    { { "X-Deadline-Ms", "1500" } });
+
+	EXPECT_EQ(rig.watch(order).status, 200u);
+	EXPECT_EQ(rig.watch(stream).error, LP_OK);
+	EXPECT_EQ(stream.body.size(), 2u * lines + 1);
+}
+
 /* Bodies of calls of pieces were kept without a limit. */
 TEST(Oversized, CallOfPiecesWithoutEndFailsOver)
 {
--- a/tests/stream_end_test.cc
+++ b/tests/stream_end_test.cc
@@ -124,10 +124,11 @@
 {
 	const std::string event = "id: 7\r\ndata: a\r\n\r\n";
 	const std::string text = event + "id: 8\r\ndata: b\r\n";
+	direct_event_stream stream = {};
 	char *last_id = nullptr;
 
-	EXPECT_EQ(direct_event_stream_complete_size(text.data(), text.size(),
-						    &last_id),
+	EXPECT_EQ(direct_event_stream_complete_size(&stream, text.data(),
+						    text.size(), &last_id),
 		  event.size());
 	EXPECT_STREQ(last_id, "7");
 	g_free(last_id);
