HTTP server: pipelined requests are not answered recursively

Cause: the answer of a request parsed the next one, whose answer, given at once with 400 or 404, parsed the one after it. Each level kept a copy of what followed, and a stack frame of some 300 bytes.

What is read ahead is parsed in one loop by offset, 16 requests of a connection in each iteration of the event loop; an answer within it returns to the loop.

--- a/http/http_server.c
+++ b/http/http_server.c
@@ -18,6 +18,9 @@
 #define BACKLOG 512
 /* Limit of connections accepted in one event-loop iteration. */
 #define ACCEPTS_PER_ITERATION 64
+/* Limit of pipelined requests that one connection begins in an event-loop
+ * iteration. */
+#define REQUESTS_PER_ITERATION 16
 /* Time for a client to take the rest of its answer from a connection that is
  * closed, where nothing else limits it. */
 #define CLOSE_TIMEOUT_US (60 * LP_US_PER_S)
@@ -41,8 +44,9 @@
 	struct http_parse parse;
 	GByteArray *body;
 	GByteArray *read_ahead;
-	struct http_excess excess;	 /* why it is rejected; limit 0: not */
-	struct http_holding held;	 /* body and read_ahead */
+	guint resume_source;	   /* parses read_ahead in the next iteration */
+	struct http_excess excess; /* why it is rejected; limit 0: not */
+	struct http_holding held;  /* body and read_ahead */
 	struct http_holding answer_held; /* buffered, and queued answers */
 	int64_t announced_bytes; /* of the body, held from its head on */
 	struct http_call call;
@@ -54,6 +58,8 @@
 	bool is_rejected;   /* its body is too large, or it got an error answer
 			     */
 	bool is_overloaded; /* there is no room for its body */
+	bool is_parsing; /* a function up the stack goes on with read_ahead */
+	bool is_closed;
 };
 
 struct http_server {
@@ -69,7 +75,7 @@
 };
 
 static void begin_request(struct conn *conn);
-static void parse_bytes(struct conn *conn, const char *bytes, size_t size);
+static void parse_read_ahead(struct conn *conn);
 
 static int64_t now_us(const struct conn *conn)
 {
@@ -145,6 +151,10 @@
 
 static void close_conn(struct conn *conn, bool reset)
 {
+	conn->is_closed = true;
+	if (conn->resume_source)
+		g_source_remove(conn->resume_source);
+	conn->resume_source = 0;
 	set_answer_pending(conn, false);
 	set_request_started(conn, false);
 	release_answer(conn);
@@ -171,8 +181,6 @@
  * closes it. */
 static void finish_answer(struct conn *conn, bool closes)
 {
-	g_autoptr(GByteArray) read_ahead = NULL;
-
 	set_answer_pending(conn, false);
 	set_delivery_deadline(conn);
 	if (closes) {
@@ -180,12 +188,7 @@
 		return;
 	}
 	begin_request(conn);
-	read_ahead = conn->read_ahead;
-	conn->read_ahead = g_byte_array_new();
-	http_sock_pause(conn->sock, false);
-	if (read_ahead->len)
-		parse_bytes(conn, (const char *)read_ahead->data,
-			    read_ahead->len);
+	parse_read_ahead(conn);
 }
 
 static void write_head(struct conn *conn, uint32_t status,
@@ -347,21 +350,22 @@
 		dispatch_request(conn);
 }
 
-static void parse_bytes(struct conn *conn, const char *bytes, size_t size)
+/* Parses bytes of one request. Returns how many belong to it. */
+static size_t parse_request(struct conn *conn, const char *bytes, size_t size,
+			    int *error)
 {
 	size_t used;
-	int error;
 
 	if (!conn->request_started) {
 		set_request_started(conn, true);
 		conn->phase_started_us = now_us(conn);
 	}
+	*error = http_parse_feed(&conn->parse, bytes, size, &used);
+	return used;
+}
 
-	error = http_parse_feed(&conn->parse, bytes, size, &used);
-	if (!error && used < size)
-		g_byte_array_append(conn->read_ahead,
-				    (const guint8 *)bytes + used,
-				    (guint)(size - used));
+static void handle_parsed(struct conn *conn, int error)
+{
 	count_held(conn);
 	if (!conn->parse.has_head &&
 	    !http_memory_fits(conn->server->options.memory, 0))
@@ -369,20 +373,88 @@
 	handle_parse_result(conn, error);
 }
 
+static bool may_parse(const struct conn *conn)
+{
+	return !conn->is_closed && !conn->answer_pending &&
+	       !conn->resume_source;
+}
+
+static gboolean on_resume(gpointer userdata)
+{
+	struct conn *conn = userdata;
+
+	conn->resume_source = 0;
+	parse_read_ahead(conn);
+	return G_SOURCE_REMOVE;
+}
+
+static void update_pause(struct conn *conn)
+{
+	http_sock_pause(conn->sock,
+			conn->read_ahead->len >
+				http_memory_share(conn->server->options.memory,
+						  0, READ_AHEAD_MAX));
+}
+
+/* Parses what is read ahead, as long as requests are answered at once. Their
+ * answers call this function again, which leaves the rest to its first call. */
+static void parse_read_ahead(struct conn *conn)
+{
+	GByteArray *bytes = conn->read_ahead;
+	uint32_t parsed = 0;
+	size_t start = 0;
+	int error;
+
+	if (conn->is_parsing)
+		return;
+	conn->is_parsing = true;
+	while (start < bytes->len && may_parse(conn)) {
+		if (parsed++ == REQUESTS_PER_ITERATION) {
+			conn->resume_source = g_idle_add_full(
+				G_PRIORITY_DEFAULT, on_resume, conn, NULL);
+			break;
+		}
+		start += parse_request(conn, (const char *)bytes->data + start,
+				       bytes->len - start, &error);
+		handle_parsed(conn, error);
+	}
+	conn->is_parsing = false;
+	if (conn->is_closed)
+		return;
+	g_byte_array_remove_range(bytes, 0, (guint)start);
+	count_held(conn);
+	update_pause(conn);
+}
+
+/* Parses bytes that need not be read ahead. */
+static void parse_now(struct conn *conn, const char *bytes, size_t size)
+{
+	int error;
+	size_t used = parse_request(conn, bytes, size, &error);
+
+	if (!error)
+		g_byte_array_append(conn->read_ahead,
+				    (const guint8 *)bytes + used,
+				    (guint)(size - used));
+	conn->is_parsing = true;
+	handle_parsed(conn, error);
+	conn->is_parsing = false;
+	if (!conn->is_closed && conn->read_ahead->len)
+		parse_read_ahead(conn);
+}
+
 static void on_data(void *userdata, const char *bytes, size_t size)
 {
 	struct conn *conn = userdata;
 
-	if (!conn->answer_pending) {
-		parse_bytes(conn, bytes, size);
+	if (!conn->read_ahead->len && may_parse(conn)) {
+		parse_now(conn, bytes, size);
 		return;
 	}
 	g_byte_array_append(conn->read_ahead, (const guint8 *)bytes,
 			    (guint)size);
 	count_held(conn);
-	if (conn->read_ahead->len >
-	    http_memory_share(conn->server->options.memory, 0, READ_AHEAD_MAX))
-		http_sock_pause(conn->sock, true);
+	update_pause(conn);
 }
 
 static void on_ended(void *userdata, int error)
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -209,6 +209,45 @@
 	EXPECT_EQ(http_server_busy_count(test_server.server), 0u);
 }
 
+/* Requests behind one that waited were answered recursively, each level with
+ * its own copy of the rest: one caller could take an entry close to its memory
+ * limit.
+ */
+TEST(HttpServer, PipelinedRequestsAreNotAnsweredRecursively)
+{
+	const int requests = 3000;
+	TestServer test_server;
+	RawClient client(test_server.address);
+	std::string text;
+	http_call *first = nullptr;
+	char *top = nullptr;
+	ptrdiff_t depth = 0;
+	int answered = 0;
+
+	test_server.answer = [&](http_call *call) {
+		char here;
+
+		if (!first) {
+			first = call;
+			return;
+		}
+		top = top ? top : &here;
+		depth = std::max(depth, std::abs(top - &here));
+		answered++;
+		http_call_answer(call, 404, nullptr, nullptr, 0);
+	};
+	for (int i = 0; i <= requests; i++)
+		text += "GET / HTTP/1.1\r\n\r\n";
+	client.send(text);
+	ASSERT_TRUE(iterate_until([&] { return first; }));
+	for (int i = 0; i < 10; i++)
+		g_main_context_iteration(nullptr, FALSE);
+	http_call_answer(first, 200, nullptr, "ok", 2);
+	EXPECT_TRUE(iterate_until([&] { return answered == requests; }));
+	EXPECT_LT(depth, 65536);
+	EXPECT_FALSE(client.ended);
+}
+
 TEST(HttpServer, RejectsMalformedAndTooLargeRequests)
 {
 	const struct {
