HTTP server: a client that reads no answers gets no more requests begun

Its answers count as held, so others would be refused for it.

Cause: only answers that are pending held up the next request; those that were written and not taken did not.

No request of a connection is begun while more than 64 KB of its answers are unread; what it sends is read ahead up to the limit that stood already, then left to the system. It goes on when the client has taken some.

--- a/http/http_server.c
+++ b/http/http_server.c
@@ -21,6 +21,9 @@
 /* Limit of pipelined requests that one connection begins in an event-loop
  * iteration. */
 #define REQUESTS_PER_ITERATION 16
+/* A client that leaves more of its answers unread gets no further request
+ * begun. */
+#define UNREAD_ANSWERS_MAX 65536
 /* Time for a client to take the rest of its answer from a connection that is
  * closed, where nothing else limits it. */
 #define CLOSE_TIMEOUT_US (60 * LP_US_PER_S)
@@ -373,10 +376,16 @@
 	handle_parse_result(conn, error);
 }
 
+static bool has_unread_answers(const struct conn *conn)
+{
+	return http_sock_unsent_bytes(conn->sock) > UNREAD_ANSWERS_MAX;
+}
+
 static bool may_parse(const struct conn *conn)
 {
 	return !conn->is_closed && !conn->answer_pending &&
-	       !conn->resume_source;
+	       !conn->resume_source &&
+	       (conn->request_started || !has_unread_answers(conn));
 }
 
 static gboolean on_resume(gpointer userdata)
@@ -495,9 +504,11 @@
 
 static void on_taken(void *userdata)
 {
-	const struct conn *conn = userdata;
+	struct conn *conn = userdata;
 
-	if (conn->answer_pending && conn->call.on_taken)
+	if (!conn->answer_pending)
+		parse_read_ahead(conn);
+	else if (conn->call.on_taken)
 		conn->call.on_taken(conn->call.taken_userdata);
 }
 
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -248,6 +248,36 @@
 	EXPECT_FALSE(client.ended);
 }
 
+/* Guards against a client that reads no answers taking the memory of all: its
+ * requests were answered as fast as they came. */
+TEST(HttpServer, ClientThatReadsNoAnswersIsNotReadFrom)
+{
+	const std::string body(4000, 'x');
+	TestServer test_server;
+	RawClient client(test_server.address);
+	std::string text;
+	uint32_t answered = 0;
+	size_t sent = 0;
+
+	test_server.answer = [&](http_call *call) {
+		answered++;
+		http_call_answer(call, 200, nullptr, body.data(), body.size());
+	};
+	http_sock_pause(client.sock, true);
+	for (int i = 0; i < 100; i++)
+		text += "GET / HTTP/1.1\r\n\r\n";
+	for (; sent < 20000 && http_sock_unsent_bytes(client.sock) < 1 << 20;
+	     sent += 100) {
+		client.send(text);
+		for (int i = 0; i < 20; i++)
+			g_main_context_iteration(nullptr, FALSE);
+	}
+	EXPECT_LT(answered, sent);
+	http_sock_pause(client.sock, false);
+	EXPECT_TRUE(iterate_until([&] { return answered == sent; }));
+	EXPECT_FALSE(client.ended);
+}
+
 TEST(HttpServer, RejectsMalformedAndTooLargeRequests)
 {
 	const struct {
