Datagrams: commitments have a letter of their own

Dispatchers did not know of the pieces that other entries' admitted requests would submit: waits they reported were too short, and they admitted more than could be served in time.

Cause: since reports of the quarantine have the letter of commitments, and are registered first; commitments were read as reports and dropped as malformed. Tests of commitments receive them from a stand-in, or by a call.

Commitments are 'T' now. A letter that is taken is an assertion at the start.

Relay.DatagramsOfAnEntryAreReadByItsPeer: on the code before no commitments were received and one datagram was malformed, of four requests; now it passes.

--- a/direct/direct_commitments.h
+++ b/direct/direct_commitments.h
@@ -25,7 +25,7 @@
 
 /** Kind and body of the datagram: sequence number, pieces of each rank by
  * service. */
-#define DIRECT_COMMITMENTS_KIND 'B'
+#define DIRECT_COMMITMENTS_KIND 'T'
 #define DIRECT_COMMITMENTS_TYPE "(ta(sau))"
 
 struct direct_commitments;
--- a/direct/direct_peers.c
+++ b/direct/direct_peers.c
@@ -731,12 +731,49 @@
 	lp_event_end(peers->options.log);
 }
 
+static const struct listener *listener_of(const struct direct_peers *peers,
+					  char kind)
+{
+	for (guint i = 0; i < peers->listeners->len; i++) {
+		const struct listener *listener =
+			&g_array_index(peers->listeners, struct listener, i);
+
+		if (listener->kind == kind)
+			return listener;
+	}
+	return NULL;
+}
+
+/* GVariant type of a kind's body; NULL: the kind is unknown. */
+static const char *body_type(const struct direct_peers *peers, char kind)
+{
+	const struct listener *listener = listener_of(peers, kind);
+
+	switch (kind) {
+	case KIND_HELLO:
+		return HELLO_TYPE;
+	case KIND_PROBE:
+		return PROBE_TYPE;
+	case KIND_UNREACHABLE:
+		return UNREACHABLE_TYPE;
+	case KIND_UPSTREAM_LIST:
+		return UPSTREAM_LIST_TYPE;
+	case KIND_LIST_CHANGES:
+		return LIST_CHANGES_TYPE;
+	case KIND_WATCH:
+		return WATCH_TYPE;
+	default:
+		return listener ? listener->type : NULL;
+	}
+}
+
 void direct_peers_listen(struct direct_peers *peers, char kind,
 			 const char *type, direct_peers_datagram_fn handler,
 			 void *userdata)
 {
 	struct listener listener = { kind, type, handler, userdata };
 
+	g_assert(!body_type(peers, kind));
 	g_array_append_val(peers->listeners, listener);
 }
 
@@ -971,42 +1008,6 @@
 						list_age_us);
 }
 
-static const struct listener *listener_of(const struct direct_peers *peers,
-					  char kind)
-{
-	for (guint i = 0; i < peers->listeners->len; i++) {
-		const struct listener *listener =
-			&g_array_index(peers->listeners, struct listener, i);
-
-		if (listener->kind == kind)
-			return listener;
-	}
-	return NULL;
-}
-
-/* GVariant type of a kind's body; NULL: the kind is unknown. */
-static const char *body_type(const struct direct_peers *peers, char kind)
-{
-	const struct listener *listener = listener_of(peers, kind);
-
-	switch (kind) {
-	case KIND_HELLO:
-		return HELLO_TYPE;
-	case KIND_PROBE:
-		return PROBE_TYPE;
-	case KIND_UNREACHABLE:
-		return UNREACHABLE_TYPE;
-	case KIND_UPSTREAM_LIST:
-		return UPSTREAM_LIST_TYPE;
-	case KIND_LIST_CHANGES:
-		return LIST_CHANGES_TYPE;
-	case KIND_WATCH:
-		return WATCH_TYPE;
-	default:
-		return listener ? listener->type : NULL;
-	}
-}
-
 static GVariant *read_body(const char *type, const char *bytes, gsize size)
 {
 	GVariant *body = g_variant_ref_sink(g_variant_new_from_data(
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -107,7 +107,7 @@
 				read_hello(bytes, size - 1);
 			if (bytes[size - 1] == 'P')
 				keep_query(bytes, size - 1);
-			if (bytes[size - 1] == 'B')
+			if (bytes[size - 1] == 'T')
 				print_commitments(bytes, size - 1);
 		}
 	}
@@ -245,6 +245,38 @@
 		[&] { return pe_pieces_kept(pair.first.platform) == 0; }));
 }
 
+int64_t datagrams(Rig &rig, const char *direction)
+{
+	int64_t count = 0;
+
+	for (char kind = 'A'; kind <= 'Z'; kind++)
+		count += *lp_counter(rig.counters,
+				     "linepier_peer_datagrams_total",
+				     (std::string("direction=\"") + direction +
+				      "\",kind=\"" + kind + "\"")
+					     .c_str());
+	return count;
+}
+
+/* Commitments had the letter of another kind, so that dispatchers dropped them
+ * as malformed: pieces that will come were not known to them. */
+TEST(Relay, DatagramsOfAnEntryAreReadByItsPeer)
+{
+	EntryPair pair;
+
+	pe_set_work_ms(pair.stage, 400); /* the second stage's pieces wait */
+	for (int i = 0; i < 4; i++)
+		pair.request(*pair.second, "b" + std::to_string(i));
+	for (auto &request : pair.requests)
+		EXPECT_EQ(request->wait().body, complete_stream);
+	EXPECT_GT(*lp_counter(pair.first.counters,
+			      "linepier_peer_datagrams_total",
+			      "direction=\"received\",kind=\"T\""),
+		  0);
+	EXPECT_EQ(datagrams(pair.first, "malformed"), 0);
+	EXPECT_EQ(datagrams(*pair.second, "malformed"), 0);
+}
+
 /* The dispatcher is killed while pieces of its peer are in flight. */
 TEST(Relay, WorkIsResubmittedAfterDispatcherIsKilled)
 {
@@ -681,7 +713,7 @@
 
 	ASSERT_TRUE(run_loop_until([&] {
 		setup.fake.receive();
-		return setup.fake.received['B'] > 0;
+		return setup.fake.received['T'] > 0;
 	}));
 	EXPECT_EQ(setup.fake.last_commitments, "[('second', [3])]");
 	request.cancel();
@@ -689,7 +721,7 @@
 		setup.fake.receive();
 		return setup.fake.last_commitments == "[]";
 	}));
-	EXPECT_LE(setup.fake.received['B'], 3);
+	EXPECT_LE(setup.fake.received['T'], 3);
 }
 
 /* Lost datagrams: results are resent until they are confirmed, and work that is
@@ -1163,6 +1195,7 @@
 	setup.fake.send('R', g_variant_new("(x)", (gint64)1));
 	setup.fake.send('Z', g_variant_new("(s)", "?"));
 	setup.fake.send('B', g_variant_new("(s)", "?"));
+	setup.fake.send('T', g_variant_new("(s)", "?"));
 	setup.fake.send(
 		'G', g_variant_new("(txas)", (guint64)3, (gint64)-5, nullptr));
 	setup.fake.send('D', g_variant_new("(t)", (guint64)9));
