Configuration: a restore of the key-value service is noticed by its era

Cause: the watch went on from the last revision that it knew. The service had given out lower ones again, so its changes seemed to be old; once it had passed that revision, not even 410 told of it. Nothing read the era in the answers.

The watch reads anew when it has risen, also when another call has shown that; a list whose pages are of two eras is read again; an answer of an earlier era whose call was sent before fails. What was in force stays, as versions of the configuration are the operators'.

The emulator's service takes a copy, goes back to it, names its era and answers 410 to a watch from a revision that it does not have.

--- a/store/store_http.c
+++ b/store/store_http.c
@@ -137,6 +137,14 @@
 
 /* ---- the end of an exchange ---- */
 
+static const char *answer_field(const struct attempt *attempt, const char *name)
+{
+	SoupMessageHeaders *fields =
+		soup_message_get_response_headers(attempt->message);
+
+	return name ? soup_message_headers_get_one(fields, name) : NULL;
+}
+
 static void finish_exchange(struct store_http_exchange *exchange, int error)
 {
 	const struct attempt *attempt = exchange->attempt;
@@ -148,9 +156,9 @@
 
 	if (!error) {
 		answer.status = soup_message_get_status(attempt->message);
-		answer.etag = soup_message_headers_get_one(
-			soup_message_get_response_headers(attempt->message),
-			"ETag");
+		answer.etag = answer_field(attempt, "ETag");
+		answer.era = answer_field(attempt,
+					  exchange->http->options.era_field);
 		answer.body = attempt->body->str;
 	}
 	g_hash_table_remove(exchange->http->pending, exchange);
--- a/store/store_http.h
+++ b/store/store_http.h
@@ -31,6 +31,7 @@
 	int64_t earlier_us;
 	uint32_t status;
 	const char *etag; /**< or NULL */
+	const char *era;  /**< store_http_options.era_field, or NULL */
 	const char *body; /**< NUL-terminated; NULL on error */
 	size_t size;	  /**< bytes received, also of an answer cut short */
 };
@@ -65,6 +66,9 @@
 	uint32_t connections;	 /**< most exchanges at the same time */
 	size_t answer_bytes_max; /**< of a body; 0: the default */
 	bool adapts_timeout;	 /**< to the time that the service takes */
+	/** Header field with the era of the service's history; static. NULL:
+	 * none. */
+	const char *era_field;
 	/** Called when an answer begins `took_us` after its request was sent,
 	 * whose exchange had failed; or NULL. An exchange that is sent by the
 	 * callback may receive that answer. */
--- a/store/store_kv.h
+++ b/store/store_kv.h
@@ -104,6 +104,16 @@
 	void (*tell_answering)(struct store_kv *kv,
 			       void (*answering)(void *userdata),
 			       void *userdata);
+	/** restored() is called when the service turns out to have been
+	 * restored from an older copy, before the answer that shows it is
+	 * handled, until destroy(): what it acknowledged since that copy is
+	 * gone, and revisions are given out again. NULL where a backend cannot
+	 * tell. */
+	void (*tell_restored)(struct store_kv *kv,
+			      void (*restored)(void *userdata), void *userdata);
+	/** The era of the answers, which rises with each restore; -1: none is
+	 * known. NULL where a backend cannot tell. */
+	int64_t (*era)(const struct store_kv *kv);
 	void (*destroy)(struct store_kv *kv);
 };
 
--- a/tests/cwrap.h
+++ b/tests/cwrap.h
@@ -80,6 +80,7 @@
 #include "policy/retry_budget.h"
 #include "policy/retry_schedule.h"
 #include "policy/route.h"
+#include "policy/store_era.h"
 #include "policy/store_reader.h"
 #include "policy/throttle.h"
 #include "policy/trace.h"
--- /dev/null
+++ b/tests/store_era_test.cc
@@ -0,0 +1,114 @@
+/*
+ * The key-value service is restored from an older copy: revisions go back and
+ * are given out again, and what it had acknowledged since is gone.
+ */
+#include "direct_rig.h"
+
+namespace
+{
+
+/* ---- the decision ---- */
+
+/* Guards against an answer of an earlier era taking the place of a newer one,
+ * and against an era that goes back for good being taken for late answers. */
+TEST(StoreEra, AnswersOfEarlierErasAreStale)
+{
+	const struct {
+		int64_t era;
+		int64_t sent_us;
+		store_era_verdict verdict;
+		uint32_t changes;
+	} answers[] = {
+		{ STORE_ERA_UNKNOWN, 1, STORE_ERA_SAME, 0 },
+		{ 4, 2, STORE_ERA_FIRST, 0 },
+		{ 4, 3, STORE_ERA_SAME, 0 },
+		{ 3, 1, STORE_ERA_STALE, 0 },
+		{ 5, 4, STORE_ERA_NEW, 1 },
+		{ 4, 104, STORE_ERA_STALE, 1 },
+		{ STORE_ERA_UNKNOWN, 200, STORE_ERA_MISSING, 1 },
+		{ 5, 201, STORE_ERA_SAME, 1 },
+		{ 8, 202, STORE_ERA_NEW, 2 },
+		{ 2, 900, STORE_ERA_BACK, 3 },
+		{ 8, 203, STORE_ERA_NEW, 4 },
+	};
+	int64_t now_us = 100;
+	store_era state;
+
+	store_era_init(&state);
+	for (const auto &answer : answers) {
+		EXPECT_EQ(store_era_handle_answer(&state, answer.era,
+						  answer.sent_us, ++now_us),
+			  answer.verdict)
+			<< answer.era;
+		EXPECT_EQ(state.changes, answer.changes) << answer.era;
+	}
+}
+
+/* ---- the configuration ---- */
+
+bool reaches_version(const Rig &rig, int64_t version, int64_t limit_ms = 3000)
+{
+	return run_loop_until(
+		[&] { return direct_config_version(rig.entry) == version; },
+		limit_ms);
+}
+
+void set_config(Rig &rig, int64_t version)
+{
+	char *config = pe_sample_config(version);
+
+	pe_set_config(rig.platform, config);
+	g_free(config);
+}
+
+/* Other writers take the revision past this one. */
+void write_up_to(Rig &rig, int revisions)
+{
+	for (int i = 0; i < revisions; i++)
+		pe_put(rig.platform, "other", "x", 1);
+}
+
+/* The watch went on from a revision of the earlier era, so that a version under
+ * a revision that was given out again stayed out of force (review/2). */
+TEST(StoreEra, NewerConfigurationUnderAReusedRevisionIsTaken)
+{
+	Rig rig;
+
+	rig.add(PE_PLAIN, "plain");
+	rig.settle();
+	pe_store_take_copy(rig.platform);
+	set_config(rig, 2);
+	ASSERT_TRUE(reaches_version(rig, 2));
+	write_up_to(rig, 20);
+	set_config(rig, 3);
+	ASSERT_TRUE(reaches_version(rig, 3));
+	pe_store_go_back(rig.platform);
+	set_config(rig, 3);
+	set_config(rig, 4);
+	write_up_to(rig, 40);
+	EXPECT_TRUE(reaches_version(rig, 4));
+	set_config(rig, 5);
+	EXPECT_TRUE(reaches_version(rig, 5));
+}
+
+/* Guards against the version of the copy taking the place of a newer one, also
+ * with two restores in series. */
+TEST(StoreEra, ConfigurationInForceStays)
+{
+	Rig rig;
+
+	rig.settle();
+	pe_store_take_copy(rig.platform);
+	set_config(rig, 2);
+	ASSERT_TRUE(reaches_version(rig, 2));
+	for (int i = 0; i < 2; i++) {
+		pe_store_go_back(rig.platform);
+		EXPECT_FALSE(run_loop_until(
+			[&] { return direct_config_version(rig.entry) != 2; },
+			1500));
+	}
+	set_config(rig, 3);
+	EXPECT_TRUE(reaches_version(rig, 3));
+}
+
+} // namespace
--- a/tools/pe.c
+++ b/tools/pe.c
@@ -680,6 +680,7 @@
 	pe_listener_destroy(pe->store);
 	g_ptr_array_unref(pe->watches);
 	g_hash_table_unref(pe->items);
+	g_clear_pointer(&pe->copied_items, g_hash_table_unref);
 	g_hash_table_unref(pe->runs);
 	g_hash_table_unref(pe->stream_versions);
 	g_hash_table_unref(pe->accounts);
--- a/tools/pe.h
+++ b/tools/pe.h
@@ -73,6 +73,12 @@
 /** The connections that are open go silent for good, in the middle of an answer
  * too; new ones work. */
 void pe_store_silence(struct pe *pe);
+/** Keep a copy of what the service has now. */
+void pe_store_take_copy(struct pe *pe);
+/** The service goes back to its copy, and names the next era from now on. What
+ * its upstreams have written since is not written again by itself: pe_tell().
+ */
+void pe_store_go_back(struct pe *pe);
 /** Write the operators' configuration. */
 void pe_set_config(struct pe *pe, const char *json);
 /** The operators close a failure domain to new work, and open it again. */
--- a/tools/pe_private.h
+++ b/tools/pe_private.h
@@ -96,7 +96,10 @@
 	struct pe_listener *store;
 	struct pe_link *link; /**< what the store's answers go over */
 	enum pe_store_fault store_fault;
+	int64_t era; /**< rises when it goes back to a copy */
 	int64_t revision;
+	int64_t copied_revision;
+	GHashTable *copied_items;    /**< as items; NULL: no copy was taken */
 	GHashTable *items;	     /**< key -> struct pe_item */
 	GPtrArray *watches;	     /**< of struct pe_conn that wait */
 	GPtrArray *upstreams;	     /**< of struct pe_upstream */
--- a/tools/pe_store.c
+++ b/tools/pe_store.c
@@ -55,10 +55,20 @@
 	lp_json_int(builder, "lease", 0);
 }
 
+static void answer_with(struct pe *pe, struct pe_conn *conn, uint32_t status,
+			const char *extra, const char *body)
+{
+	g_autofree char *fields =
+		g_strdup_printf("Store-Era: %" G_GINT64_FORMAT "\r\n%s",
+				(gint64)pe->era, extra);
+
+	pe_link_answer(pe->link, conn, status, fields, body);
+}
+
 static void answer(struct pe *pe, struct pe_conn *conn, uint32_t status,
 		   const char *body)
 {
-	pe_link_answer(pe->link, conn, status, "", body);
+	answer_with(pe, conn, status, "", body);
 }
 
 static void answer_json(struct pe *pe, struct pe_conn *conn,
@@ -66,8 +76,7 @@
 {
 	g_autofree char *text = lp_json_print(builder);
 
-	pe_link_answer(pe->link, conn, 200,
-		       "Content-Type: application/json\r\n", text);
+	answer_with(pe, conn, 200, "Content-Type: application/json\r\n", text);
 }
 
 static void answer_key(struct pe *pe, struct pe_conn *conn)
@@ -193,7 +202,13 @@
 static void begin_watch(struct pe *pe, struct pe_conn *conn)
 {
 	g_autofree char *wait_ms = query(conn, "wait_ms");
+	g_autofree char *after = query(conn, "after");
 
+	if (pe->store_fault == PE_STORE_FINE &&
+	    g_ascii_strtoll(after, NULL, 10) > pe->revision) {
+		answer(pe, conn, 410, "{}");
+		return;
+	}
 	g_ptr_array_add(pe->watches, conn);
 	conn->timer = g_timeout_add((guint)g_ascii_strtoull(wait_ms, NULL, 10),
 				    on_watch_over, conn);
@@ -279,11 +294,17 @@
 	pe_link_forget(pe->link, conn);
 }
 
+static GHashTable *create_items(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				     free_item);
+}
+
 void pe_store_create(struct pe *pe)
 {
+	pe->era = 1;
 	pe->link = pe_link_create();
-	pe->items = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					  free_item);
+	pe->items = create_items();
 	pe->watches = g_ptr_array_new();
 	pe->store = pe_listener_create(on_request, on_left, pe);
 }
@@ -323,6 +344,39 @@
 	change_item(pe, key, NULL);
 }
 
+static GHashTable *copy_items(GHashTable *items)
+{
+	GHashTable *copy = create_items();
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, items);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		struct pe_item *item = g_memdup2(value, sizeof(*item));
+
+		if (item->value)
+			g_bytes_ref(item->value);
+		g_hash_table_insert(copy, g_strdup(key), item);
+	}
+	return copy;
+}
+
+void pe_store_take_copy(struct pe *pe)
+{
+	g_clear_pointer(&pe->copied_items, g_hash_table_unref);
+	pe->copied_items = copy_items(pe->items);
+	pe->copied_revision = pe->revision;
+}
+
+void pe_store_go_back(struct pe *pe)
+{
+	g_hash_table_unref(pe->items);
+	pe->items = copy_items(pe->copied_items);
+	pe->revision = pe->copied_revision;
+	pe->era++;
+}
+
 void pe_store_fault(struct pe *pe, enum pe_store_fault fault)
 {
 	pe->store_fault = fault;
