Closed domains: revisions are compared with their era

Cause: changes of closed domains were ordered by revision alone, here and among entries.

A revision is compared with its era first. Closed domains that the copy lacks are retained for 2.2 s, the time in which others write theirs again. Entries tell each other the era with the domains, so that those that do not call the service know of a restore.

StoreEra.DomainClosedUnderAReusedRevisionGetsNoWork and DomainThatTheCopyLacksIsRetained were red on the code before, and pass.

--- a/direct/direct.c
+++ b/direct/direct.c
@@ -109,6 +109,14 @@
 		act(at->data);
 }
 
+static void on_store_restored(void *userdata)
+{
+	const struct direct *direct = userdata;
+
+	if (direct->options.restored)
+		direct->options.restored(direct->options.userdata);
+}
+
 static void update_peer_service(struct direct *direct);
 
 static void on_closed_domains_changed(void *userdata)
@@ -173,6 +181,7 @@
 			.log = options->log,
 			.counters = options->counters,
 			.changed = on_closed_domains_changed,
+			.restored = on_store_restored,
 			.userdata = direct,
 		});
 	direct->notices =
@@ -352,14 +361,21 @@
 	pool_set_region(direct->pool, domain, region);
 }
 
-void direct_set_closed_domains(struct direct *direct, int64_t revision,
+void direct_note_store_era(struct direct *direct, int64_t era)
+{
+	direct_closed_domains_note_era(direct->closed_domains, era);
+}
+
+void direct_set_closed_domains(struct direct *direct,
+			       const struct store_revision *revision,
 			       const char *const *domains, uint32_t count)
 {
 	direct_closed_domains_set_all(direct->closed_domains, revision, domains,
 				      count);
 }
 
-void direct_set_domain_closed(struct direct *direct, int64_t revision,
+void direct_set_domain_closed(struct direct *direct,
+			      const struct store_revision *revision,
 			      const char *domain, bool closed)
 {
 	direct_closed_domains_set(direct->closed_domains, revision, domain,
--- a/direct/direct.h
+++ b/direct/direct.h
@@ -31,6 +31,7 @@
 #include "direct/direct_codec.h"
 #include "direct/direct_config.h"
 #include "policy/quarantine.h"
+#include "policy/store_era.h"
 
 struct direct;
 struct direct_peers;
@@ -65,6 +66,9 @@
 	/** Called to have the list of upstreams read soon, as a request waits
 	 * for it. May be NULL. */
 	void (*needs_list)(void *userdata);
+	/** Called when the key-value service is found, by this entry or by a
+	 * peer, to have been restored from an older copy; may be NULL. */
+	void (*restored)(void *userdata);
 	void *userdata;
 };
 
@@ -90,12 +94,16 @@
  * upstreams. */
 void direct_set_region(struct direct *direct, const char *domain,
 		       const char *region);
+/** An answer of the key-value service has named this era. */
+void direct_note_store_era(struct direct *direct, int64_t era);
 /** Set all failure domains that operators have closed to new work, as of this
  * revision of the key-value store. All others are open. */
-void direct_set_closed_domains(struct direct *direct, int64_t revision,
+void direct_set_closed_domains(struct direct *direct,
+			       const struct store_revision *revision,
 			       const char *const *domains, uint32_t count);
 /** Close or open one failure domain, as of this revision. */
-void direct_set_domain_closed(struct direct *direct, int64_t revision,
+void direct_set_domain_closed(struct direct *direct,
+			      const struct store_revision *revision,
 			      const char *domain, bool closed);
 /** Send the closed failure domains to all peers again. */
 void direct_share_closed_domains(struct direct *direct);
--- a/policy/store_era.c
+++ b/policy/store_era.c
@@ -1,5 +1,13 @@
 #include "policy/store_era.h"
 
+int store_revision_compare(const struct store_revision *a,
+			   const struct store_revision *b)
+{
+	if (a->era != b->era)
+		return a->era < b->era ? -1 : 1;
+	return (a->revision > b->revision) - (a->revision < b->revision);
+}
+
 void store_era_init(struct store_era *state)
 {
 	*state = (struct store_era){ .era = STORE_ERA_UNKNOWN };
--- a/policy/store_era.h
+++ b/policy/store_era.h
@@ -15,6 +15,9 @@
 
 #include <stdint.h>
 
+/** What its other users wrote in vain they write again within this time after a
+ * restore. */
+#define STORE_ERA_REWRITE_US INT64_C(2200000)
 /** Of an answer that does not name its era. */
 #define STORE_ERA_UNKNOWN (-1)
 
@@ -34,6 +37,16 @@
 	STORE_ERA_MISSING, /**< it is not named, and was before */
 };
 
+/** A revision and the era that gave it out. */
+struct store_revision {
+	int64_t era;
+	int64_t revision;
+};
+
+/** Negative, 0 or positive: `a` is older, the same, or newer. */
+int store_revision_compare(const struct store_revision *a,
+			   const struct store_revision *b);
+
 void store_era_init(struct store_era *state);
 /** Handle an answer that names this era; its call was sent at `sent_us`. */
 enum store_era_verdict store_era_handle_answer(struct store_era *state,
--- a/tests/datagram_test.cc
+++ b/tests/datagram_test.cc
@@ -38,7 +38,7 @@
 	{ 'S', "(t)" },
 	{ 'T', "(ta(sau))" },
 	{ 'U', "(tx)" },
-	{ 'V', "(xas)" },
+	{ 'W', "(xxxas)" },
 	{ 'X', "at" },
 	{ 'Y', "(xuxtx)" },
 };
--- a/tests/prefix_cache_test.cc
+++ b/tests/prefix_cache_test.cc
@@ -157,7 +157,9 @@
 
 	pool.add("there", "b");
 	pool.advance_ms(1000);
-	closed_domains_set(closed, 1, "a", true);
+	const store_revision at = { 1, 1 };
+
+	closed_domains_set(closed, &at, "a", true);
 	pool_set_closed_domains(pool.c_pool, closed);
 	EXPECT_STREQ(pool.pick(next_prompt)->info.id, "there");
 	EXPECT_EQ(pool.copy_to(pool_find(pool.c_pool, "there")).source,
--- a/tests/store_era_test.cc
+++ b/tests/store_era_test.cc
@@ -111,4 +111,52 @@
 	EXPECT_TRUE(reaches_version(rig, 3));
 }
 
+/* ---- closed domains ---- */
+
+bool is_closed(Rig &rig, const char *id)
+{
+	return CallerRequest(rig.address, id, "/order/x").wait().status == 503;
+}
+
+/* Domains that operators closed after a restore were left out, as their
+ * revisions were lower than the last one before it. */
+TEST(StoreEra, DomainClosedUnderAReusedRevisionGetsNoWork)
+{
+	Rig rig;
+
+	rig.add(PE_PLAIN, "plain");
+	rig.settle();
+	pe_store_take_copy(rig.platform);
+	write_up_to(rig, 20);
+	pe_evacuate(rig.platform, "b");
+	run_loop_until([] { return false; }, 300);
+	ASSERT_FALSE(is_closed(rig, "a1"));
+	pe_store_go_back(rig.platform);
+	pe_evacuate(rig.platform, "a");
+	run_loop_until([] { return false; }, 1500);
+	EXPECT_TRUE(is_closed(rig, "a2"));
+	pe_take_back(rig.platform, "a");
+	run_loop_until([] { return false; }, 300);
+	EXPECT_FALSE(is_closed(rig, "a3"));
+}
+
+/* Guards against new work in a closed domain while its operators have not
+ * closed it again, and against it staying closed if they do not. */
+TEST(StoreEra, DomainThatTheCopyLacksIsRetained)
+{
+	Rig rig;
+
+	rig.add(PE_PLAIN, "plain");
+	rig.settle();
+	pe_store_take_copy(rig.platform);
+	pe_evacuate(rig.platform, "a");
+	run_loop_until([] { return false; }, 300);
+	ASSERT_TRUE(is_closed(rig, "a1"));
+	pe_store_go_back(rig.platform);
+	run_loop_until([] { return false; }, 1200);
+	EXPECT_TRUE(is_closed(rig, "a2"));
+	run_loop_until([] { return false; }, 3500);
+	EXPECT_FALSE(is_closed(rig, "a3"));
+}
+
 } // namespace
--- a/tests/warmup_test.cc
+++ b/tests/warmup_test.cc
@@ -19,9 +19,26 @@
 	}
 	bool replace(int64_t revision, std::vector<const char *> domains)
 	{
-		return closed_domains_replace(set, revision, domains.data(),
+		return replace(1, revision, domains);
+	}
+	bool replace(int64_t era, int64_t revision,
+		     std::vector<const char *> domains)
+	{
+		const store_revision at = { era, revision };
+
+		return closed_domains_replace(set, &at, domains.data(),
 					      domains.size());
 	}
+	bool set_one(int64_t revision, const char *domain, bool closed)
+	{
+		const store_revision at = { 1, revision };
+
+		return closed_domains_set(set, &at, domain, closed);
+	}
+	int64_t revision()
+	{
+		return closed_domains_revision(set)->revision;
+	}
 	std::string list()
 	{
 		GPtrArray *names = closed_domains_list(set);
@@ -34,6 +51,12 @@
 	}
 };
 
+std::vector<const char *> names_of(const GPtrArray *list)
+{
+	return { (const char **)list->pdata,
+		 (const char **)list->pdata + list->len };
+}
+
 TEST(ClosedDomains, UnknownBeforeFirstUpdate)
 {
 	ClosedDomains domains;
@@ -50,10 +73,10 @@
 	ClosedDomains domains;
 
 	EXPECT_TRUE(domains.replace(4, { "a" }));
-	EXPECT_TRUE(closed_domains_set(domains.set, 7, "a", false));
-	EXPECT_TRUE(closed_domains_set(domains.set, 7, "b", true));
+	EXPECT_TRUE(domains.set_one(7, "a", false));
+	EXPECT_TRUE(domains.set_one(7, "b", true));
 	EXPECT_EQ(domains.list(), "b");
-	EXPECT_EQ(closed_domains_revision(domains.set), 7);
+	EXPECT_EQ(domains.revision(), 7);
 }
 
 TEST(ClosedDomains, OlderRevisionIsIgnored)
@@ -61,15 +84,44 @@
 	ClosedDomains domains;
 
 	EXPECT_TRUE(domains.replace(4, { "a" }));
-	EXPECT_TRUE(closed_domains_set(domains.set, 7, "b", true));
-	EXPECT_FALSE(closed_domains_set(domains.set, 6, "a", false));
+	EXPECT_TRUE(domains.set_one(7, "b", true));
+	EXPECT_FALSE(domains.set_one(6, "a", false));
 	EXPECT_FALSE(domains.replace(7, {}));
 	EXPECT_EQ(domains.list(), "ab");
-	EXPECT_TRUE(closed_domains_set(domains.set, 8, "a", false));
+	EXPECT_TRUE(domains.set_one(8, "a", false));
 	EXPECT_EQ(domains.list(), "b");
 	EXPECT_TRUE(domains.replace(9, { "c" }));
 	EXPECT_EQ(domains.list(), "c");
-	EXPECT_EQ(closed_domains_revision(domains.set), 9);
+	EXPECT_EQ(domains.revision(), 9);
+}
+
+/* A revision of a later era is newer, whatever its number; evacuations under it
+ * were left out after a restore. */
+TEST(ClosedDomains, LaterEraIsNewer)
+{
+	ClosedDomains domains;
+
+	EXPECT_TRUE(domains.replace(1, 100, {}));
+	EXPECT_TRUE(domains.replace(2, 20, { "a" }));
+	EXPECT_FALSE(domains.replace(1, 101, { "b" }));
+	EXPECT_EQ(domains.list(), "a");
+}
+
+/* Guards against a domain being opened by a copy that lacks its closing. */
+TEST(ClosedDomains, DomainsThatACopyLacksAreRetained)
+{
+	ClosedDomains domains;
+
+	EXPECT_TRUE(domains.replace(1, 100, { "a", "b", "c" }));
+	EXPECT_TRUE(domains.replace(2, 20, { "c" }));
+	EXPECT_EQ(closed_domains_retained_count(domains.set), 2u);
+	EXPECT_TRUE(closed_domains_contain(domains.set, "a"));
+	EXPECT_TRUE(domains.replace(2, 21, { "a", "c" }));
+	EXPECT_EQ(domains.list(), "ac");
+	EXPECT_TRUE(closed_domains_contain(domains.set, "b"));
+	closed_domains_drop_retained(domains.set);
+	EXPECT_TRUE(closed_domains_contain(domains.set, "a"));
+	EXPECT_FALSE(closed_domains_contain(domains.set, "b"));
 }
 
 /* Entries that receive updates from the key-value service and from each other
@@ -96,29 +148,24 @@
 			ClosedDomains &to =
 				entries[g_rand_int_range(random, 0, 4)];
 
-			closed_domains_set(truth.set, ++revision, name, closed);
+			truth.set_one(++revision, name, closed);
 			/* One entry reads the whole set from the service, maybe
 			 * after a gap; another gets it from a peer. */
 			if (g_rand_boolean(random)) {
 				GPtrArray *list =
 					closed_domains_list(truth.set);
 
-				closed_domains_replace(
-					from.set, revision,
-					(const char **)list->pdata, list->len);
+				from.replace(revision, names_of(list));
 				g_ptr_array_unref(list);
 			}
 			GPtrArray *list = closed_domains_list(from.set);
-			int64_t before = closed_domains_revision(to.set);
+			int64_t before = to.revision();
 
-			closed_domains_replace(
-				to.set, closed_domains_revision(from.set),
-				(const char **)list->pdata, list->len);
+			to.replace(from.revision(), names_of(list));
 			g_ptr_array_unref(list);
-			ASSERT_GE(closed_domains_revision(to.set), before);
+			ASSERT_GE(to.revision(), before);
 			for (auto &entry : entries) {
-				if (closed_domains_revision(entry.set) <
-				    revision)
+				if (entry.revision() < revision)
 					continue;
 				ASSERT_EQ(entry.list(), truth.list())
 					<< "seed " << seed;
@@ -195,7 +242,9 @@
 	}
 	void set(const char *domain, bool is_closed)
 	{
-		closed_domains_set(closed, ++revision, domain, is_closed);
+		const store_revision at = { 1, ++revision };
+
+		closed_domains_set(closed, &at, domain, is_closed);
 		pool_set_closed_domains(c_pool, closed);
 	}
 };
