--- a/tests/direct_rig.h
+++ b/tests/direct_rig.h
@@ -261,6 +261,12 @@
 			plf_quarantine_write(
 				static_cast<Rig *>(self)->quarantine, content);
 		};
+		options.restored = [](void *self) {
+			auto *rig = static_cast<Rig *>(self);
+
+			if (rig->feed)
+				plf_feed_handle_restore(rig->feed);
+		};
 		options.userdata = this;
 		for (int port = 21400; !entry && port < 21900; port++) {
 			address = "127.0.0.1:" + std::to_string(port);
--- a/tests/store_era_test.cc
+++ b/tests/store_era_test.cc
@@ -111,6 +111,49 @@
 	EXPECT_TRUE(reaches_version(rig, 3));
 }
 
+/* ---- upstreams ---- */
+
+/* Upstreams whose records were written since the copy were dropped with the
+ * first list after a restore, though they ran and wrote them again. */
+TEST(StoreEra, UpstreamsThatTheCopyLacksAreRetained)
+{
+	Rig rig;
+
+	rig.settle();
+	pe_store_take_copy(rig.platform);
+	pe_upstream *upstream = rig.add(PE_PLAIN, "plain");
+	rig.settle();
+	pe_store_go_back(rig.platform);
+	run_loop_until([] { return false; }, 1000);
+	for (int i = 0; i < 5; i++) {
+		std::string id = "a" + std::to_string(i);
+
+		EXPECT_EQ(CallerRequest(rig.address, id.c_str(), "/order/x")
+				  .wait()
+				  .status,
+			  200u);
+	}
+	pe_tell(upstream);
+	run_loop_until([] { return false; }, 2500);
+	EXPECT_EQ(CallerRequest(rig.address, "b1", "/order/x").wait().status,
+		  200u);
+}
+
+/* Guards against an upstream that has gone being retained for long. */
+TEST(StoreEra, UpstreamThatIsNotWrittenAgainIsDropped)
+{
+	Rig rig;
+
+	rig.settle();
+	pe_store_take_copy(rig.platform);
+	rig.add(PE_PLAIN, "plain");
+	rig.settle();
+	pe_store_go_back(rig.platform);
+	run_loop_until([] { return false; }, 5000);
+	EXPECT_EQ(CallerRequest(rig.address, "a1", "/order/x").wait().status,
+		  503u);
+}
+
 /* ---- closed domains ---- */
 
 bool is_closed(Rig &rig, const char *id)
