Draining upstreams: a restored list does not bring them back

After a drill of the key-value service, an upstream that was draining got new work once the copy named it as ready.

Cause: whether an upstream drains was what the last list said.

When the service was restored, those that drain by the list, or did when they left it, are treated as after a drain notice of their own: until they start again.

StoreEra.UpstreamThatLeavesGetsNoWorkByTheCopy: served by it on the code before; now refused.

--- a/direct/direct.c
+++ b/direct/direct.c
@@ -113,6 +113,7 @@
 {
 	const struct direct *direct = userdata;
 
+	pool_keep_draining(direct->pool);
 	if (direct->options.restored)
 		direct->options.restored(direct->options.userdata);
 }
--- a/policy/pool.c
+++ b/policy/pool.c
@@ -20,6 +20,7 @@
 	struct rate_limit rate_limit;
 	int64_t pushback_until_us;
 	bool drain_notice;
+	bool was_draining; /* by the list */
 	int64_t unlisted_us;
 };
 
@@ -213,6 +214,25 @@
 	return is_new;
 }
 
+void pool_keep_draining(struct pool *pool)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, pool->upstreams);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct pool_upstream *upstream = value;
+
+		upstream->drain_notice |= upstream->info.draining;
+	}
+	g_hash_table_iter_init(&iter, pool->unlisted);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct unlisted_state *state = value;
+
+		state->drain_notice |= state->was_draining;
+	}
+}
+
 void pool_set_region(struct pool *pool, const char *domain, const char *region)
 {
 	g_hash_table_replace(pool->regions, g_strdup(domain),
@@ -378,10 +398,11 @@
 		.rate_limit = upstream->rate_limit,
 		.pushback_until_us = upstream->pushback_until_us,
 		.drain_notice = upstream->drain_notice,
+		.was_draining = upstream->info.draining,
 		.unlisted_us = now_us,
 	};
 
-	if (!upstream->rate_limit.advertised && !upstream->drain_notice &&
+	if (!upstream->rate_limit.advertised && !pool_is_draining(upstream) &&
 	    !pool_has_pushback(pool, upstream))
 		return;
 	g_hash_table_foreach_remove(pool->unlisted, unlisted_has_expired,
--- a/policy/pool.h
+++ b/policy/pool.h
@@ -229,6 +229,9 @@
 			int64_t pushback_us);
 bool pool_has_pushback(const struct pool *pool,
 		       const struct pool_upstream *upstream);
+/** Upstreams that are draining by the list, or were when they left it, stay so
+ * until they start again: the list may be restored to what it was before. */
+void pool_keep_draining(struct pool *pool);
 /** Whether it is draining, by the list or by its drain notice. */
 bool pool_is_draining(const struct pool_upstream *upstream);
 /** Whether it is listed, not draining, and its domain is not closed. */
--- a/tests/store_era_test.cc
+++ b/tests/store_era_test.cc
@@ -154,6 +154,27 @@
 		  503u);
 }
 
+/* An upstream that was draining, and that the copy names as ready, got new
+ * work.
+ */
+TEST(StoreEra, UpstreamThatLeavesGetsNoWorkByTheCopy)
+{
+	Rig rig;
+	pe_upstream *leaving = rig.add(PE_PLAIN, "plain");
+
+	rig.settle();
+	pe_store_take_copy(rig.platform);
+	pe_drain(leaving);
+	run_loop_until([] { return false; }, 1000);
+	EXPECT_EQ(CallerRequest(rig.address, "a1", "/order/x").wait().status,
+		  503u);
+	pe_store_go_back(rig.platform);
+	run_loop_until([] { return false; }, 1200);
+	EXPECT_EQ(CallerRequest(rig.address, "a2", "/order/x").wait().status,
+		  503u);
+	EXPECT_EQ(pe_arrivals(leaving), 0u);
+}
+
 /* ---- closed domains ---- */
 
 bool is_closed(Rig &rig, const char *id)
