--- a/direct/direct_closed_domains.c
+++ b/direct/direct_closed_domains.c
@@ -131,16 +131,32 @@
 	report_change(closed_domains, "peer");
 }
 
+static void report_restore(const struct direct_closed_domains *closed_domains,
+			   int64_t before)
+{
+	struct lp_event_log *log = closed_domains->options.log;
+
+	*lp_counter(closed_domains->options.counters,
+		    "linepier_store_restores_total", NULL) += 1;
+	if (!lp_event_begin(log, "store_restored", NULL))
+		return;
+	lp_event_int(log, "before", before);
+	lp_event_int(log, "era", closed_domains->era);
+	lp_event_end(log);
+}
+
 void direct_closed_domains_note_era(
 	struct direct_closed_domains *closed_domains, int64_t era)
 {
-	bool is_first = closed_domains->era == STORE_ERA_UNKNOWN;
+	int64_t before = closed_domains->era;
+	bool is_first = before == STORE_ERA_UNKNOWN;
 
 	if (era <= closed_domains->era)
 		return;
 	closed_domains->era = era;
 	if (is_first)
 		return;
+	report_restore(closed_domains, before);
 	direct_closed_domains_share(closed_domains);
 	closed_domains->options.restored(closed_domains->options.userdata);
 }
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -1185,6 +1185,30 @@
 	EXPECT_GE(count("direction=\"sent\",kind=\"H\""), 1);
 }
 
+/* Guards against entries that do not call the key-value service not knowing of
+ * its restore. */
+TEST(Relay, PeerTellsOfARestoreOfTheService)
+{
+	EntryWithFakePeer setup;
+	auto restores = [&] {
+		return *lp_counter(setup.rig.counters,
+				   "linepier_store_restores_total", nullptr);
+	};
+	auto tell_era = [&](gint64 era) {
+		setup.fake.send('W',
+				g_variant_new("(xxx@as)", era, era, (gint64)1,
+					      g_variant_new_strv(nullptr, 0)));
+		run_loop_until([] { return false; }, 200);
+	};
+
+	setup.fake.send_hello(50);
+	tell_era(1);
+	EXPECT_EQ(restores(), 0);
+	tell_era(2);
+	tell_era(2);
+	EXPECT_EQ(restores(), 1);
+}
+
 /* Datagrams that cannot be read must have no effect. */
 TEST(Relay, MalformedDatagramsAreIgnored)
 {
