Quarantine: records are stored again after a restore

Records of blocked requests that the key-value service lost in a restore were not stored again: a fleet that was killed afterwards let the requests through.

--- a/tests/direct_rig.h
+++ b/tests/direct_rig.h
@@ -266,6 +266,7 @@
 
 			if (rig->feed)
 				plf_feed_handle_restore(rig->feed);
+			plf_quarantine_handle_restore(rig->quarantine);
 		};
 		options.userdata = this;
 		for (int port = 21400; !entry && port < 21900; port++) {
--- a/tests/poison_test.cc
+++ b/tests/poison_test.cc
@@ -466,6 +466,29 @@
 	EXPECT_EQ(fleet.poison_counts().arrivals, arrivals);
 }
 
+/* Records that the service lost in a restore were not stored again, so that a
+ * fleet that was killed later served the request anew. */
+TEST(Poison, RecordsAreStoredAgainAfterARestore)
+{
+	Fleet fleet;
+	Caller caller{ fleet, "/once/x", poison, {} };
+
+	fleet.add_upstreams(8);
+	fleet.settle();
+	pe_store_take_copy(fleet.first.platform);
+	caller.send(6);
+	run_loop_until([] { return false; }, 200);
+	pe_store_go_back(fleet.first.platform);
+	run_loop_until([] { return false; }, 5000);
+	fleet.second.end();
+	fleet.first.end();
+	Rig after(&fleet.first);
+
+	after.settle();
+	EXPECT_TRUE(run_loop_until(
+		[&] { return direct_blocked_count(after.entry); }, 3000));
+}
+
 /* Malformed records of other writers block no request and crash no entry. */
 TEST(Poison, MalformedStoredRecordsAreIgnored)
 {
