--- a/tools/soak_config.c
+++ b/tools/soak_config.c
@@ -32,9 +32,9 @@
 	bool ended;
 };
 
-static void write_version(struct soak_config *config)
+void soak_config_write_again(struct soak_config *config)
 {
-	int64_t version = ++config->version;
+	int64_t version = config->version;
 	g_autofree char *json =
 		config->options.is_patient
 			? pe_patient_config(version, config->routes,
@@ -44,6 +44,12 @@
 	pe_set_config(config->options.platform, json);
 }
 
+static void write_version(struct soak_config *config)
+{
+	config->version++;
+	soak_config_write_again(config);
+}
+
 struct soak_config *
 soak_config_create(const struct soak_config_options *options)
 {
--- a/tools/soak_config.h
+++ b/tools/soak_config.h
@@ -24,6 +24,8 @@
 /** Writes the first configuration. */
 struct soak_config *
 soak_config_create(const struct soak_config_options *options);
+/** The operators write the current version again. */
+void soak_config_write_again(struct soak_config *config);
 void soak_config_destroy(struct soak_config *config);
 /** One fault more, or none: what is drawn from the seed. */
 void soak_config_disturb(struct soak_config *config);
--- a/tools/soak_evacuation.c
+++ b/tools/soak_evacuation.c
@@ -27,6 +27,22 @@
 	evacuation->closed = domain;
 }
 
+void soak_evacuation_write_again(struct soak_evacuation *evacuation)
+{
+	static const char *const domains[] = { SOAK_DOMAIN, SOAK_OTHER_DOMAIN };
+
+	if (!evacuation)
+		return;
+	for (guint i = 0; i < G_N_ELEMENTS(domains); i++) {
+		struct pe *platform = evacuation->options.platform;
+
+		if (!g_strcmp0(domains[i], evacuation->closed))
+			pe_evacuate(platform, domains[i]);
+		else
+			pe_take_back(platform, domains[i]);
+	}
+}
+
 static void set_cold(struct soak_evacuation *evacuation)
 {
 	const GPtrArray *upstreams = evacuation->options.upstreams;
--- a/tools/soak_evacuation.h
+++ b/tools/soak_evacuation.h
@@ -30,6 +30,8 @@
 struct soak_evacuation *
 soak_evacuation_create(const struct soak_evacuation_options *options);
 void soak_evacuation_destroy(struct soak_evacuation *evacuation);
+/** The operators write what they have closed and opened last again. */
+void soak_evacuation_write_again(struct soak_evacuation *evacuation);
 /** Close or open a domain, or have an upstream be cold; NULL: nothing. */
 void soak_evacuation_disturb(struct soak_evacuation *evacuation);
 /** The faults are over: looks for breaches; NULL: nothing. */
--- a/tools/soak_main.c
+++ b/tools/soak_main.c
@@ -62,6 +62,8 @@
 	  "upstreams whose answers do not end, and a limit of memory" },
 	{ "pauses", LP_SETTING_BOOL, FIELD(pauses), "no", 0, 0, NULL,
 	  "sound upstreams that pause; without faults, beside planned ends" },
+	{ "restores", LP_SETTING_BOOL, FIELD(restores), "no", 0, 0, NULL,
+	  "a key-value service that goes back to a copy" },
 	{ "env", LP_SETTING_STRING, FIELD(env), "", 0, 0, NULL,
 	  "NAME=VALUE,... for the program under test" },
 	{ "logs", LP_SETTING_STRING, FIELD(logs), "", 0, 0, NULL,
@@ -340,6 +342,7 @@
 	soak_evacuation_disturb(soak->evacuation);
 	soak_notices_disturb(soak->notices);
 	soak_release_disturb(soak->release);
+	soak_restore_disturb(soak->restore);
 	if (dice < 3)
 		fault_entry(soak, dice);
 	else if (dice == 3)
@@ -372,6 +375,27 @@
 	});
 }
 
+static void on_rewrite(void *userdata)
+{
+	struct soak *soak = userdata;
+
+	soak_config_write_again(soak->config);
+	soak_evacuation_write_again(soak->evacuation);
+}
+
+static void start_restore(struct soak *soak)
+{
+	if (soak->settings.restores)
+		soak->restore =
+			soak_restore_create(&(struct soak_restore_options){
+				.platform = soak->platform,
+				.seed = (uint32_t)soak->settings.seed,
+				.upstreams = soak->upstreams,
+				.rewrite = on_rewrite,
+				.userdata = soak,
+			});
+}
+
 static void start_writer(struct soak *soak)
 {
 	soak->writer = soak_writer_create(&(struct soak_writer_options){
@@ -567,6 +591,7 @@
 	start_release(soak);
 	start_slow(soak);
 	start_pauses(soak);
+	start_restore(soak);
 	if (soak->settings.endless)
 		soak->endless =
 			soak_endless_create(&(struct soak_endless_options){
@@ -604,6 +629,7 @@
 	soak_slow_destroy(soak->slow);
 	soak_endless_destroy(soak->endless);
 	soak_pauses_destroy(soak->pauses);
+	soak_restore_destroy(soak->restore);
 	g_rmdir(soak->folder);
 	g_free(soak->folder);
 	g_ptr_array_unref(soak->upstreams);
@@ -676,6 +702,7 @@
 	soak_pauses_end(soak->pauses);
 	soak_cut_settle(soak->cut);
 	end_faults(soak);
+	soak_restore_end(soak->restore);
 	soak_notices_end(soak->notices);
 	soak_writer_settle(soak->writer);
 	soak_config_settle(soak->config);
--- a/tools/soak_private.h
+++ b/tools/soak_private.h
@@ -13,6 +13,7 @@
 #include "tools/soak_pauses.h"
 #include "tools/soak_poison.h"
 #include "tools/soak_release.h"
+#include "tools/soak_restore.h"
 #include "tools/soak_slow.h"
 #include "tools/soak_suspend.h"
 #include "tools/soak_writer.h"
@@ -39,6 +40,7 @@
 	int64_t slow;
 	int64_t endless;
 	int64_t pauses;
+	int64_t restores;
 	char *env;
 	char *logs;
 };
@@ -80,6 +82,7 @@
 	struct soak_slow *slow;		    /* NULL: likewise */
 	struct soak_endless *endless;	    /* NULL: likewise */
 	struct soak_pauses *pauses;	    /* NULL: likewise */
+	struct soak_restore *restore;	    /* NULL: likewise */
 	GPtrArray *upstreams;
 	struct entry entries[ENTRIES_CUT];
 	uint32_t count;				/* of entries */
