Emulator: conditions of writes are kept

The emulator's key-value service ignored expected_rev. Entries write no condition today; the check guards a later one against revisions that were given out again.

--- a/tests/store_era_test.cc
+++ b/tests/store_era_test.cc
@@ -44,6 +44,45 @@
 	}
 }
 
+/* ---- conditions ---- */
+
+/* Guards against a write whose condition names a revision that the service has
+ * given out again, or lost. */
+TEST(StoreEra, WriteWithALostRevisionIsRefused)
+{
+	Rig rig;
+	store_compare compare = { "k", 0 };
+	store_put put = { "k", "v", 0 };
+	store_txn txn = {};
+	int written = 0;
+	auto write = [&](int64_t revision) {
+		int result = -1;
+
+		compare.mod_revision = revision;
+		rig.kv->ops->txn(
+			rig.kv, "test", &txn,
+			[](void *result, const store_answer *answer) {
+				*static_cast<int *>(result) = answer->succeeded;
+			},
+			&result);
+		EXPECT_TRUE(run_loop_until([&] { return result >= 0; }));
+		written += result;
+		return result;
+	};
+
+	txn.compares = &compare;
+	txn.compares_count = 1;
+	txn.puts = &put;
+	txn.puts_count = 1;
+	pe_store_take_copy(rig.platform);
+	EXPECT_EQ(write(0), 1);
+	EXPECT_EQ(write(0), 0);
+	pe_store_go_back(rig.platform);
+	EXPECT_EQ(write(7), 0);
+	EXPECT_EQ(write(0), 1);
+	EXPECT_EQ(written, 2);
+}
+
 /* ---- the configuration ---- */
 
 bool reaches_version(const Rig &rig, int64_t version, int64_t limit_ms = 3000)
--- a/tools/pe_store.c
+++ b/tools/pe_store.c
@@ -247,7 +247,30 @@
 	pe_store_put_bytes(pe, key, value, size);
 }
 
-/* No condition is kept here: entries write none. */
+static int64_t revision_of(struct pe *pe, const char *key)
+{
+	const struct pe_item *item = g_hash_table_lookup(pe->items, key);
+
+	return item && !is_removed(item) ? item->revision : 0;
+}
+
+static bool conditions_hold(struct pe *pe, JsonObject *root)
+{
+	JsonArray *list =
+		json_object_has_member(root, "expected_rev")
+			? json_object_get_array_member(root, "expected_rev")
+			: NULL;
+
+	for (guint i = 0; list && i < json_array_get_length(list); i++) {
+		JsonObject *at = json_array_get_object_element(list, i);
+
+		if (json_object_get_int_member(at, "revision") !=
+		    revision_of(pe, json_object_get_string_member(at, "key")))
+			return false;
+	}
+	return true;
+}
+
 static void take_txn(struct pe *pe, struct pe_conn *conn)
 {
 	g_autoptr(JsonParser) parser = json_parser_new();
@@ -256,6 +279,10 @@
 		root ? json_object_get_array_member(root, "writes") : NULL;
 	g_autofree char *body = NULL;
 
+	if (root && !conditions_hold(pe, root)) {
+		answer(pe, conn, 412, "{}");
+		return;
+	}
 	for (guint i = 0; writes && i < json_array_get_length(writes); i++)
 		write_item(pe, json_array_get_object_element(writes, i));
 	body = g_strdup_printf("{\"revision\":%" G_GINT64_FORMAT "}",
