--- a/policy/store_era.c
+++ b/policy/store_era.c
@@ -19,7 +19,7 @@
 	if (era == state->era)
 		return STORE_ERA_SAME;
 	if (era == STORE_ERA_UNKNOWN)
-		return STORE_ERA_MISSING;
+		return state->is_missing ? STORE_ERA_SAME : STORE_ERA_MISSING;
 	if (state->era == STORE_ERA_UNKNOWN)
 		return STORE_ERA_FIRST;
 	if (era > state->era)
@@ -33,6 +33,7 @@
 {
 	enum store_era_verdict verdict = compare(state, era, sent_us);
 
+	state->is_missing = era == STORE_ERA_UNKNOWN;
 	switch (verdict) {
 	case STORE_ERA_NEW:
 	case STORE_ERA_BACK:
--- a/policy/store_era.h
+++ b/policy/store_era.h
@@ -13,6 +13,7 @@
 #ifndef STORE_ERA_H
 #define STORE_ERA_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /** What its other users wrote in vain they write again within this time after a
@@ -26,6 +27,7 @@
 	/** Counts the changes, so that what was read before one can be told. */
 	uint32_t changes;
 	int64_t noted_us; /**< when the era was first named */
+	bool is_missing;  /**< the last answer did not name it */
 };
 
 enum store_era_verdict {
@@ -34,7 +36,7 @@
 	STORE_ERA_NEW,	   /**< the service was restored */
 	STORE_ERA_BACK,	   /**< likewise; it names a lower era */
 	STORE_ERA_STALE,   /**< an answer of an earlier era: not to be used */
-	STORE_ERA_MISSING, /**< it is not named, and was before */
+	STORE_ERA_MISSING, /**< it is not named, and was by the answer before */
 };
 
 /** A revision and the era that gave it out. */
--- a/tests/store_era_test.cc
+++ b/tests/store_era_test.cc
@@ -26,6 +26,7 @@
 		{ 5, 4, STORE_ERA_NEW, 1 },
 		{ 4, 104, STORE_ERA_STALE, 1 },
 		{ STORE_ERA_UNKNOWN, 200, STORE_ERA_MISSING, 1 },
+		{ STORE_ERA_UNKNOWN, 200, STORE_ERA_SAME, 1 },
 		{ 5, 201, STORE_ERA_SAME, 1 },
 		{ 8, 202, STORE_ERA_NEW, 2 },
 		{ 2, 900, STORE_ERA_BACK, 3 },
