--- a/review/standins-2.c
+++ b/review/standins-2.c
@@ -253,21 +253,59 @@
 
 /* ---- listeners ---- */
 
-struct listener {
+struct rv_listener {
 	int fd;
 	rv_request_fn on_request;
 	void *userdata;
+	bool crashed;
+	GHashTable *connections; /* of struct connection */
 };
 
 struct connection {
 	int fd;
-	const struct listener *listener;
+	struct rv_listener *listener;
 };
 
+static GMutex connections_lock;
+static GHashTable *connections_by_fd; /* fd -> struct connection */
+
+static bool has_crashed(int fd)
+{
+	const struct connection *connection = NULL;
+	bool crashed;
+
+	g_mutex_lock(&connections_lock);
+	if (connections_by_fd)
+		connection = g_hash_table_lookup(connections_by_fd,
+						 GINT_TO_POINTER(fd));
+	crashed = connection && connection->listener->crashed;
+	g_mutex_unlock(&connections_lock);
+	return crashed;
+}
+
+bool rv_work(int fd, guint ms)
+{
+	int64_t end_us = g_get_monotonic_time() + (int64_t)ms * 1000;
+
+	while (g_get_monotonic_time() < end_us && !has_crashed(fd))
+		g_usleep(MIN(5000, ms * 1000));
+	return !has_crashed(fd);
+}
+
+static void close_connection(struct connection *connection)
+{
+	g_mutex_lock(&connections_lock);
+	g_hash_table_remove(connection->listener->connections, connection);
+	g_hash_table_remove(connections_by_fd, GINT_TO_POINTER(connection->fd));
+	close(connection->fd);
+	g_mutex_unlock(&connections_lock);
+	g_free(connection);
+}
+
 static gpointer run_connection(gpointer data)
 {
 	struct connection *connection = data;
-	const struct listener *listener = connection->listener;
+	const struct rv_listener *listener = connection->listener;
 	struct rv_message request;
 	bool ok;
 
@@ -278,40 +316,49 @@
 					     &request);
 		ok = ok && g_strcmp0(rv_field(&request, "connection"), "close");
 		rv_clear(&request);
-	} while (ok);
-	close(connection->fd);
-	g_free(connection);
+	} while (ok && !has_crashed(connection->fd));
+	close_connection(connection);
 	return NULL;
 }
 
-static gpointer run_listener(gpointer data)
+static void add_connection(struct rv_listener *listener, int fd)
 {
-	struct listener *listener = data;
+	struct connection *connection = g_new0(struct connection, 1);
 
-	for (;;) {
-		struct connection *connection = g_new0(struct connection, 1);
+	connection->listener = listener;
+	connection->fd = fd;
+	g_mutex_lock(&connections_lock);
+	g_hash_table_add(listener->connections, connection);
+	g_hash_table_insert(connections_by_fd, GINT_TO_POINTER(fd), connection);
+	g_mutex_unlock(&connections_lock);
+	g_thread_unref(g_thread_new("connection", run_connection, connection));
+}
 
-		connection->listener = listener;
-		connection->fd = accept(listener->fd, NULL, NULL);
-		if (connection->fd < 0) {
-			g_free(connection);
-			continue;
-		}
-		g_thread_unref(
-			g_thread_new("connection", run_connection, connection));
-	}
+static gpointer run_listener(gpointer data)
+{
+	struct rv_listener *listener = data;
+	int fd;
+
+	while ((fd = accept(listener->fd, NULL, NULL)) >= 0)
+		add_connection(listener, fd);
 	return NULL;
 }
 
-void rv_serve(const char *address, rv_request_fn on_request, void *userdata)
+struct rv_listener *rv_serve(const char *address, rv_request_fn on_request,
+			     void *userdata)
 {
-	struct listener *listener = g_new0(struct listener, 1);
+	struct rv_listener *listener = g_new0(struct rv_listener, 1);
 	struct sockaddr_in at;
 	int on = 1;
 
 	listener->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	listener->on_request = on_request;
 	listener->userdata = userdata;
+	listener->connections = g_hash_table_new(NULL, NULL);
+	g_mutex_lock(&connections_lock);
+	if (!connections_by_fd)
+		connections_by_fd = g_hash_table_new(NULL, NULL);
+	g_mutex_unlock(&connections_lock);
 	setsockopt(listener->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
 	if (!parse_address(address, &at) ||
 	    bind(listener->fd, (struct sockaddr *)&at, sizeof(at)) < 0 ||
@@ -320,6 +367,28 @@
 		exit(EXIT_UNRUN);
 	}
 	g_thread_unref(g_thread_new("listener", run_listener, listener));
+	return listener;
+}
+
+/* The threads of the connections see it and close them, with a reset. */
+void rv_crash(struct rv_listener *listener)
+{
+	static const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+	GHashTableIter iter;
+	gpointer key;
+
+	g_mutex_lock(&connections_lock);
+	listener->crashed = true;
+	shutdown(listener->fd, SHUT_RDWR);
+	close(listener->fd);
+	g_hash_table_iter_init(&iter, listener->connections);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		int fd = ((struct connection *)key)->fd;
+
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+		shutdown(fd, SHUT_RD);
+	}
+	g_mutex_unlock(&connections_lock);
 }
 
 /* ---- the key-value service ---- */
--- a/review/standins-2.h
+++ b/review/standins-2.h
@@ -21,6 +21,7 @@
 };
 
 struct rv_store;
+struct rv_listener;
 
 /** Called on a thread of its own for each request of a connection. */
 typedef void (*rv_request_fn)(void *userdata, int fd,
@@ -35,7 +36,13 @@
 bool rv_has_trouble(void);
 
 /** Listens on "IP:PORT" from now on. Exits with 2 if that fails. */
-void rv_serve(const char *address, rv_request_fn on_request, void *userdata);
+struct rv_listener *rv_serve(const char *address, rv_request_fn on_request,
+			     void *userdata);
+/** The process of the listener ends: its connections are reset, new ones are
+ * refused. */
+void rv_crash(struct rv_listener *listener);
+/** Sleeps; returns false as soon as the process of the connection has ended. */
+bool rv_work(int fd, guint ms);
 const char *rv_field(const struct rv_message *message, const char *name);
 /** Writes all bytes. Returns false if the connection has ended. */
 bool rv_write(int fd, const char *bytes, gsize size);
