--- a/review/4/part.c
+++ b/review/4/part.c
@@ -21,7 +21,7 @@
 #define UNLISTED_MS 3600 /* three pings of silence */
 #define SOUND_PERIOD_MS 1500
 #define BAD_PERIOD_MS 400
-#define CONTACT_MS 3000
+#define CONTACT_MS INT64_C(3000)
 /* LOST: 20 or more of each, and less than half as often. */
 #define COUNTED_MIN 20
 #define COUNTED 22
@@ -64,6 +64,11 @@
 	"\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
 	"\"tenants\":[{\"name\":\"t1\",\"api_keys\":[\"k1\"]}]}";
 
+static void sleep_ms(gulong ms)
+{
+	g_usleep(ms * 1000);
+}
+
 /* ---- engines ---- */
 
 static void on_request(void *userdata, int fd,
@@ -86,9 +91,9 @@
 	struct engine *engine = data;
 	g_autofree char *key = g_strconcat("servers/", engine->id, NULL);
 
-	g_usleep(DOWN_MS * 1000);
+	sleep_ms(DOWN_MS);
 	start_engine(engine);
-	g_usleep((UNLISTED_MS - DOWN_MS) * 1000);
+	sleep_ms(UNLISTED_MS - DOWN_MS);
 	rv_store_remove(store, key);
 	return NULL;
 }
@@ -213,7 +218,7 @@
 		g_mutex_unlock(&lock);
 		next_ms += SOUND_PERIOD_MS;
 		if (next_ms > rv_now_ms())
-			g_usleep((gulong)(next_ms - rv_now_ms()) * 1000);
+			sleep_ms((gulong)(next_ms - rv_now_ms()));
 	}
 	return NULL;
 }
@@ -230,7 +235,7 @@
 
 		rv_record("request %s with the part to %s: %d", id,
 			  ips[i % ENTRIES], status);
-		g_usleep(BAD_PERIOD_MS * 1000);
+		sleep_ms(BAD_PERIOD_MS);
 	}
 	return NULL;
 }
@@ -258,7 +263,7 @@
 	guint begun;
 
 	while (count_sent(from_ms, INT64_MAX, &begun) < count)
-		g_usleep(20000);
+		sleep_ms(20);
 }
 
 /* Crashes the server that runs a sound stream, after its first events. */
@@ -267,12 +272,12 @@
 	struct engine *engine = NULL;
 
 	while (!engine) {
-		g_usleep(10000);
+		sleep_ms(10);
 		g_mutex_lock(&lock);
 		engine = sound_engine;
 		g_mutex_unlock(&lock);
 	}
-	g_usleep(250000);
+	sleep_ms(250);
 	crash_engine(engine, "by itself");
 }
 
@@ -316,15 +321,15 @@
 	}
 	for (guint i = 0; i < ENTRIES; i++)
 		rv_wait_ready(ips[i]);
-	g_usleep(CONTACT_MS * 1000);
+	sleep_ms(CONTACT_MS);
 	g_thread_unref(g_thread_new("sound", send_sound_requests, NULL));
 	wait_for_sound(0, COUNTED);
 	trouble_ms = rv_now_ms();
 	if (rv_has_trouble()) {
 		crash_by_itself();
-		g_usleep(200000);
+		sleep_ms(200);
 		g_thread_unref(g_thread_new("bad", send_bad_requests, NULL));
-		g_usleep(3000000);
+		sleep_ms(3000);
 	}
 	broken = judge(trouble_ms);
 	is_over = true;
--- a/review/standins-2.c
+++ b/review/standins-2.c
@@ -16,12 +16,13 @@
 #define PEERS_PORT 17740
 #define READY_LIMIT_MS 15000
 #define EXIT_UNRUN 2
-#define EVENTS_MAX 4096
+#define ENTRIES_MAX 32
 
 static FILE *record;
 static GMutex record_lock;
 static char *folder;
-static GArray *entries; /* of GPid */
+static GPid entries[ENTRIES_MAX];
+static volatile sig_atomic_t entry_count;
 
 int64_t rv_now_ms(void)
 {
@@ -611,6 +612,14 @@
 		PEERS_PORT, PEERS_PORT + 15, seeds, store);
 }
 
+/* The time of the run is over: no process is left behind. */
+static void on_end_signal(int number)
+{
+	for (int i = 0; i < entry_count; i++)
+		kill(entries[i], SIGKILL);
+	_exit(EXIT_UNRUN);
+}
+
 GPid rv_start_entry(const char *name, const char *settings)
 {
 	char *argv[] = { "target/linepier-platformd", NULL };
@@ -622,8 +631,10 @@
 
 	if (!folder) {
 		folder = g_dir_make_tmp("linepier-review-XXXXXX", NULL);
-		entries = g_array_new(FALSE, FALSE, sizeof(GPid));
+		signal(SIGTERM, on_end_signal);
+		signal(SIGINT, on_end_signal);
 	}
+	g_assert(entry_count < ENTRIES_MAX);
 	path = g_strdup_printf("%s/%s.conf", folder, name);
 	log = g_strdup_printf("%s/%s.log", folder, name);
 	out = fopen(log, "a");
@@ -636,21 +647,19 @@
 		exit(EXIT_UNRUN);
 	}
 	fclose(out);
-	g_array_append_val(entries, pid);
+	entries[entry_count] = pid;
+	entry_count++;
 	rv_record("entry %s starts, process %d", name, (int)pid);
 	return pid;
 }
 
 static void end_entries(void)
 {
-	for (guint i = 0; entries && i < entries->len; i++) {
-		GPid pid = g_array_index(entries, GPid, i);
-
-		if (waitpid(pid, NULL, WNOHANG) == pid)
+	for (int i = 0; i < entry_count; i++) {
+		if (waitpid(entries[i], NULL, WNOHANG) == entries[i])
 			continue;
-		kill(pid, SIGCONT);
-		kill(pid, SIGKILL);
-		waitpid(pid, NULL, 0);
+		kill(entries[i], SIGKILL);
+		waitpid(entries[i], NULL, 0);
 	}
 }
 
