Quarantine: rounds that another key may have caused don't count

Callers saw: one part of prompts crashes upstreams, and one upstream crashes by itself under a sound stream just before.

Cause: rounds counted against a key alone. The first part is in each request with the bad part and so has all of its rounds, and one more by chance: it was blocked after three, and the bad part counted as explained by it.

Now the rounds that count depend on the request: those that the likeliest key which it lacks may have caused do not. A sound request is a trial, and its answer clears the first part; a request with both stays refused.

--- a/policy/quarantine.c
+++ b/policy/quarantine.c
@@ -166,6 +166,28 @@
 		       : 0;
 }
 
+static uint32_t all_of(const struct evidence *evidence)
+{
+	return (1U << evidence->count) - 1;
+}
+
+/* The number of rounds among the terminations in `mask`. */
+static uint32_t count_rounds(const struct evidence *evidence, uint32_t mask)
+{
+	uint32_t rounds = 0;
+
+	for (uint32_t i = 0; i < evidence->count; i++) {
+		bool is_known = !(mask & (1U << i));
+
+		for (uint32_t j = 0; j < i && !is_known; j++)
+			is_known = mask & (1U << j) &&
+				   evidence->items[j]->round ==
+					   evidence->items[i]->round;
+		rounds += !is_known;
+	}
+	return rounds;
+}
+
 static int64_t blocked_until_us(const struct evidence *evidence)
 {
 	int64_t block_us = QUARANTINE_BLOCK_US;
@@ -403,14 +425,15 @@
 	return remove_terminations(record, begun_us, true);
 }
 
-/* ---- which of several keys explains terminations ---- */
+/* ---- which of several keys causes terminations ---- */
 
-static bool has_incarnation(const struct record *record, uint64_t incarnation)
+static const struct quarantine_termination *
+find_termination(const struct record *record, uint64_t incarnation)
 {
 	for (uint32_t i = 0; i < count_of(record); i++)
 		if (termination_at(record, i)->incarnation == incarnation)
-			return true;
-	return false;
+			return termination_at(record, i);
+	return NULL;
 }
 
 /* The terminations of the evidence that a record has as well, as bits. */
@@ -420,44 +443,131 @@
 	uint32_t covered = 0;
 
 	for (uint32_t i = 0; i < evidence->count; i++)
-		if (has_incarnation(other, evidence->items[i]->incarnation))
+		if (find_termination(other, evidence->items[i]->incarnation))
 			covered |= 1U << i;
 	return covered;
 }
 
-/* What is known of the cause of terminations. */
-enum explanation {
-	EXPLANATION_OWN,       /* the key, or others of the same request */
-	EXPLANATION_AMBIGUOUS, /* the key, or others that the request lacks */
-	EXPLANATION_OTHER,     /* a key with these and further terminations */
+/* Whether another key has all of these terminations and more. */
+static bool is_explained(const struct quarantine *quarantine,
+			 const struct record *record,
+			 const struct evidence *evidence)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, quarantine->records);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct record *other = value;
+
+		if (count_of(other) > count_of(record) &&
+		    count_of(other) >= QUARANTINE_SUSPECT_TERMINATIONS &&
+		    covered_by(evidence, other) == all_of(evidence))
+			return true;
+	}
+	return false;
+}
+
+/* Terminations of a key that other keys may have caused, as bits. */
+struct alternatives {
+	uint32_t best;	  /* by the one that leaves the fewest rounds */
+	uint32_t tainted; /* by any that had an earlier termination */
 };
 
-/* `keys`: of the request; NULL: of none. */
-static enum explanation explain(const struct quarantine *quarantine,
-				const struct record *record,
-				const struct evidence *evidence,
-				const struct quarantine_keys *keys)
+/* Whether another key may have caused a termination: a suspect, or a part of
+ * the same run. */
+static bool is_alternative(const struct record *other,
+			   const struct quarantine_termination *theirs,
+			   const struct quarantine_termination *ours)
+{
+	return count_of(other) >= QUARANTINE_SUSPECT_TERMINATIONS ||
+	       (other->is_part && theirs->run_us == ours->run_us);
+}
+
+static void add_alternative(struct alternatives *alternatives,
+			    const struct evidence *evidence,
+			    const struct record *other)
 {
-	const uint32_t all = (1U << evidence->count) - 1;
 	uint32_t covered = 0;
+	uint32_t all = all_of(evidence);
+
+	for (uint32_t i = 0; i < evidence->count; i++) {
+		const struct quarantine_termination *ours = evidence->items[i];
+		const struct quarantine_termination *theirs =
+			find_termination(other, ours->incarnation);
+
+		if (!theirs || !is_alternative(other, theirs, ours))
+			continue;
+		covered |= 1U << i;
+		if (theirs->round > 1)
+			alternatives->tainted |= 1U << i;
+	}
+	if (count_rounds(evidence, all & ~covered) <
+	    count_rounds(evidence, all & ~alternatives->best))
+		alternatives->best = covered;
+}
+
+/* The alternatives that a request with `keys` lacks. */
+static struct alternatives
+find_alternatives(const struct quarantine *quarantine,
+		  const struct record *record, const struct evidence *evidence,
+		  const struct quarantine_keys *keys)
+{
+	struct alternatives alternatives = { 0 };
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, quarantine->records);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct record *other = value;
-		uint32_t by_other;
 
-		if (other == record ||
-		    count_of(other) < QUARANTINE_SUSPECT_TERMINATIONS)
-			continue;
-		by_other = covered_by(evidence, other);
-		if (by_other == all && count_of(other) > count_of(record))
-			return EXPLANATION_OTHER;
-		if (!keys || !has_key(keys, other->key))
-			covered |= by_other;
+		if (other != record && !has_key(keys, other->key))
+			add_alternative(&alternatives, evidence, other);
 	}
-	return covered == all ? EXPLANATION_AMBIGUOUS : EXPLANATION_OWN;
+	return alternatives;
+}
+
+/* The terminations under runs that only a trial can have been, as bits. */
+static uint32_t trials_of(const struct evidence *evidence)
+{
+	uint32_t trials = 0;
+
+	for (uint32_t i = 0; i < evidence->count; i++)
+		if (evidence->items[i]->round > QUARANTINE_SUSPECT_PART_ROUNDS)
+			trials |= 1U << i;
+	return trials;
+}
+
+/* The rounds that count against a key for a request with `keys`: those that the
+ * likeliest other cause leaves. Trials beside which no other key was tainted
+ * count anyway, or ever new second parts would excuse a first one. */
+static uint32_t rounds_against(const struct quarantine *quarantine,
+			       const struct record *record,
+			       const struct evidence *evidence,
+			       const struct quarantine_keys *keys)
+{
+	struct alternatives alternatives =
+		find_alternatives(quarantine, record, evidence, keys);
+	uint32_t sole_trials = trials_of(evidence) & ~alternatives.tainted;
+
+	return MAX(
+		count_rounds(evidence, all_of(evidence) & ~alternatives.best),
+		1 + count_rounds(evidence, sole_trials));
+}
+
+/* Evidence of other organisations blocks nobody by itself, but confirms own. */
+static bool is_blocked(const struct quarantine *quarantine,
+		       const struct record *record, const struct evidence *own,
+		       const struct evidence *everyone,
+		       const struct quarantine_keys *keys)
+{
+	uint32_t rounds = rounds_against(quarantine, record, own, keys);
+
+	if (rounds >= QUARANTINE_BLOCK_ROUNDS)
+		return true;
+	return rounds >= QUARANTINE_SUSPECT_PART_ROUNDS &&
+	       rounds_against(quarantine, record, everyone, keys) >=
+		       QUARANTINE_CONFIRMED_ROUNDS;
 }
 
 void quarantine_foreach_explained(const struct quarantine *quarantine,
@@ -477,7 +587,7 @@
 		struct evidence evidence = all_evidence(record);
 
 		if (record != cause && count_of(record) &&
-		    covered_by(&evidence, cause) == (1U << evidence.count) - 1)
+		    covered_by(&evidence, cause) == all_of(&evidence))
 			visit(userdata, record->key);
 	}
 }
@@ -491,8 +601,9 @@
 			    const struct record *record, bool *is_trial)
 {
 	int64_t now_us = lp_now_us(quarantine->clock);
-	enum explanation explanation;
 	struct evidence evidence;
+	struct evidence everyone;
+	int64_t until_us;
 
 	*is_trial = false;
 	if (!record || count_of(record) < QUARANTINE_SUSPECT_TERMINATIONS)
@@ -500,12 +611,13 @@
 	evidence = evidence_for(record, keys->organisation);
 	if (!is_suspect(&evidence, record->is_part))
 		return 0;
-	explanation = explain(quarantine, record, &evidence, keys);
-	if (explanation == EXPLANATION_OTHER)
+	if (is_explained(quarantine, record, &evidence))
 		return 0;
-	if (explanation == EXPLANATION_OWN &&
-	    now_us < blocked_until_us(&evidence))
-		return blocked_until_us(&evidence) - now_us;
+	everyone = all_evidence(record);
+	until_us = blocked_until_us(&everyone);
+	if (now_us < until_us &&
+	    is_blocked(quarantine, record, &evidence, &everyone, keys))
+		return until_us - now_us;
 	if (now_us < record->trial_until_us)
 		return MIN(record->trial_until_us - now_us,
 			   QUARANTINE_TRIAL_WAIT_MAX_US);
@@ -580,9 +692,8 @@
 		.terminations_count = count_of(record),
 		.rounds = record->rounds,
 		.is_suspect = suspect,
-		.is_explained = suspect &&
-				explain(quarantine, record, &evidence, NULL) ==
-					EXPLANATION_OTHER,
+		.is_explained =
+			suspect && is_explained(quarantine, record, &evidence),
 		.cleared_us = record->cleared_us,
 		.begun_us = record->begun_us,
 		.blocked_until_us = blocked_until_us(&evidence),
--- a/policy/quarantine.h
+++ b/policy/quarantine.h
@@ -27,15 +27,19 @@
  *   because a trial may cost an upstream. An operator can clear the key at
  *   once.
  *
- * Parts come together, so a part is only blamed for what no other key explains.
- * A key whose terminations are all also terminations of another key, which has
- * more, restricts nothing: the other explains them. If two keys have the same
- * terminations, a request that has only one of them is allowed as a trial,
- * whose outcome tells them apart.
+ * Parts come together, and upstreams also terminate by chance. So it depends on
+ * the request how many rounds count against one of its keys: not those that the
+ * likeliest of the keys which it lacks may have caused, a suspect or a part of
+ * the same run. With three rounds left it is refused, else allowed as a trial,
+ * whose outcome tells the keys apart. A request with all keys that may be the
+ * cause is refused, one with a part of them is tried. Two failed trials count
+ * as three rounds if no other key of theirs had a termination before. A key
+ * whose terminations are all also terminations of another key, which has more,
+ * restricts nothing: the other explains them.
  *
  * Anybody may name a part of somebody else's prompts. A part restricts an
  * organisation only if it was lost in a request of that organisation, or of two
- * others.
+ * others; rounds of one other confirm own ones, and count for nothing alone.
  *
  * What entries know of a key is a set that only grows until it is cleared, so
  * reports of other entries may arrive late, twice and in any order. Times are
@@ -55,6 +59,9 @@
 #define QUARANTINE_SUSPECT_PART_ROUNDS 2
 /** Rounds after which a key is blocked. */
 #define QUARANTINE_BLOCK_ROUNDS 3
+/** Rounds of all organisations after which a key is blocked for one in which it
+ * is a suspect. */
+#define QUARANTINE_CONFIRMED_ROUNDS 4
 /** First block: longer than callers keep retrying, so that the retries of one
  * caller cost no further upstream. */
 #define QUARANTINE_BLOCK_US (60 * LP_US_PER_S)
--- a/tests/prompt_part_test.cc
+++ b/tests/prompt_part_test.cc
@@ -264,6 +264,36 @@
 	EXPECT_GE(sound.served(), 36);
 }
 
+/* Guards against a sound first part that is refused for a minute together with
+ * the part that crashes engines, as an engine crashed under it by chance. */
+TEST(PromptPart, SoundFirstPartIsServedAfterACrashByChance)
+{
+	const pe_end_options end = { 300, 150, true };
+	Fleet fleet(2, crash_on(bad_part), 8);
+	Load bad{ fleet, "bad", "/once/x", "5ead:200,bad0:100", {} };
+	Load sound{ fleet, "sound", "/once/x", "5ead:200", {} };
+	std::vector<uint32_t> arrivals;
+	pe_upstream *running = nullptr;
+
+	for (auto *engine : fleet.engines) {
+		pe_set_work_ms(engine, 100);
+		arrivals.push_back(pe_arrivals(engine));
+	}
+	sound.send();
+	ASSERT_TRUE(run_loop_until([&] {
+		for (size_t i = 0; i < arrivals.size(); i++)
+			if (pe_arrivals(fleet.engines[i]) > arrivals[i])
+				running = fleet.engines[i];
+		return running != nullptr;
+	}));
+	pe_end(running, &end);
+	run_loop_until([] { return false; }, 200);
+	send_in_turn({ &bad }, 8, 200);
+	send_in_turn({ &bad, &sound }, 20, 200);
+	EXPECT_GE(sound.served(1), 18);
+	EXPECT_LE(fleet.counts().arrivals_late, 3u);
+}
+
 /* Operators see the part under a digest, and can let it in again. */
 TEST(PromptPart, OperatorsSeeAndClearIt)
 {
--- a/tests/quarantine_fleet_test.cc
+++ b/tests/quarantine_fleet_test.cc
@@ -21,18 +21,27 @@
 const int64_t contact_us = 3 * s;
 const uint32_t crashes_allowed = 5;
 
+struct Sent {
+	int64_t sent_us;
+	bool begun;
+};
+
 /* Requests of one kind. Digests of parts; 0: one that is new each time. */
 struct Kind {
 	std::vector<uint64_t> parts;
-	double per_s;
+	double per_s = 0;
 	uint64_t organisation = 1;
 	uint64_t content = 0;
+	int64_t period_us = 0; /* sent at this interval, not at random */
+	int64_t next_us = 0;
+	std::vector<Sent> log = {};
 	int sent = 0; /* from twice the contact time after the fifth crash on */
 	int served = 0;
 };
 
 struct Run {
 	Kind *kind;
+	size_t number; /* in the log of the kind */
 	size_t entry;
 	quarantine_keys keys;
 	uint32_t trials;
@@ -115,6 +124,8 @@
 		quarantine_admission admission;
 
 		run.kind = &kind;
+		run.number = kind.log.size();
+		kind.log.push_back({ clock.now_us, false });
 		run.entry = random() % entries.size();
 		quarantine_keys_add(&run.keys,
 				    kind.content ? kind.content : ++last_digest,
@@ -218,6 +229,7 @@
 		int64_t now_us = clock.now_us;
 
 		run.begun = true;
+		run.kind->log[run.number].begun = true;
 		for (uint32_t i = 0; i < run.keys.count; i++) {
 			uint64_t digest = run.keys.items[i].digest;
 
@@ -262,6 +274,15 @@
 		}
 		return 0;
 	}
+	bool is_due(Kind &kind)
+	{
+		if (!kind.period_us)
+			return draw(kind.per_s * tick_us / s);
+		if (clock.now_us < kind.next_us)
+			return false;
+		kind.next_us += kind.period_us;
+		return true;
+	}
 	void run_for(int64_t us, std::vector<Kind *> kinds)
 	{
 		for (int64_t end_us = clock.now_us + us; clock.now_us < end_us;
@@ -274,7 +295,7 @@
 				message();
 			}
 			for (auto *kind : kinds)
-				if (draw(kind->per_s * tick_us / s))
+				if (is_due(*kind))
 					send(*kind);
 			for (auto &engine : engines)
 				step_engine(engine);
@@ -290,6 +311,18 @@
 				tick_us / s))
 			crash(engine);
 	}
+	/* Crashes an engine that runs a request of this kind. Returns false if
+	 * there is none. */
+	bool crash_under(const Kind &kind)
+	{
+		for (auto &engine : engines)
+			for (const Run &run : engine.runs)
+				if (run.kind == &kind) {
+					crash(engine);
+					return true;
+				}
+		return false;
+	}
 	/* The last crash counts for the fifth one. */
 	void expect_bounded(uint64_t key, uint32_t crashes_max)
 	{
@@ -459,4 +492,203 @@
 	expect_owner_served(30, 0.6);
 }
 
+/* ---- engines that crash by chance beside a part ---- */
+
+const uint64_t bad_part = 666;
+
+/* One part crashes engines, and some crash by themselves under sound requests
+ * that share its first part. */
+struct Course {
+	std::vector<uint64_t> sound;
+	std::vector<uint64_t> bad;
+	/* For each crash by chance, how many of the part's crashes come before
+	 * it. */
+	std::vector<uint32_t> chance;
+	uint32_t organisations = 1; /* that send the part */
+};
+
+struct Callers {
+	size_t count;
+	bool in_step;
+};
+
+const int64_t warm_up_us = 10 * s;
+const int64_t observed_us = 36 * s;
+
+struct CourseRun {
+	Fleet fleet;
+	std::vector<Kind> sound;
+	std::vector<Kind> bad;
+	std::vector<Kind *> kinds;
+	int64_t last_crash_us = 0;
+
+	CourseRun(const Course &course, uint32_t seed, size_t entries,
+		  const Callers &callers)
+	    : fleet(seed, entries, entries > 3 ? 18 : 6)
+	{
+		fleet.bad = { bad_part };
+		for (size_t i = 0; i < callers.count; i++) {
+			Kind kind = { course.sound, 0 };
+
+			kind.period_us = 1500 * ms;
+			kind.next_us =
+				callers.in_step ? 0 : fleet.draw_us(0, s);
+			sound.push_back(kind);
+		}
+		for (uint32_t i = 0; i < course.organisations; i++) {
+			Kind kind = { course.bad, 2.5 / course.organisations };
+
+			kind.organisation = i + 1;
+			bad.push_back(kind);
+		}
+		for (auto &kind : sound)
+			kinds.push_back(&kind);
+	}
+	void crash_by_chance()
+	{
+		while (!fleet.crash_under(sound[0]))
+			fleet.run_for(tick_us, kinds);
+		last_crash_us = fleet.clock.now_us;
+	}
+	/* Until the part has crashed so many engines. */
+	void run_until(uint32_t crashes)
+	{
+		while (fleet.crashes[bad_part] < crashes) {
+			fleet.run_for(tick_us, kinds);
+			last_crash_us = fleet.clock.now_us;
+		}
+	}
+	void play(const Course &course)
+	{
+		size_t at = 0;
+
+		fleet.run_for(warm_up_us, kinds);
+		for (; at < course.chance.size() && !course.chance[at]; at++) {
+			crash_by_chance();
+			fleet.run_for(200 * ms, kinds);
+		}
+		for (auto &kind : bad)
+			kinds.push_back(&kind);
+		for (; at < course.chance.size(); at++) {
+			run_until(course.chance[at]);
+			fleet.run_for(300 * ms, kinds);
+			crash_by_chance();
+		}
+		run_until(3);
+		fleet.run_for(10 * s, kinds);
+	}
+	double begun_share() const
+	{
+		int64_t from_us = fleet.clock.now_us;
+		int begun = 0;
+		int sent = 0;
+
+		for (const auto &kind : sound)
+			for (const auto &request : kind.log) {
+				if (request.sent_us < from_us - observed_us)
+					continue;
+				sent++;
+				begun += request.begun;
+			}
+		return (double)begun / sent;
+	}
+};
+
+/* What begins is counted from 10 s after the third crash under the part on. */
+void expect_sound_begun(const Course &course,
+			const std::vector<size_t> &sizes = { 2, 3, 24 })
+{
+	for (size_t entries : sizes)
+		for (const Callers &callers :
+		     { Callers{ 1, true }, { 5, false }, { 5, true } })
+			for (uint32_t seed = 1; seed <= 5; seed++) {
+				CourseRun run(course, seed, entries, callers);
+
+				run.play(course);
+				run.fleet.run_for(observed_us, run.kinds);
+				SCOPED_TRACE(testing::Message()
+					     << entries << " entries, "
+					     << callers.count << " callers, "
+					     << callers.in_step << ", seed "
+					     << seed);
+				EXPECT_GE(run.begun_share(), 0.5);
+				run.fleet.expect_bounded(bad_part, crashes_max);
+			}
+}
+
+/* Guards against a sound first part that is blocked together with the part that
+ * crashes engines, as an engine that ran it crashed by chance. */
+TEST(QuarantineFleet, CrashByChanceDoesNotBlockTheFirstPart)
+{
+	for (const std::vector<uint32_t> &chance :
+	     std::vector<std::vector<uint32_t>>{
+		     {}, { 0 }, { 1 }, { 2 }, { 3 } })
+		expect_sound_begun({ { 11, 0 }, { 11, 666, 0 }, chance });
+}
+
+/* The same with two crashes by chance. */
+TEST(QuarantineFleet, TwoCrashesByChanceDoNotBlockTheFirstPart)
+{
+	for (const std::vector<uint32_t> &chance :
+	     std::vector<std::vector<uint32_t>>{ { 0, 0 }, { 0, 1 }, { 0, 3 } })
+		expect_sound_begun({ { 11, 0 }, { 11, 666, 0 }, chance });
+}
+
+/* The same where first parts are nested. */
+TEST(QuarantineFleet, CrashByChanceDoesNotBlockNestedParts)
+{
+	for (uint32_t chance : { 0, 1, 3 })
+		expect_sound_begun(
+			{ { 11, 12, 0 }, { 11, 12, 666, 0 }, { chance } });
+}
+
+/* The same where two organisations send the part. */
+TEST(QuarantineFleet, CrashByChanceBesideAPartOfTwoOrganisations)
+{
+	for (uint32_t chance : { 0, 1, 3 })
+		expect_sound_begun({ { 11, 0 }, { 11, 666, 0 }, { chance }, 2 },
+				   { 3, 24 });
+}
+
+/* Guards against a part of two organisations that crashes a fourth engine later
+ * than the contact time, as all six crashed within a second, in few rounds. */
+TEST(QuarantineFleet, PartOfTwoOrganisationsThatCrashedAllEnginesAtOnce)
+{
+	const Course course = { { 11, 0 }, { 11, 666, 0 }, { 0 }, 2 };
+	CourseRun run(course, 2, 2, { 5, false });
+
+	run.play(course);
+	run.fleet.run_for(observed_us, run.kinds);
+	run.fleet.expect_bounded(bad_part, crashes_max);
+}
+
+/* Guards against second parts that keep a first part from being blocked which
+ * crashes engines itself. */
+TEST(QuarantineFleet, SecondPartsDoNotExcuseTheFirst)
+{
+	for (size_t entries : { 2, 3, 24 })
+		for (uint64_t second_parts : { 1, 4, 1000 })
+			for (uint32_t seed = 1; seed <= 5; seed++) {
+				Fleet fleet(seed, entries, 18);
+				std::vector<Kind> bad(
+					second_parts > 4 ? 1 : second_parts);
+				std::vector<Kind *> kinds;
+
+				for (size_t i = 0; i < bad.size(); i++) {
+					bad[i].parts = { 666, 50 + i, 0 };
+					bad[i].per_s = 2.5 / bad.size();
+					kinds.push_back(&bad[i]);
+				}
+				if (second_parts > 4)
+					bad[0].parts[1] = 0;
+				fleet.bad = { 666 };
+				fleet.run_for(50 * s, kinds);
+				SCOPED_TRACE(testing::Message()
+					     << entries << " entries, "
+					     << second_parts << ", seed "
+					     << seed);
+				fleet.expect_bounded(666, crashes_max);
+			}
+}
+
 } // namespace
