Quarantine: store what may be the cause in place of a blocked part

Callers saw: after a restart of all entries requests with a sound first part were refused for the rest of its block, though the part beside it crashes upstreams. Cause: only the blocked key was written to the key-value service; the entries that read it knew of no other cause. Now the parts of the lost request are written with it, one more write for each part at a block.

--- a/direct/direct_quarantine.c
+++ b/direct/direct_quarantine.c
@@ -378,16 +378,44 @@
 	broadcast_one(quarantine, time_report(REPORT_CLEARED, key, now_us));
 }
 
+static bool is_blocked(const struct direct_quarantine *quarantine,
+		       const struct quarantine_view *view)
+{
+	return view->blocked_until_us > now(quarantine) && !view->is_explained;
+}
+
+/* Whether one of the keys of a lost request is blocked. */
+static bool has_blocked_key(const struct direct_quarantine *quarantine,
+			    const struct quarantine_keys *keys)
+{
+	for (uint32_t i = 0; i < keys->count; i++) {
+		struct quarantine_view view;
+
+		if (quarantine_get_view(quarantine->records,
+					keys->items[i].digest, &view) &&
+		    is_blocked(quarantine, &view))
+			return true;
+	}
+	return false;
+}
+
+/* With a blocked key go the parts of the request that may be the cause in its
+ * place: without their records it would be blocked alone. */
 static void notify_if_blocked(struct direct_quarantine *quarantine,
-			      uint64_t key)
+			      const struct quarantine_keys *keys)
 {
 	const struct direct_options *options = &quarantine->direct->options;
-	struct quarantine_view view = { 0 };
 
-	quarantine_get_view(quarantine->records, key, &view);
-	if (view.blocked_until_us > now(quarantine) && !view.is_explained &&
-	    options->blocked)
-		options->blocked(options->userdata, key);
+	if (!options->blocked || !has_blocked_key(quarantine, keys))
+		return;
+	for (uint32_t i = 0; i < keys->count; i++) {
+		struct quarantine_view view;
+		uint64_t key = keys->items[i].digest;
+
+		if (quarantine_get_view(quarantine->records, key, &view) &&
+		    (view.is_part || is_blocked(quarantine, &view)))
+			options->blocked(options->userdata, key);
+	}
 }
 
 static struct quarantine_termination
@@ -416,10 +444,10 @@
 static void end_trials(struct direct_quarantine *quarantine,
 		       const struct lost_request *lost)
 {
+	notify_if_blocked(quarantine, &lost->keys);
 	for (uint32_t i = 0; i < lost->keys.count; i++) {
 		const struct quarantine_key *key = &lost->keys.items[i];
 
-		notify_if_blocked(quarantine, key->digest);
 		if (was_trial(key))
 			end_running_trial(quarantine, key->digest);
 	}
--- a/tests/prompt_part_test.cc
+++ b/tests/prompt_part_test.cc
@@ -264,14 +264,10 @@
 	EXPECT_GE(sound.served(), 36);
 }
 
-/* Guards against a sound first part that is refused for a minute together with
- * the part that crashes engines, as an engine crashed under it by chance. */
-TEST(PromptPart, SoundFirstPartIsServedAfterACrashByChance)
+/* An engine crashes under the only request, for a reason of its own. */
+void crash_under(Fleet &fleet, Load &load)
 {
 	const pe_end_options end = { 300, 150, true };
-	Fleet fleet(2, crash_on(bad_part), 8);
-	Load bad{ fleet, "bad", "/once/x", "5ead:200,bad0:100", {} };
-	Load sound{ fleet, "sound", "/once/x", "5ead:200", {} };
 	std::vector<uint32_t> arrivals;
 	pe_upstream *running = nullptr;
 
@@ -279,7 +275,7 @@
 		pe_set_work_ms(engine, 100);
 		arrivals.push_back(pe_arrivals(engine));
 	}
-	sound.send();
+	load.send();
 	ASSERT_TRUE(run_loop_until([&] {
 		for (size_t i = 0; i < arrivals.size(); i++)
 			if (pe_arrivals(fleet.engines[i]) > arrivals[i])
@@ -288,12 +284,46 @@
 	}));
 	pe_end(running, &end);
 	run_loop_until([] { return false; }, 200);
+}
+
+/* Guards against a sound first part that is refused for a minute together with
+ * the part that crashes engines, as an engine crashed under it by chance. */
+TEST(PromptPart, SoundFirstPartIsServedAfterACrashByChance)
+{
+	Fleet fleet(2, crash_on(bad_part), 8);
+	Load bad{ fleet, "bad", "/once/x", "5ead:200,bad0:100", {} };
+	Load sound{ fleet, "sound", "/once/x", "5ead:200", {} };
+
+	crash_under(fleet, sound);
 	send_in_turn({ &bad }, 8, 200);
 	send_in_turn({ &bad, &sound }, 20, 200);
 	EXPECT_GE(sound.served(1), 18);
 	EXPECT_LE(fleet.counts().arrivals_late, 3u);
 }
 
+/* Guards against a sound first part that is stored without the part that may be
+ * the cause in its place, and refused once all entries have restarted. */
+TEST(PromptPart, SoundFirstPartIsServedAfterAKillOfAllEntries)
+{
+	Fleet fleet(2, crash_on(bad_part), 8);
+	Load bad{ fleet, "bad", "/once/x", "5ead:200,bad0:100", {} };
+	Load sound{ fleet, "sound", "/once/x", "5ead:200", {} };
+
+	crash_under(fleet, sound);
+	send_in_turn({ &bad }, 8, 200);
+	/* Records are stored within some round trips. */
+	run_loop_until([] { return false; }, 300);
+	bad.requests.clear();
+	sound.requests.clear();
+	fleet.kill_all();
+	run_loop_until([] { return false; }, 300);
+	bad.name = "after-bad";
+	sound.name = "after-sound";
+	send_in_turn({ &sound, &bad }, 20, 200);
+	EXPECT_GE(sound.served(), 18);
+	EXPECT_LE(fleet.counts().arrivals_late, 3u);
+}
+
 /* Operators see the part under a digest, and can let it in again. */
 TEST(PromptPart, OperatorsSeeAndClearIt)
 {
