Streams: a kill of all entries beside a release, held

All that a restarted entry knows before its peers answer is the list and whether this is the first start of the fleet, which the settings deny after it.

--- a/tests/stream_version_test.cc
+++ b/tests/stream_version_test.cc
@@ -381,4 +381,41 @@
 		  200u);
 }
 
+/* Guards against entries that have all restarted and take the only version that
+ * they find for the one that began a stream: both versions serve, or the first
+ * one has just left. */
+TEST(StreamVersion, StreamsFromBeforeAKillOfAllEntriesAreRefused)
+{
+	for (bool first_version_left : { false, true }) {
+		TwoVersions versions(2);
+		Rig first(&versions.first);
+		Rig second(&versions.first);
+
+		versions.begin_streams();
+		versions.release();
+		for (pe_upstream *engine : versions.v1)
+			if (first_version_left)
+				pe_remove(engine);
+		versions.wait_for_lists();
+		versions.first.end();
+		versions.entry(1).end();
+		first.join("127.0.0.8", 500, { "127.0.0.9" });
+		second.join("127.0.0.9", 500, { "127.0.0.8" });
+		EXPECT_TRUE(run_loop_until([&] {
+			return direct_ready(first.entry) &&
+			       direct_ready(second.entry) &&
+			       direct_peers_count(first.peers) == 2 &&
+			       direct_peers_count(second.peers) == 2;
+		}));
+		for (int i = 0; i < streams_count; i++)
+			versions.expect_refused(
+				*versions.resume(
+					i, 1, i % 2 ? first : second,
+					i % 3 ? TwoVersions::attempt(i, 0)
+					      : ""),
+				TwoVersions::attempt(i, 1));
+		EXPECT_EQ(versions.mixed(), 0u);
+	}
+}
+
 } // namespace
