HTTP: an answer's status is three digits from 100 to 599

Callers saw: an upstream in trouble answers with the status 000, 0200, 600 or 999. 0200 reached them as 200 and 600 and 999 as they were; 000 was taken for an interim answer, so that the call waited for another one until its deadline. Cause: the parser's library takes any digits up to 999 in value.

HttpParse.RejectsAStatusThatIsNone: red before, green after.

--- a/http/http_parse.c
+++ b/http/http_parse.c
@@ -141,12 +141,19 @@
 	return 0;
 }
 
+static void expect_status_line(struct http_parse *parse)
+{
+	parse->line_bytes = 0;
+	parse->has_status_line = false;
+}
+
 static int on_complete(struct http_parser *parser)
 {
 	struct http_parse *parse = parse_of(parser);
 
 	if (is_interim(parser)) {
 		g_array_set_size(parse->fields.items, 0);
+		expect_status_line(parse);
 		return 0;
 	}
 	parse->is_complete = true;
@@ -206,6 +213,7 @@
 	clear_text(&parse->name);
 	clear_text(&parse->value);
 	parse->in_value = false;
+	expect_status_line(parse);
 	parse->head_bytes = 0;
 	parse->framing_bytes = 0;
 	parse->excess = (struct http_excess){ 0 };
@@ -228,12 +236,46 @@
 	return line_end ? (size_t)(line_end - bytes) + 1 : size;
 }
 
+/* "HTTP/1.1 200 OK": the position of the status. */
+#define STATUS_AT 9
+#define STATUS_DIGITS 3
+
+/* Whether a byte of an answer's status line may stand there. The library takes
+ * any number of up to three significant digits for the status. */
+static bool is_valid_in_status_line(size_t at, char byte)
+{
+	if (at == STATUS_AT)
+		return byte >= '1' && byte <= '5';
+	if (at < STATUS_AT + STATUS_DIGITS)
+		return at < STATUS_AT || g_ascii_isdigit(byte);
+	return at > STATUS_AT + STATUS_DIGITS || byte == ' ' || byte == '\r';
+}
+
+/* Checks a slice that is a line of the head, or a part of one. */
+static bool check_status_line(struct http_parse *parse, const char *bytes,
+			      size_t size)
+{
+	bool is_empty = !parse->line_bytes && bytes[0] == '\r';
+
+	if (parse->has_status_line || is_empty)
+		return true;
+	for (size_t i = 0; i < size; i++)
+		if (!is_valid_in_status_line(parse->line_bytes + i, bytes[i]))
+			return false;
+	parse->line_bytes += size;
+	parse->has_status_line = bytes[size - 1] == '\n';
+	return true;
+}
+
 static int check_head(struct http_parse *parse, const char *bytes, size_t size)
 {
 	char before = size > 1 ? bytes[size - 2] : parse->last_byte;
 
 	if (bytes[size - 1] == '\n' && before != '\r')
 		return LP_ERROR_BAD_REQUEST;
+	if (parse->parser.type == HTTP_RESPONSE &&
+	    !check_status_line(parse, bytes, size))
+		return LP_ERROR_BAD_REQUEST;
 	parse->last_byte = bytes[size - 1];
 	parse->head_bytes += size;
 	return is_within(parse, HTTP_PART_HEAD, parse->head_bytes,
--- a/http/http_parse.h
+++ b/http/http_parse.h
@@ -2,10 +2,10 @@
  * Parses HTTP/1.1 messages, one at a time, from a stream of bytes, with the
  * library http-parser.
  *
- * It is stricter than the library in two points, which the next receiver of a
+ * It is stricter than the library in three points, which the next receiver of a
  * message might parse differently (request smuggling): each line of the head
- * must end with CR LF, and a field's name must be a token, without a space
- * before its colon.
+ * must end with CR LF, a field's name must be a token, without a space before
+ * its colon, and an answer's status must be three digits from 100 to 599.
  *
  * Everything but the body is limited here; the body is passed on, and limited
  * by who keeps it. Trailer fields are discarded (RFC 9110, 6.5.1).
@@ -66,6 +66,8 @@
 	GString *value;
 	bool in_value;
 	char last_byte;
+	size_t line_bytes;    /* of the line of the head that is parsed */
+	bool has_status_line; /* response only */
 	size_t head_bytes;
 	size_t framing_bytes;	   /* since the last byte of the body */
 	const char *framing_start; /* of those in the slice that is parsed */
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -107,6 +107,49 @@
 	EXPECT_EQ(http_fields_get(&parser.parse.fields, "X-Interim"), nullptr);
 }
 
+/* Guards against answers whose status is none: 000 was taken for an interim
+ * answer, 0200 for 200, and 600 and 999 were passed on. */
+TEST(HttpParse, RejectsAStatusThatIsNone)
+{
+	for (const char *status : { "000", "099", "600", "999", "0200", "00200",
+				    "20", "2", "2000", "20x", "-20", "" })
+		for (bool byte_by_byte : { false, true })
+			for (const char *before :
+			     { "", "HTTP/1.1 100 Continue\r\n\r\n" }) {
+				ParserFixture parser(HTTP_RESPONSE);
+				std::string text =
+					std::string(before) + "HTTP/1.1 " +
+					status +
+					" X\r\nContent-Length: 0\r\n\r\n";
+				int error = LP_OK;
+
+				if (!byte_by_byte)
+					error = parser.feed(text);
+				for (size_t i = 0;
+				     byte_by_byte && !error && i < text.size();
+				     i++)
+					error = parser.feed(text.substr(i, 1));
+				EXPECT_EQ(error, LP_ERROR_BAD_REQUEST)
+					<< before << status;
+			}
+}
+
+TEST(HttpParse, AcceptsEachStatusFrom200To599)
+{
+	for (int status = 200; status < 600; status++)
+		for (const char *reason : { " OK", " ", "" }) {
+			ParserFixture parser(HTTP_RESPONSE);
+
+			EXPECT_EQ(parser.feed("HTTP/1.1 " +
+					      std::to_string(status) + reason +
+					      "\r\nContent-Length: 0\r\n\r\n"),
+				  LP_OK);
+			EXPECT_EQ(parser.parse.parser.status_code,
+				  (unsigned)status);
+			EXPECT_TRUE(parser.parse.is_complete);
+		}
+}
+
 /* ---- the server ---- */
 
 struct TestServer {
