--- a/tests/stream_version_test.cc
+++ b/tests/stream_version_test.cc
@@ -418,4 +418,21 @@
 	}
 }
 
+/* Guards against an emulated engine that is released while it is away and comes
+ * back under its id with the new version, as no engine of the platform does. */
+TEST(StreamVersion, EngineReleasedWhileAwayGetsANewId)
+{
+	const pe_end_options crash = { 200, 100, false };
+	const pe_end_options release = { 200, 100, true };
+	TwoVersions versions;
+	pe_upstream *engine = versions.v1[0];
+	const std::string id = pe_name(engine);
+
+	pe_end(engine, &crash);
+	pe_end(engine, &release);
+	pe_set_version(engine, "v2");
+	EXPECT_TRUE(
+		run_loop_until([&] { return id != pe_name(engine); }, 1000));
+}
+
 } // namespace
--- a/tools/pe.c
+++ b/tools/pe.c
@@ -614,8 +614,10 @@
 
 void pe_end(struct pe_upstream *upstream, const struct pe_end_options *how)
 {
-	if (upstream->away)
+	if (upstream->away) {
+		upstream->end.new_id |= how->new_id;
 		return;
+	}
 	pe_listener_stop(upstream->listener);
 	end_connections(upstream, false);
 	upstream->end = *how;
--- a/tools/pe.h
+++ b/tools/pe.h
@@ -178,7 +178,7 @@
 };
 
 /** Its process ends now: connections are reset, results are gone, connections
- * are refused; it is back in time. */
+ * are refused; it is back in time. While it is away only `new_id` counts. */
 void pe_end(struct pe_upstream *upstream, const struct pe_end_options *how);
 
 /** Requests that end whoever begins them. */
