Streams: a kill of all processes beside a release, held

StreamVersion.ProcessesKilledAtOnceJoinNoVersions: two processes of the entry lose power while two versions serve, or when the first has just left, and callers try to resume their streams for 8 s; no text is joined.

--- a/tests/planned_stop_test.cc
+++ b/tests/planned_stop_test.cc
@@ -2,81 +2,14 @@
  * A planned stop of the process linepier-platformd in calm: callers go on to
  * send, on new and on kept connections, until the process is gone.
  */
-#include "direct_rig.h"
+#include "entry_process.h"
 
-#include <csignal>
 #include <memory>
-#include <sys/wait.h>
-#include <unistd.h>
 
 namespace
 {
 
 const int64_t grace_ms = 8000;
-const int first_port = 27100;
-const int ports_each = 3;
-const int processes_max = 260;
-
-/* A process of the entry before upstreams of an emulated platform. */
-struct Process {
-	pe *platform = pe_create();
-	int port = first_port + getpid() % processes_max * ports_each;
-	std::string front = address_at(0);
-	std::string settings;
-	GPid pid = 0;
-
-	static std::string at_port(int port)
-	{
-		return "127.0.0.1:" + std::to_string(port);
-	}
-	std::string address_at(int number) const
-	{
-		return at_port(port + number);
-	}
-	Process()
-	{
-		char *argv[] = { (char *)LP_PLATFORMD, nullptr };
-		g_autofree char *config = pe_sample_config(1);
-		g_autofree char *path = nullptr;
-		char **env;
-		std::string text =
-			"node_name=entry-0\nzone=a\nip=127.0.0.1\n"
-			"listen.front=" +
-			front + "\nlisten.ready=" + address_at(1) +
-			"\nlisten.control=" + address_at(2) +
-			"\nplatform.address=" + pe_store_address(platform) +
-			"\nbounds.grace_s=8\n";
-
-		pe_set_config(platform, config);
-		close(g_file_open_tmp("planned-stop-XXXXXX", &path, nullptr));
-		settings = path;
-		g_file_set_contents(path, text.c_str(), -1, nullptr);
-		env = g_environ_setenv(g_get_environ(), "LINEPIER_BOOT", path,
-				       TRUE);
-		EXPECT_TRUE(
-			g_spawn_async(nullptr, argv, env,
-				      (GSpawnFlags)(G_SPAWN_DO_NOT_REAP_CHILD |
-						    G_SPAWN_STDOUT_TO_DEV_NULL),
-				      nullptr, nullptr, &pid, nullptr));
-		g_strfreev(env);
-	}
-	~Process()
-	{
-		if (pid) {
-			kill(pid, SIGKILL);
-			waitpid(pid, nullptr, 0);
-		}
-		unlink(settings.c_str());
-		pe_destroy(platform);
-	}
-	Process(const Process &) = delete;
-	bool has_exited()
-	{
-		if (pid && waitpid(pid, nullptr, WNOHANG) == pid)
-			pid = 0;
-		return !pid;
-	}
-};
 
 /* A connection on which one request is sent after the other. */
 struct Channel {
@@ -142,26 +75,30 @@
 };
 
 struct PlannedStop {
-	Process process;
+	pe *platform = pe_create();
+	std::unique_ptr<EntryProcess> process;
 	std::vector<Request> requests;
 	int64_t term_us = 0;
-	const char *prefix = "w"; /* of the ids */
 
+	~PlannedStop()
+	{
+		process.reset();
+		pe_destroy(platform);
+	}
 	void add_upstreams(uint32_t work_ms)
 	{
 		for (int i = 0; i < 30; i++) {
-			pe_set_work_ms(pe_add(process.platform, PE_PLAIN,
-					      "plain", "a"),
-				       i % 2 ? work_ms : 5);
-			pe_set_work_ms(pe_add(process.platform, PE_ENGINE,
-					      "engine", "a"),
+			pe_set_work_ms(pe_add(platform, PE_PLAIN, "plain", "a"),
 				       i % 2 ? work_ms : 5);
+			pe_set_work_ms(
+				pe_add(platform, PE_ENGINE, "engine", "a"),
+				i % 2 ? work_ms : 5);
 		}
 	}
 	void send(std::shared_ptr<Channel> channel, const std::string &target,
 		  int deadline_ms)
 	{
-		Request request = { prefix + std::to_string(requests.size()),
+		Request request = { "r" + std::to_string(requests.size()),
 				    target, g_get_monotonic_time() - term_us,
 				    channel };
 
@@ -192,22 +129,13 @@
 				return true;
 		return false;
 	}
-	void wait_until_served()
+	void start()
 	{
-		EXPECT_TRUE(run_loop_until([&] {
-			auto channel = std::make_shared<Channel>(process.front);
+		g_autofree char *config = pe_sample_config(1);
 
-			send(channel, "/look/x", 1000);
-			run_loop_until(
-				[&] {
-					return channel->is_answered() ||
-					       channel->ended;
-				},
-				500);
-			return channel->status() == 200;
-		}));
-		requests.clear();
-		prefix = "r";
+		pe_set_config(platform, config);
+		process = std::make_unique<EntryProcess>(platform, 0, "");
+		process->wait_until_served();
 	}
 	/* `probes`: the balancer sees that the entry is not ready. */
 	void play(bool probes)
@@ -221,27 +149,27 @@
 
 		for (int i = 0; i < 9; i++)
 			kept.push_back(
-				std::make_shared<Channel>(process.front));
+				std::make_shared<Channel>(process->front));
 		run_loop_until([] { return false; }, 100);
 		term_us = g_get_monotonic_time();
-		kill(process.pid, SIGTERM);
-		while (!process.has_exited()) {
+		kill(process->pid, SIGTERM);
+		while (!process->has_exited()) {
 			const char *target = targets[number % 3];
 			int deadline_ms = deadlines_ms[number / 3 % 3];
 			auto &channel = kept[number % 9];
 
 			if (probes && number % 20 == 0) {
 				probe = std::make_shared<Channel>(
-					process.address_at(1));
+					process->address_at(1));
 				probe->send("GET /linepier/readiness HTTP/1.1"
 					    "\r\nHost: a\r\n\r\n");
 			}
 			if (channel->ended)
 				channel = std::make_shared<Channel>(
-					process.front);
+					process->front);
 			if (!is_busy(channel))
 				send(channel, target, deadline_ms);
-			send(std::make_shared<Channel>(process.front), target,
+			send(std::make_shared<Channel>(process->front), target,
 			     deadline_ms);
 			number++;
 			run_loop_until([] { return false; }, 50);
@@ -257,8 +185,7 @@
 		int answered = 0;
 
 		for (const auto &request : requests) {
-			uint32_t runs =
-				pe_runs(process.platform, request.id.c_str());
+			uint32_t runs = pe_runs(platform, request.id.c_str());
 
 			SCOPED_TRACE(request.id + " " + request.target + " " +
 				     std::to_string(request.sent_us / 1000));
@@ -286,7 +213,7 @@
 			SCOPED_TRACE(testing::Message()
 				     << work_ms << " ms, " << probes);
 			stop.add_upstreams(work_ms);
-			stop.wait_until_served();
+			stop.start();
 			stop.play(probes);
 			stop.check();
 		}
--- a/tests/stream_version_test.cc
+++ b/tests/stream_version_test.cc
@@ -3,7 +3,7 @@
  * at the version that began it, within one answer and over its caller's
  * attempts. The emulator records a breach for each stream that does not.
  */
-#include "direct_rig.h"
+#include "entry_process.h"
 
 #include <memory>
 #include <vector>
@@ -418,6 +418,102 @@
 	}
 }
 
+/* Streams over real processes, all of which lose power beside a release. */
+struct KilledFleet {
+	pe *platform = pe_create();
+	std::vector<pe_upstream *> engines;
+	std::vector<std::unique_ptr<EntryProcess>> entries;
+	std::vector<std::string> bodies;
+
+	KilledFleet()
+	{
+		g_autofree char *config = pe_sample_config(1);
+
+		pe_set_config(platform, config);
+		pe_add(platform, PE_PLAIN, "plain", "a");
+		for (int i = 0; i < 3; i++)
+			add_engine("v1");
+		for (int i = 0; i < 2; i++)
+			entries.push_back(std::make_unique<EntryProcess>(
+				platform, i, "bootstrap=true\n"));
+		for (auto &entry : entries)
+			entry->wait_until_served();
+	}
+	~KilledFleet()
+	{
+		entries.clear();
+		EXPECT_EQ(pe_mixed_streams(platform), 0u);
+		pe_destroy(platform);
+	}
+	void add_engine(const char *version)
+	{
+		engines.push_back(pe_add(platform, PE_ENGINE, "engine", "a"));
+		pe_set_version(engines.back(), version);
+	}
+	void begin_streams()
+	{
+		for (int i = 0; i < streams_count; i++) {
+			CallerRequest begun(entries[i % 2]->front,
+					    TwoVersions::attempt(i, 0).c_str(),
+					    "/again/x");
+
+			EXPECT_TRUE(run_loop_until(
+				[&] { return !begun.body.empty(); }));
+			bodies.push_back(begun.body);
+		}
+	}
+	/* They come back with the settings of a later start. */
+	void kill_all()
+	{
+		for (auto &entry : entries)
+			entry->end();
+		for (auto &entry : entries) {
+			entry->write_settings(platform, "bootstrap=false\n");
+			entry->start();
+		}
+	}
+	/* Callers try again and again, as they may, while entries start. */
+	void resume_streams(int64_t ms)
+	{
+		int64_t until_us = g_get_monotonic_time() + ms * 1000;
+
+		for (int n = 1; g_get_monotonic_time() < until_us; n++)
+			for (int i = 0; i < streams_count; i++) {
+				Fields fields = { { "Last-Event-Id",
+						    TwoVersions::last_id(
+							    bodies[i]) } };
+
+				if (i % 3)
+					fields["Resumes"] =
+						TwoVersions::attempt(i, 0);
+				CallerRequest(
+					entries[n % 2]->front,
+					TwoVersions::attempt(i, n).c_str(),
+					"/again/x", fields)
+					.wait();
+			}
+	}
+};
+
+/* Guards against text joined from two versions: both serve, or the first one
+ * has just left. */
+TEST(StreamVersion, ProcessesKilledAtOnceJoinNoVersions)
+{
+	for (bool first_version_left : { false, true }) {
+		KilledFleet fleet;
+
+		fleet.begin_streams();
+		for (int i = 0; i < 3; i++)
+			fleet.add_engine("v2");
+		if (first_version_left)
+			for (int i = 0; i < 3; i++)
+				pe_remove(fleet.engines[i]);
+		run_loop_until([] { return false; }, 1500);
+		fleet.kill_all();
+		fleet.resume_streams(8000);
+	}
+}
+
 /* Guards against an emulated engine that is released while it is away and comes
  * back under its id with the new version, as no engine of the platform does. */
 TEST(StreamVersion, EngineReleasedWhileAwayGetsANewId)
