Quarantine: tests of whole contents, lost reports and the trial after a block

Beside a crash by chance: a content that crashes engines, reports that are lost (3 in 100), and the trial after the first block, which costs one more engine.

--- a/tests/quarantine_fleet_test.cc
+++ b/tests/quarantine_fleet_test.cc
@@ -69,6 +69,7 @@
 	double crash_share = 1;	   /* of the runs that hold one */
 	bool crashes_late = false; /* within the stream, not when it begins */
 	double other_crash_per_s = 0; /* of engines, for another reason */
+	double lost_share = 0;	      /* of the reports to other entries */
 	uint64_t last_digest = 1000000;
 	std::map<uint64_t, uint32_t> crashes;
 	std::map<uint64_t, uint32_t> late_arrivals;
@@ -101,7 +102,7 @@
 	{
 		change(entries[from]);
 		for (size_t i = 0; i < entries.size(); i++)
-			if (i != from)
+			if (i != from && !(lost_share && draw(lost_share)))
 				messages.emplace(
 					clock.now_us +
 						draw_us(2 * ms, 100 * ms),
@@ -505,6 +506,8 @@
 	 * it. */
 	std::vector<uint32_t> chance;
 	uint32_t organisations = 1; /* that send the part */
+	uint64_t content = 0;	    /* crashes engines in place of the part */
+	double lost_share = 0;	    /* of reports */
 };
 
 struct Callers {
@@ -520,13 +523,16 @@
 	std::vector<Kind> sound;
 	std::vector<Kind> bad;
 	std::vector<Kind *> kinds;
+	uint64_t bad_key;
 	int64_t last_crash_us = 0;
 
 	CourseRun(const Course &course, uint32_t seed, size_t entries,
 		  const Callers &callers)
-	    : fleet(seed, entries, entries > 3 ? 18 : 6)
+	    : fleet(seed, entries, entries > 3 ? 18 : 6),
+	      bad_key(course.content ? course.content : bad_part)
 	{
-		fleet.bad = { bad_part };
+		fleet.bad = { bad_key };
+		fleet.lost_share = course.lost_share;
 		for (size_t i = 0; i < callers.count; i++) {
 			Kind kind = { course.sound, 0 };
 
@@ -539,6 +545,7 @@
 			Kind kind = { course.bad, 2.5 / course.organisations };
 
 			kind.organisation = i + 1;
+			kind.content = course.content;
 			bad.push_back(kind);
 		}
 		for (auto &kind : sound)
@@ -553,7 +560,7 @@
 	/* Until the part has crashed so many engines. */
 	void run_until(uint32_t crashes)
 	{
-		while (fleet.crashes[bad_part] < crashes) {
+		while (fleet.crashes[bad_key] < crashes) {
 			fleet.run_for(tick_us, kinds);
 			last_crash_us = fleet.clock.now_us;
 		}
@@ -612,7 +619,12 @@
 					     << callers.in_step << ", seed "
 					     << seed);
 				EXPECT_GE(run.begun_share(), 0.5);
-				run.fleet.expect_bounded(bad_part, crashes_max);
+				/* The trial after the block crashes one more.
+				 */
+				run.fleet.run_for(100 * s, run.kinds);
+				EXPECT_GE(run.begun_share(), 0.5);
+				run.fleet.expect_bounded(run.bad_key,
+							 crashes_max);
 			}
 }
 
@@ -642,6 +654,18 @@
 			{ { 11, 12, 0 }, { 11, 12, 666, 0 }, { chance } });
 }
 
+/* The same where a whole content crashes engines, and where reports are lost.
+ */
+TEST(QuarantineFleet, CrashByChanceBesideAContentOrLostReports)
+{
+	for (uint32_t chance : { 0, 1, 3 }) {
+		expect_sound_begun(
+			{ { 11, 0 }, { 11, 0 }, { chance }, 1, 668 });
+		expect_sound_begun(
+			{ { 11, 0 }, { 11, 666, 0 }, { chance }, 1, 0, 0.03 });
+	}
+}
+
 /* The same where two organisations send the part. */
 TEST(QuarantineFleet, CrashByChanceBesideAPartOfTwoOrganisations)
 {
@@ -659,7 +683,7 @@
 
 	run.play(course);
 	run.fleet.run_for(observed_us, run.kinds);
-	run.fleet.expect_bounded(bad_part, crashes_max);
+	run.fleet.expect_bounded(run.bad_key, crashes_max);
 }
 
 /* Guards against second parts that keep a first part from being blocked which
