--- a/policy/quarantine.c
+++ b/policy/quarantine.c
@@ -502,6 +502,8 @@
 		if (theirs->round > 1)
 			alternatives->tainted |= 1U << i;
 	}
+	if (!(covered & ~alternatives->best))
+		return;
 	if (count_rounds(evidence, all & ~covered) <
 	    count_rounds(evidence, all & ~alternatives->best))
 		alternatives->best = covered;
@@ -566,6 +568,7 @@
 	if (rounds >= QUARANTINE_BLOCK_ROUNDS)
 		return true;
 	return rounds >= QUARANTINE_SUSPECT_PART_ROUNDS &&
+	       everyone->count > own->count &&
 	       rounds_against(quarantine, record, everyone, keys) >=
 		       QUARANTINE_CONFIRMED_ROUNDS;
 }
