Quarantine, HTTP: a block by own evidence ends by it; blank lines before a status

A part that an organisation's own rounds block stayed blocked by the last termination of any organisation, so another one could prolong the block; it is own evidence again, as before. And a blank line before an answer's head that came byte by byte hid the status line from its check: HttpParse.RejectsAStatusThatIsNone has it now.

--- a/http/http_parse.c
+++ b/http/http_parse.c
@@ -255,7 +255,8 @@
 static bool check_status_line(struct http_parse *parse, const char *bytes,
 			      size_t size)
 {
-	bool is_empty = !parse->line_bytes && bytes[0] == '\r';
+	bool is_empty =
+		!parse->line_bytes && (bytes[0] == '\r' || bytes[0] == '\n');
 
 	if (parse->has_status_line || is_empty)
 		return true;
--- a/policy/quarantine.c
+++ b/policy/quarantine.c
@@ -557,20 +557,40 @@
 		1 + count_rounds(evidence, sole_trials));
 }
 
-/* Evidence of other organisations blocks nobody by itself, but confirms own. */
-static bool is_blocked(const struct quarantine *quarantine,
-		       const struct record *record, const struct evidence *own,
-		       const struct evidence *everyone,
-		       const struct quarantine_keys *keys)
+/* The evidence that blocks a request with `keys`, or NULL. That of other
+ * organisations blocks nobody by itself, but confirms own evidence. */
+static const struct evidence *find_blocking(const struct quarantine *quarantine,
+					    const struct record *record,
+					    const struct evidence *own,
+					    const struct evidence *everyone,
+					    const struct quarantine_keys *keys)
 {
 	uint32_t rounds = rounds_against(quarantine, record, own, keys);
 
 	if (rounds >= QUARANTINE_BLOCK_ROUNDS)
-		return true;
-	return rounds >= QUARANTINE_SUSPECT_PART_ROUNDS &&
-	       everyone->count > own->count &&
-	       rounds_against(quarantine, record, everyone, keys) >=
-		       QUARANTINE_CONFIRMED_ROUNDS;
+		return own;
+	if (rounds < QUARANTINE_SUSPECT_PART_ROUNDS ||
+	    everyone->count == own->count ||
+	    rounds_against(quarantine, record, everyone, keys) <
+		    QUARANTINE_CONFIRMED_ROUNDS)
+		return NULL;
+	return everyone;
+}
+
+/* Until when a request with `keys` is blocked; 0: it is not. */
+static int64_t block_end_us(const struct quarantine *quarantine,
+			    const struct record *record,
+			    const struct evidence *own,
+			    const struct quarantine_keys *keys)
+{
+	int64_t now_us = lp_now_us(quarantine->clock);
+	struct evidence everyone = all_evidence(record);
+	const struct evidence *blocking;
+
+	if (blocked_until_us(&everyone) <= now_us)
+		return 0;
+	blocking = find_blocking(quarantine, record, own, &everyone, keys);
+	return blocking ? blocked_until_us(blocking) : 0;
 }
 
 void quarantine_foreach_explained(const struct quarantine *quarantine,
@@ -605,7 +625,6 @@
 {
 	int64_t now_us = lp_now_us(quarantine->clock);
 	struct evidence evidence;
-	struct evidence everyone;
 	int64_t until_us;
 
 	*is_trial = false;
@@ -616,10 +635,8 @@
 		return 0;
 	if (is_explained(quarantine, record, &evidence))
 		return 0;
-	everyone = all_evidence(record);
-	until_us = blocked_until_us(&everyone);
-	if (now_us < until_us &&
-	    is_blocked(quarantine, record, &evidence, &everyone, keys))
+	until_us = block_end_us(quarantine, record, &evidence, keys);
+	if (now_us < until_us)
 		return until_us - now_us;
 	if (now_us < record->trial_until_us)
 		return MIN(record->trial_until_us - now_us,
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -115,7 +115,7 @@
 				    "20", "2", "2000", "20x", "-20", "" })
 		for (bool byte_by_byte : { false, true })
 			for (const char *before :
-			     { "", "HTTP/1.1 100 Continue\r\n\r\n" }) {
+			     { "", "\r\n", "HTTP/1.1 100 Continue\r\n\r\n" }) {
 				ParserFixture parser(HTTP_RESPONSE);
 				std::string text =
 					std::string(before) + "HTTP/1.1 " +
