Quarantine: crashes of one incarnation are told apart by their times

Cause: two keys shared a termination if it was of the same incarnation. The listed one may terminate again and again, so that a key that had shared its first crash covered all later ones and was taken for another possible cause. Now the times must agree as well.

--- a/policy/quarantine.c
+++ b/policy/quarantine.c
@@ -427,12 +427,21 @@
 
 /* ---- which of several keys causes terminations ---- */
 
+/* The termination of the same upstream at the same time; or NULL. An upstream
+ * that has restarted under its id may terminate again before it is listed. */
 static const struct quarantine_termination *
-find_termination(const struct record *record, uint64_t incarnation)
+find_simultaneous(const struct record *record,
+		  const struct quarantine_termination *termination)
 {
-	for (uint32_t i = 0; i < count_of(record); i++)
-		if (termination_at(record, i)->incarnation == incarnation)
-			return termination_at(record, i);
+	for (uint32_t i = 0; i < count_of(record); i++) {
+		const struct quarantine_termination *other =
+			termination_at(record, i);
+
+		if (other->incarnation == termination->incarnation &&
+		    ABS(other->terminated_us - termination->terminated_us) <
+			    QUARANTINE_SAME_CRASH_US)
+			return other;
+	}
 	return NULL;
 }
 
@@ -443,7 +452,7 @@
 	uint32_t covered = 0;
 
 	for (uint32_t i = 0; i < evidence->count; i++)
-		if (find_termination(other, evidence->items[i]->incarnation))
+		if (find_simultaneous(other, evidence->items[i]))
 			covered |= 1U << i;
 	return covered;
 }
@@ -494,7 +503,7 @@
 	for (uint32_t i = 0; i < evidence->count; i++) {
 		const struct quarantine_termination *ours = evidence->items[i];
 		const struct quarantine_termination *theirs =
-			find_termination(other, ours->incarnation);
+			find_simultaneous(other, ours);
 
 		if (!theirs || !is_alternative(other, theirs, ours))
 			continue;
--- a/tests/quarantine_fleet_test.cc
+++ b/tests/quarantine_fleet_test.cc
@@ -70,6 +70,8 @@
 	bool crashes_late = false; /* within the stream, not when it begins */
 	double other_crash_per_s = 0; /* of engines, for another reason */
 	double lost_share = 0;	      /* of the reports to other entries */
+	/* Engines restart under their ids, and the list does not show it. */
+	bool keeps_incarnations = false;
 	uint64_t last_digest = 1000000;
 	std::map<uint64_t, uint32_t> crashes;
 	std::map<uint64_t, uint32_t> late_arrivals;
@@ -193,7 +195,8 @@
 					 [=, this] { note_lost(run); });
 		for (Run &run : lost)
 			note_lost_later(run, engine.incarnation);
-		engine.incarnation = ++last_digest;
+		if (!keeps_incarnations)
+			engine.incarnation = ++last_digest;
 		engine.back_us = clock.now_us + 4 * s;
 	}
 	void note_lost_later(const Run &run, uint64_t incarnation)
@@ -686,6 +689,31 @@
 	run.fleet.expect_bounded(run.bad_key, crashes_max);
 }
 
+/* Guards against a part that goes on crashing engines which restart under their
+ * ids: another part that shared one crash of an engine was taken for the cause
+ * of all its later ones. */
+TEST(QuarantineFleet, BlocksAPartWhileEnginesKeepTheirIncarnations)
+{
+	for (size_t entries : { 2, 3 })
+		for (uint32_t seed = 1; seed <= 20; seed++) {
+			Fleet fleet(seed, entries, 4);
+			std::vector<Kind> bad(5, Kind{ {}, 0.6 });
+			std::vector<Kind *> kinds;
+
+			for (size_t i = 0; i < bad.size(); i++) {
+				bad[i].parts = { 20 + i, 666 };
+				bad[i].content = 700 + i % 2;
+				kinds.push_back(&bad[i]);
+			}
+			fleet.bad = { 666 };
+			fleet.keeps_incarnations = true;
+			fleet.run_for(50 * s, kinds);
+			SCOPED_TRACE(testing::Message()
+				     << entries << " entries, seed " << seed);
+			fleet.expect_bounded(666, crashes_max);
+		}
+}
+
 /* Guards against second parts that keep a first part from being blocked which
  * crashes engines itself. */
 TEST(QuarantineFleet, SecondPartsDoNotExcuseTheFirst)
