Quarantine, tests: comments say what the code does

Found in the last reading: two failed trials count if the keys that a request lacks, not those of the trial, had no termination before; and entries are killed in the tests, they don't lose power.

--- a/policy/quarantine.h
+++ b/policy/quarantine.h
@@ -33,9 +33,9 @@
  * the same run. With three rounds left it is refused, else allowed as a trial,
  * whose outcome tells the keys apart. A request with all keys that may be the
  * cause is refused, one with a part of them is tried. Two failed trials count
- * as three rounds if no other key of theirs had a termination before. A key
- * whose terminations are all also terminations of another key, which has more,
- * restricts nothing: the other explains them.
+ * as three rounds if none of the keys that the request lacks had a termination
+ * before them. A key whose terminations are all also terminations of another
+ * key, which has more, restricts nothing: the other explains them.
  *
  * Anybody may name a part of somebody else's prompts. A part restricts an
  * organisation only if it was lost in a request of that organisation, or of two
--- a/tests/entry_process.h
+++ b/tests/entry_process.h
@@ -78,7 +78,7 @@
 				      nullptr, nullptr, &pid, nullptr));
 		g_strfreev(env);
 	}
-	/* Its host loses power. */
+	/* Without notice to anybody. */
 	void end()
 	{
 		kill(pid, SIGKILL);
--- a/tests/stream_version_test.cc
+++ b/tests/stream_version_test.cc
@@ -418,7 +418,7 @@
 	}
 }
 
-/* Streams over real processes, all of which lose power beside a release. */
+/* Streams over real processes, all of which are killed beside a release. */
 struct KilledFleet {
 	pe *platform = pe_create();
 	std::vector<pe_upstream *> engines;
